--- /dev/null
+++ b/internal/connection/mgrpc/doc.go
@@ -0,0 +1,4 @@
+// Package mgrpc holds the messages between the system's own processes: the
+// agent's calls, the peers' exchange and the token frames. The code is
+// generated from the .proto files beside it by generate.sh and committed.
+package mgrpc
--- /dev/null
+++ b/pkg/mgproblem/problem.go
@@ -0,0 +1,220 @@
+package mgproblem
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Kind is a typed cause.
+type Kind string
+
+// The kinds of problems.
+const (
+	Invalid      Kind = "invalid"      // the request can't be understood
+	Stranger     Kind = "stranger"     // no client account has this key
+	Forbidden    Kind = "forbidden"    // the account may not do this
+	Missing      Kind = "missing"      // no such answer, service or model
+	Large        Kind = "large"        // a bound on size is exceeded
+	Capped       Kind = "capped"       // the account's cap is used up
+	Crowded      Kind = "crowded"      // no upstream can answer in time
+	Late         Kind = "late"         // the deadline passed while it waited
+	Leaving      Kind = "leaving"      // the process or upstream is leaving
+	Unready      Kind = "unready"      // no configuration is in force yet
+	Behind       Kind = "behind"       // the process has an older version
+	Incarnation  Kind = "incarnation"  // the process was replaced
+	Tombstone    Kind = "tombstone"    // the attempt was cancelled before
+	Interrupted  Kind = "interrupted"  // the generation ended before its end
+	Unconfirmed  Kind = "unconfirmed"  // whether it ran can't be told
+	Unpromisable Kind = "unpromisable" // the promise asked for can't be kept
+	Cancelled    Kind = "cancelled"    // the caller cancelled it
+	Internal     Kind = "internal"     // a fault of the system
+)
+
+// Outcome tells what became of a request.
+type Outcome string
+
+// The outcomes. NotRun is said only where it is attested.
+const (
+	Done    Outcome = "done"
+	NotRun  Outcome = "notrun"
+	Unknown Outcome = "unknown"
+)
+
+// MediaType is the media type of a Problem over HTTP.
+const MediaType = "application/problem+json"
+
+// A Problem is a typed error with its remedy. The zero Problem is Internal
+// with the outcome Unknown.
+type Problem struct {
+	kind    Kind
+	detail  string
+	remedy  string
+	outcome Outcome
+	retry   mgclock.Millis
+	cause   error
+}
+
+// New returns a problem of a kind. Detail says what went wrong, remedy what to
+// do about it; outcome tells what became of the request.
+func New(kind Kind, outcome Outcome, detail, remedy string) *Problem {
+	return &Problem{
+		kind:    kind,
+		detail:  detail,
+		remedy:  remedy,
+		outcome: outcome,
+	}
+}
+
+// WithRetry returns a copy that tells the caller to come back after span.
+func (p Problem) WithRetry(span mgclock.Millis) *Problem {
+	p.retry = span
+	return &p
+}
+
+// WithCause returns a copy that wraps err.
+func (p Problem) WithCause(err error) *Problem {
+	p.cause = err
+	return &p
+}
+
+// Kind returns the typed cause.
+func (p *Problem) Kind() Kind {
+	if p.kind == "" {
+		return Internal
+	}
+	return p.kind
+}
+
+// Outcome returns what became of the request.
+func (p *Problem) Outcome() Outcome {
+	if p.outcome == "" {
+		return Unknown
+	}
+	return p.outcome
+}
+
+// Detail returns what went wrong.
+func (p *Problem) Detail() string { return p.detail }
+
+// Remedy returns what to do about it.
+func (p *Problem) Remedy() string { return p.remedy }
+
+// Retry returns the span after which to come back, or 0.
+func (p *Problem) Retry() mgclock.Millis { return p.retry }
+
+// Unwrap returns the cause, or nil.
+func (p *Problem) Unwrap() error { return p.cause }
+
+// Error returns the kind, the detail and the remedy.
+func (p *Problem) Error() string {
+	text := fmt.Sprintf("%s: %s: %s", p.Kind(), p.detail, p.remedy)
+	if p.cause != nil {
+		text += ": " + p.cause.Error()
+	}
+	return text
+}
+
+// From returns the Problem in err's chain, or wraps err as Internal with the
+// outcome Unknown.
+func From(err error) *Problem {
+	var problem *Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
+	return New(Internal, Unknown, "an unexpected fault", "report it with the time and the answer's name").WithCause(err)
+}
+
+// Status returns the HTTP status for the problem's kind.
+func (p *Problem) Status() int {
+	switch p.Kind() {
+	case Invalid, Unpromisable:
+		return http.StatusBadRequest
+	case Stranger:
+		return http.StatusUnauthorized
+	case Forbidden:
+		return http.StatusForbidden
+	case Missing:
+		return http.StatusNotFound
+	case Large:
+		return http.StatusRequestEntityTooLarge
+	case Capped:
+		return http.StatusTooManyRequests
+	case Incarnation, Tombstone, Unconfirmed:
+		return http.StatusConflict
+	case Interrupted:
+		return http.StatusBadGateway
+	case Late:
+		return http.StatusGatewayTimeout
+	case Cancelled:
+		return http.StatusGone
+	case Crowded, Leaving, Unready, Behind:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// wire is the JSON form of a Problem.
+type wire struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Kind    string `json:"kind"`
+	Remedy  string `json:"remedy"`
+	Outcome string `json:"outcome"`
+	Retry   int64  `json:"retry,omitempty"`
+}
+
+// MarshalJSON returns the application/problem+json form. The cause stays
+// inside: it may name addresses.
+func (p *Problem) MarshalJSON() ([]byte, error) {
+	return json.Marshal(wire{
+		Type:    "urn:marjoramgauge:" + string(p.Kind()),
+		Title:   string(p.Kind()),
+		Status:  p.Status(),
+		Detail:  p.detail,
+		Kind:    string(p.Kind()),
+		Remedy:  p.remedy,
+		Outcome: string(p.Outcome()),
+		Retry:   int64(p.retry),
+	})
+}
+
+// UnmarshalJSON reads the application/problem+json form.
+func (p *Problem) UnmarshalJSON(data []byte) error {
+	var w wire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return fmt.Errorf("problem: not the JSON of a problem: check the sender: %w", err)
+	}
+	*p = Problem{
+		kind:    Kind(w.Kind),
+		detail:  w.Detail,
+		remedy:  w.Remedy,
+		outcome: Outcome(w.Outcome),
+		retry:   mgclock.Millis(w.Retry),
+	}
+	return nil
+}
+
+// Write answers an HTTP request with the problem. Retry-After is in whole
+// seconds, rounded up, so that nobody comes back too early.
+func Write(w http.ResponseWriter, p *Problem) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		http.Error(w, "internal", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", MediaType)
+	if p.retry > 0 {
+		seconds := (p.retry + mgclock.Second - 1) / mgclock.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	w.WriteHeader(p.Status())
+	_, _ = w.Write(body)
+}
