--- /dev/null
+++ b/internal/request/mganswer/answer.go
@@ -0,0 +1,105 @@
+package mganswer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// kind keeps answers' names apart from other sealed names.
+const kind = "answer"
+
+// A Name tells where an answer's generation is.
+type Name struct {
+	agent       string
+	incarnation string
+	generation  string
+}
+
+// NewName returns the name of a generation held by an agent's incarnation.
+func NewName(agent, incarnation, generation string) Name {
+	return Name{
+		agent:       agent,
+		incarnation: incarnation,
+		generation:  generation,
+	}
+}
+
+// Agent returns the agent that gives the generation's upstream its work.
+func (n Name) Agent() string { return n.agent }
+
+// Incarnation returns the agent's life in which the generation started.
+func (n Name) Incarnation() string { return n.incarnation }
+
+// Generation returns the generation's id at the engine.
+func (n Name) Generation() string { return n.generation }
+
+// A Signer seals names to client accounts. The zero Signer's names hold within
+// one process.
+type Signer struct {
+	seal mgseal.Signer
+	from *mgseal.Signer
+}
+
+// NewSigner returns a Signer over the keys that all processes share.
+func NewSigner(seal *mgseal.Signer) *Signer {
+	return &Signer{
+		from: seal,
+	}
+}
+
+// Sign returns the text of an answer's name for account.
+func (s *Signer) Sign(account string, n Name) string {
+	return s.keys().Seal(kind, account, n.agent, n.incarnation, n.generation)
+}
+
+// Open returns the name that was signed for account. A stranger's name, a
+// forged one and one that never was give the same problem.
+func (s *Signer) Open(account, text string) (Name, error) {
+	fields, err := s.keys().Open(kind, account, text)
+	if err != nil || len(fields) != 3 {
+		return Name{}, missing()
+	}
+	return NewName(fields[0], fields[1], fields[2]), nil
+}
+
+func (s *Signer) keys() *mgseal.Signer {
+	if s.from != nil {
+		return s.from
+	}
+	return &s.seal
+}
+
+// FormatEventID returns the SSE id of the event that ends with token seq.
+func FormatEventID(answer string, seq uint64) string {
+	return answer + "." + strconv.FormatUint(seq, 10)
+}
+
+// ParseEventID splits an SSE id into the answer's text, still to be opened,
+// and the number of the last token that the caller has.
+func ParseEventID(id string) (answer string, seq uint64, err error) {
+	answer, digits, found := strings.Cut(id, ".")
+	if !found || answer == "" || len(answer) > mgseal.MaxText {
+		return "", 0, invalid()
+	}
+	seq, err = strconv.ParseUint(digits, 10, 64)
+	if err != nil || FormatEventID(answer, seq) != id {
+		return "", 0, invalid()
+	}
+	return answer, seq, nil
+}
+
+func missing() error {
+	return mgproblem.New(mgproblem.Missing, mgproblem.Unknown,
+		"no such answer for this account",
+		"use the name as it came, with the key of the account that asked")
+}
+
+func invalid() error {
+	return fmt.Errorf("event id: %w", mgproblem.New(mgproblem.Invalid, mgproblem.NotRun,
+		"not the id of an event",
+		"send Last-Event-ID as it came, <answer>.<number>"))
+}
--- /dev/null
+++ b/internal/request/mgseal/seal.go
@@ -0,0 +1,131 @@
+package mgseal
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+)
+
+// The bounds of keys and texts in bytes.
+const (
+	MinKey  = 16  // shorter keys can be guessed
+	MaxText = 512 // longer texts are refused before any work is done on them
+	tagSize = 16  // half of SHA-256: as strong as its collision bound
+)
+
+var (
+	// ErrKey is returned for a key that is too short.
+	ErrKey = errors.New("seal: key too short: give at least 16 bytes, the same to every process")
+	// ErrForeign is returned for a text that this owner was not given. It says
+	// no more, so that a stranger learns nothing from it.
+	ErrForeign = errors.New("seal: no such name: use the name as it was given to this account")
+)
+
+var encoding = base64.RawURLEncoding.Strict()
+
+// A Spec holds the keys that all processes share.
+type Spec struct {
+	// Current seals and opens.
+	Current []byte
+	// Previous opens names made before the last change of keys. It may be empty.
+	Previous []byte
+}
+
+// A Signer seals and opens names. The zero Signer uses a random key of its
+// own, so that its names hold within one process.
+type Signer struct {
+	once sync.Once
+	keys [][]byte
+}
+
+// New returns a Signer with shared keys.
+func New(spec Spec) (*Signer, error) {
+	if len(spec.Current) < MinKey {
+		return nil, fmt.Errorf("current key: %w", ErrKey)
+	}
+	s := &Signer{
+		keys: [][]byte{spec.Current},
+	}
+	if len(spec.Previous) == 0 {
+		return s, nil
+	}
+	if len(spec.Previous) < MinKey {
+		return nil, fmt.Errorf("previous key: %w", ErrKey)
+	}
+	s.keys = append(s.keys, spec.Previous)
+	return s, nil
+}
+
+// Seal returns the text of a name of a kind that belongs to owner.
+func (s *Signer) Seal(kind, owner string, fields ...string) string {
+	payload := join(fields)
+	return encoding.EncodeToString(append(payload, tag(s.ring()[0], kind, owner, payload)...))
+}
+
+// Open returns the fields of a name sealed for owner, or ErrForeign.
+func (s *Signer) Open(kind, owner, text string) ([]string, error) {
+	if len(text) > MaxText {
+		return nil, ErrForeign
+	}
+	raw, err := encoding.DecodeString(text)
+	if err != nil || len(raw) < tagSize {
+		return nil, ErrForeign
+	}
+	payload, sum := raw[:len(raw)-tagSize], raw[len(raw)-tagSize:]
+	for _, key := range s.ring() {
+		// A tag compared byte by byte can be guessed byte by byte from the time
+		// the answer takes; Equal takes the same time for every tag.
+		if hmac.Equal(sum, tag(key, kind, owner, payload)) {
+			return split(payload)
+		}
+	}
+	return nil, ErrForeign
+}
+
+// ring returns the keys, the one that seals first.
+func (s *Signer) ring() [][]byte {
+	s.once.Do(func() {
+		if s.keys != nil {
+			return
+		}
+		key := make([]byte, sha256.Size)
+		_, _ = rand.Read(key) // never fails, see crypto/rand
+		s.keys = [][]byte{key}
+	})
+	return s.keys
+}
+
+func tag(key []byte, kind, owner string, payload []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	// The lengths keep ("ab", "c") and ("a", "bc") apart.
+	h.Write(join([]string{kind, owner}))
+	h.Write(payload)
+	return h.Sum(nil)[:tagSize]
+}
+
+func join(fields []string) []byte {
+	var b []byte
+	for _, field := range fields {
+		b = binary.AppendUvarint(b, uint64(len(field)))
+		b = append(b, field...)
+	}
+	return b
+}
+
+func split(b []byte) ([]string, error) {
+	var fields []string
+	for len(b) > 0 {
+		size, n := binary.Uvarint(b)
+		if n <= 0 || size > uint64(len(b)-n) {
+			return nil, ErrForeign
+		}
+		fields = append(fields, string(b[n:n+int(size)]))
+		b = b[n+int(size):]
+	}
+	return fields, nil
+}
