mgdelivery: every token once, in order, from one generation

Cause: frames come twice, late, crossed or not at all, and engines die; a caller must get a whole text of one generation or be told that it didn't. Change: a receiver as a state machine: frames and losses in, decisions out (wait, deliver, finish, reopen, elsewhere, fail). A streaming caller is bound to the generation of its first token; whole delivery starts over elsewhere.

--- /dev/null
+++ b/internal/request/mgdelivery/receiver.go
@@ -0,0 +1,241 @@
+package mgdelivery
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+const (
+	// DefaultGenerations bounds the generations started for one answer. Each may
+	// have cost an engine its memory; the entry's retry budget bounds them all.
+	DefaultGenerations = 3
+	// maxRefusals bounds the frames refused in a row. One gap or one crossed
+	// frame is mended by reading again; a stream that goes on with them is lost.
+	maxRefusals = 3
+)
+
+// endCancelled is the end of a generation that was cancelled upstream.
+const endCancelled = "cancelled"
+
+// A Spec describes an answer.
+type Spec struct {
+	// Whole is set for a caller that takes the answer in one piece.
+	Whole bool
+	// From is the last token that the caller has, for one that resumes.
+	From uint64
+	// Pinned is set for one that resumes: the answer's name holds its
+	// generation, so there is no going elsewhere.
+	Pinned bool
+	// Generations bounds the generations started, by default
+	// DefaultGenerations.
+	Generations int
+}
+
+// A Receiver is the reading end of one answer. The zero Receiver is that of a
+// streaming caller.
+type Receiver struct {
+	spec       Spec
+	begun      int    // counts Begin
+	reading    int    // the attempt whose frames are taken, or 0
+	started    int    // counts the generations
+	generation string // the one that is read
+	last       uint64 // the last token taken, delivered unless whole
+	kept       []string
+	refusals   int
+	over       bool
+}
+
+// New returns the Receiver of an answer.
+func New(spec Spec) *Receiver {
+	if spec.Whole {
+		spec.From = 0 // it has had nothing before the end
+	}
+	return &Receiver{
+		spec: spec,
+		last: spec.From,
+	}
+}
+
+// Begin tells that a generation was started, or is resumed, and returns the
+// number of the attempt that its frames are to come with. No frame is taken
+// under the number 0, which is returned for a generation that can't follow.
+func (r *Receiver) Begin(generation string) int {
+	other := generation != r.generation
+	if other && r.started > 0 && r.delivered() > 0 {
+		// Another generation's tokens after this one's would be a splice.
+		return 0
+	}
+	if other {
+		r.started++
+		r.generation = generation
+		r.last = r.spec.From
+		r.kept = nil
+	}
+	r.begun++
+	r.reading = r.begun
+	r.refusals = 0
+	return r.reading
+}
+
+// Generation returns the generation that is read.
+func (r *Receiver) Generation() string { return r.generation }
+
+// Last returns the last token taken; reading goes on from the next.
+func (r *Receiver) Last() uint64 { return r.last }
+
+// Over reports whether the caller has had the last word.
+func (r *Receiver) Over() bool { return r.over }
+
+// Frame takes a frame that came on an attempt's stream.
+func (r *Receiver) Frame(attempt int, f *mgrpc.Frame) Decision {
+	if r.over || attempt == 0 || attempt != r.reading {
+		// A frame of an earlier attempt was on its way when the answer went
+		// elsewhere. Its tokens are of another run of the model, and mixed in
+		// they would make a text that no generation wrote.
+		return Decision{}
+	}
+	if f.GetGeneration() != r.generation {
+		// A stream that was crossed with another, or an agent that started over.
+		return r.refuse()
+	}
+	if f.GetFault() != "" {
+		return r.lost(f.GetFault())
+	}
+	if f.GetEnd() == endCancelled {
+		return r.lost("it was cancelled at the engine")
+	}
+	if len(f.GetText()) > 0 && f.GetSeq() > r.last+1 {
+		// Frames between were lost. Taken, the text would lack them unseen.
+		return r.refuse()
+	}
+	fresh := r.fresh(f)
+	r.last += uint64(len(fresh))
+	if len(fresh) > 0 {
+		r.refusals = 0
+	}
+	if r.spec.Whole {
+		r.kept = append(r.kept, fresh...)
+	}
+	if f.GetEnd() != "" {
+		return r.end(f, fresh)
+	}
+	if r.spec.Whole || len(fresh) == 0 {
+		return Decision{}
+	}
+	return r.deliver(Deliver, fresh)
+}
+
+// Lost tells that an attempt's generation can't be read any more: its agent or
+// engine is gone, or its link gave up.
+func (r *Receiver) Lost(attempt int) Decision {
+	if r.over || attempt == 0 || attempt != r.reading {
+		return Decision{}
+	}
+	return r.lost("the connection to its engine is lost")
+}
+
+// Cancel tells that the caller gave up.
+func (r *Receiver) Cancel() Decision {
+	if r.over {
+		return Decision{}
+	}
+	return r.fail(mgproblem.New(mgproblem.Cancelled, mgproblem.Unknown,
+		fmt.Sprintf("cancelled after %d tokens", r.delivered()),
+		"ask again to have a new answer"))
+}
+
+// fresh returns the tokens of f that were not taken yet. A reopened stream
+// repeats some, and a frame may hold both.
+func (r *Receiver) fresh(f *mgrpc.Frame) []string {
+	text := f.GetText()
+	if len(text) == 0 || f.GetSeq() == 0 {
+		return nil
+	}
+	known := r.last + 1 - f.GetSeq()
+	if known >= uint64(len(text)) {
+		return nil
+	}
+	return slices.Clone(text[known:])
+}
+
+// end takes the last frame. It counts only when nothing is missing before it.
+func (r *Receiver) end(f *mgrpc.Frame, fresh []string) Decision {
+	if f.GetTotal() != r.last {
+		// The tail was lost and the end arrived: a cut that nobody would see.
+		return r.refuseEnd(fresh)
+	}
+	r.over = true
+	if r.spec.Whole {
+		fresh = r.kept
+	}
+	d := r.deliver(Finish, fresh)
+	d.end = f.GetEnd()
+	return d
+}
+
+// refuseEnd delivers what came with a premature end, and reads again.
+func (r *Receiver) refuseEnd(fresh []string) Decision {
+	if r.spec.Whole || len(fresh) == 0 {
+		return r.refuse()
+	}
+	return r.deliver(Reopen, fresh)
+}
+
+func (r *Receiver) refuse() Decision {
+	r.refusals++
+	if r.refusals > maxRefusals {
+		return r.lost("its frames don't follow one another")
+	}
+	return r.deliver(Reopen, nil)
+}
+
+// lost gives up on the generation. What the caller has had decides: nothing,
+// and the answer starts over elsewhere; something, and it is told so, since no
+// other generation continues this one's text.
+func (r *Receiver) lost(cause string) Decision {
+	if r.delivered() == 0 && !r.spec.Pinned && r.started < r.generations() {
+		r.reading = 0
+		return Decision{
+			action: Elsewhere,
+			cancel: r.generation,
+		}
+	}
+	return r.fail(mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		fmt.Sprintf("incomplete: %d tokens of generation %s delivered: %s", r.delivered(), r.generation, cause),
+		"ask again to have a whole new answer; nothing more comes of this one"))
+}
+
+func (r *Receiver) fail(problem *mgproblem.Problem) Decision {
+	r.over = true
+	return Decision{
+		action:  Fail,
+		cancel:  r.generation,
+		problem: problem,
+	}
+}
+
+func (r *Receiver) deliver(action Action, tokens []string) Decision {
+	return Decision{
+		action: action,
+		first:  r.last + 1 - uint64(len(tokens)),
+		tokens: tokens,
+	}
+}
+
+// delivered counts the tokens that the caller has had.
+func (r *Receiver) delivered() uint64 {
+	if r.spec.Whole {
+		return r.spec.From
+	}
+	return r.last
+}
+
+func (r *Receiver) generations() int {
+	if r.spec.Generations > 0 {
+		return r.spec.Generations
+	}
+	return DefaultGenerations
+}
