mgoperation: the record behind "at most once" and "not run"

Cause: starts and writes come twice, late, after their cancel, or to a successor; a paused agent goes by an old time; the record must stay bounded. Change: one ledger for attempts and for operations. Names carry the owner's own stamp; an entry is forgotten only when its stamp is older than the window, and an absent one older than that never runs and is "unknown". Cancels of absent entries leave tombstones; a full record raises a floor instead. Ruled out: UUIDv7 keys pinned by rendezvous. Two entries with different lists take one key to two agents that are both older than the key.

--- /dev/null
+++ b/internal/request/mgoperation/doc.go
@@ -0,0 +1,24 @@
+// Package mgoperation keeps the record that lets an agent promise "at most
+// once" and attest "not run". It holds no I/O: calls go in with the time, and
+// verdicts come out.
+//
+// Terms: an attempt is one start of a generation at one agent; an operation is
+// one call of a plain service that must not be repeated. Both are entries of a
+// Ledger and differ in its window. A stamp is the owner's own time when it made
+// the offer or minted the operation; it comes back with each message about the
+// entry, so that the owner tells a message's age by its own clock alone. A
+// tombstone is an entry that never ran and never will.
+//
+// One rule makes forgetting safe: an entry is forgotten only once its stamp is
+// older than the window, and a message for an entry that isn't in the ledger
+// runs nothing when its stamp is older than the window. So "absent and within
+// the window" means "never ran here", and "absent and older" means "unknown".
+//
+// The record lives and dies with one incarnation of its agent. Names carry the
+// incarnation, and another one answers "unknown", never "not run".
+//
+// References: Lampson (1983), Hints for Computer System Design, on idempotent
+// messages; Liskov (1991), Practical Uses of Synchronized Clocks, on
+// at-most-once messages with a bounded record; Helland (2012), Idempotence Is
+// Not a Medical Condition.
+package mgoperation
--- /dev/null
+++ b/internal/request/mgoperation/ledger.go
@@ -0,0 +1,342 @@
+package mgoperation
+
+import (
+	"container/heap"
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// State is how far an entry has come.
+type State uint8
+
+// The states. Absent is the state of an entry that the ledger doesn't hold.
+const (
+	Absent    State = iota
+	Held            // accepted, and nothing has reached the upstream
+	Sent            // it may have reached the upstream
+	Finished        // the upstream answered, or the agent gave up on it
+	Tombstone       // it never reached the upstream and never will
+)
+
+// Action is what the agent does with a start.
+type Action uint8
+
+// The actions.
+const (
+	Refuse Action = iota // answer with the verdict's problem
+	Run                  // queue it, and call Submit just before it is sent
+	Join                 // wait for the entry that began before
+)
+
+// A Verdict is the ledger's answer to a start.
+type Verdict struct {
+	action     Action
+	generation string
+	done       <-chan struct{}
+	problem    *mgproblem.Problem
+}
+
+// Action returns what to do.
+func (v Verdict) Action() Action { return v.action }
+
+// Generation returns the name that the entry's first start gave it.
+func (v Verdict) Generation() string { return v.generation }
+
+// Done returns a channel that is closed once the entry has ended.
+func (v Verdict) Done() <-chan struct{} { return v.done }
+
+// Problem returns why the start is refused, or nil.
+func (v Verdict) Problem() *mgproblem.Problem { return v.problem }
+
+// A Ledger is the record of one agent's incarnation. The zero Ledger has the
+// defaults of a Spec for attempts and is ready for use by several goroutines.
+type Ledger struct {
+	spec Spec
+
+	mu      sync.Mutex
+	time    mgclock.Millis // the latest time seen
+	floor   mgclock.Millis // absent entries with stamps up to it are refused
+	records map[string]*record
+	expiry  expiryHeap
+	bodies  []*record // finished, oldest first, with their bodies
+	bytes   int
+}
+
+type record struct {
+	id         string
+	stamp      mgclock.Millis
+	deadline   mgclock.Millis
+	expires    mgclock.Millis // forgotten after it, once ended
+	digest     uint64
+	generation string
+	state      State
+	result     Result
+	done       chan struct{}
+}
+
+// New returns a Ledger with the bounds of spec.
+func New(spec Spec) *Ledger {
+	return &Ledger{
+		spec: spec,
+	}
+}
+
+// Begin takes a start. Only the first for an entry is told to run.
+func (l *Ledger) Begin(start StartSpec, now mgclock.Millis) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now = l.observe(now)
+	if r := l.records[start.ID]; r != nil {
+		return r.again(start)
+	}
+	if problem := l.absent(start, now); problem != nil {
+		return Verdict{
+			problem: problem,
+		}
+	}
+	r := l.add(start, Held)
+	return Verdict{
+		action:     Run,
+		generation: r.generation,
+		done:       r.done,
+	}
+}
+
+// again answers a start for an entry that is in the ledger.
+func (r *record) again(start StartSpec) Verdict {
+	v := Verdict{
+		action:     Join,
+		generation: r.generation,
+		done:       r.done,
+	}
+	switch {
+	case r.state == Tombstone:
+		v.action, v.problem = Refuse, problemTombstone()
+	case r.digest != start.Digest:
+		v.action, v.problem = Refuse, problemDigest()
+	}
+	return v
+}
+
+// absent says why an entry that isn't in the ledger may not begin, or nil.
+func (l *Ledger) absent(start StartSpec, now mgclock.Millis) *mgproblem.Problem {
+	switch {
+	case start.Stamp > now:
+		return problemForeign()
+	case l.expired(start.Stamp, now):
+		// A copy that was delayed beyond the window may have been preceded by one
+		// that ran and was forgotten; run, it would run twice.
+		return problemExpired()
+	case start.Stamp <= l.floor:
+		return problemFull()
+	case now >= start.Deadline:
+		l.bury(start.ID, start.Stamp)
+		return problemLate()
+	case len(l.records) >= l.spec.Records:
+		l.bury(start.ID, start.Stamp)
+		return problemFull()
+	default:
+		return nil
+	}
+}
+
+// Submit is the last step before an entry reaches the upstream: the agent
+// sends only if the returned problem is nil. An entry cancelled or past its
+// deadline while it was queued, or while the process was paused, is refused.
+func (l *Ledger) Submit(id string, now mgclock.Millis) *mgproblem.Problem {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now = l.observe(now)
+	r := l.records[id]
+	switch {
+	case r == nil:
+		return problemExpired()
+	case r.state == Tombstone:
+		return problemTombstone()
+	case r.state != Held:
+		return problemTwice()
+	case now >= r.deadline:
+		l.end(r, Tombstone, now)
+		return problemLate()
+	}
+	r.state = Sent
+	return nil
+}
+
+// Finish records what the upstream answered to an entry that was sent.
+func (l *Ledger) Finish(id string, result Result, now mgclock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now = l.observe(now)
+	r := l.records[id]
+	if r == nil || r.state != Sent {
+		return
+	}
+	if result.Outcome == mgproblem.NotRun {
+		l.end(r, Tombstone, now)
+		return
+	}
+	r.result = result
+	l.end(r, Finished, now)
+	l.keep(r)
+}
+
+// Cancel ends an entry and attests what became of it. For one not yet seen it
+// leaves a tombstone, so that a start that was overtaken by its cancel can't
+// make "not run" false. Unknown after Submit: the caller of Cancel still tells
+// the upstream to stop.
+func (l *Ledger) Cancel(id string, stamp, now mgclock.Millis) mgproblem.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now = l.observe(now)
+	r := l.records[id]
+	if r == nil {
+		return l.cancelAbsent(id, stamp, now)
+	}
+	switch r.state {
+	case Held:
+		l.end(r, Tombstone, now)
+		return mgproblem.NotRun
+	case Tombstone:
+		return mgproblem.NotRun
+	case Finished:
+		return r.result.Outcome
+	default:
+		return mgproblem.Unknown
+	}
+}
+
+func (l *Ledger) cancelAbsent(id string, stamp, now mgclock.Millis) mgproblem.Outcome {
+	if stamp > now || l.expired(stamp, now) {
+		return mgproblem.Unknown
+	}
+	l.bury(id, stamp)
+	return mgproblem.NotRun
+}
+
+// Lookup returns an entry's state and, once it has finished, its result.
+func (l *Ledger) Lookup(id string) (State, Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[id]
+	if r == nil {
+		return Absent, Result{}
+	}
+	return r.state, r.result
+}
+
+// Len returns the number of entries held.
+func (l *Ledger) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+// observe forgets what may be forgotten and returns the time to go by.
+//
+// A goroutine that read the clock and was then paused comes with an old time.
+// By that time an entry may seem within its window that another goroutine has
+// forgotten since, and would run again. So time in the ledger never goes back.
+func (l *Ledger) observe(now mgclock.Millis) mgclock.Millis {
+	if l.records == nil {
+		l.records = make(map[string]*record)
+		l.spec = l.spec.withDefaults()
+		l.floor = -1
+	}
+	l.time = max(l.time, now)
+	for len(l.expiry) > 0 && l.expiry[0].expires < l.time {
+		l.forget(heap.Pop(&l.expiry).(*record))
+	}
+	return l.time
+}
+
+// expired reports whether an entry with this stamp may have been forgotten.
+func (l *Ledger) expired(stamp, now mgclock.Millis) bool {
+	return now > stamp+l.spec.Window
+}
+
+func (l *Ledger) add(start StartSpec, state State) *record {
+	r := &record{
+		id:         start.ID,
+		stamp:      start.Stamp,
+		deadline:   start.Deadline,
+		digest:     start.Digest,
+		generation: start.Generation,
+		state:      state,
+		done:       make(chan struct{}),
+	}
+	l.records[r.id] = r
+	return r
+}
+
+// bury makes sure that an absent entry never runs. A full ledger has no room
+// for a tombstone; it raises the floor instead, which refuses every entry with
+// a stamp as old that isn't in the ledger.
+func (l *Ledger) bury(id string, stamp mgclock.Millis) {
+	if len(l.records) >= l.spec.Records {
+		l.floor = max(l.floor, stamp)
+		return
+	}
+	r := l.add(StartSpec{
+		ID:    id,
+		Stamp: stamp,
+	}, Tombstone)
+	l.end(r, Tombstone, l.time)
+}
+
+// end moves r to a last state, from which it is forgotten in time.
+func (l *Ledger) end(r *record, state State, now mgclock.Millis) {
+	r.state = state
+	r.expires = r.stamp + l.spec.Window
+	if state == Finished {
+		r.expires = max(r.expires, now+l.spec.Linger)
+	}
+	heap.Push(&l.expiry, r)
+	close(r.done)
+}
+
+// keep holds r's body and drops the oldest ones beyond the bound.
+func (l *Ledger) keep(r *record) {
+	l.bytes += len(r.result.Body)
+	l.bodies = append(l.bodies, r)
+	for l.bytes > l.spec.Bytes {
+		l.trim(l.bodies[0])
+		l.bodies = l.bodies[1:]
+	}
+}
+
+func (l *Ledger) trim(r *record) {
+	if r.result.Trimmed {
+		return
+	}
+	l.bytes -= len(r.result.Body)
+	r.result.Body = nil
+	r.result.Trimmed = true
+}
+
+func (l *Ledger) forget(r *record) {
+	delete(l.records, r.id)
+	if r.state == Finished {
+		l.trim(r)
+	}
+	for len(l.bodies) > 0 && l.bodies[0].result.Trimmed {
+		l.bodies = l.bodies[1:]
+	}
+}
+
+// expiryHeap orders ended entries by the time they are forgotten.
+type expiryHeap []*record
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(*record)) }
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
