mglink: streams and calls that leave a silent connection

Cause: an open connection may go silent for good while new ones work; TCP alone holds a caller for minutes, and a pool hands out the next dead connection. Change: frames with a length before them, bounded; a Writer with heartbeats and a bound on blocked writes; a Stream that reopens from the last token on a new connection after three silent heartbeat intervals, with bounded tries; Alive and Guard, which do the same for calls by 102 responses; Fresh, a client without a pool. mgoperation: a ledger works from any time on, also below 0, as a clock in a synctest bubble has it. Seen red first, each without its guard: no bound on silence (the reader waits for ever), silence judged before waiting frames are taken (a paused reader reopens without need), no bound on writes (the agent's goroutine is held), no 102 while a call works (it is made twice), no bound on a silent call (it hangs), no heartbeats when idle (5 reopens).

--- /dev/null
+++ b/internal/connection/mglink/stream_test.go
@@ -0,0 +1,365 @@
+package mglink_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+const (
+	interval mgclock.Millis = 100
+	// patience ends a reading that would go on for ever.
+	patience = 5 * mgclock.Minute
+)
+
+// agent serves a generation of ten tokens, one each second.
+type agent struct {
+	clock  mgclock.Clock
+	begun  mgclock.Millis
+	mu     sync.Mutex
+	failed []error
+}
+
+const whole = 10
+
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	frames := make(chan *mgrpc.Frame)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	go a.generate(ctx, from, frames)
+	err := mglink.Response(w, "g", a.clock, interval).Copy(ctx, frames)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failed = append(a.failed, err)
+}
+
+func (a *agent) generate(ctx context.Context, from uint64, frames chan<- *mgrpc.Frame) {
+	for seq := from; seq <= whole+1; seq++ {
+		due := a.begun + mgclock.Millis(min(seq, whole))*mgclock.Second
+		if !a.clock.Sleep(ctx, due-a.clock.Now()) && ctx.Err() != nil {
+			return
+		}
+		f := token(seq, fmt.Sprint("t", seq))
+		if seq > whole {
+			f = last(whole)
+		}
+		select {
+		case frames <- f:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func open(n *network) func(context.Context, uint64) (io.ReadCloser, error) {
+	client := http.Client{
+		Transport: n.transport(),
+	}
+	return func(ctx context.Context, from uint64) (io.ReadCloser, error) {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://agent/?from="+fmt.Sprint(from), nil)
+		if err != nil {
+			return nil, err
+		}
+		response, err := client.Do(r)
+		if err != nil {
+			return nil, err
+		}
+		return response.Body, nil
+	}
+}
+
+// read returns all tokens and the longest time without one.
+func read(s *mglink.Stream, each func(seq uint64)) (text string, stall mgclock.Millis, err error) {
+	var clock mgclock.Clock
+	before := clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), patience.Duration())
+	defer cancel()
+	for {
+		f, err := s.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return text, stall, nil
+		}
+		if err != nil {
+			return text, stall, err
+		}
+		stall = max(stall, clock.Now()-before)
+		before = clock.Now()
+		text += strings.Join(f.GetText(), "")
+		if each != nil {
+			each(f.GetSeq())
+		}
+	}
+}
+
+const allTokens = "t1t2t3t4t5t6t7t8t9t10"
+
+// A member watches a dossier being written, and it stops. The connection went
+// silent for good: neither end was told, and a new one works. The stream goes on
+// over a new one within the span of silence, with no token lost or twice.
+func TestSilentForGood(t *testing.T) {
+	Convey("A silent connection is left for a new one", t, func() {
+		var a agent
+		var text string
+		var stall mgclock.Millis
+		var err error
+		var reopens, dials int
+		bubble(t, &a, func(n *network) {
+			a.begun = a.clock.Now()
+			s := mglink.NewStream(mglink.StreamSpec{
+				Open:     open(n),
+				Interval: interval,
+			})
+			text, stall, err = read(s, func(seq uint64) {
+				if seq == 3 || seq == 6 {
+					n.silence()
+				}
+			})
+			reopens, dials = s.Reopens(), n.dials()
+		})
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, allTokens)
+		So(reopens, ShouldEqual, 2)
+		So(dials, ShouldEqual, 3)
+		// Tokens come each second, so that a silence of 300 ms hides between two.
+		So(stall, ShouldBeLessThanOrEqualTo, mgclock.Second)
+	})
+}
+
+// A generation waits long for its turn. Heartbeats keep the stream from being
+// taken for lost.
+func TestIdle(t *testing.T) {
+	Convey("A stream without tokens stays on its connection", t, func() {
+		var a agent
+		reopens := -1
+		bubble(t, &a, func(n *network) {
+			a.begun = a.clock.Now() + mgclock.Minute
+			s := mglink.NewStream(mglink.StreamSpec{
+				Open:     open(n),
+				Interval: interval,
+			})
+			_, _, _ = read(s, nil)
+			reopens = s.Reopens()
+		})
+		So(reopens, ShouldEqual, 0)
+	})
+}
+
+// An entry's process is paused for ten seconds and wakes up late. Frames have
+// come in the meantime: the connection is not to be blamed for its reader.
+func TestPausedReader(t *testing.T) {
+	Convey("A reader that slept takes the frames that wait", t, func() {
+		var b bytes.Buffer
+		for seq := uint64(1); seq <= whole; seq++ {
+			So(mglink.WriteFrame(&b, token(seq, fmt.Sprint("t", seq))), ShouldBeNil)
+		}
+		So(mglink.WriteFrame(&b, last(whole)), ShouldBeNil)
+		var text string
+		reopens := -1
+		synctest.Test(t, func(*testing.T) {
+			var clock mgclock.Clock
+			s := mglink.NewStream(mglink.StreamSpec{
+				Open: func(context.Context, uint64) (io.ReadCloser, error) {
+					return io.NopCloser(bytes.NewReader(b.Bytes())), nil
+				},
+				Interval: interval,
+			})
+			text, _, _ = read(s, func(uint64) { clock.Sleep(context.Background(), 10*mgclock.Second) })
+			reopens = s.Reopens()
+		})
+		So(text, ShouldEqual, allTokens)
+		So(reopens, ShouldEqual, 0)
+	})
+}
+
+// An entry vanishes without a word. The agent's writes to it fail in time, and
+// don't hold its goroutine until the system gives up.
+func TestReaderGone(t *testing.T) {
+	Convey("A writer whose reader is gone fails", t, func() {
+		var a agent
+		var failed []error
+		synctest.Test(t, func(*testing.T) {
+			n := newNetwork(&a)
+			a.begun = a.clock.Now()
+			conn, _ := n.dial(context.Background(), "", "")
+			_, _ = io.WriteString(conn, "GET /?from=1 HTTP/1.1\r\nHost: agent\r\n\r\n")
+			a.clock.Sleep(context.Background(), 5*mgclock.Second)
+			synctest.Wait()
+			a.mu.Lock()
+			failed = append(failed, a.failed...)
+			a.mu.Unlock()
+			n.stop()
+			synctest.Wait()
+		})
+		So(len(failed), ShouldEqual, 1)
+		So(errors.Is(failed[0], os.ErrDeadlineExceeded), ShouldBeTrue)
+	})
+}
+
+// An agent is gone, or says that it hasn't the generation. The entry learns it
+// after a bounded number of tries, or at once.
+func TestGivesUp(t *testing.T) {
+	missing := mgproblem.New(mgproblem.Missing, mgproblem.Unknown, "no such generation", "start another")
+	leaving := mgproblem.New(mgproblem.Leaving, mgproblem.Unknown, "leaving", "come back")
+	cases := []struct {
+		story  string
+		cause  error
+		budget mgclock.Millis
+		tries  int
+		lost   bool
+	}{
+		{
+			story: "refused connections",
+			cause: io.ErrClosedPipe,
+			tries: mglink.DefaultAttempts,
+			lost:  true,
+		},
+		{
+			story: "a problem that passes",
+			cause: leaving,
+			tries: mglink.DefaultAttempts,
+			lost:  true,
+		},
+		{
+			story: "a problem that stays",
+			cause: missing,
+			tries: 1,
+		},
+		{
+			story:  "a budget of time",
+			cause:  io.ErrClosedPipe,
+			budget: 250,
+			tries:  3, // at 0, at 0 and at 100 ms
+			lost:   true,
+		},
+	}
+	Convey("A stream gives up", t, func() {
+		for _, c := range cases {
+			Convey(c.story, func() {
+				tries := 0
+				var err error
+				synctest.Test(t, func(*testing.T) {
+					_, err = mglink.NewStream(mglink.StreamSpec{
+						Open: func(context.Context, uint64) (io.ReadCloser, error) {
+							tries++
+							return nil, c.cause
+						},
+						Budget: c.budget,
+					}).Next(context.Background())
+				})
+				So(tries, ShouldEqual, c.tries)
+				So(errors.Is(err, mglink.ErrLost), ShouldEqual, c.lost)
+				So(errors.Is(err, c.cause), ShouldBeTrue)
+			})
+		}
+	})
+}
+
+// A call to an agent hangs: its pooled connection was forgotten on the way. The
+// call is made again on a new one, and the caller waits for a span of silence
+// only. A call that merely takes long isn't made twice.
+func TestGuard(t *testing.T) {
+	Convey("A guarded call", t, func() {
+		var clock mgclock.Clock
+		calls, status := 0, 0
+		var took mgclock.Millis
+		handler := func(work mgclock.Millis) http.Handler {
+			return mglink.Alive(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				clock.Sleep(r.Context(), work)
+				w.WriteHeader(http.StatusAccepted)
+			}), clock, interval)
+		}
+		call := func(g *mglink.Guard) {
+			r, _ := http.NewRequest(http.MethodPost, "http://agent/", strings.NewReader("body"))
+			begun := clock.Now()
+			response, err := g.RoundTrip(r)
+			took = clock.Now() - begun
+			if err == nil {
+				status = response.StatusCode
+			}
+		}
+		guard := func(n *network) *mglink.Guard {
+			return &mglink.Guard{
+				Pooled:   n.transport(),
+				Again:    n.transport(),
+				Interval: interval,
+			}
+		}
+		Convey("leaves a silent connection of the pool", func() {
+			bubble(t, handler(0), func(n *network) {
+				g := guard(n)
+				call(g)
+				synctest.Wait()
+				n.silence()
+				call(g)
+			})
+			So(status, ShouldEqual, http.StatusAccepted)
+			So(calls, ShouldEqual, 2)
+			So(took, ShouldBeBetweenOrEqual, 3*interval, 4*interval)
+		})
+		Convey("waits for one that takes long", func() {
+			bubble(t, handler(mgclock.Minute), func(n *network) { call(guard(n)) })
+			So(status, ShouldEqual, http.StatusAccepted)
+			So(calls, ShouldEqual, 1)
+			So(took, ShouldEqual, mgclock.Minute)
+		})
+	})
+}
+
+func TestCodec(t *testing.T) {
+	Convey("A frame beyond the bound is refused unread", t, func() {
+		var b bytes.Buffer
+		So(mglink.WriteFrame(&b, token(1, strings.Repeat("x", mglink.MaxFrame))), ShouldBeNil)
+		_, err := mglink.ReadFrame(bufio.NewReader(&b))
+		So(errors.Is(err, mglink.ErrFrame), ShouldBeTrue)
+	})
+	Convey("A frame that is cut short is told from the end", t, func() {
+		var b bytes.Buffer
+		So(mglink.WriteFrame(&b, token(1, "text")), ShouldBeNil)
+		_, err := mglink.ReadFrame(bufio.NewReader(bytes.NewReader(b.Bytes()[:b.Len()-1])))
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		_, err = mglink.ReadFrame(bufio.NewReader(bytes.NewReader(nil)))
+		So(err, ShouldEqual, io.EOF)
+	})
+}
+
+func FuzzReadFrame(f *testing.F) {
+	var b bytes.Buffer
+	_ = mglink.WriteFrame(&b, token(1, "text"))
+	_ = mglink.WriteFrame(&b, last(1))
+	f.Add(b.Bytes())
+	f.Add(b.Bytes()[:b.Len()-2])
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Add([]byte{0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in := bufio.NewReader(bytes.NewReader(data))
+		for {
+			frame, err := mglink.ReadFrame(in)
+			if err != nil {
+				return
+			}
+			var again bytes.Buffer
+			if err := mglink.WriteFrame(&again, frame); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/request/mgoperation/ledger.go
+++ b/internal/request/mgoperation/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -243,7 +244,8 @@
 	if l.records == nil {
 		l.records = make(map[string]*record)
 		l.spec = l.spec.withDefaults()
-		l.floor = -1
+		l.floor = math.MinInt64
+		l.time = now
 	}
 	l.time = max(l.time, now)
 	for len(l.expiry) > 0 && l.expiry[0].expires < l.time {
