mgsettings, mglog, mgmetric, mgadmin, mgpeer: what every process has

Cause: entry and agent need settings, logs, metrics, a dump and guarded connections before the thin path can stand. Conclusion: the processes can be built on them.

--- /dev/null
+++ b/internal/process/mgmetric/metric.go
@@ -0,0 +1,105 @@
+// Package mgmetric gives a process's metrics to operators: counters, gauges
+// and histograms of go-metrics, as JSON and in the Prometheus text format.
+package mgmetric
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rcrowley/go-metrics"
+)
+
+// reservoir is the number of values that a histogram keeps, and alpha weights
+// the recent ones; both are go-metrics' customary values for the exponentially
+// decaying sample (Cormode et al. 2009).
+const (
+	reservoir = 1028
+	alpha     = 0.015
+)
+
+// prefix stands before each name in the Prometheus text format.
+const prefix = "marjoramgauge_"
+
+// A Set is the metrics of one process. The zero Set is not usable; see New.
+type Set struct {
+	registry metrics.Registry
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{registry: metrics.NewRegistry()}
+}
+
+// Counter returns the counter of that name.
+func (s *Set) Counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, s.registry)
+}
+
+// Gauge returns the gauge of that name.
+func (s *Set) Gauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, s.registry)
+}
+
+// Histogram returns the histogram of that name; its values are in ms.
+func (s *Set) Histogram(name string) metrics.Histogram {
+	return s.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, alpha))
+	}).(metrics.Histogram)
+}
+
+// ServeHTTP answers with JSON, or with the Prometheus text format for a
+// scraper that accepts text/plain or asks for format=text.
+func (s *Set) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("format") == "text" || strings.Contains(r.Header.Get("Accept"), "text/plain") {
+		s.text(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(s.registry, w)
+}
+
+func (s *Set) text(w http.ResponseWriter, r *http.Request) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collector{registry: s.registry})
+	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(w, r)
+}
+
+// collector shows a go-metrics registry to the Prometheus library.
+type collector struct {
+	registry metrics.Registry
+}
+
+// Describe sends nothing: the metrics are found when they are collected.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends each metric's present value.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	c.registry.Each(func(name string, value any) {
+		switch m := value.(type) {
+		case metrics.Counter:
+			out <- constant(name, prometheus.CounterValue, float64(m.Count()))
+		case metrics.Gauge:
+			out <- constant(name, prometheus.GaugeValue, float64(m.Value()))
+		case metrics.Histogram:
+			out <- summary(name, m.Snapshot())
+		}
+	})
+}
+
+func describe(name string) *prometheus.Desc {
+	return prometheus.NewDesc(prefix+strings.ReplaceAll(name, ".", "_"), name, nil, nil)
+}
+
+func constant(name string, kind prometheus.ValueType, value float64) prometheus.Metric {
+	return prometheus.MustNewConstMetric(describe(name), kind, value)
+}
+
+func summary(name string, h metrics.Histogram) prometheus.Metric {
+	quantiles := map[float64]float64{}
+	for _, q := range []float64{0.5, 0.95, 0.99} {
+		quantiles[q] = h.Percentile(q)
+	}
+	return prometheus.MustNewConstSummary(describe(name), uint64(h.Count()), float64(h.Sum()), quantiles)
+}
--- /dev/null
+++ b/internal/process/mgsettings/types.go
@@ -0,0 +1,48 @@
+package mgsettings
+
+// Process holds the settings that every process has.
+type Process struct {
+	Name     string `toml:"name" need:"yes" help:"the VM's name in the platform's list"`
+	Zone     string `toml:"zone" need:"yes" help:"the availability zone"`
+	Region   string `toml:"region" need:"yes" help:"the region"`
+	Peer     string `toml:"peer" need:"yes" help:"IP and port for the system's other processes"`
+	Admin    string `toml:"admin" need:"yes" help:"IP and port for operators: health, dump, metrics"`
+	Platform string `toml:"platform" need:"yes" help:"base URL of the platform's config service"`
+	Secret   string `toml:"secret" need:"yes" help:"the key that the system's processes share, 16 characters or more"`
+	Previous string `toml:"previous" help:"the shared key before the last change, accepted while a new one spreads"`
+	Log      string `toml:"log" default:"info" choice:"debug|info|error" help:"least level of the log"`
+	Drain    int64  `toml:"drain" default:"60000" min:"0" max:"3600000" unit:"ms" help:"longest drain after SIGTERM; work in progress is cut off after it"`
+	Beat     int64  `toml:"beat" default:"250" min:"20" max:"10000" unit:"ms" help:"interval of heartbeats on token streams"`
+	TLS      TLS    `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
+}
+
+// TLS names the files of a process's certificate.
+type TLS struct {
+	Cert string `toml:"cert" help:"file with the certificate, PEM"`
+	Key  string `toml:"key" help:"file with the private key, PEM"`
+	CA   string `toml:"ca" help:"file with the authority that signs the processes' certificates, PEM"`
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Process
+	Listen string `toml:"listen" need:"yes" help:"IP and port for callers"`
+	Body   int64  `toml:"body" default:"1048576" min:"1024" max:"67108864" unit:"bytes" help:"largest request body"`
+	Head   int64  `toml:"head" default:"32768" min:"4096" max:"1048576" unit:"bytes" help:"largest request header"`
+	Slow   int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends its request or takes what is written"`
+	Probe  int64  `toml:"probe" default:"50" min:"1" max:"5000" unit:"ms" help:"longest wait for offers"`
+	Call   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
+	Public TLS    `toml:"public" help:"certificate towards callers; empty: plain HTTP behind the platform's balancer"`
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Process
+	Upstream string  `toml:"upstream" need:"yes" help:"the upstream's name in the table"`
+	Address  string  `toml:"address" need:"yes" help:"base URL of the upstream"`
+	Grace    int64   `toml:"grace" default:"15000" min:"0" max:"600000" unit:"ms" help:"how long a generation without a reader goes on"`
+	Keep     int64   `toml:"keep" default:"60000" min:"1000" max:"3600000" unit:"ms" help:"how long a finished generation can be read again"`
+	Queue    int64   `toml:"queue" default:"512" min:"1" max:"100000" help:"most requests that wait"`
+	Policy   string  `toml:"policy" default:"ours" help:"admission policy, a name that bench --policy takes"`
+	Speed    float64 `toml:"speed" default:"50" min:"0.1" max:"10000" unit:"tokens/s" help:"first guess of one stream's speed, before any is measured"`
+}
