--- /dev/null
+++ b/internal/process/mgagent/adopt.go
@@ -0,0 +1,143 @@
+package mgagent
+
+import (
+	"context"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// followEvery is the interval of the reads of the engine's load and cache
+	// events, which lag by about as much.
+	followEvery = 500 * mgclock.Millis(1)
+	// followWait bounds one such read.
+	followWait = mgclock.Second
+)
+
+// adopt picks up the generations that a predecessor left in the engine, so
+// that their memory is counted and their readers find them. An engine that
+// can't be asked now is asked again when a reader comes.
+func (a *Agent) adopt(ctx context.Context) {
+	held, err := a.list(ctx)
+	if err != nil {
+		return
+	}
+	for _, found := range held {
+		a.adoptOne(ctx, found)
+	}
+}
+
+func (a *Agent) list(ctx context.Context) ([]mgengine.Generation, error) {
+	ctx, cancel := context.WithTimeout(ctx, followWait.Duration())
+	defer cancel()
+	return a.spec.Engine.List(ctx)
+}
+
+// adoptOne reads a generation of the engine's from its first token on.
+func (a *Agent) adoptOne(ctx context.Context, found mgengine.Generation) *generation {
+	now := a.spec.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g := a.generations[found.ID]; g != nil {
+		return g
+	}
+	g := newGeneration(found.ID, "", "", mgengine.StartSpec{
+		ID:    found.ID,
+		Model: found.Model,
+	}, now)
+	a.generations[g.id] = g
+	a.counts.adopted++
+	a.running.Go(func() {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		g.setCancel(cancel)
+		a.read(ctx, g)
+	})
+	return g
+}
+
+// find returns a generation, adopting it when only the engine has it.
+func (a *Agent) find(ctx context.Context, id string) *generation {
+	if g := a.generation(id); g != nil {
+		return g
+	}
+	held, err := a.list(ctx)
+	if err != nil {
+		return nil
+	}
+	for _, found := range held {
+		if found.ID == id {
+			return a.adoptOne(context.WithoutCancel(ctx), found)
+		}
+	}
+	return nil
+}
+
+// follow reads the engine's lagging load report and cache events.
+func (a *Agent) follow(ctx context.Context) {
+	after := uint64(0)
+	for a.spec.Clock.Sleep(ctx, followEvery) {
+		after = a.followOnce(ctx, after)
+	}
+}
+
+func (a *Agent) followOnce(ctx context.Context, after uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, followWait.Duration())
+	defer cancel()
+	load, err := a.spec.Engine.Load(ctx)
+	if err != nil {
+		return after
+	}
+	if load.Leaving {
+		a.Leave()
+	}
+	events, err := a.spec.Engine.Events(ctx, after)
+	if err != nil {
+		return after
+	}
+	for _, event := range events {
+		a.note(event, after)
+		after = event.Seq
+	}
+	return after
+}
+
+// note applies a cache event. After a gap the lost events may have been
+// evictions, so the record starts over rather than promise what is gone.
+func (a *Agent) note(event mgengine.Event, after uint64) {
+	if event.Seq != after+1 {
+		a.prefix.Clear()
+	}
+	if event.Kind == mgengine.Evicted {
+		a.prefix.Remove(event.Block)
+		return
+	}
+	a.prefix.Add([]uint64{event.Block})
+}
+
+// sweep cancels generations that nobody reads and forgets finished ones.
+func (a *Agent) sweep(ctx context.Context) {
+	for a.spec.Clock.Sleep(ctx, mgclock.Second) {
+		a.sweepOnce(ctx, a.spec.Clock.Now())
+	}
+}
+
+func (a *Agent) sweepOnce(ctx context.Context, now mgclock.Millis) {
+	var unread []string
+	a.mu.Lock()
+	for id, g := range a.generations {
+		if g.expired(now - mgclock.Millis(a.spec.Settings.Keep)) {
+			delete(a.generations, id)
+			continue
+		}
+		if g.unread(now - mgclock.Millis(a.spec.Settings.Grace)) {
+			unread = append(unread, id)
+		}
+	}
+	a.mu.Unlock()
+	for _, id := range unread {
+		a.spec.Metrics.Counter("abandoned").Inc(1)
+		a.cancel(ctx, id)
+	}
+}
--- /dev/null
+++ b/internal/process/mgagent/agent.go
@@ -0,0 +1,199 @@
+package mgagent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// Spec is what an agent is made of.
+type Spec struct {
+	Settings    mgsettings.Agent
+	Incarnation string
+	Clock       mgclock.Clock
+	Log         logr.Logger
+	Metrics     *mgmetric.Set
+	Seal        *mgseal.Signer
+	Engine      mgengine.Client
+	Service     mgservice.Client
+	// Table returns the table in force, or nil while there is none.
+	Table func() *mgtable.Table
+	// Seen tells that another process goes by a version.
+	Seen func(version uint64)
+}
+
+// An Agent gives one upstream its work. Make one with New, then Run it.
+type Agent struct {
+	spec     Spec
+	attempts *mgoperation.Ledger
+	writes   *mgoperation.Ledger
+	minter   *mgoperation.Minter
+	prefix   mgprefix.Record
+	wake     chan struct{}
+	slots    chan struct{}
+	calls    atomic.Int64
+	leaving  atomic.Bool
+	running  sync.WaitGroup
+
+	mu          sync.Mutex // guards what follows
+	scheduler   *mgscheduler.Scheduler
+	generations map[string]*generation
+	counts      counts
+}
+
+// counts are the agent's totals, for the dump.
+type counts struct {
+	started, finished, refused, broken, adopted int64
+}
+
+// callSlots bounds the calls that run at once in a plain service whose table
+// row names no batch.
+const callSlots = 64
+
+// New returns an agent that has not started.
+func New(spec Spec) *Agent {
+	upstream := upstreamOf(spec)
+	slots := callSlots
+	if upstream != nil && upstream.Batch() > 0 {
+		slots = upstream.Batch()
+	}
+	return &Agent{
+		spec:        spec,
+		attempts:    mgoperation.New(mgoperation.Spec{Window: mgoperation.AttemptWindow}),
+		writes:      mgoperation.New(mgoperation.Spec{Window: mgoperation.OperationWindow}),
+		minter:      mgoperation.NewMinter(spec.Seal, spec.Settings.Name, spec.Incarnation),
+		wake:        make(chan struct{}, 1),
+		slots:       make(chan struct{}, slots),
+		scheduler:   mgscheduler.New(schedulerSpec(spec, upstream)),
+		generations: map[string]*generation{},
+	}
+}
+
+func upstreamOf(spec Spec) *mgtable.Upstream {
+	table := spec.Table()
+	if table == nil {
+		return nil
+	}
+	return table.Upstream(spec.Settings.Upstream)
+}
+
+// Run does the agent's work until ctx ends. Work in progress is then cut off,
+// so Drain comes first on a planned stop.
+func (a *Agent) Run(ctx context.Context) {
+	a.adopt(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { a.pump(ctx) })
+	loops.Go(func() { a.sweep(ctx) })
+	loops.Go(func() { a.follow(ctx) })
+	loops.Wait()
+	a.running.Wait()
+}
+
+// Leave makes the agent refuse new work from now on; what it holds goes on.
+func (a *Agent) Leave() {
+	if a.leaving.Swap(true) {
+		return
+	}
+	a.mu.Lock()
+	a.scheduler.Leaving(a.spec.Clock.Now())
+	a.mu.Unlock()
+	a.poke()
+	a.spec.Log.Info("leaving: no new work is taken")
+}
+
+// Leaving reports whether the agent takes no new work.
+func (a *Agent) Leaving() bool { return a.leaving.Load() }
+
+// Busy returns how many generations and calls a stop would cut off.
+func (a *Agent) Busy() int {
+	busy := int(a.calls.Load())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, g := range a.generations {
+		if g.busy() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// poke wakes the pump.
+func (a *Agent) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// generation returns the one of that id, or nil.
+func (a *Agent) generation(id string) *generation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.generations[id]
+}
+
+// fault turns a problem into its message.
+func fault(p *mgproblem.Problem) *mgrpc.Fault {
+	return &mgrpc.Fault{
+		Kind:    string(p.Kind()),
+		Remedy:  p.Remedy(),
+		Outcome: string(p.Outcome()),
+		Retry:   int64(p.Retry()),
+	}
+}
+
+// State is the agent's part of the dump.
+type State struct {
+	Incarnation string `json:"incarnation"`
+	Upstream    string `json:"upstream"`
+	Leaving     bool   `json:"leaving"`
+	Generations int    `json:"generations"`
+	Busy        int    `json:"busy"`
+	Calls       int64  `json:"calls"`
+	Attempts    int    `json:"attempts"`
+	Operations  int    `json:"operations"`
+	Blocks      int    `json:"blocks"`
+	Started     int64  `json:"started"`
+	Finished    int64  `json:"finished"`
+	Refused     int64  `json:"refused"`
+	Broken      int64  `json:"broken"`
+	Adopted     int64  `json:"adopted"`
+}
+
+// State returns what the agent holds, in numbers.
+func (a *Agent) State() State {
+	busy := a.Busy()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return State{
+		Incarnation: a.spec.Incarnation,
+		Upstream:    a.spec.Settings.Upstream,
+		Leaving:     a.leaving.Load(),
+		Generations: len(a.generations),
+		Busy:        busy,
+		Calls:       a.calls.Load(),
+		Attempts:    a.attempts.Len(),
+		Operations:  a.writes.Len(),
+		Blocks:      a.prefix.Len(),
+		Started:     a.counts.started,
+		Finished:    a.counts.finished,
+		Refused:     a.counts.refused,
+		Broken:      a.counts.broken,
+		Adopted:     a.counts.adopted,
+	}
+}
--- /dev/null
+++ b/internal/process/mgagent/generation.go
@@ -0,0 +1,174 @@
+package mgagent
+
+import (
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// A generation is one run of a model as the agent holds it: the tokens so far,
+// for every reader that comes, and how it ended.
+type generation struct {
+	id      string
+	account string
+	service string
+	spec    mgengine.StartSpec
+
+	mu        sync.Mutex
+	tokens    []string
+	end       string
+	problem   *mgproblem.Problem
+	preempted uint32
+	changed   chan struct{}
+	readers   int
+	idle      mgclock.Millis // when the last reader left
+	over      mgclock.Millis // when it ended
+	cancel    func()         // ends the engine's stream, nil while it waits
+}
+
+func newGeneration(id, account, service string, spec mgengine.StartSpec, now mgclock.Millis) *generation {
+	return &generation{
+		id:      id,
+		account: account,
+		service: service,
+		spec:    spec,
+		idle:    now,
+		changed: make(chan struct{}),
+	}
+}
+
+// view is what a reader sees of a generation at one time.
+type view struct {
+	tokens    []string
+	end       string
+	problem   *mgproblem.Problem
+	preempted uint32
+	total     uint64
+	changed   <-chan struct{}
+}
+
+// over reports whether nothing will follow.
+func (v view) over() bool { return v.end != "" || v.problem != nil }
+
+// after returns the tokens that follow the first count, and a channel that is
+// closed when there is more. The tokens are shared and never change.
+func (g *generation) after(count uint64) view {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	seen := view{
+		end:       g.end,
+		problem:   g.problem,
+		preempted: g.preempted,
+		total:     uint64(len(g.tokens)),
+		changed:   g.changed,
+	}
+	if count < uint64(len(g.tokens)) {
+		seen.tokens = g.tokens[count:len(g.tokens):len(g.tokens)]
+	}
+	return seen
+}
+
+// produced returns the number of tokens.
+func (g *generation) produced() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.tokens)
+}
+
+// accept takes the engine's token and reports whether it was the next one. A
+// stream that was opened again repeats what the agent has; it is dropped.
+func (g *generation) accept(token mgengine.Token) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.over != 0 || token.Seq != uint64(len(g.tokens))+1 {
+		return false
+	}
+	g.tokens = append(g.tokens, token.Text)
+	g.preempted = uint32(token.Preempted)
+	g.wakeLocked()
+	return true
+}
+
+// finish ends the generation; only the first end counts.
+func (g *generation) finish(end string, problem *mgproblem.Problem, now mgclock.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.end != "" || g.problem != nil {
+		return false
+	}
+	g.end = end
+	g.problem = problem
+	g.over = now
+	g.wakeLocked()
+	return true
+}
+
+// ended reports whether the generation is over.
+func (g *generation) ended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.end != "" || g.problem != nil
+}
+
+func (g *generation) wakeLocked() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// join counts a reader in.
+func (g *generation) join() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readers++
+}
+
+// leave counts a reader out.
+func (g *generation) leave(now mgclock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readers--
+	g.idle = now
+}
+
+// unread reports whether a generation in progress has had no reader since
+// before the time.
+func (g *generation) unread(before mgclock.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := g.end == "" && g.problem == nil
+	return running && g.readers == 0 && g.idle <= before
+}
+
+// expired reports whether a generation ended before the time and nobody reads.
+func (g *generation) expired(before mgclock.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.over != 0 && g.over <= before && g.readers == 0
+}
+
+// busy reports whether a stop would cut something off: the generation runs, or
+// somebody still reads it.
+func (g *generation) busy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.readers > 0 || (g.end == "" && g.problem == nil)
+}
+
+// setCancel keeps what ends the engine's stream.
+func (g *generation) setCancel(cancel func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cancel = cancel
+}
+
+// stop ends the engine's stream, if one is open.
+func (g *generation) stop() {
+	g.mu.Lock()
+	cancel := g.cancel
+	g.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/process/mgagent/invoke.go
@@ -0,0 +1,198 @@
+package mgagent
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// Mint names an operation that only this incarnation may run.
+func (a *Agent) Mint(_ context.Context, in *mgrpc.MintRequest) (*mgrpc.MintReply, error) {
+	a.spec.Seen(in.GetVersion())
+	reply := &mgrpc.MintReply{
+		Incarnation: a.spec.Incarnation,
+	}
+	if a.leaving.Load() {
+		reply.Fault = fault(leavingProblem())
+		return reply, nil
+	}
+	reply.Operation = a.minter.Mint(in.GetAccount(), in.GetService(), a.spec.Clock.Now())
+	return reply, nil
+}
+
+func leavingProblem() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Leaving, mgproblem.NotRun, "the upstream is leaving", "try another upstream")
+}
+
+// Invoke makes one call of a plain service: once for an operation, however
+// often it is asked for.
+func (a *Agent) Invoke(ctx context.Context, in *mgrpc.InvokeRequest) (*mgrpc.InvokeReply, error) {
+	a.spec.Seen(in.GetVersion())
+	a.calls.Add(1)
+	defer a.calls.Add(-1)
+	var result mgoperation.Result
+	var problem *mgproblem.Problem
+	if in.GetOperation() == "" {
+		result, problem = a.call(ctx, in)
+	} else {
+		result, problem = a.operate(ctx, in)
+	}
+	reply := &mgrpc.InvokeReply{
+		Incarnation: a.spec.Incarnation,
+		Status:      uint32(result.Status),
+		Mime:        result.Mime,
+		Body:        result.Body,
+		Outcome:     string(result.Outcome),
+	}
+	if problem != nil {
+		reply.Fault = fault(problem)
+		reply.Outcome = string(problem.Outcome())
+	}
+	return reply, nil
+}
+
+// operate runs an operation at most once and answers all that ask for it.
+func (a *Agent) operate(ctx context.Context, in *mgrpc.InvokeRequest) (mgoperation.Result, *mgproblem.Problem) {
+	operation, err := mgoperation.Open(a.spec.Seal, in.GetAccount(), in.GetService(), in.GetOperation())
+	if err != nil {
+		return mgoperation.Result{}, mgproblem.From(err)
+	}
+	if problem := a.minter.Check(operation); problem != nil {
+		return mgoperation.Result{}, problem
+	}
+	now := a.spec.Clock.Now()
+	verdict := a.writes.Begin(mgoperation.StartSpec{
+		ID:       in.GetOperation(),
+		Stamp:    operation.Stamp(),
+		Deadline: now + mgclock.Millis(in.GetBudget()),
+		Digest:   digest(in),
+	}, now)
+	switch verdict.Action() {
+	case mgoperation.Refuse:
+		return mgoperation.Result{}, verdict.Problem()
+	case mgoperation.Run:
+		// The call outlives the entry that asked for it: what was sent to the
+		// service is recorded, so that the caller's next try learns its result.
+		a.calls.Add(1)
+		a.running.Go(func() {
+			defer a.calls.Add(-1)
+			a.write(context.WithoutCancel(ctx), in)
+		})
+	}
+	return a.result(ctx, in.GetOperation(), verdict.Done())
+}
+
+// digest tells two different calls under one operation id apart.
+func digest(in *mgrpc.InvokeRequest) uint64 {
+	hash := xxhash.New()
+	for _, part := range []string{in.GetMethod(), in.GetPath(), in.GetMime()} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(in.GetBody())
+	return hash.Sum64()
+}
+
+// write makes the one call of an operation and records how it ended.
+func (a *Agent) write(ctx context.Context, in *mgrpc.InvokeRequest) {
+	ctx, cancel := context.WithTimeout(ctx, mgclock.Millis(in.GetBudget()).Duration())
+	defer cancel()
+	if !a.acquire(ctx) {
+		a.writes.Cancel(in.GetOperation(), a.spec.Clock.Now(), a.spec.Clock.Now())
+		return
+	}
+	defer a.release()
+	if problem := a.writes.Submit(in.GetOperation(), a.spec.Clock.Now()); problem != nil {
+		return
+	}
+	result, problem := a.send(ctx, in)
+	if problem != nil {
+		result.Outcome = problem.Outcome()
+	}
+	a.writes.Finish(in.GetOperation(), result, a.spec.Clock.Now())
+}
+
+// result waits for an operation's end.
+func (a *Agent) result(ctx context.Context, id string, done <-chan struct{}) (mgoperation.Result, *mgproblem.Problem) {
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return mgoperation.Result{}, unconfirmed("the call is still running")
+	}
+	state, result := a.writes.Lookup(id)
+	switch {
+	case state == mgoperation.Tombstone:
+		return result, busy()
+	case result.Outcome == mgproblem.NotRun:
+		return result, mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"the service could not be reached", "mint a new operation and send it again").WithRetry(mgclock.Second)
+	case result.Outcome != mgproblem.Done:
+		return result, unconfirmed("the service did not answer")
+	}
+	return result, nil
+}
+
+func unconfirmed(detail string) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown, detail,
+		"ask again with the same operation, or look in the service whether it ran")
+}
+
+func busy() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+		"the service's calls are all in use", "come back later").WithRetry(mgclock.Second)
+}
+
+// call makes a call that may be repeated.
+func (a *Agent) call(ctx context.Context, in *mgrpc.InvokeRequest) (mgoperation.Result, *mgproblem.Problem) {
+	if a.leaving.Load() {
+		return mgoperation.Result{}, leavingProblem()
+	}
+	ctx, cancel := context.WithTimeout(ctx, mgclock.Millis(in.GetBudget()).Duration())
+	defer cancel()
+	if !a.acquire(ctx) {
+		return mgoperation.Result{}, busy()
+	}
+	defer a.release()
+	return a.send(ctx, in)
+}
+
+// acquire waits for one of the upstream's slots, no longer than the caller.
+func (a *Agent) acquire(ctx context.Context) bool {
+	select {
+	case a.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *Agent) release() { <-a.slots }
+
+func (a *Agent) send(ctx context.Context, in *mgrpc.InvokeRequest) (mgoperation.Result, *mgproblem.Problem) {
+	reply, err := a.spec.Service.Call(ctx, mgservice.CallSpec{
+		Method:    in.GetMethod(),
+		Path:      in.GetPath(),
+		Mime:      in.GetMime(),
+		Body:      in.GetBody(),
+		Operation: in.GetOperation(),
+	})
+	if err == nil {
+		return mgoperation.Result{
+			Outcome: mgproblem.Done,
+			Status:  reply.Status,
+			Mime:    reply.Mime,
+			Body:    reply.Body,
+		}, nil
+	}
+	if mgservice.KindOf(err) == mgservice.NotSent {
+		return mgoperation.Result{}, mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"the service could not be reached", "try another upstream").WithRetry(mgclock.Second).WithCause(err)
+	}
+	return mgoperation.Result{}, unconfirmed("the service did not answer").WithCause(err)
+}
--- /dev/null
+++ b/internal/process/mgagent/pump.go
@@ -0,0 +1,225 @@
+package mgagent
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+const (
+	// longestNap bounds the pump's sleep, so that a wake-up that the scheduler
+	// computed from an estimate is never far off.
+	longestNap = mgclock.Second
+	// startTries bounds the starts of one generation at its engine; a start is
+	// idempotent by id there.
+	startTries = 3
+	// startWait is the wait for the engine's word on a start, well under the
+	// shortest deadline to the first token.
+	startWait = 2 * mgclock.Second
+	// streamTries bounds the connections in a row that bring no token; with
+	// streamPause they outlast an engine's short stall and still end within a
+	// few seconds.
+	streamTries = 5
+	streamPause = 200 * mgclock.Millis(1)
+	// streamSilence is how long an engine's stream may say nothing. Engines send
+	// a heartbeat each second while a generation waits.
+	streamSilence = 3 * mgclock.Second
+)
+
+// pump carries out the scheduler's decisions as they fall due.
+func (a *Agent) pump(ctx context.Context) {
+	var decisions []mgscheduler.Decision
+	for ctx.Err() == nil {
+		now := a.spec.Clock.Now()
+		a.mu.Lock()
+		decisions = a.scheduler.Poll(now, decisions[:0])
+		next := a.scheduler.NextWake(now)
+		a.mu.Unlock()
+		for _, decision := range decisions {
+			a.carryOut(ctx, decision)
+		}
+		nap := longestNap
+		if next > 0 {
+			nap = min(nap, max(next-now, 1))
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.wake:
+		case <-a.spec.Clock.After(nap):
+		}
+	}
+}
+
+func (a *Agent) carryOut(ctx context.Context, decision mgscheduler.Decision) {
+	g := a.generation(decision.ID())
+	if g == nil {
+		return
+	}
+	if problem := decision.Problem(); problem != nil {
+		now := a.spec.Clock.Now()
+		a.attempts.Cancel(g.id, now, now)
+		a.spec.Metrics.Counter("givenup").Inc(1)
+		g.finish("", problem, now)
+		return
+	}
+	a.running.Go(func() { a.run(ctx, g) })
+}
+
+// run starts a generation at the engine and reads it to its end.
+func (a *Agent) run(ctx context.Context, g *generation) {
+	// A process that was paused between the decision and this line may be past
+	// the deadline or the cancel: the ledger looks at the clock again.
+	if problem := a.attempts.Submit(g.id, a.spec.Clock.Now()); problem != nil {
+		a.end(g, "", problem)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.setCancel(cancel)
+	if problem := a.startAt(ctx, g); problem != nil {
+		a.end(g, "", problem)
+		return
+	}
+	a.mu.Lock()
+	a.counts.started++
+	a.mu.Unlock()
+	a.prefix.Add(g.spec.Prefix)
+	a.read(ctx, g)
+}
+
+// startAt starts the generation, which the engine does once per id.
+func (a *Agent) startAt(ctx context.Context, g *generation) *mgproblem.Problem {
+	var err error
+	for range startTries {
+		err = a.tryStart(ctx, g)
+		if err == nil {
+			return nil
+		}
+		if mgengine.KindOf(err) == mgengine.NotStarted {
+			return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+				"the engine refused the generation", "try another upstream").WithCause(err)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	_ = a.spec.Engine.Cancel(context.WithoutCancel(ctx), g.id)
+	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		"the engine did not answer", "try another upstream").WithCause(err)
+}
+
+func (a *Agent) tryStart(ctx context.Context, g *generation) error {
+	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
+	defer cancel()
+	return a.spec.Engine.Start(ctx, g.spec)
+}
+
+// read takes the generation's tokens over as many connections as it needs.
+func (a *Agent) read(ctx context.Context, g *generation) {
+	barren := 0
+	for {
+		before := g.produced()
+		token, err := a.readOnce(ctx, g)
+		switch {
+		case g.ended():
+			a.end(g, "", cancelled(mgproblem.Unknown))
+			return
+		case err == nil && token.End != "":
+			a.end(g, token.End, nil)
+			return
+		case err == nil:
+			a.end(g, "", interrupted(token.Fault))
+			return
+		case mgengine.KindOf(err) == mgengine.Missing:
+			a.end(g, "", interrupted("the engine lost the generation"))
+			return
+		}
+		barren++
+		if g.produced() > before {
+			barren = 0
+		}
+		if barren >= streamTries || !a.spec.Clock.Sleep(ctx, streamPause) {
+			a.end(g, "", interrupted("the engine can't be reached"))
+			return
+		}
+	}
+}
+
+// readOnce reads one connection up to the token that ends the generation.
+func (a *Agent) readOnce(ctx context.Context, g *generation) (mgengine.Token, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := a.spec.Engine.Stream(ctx, g.id, uint64(g.produced())+1)
+	if err != nil {
+		return mgengine.Token{}, err
+	}
+	defer stream.Close()
+	for {
+		token, err := a.next(ctx, stream)
+		if err != nil {
+			return mgengine.Token{}, err
+		}
+		a.take(g, token)
+		if token.End != "" || token.Fault != "" {
+			return token, nil
+		}
+	}
+}
+
+// next reads one token. A connection that says nothing for streamSilence is
+// given up: the engine's heartbeats would have come, so something between has
+// lost track of it, and a new connection works.
+func (a *Agent) next(ctx context.Context, stream *mgengine.TokenStream) (mgengine.Token, error) {
+	ctx, cancel := context.WithTimeout(ctx, streamSilence.Duration())
+	defer cancel()
+	token, err := stream.Next(ctx)
+	if errors.Is(err, io.EOF) {
+		return token, io.ErrUnexpectedEOF
+	}
+	return token, err
+}
+
+func (a *Agent) take(g *generation, token mgengine.Token) {
+	if token.Seq == 0 || !g.accept(token) {
+		return
+	}
+	now := a.spec.Clock.Now()
+	a.mu.Lock()
+	a.scheduler.Progress(now, g.id, int(token.Seq))
+	a.mu.Unlock()
+}
+
+func interrupted(detail string) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown, detail, "send the request again for a new answer")
+}
+
+// end closes a generation and frees its place.
+func (a *Agent) end(g *generation, end string, problem *mgproblem.Problem) {
+	now := a.spec.Clock.Now()
+	outcome := mgproblem.Done
+	if problem != nil {
+		outcome = problem.Outcome()
+	}
+	a.attempts.Finish(g.id, mgoperation.Result{Outcome: outcome}, now)
+	g.finish(end, problem, now)
+	a.mu.Lock()
+	a.scheduler.Finish(now, g.id)
+	if problem == nil {
+		a.counts.finished++
+	} else {
+		a.counts.broken++
+	}
+	a.mu.Unlock()
+	a.poke()
+	if problem != nil {
+		a.spec.Log.Info("generation ended early", mglog.Attempt, g.id, mglog.Account, g.account,
+			mglog.Service, g.service, mglog.Kind, string(problem.Kind()), "cause", problem.Error())
+	}
+}
--- /dev/null
+++ b/internal/process/mgagent/start.go
@@ -0,0 +1,191 @@
+package mgagent
+
+import (
+	"context"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// Probe answers what the upstream could do for a request now. It reserves
+// nothing: what holds is Start's answer.
+func (a *Agent) Probe(_ context.Context, in *mgrpc.ProbeRequest) (*mgrpc.Offer, error) {
+	a.spec.Seen(in.GetVersion())
+	now := a.spec.Clock.Now()
+	offer := &mgrpc.Offer{
+		Agent:       a.spec.Settings.Name,
+		Incarnation: a.spec.Incarnation,
+		Zone:        a.spec.Settings.Zone,
+		Leaving:     a.leaving.Load(),
+		Cached:      uint32(a.prefix.Cached(in.GetPrefix())),
+		Stamp:       int64(now),
+	}
+	table := a.spec.Table()
+	if table == nil {
+		offer.Refused = string(mgproblem.Unready)
+		return offer, nil
+	}
+	offer.Version = table.Version()
+	request := a.request(table, "", in.GetAccount(), in.GetService(), in.GetModel())
+	request.Prompt = int(in.GetPrompt())
+	request.Cached = int(offer.GetCached())
+	request.Deadline = now + mgclock.Millis(in.GetBudget())
+	a.mu.Lock()
+	seen := a.scheduler.Offer(now, request)
+	a.mu.Unlock()
+	offer.Wait = int64(seen.Wait())
+	offer.Headroom = seen.Headroom()
+	offer.Running = uint32(seen.Running())
+	offer.Queued = uint32(seen.Queued())
+	if problem := seen.Refused(); problem != nil {
+		offer.Refused = string(problem.Kind())
+		offer.Retry = int64(problem.Retry())
+	}
+	return offer, nil
+}
+
+// request fills in what the table says of an account's use of a service.
+func (a *Agent) request(table *mgtable.Table, id, account, service, model string) mgscheduler.Request {
+	request := mgscheduler.Request{
+		ID:      id,
+		Account: account,
+		Service: service,
+		Model:   model,
+		Weight:  1,
+	}
+	if row := table.Account(account); row != nil {
+		request.Weight = row.Weight()
+	}
+	if row := table.Service(service); row != nil {
+		request.Priority = row.Priority()
+		request.Max = row.Max()
+		if row.Prefer() == mgtable.Whole {
+			request.Prefer = mgscheduler.Whole
+		}
+	}
+	return request
+}
+
+// Start queues an attempt, or joins the one that has begun by its id.
+func (a *Agent) Start(_ context.Context, in *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
+	a.spec.Seen(in.GetVersion())
+	reply := &mgrpc.StartReply{
+		Incarnation: a.spec.Incarnation,
+	}
+	generation, problem := a.start(in)
+	if problem != nil {
+		a.spec.Metrics.Counter("refused").Inc(1)
+		reply.Fault = fault(problem)
+		return reply, nil
+	}
+	reply.Generation = generation
+	return reply, nil
+}
+
+func (a *Agent) start(in *mgrpc.StartRequest) (string, *mgproblem.Problem) {
+	now := a.spec.Clock.Now()
+	if in.GetIncarnation() != a.spec.Incarnation {
+		return "", mgproblem.New(mgproblem.Incarnation, mgproblem.Unknown,
+			"the agent was replaced since its offer", "ask for offers again")
+	}
+	table := a.spec.Table()
+	if table == nil {
+		return "", mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+			"the agent has no configuration yet", "try another upstream")
+	}
+	deadline := now + mgclock.Millis(in.GetBudget())
+	verdict := a.attempts.Begin(mgoperation.StartSpec{
+		ID:         in.GetAttempt(),
+		Stamp:      mgclock.Millis(in.GetStamp()),
+		Deadline:   deadline,
+		Generation: in.GetAttempt(),
+	}, now)
+	switch verdict.Action() {
+	case mgoperation.Join:
+		return verdict.Generation(), nil
+	case mgoperation.Refuse:
+		return "", verdict.Problem()
+	}
+	if problem := a.enqueue(table, in, now, deadline); problem != nil {
+		a.attempts.Cancel(in.GetAttempt(), mgclock.Millis(in.GetStamp()), now)
+		return "", problem
+	}
+	return in.GetAttempt(), nil
+}
+
+// enqueue gives the attempt to the scheduler.
+func (a *Agent) enqueue(table *mgtable.Table, in *mgrpc.StartRequest, now, deadline mgclock.Millis) *mgproblem.Problem {
+	request := a.request(table, in.GetAttempt(), in.GetAccount(), in.GetService(), in.GetModel())
+	request.Prompt = mgprefix.Tokens(in.GetPrompt())
+	request.Cached = a.prefix.Cached(in.GetPrefix())
+	request.Deadline = deadline
+	if max := int(in.GetMax()); max > 0 {
+		request.Max = max
+	}
+	spec := mgengine.StartSpec{
+		ID:       in.GetAttempt(),
+		Model:    in.GetModel(),
+		Prompt:   in.GetPrompt(),
+		Tokens:   request.Prompt,
+		Prefix:   in.GetPrefix(),
+		Max:      request.Max,
+		Priority: request.Priority,
+	}
+	g := newGeneration(in.GetAttempt(), in.GetAccount(), in.GetService(), spec, now)
+	a.mu.Lock()
+	problem := a.scheduler.Submit(now, request)
+	if problem == nil {
+		a.generations[g.id] = g
+	} else {
+		a.counts.refused++
+	}
+	a.mu.Unlock()
+	a.poke()
+	return problem
+}
+
+// Cancel ends an attempt and attests what became of it.
+func (a *Agent) Cancel(ctx context.Context, in *mgrpc.CancelRequest) (*mgrpc.CancelReply, error) {
+	reply := &mgrpc.CancelReply{
+		Incarnation: a.spec.Incarnation,
+		Outcome:     string(mgproblem.Unknown),
+	}
+	id := in.GetAttempt()
+	if id == "" {
+		id = in.GetGeneration()
+	}
+	if in.GetIncarnation() == a.spec.Incarnation {
+		reply.Outcome = string(a.attempts.Cancel(id, mgclock.Millis(in.GetStamp()), a.spec.Clock.Now()))
+	}
+	a.cancel(ctx, id)
+	return reply, nil
+}
+
+// cancel stops a generation, waiting or running. One that this agent doesn't
+// hold may be a predecessor's and still run in the engine.
+func (a *Agent) cancel(ctx context.Context, id string) {
+	now := a.spec.Clock.Now()
+	a.mu.Lock()
+	g := a.generations[id]
+	withdrawn := g != nil && a.scheduler.Withdraw(now, id)
+	a.mu.Unlock()
+	if withdrawn {
+		g.finish("", cancelled(mgproblem.NotRun), now)
+		return
+	}
+	_ = a.spec.Engine.Cancel(ctx, id)
+	if g != nil {
+		g.finish("", cancelled(mgproblem.Unknown), now)
+		g.stop()
+	}
+}
+
+func cancelled(outcome mgproblem.Outcome) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Cancelled, outcome, "the caller cancelled it", "send it again if it is still wanted")
+}
--- /dev/null
+++ b/internal/process/mgentry/entry.go
@@ -0,0 +1,168 @@
+package mgentry
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// Spec is what an entry is made of.
+type Spec struct {
+	Settings mgsettings.Entry
+	Clock    mgclock.Clock
+	Log      logr.Logger
+	Metrics  *mgmetric.Set
+	Seal     *mgseal.Signer
+	// Table returns the table in force, or nil while there is none.
+	Table func() *mgtable.Table
+	// Seen tells that another process goes by a version.
+	Seen func(version uint64)
+	// Agents returns the agents that the entry may reach; callers don't change
+	// the slice.
+	Agents func() []Agent
+	// Suspect and Heard tell of an agent that can't be, and was, reached.
+	Suspect func(agent string)
+	Heard   func(agent string)
+	// Calls is for calls to agents, Frames opens each stream on a connection of
+	// its own.
+	Calls  http.RoundTripper
+	Frames http.RoundTripper
+	// Base returns the URL of an agent's address.
+	Base func(address string) string
+}
+
+// An Entry answers callers. Make one with New.
+type Entry struct {
+	spec    Spec
+	signer  *mganswer.Signer
+	clients sync.Map // base URL to mgrpc.Agent
+	frames  *http.Client
+	busy    atomic.Int64
+	leaving atomic.Bool
+	number  atomic.Uint64 // attempts so far
+	epoch   string        // names this process's attempts
+}
+
+// New returns an entry; epoch is unique to this life of the process.
+func New(spec Spec, epoch string) *Entry {
+	return &Entry{
+		spec:   spec,
+		signer: mganswer.NewSigner(spec.Seal),
+		frames: &http.Client{Transport: spec.Frames},
+		epoch:  epoch,
+	}
+}
+
+// Leave makes the entry refuse new requests; those in progress go on.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Busy returns the number of requests in progress.
+func (e *Entry) Busy() int { return int(e.busy.Load()) }
+
+// Routes returns the callers' handler.
+func (e *Entry) Routes() http.Handler {
+	router := chi.NewRouter()
+	router.Use(e.count)
+	router.Use(e.bound)
+	router.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		mgproblem.Write(w, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
+			"no such path", "see the list of paths in docs/OPERATIONS.md"))
+	})
+	router.Group(func(callers chi.Router) {
+		callers.Post("/v1/chat/completions", e.account(e.chat))
+		callers.Post("/v1/completions", e.account(e.complete))
+		callers.Get("/v1/models", e.account(e.models))
+		callers.Get("/v1/answers/{answer}", e.account(e.resume))
+		callers.Delete("/v1/answers/{answer}", e.account(e.cancel))
+		callers.Post("/v1/services/{service}/operations", e.account(e.mint))
+		callers.HandleFunc("/v1/services/{service}/*", e.account(e.service))
+	})
+	return router
+}
+
+// count keeps the number of requests in progress and turns new ones away once
+// the entry is leaving: the balancer may send some until it has noticed.
+func (e *Entry) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.busy.Add(1)
+		defer e.busy.Add(-1)
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+			mgproblem.Write(w, mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
+				"this entry is leaving", "send the request again on a new connection").WithRetry(mgclock.Second))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// bound limits a request's body.
+func (e *Entry) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, e.spec.Settings.Body)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// caller is what an authenticated request goes by: one table from its start
+// to its end.
+type caller struct {
+	account *mgtable.Account
+	table   *mgtable.Table
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c caller)
+
+// account authenticates the caller by its key.
+func (e *Entry) account(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		table := e.spec.Table()
+		if table == nil {
+			mgproblem.Write(w, mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+				"no configuration is in force yet", "try another entry").WithRetry(mgclock.Second))
+			return
+		}
+		key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		account := table.ByKey(key)
+		if account == nil {
+			e.spec.Metrics.Counter("strangers").Inc(1)
+			mgproblem.Write(w, mgproblem.New(mgproblem.Stranger, mgproblem.NotRun,
+				"no client account has this key", "send Authorization: Bearer and a key of the table"))
+			return
+		}
+		next(w, r, caller{
+			account: account,
+			table:   table,
+		})
+	}
+}
+
+// State is the entry's part of the dump.
+type State struct {
+	Busy     int    `json:"busy"`
+	Leaving  bool   `json:"leaving"`
+	Attempts uint64 `json:"attempts"`
+	Agents   int    `json:"agents"`
+}
+
+// State returns what the entry holds, in numbers.
+func (e *Entry) State() State {
+	return State{
+		Busy:     e.Busy(),
+		Leaving:  e.leaving.Load(),
+		Attempts: e.number.Load(),
+		Agents:   len(e.spec.Agents()),
+	}
+}
--- /dev/null
+++ b/internal/process/mgentry/models.go
@@ -0,0 +1,44 @@
+package mgentry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// modelRow is a model in the form of OpenAI's API.
+type modelRow struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Owner  string `json:"owned_by"`
+}
+
+// models lists what the account may name in a request's model: the generation
+// services that it may use, and their models.
+func (e *Entry) models(w http.ResponseWriter, _ *http.Request, c caller) {
+	rows := []modelRow{}
+	seen := map[string]bool{}
+	add := func(name string) {
+		if seen[name] {
+			return
+		}
+		seen[name] = true
+		rows = append(rows, modelRow{
+			ID:     name,
+			Object: "model",
+			Owner:  "marjoramgauge",
+		})
+	}
+	for service := range c.table.Services() {
+		if service.Kind() == mgtable.Generation && c.account.Allows(service.Name()) {
+			add(service.Name())
+			add(service.Model())
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"object": "list",
+		"data":   rows,
+	})
+}
--- /dev/null
+++ b/internal/process/mgentry/parse.go
@@ -0,0 +1,198 @@
+package mgentry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// defaultDeadline is the time to the first token for a service whose table
+// row names none.
+const defaultDeadline = 10 * mgclock.Second
+
+// body is the JSON that callers send, in the form of OpenAI's API. Other keys
+// of that form (temperature and the like) are accepted and have no effect.
+type body struct {
+	Model     string          `json:"model"`
+	Messages  []message       `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Stream    bool            `json:"stream"`
+	Max       int             `json:"max_tokens"`
+	MaxNew    int             `json:"max_completion_tokens"`
+	Choices   int             `json:"n"`
+	StreamSet struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// job is a request for an answer, checked against the table.
+type job struct {
+	caller
+	service *mgtable.Service
+	model   string
+	prompt  string
+	tokens  int
+	prefix  []uint64
+	max     int
+	stream  bool
+	usage   bool
+	chat    bool
+	due     mgclock.Millis // when the first token is due
+}
+
+func invalid(detail, remedy string) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Invalid, mgproblem.NotRun, detail, remedy)
+}
+
+// parse reads a completion request.
+func (e *Entry) parse(r *http.Request, c caller, chat bool) (*job, *mgproblem.Problem) {
+	var in body
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return nil, badBody(err)
+	}
+	if in.Choices > 1 {
+		return nil, invalid("n is more than 1", "send one request for each answer")
+	}
+	if in.Max < 0 || in.MaxNew < 0 {
+		return nil, invalid("max_tokens is negative", "give 1 or more, or leave it out")
+	}
+	service, model, problem := resolve(c, in.Model)
+	if problem != nil {
+		return nil, problem
+	}
+	prompt, problem := promptOf(in, chat)
+	if problem != nil {
+		return nil, problem
+	}
+	j := &job{
+		caller:  c,
+		service: service,
+		model:   model.Name(),
+		prompt:  prompt,
+		tokens:  mgprefix.Tokens(prompt),
+		prefix:  mgprefix.Blocks(nil, prompt),
+		max:     limit(model.Max(), service.Max(), in.Max, in.MaxNew),
+		stream:  in.Stream,
+		usage:   in.StreamSet.Usage,
+		chat:    chat,
+	}
+	if j.tokens > model.Context() && model.Context() > 0 {
+		return nil, mgproblem.New(mgproblem.Large, mgproblem.NotRun,
+			"the prompt is longer than the model's context", "send a shorter prompt")
+	}
+	wait := service.Deadline()
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	j.due = e.spec.Clock.Now() + wait
+	return j, nil
+}
+
+func badBody(err error) *mgproblem.Problem {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return mgproblem.New(mgproblem.Large, mgproblem.NotRun,
+			"the body is larger than this entry takes", "send a shorter prompt")
+	}
+	return invalid("the body is not the JSON of a request", "send an object with model and messages").WithCause(err)
+}
+
+// resolve finds the service that the model's name asks for: a generation
+// service of that name, or the account's first one on that model.
+func resolve(c caller, name string) (*mgtable.Service, *mgtable.Model, *mgproblem.Problem) {
+	if service := c.table.Service(name); service != nil && service.Kind() == mgtable.Generation {
+		if !c.account.Allows(name) {
+			return nil, nil, forbidden(name)
+		}
+		return service, c.table.Model(service.Model()), nil
+	}
+	if model := c.table.Model(name); model != nil {
+		for service := range c.table.Services() {
+			if service.Model() == name && c.account.Allows(service.Name()) {
+				return service, model, nil
+			}
+		}
+		return nil, nil, forbidden(name)
+	}
+	return nil, nil, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
+		"no service or model has the name in model", "give a name that GET /v1/models lists")
+}
+
+func forbidden(name string) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Forbidden, mgproblem.NotRun,
+		"the client account may not use "+name, "ask the operators to add it to the account's services")
+}
+
+// limit returns the least of the bounds that are set.
+func limit(bounds ...int) int {
+	least := 0
+	for _, bound := range bounds {
+		if bound > 0 && (least == 0 || bound < least) {
+			least = bound
+		}
+	}
+	return least
+}
+
+func promptOf(in body, chat bool) (string, *mgproblem.Problem) {
+	if !chat {
+		text, ok := textOf(in.Prompt)
+		if !ok || text == "" {
+			return "", invalid("prompt is missing or not a text", "send prompt as a string")
+		}
+		return text, nil
+	}
+	if len(in.Messages) == 0 {
+		return "", invalid("messages is empty", "send at least one message with role and content")
+	}
+	var b strings.Builder
+	for _, m := range in.Messages {
+		text, ok := textOf(m.Content)
+		if !ok {
+			return "", invalid("a message's content is not text", "send content as a string or as parts of type text")
+		}
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(text)
+		b.WriteByte('\n')
+	}
+	return b.String(), nil
+}
+
+// textOf reads a string, or a list of strings or of parts of type text.
+func textOf(raw json.RawMessage) (string, bool) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, true
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(raw, &parts) == nil {
+		var b strings.Builder
+		for _, part := range parts {
+			if part.Type != "text" {
+				return "", false
+			}
+			b.WriteString(part.Text)
+		}
+		return b.String(), true
+	}
+	var list []string
+	if json.Unmarshal(raw, &list) == nil && len(list) == 1 {
+		return list[0], true
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/process/mgentry/read.go
@@ -0,0 +1,197 @@
+package mgentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgdelivery"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+const (
+	// slack is how long after the deadline of the first token the entry still
+	// waits for a generation that the agent has started: its prefill is paid.
+	slack = 2 * mgclock.Second
+	// problemBody bounds a problem that an agent sends in place of frames.
+	problemBody = 64 << 10
+	// framesAhead is how many frames are read while the caller takes one.
+	framesAhead = 16
+)
+
+// reading is one answer on its way from an agent to a caller.
+type reading struct {
+	entry    *Entry
+	job      *job // nil for a caller that resumes
+	receiver *mgdelivery.Receiver
+	attempt  attempt
+	number   int // the attempt's number in the receiver
+	stream   *mglink.Stream
+	avoid    map[string]bool
+	tokens   int
+	evicted  uint32
+}
+
+// open connects to the attempt's generation.
+func (r *reading) open() {
+	r.number = r.receiver.Begin(r.attempt.generation)
+	made := r.attempt
+	r.stream = mglink.NewStream(mglink.StreamSpec{
+		Open: func(ctx context.Context, from uint64) (io.ReadCloser, error) {
+			return r.entry.openFrames(ctx, made, from)
+		},
+		Clock:    r.entry.spec.Clock,
+		Interval: mgclock.Millis(r.entry.spec.Settings.Beat),
+		From:     r.receiver.Last(),
+	})
+}
+
+// openFrames asks an agent for frames on a new connection. The agent may have
+// been replaced since: the one that now serves the upstream is asked.
+func (e *Entry) openFrames(ctx context.Context, made attempt, from uint64) (io.ReadCloser, error) {
+	agent := made.agent
+	if now, ok := e.byUpstream(agent.Upstream); ok {
+		agent = now
+	}
+	url := e.spec.Base(agent.Address) + framesPath + made.generation + "?from=" + strconv.FormatUint(from, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := e.frames.Do(request)
+	if err != nil {
+		e.spec.Suspect(agent.Name)
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		e.spec.Heard(agent.Name)
+		return response.Body, nil
+	}
+	defer response.Body.Close()
+	return nil, readProblem(response)
+}
+
+// framesPath is the agent's path of frames.
+const framesPath = "/frames/"
+
+func readProblem(response *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, problemBody))
+	if err != nil {
+		return err
+	}
+	problem := &mgproblem.Problem{}
+	if err := problem.UnmarshalJSON(data); err != nil {
+		return fmt.Errorf("entry: an agent answered %s: look at its log", response.Status)
+	}
+	return problem
+}
+
+// A turn is what the caller is given next.
+type turn struct {
+	decision mgdelivery.Decision
+	problem  *mgproblem.Problem // the last word, when the answer fails
+	attempt  attempt
+	evicted  uint32
+}
+
+// over reports whether nothing follows the turn.
+func (t turn) over() bool {
+	return t.problem != nil || t.decision.Action() == mgdelivery.Finish
+}
+
+// next returns the next turn. It starts over elsewhere by itself where the
+// receiver allows it.
+func (r *reading) next(ctx context.Context) turn {
+	for {
+		decision, problem := r.step(ctx)
+		if cancelled := decision.Cancel(); cancelled != "" {
+			go r.entry.abandon(context.WithoutCancel(ctx), r.attempt)
+		}
+		switch decision.Action() {
+		case mgdelivery.Reopen:
+			r.stream.Reopen(r.receiver.Last())
+		case mgdelivery.Elsewhere:
+			problem = r.elsewhere(ctx)
+		case mgdelivery.Fail:
+			problem = decision.Problem()
+		}
+		deliver := decision.Action() == mgdelivery.Deliver || decision.Action() == mgdelivery.Finish
+		if deliver || problem != nil {
+			return turn{
+				decision: decision,
+				problem:  problem,
+				attempt:  r.attempt,
+				evicted:  r.evicted,
+			}
+		}
+	}
+}
+
+func (r *reading) step(ctx context.Context) (mgdelivery.Decision, *mgproblem.Problem) {
+	waitCtx, cancel := r.untilDue(ctx)
+	defer cancel()
+	frame, err := r.stream.Next(waitCtx)
+	switch {
+	case err == nil:
+		r.note(frame)
+		return r.receiver.Frame(r.number, frame), nil
+	case ctx.Err() != nil:
+		return r.receiver.Cancel(), nil
+	case waitCtx.Err() != nil:
+		return mgdelivery.Decision{}, r.overdue(ctx)
+	default:
+		return r.receiver.Lost(r.number), nil
+	}
+}
+
+// untilDue bounds the wait for the first token.
+func (r *reading) untilDue(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.job == nil || r.receiver.Last() > 0 || r.tokens > 0 {
+		return ctx, func() {}
+	}
+	left := r.job.due + slack - r.entry.spec.Clock.Now()
+	return context.WithTimeout(ctx, max(left, 1).Duration())
+}
+
+// overdue gives up a request whose first token is too late, and tells the
+// caller at once what the agent attests.
+func (r *reading) overdue(ctx context.Context) *mgproblem.Problem {
+	r.stream.Close()
+	return late(r.entry.abandon(ctx, r.attempt))
+}
+
+func (r *reading) note(frame *mgrpc.Frame) {
+	r.tokens += len(frame.GetText())
+	r.evicted = frame.GetPreempted()
+}
+
+// elsewhere starts another generation where nothing was delivered.
+func (r *reading) elsewhere(ctx context.Context) *mgproblem.Problem {
+	r.stream.Close()
+	if r.job == nil {
+		return interruptedProblem()
+	}
+	r.avoid[r.attempt.agent.Name] = true
+	made, problem := r.entry.begin(ctx, r.job, r.avoid)
+	if problem != nil {
+		return problem
+	}
+	r.entry.spec.Metrics.Counter("elsewhere").Inc(1)
+	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
+		mglog.Attempt, made.id, mglog.Upstream, made.agent.Upstream, mglog.Account, r.job.account.Name())
+	r.attempt = made
+	r.tokens = 0
+	r.open()
+	return nil
+}
+
+func interruptedProblem() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		"the generation can't be continued", "send the request again for a new answer")
+}
--- /dev/null
+++ b/internal/process/mgentry/services.go
@@ -0,0 +1,241 @@
+package mgentry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const (
+	// keyHeader names the operation that a caller repeats (Jena, Dalal 2023,
+	// draft-ietf-httpapi-idempotency-key-header).
+	keyHeader = "Idempotency-Key"
+	// outcomeHeader tells what became of a call.
+	outcomeHeader = "Outcome"
+	// repeatPause is the wait before an agent is asked again for an operation's
+	// result.
+	repeatPause = 100 * mgclock.Millis(1)
+)
+
+// call is a plain-service call, checked against the table.
+type call struct {
+	caller
+	service *mgtable.Service
+	request *mgrpc.InvokeRequest
+	due     mgclock.Millis
+}
+
+// plain returns the plain service that the path names.
+func (e *Entry) plain(r *http.Request, c caller) (*mgtable.Service, *mgproblem.Problem) {
+	name := chi.URLParam(r, "service")
+	service := c.table.Service(name)
+	if service == nil || service.Kind() != mgtable.Plain {
+		return nil, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
+			"no plain service has the name "+name, "give the name of a plain service of the table")
+	}
+	if !c.account.Allows(name) {
+		return nil, forbidden(name)
+	}
+	return service, nil
+}
+
+// mint names a new operation of a service whose calls may not be repeated.
+func (e *Entry) mint(w http.ResponseWriter, r *http.Request, c caller) {
+	service, problem := e.plain(r, c)
+	if problem != nil {
+		mgproblem.Write(w, problem)
+		return
+	}
+	operation, _, problem := e.mintAt(r.Context(), c, service.Name())
+	if problem != nil {
+		mgproblem.Write(w, problem)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = w.Write([]byte(`{"operation":"` + operation + `"}` + "\n"))
+}
+
+// mintAt mints an operation at any agent that runs the service. Minting runs
+// nothing, so it may be tried at one after another.
+func (e *Entry) mintAt(ctx context.Context, c caller, service string) (string, Agent, *mgproblem.Problem) {
+	for _, agent := range e.hosts(service) {
+		callCtx, cancel := context.WithTimeout(ctx, callWait.Duration())
+		reply, err := e.client(agent).Mint(callCtx, &mgrpc.MintRequest{
+			Account: c.account.Name(),
+			Service: service,
+			Version: c.table.Version(),
+		})
+		cancel()
+		if err != nil {
+			e.spec.Suspect(agent.Name)
+			continue
+		}
+		if reply.GetFault() == nil {
+			return reply.GetOperation(), agent, nil
+		}
+	}
+	return "", Agent{}, crowded(mgclock.Second)
+}
+
+// hosts returns the agents whose upstreams run a service, in random order:
+// the load spreads, and no two entries keep the same favourite.
+func (e *Entry) hosts(service string) []Agent {
+	var found []Agent
+	for _, agent := range e.spec.Agents() {
+		if agent.runs(service) && !agent.Leaving {
+			found = append(found, agent)
+		}
+	}
+	rand.Shuffle(len(found), func(i, k int) { found[i], found[k] = found[k], found[i] })
+	return found
+}
+
+// service makes a call of a plain service.
+func (e *Entry) service(w http.ResponseWriter, r *http.Request, c caller) {
+	service, problem := e.plain(r, c)
+	if problem != nil {
+		mgproblem.Write(w, problem)
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		mgproblem.Write(w, badBody(err))
+		return
+	}
+	promise, operation, err := mgoperation.Weigh(e.spec.Seal, mgoperation.KeySpec{
+		Account:    c.account.Name(),
+		Service:    service.Name(),
+		Key:        r.Header.Get(keyHeader),
+		Idempotent: service.Repeatable() || safeMethod(r.Method),
+	})
+	if err != nil {
+		mgproblem.Write(w, mgproblem.From(err))
+		return
+	}
+	wait := mgclock.Millis(e.spec.Settings.Call)
+	call := &call{
+		caller:  c,
+		service: service,
+		due:     e.spec.Clock.Now() + wait,
+		request: &mgrpc.InvokeRequest{
+			Account: c.account.Name(),
+			Service: service.Name(),
+			Method:  r.Method,
+			Path:    servicePath(r),
+			Mime:    r.Header.Get("Content-Type"),
+			Body:    data,
+			Version: c.table.Version(),
+		},
+	}
+	reply, problem := e.invoke(r.Context(), call, promise, operation, r.Header.Get(keyHeader))
+	e.answer(w, reply, problem)
+}
+
+// safeMethod reports whether a method may be repeated whatever the service
+// (RFC 9110, 9.2.1).
+func safeMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// servicePath returns the path below the service's name, with its query.
+func servicePath(r *http.Request) string {
+	path := "/" + chi.URLParam(r, "*")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func (e *Entry) invoke(ctx context.Context, call *call, promise mgoperation.Promise, operation mgoperation.Operation, key string) (*mgrpc.InvokeReply, *mgproblem.Problem) {
+	switch promise {
+	case mgoperation.Pinned:
+		call.request.Operation = key
+		return e.pinned(ctx, call, operation.Agent())
+	case mgoperation.Single:
+		minted, agent, problem := e.mintAt(ctx, call.caller, call.service.Name())
+		if problem != nil {
+			return nil, problem
+		}
+		call.request.Operation = minted
+		return e.pinned(ctx, call, agent.Upstream)
+	default:
+		return e.repeatable(ctx, call)
+	}
+}
+
+// pinned makes an operation's call at the one agent that may run it. Asking
+// that agent again is safe: it joins the first call.
+func (e *Entry) pinned(ctx context.Context, call *call, upstream string) (*mgrpc.InvokeReply, *mgproblem.Problem) {
+	for e.spec.Clock.Now() < call.due && ctx.Err() == nil {
+		agent, ok := e.byUpstream(upstream)
+		if ok {
+			reply, err := e.invokeAt(ctx, call, agent)
+			if err == nil {
+				return reply, replyProblem(reply)
+			}
+			e.spec.Suspect(agent.Name)
+		}
+		e.spec.Clock.Sleep(ctx, repeatPause)
+	}
+	return nil, mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+		"the agent that owns the operation did not answer", "ask again with the same operation")
+}
+
+// repeatable makes a call that may run more than once, at another upstream
+// when one can't be reached.
+func (e *Entry) repeatable(ctx context.Context, call *call) (*mgrpc.InvokeReply, *mgproblem.Problem) {
+	problem := crowded(mgclock.Second)
+	for _, agent := range e.hosts(call.service.Name()) {
+		reply, err := e.invokeAt(ctx, call, agent)
+		if err != nil {
+			e.spec.Suspect(agent.Name)
+			problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+				"no upstream answered", "send the call again")
+			continue
+		}
+		if reply.GetFault() == nil {
+			return reply, nil
+		}
+		problem = problemOf(reply.GetFault())
+	}
+	return nil, problem
+}
+
+func (e *Entry) invokeAt(ctx context.Context, call *call, agent Agent) (*mgrpc.InvokeReply, error) {
+	left := call.due - e.spec.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, left.Duration())
+	defer cancel()
+	call.request.Budget = int64(left)
+	return e.client(agent).Invoke(ctx, call.request)
+}
+
+func replyProblem(reply *mgrpc.InvokeReply) *mgproblem.Problem {
+	if reply.GetFault() == nil {
+		return nil
+	}
+	return problemOf(reply.GetFault())
+}
+
+func (e *Entry) answer(w http.ResponseWriter, reply *mgrpc.InvokeReply, problem *mgproblem.Problem) {
+	if problem != nil {
+		mgproblem.Write(w, problem)
+		return
+	}
+	if mime := reply.GetMime(); mime != "" && !strings.ContainsAny(mime, "\r\n") {
+		w.Header().Set("Content-Type", mime)
+	}
+	w.Header().Set(outcomeHeader, reply.GetOutcome())
+	w.WriteHeader(int(reply.GetStatus()))
+	_, _ = w.Write(reply.GetBody())
+}
--- /dev/null
+++ b/internal/request/mgprefix/prefix.go
@@ -0,0 +1,120 @@
+package mgprefix
+
+import (
+	"container/list"
+	"encoding/binary"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// TokenBytes is the usual length of a token in bytes of English text. Only
+	// estimates use it; the engine counts for itself.
+	TokenBytes = 4
+	// BlockTokens is the length of a block in tokens, long enough that a prompt
+	// of 8,000 tokens has 125 hashes and short enough that system prompts of a
+	// few hundred tokens are told apart.
+	BlockTokens = 64
+	// MaxBlocks bounds the hashes of a prompt: the longest shared prefixes
+	// (instructions and one document) end before it.
+	MaxBlocks = 64
+	// DefaultBlocks bounds a record: 32,768 blocks are 2 M tokens, more than an
+	// engine's memory, in about 4 MB.
+	DefaultBlocks = 1 << 15
+)
+
+// Tokens estimates the length of text in tokens; it is at least 1.
+func Tokens(text string) int {
+	return 1 + len(text)/TokenBytes
+}
+
+// Blocks appends the hashes of the whole blocks of text to dst, outermost
+// first, and returns it.
+func Blocks(dst []uint64, text string) []uint64 {
+	const size = BlockTokens * TokenBytes
+	var chain [8]byte
+	digest := xxhash.New()
+	for count := 0; len(text) >= size && count < MaxBlocks; count++ {
+		digest.Reset()
+		_, _ = digest.Write(chain[:])
+		_, _ = digest.WriteString(text[:size])
+		hash := digest.Sum64()
+		binary.LittleEndian.PutUint64(chain[:], hash)
+		dst = append(dst, hash)
+		text = text[size:]
+	}
+	return dst
+}
+
+// A Record remembers the blocks that an engine was given last. The zero Record
+// holds up to DefaultBlocks and is ready for use by several goroutines.
+type Record struct {
+	mu    sync.Mutex
+	order list.List
+	found map[uint64]*list.Element
+}
+
+// Add notes that the engine has the blocks.
+func (r *Record) Add(blocks []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.found == nil {
+		r.found = map[uint64]*list.Element{}
+	}
+	for _, block := range blocks {
+		if element, ok := r.found[block]; ok {
+			r.order.MoveToFront(element)
+			continue
+		}
+		r.found[block] = r.order.PushFront(block)
+	}
+	for r.order.Len() > DefaultBlocks {
+		r.drop(r.order.Back())
+	}
+}
+
+// Remove notes that the engine evicted a block.
+func (r *Record) Remove(block uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if element, ok := r.found[block]; ok {
+		r.drop(element)
+	}
+}
+
+// Clear forgets everything, as after a gap in the engine's events: what was
+// evicted meanwhile isn't known.
+func (r *Record) Clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.order.Init()
+	r.found = nil
+}
+
+// Cached returns how many tokens at the start of a prompt with these blocks
+// the engine is believed to have.
+func (r *Record) Cached(blocks []uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, block := range blocks {
+		if _, ok := r.found[block]; !ok {
+			break
+		}
+		count++
+	}
+	return count * BlockTokens
+}
+
+// Len returns the number of blocks held.
+func (r *Record) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.order.Len()
+}
+
+func (r *Record) drop(element *list.Element) {
+	delete(r.found, element.Value.(uint64))
+	r.order.Remove(element)
+}
--- a/pkg/mgclock/clock.go
+++ b/pkg/mgclock/clock.go
@@ -77,3 +77,10 @@
 		return false
 	}
 }
+
+// Unix returns the seconds since 1970 by the system's clock, for the formats
+// that want them. It may jump; no decision goes by it.
+func Unix() int64 { return time.Now().Unix() }
+
+// Deadline returns span from now in the form that connections take.
+func Deadline(span Millis) time.Time { return time.Now().Add(span.Duration()) }
