mgservice: client of a plain service whose failures say what is certain

Cause: a call that may not be repeated needs to know whether the service can have seen it, and net/http repeats some requests when a pooled connection breaks. Change: mgdial makes each exchange on a connection of its own, follows no redirect and proves 'nothing sent' by the transport never having got a connection; mgservice types failures NotSent or Unknown on top.

--- /dev/null
+++ b/internal/connection/mgservice/client.go
@@ -0,0 +1,140 @@
+package mgservice
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+)
+
+// bodyBytes bounds the bodies of calls and replies.
+const bodyBytes = 1 << 20
+
+// Kind tells what is certain after a failed call.
+type Kind string
+
+// The kinds of failures.
+const (
+	NotSent Kind = "notsent" // the service can't have seen the call
+	Unknown Kind = "unknown" // the service may have run the call
+)
+
+// Failure is a call that brought no reply.
+type Failure struct {
+	kind   Kind
+	detail string
+	cause  error
+}
+
+// Kind returns what is certain.
+func (f *Failure) Kind() Kind { return f.kind }
+
+// Unwrap returns the cause, or nil.
+func (f *Failure) Unwrap() error { return f.cause }
+
+// Error returns what is certain and the remedy.
+func (f *Failure) Error() string {
+	remedy := "send it again or elsewhere"
+	if f.kind == Unknown {
+		remedy = "ask the service what became of it; repeat it only if it is idempotent"
+	}
+	text := fmt.Sprintf("service: %s: %s: %s", f.kind, f.detail, remedy)
+	if f.cause != nil {
+		text += ": " + f.cause.Error()
+	}
+	return text
+}
+
+// NewFailure returns a failure, for clients of other protocols.
+func NewFailure(kind Kind, detail string, cause error) *Failure {
+	return &Failure{
+		kind:   kind,
+		detail: detail,
+		cause:  cause,
+	}
+}
+
+// KindOf returns what is certain after err, Unknown where nothing is.
+func KindOf(err error) Kind {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.kind
+	}
+	return Unknown
+}
+
+// A Client makes calls to one service. The zero Client has no service: each
+// call fails as NotSent.
+type Client struct {
+	call func(ctx context.Context, spec CallSpec) (Reply, error)
+}
+
+// NewClient returns a client that makes its calls by call.
+func NewClient(call func(ctx context.Context, spec CallSpec) (Reply, error)) Client {
+	return Client{
+		call: call,
+	}
+}
+
+// NewHTTP returns a client of the service at base, such as
+// "http://127.0.0.1:7401". A nil client stands for mgdial.NewClient(); one
+// that pools connections would undo the failures' certainty.
+func NewHTTP(base string, client *http.Client) Client {
+	if client == nil {
+		client = mgdial.NewClient()
+	}
+	return NewClient(func(ctx context.Context, spec CallSpec) (Reply, error) {
+		return exchange(ctx, base, client, spec)
+	})
+}
+
+// Call makes one call. Any status is a reply; the service's own errors are
+// not failures.
+func (c Client) Call(ctx context.Context, spec CallSpec) (Reply, error) {
+	if c.call == nil {
+		return Reply{}, NewFailure(NotSent, "the client has no service", nil)
+	}
+	return c.call(ctx, spec)
+}
+
+func exchange(ctx context.Context, base string, client *http.Client, spec CallSpec) (Reply, error) {
+	if len(spec.Body) > bodyBytes {
+		return Reply{}, NewFailure(NotSent, fmt.Sprintf("the body has over %d bytes", bodyBytes), nil)
+	}
+	r, err := http.NewRequestWithContext(ctx, spec.Method, base+spec.Path, bytes.NewReader(spec.Body))
+	if err != nil {
+		return Reply{}, NewFailure(NotSent, "the method or path is no part of a request", err)
+	}
+	if spec.Mime != "" {
+		r.Header.Set("Content-Type", spec.Mime)
+	}
+	if spec.Operation != "" {
+		r.Header.Set("Idempotency-Key", spec.Operation)
+	}
+	response, err := mgdial.Do(client, r)
+	if err != nil {
+		kind := Unknown
+		var failure *mgdial.Failure
+		if errors.As(err, &failure) && !failure.Sent() {
+			kind = NotSent
+		}
+		return Reply{}, NewFailure(kind, "no reply", err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, bodyBytes+1))
+	if err != nil {
+		return Reply{}, NewFailure(Unknown, "the reply broke off", err)
+	}
+	if len(body) > bodyBytes {
+		return Reply{}, NewFailure(Unknown, fmt.Sprintf("the reply has over %d bytes", bodyBytes), nil)
+	}
+	return Reply{
+		Status: response.StatusCode,
+		Mime:   response.Header.Get("Content-Type"),
+		Body:   body,
+	}, nil
+}
--- /dev/null
+++ b/internal/connection/mgservice/client_test.go
@@ -0,0 +1,129 @@
+package mgservice_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A gauger books a transfer ticket. The service runs it and the link breaks
+// before the reply. Told "not sent", the gauger would book again: two barrels
+// for one. So each break after a connection stood is Unknown, only one before
+// is NotSent, and nothing under the client repeats the call.
+func TestCertainty(t *testing.T) {
+	cut := func(w http.ResponseWriter) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	cases := []struct {
+		name   string
+		answer http.HandlerFunc
+		ended  bool
+		kind   mgservice.Kind
+		runs   int64
+	}{
+		{
+			name:  "nobody listens",
+			kind:  mgservice.NotSent,
+			ended: false,
+		},
+		{
+			name:   "the caller had given up before it was sent",
+			answer: func(http.ResponseWriter, *http.Request) {},
+			ended:  true,
+			kind:   mgservice.NotSent,
+		},
+		{
+			name: "the link breaks before the body was read",
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				cut(w)
+			},
+			kind: mgservice.Unknown,
+			runs: 1,
+		},
+		{
+			name: "the reply breaks off in its middle",
+			answer: func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set("Content-Length", "10")
+				_, _ = io.WriteString(w, "book")
+				cut(w)
+			},
+			kind: mgservice.Unknown,
+			runs: 1,
+		},
+		{
+			name: "the reply is larger than its bound",
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, 1<<20+1))
+			},
+			kind: mgservice.Unknown,
+			runs: 1,
+		},
+		{
+			name: "the service sends it elsewhere, which would run it twice",
+			answer: func(w http.ResponseWriter, r *http.Request) {
+				http.Redirect(w, r, "/tickets", http.StatusTemporaryRedirect)
+			},
+			runs: 1,
+		},
+	}
+	Convey("A call tells what is certain when", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var runs atomic.Int64
+				base := "http://" + refusing(t)
+				if c.answer != nil {
+					s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						runs.Add(1)
+						c.answer(w, r)
+					}))
+					defer s.Close()
+					base = s.URL
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				if c.ended {
+					cancel()
+				}
+				_, err := mgservice.NewHTTP(base, nil).Call(ctx, mgservice.CallSpec{
+					Method:    http.MethodPost,
+					Path:      "/tickets",
+					Body:      []byte(`{"barrels":1}`),
+					Operation: "ticket-1",
+				})
+				if c.kind == "" {
+					So(err, ShouldBeNil)
+				} else {
+					So(err, ShouldNotBeNil)
+					So(mgservice.KindOf(err), ShouldEqual, c.kind)
+				}
+				So(runs.Load(), ShouldEqual, c.runs)
+			})
+		}
+	})
+}
+
+// refusing returns an address on which nobody listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
