mgengine: client of a model engine with function fields as seams

Cause: the agent needs starts, streams, cancels, load, cache events, lists and orders, and the users' engines will speak another protocol.

--- /dev/null
+++ b/internal/connection/mgengine/errors.go
@@ -0,0 +1,94 @@
+package mgengine
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind tells what is certain after a failed call.
+type Kind string
+
+// The kinds of failures.
+const (
+	NotStarted Kind = "notstarted" // the engine refused it or never saw it
+	Unknown    Kind = "unknown"    // the engine may have acted on it
+	Missing    Kind = "missing"    // the engine holds no such generation
+	Broken     Kind = "broken"     // a stream broke off; resume it from the last token
+)
+
+// Failure is a failed call to an engine.
+type Failure struct {
+	kind   Kind
+	call   string
+	detail string
+	cause  error
+}
+
+// Kind returns what is certain.
+func (f *Failure) Kind() Kind { return f.kind }
+
+// Unwrap returns the cause, or nil.
+func (f *Failure) Unwrap() error { return f.cause }
+
+// Error returns the call, what is certain, and the remedy.
+func (f *Failure) Error() string {
+	text := fmt.Sprintf("engine: %s: %s", f.call, f.kind)
+	if f.detail != "" {
+		text += ": " + f.detail
+	}
+	text += ": " + remedies[f.kind]
+	if f.cause != nil {
+		text += ": " + f.cause.Error()
+	}
+	return text
+}
+
+// remedies says what to do about each kind.
+var remedies = map[Kind]string{
+	NotStarted: "start it elsewhere",
+	Unknown:    "send it again by the same id, or cancel it",
+	Missing:    "the engine lost or forgot it; start a new one",
+	Broken:     "stream again from the token after the last one",
+}
+
+// FenceError is the refusal of an order that carries an old fencing number.
+type FenceError struct {
+	sent   uint64
+	newest uint64
+}
+
+// Newest returns the highest fencing number that the engine has accepted.
+func (e *FenceError) Newest() uint64 { return e.newest }
+
+// Error returns both numbers and the remedy.
+func (e *FenceError) Error() string {
+	return fmt.Sprintf("engine: order: fencing number %d is older than %d: a newer agent gives the orders; stop giving them", e.sent, e.newest)
+}
+
+// KindOf returns what is certain after err, Unknown where nothing is.
+func KindOf(err error) Kind {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.kind
+	}
+	return Unknown
+}
+
+// NewFailure returns a failure of a call, for clients of other protocols.
+func NewFailure(kind Kind, call, detail string, cause error) *Failure {
+	return &Failure{
+		kind:   kind,
+		call:   call,
+		detail: detail,
+		cause:  cause,
+	}
+}
+
+// NewFenceError returns a refusal of an old fencing number, for clients of
+// other protocols.
+func NewFenceError(sent, newest uint64) *FenceError {
+	return &FenceError{
+		sent:   sent,
+		newest: newest,
+	}
+}
--- /dev/null
+++ b/internal/connection/mgengine/seams.go
@@ -0,0 +1,15 @@
+package mgengine
+
+import "context"
+
+// Seams are the calls of an engine's protocol. One that is nil fails as
+// NotStarted.
+type Seams struct {
+	Start  func(ctx context.Context, spec StartSpec) error
+	Stream func(ctx context.Context, id string, from uint64) (*TokenStream, error)
+	Cancel func(ctx context.Context, id string) error
+	Load   func(ctx context.Context) (Load, error)
+	Events func(ctx context.Context, after uint64) ([]Event, error)
+	List   func(ctx context.Context) ([]Generation, error)
+	Order  func(ctx context.Context, spec OrderSpec) error
+}
--- /dev/null
+++ b/internal/connection/mgengine/stream.go
@@ -0,0 +1,102 @@
+package mgengine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+)
+
+// lineBytes bounds one token on the wire.
+const lineBytes = 64 << 10
+
+// A TokenStream reads the tokens of one generation. One goroutine at a time
+// calls Next; Close may be called from any. The zero TokenStream is at its
+// end.
+type TokenStream struct {
+	next  func(ctx context.Context) (Token, error)
+	close func()
+}
+
+// NewTokenStream returns a stream that reads by next and is released by
+// close.
+func NewTokenStream(next func(ctx context.Context) (Token, error), close func()) *TokenStream {
+	return &TokenStream{
+		next:  next,
+		close: close,
+	}
+}
+
+// Next returns the next token or heartbeat. It returns io.EOF after the token
+// that ended the generation, and a Broken failure when the stream broke off
+// before. When ctx ends, the stream is over.
+func (s *TokenStream) Next(ctx context.Context) (Token, error) {
+	if s.next == nil {
+		return Token{}, io.EOF
+	}
+	return s.next(ctx)
+}
+
+// Close releases the stream and ends a Next that waits.
+func (s *TokenStream) Close() {
+	if s.close != nil {
+		s.close()
+	}
+}
+
+// lines reads tokens, one JSON object a line.
+type lines struct {
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	ended   bool
+}
+
+func newLines(body io.ReadCloser) *lines {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, lineBytes)
+	return &lines{
+		body:    body,
+		scanner: scanner,
+	}
+}
+
+func (l *lines) next(ctx context.Context) (Token, error) {
+	if l.ended {
+		return Token{}, io.EOF
+	}
+	if err := ctx.Err(); err != nil {
+		return Token{}, NewFailure(Broken, "stream", "", err)
+	}
+	// A read from a silent link returns only when the body is closed under
+	// it.
+	stop := context.AfterFunc(ctx, func() { _ = l.body.Close() })
+	defer stop()
+	if !l.scanner.Scan() {
+		return Token{}, l.broken(ctx)
+	}
+	var t Token
+	line := bytes.TrimSpace(l.scanner.Bytes())
+	if len(line) == 0 {
+		return t, nil
+	}
+	if err := json.Unmarshal(line, &t); err != nil {
+		return Token{}, NewFailure(Broken, "stream", "not a token", err)
+	}
+	l.ended = t.End != "" || t.Fault != ""
+	return t, nil
+}
+
+// broken returns why the stream broke off. An end of file without the
+// generation's end is a cut, never a finished answer.
+func (l *lines) broken(ctx context.Context) error {
+	cause := l.scanner.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	if ctx.Err() != nil {
+		cause = errors.Join(ctx.Err(), cause)
+	}
+	return NewFailure(Broken, "stream", "", cause)
+}
