mgmodel: an engine that batches continuously, as a deterministic model

Change: Spec, Engine (Add, Cancel, Step, Free, Used, Running, Waiting, Cached) and Result; no clock and no random numbers inside.

--- /dev/null
+++ b/internal/bench/mgmodel/engine.go
@@ -0,0 +1,251 @@
+package mgmodel
+
+import (
+	"slices"
+	"sort"
+)
+
+// sequence is a Sequence with its state in the engine.
+type sequence struct {
+	Sequence
+	produced int
+	left     int // context tokens still to be computed; 0 is decoding
+}
+
+// context returns the tokens of memory that q holds while it runs.
+func (q *sequence) context() int { return q.Prompt + q.produced }
+
+// An Engine batches sequences continuously. It is for one goroutine.
+type Engine struct {
+	spec    Spec
+	cache   *cache
+	byID    map[string]*sequence
+	waiting []*sequence // by priority, then first come
+	running []*sequence // the oldest first
+	used    int
+	result  Result
+}
+
+// New returns an empty engine.
+func New(spec Spec) *Engine {
+	spec = spec.withDefaults()
+	return &Engine{
+		spec:  spec,
+		cache: newCache(spec.Cache / spec.Block),
+		byID:  make(map[string]*sequence),
+	}
+}
+
+// Spec returns the engine's description with the defaults filled in.
+func (e *Engine) Spec() Spec { return e.spec }
+
+// SetSpeed makes the steps from now on speed times as fast as described; it
+// models an upstream that turns slow.
+func (e *Engine) SetSpeed(speed float64) { e.spec.Speed = orFloat(speed, 1) }
+
+// Free returns the tokens of memory that nothing holds.
+func (e *Engine) Free() int { return e.spec.Memory - e.used }
+
+// Used returns the tokens of memory that running sequences hold.
+func (e *Engine) Used() int { return e.used }
+
+// Running returns the number of sequences in the batch.
+func (e *Engine) Running() int { return len(e.running) }
+
+// Waiting returns the number of sequences in the waiting line.
+func (e *Engine) Waiting() int { return len(e.waiting) }
+
+// Cached returns how many tokens of a prompt with this prefix need not be
+// computed now.
+func (e *Engine) Cached(prefix []uint64) int {
+	return e.cache.match(prefix) * e.spec.Block
+}
+
+// Add puts a sequence in the waiting line. It reports false, and changes
+// nothing, when the name is taken or the prompt can never fit. An output that
+// would outgrow the whole memory ends where memory does.
+func (e *Engine) Add(s Sequence) bool {
+	s.Output = max(s.Output, 1)
+	room := e.spec.Memory - s.Prompt
+	if e.byID[s.ID] != nil || s.Prompt < 1 || room < 1 {
+		return false
+	}
+	s.Output = min(s.Output, room)
+	q := &sequence{
+		Sequence: s,
+	}
+	e.byID[s.ID] = q
+	e.enqueue(q, false)
+	return true
+}
+
+// Cancel drops a sequence and frees its memory. It reports whether the engine
+// had it.
+func (e *Engine) Cancel(id string) bool {
+	q := e.byID[id]
+	if q == nil {
+		return false
+	}
+	delete(e.byID, id)
+	if i := slices.Index(e.waiting, q); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+		return true
+	}
+	e.evict(q)
+	return true
+}
+
+// Step runs one iteration of the batch.
+func (e *Engine) Step() Result {
+	e.result = Result{
+		tokens:    e.result.tokens[:0],
+		finished:  e.result.finished[:0],
+		preempted: e.result.preempted[:0],
+	}
+	e.admit()
+	if len(e.running) == 0 {
+		return e.result
+	}
+	e.makeRoom()
+	computed := e.prefill()
+	attended := e.used
+	decoded := e.decode()
+	e.retire()
+	e.result.duration = e.cost(decoded, attended, computed)
+	return e.result
+}
+
+// enqueue puts q at the end of its priority in the waiting line, or at its
+// head.
+func (e *Engine) enqueue(q *sequence, head bool) {
+	at := sort.Search(len(e.waiting), func(i int) bool {
+		other := e.waiting[i].Priority
+		return other < q.Priority || head && other == q.Priority
+	})
+	e.waiting = slices.Insert(e.waiting, at, q)
+}
+
+// admit moves sequences from the waiting line into the batch, in order, while
+// the context of the next one fits now with a token to spare.
+func (e *Engine) admit() {
+	n := 0
+	for n < len(e.waiting) && len(e.running) < e.spec.Batch {
+		q := e.waiting[n]
+		if q.context()+1 > e.Free() {
+			break
+		}
+		e.start(q)
+		n++
+	}
+	e.waiting = slices.Delete(e.waiting, 0, n)
+}
+
+// start takes q's memory and what the prefix cache saves it. At least one
+// token is computed, as the next one follows from it.
+func (e *Engine) start(q *sequence) {
+	e.used += q.context()
+	q.left = max(q.context()-e.Cached(q.Prefix), 1)
+	e.cache.touch(q.Prefix)
+	e.running = append(e.running, q)
+}
+
+// makeRoom preempts until each decoding sequence can take one more token.
+func (e *Engine) makeRoom() {
+	for e.decoding() > e.Free() {
+		q := e.victim()
+		e.evict(q)
+		e.enqueue(q, true)
+		e.result.preempted = append(e.result.preempted, q.ID)
+	}
+}
+
+// decoding returns an upper bound on the tokens that this step produces: those
+// that decode and those whose prefill ends within the chunk.
+func (e *Engine) decoding() int {
+	count, chunk := 0, e.spec.Chunk
+	for _, q := range e.running {
+		if q.left <= chunk {
+			chunk -= q.left
+			count++
+		} else {
+			chunk = 0
+		}
+	}
+	return count
+}
+
+// victim returns the sequence to preempt: lowest priority, the youngest first.
+func (e *Engine) victim() *sequence {
+	chosen := e.running[0]
+	for _, q := range e.running[1:] {
+		if q.Priority <= chosen.Priority {
+			chosen = q
+		}
+	}
+	return chosen
+}
+
+// evict takes q out of the batch and frees its memory.
+func (e *Engine) evict(q *sequence) {
+	i := slices.Index(e.running, q)
+	e.running = slices.Delete(e.running, i, i+1)
+	e.used -= q.context()
+}
+
+// prefill computes at most a chunk of prompts, the oldest first, and returns
+// its tokens.
+func (e *Engine) prefill() int {
+	chunk := e.spec.Chunk
+	for _, q := range e.running {
+		if chunk == 0 {
+			break
+		}
+		n := min(q.left, chunk)
+		q.left -= n
+		chunk -= n
+	}
+	return e.spec.Chunk - chunk
+}
+
+// decode produces one token of each sequence whose context is computed.
+func (e *Engine) decode() int {
+	count := 0
+	for _, q := range e.running {
+		if q.left > 0 {
+			continue
+		}
+		q.produced++
+		count++
+		e.result.tokens = append(e.result.tokens, Token{
+			id:  q.ID,
+			seq: q.produced,
+		})
+	}
+	e.used += count
+	return count
+}
+
+// retire frees the sequences that have produced their whole output.
+func (e *Engine) retire() {
+	kept := e.running[:0]
+	for _, q := range e.running {
+		if q.produced < q.Output {
+			kept = append(kept, q)
+			continue
+		}
+		e.used -= q.context()
+		delete(e.byID, q.ID)
+		e.result.finished = append(e.result.finished, q.ID)
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+}
+
+// cost returns the duration of a step in ms.
+func (e *Engine) cost(decoded, attended, computed int) float64 {
+	s := e.spec
+	work := s.Base + s.Each*float64(decoded)
+	work += s.Context * float64(attended) / 1000
+	work += s.Prefill * float64(computed) / 1000
+	return work / s.Speed
+}
