mgstandin: engine, plain service and platform on loopback

Cause: demos and tests need what the system is built against, with the platform's, engines' and services' faults to hand, and with counters that show a doubled run or start. Change: three http.Handlers with switches and counters, the engine stepping mgmodel in real time; contract tests by mgengine and mgservice with the faults in tables and a golden session for each interface. Two faults found on the way: a stale platform answered nothing, and a silent service outlived its Close. Conclusion: the interfaces hold under the faults in the tables.

--- /dev/null
+++ b/internal/standin/mgstandin/engine_test.go
@@ -0,0 +1,357 @@
+package mgstandin_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// patience bounds a test that hangs; no verdict depends on it.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// golden compares a session with its file under testdata/.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	So(got, ShouldEqual, string(want))
+}
+
+// serve serves h until the test's end.
+func serve(h http.Handler) string {
+	s, err := mgstandin.Listen("127.0.0.1:0", h)
+	So(err, ShouldBeNil)
+	Reset(func() { So(s.Close(), ShouldBeNil) })
+	return s.URL()
+}
+
+// bounded returns a context for a whole case.
+func bounded() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	Reset(cancel)
+	return ctx
+}
+
+// runEngine runs an engine a hundred times as fast as the described one.
+func runEngine(ctx context.Context, spec mgstandin.EngineSpec) (*mgstandin.Engine, mgengine.Client) {
+	spec.Model.Speed = 100
+	e := mgstandin.NewEngine(spec, mgclock.Clock{})
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Run(ctx)
+	}()
+	Reset(func() {
+		cancel()
+		<-done
+	})
+	return e, mgengine.NewHTTP(serve(e.Handler()), nil)
+}
+
+// begin starts a generation of a length.
+func begin(ctx context.Context, c mgengine.Client, id string, length int) error {
+	return c.Start(ctx, mgengine.StartSpec{
+		ID:     id,
+		Prompt: fmt.Sprintf("shift report len=%d", length),
+		Max:    1000,
+	})
+}
+
+// read reads a stream's tokens from seq on, until it ends or breaks.
+func read(ctx context.Context, c mgengine.Client, id string, seq uint64) (string, mgengine.Token, error) {
+	s, err := c.Stream(ctx, id, seq)
+	if err != nil {
+		return "", mgengine.Token{}, err
+	}
+	defer s.Close()
+	var text strings.Builder
+	for {
+		t, err := s.Next(ctx)
+		if err != nil || t.End != "" {
+			return text.String(), t, err
+		}
+		if t.Heartbeat() {
+			continue
+		}
+		if t.Seq != seq {
+			return text.String(), t, fmt.Errorf("token %d came in place of %d", t.Seq, seq)
+		}
+		seq++
+		text.WriteString(t.Text)
+	}
+}
+
+// A shift report streams to an agent and the engine, the link or the agent's
+// belief about it fails on the way. The agent must end up with every token
+// once, or with an error that says what is certain: an error that claims too
+// much would start a second generation beside the first.
+func TestEngineFaults(t *testing.T) {
+	const length = 40
+	cases := []struct {
+		name  string
+		fault mgstandin.Fault
+		kind  mgengine.Kind // of the first stream's failure
+	}{
+		{
+			name: "nothing fails",
+		},
+		{
+			name: "the stream is cut in its middle",
+			fault: mgstandin.Fault{
+				Kind:  mgstandin.Cut,
+				After: 7,
+			},
+			kind: mgengine.Broken,
+		},
+		{
+			name: "the stream is cut before its first token",
+			fault: mgstandin.Fault{
+				Kind: mgstandin.Cut,
+			},
+			kind: mgengine.Broken,
+		},
+		{
+			name: "the engine is slow",
+			fault: mgstandin.Fault{
+				Kind:   mgstandin.Slow,
+				Factor: 4,
+			},
+		},
+		{
+			name: "the engine leaves, which cuts off nothing",
+			fault: mgstandin.Fault{
+				Kind: mgstandin.Leave,
+			},
+		},
+	}
+	Convey("A generation arrives whole when", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				ctx := bounded()
+				e, client := runEngine(ctx, mgstandin.EngineSpec{})
+				So(begin(ctx, client, "g", length), ShouldBeNil)
+				e.Set(c.fault)
+				text, last, err := read(ctx, client, "g", 1)
+				if c.kind != "" {
+					So(mgengine.KindOf(err), ShouldEqual, c.kind)
+					So(text, ShouldEqual, mgstandin.Whole("g", int(c.fault.After)))
+					var rest string
+					rest, last, err = read(ctx, client, "g", c.fault.After+1)
+					text += rest
+				}
+				So(err, ShouldBeNil)
+				So(last.End, ShouldEqual, "stop")
+				So(text, ShouldEqual, mgstandin.Whole("g", length))
+				So(e.Counts().Starts, ShouldResemble, map[string]int{"g": 1})
+			})
+		}
+	})
+}
+
+// A link falls silent in the middle of a report: the connection stays open and
+// nothing comes, while new connections work. A reader that waits is stuck for
+// good; one that gives up and opens a new stream loses nothing.
+func TestEngineStall(t *testing.T) {
+	Convey("A stalled stream ends with its reader's patience, and a new one resumes", t, func() {
+		ctx := bounded()
+		e, client := runEngine(ctx, mgstandin.EngineSpec{})
+		e.Set(mgstandin.Fault{
+			Kind:  mgstandin.Stall,
+			After: 5,
+		})
+		So(begin(ctx, client, "g", 20), ShouldBeNil)
+		s, err := client.Stream(ctx, "g", 1)
+		So(err, ShouldBeNil)
+		for seq := 1; seq <= 5; seq++ {
+			token, err := s.Next(ctx)
+			So(err, ShouldBeNil)
+			So(token.Seq, ShouldEqual, seq)
+		}
+		giveUp, cancel := context.WithCancel(ctx)
+		time.AfterFunc(10*time.Millisecond, cancel)
+		_, err = s.Next(giveUp)
+		So(mgengine.KindOf(err), ShouldEqual, mgengine.Broken)
+		So(errors.Is(err, context.Canceled), ShouldBeTrue)
+		text, last, err := read(ctx, client, "g", 6)
+		So(err, ShouldBeNil)
+		So(last.End, ShouldEqual, "stop")
+		So(mgstandin.Whole("g", 5)+text, ShouldEqual, mgstandin.Whole("g", 20))
+	})
+}
+
+// An engine dies with a report half delivered. What it generated is gone: a
+// stream that ended as if complete would hand the shift lead half a report.
+func TestEngineDeath(t *testing.T) {
+	Convey("A dead engine's generations are broken, then missing", t, func() {
+		ctx := bounded()
+		e, client := runEngine(ctx, mgstandin.EngineSpec{})
+		So(begin(ctx, client, "g", 100000), ShouldBeNil)
+		s, err := client.Stream(ctx, "g", 1)
+		So(err, ShouldBeNil)
+		defer s.Close()
+		_, err = s.Next(ctx)
+		So(err, ShouldBeNil)
+		e.Set(mgstandin.Fault{
+			Kind: mgstandin.Die,
+		})
+		for err == nil {
+			_, err = s.Next(ctx)
+		}
+		So(mgengine.KindOf(err), ShouldEqual, mgengine.Broken)
+		So(mgengine.KindOf(begin(ctx, client, "h", 1)), ShouldEqual, mgengine.Unknown)
+		e.Set(mgstandin.Fault{
+			Kind: mgstandin.Heal,
+		})
+		_, _, err = read(ctx, client, "g", 2)
+		So(mgengine.KindOf(err), ShouldEqual, mgengine.Missing)
+		list, err := client.List(ctx)
+		So(err, ShouldBeNil)
+		So(list, ShouldBeEmpty)
+	})
+}
+
+// Memory fills while dossiers decode. The engine evicts one and computes it
+// again: its reader sees a pause and a count, never a token twice.
+func TestEnginePreemption(t *testing.T) {
+	Convey("Preempted generations arrive whole", t, func() {
+		ctx := bounded()
+		e, client := runEngine(ctx, mgstandin.EngineSpec{
+			Model: mgmodel.Spec{
+				Memory: 200,
+			},
+		})
+		for i := range 4 {
+			So(begin(ctx, client, fmt.Sprint("g", i), 90), ShouldBeNil)
+		}
+		for i := range 4 {
+			id := fmt.Sprint("g", i)
+			text, _, err := read(ctx, client, id, 1)
+			So(err, ShouldBeNil)
+			So(text, ShouldEqual, mgstandin.Whole(id, 90))
+		}
+		So(e.Counts().Preempted, ShouldBeGreaterThan, 0)
+	})
+}
+
+// An agent was paused; its successor has given orders with a higher fencing
+// number. The old one wakes and orders a model out that the new one had
+// loaded. An engine that checks refuses; one that doesn't obeys, which is why
+// an agent may not rely on it.
+func TestEngineOrders(t *testing.T) {
+	cases := []struct {
+		name   string
+		fenced bool
+		models []string
+	}{
+		{
+			name:   "refused where fencing is checked",
+			fenced: true,
+			models: []string{"reports"},
+		},
+		{
+			name:   "obeyed where it is ignored",
+			fenced: false,
+			models: []string{},
+		},
+	}
+	Convey("An order of a replaced agent is", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				ctx := bounded()
+				e, client := runEngine(ctx, mgstandin.EngineSpec{
+					Fenced: c.fenced,
+				})
+				So(client.Order(ctx, mgengine.OrderSpec{
+					Kind:  mgengine.LoadModel,
+					Model: "reports",
+					Fence: 9,
+				}), ShouldBeNil)
+				err := client.Order(ctx, mgengine.OrderSpec{
+					Kind:  mgengine.UnloadModel,
+					Model: "reports",
+					Fence: 8,
+				})
+				var fence *mgengine.FenceError
+				So(errors.As(err, &fence), ShouldEqual, c.fenced)
+				if c.fenced {
+					So(fence.Newest(), ShouldEqual, 9)
+				}
+				load, err := client.Load(ctx)
+				So(err, ShouldBeNil)
+				So(load.Models, ShouldResemble, c.models)
+				So(e.Counts().Older == 1, ShouldEqual, !c.fenced)
+			})
+		}
+	})
+}
+
+// TestEngineSession plays the whole interface once.
+func TestEngineSession(t *testing.T) {
+	Convey("A session with an engine", t, func() {
+		ctx := bounded()
+		e, client := runEngine(ctx, mgstandin.EngineSpec{
+			Serves: []string{"reports"},
+		})
+		var log strings.Builder
+		say := func(call string, args ...any) { fmt.Fprintln(&log, append([]any{call}, args...)...) }
+		spec := mgengine.StartSpec{
+			ID:     "a.1",
+			Model:  "reports",
+			Prompt: "len=12",
+			Prefix: []uint64{1, 2},
+			Max:    8,
+		}
+		say("start", client.Start(ctx, spec))
+		say("start again", client.Start(ctx, spec))
+		spec.ID, spec.Model = "a.2", "notes"
+		say("start an unloaded model", client.Start(ctx, spec))
+		text, last, err := read(ctx, client, "a.1", 1)
+		say("stream", text, last.End, err)
+		text, last, err = read(ctx, client, "a.1", 7)
+		say("stream from 7", text, last.End, err)
+		_, _, err = read(ctx, client, "a.9", 1)
+		say("stream a stranger's", err)
+		list, err := client.List(ctx)
+		say("list", fmt.Sprintf("%+v", list), err)
+		say("cancel", client.Cancel(ctx, "a.1"), client.Cancel(ctx, "a.9"))
+		events, err := client.Events(ctx, 1)
+		say("events after 1", fmt.Sprintf("%+v", events), err)
+		load, err := client.Load(ctx)
+		say("load", fmt.Sprintf("%+v", load), err)
+		say("counts", fmt.Sprintf("%+v", e.Counts()))
+		golden(t, "engine.golden", log.String())
+	})
+}
+
+func ExampleOutput() {
+	fmt.Println(mgstandin.Output("reconcile len=300", 0), mgstandin.Output("reconcile len=300", 20))
+	// Output: 300 20
+}
--- /dev/null
+++ b/internal/standin/mgstandin/http.go
@@ -0,0 +1,107 @@
+package mgstandin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+)
+
+// switchBytes bounds the body of a switch.
+const switchBytes = 64 << 10
+
+// A Server serves a stand-in on loopback.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// Listen starts to serve h on a loopback address; port 0 chooses a free one.
+func Listen(addr string, h http.Handler) (*Server, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("standin: address %q: give an address and a port: %w", addr, err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return nil, fmt.Errorf("standin: address %q: a stand-in obeys anybody; give a loopback address", addr)
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("standin: can't listen; choose another port: %w", err)
+	}
+	// A handler that plays dead before it read the body isn't told when its
+	// connection goes; the context of all requests ends it.
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		listener: l,
+		server: &http.Server{
+			Handler:     h,
+			BaseContext: func(net.Listener) context.Context { return ctx },
+		},
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.server.Serve(l)
+	}()
+	return s, nil
+}
+
+// Addr returns the address and port.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// URL returns the base URL.
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// Close breaks all connections and stops serving.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.server.Close()
+	<-s.done
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// takeFault returns the handler of a stand-in's switches.
+func takeFault(set func(Fault)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var f Fault
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, switchBytes)).Decode(&f); err != nil {
+			writeRefusal(w, http.StatusBadRequest, "invalid", "not the JSON of a fault")
+			return
+		}
+		set(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeRefusal(w http.ResponseWriter, status int, kind, detail string) {
+	writeJSON(w, status, mgengine.Refusal{
+		Kind:   kind,
+		Detail: detail,
+	})
+}
+
+// copyCounts returns a copy of m that its owner doesn't change.
+func copyCounts[K comparable](m map[K]int) map[K]int {
+	c := make(map[K]int, len(m))
+	for k, n := range m {
+		c[k] = n
+	}
+	return c
+}
--- /dev/null
+++ b/internal/standin/mgstandin/platform.go
@@ -0,0 +1,294 @@
+package mgstandin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// valueBytes bounds a value.
+const valueBytes = 1 << 20
+
+// keptSeconds bounds the reads counted by second.
+const keptSeconds = 600
+
+// A Platform is the configuration service and the list of VMs. The zero
+// Platform is empty and ready for use.
+type Platform struct {
+	spec  PlatformSpec
+	clock mgclock.Clock
+
+	mu      sync.Mutex
+	values  map[string][]value // versions of each key, the oldest first
+	frozen  map[string]value   // what is answered while stale
+	fault   string
+	changed chan struct{} // closed and replaced on each change
+	counts  PlatformCounts
+}
+
+// value is one version of a value.
+type value struct {
+	version uint64
+	body    []byte
+	shows   mgclock.Millis // when readers see it
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform(spec PlatformSpec, clock mgclock.Clock) *Platform {
+	return &Platform{
+		spec:  spec,
+		clock: clock,
+	}
+}
+
+// Handler returns the platform's interface and switches.
+func (p *Platform) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/values/*", p.read)
+	r.Post("/standin/put", p.put)
+	r.Post("/standin/fault", takeFault(p.Set))
+	r.Get("/standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.Counts())
+	})
+	return r
+}
+
+// Put publishes a value and returns its version.
+func (p *Platform) Put(key string, body []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	v := value{
+		version: 1,
+		body:    body,
+		shows:   now,
+	}
+	if key == ListKey {
+		v.shows += p.spec.Lag
+	}
+	old := p.values[key]
+	if len(old) > 0 {
+		v.version = old[len(old)-1].version + 1
+	}
+	if p.values == nil {
+		p.values = make(map[string][]value)
+	}
+	p.values[key] = append(shown(old, now), v)
+	p.wake()
+	return v.version
+}
+
+// PutVMs publishes the list of VMs, which readers see after the lag. One
+// goroutine publishes it.
+func (p *Platform) PutVMs(vms []VM) (uint64, error) {
+	body, err := json.Marshal(VMList{
+		Version: p.version(ListKey) + 1,
+		VMs:     vms,
+	})
+	if err != nil {
+		return 0, fmt.Errorf("standin: the list of VMs can't be written: %w", err)
+	}
+	return p.Put(ListKey, body), nil
+}
+
+// version returns the newest version of a value, seen or not.
+func (p *Platform) version(key string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	versions := p.values[key]
+	if len(versions) == 0 {
+		return 0
+	}
+	return versions[len(versions)-1].version
+}
+
+// Set turns a switch: Down, Silent, Stale or Heal.
+func (p *Platform) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = Heal
+	if f.Kind == Stale {
+		p.frozen = p.snapshot()
+	}
+	p.fault = f.Kind
+	p.wake()
+}
+
+// snapshot returns what readers see now.
+func (p *Platform) snapshot() map[string]value {
+	seen := make(map[string]value)
+	for key := range p.values {
+		if v, ok := p.visible(key); ok {
+			seen[key] = v
+		}
+	}
+	return seen
+}
+
+// Counts returns the counters.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := p.counts
+	counts.Seconds = copyCounts(counts.Seconds)
+	return counts
+}
+
+// shown drops the versions that no reader sees any more.
+func shown(versions []value, now mgclock.Millis) []value {
+	for len(versions) > 1 && versions[1].shows <= now {
+		versions = versions[1:]
+	}
+	return versions
+}
+
+// visible returns the version of a value that a reader sees now.
+func (p *Platform) visible(key string) (value, bool) {
+	if p.fault == Stale {
+		v, ok := p.frozen[key]
+		return v, ok
+	}
+	versions := shown(p.values[key], p.clock.Now())
+	if len(versions) == 0 || versions[0].shows > p.clock.Now() {
+		return value{}, false
+	}
+	return versions[0], true
+}
+
+// wake lets the waiting readers look again.
+func (p *Platform) wake() {
+	if p.changed != nil {
+		close(p.changed)
+	}
+	p.changed = nil
+}
+
+// change returns the channel that the next wake closes.
+func (p *Platform) change() <-chan struct{} {
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return p.changed
+}
+
+// count counts a read and reports whether the rate allows it.
+func (p *Platform) count() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	second := int64(p.clock.Now() / mgclock.Second)
+	c := &p.counts
+	if c.Seconds == nil {
+		c.Seconds = make(map[int64]int)
+	}
+	c.Reads++
+	c.Seconds[second]++
+	c.Peak = max(c.Peak, c.Seconds[second])
+	delete(c.Seconds, second-keptSeconds)
+	if p.spec.Rate > 0 && c.Seconds[second] > p.spec.Rate {
+		c.Refused++
+		return false
+	}
+	return true
+}
+
+func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
+	if !p.count() {
+		w.Header().Set("Retry-After", "1")
+		writeRefusal(w, http.StatusTooManyRequests, "rate", "too many reads a second; read less often")
+		return
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
+	v, found := p.await(r.Context(), chi.URLParam(r, "*"), after, mgclock.Millis(wait))
+	switch {
+	case !found:
+		writeRefusal(w, http.StatusNotFound, "missing", "no value has this key")
+	case after > 0 && v.version <= after:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		w.Header().Set(VersionHeader, strconv.FormatUint(v.version, 10))
+		w.Header().Set("Content-Type", "application/octet-stream")
+		_, _ = w.Write(v.body)
+	}
+}
+
+// await returns the value once its version is above after or wait is over.
+func (p *Platform) await(ctx context.Context, key string, after uint64, wait mgclock.Millis) (value, bool) {
+	over := p.clock.After(wait)
+	for {
+		obey(ctx, p.look)
+		p.mu.Lock()
+		v, found := p.visible(key)
+		change := p.change()
+		lag := p.lag(key)
+		p.mu.Unlock()
+		if found && v.version > after || wait <= 0 {
+			return v, found
+		}
+		select {
+		case <-change:
+		case <-lag:
+		case <-over:
+			return v, found
+		case <-ctx.Done():
+			return v, found
+		}
+	}
+}
+
+// lag returns a channel that is closed when the next version of a value
+// shows, or nil.
+func (p *Platform) lag(key string) <-chan struct{} {
+	now := p.clock.Now()
+	for _, v := range p.values[key] {
+		if v.shows > now {
+			return p.clock.After(v.shows - now)
+		}
+	}
+	return nil
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, valueBytes))
+	if err != nil || key == "" {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "give a key and a value under 1 MB")
+		return
+	}
+	w.Header().Set(VersionHeader, strconv.FormatUint(p.Put(key, body), 10))
+}
+
+// look returns the present fault and the channel of its change.
+func (p *Platform) look() (string, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault, p.change()
+}
+
+// obey acts out the faults that strike any connection, and returns once there
+// is nothing to act out.
+func obey(ctx context.Context, look func() (string, <-chan struct{})) {
+	for {
+		fault, changed := look()
+		switch fault {
+		case Down, Die:
+			panic(http.ErrAbortHandler)
+		case Silent:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				panic(http.ErrAbortHandler)
+			}
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/mgstandin/service.go
@@ -0,0 +1,160 @@
+package mgstandin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// callBytes bounds the body of a call.
+const callBytes = 1 << 20
+
+// A Service is a plain service. It never recognizes a repeated operation, as
+// services of the old kind don't: a doubled call is a doubled run, and the
+// counters show it. The zero Service is ready for use.
+type Service struct {
+	spec  ServiceSpec
+	clock mgclock.Clock
+
+	mu      sync.Mutex
+	fault   Fault
+	left    int // calls that a fault with Times still strikes
+	changed chan struct{}
+	counts  ServiceCounts
+}
+
+// NewService returns a service that has run nothing.
+func NewService(spec ServiceSpec, clock mgclock.Clock) *Service {
+	return &Service{
+		spec:  spec,
+		clock: clock,
+	}
+}
+
+// Digest returns the digest of a body that a reply carries, by which a caller
+// knows the reply to its own call.
+func Digest(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+// Handler returns the service's calls, of any method and path, and its
+// switches.
+func (s *Service) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/standin/fault", takeFault(s.Set))
+	r.Get("/standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Counts())
+	})
+	r.HandleFunc("/*", s.call)
+	return r
+}
+
+// Set turns a switch: Silent, Slow, Hang, Lost, Early, Refuse or Heal.
+func (s *Service) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.left = f.Times
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = nil
+}
+
+// Counts returns the counters.
+func (s *Service) Counts() ServiceCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.counts
+	counts.Runs = copyCounts(counts.Runs)
+	return counts
+}
+
+// look returns the present fault and the channel of its change.
+func (s *Service) look() (string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.fault.Kind, s.changed
+}
+
+// strike returns the fault that this call meets.
+func (s *Service) strike(ctx context.Context) Fault {
+	obey(ctx, s.look)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fault
+	if f.Times > 0 {
+		if s.left == 0 {
+			return Fault{}
+		}
+		s.left--
+	}
+	return f
+}
+
+// run counts a run and returns its number for the operation.
+func (s *Service) run(operation string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts.Runs == nil {
+		s.counts.Runs = make(map[string]int)
+	}
+	s.counts.Total++
+	s.counts.Runs[operation]++
+	return s.counts.Runs[operation]
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	f := s.strike(r.Context())
+	switch f.Kind {
+	case Early:
+		panic(http.ErrAbortHandler)
+	case Refuse:
+		writeRefusal(w, http.StatusServiceUnavailable, "refused", "not now; come back later")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, callBytes))
+	if err != nil {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "the body broke off or is over 1 MB")
+		return
+	}
+	reply := ServiceReply{
+		Service:   s.spec.Name,
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Operation: r.Header.Get("Idempotency-Key"),
+		Digest:    Digest(body),
+	}
+	operation := reply.Operation
+	if operation == "" {
+		operation = r.Method + " " + r.URL.Path
+	}
+	reply.Run = s.run(operation)
+	s.answer(w, r, f, reply)
+}
+
+// answer gives the reply to a call that ran, as far as the fault lets it.
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, f Fault, reply ServiceReply) {
+	delay := s.spec.Delay
+	switch f.Kind {
+	case Lost:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case Slow:
+		delay += f.Delay
+	}
+	s.clock.Sleep(r.Context(), delay)
+	writeJSON(w, http.StatusOK, reply)
+}
--- /dev/null
+++ b/internal/standin/mgstandin/stream.go
@@ -0,0 +1,213 @@
+package mgstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+)
+
+// startBytes bounds the body of a start.
+const startBytes = 4 << 20
+
+// Handler returns the engine's interface and switches.
+func (e *Engine) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/standin/fault", takeFault(e.Set))
+	r.Get("/standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.Counts())
+	})
+	r.Group(func(r chi.Router) {
+		r.Use(e.faulty)
+		r.Post("/v1/generations", e.serveStart)
+		r.Get("/v1/generations", func(w http.ResponseWriter, _ *http.Request) {
+			writeJSON(w, http.StatusOK, e.List())
+		})
+		r.Get("/v1/generations/{id}/stream", e.serveStream)
+		r.Delete("/v1/generations/{id}", e.serveCancel)
+		r.Get("/v1/load", func(w http.ResponseWriter, _ *http.Request) {
+			writeJSON(w, http.StatusOK, e.Load())
+		})
+		r.Get("/v1/events", func(w http.ResponseWriter, r *http.Request) {
+			after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+			writeJSON(w, http.StatusOK, e.Events(after))
+		})
+		r.Post("/v1/orders", e.serveOrder)
+	})
+	return r
+}
+
+// faulty acts out the faults that strike any connection.
+func (e *Engine) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		obey(r.Context(), e.look)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) serveStart(w http.ResponseWriter, r *http.Request) {
+	var spec mgengine.StartSpec
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, startBytes)).Decode(&spec)
+	if err != nil || spec.ID == "" {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "not the JSON of a generation with an id")
+		return
+	}
+	if refused := e.Start(spec); refused != nil {
+		writeJSON(w, http.StatusConflict, refused)
+		return
+	}
+	w.WriteHeader(http.StatusCreated)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if !e.Cancel(chi.URLParam(r, "id")) {
+		writeRefusal(w, http.StatusNotFound, "missing", "no such generation")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var spec mgengine.OrderSpec
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, switchBytes)).Decode(&spec); err != nil {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "not the JSON of an order")
+		return
+	}
+	if refused := e.Order(spec); refused != nil {
+		writeJSON(w, http.StatusConflict, refused)
+		return
+	}
+	if spec.Kind == mgengine.LoadModel {
+		e.clock.Sleep(r.Context(), e.spec.Loading)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil || from == 0 {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "give from, which counts from 1")
+		return
+	}
+	if _, ok := e.peek(id); !ok {
+		writeRefusal(w, http.StatusNotFound, "missing", "no such generation")
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	e.stream(w, r, id, from)
+}
+
+// view is what a stream sees of its generation and of the switches.
+type view struct {
+	produced  uint64
+	preempted int
+	end       string
+	progress  <-chan struct{}
+	fault     Fault
+	struck    bool
+	turned    <-chan struct{}
+}
+
+// peek returns the view of a generation, and whether the engine holds it.
+func (e *Engine) peek(id string) (view, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.generations[id]
+	if g == nil {
+		return view{}, false
+	}
+	return view{
+		produced:  g.produced,
+		preempted: g.preempted,
+		end:       g.end,
+		progress:  g.changed,
+		fault:     e.faults,
+		struck:    g.struck,
+		turned:    e.change(),
+	}, true
+}
+
+// stream writes the tokens from seq on until the generation ends. A generation
+// that is lost breaks the connection: no end is made up.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, seq uint64) {
+	out := json.NewEncoder(w)
+	control := http.NewResponseController(w)
+	beat := e.clock.After(e.spec.Beat)
+	for {
+		obey(r.Context(), e.look)
+		v, ok := e.peek(id)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		upTo, struck := v.strikes(v.produced)
+		seq = write(out, id, seq, upTo, v.preempted)
+		ended := v.end != "" && seq > v.produced
+		if ended {
+			_ = out.Encode(mgengine.Token{
+				End:       v.end,
+				Preempted: v.preempted,
+			})
+		}
+		if control.Flush() != nil || ended {
+			return
+		}
+		if struck {
+			e.strike(r, id, v.fault.Kind)
+		}
+		select {
+		case <-v.progress:
+		case <-v.turned:
+		case <-beat:
+			_ = out.Encode(mgengine.Token{})
+			beat = e.clock.After(e.spec.Beat)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// write writes the tokens from seq up to the last, and returns the next
+// number.
+func write(out *json.Encoder, id string, seq, last uint64, preempted int) uint64 {
+	for ; seq <= last; seq++ {
+		_ = out.Encode(mgengine.Token{
+			Seq:       seq,
+			Text:      Text(id, seq),
+			Preempted: preempted,
+		})
+	}
+	return seq
+}
+
+// strikes returns the last token that a stream may write, and whether it then
+// meets its cut or stall.
+func (v view) strikes(produced uint64) (uint64, bool) {
+	if v.struck || v.fault.Kind != Cut && v.fault.Kind != Stall || produced <= v.fault.After {
+		return produced, false
+	}
+	return v.fault.After, true
+}
+
+// strike breaks or silences a stream, the first of its generation. Streams
+// that open later work, as when something between the ends has lost track of
+// one connection.
+func (e *Engine) strike(r *http.Request, id, kind string) {
+	e.mu.Lock()
+	g := e.generations[id]
+	first := g != nil && !g.struck
+	if first {
+		g.struck = true
+	}
+	e.mu.Unlock()
+	if !first {
+		return
+	}
+	if kind == Stall {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
