mgqueue: weighted fair queue across client accounts

Cause: a heavy account's backlog is everybody's wait, and a cost in tokens is known only when an answer ends.

Change: start-time fair queueing over accounts (Goyal et al. 1996) with a later Charge for the real length; arrival less a boost by priority within an account; dynamic thresholds as the bound; expiry and withdrawal in O(log n). Accounts that neither wait nor owe cost no memory.

Before: nothing stood here.

--- /dev/null
+++ b/internal/request/mgqueue/doc.go
@@ -0,0 +1,34 @@
+// Package mgqueue is the weighted fair queue of an upstream's agent.
+//
+// # Load
+//
+// A few client accounts send most of the requests, and an answer's cost is
+// known only when it ends. Without the queue the heavy account's backlog is
+// everybody's wait: in first-in first-out order a light account waits behind
+// all of it.
+//
+// # Order
+//
+// Between accounts the order is start-time fair queueing (Goyal, Vin, Cheng
+// 1996). Each account has a tag, the virtual time at which its next request
+// starts; the account with the least tag is next, and its tag then grows by
+// the request's expected cost in tokens over the account's weight. Charge
+// corrects the tag when the real length is known, so an account whose answers
+// run longer than expected does not gain by it. An account that comes back
+// from idleness starts at the present virtual time: it saves up no credit.
+//
+// Within an account the order is by time of arrival less Boost for each level
+// of priority. A report is passed only by the lookups that arrive within
+// Boost times the difference of levels after it, so no level starves, and no
+// account's priorities take from another account's share.
+//
+// # Bounds
+//
+// The queue holds at most Bound requests. An account may hold at level l and
+// above at most as many as there are free places (dynamic thresholds,
+// Choudhury and Hahne 1998): one account alone can fill half the queue, two
+// can fill two thirds, and a newcomer always finds a place. Accounts that
+// neither wait nor owe virtual time cost no memory.
+//
+// A Queue is not safe for concurrent use.
+package mgqueue
--- /dev/null
+++ b/internal/request/mgqueue/item.go
@@ -0,0 +1,19 @@
+package mgqueue
+
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
+// Spec holds the settings of a Queue. The zero Spec takes the defaults.
+type Spec struct {
+	Bound int            // most requests that wait, 0 for DefaultBound
+	Boost mgclock.Millis // head start per level of priority, 0 for DefaultBoost
+}
+
+// An Item is one waiting request.
+type Item struct {
+	ID       string
+	Account  string
+	Weight   float64        // the account's weight, 0 counts as 1
+	Priority int            // 0 to Levels-1, higher goes first
+	Cost     float64        // expected cost in tokens
+	Expiry   mgclock.Millis // when it can no longer be answered in time, 0 for never
+}
--- /dev/null
+++ b/internal/request/mgqueue/queue.go
@@ -0,0 +1,431 @@
+package mgqueue
+
+import (
+	"errors"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Levels is the number of levels of priority.
+const Levels = 4
+
+// The defaults of a Spec. DefaultBound holds some ten batches of a large
+// engine, which is longer than any deadline lets a request wait. DefaultBoost
+// is the wait after which an operator takes a lookup for lost, so a report
+// gives way to lookups for that long and no longer.
+const (
+	DefaultBound = 2048
+	DefaultBoost = 10 * mgclock.Second
+)
+
+// spares is the most freed entries and accounts kept for reuse: the turnover
+// of a burst, not its peak.
+const spares = 1024
+
+// The errors of Push.
+var (
+	ErrFull      = errors.New("mgqueue: the account's part of the queue is full: come back when it has drained")
+	ErrDuplicate = errors.New("mgqueue: the request already waits: give each attempt an id of its own")
+)
+
+// A Queue orders the requests that wait for one upstream. The zero Queue has
+// the defaults of a Spec and is ready for use.
+type Queue struct {
+	spec     Spec
+	virtual  float64 // start tag of the request that left last
+	serial   uint64
+	backlog  float64 // expected cost of all that wait
+	weight   float64 // sum of the weights of the accounts that wait
+	accounts map[string]*account
+	entries  map[string]*entry
+	waiting  heap[account] // accounts that wait, by tag
+	owing    heap[account] // accounts that don't wait and have a tag ahead of virtual
+	expiring heap[entry]   // requests with an expiry
+	oldEntry []*entry
+	oldOwner []*account
+}
+
+type account struct {
+	name   string
+	weight float64
+	tag    float64
+	serial uint64 // of the arrival that made it wait, to break ties
+	order  heap[entry]
+	count  [Levels]int
+	cost   [Levels]float64
+	place  int // in waiting or owing: an account is in one of them at most
+}
+
+type entry struct {
+	item     Item
+	owner    *account
+	rank     mgclock.Millis
+	serial   uint64
+	ordered  int // place in the owner's order
+	expiring int // place in the queue's expiring
+}
+
+// New returns an empty queue.
+func New(spec Spec) *Queue {
+	return &Queue{
+		spec: spec,
+	}
+}
+
+// Len returns the number of requests that wait.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Accounts returns the number of accounts that cost memory.
+func (q *Queue) Accounts() int { return len(q.accounts) }
+
+// Backlog returns the expected cost in tokens of all that wait.
+func (q *Queue) Backlog() float64 { return q.backlog }
+
+// Push adds a request, or returns ErrFull or ErrDuplicate.
+func (q *Queue) Push(now mgclock.Millis, item Item) error {
+	q.init()
+	if q.entries[item.ID] != nil {
+		return ErrDuplicate
+	}
+	item = normal(item)
+	if !q.Room(item.Account, item.Priority) {
+		return ErrFull
+	}
+	a := q.account(item.Account)
+	q.reweigh(a, item.Weight)
+	q.add(a, now, item)
+	return nil
+}
+
+// Room reports whether Push has a place for the account at a priority.
+func (q *Queue) Room(name string, priority int) bool {
+	free := q.bound() - len(q.entries)
+	held := 0
+	if a := q.accounts[name]; a != nil {
+		for l := level(priority); l < Levels; l++ {
+			held += a.count[l]
+		}
+	}
+	return held < free
+}
+
+// Peek returns the request that is next.
+func (q *Queue) Peek() (Item, bool) {
+	e := q.head()
+	if e == nil {
+		return Item{}, false
+	}
+	return e.item, true
+}
+
+// Pop takes the request that is next and charges its account the expected
+// cost.
+func (q *Queue) Pop() (Item, bool) {
+	e := q.head()
+	if e == nil {
+		return Item{}, false
+	}
+	a := e.owner
+	q.virtual = max(q.virtual, a.tag)
+	item := q.take(e)
+	q.move(a, item.Cost)
+	q.forgive()
+	return item, true
+}
+
+// Charge corrects an account's virtual time by tokens, which are negative
+// when an answer was shorter than expected.
+func (q *Queue) Charge(name string, weight, tokens float64) {
+	q.init()
+	a := q.accounts[name]
+	if a == nil && tokens <= 0 {
+		return
+	}
+	if a == nil {
+		a = q.account(name)
+		a.weight = positive(weight)
+	}
+	q.move(a, tokens)
+}
+
+// Remove takes out a request that waits.
+func (q *Queue) Remove(id string) (Item, bool) {
+	e := q.entries[id]
+	if e == nil {
+		return Item{}, false
+	}
+	a := e.owner
+	item := q.take(e)
+	q.rest(a)
+	return item, true
+}
+
+// Expire takes out one request whose expiry has come.
+func (q *Queue) Expire(now mgclock.Millis) (Item, bool) {
+	e := q.expiring.top()
+	if e == nil || e.item.Expiry > now {
+		return Item{}, false
+	}
+	return q.Remove(e.item.ID)
+}
+
+// NextExpiry returns the earliest expiry of the requests that wait, or 0.
+func (q *Queue) NextExpiry() mgclock.Millis {
+	e := q.expiring.top()
+	if e == nil {
+		return 0
+	}
+	return e.item.Expiry
+}
+
+// Ahead returns the expected cost in tokens of what would be served before a
+// new request of the account: all that waits, or less where the account's
+// share brings it to the front sooner.
+func (q *Queue) Ahead(name string, weight float64, priority int) float64 {
+	weight = positive(weight)
+	total := q.weight
+	lead := 0.0
+	a := q.accounts[name]
+	if a == nil || a.order.top() == nil {
+		total += weight
+	}
+	if a != nil {
+		lead = max(0, a.tag-q.virtual)
+		for l := level(priority); l < Levels; l++ {
+			lead += a.cost[l] / weight
+		}
+	}
+	return min(q.backlog, lead*total)
+}
+
+// Rest tells the queue that nothing waits and nothing runs: the busy period is
+// over, and every account starts the next one level.
+func (q *Queue) Rest() {
+	if len(q.entries) > 0 || len(q.accounts) == 0 {
+		return
+	}
+	for len(q.owing.list) > 0 {
+		q.virtual = max(q.virtual, q.owing.top().tag)
+		q.drop(q.owing.top())
+	}
+}
+
+func (q *Queue) init() {
+	if q.accounts != nil {
+		return
+	}
+	q.accounts = make(map[string]*account)
+	q.entries = make(map[string]*entry)
+	place := func(a *account) *int { return &a.place }
+	q.waiting = heap[account]{
+		less:  sooner,
+		place: place,
+	}
+	q.owing = heap[account]{
+		less:  sooner,
+		place: place,
+	}
+	q.expiring = heap[entry]{
+		less:  func(a, b *entry) bool { return a.item.Expiry < b.item.Expiry },
+		place: func(e *entry) *int { return &e.expiring },
+	}
+}
+
+// head returns the entry that is next, or nil.
+func (q *Queue) head() *entry {
+	a := q.waiting.top()
+	if a == nil {
+		return nil
+	}
+	return a.order.top()
+}
+
+// add puts a request into its account's order.
+func (q *Queue) add(a *account, now mgclock.Millis, item Item) {
+	q.serial++
+	if a.order.top() == nil {
+		q.wake(a)
+	}
+	e := q.entry()
+	e.item = item
+	e.owner = a
+	e.rank = now - mgclock.Millis(item.Priority)*q.boost()
+	e.serial = q.serial
+	q.entries[item.ID] = e
+	a.order.push(e)
+	a.count[item.Priority]++
+	a.cost[item.Priority] += item.Cost
+	q.backlog += item.Cost
+	if item.Expiry > 0 {
+		q.expiring.push(e)
+	}
+}
+
+// take undoes add. The account is left where it is.
+func (q *Queue) take(e *entry) Item {
+	item := e.item
+	a := e.owner
+	a.order.remove(e)
+	q.expiring.remove(e)
+	delete(q.entries, item.ID)
+	a.count[item.Priority]--
+	a.cost[item.Priority] -= item.Cost
+	q.backlog -= item.Cost
+	if len(q.entries) == 0 {
+		q.backlog = 0 // no drift of the sum
+	}
+	*e = entry{}
+	if len(q.oldEntry) < spares {
+		q.oldEntry = append(q.oldEntry, e)
+	}
+	return item
+}
+
+// wake moves an account among those that wait. Its tag is never behind the
+// present virtual time: idleness saves up no credit.
+func (q *Queue) wake(a *account) {
+	q.owing.remove(a)
+	a.tag = max(a.tag, q.virtual)
+	a.serial = q.serial
+	q.waiting.push(a)
+	q.weight += a.weight
+}
+
+// move shifts an account's tag by a cost and files it anew.
+func (q *Queue) move(a *account, tokens float64) {
+	a.tag += tokens / a.weight
+	q.rest(a)
+}
+
+// rest files an account where it belongs after a change.
+func (q *Queue) rest(a *account) {
+	if a.order.top() != nil {
+		q.waiting.fix(a)
+		return
+	}
+	if a.serial > 0 { // it waited until now
+		q.waiting.remove(a)
+		q.weight -= a.weight
+		a.serial = 0
+		if len(q.waiting.list) == 0 {
+			q.weight = 0 // no drift of the sum
+		}
+	}
+	switch {
+	case a.tag <= q.virtual:
+		q.drop(a)
+	case a.place == 0:
+		q.owing.push(a)
+	default:
+		q.owing.fix(a)
+	}
+}
+
+// forgive drops the accounts whose tags the virtual time has reached.
+func (q *Queue) forgive() {
+	for a := q.owing.top(); a != nil && a.tag <= q.virtual; a = q.owing.top() {
+		q.drop(a)
+	}
+}
+
+// drop forgets an account that does not wait.
+func (q *Queue) drop(a *account) {
+	q.owing.remove(a)
+	delete(q.accounts, a.name)
+	order := a.order
+	*a = account{
+		order: order,
+	}
+	if len(q.oldOwner) < spares {
+		q.oldOwner = append(q.oldOwner, a)
+	}
+}
+
+// account returns the account of a name, which it creates at the present
+// virtual time.
+func (q *Queue) account(name string) *account {
+	if a := q.accounts[name]; a != nil {
+		return a
+	}
+	var a *account
+	if last := len(q.oldOwner) - 1; last >= 0 {
+		a = q.oldOwner[last]
+		q.oldOwner = q.oldOwner[:last]
+	} else {
+		a = &account{
+			order: heap[entry]{
+				less:  earlier,
+				place: func(e *entry) *int { return &e.ordered },
+			},
+		}
+	}
+	a.name = name
+	a.weight = 1
+	a.tag = q.virtual
+	q.accounts[name] = a
+	return a
+}
+
+func (q *Queue) entry() *entry {
+	last := len(q.oldEntry) - 1
+	if last < 0 {
+		return new(entry)
+	}
+	e := q.oldEntry[last]
+	q.oldEntry = q.oldEntry[:last]
+	return e
+}
+
+// reweigh takes over a weight that an operator changed.
+func (q *Queue) reweigh(a *account, weight float64) {
+	if a.order.top() != nil {
+		q.weight += weight - a.weight
+	}
+	a.weight = weight
+}
+
+func (q *Queue) bound() int {
+	if q.spec.Bound > 0 {
+		return q.spec.Bound
+	}
+	return DefaultBound
+}
+
+func (q *Queue) boost() mgclock.Millis {
+	if q.spec.Boost > 0 {
+		return q.spec.Boost
+	}
+	return DefaultBoost
+}
+
+// sooner orders accounts by tag, then by arrival.
+func sooner(a, b *account) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
+	return a.serial < b.serial
+}
+
+// earlier orders the requests of one account.
+func earlier(a, b *entry) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.serial < b.serial
+}
+
+func normal(item Item) Item {
+	item.Weight = positive(item.Weight)
+	item.Priority = level(item.Priority)
+	item.Cost = max(item.Cost, 0)
+	return item
+}
+
+func level(priority int) int { return min(max(priority, 0), Levels-1) }
+
+func positive(weight float64) float64 {
+	if weight > 0 {
+		return weight
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/request/mgqueue/queue_test.go
@@ -0,0 +1,231 @@
+package mgqueue_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgqueue"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+func item(account string, n int, cost float64) mgqueue.Item {
+	return mgqueue.Item{
+		ID:      fmt.Sprint(account, n),
+		Account: account,
+		Cost:    cost,
+	}
+}
+
+// A light account's lookup takes minutes although it sends one a minute. A
+// heavy account sent hundreds of reports first, and the lookup stood behind
+// all of them.
+func TestHeavyAccount(t *testing.T) {
+	Convey("Behind a heavy account's backlog", t, func() {
+		var q mgqueue.Queue
+		for n := range 500 {
+			So(q.Push(0, item("heavy", n, 100)), ShouldBeNil)
+		}
+		_, _ = q.Pop()
+		So(q.Push(1, item("light", 0, 100)), ShouldBeNil)
+
+		Convey("a light account is next but one at most", func() {
+			So(position(&q, "light0"), ShouldBeLessThanOrEqualTo, 2)
+		})
+		Convey("a priority of the heavy account passes only its own", func() {
+			urgent := item("heavy", 1000, 1)
+			urgent.Priority = 1
+			So(q.Push(1, urgent), ShouldBeNil)
+			So(position(&q, "heavy1000"), ShouldBeLessThanOrEqualTo, 2)
+		})
+		Convey("a newcomer finds a place however much the heavy one sends", func() {
+			n := 1000
+			for q.Push(1, item("heavy", n, 100)) == nil {
+				n++
+			}
+			So(q.Push(1, item("newcomer", 0, 100)), ShouldBeNil)
+		})
+	})
+}
+
+// A shift report never starts while lookups keep coming: each new lookup has
+// the higher priority and passes it.
+func TestPriorityCannotStarve(t *testing.T) {
+	Convey("A report passed by lookups leaves after the boost", t, func() {
+		var q mgqueue.Queue
+		So(q.Push(0, item("tank", 0, 1000)), ShouldBeNil)
+		left := mgclock.Millis(-1)
+		for now := mgclock.Millis(1); now < mgclock.Minute && left < 0; now += 100 {
+			lookup := item("tank", int(now), 10)
+			lookup.Priority = 1
+			So(q.Push(now, lookup), ShouldBeNil)
+			if got, _ := q.Pop(); got.ID == "tank0" {
+				left = now
+			}
+		}
+		So(left, ShouldBeBetween, 0, mgqueue.DefaultBoost+200)
+	})
+}
+
+// An account whose answers run ten times longer than expected takes ten times
+// its share, because the queue charged it what it expected.
+func TestChargeCorrects(t *testing.T) {
+	Convey("Real lengths decide the shares", t, func() {
+		var q mgqueue.Queue
+		got := map[string]float64{}
+		real := map[string]float64{
+			"long":  1000,
+			"short": 100,
+		}
+		for n := range 400 {
+			_ = q.Push(0, item("long", n, 100))
+			_ = q.Push(0, item("short", n, 100))
+		}
+		for range 300 {
+			it, _ := q.Pop()
+			got[it.Account] += real[it.Account]
+			q.Charge(it.Account, 1, real[it.Account]-it.Cost)
+		}
+		So(got["long"]/got["short"], ShouldBeBetween, 0.9, 1.1)
+	})
+}
+
+// A caller is told that time is up long after it was, because the queue only
+// looked at what came to the front.
+func TestExpiry(t *testing.T) {
+	Convey("Requests expire in the order of their expiry", t, func() {
+		var q mgqueue.Queue
+		for n, expiry := range []mgclock.Millis{300, 100, 0, 200} {
+			it := item("a", n, 1)
+			it.Expiry = expiry
+			So(q.Push(0, it), ShouldBeNil)
+		}
+		So(q.NextExpiry(), ShouldEqual, 100)
+		first, ok := q.Expire(250)
+		So(ok, ShouldBeTrue)
+		So(first.ID, ShouldEqual, "a1")
+		second, _ := q.Expire(250)
+		So(second.ID, ShouldEqual, "a3")
+		_, ok = q.Expire(250)
+		So(ok, ShouldBeFalse)
+		So(q.Len(), ShouldEqual, 2)
+	})
+}
+
+func position(q *mgqueue.Queue, id string) int {
+	for n := 1; ; n++ {
+		got, ok := q.Pop()
+		if !ok {
+			return -1
+		}
+		if got.ID == id {
+			return n
+		}
+	}
+}
+
+// Whatever comes and goes, a request that was taken in leaves once, the queue
+// is never idle while something waits, and weights set the shares.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := mgqueue.New(mgqueue.Spec{
+			Bound: rapid.IntRange(1, 64).Draw(t, "bound"),
+		})
+		held := map[string]bool{}
+		leave := func(got mgqueue.Item, ok bool) {
+			if ok != held[got.ID] {
+				t.Fatalf("%q left, held %v", got.ID, held[got.ID])
+			}
+			delete(held, got.ID)
+		}
+		for n := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now := mgclock.Millis(n)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				it := item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), n, rapid.Float64Range(0, 1e4).Draw(t, "cost"))
+				it.Priority = rapid.IntRange(-1, 5).Draw(t, "priority")
+				it.Weight = rapid.Float64Range(0, 8).Draw(t, "weight")
+				it.Expiry = now + mgclock.Millis(rapid.IntRange(0, 50).Draw(t, "expiry"))
+				if q.Push(now, it) == nil {
+					held[it.ID] = true
+				}
+			case 3:
+				before := q.Len()
+				got, ok := q.Pop()
+				if ok != (before > 0) {
+					t.Fatalf("%d wait and Pop says %v", before, ok)
+				}
+				leave(got, ok)
+				q.Charge(got.Account, got.Weight, rapid.Float64Range(-got.Cost, 1e4).Draw(t, "charge"))
+			case 4:
+				leave(q.Expire(now))
+			case 5:
+				leave(q.Remove(fmt.Sprint("a", rapid.IntRange(0, n).Draw(t, "id"))))
+			}
+			if q.Len() != len(held) {
+				t.Fatalf("%d wait, %d held", q.Len(), len(held))
+			}
+		}
+		for q.Len() > 0 {
+			leave(q.Pop())
+		}
+		q.Rest()
+		if q.Accounts() != 0 || q.Backlog() != 0 {
+			t.Fatalf("idle, and %d accounts and a backlog of %v remain", q.Accounts(), q.Backlog())
+		}
+	})
+}
+
+func TestWeightedShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q mgqueue.Queue
+		weights := rapid.SliceOfN(rapid.Float64Range(1, 8), 2, 6).Draw(t, "weights")
+		served := make([]float64, len(weights))
+		for k, w := range weights {
+			for n := range 200 {
+				it := item(fmt.Sprint(k, "-"), n, rapid.Float64Range(1, 100).Draw(t, "cost"))
+				it.Weight = w
+				if q.Push(0, it) != nil {
+					t.Fatal("full")
+				}
+			}
+		}
+		for range 100 {
+			got, _ := q.Pop()
+			var k int
+			_, _ = fmt.Sscanf(got.Account, "%d-", &k)
+			served[k] += got.Cost / weights[k]
+		}
+		// Goyal et al. bound the gap of two backlogged accounts by the
+		// largest request over the weight of each.
+		for k := range served {
+			for l := range served {
+				if gap := served[k] - served[l]; gap > 100/weights[k]+100/weights[l]+1e-6 {
+					t.Fatalf("account %d is %v ahead of account %d", k, gap, l)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, accounts := range []int{10, 35_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			items := make([]mgqueue.Item, accounts)
+			q := mgqueue.New(mgqueue.Spec{
+				Bound: 4 * accounts,
+			})
+			for n := range items {
+				items[n] = item(fmt.Sprint("account", n), n, float64(n%997))
+				_ = q.Push(0, items[n])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				got, _ := q.Pop()
+				_ = q.Push(0, got)
+			}
+		})
+	}
+}
