mglength: product-limit estimate of remaining answer lengths

Cause: lengths are unknown, and an average of completed answers is biased to the short ones under load.

--- /dev/null
+++ b/internal/request/mglength/curve.go
@@ -0,0 +1,163 @@
+package mglength
+
+import "math"
+
+// Buckets is the number of buckets of a histogram: four an octave from 8
+// tokens to beyond 131,072, the longest answer of a present model.
+const Buckets = 4*14 + 2
+
+// edges holds the lower edge of each bucket; the last one is open.
+var edges = func() (e [Buckets + 1]float64) {
+	for b := 1; b <= Buckets; b++ {
+		e[b] = math.Floor(8 * math.Exp2(float64(b-1)/4))
+	}
+	return e
+}()
+
+// bucket returns the bucket that holds a length.
+func bucket(length int) int {
+	if length < 8 {
+		return 0
+	}
+	octave := math.Log2(float64(length) / 8)
+	b := min(int(octave*4)+1, Buckets-1)
+	if b+1 < Buckets && float64(length) >= edges[b+1] {
+		b++
+	}
+	if float64(length) < edges[b] {
+		b--
+	}
+	return b
+}
+
+// counts is the histogram of one level. Its unit grows with each answer, in
+// place of a decay of all that was counted before.
+type counts struct {
+	risk  [Buckets]float32 // answers that went through the bucket or ended in it
+	ended [Buckets]float32
+	unit  float32
+	turn  uint64 // number of changes
+}
+
+// fade is the growth of the unit that halves what was counted HalfLife answers
+// before.
+var fade = float32(math.Exp2(1.0 / HalfLife))
+
+// heavy is the unit at which all counts are scaled back, well within the
+// precision of a float32.
+const heavy = 1 << 16
+
+func (c *counts) pass(b int) {
+	c.risk[b] += c.weight()
+	c.turn++
+}
+
+func (c *counts) end(b int) {
+	w := c.weight()
+	c.risk[b] += w
+	c.ended[b] += w
+	c.turn++
+	c.unit = w * fade
+	if c.unit > heavy {
+		c.scale()
+	}
+}
+
+func (c *counts) weight() float32 {
+	if c.unit == 0 {
+		c.unit = 1
+	}
+	return c.unit
+}
+
+func (c *counts) scale() {
+	for b := range c.risk {
+		c.risk[b] /= c.unit
+		c.ended[b] /= c.unit
+	}
+	c.unit = 1
+}
+
+// hazard returns the chance that an answer which reaches bucket b ends in it,
+// given the chance at the level above.
+func (c *counts) hazard(b int, above float64) float64 {
+	w := float64(c.weight())
+	return (float64(c.ended[b])/w + Trust*above) / (float64(c.risk[b])/w + Trust)
+}
+
+// Curve is a survival function of lengths. The zero Curve is that of answers
+// which end at once.
+type Curve struct {
+	survival [Buckets + 1]float64 // chance of a length of at least the edge
+	area     [Buckets + 1]float64 // integral of the survival from the edge on
+}
+
+// priorHazard is that of a log-logistic law with a median of 256 tokens and
+// the shape 1.2, a long tail: what is unknown is taken for possibly long.
+var priorHazard = func() (h [Buckets]float64) {
+	law := func(length float64) float64 { return 1 / (1 + math.Pow(length/256, 1.2)) }
+	for b := range h {
+		h[b] = 1 - law(edges[b+1])/law(edges[b])
+	}
+	h[Buckets-1] = 1
+	return h
+}()
+
+// prior is the survival function of answers nothing is known of.
+var prior = func() (c Curve) {
+	c.fill(func(b int) float64 { return priorHazard[b] })
+	return c
+}()
+
+func (c *Curve) fill(hazard func(b int) float64) {
+	c.survival[0] = 1
+	for b := range Buckets {
+		c.survival[b+1] = c.survival[b] * (1 - hazard(b))
+	}
+	c.survival[Buckets] = 0
+	c.area[Buckets] = 0
+	for b := Buckets - 1; b >= 0; b-- {
+		width := edges[b+1] - edges[b]
+		c.area[b] = c.area[b+1] + width*(c.survival[b]+c.survival[b+1])/2
+	}
+}
+
+// beyond returns the chance of a length beyond x.
+func (c *Curve) beyond(x int) float64 {
+	b := bucket(x)
+	part := min((float64(x)-edges[b])/(edges[b+1]-edges[b]), 1)
+	return c.survival[b] + (c.survival[b+1]-c.survival[b])*part
+}
+
+// rest returns the integral of the survival from x on.
+func (c *Curve) rest(x int) float64 {
+	b := bucket(x)
+	width := edges[b+1] - edges[b]
+	left := max(edges[b+1]-float64(x), 0)
+	here := c.survival[b+1] + (c.survival[b]-c.survival[b+1])*left/width
+	return c.area[b+1] + left*(here+c.survival[b+1])/2
+}
+
+// Survival returns the chance that an answer which has produced some tokens
+// still runs after ahead more.
+func (c *Curve) Survival(produced, ahead int) float64 {
+	given := c.beyond(produced)
+	if given <= 0 {
+		return 0
+	}
+	return c.beyond(produced+ahead) / given
+}
+
+// Mean returns the expected number of tokens to come of an answer that has
+// produced some and stops at limit, 0 for none.
+func (c *Curve) Mean(produced, limit int) float64 {
+	given := c.beyond(produced)
+	if given <= 0 || limit > 0 && produced >= limit {
+		return 0
+	}
+	area := c.rest(produced)
+	if limit > 0 {
+		area -= c.rest(limit)
+	}
+	return area / given
+}
