--- /dev/null
+++ b/cmd/marjoramgauge/call.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclient"
+)
+
+// keyVariable is the environment variable that holds the account's key, so
+// that it doesn't show in a list of processes.
+const keyVariable = "MARJORAMGAUGE_KEY"
+
+type callCommand struct {
+	Entry   []string `long:"entry" required:"yes" value-name:"URL" description:"an entry's base URL; more than one to resume through another"`
+	Key     string   `long:"key" description:"the client account's key; better given in MARJORAMGAUGE_KEY"`
+	Service string   `long:"service" required:"yes" description:"generation service or model"`
+	Max     int      `long:"max" description:"longest answer in tokens"`
+	Args    struct {
+		Prompt []string `positional-arg-name:"PROMPT" required:"yes"`
+	} `positional-args:"yes"`
+	to streams
+}
+
+// Execute sends the prompt and prints the tokens as they come. A connection
+// that drops is resumed.
+func (c *callCommand) Execute([]string) error {
+	key := c.Key
+	if key == "" {
+		key = os.Getenv(keyVariable)
+	}
+	if key == "" {
+		return usage("call: no key: give the account's key with --key or in %s", keyVariable)
+	}
+	ctx, cancel := interrupted()
+	defer cancel()
+	client := mgclient.New(mgclient.Spec{
+		Bases: c.Entry,
+		Key:   key,
+	})
+	answer, err := client.Complete(ctx, mgclient.Request{
+		Model: c.Service,
+		Max:   c.Max,
+		Messages: []mgclient.Message{{
+			Role:    "user",
+			Content: strings.Join(c.Args.Prompt, " "),
+		}},
+	}, func(t mgclient.Token) error {
+		_, err := fmt.Fprint(c.to.out, t.Text())
+		return err
+	})
+	fmt.Fprintln(c.to.out)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.to.err, "%d tokens, end %s, resumed %d times, answer %s\n", answer.Tokens(), answer.End(), answer.Resumes(), answer.Name())
+	return nil
+}
--- /dev/null
+++ b/cmd/marjoramgauge/check.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+type checkCommand struct {
+	Args struct {
+		File string `positional-arg-name:"SETTINGS|TABLE" required:"yes"`
+	} `positional-args:"yes"`
+	to streams
+}
+
+// Execute checks a file and names every fault in it. What the file is shows in
+// its keys: a table has rows, an agent's settings an upstream.
+func (c *checkCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("check: can't read the file: name one that exists: %w", err)
+	}
+	kind, err := check(c.Args.File, data)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.to.out, "%s: %s without faults\n", c.Args.File, kind)
+	return nil
+}
+
+func check(name string, data []byte) (string, error) {
+	if strings.HasSuffix(name, ".csv") {
+		_, err := mgtable.Import(data)
+		return "table", err
+	}
+	keys := map[string]any{}
+	_ = toml.Unmarshal(data, &keys)
+	switch {
+	case keys["listen"] != nil && keys["platform"] != nil:
+		return "entry settings", mgsettings.Parse(name, data, &mgsettings.Entry{})
+	case keys["upstream"] != nil && keys["platform"] != nil:
+		return "agent settings", mgsettings.Parse(name, data, &mgsettings.Agent{})
+	default:
+		return "table", mgtable.Check(data)
+	}
+}
+
+// readTable reads a table in TOML, or in CSV when its name ends so.
+func readTable(path string) (*mgtable.Table, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("table: can't read the file: name one that exists: %w", err)
+	}
+	if strings.HasSuffix(path, ".csv") {
+		return mgtable.Import(data)
+	}
+	return mgtable.Parse(data)
+}
+
+type tableDiff struct {
+	Args struct {
+		Old string `positional-arg-name:"OLD" required:"yes"`
+		New string `positional-arg-name:"NEW" required:"yes"`
+	} `positional-args:"yes"`
+	to streams
+}
+
+// Execute prints what an edit changes, a line each.
+func (c *tableDiff) Execute([]string) error {
+	older, err := readTable(c.Args.Old)
+	if err != nil {
+		return err
+	}
+	newer, err := readTable(c.Args.New)
+	if err != nil {
+		return err
+	}
+	changes := mgtable.Diff(older, newer)
+	for _, change := range changes {
+		fmt.Fprintln(c.to.out, change.String())
+	}
+	if len(changes) == 0 {
+		fmt.Fprintln(c.to.out, "no change")
+	}
+	return nil
+}
+
+type tableExport struct {
+	Args struct {
+		Table string `positional-arg-name:"TABLE" required:"yes"`
+	} `positional-args:"yes"`
+	to streams
+}
+
+// Execute prints the table as CSV.
+func (c *tableExport) Execute([]string) error {
+	table, err := readTable(c.Args.Table)
+	if err != nil {
+		return err
+	}
+	_, err = c.to.out.Write(table.Export())
+	return err
+}
+
+type tableImport struct {
+	Args struct {
+		File string `positional-arg-name:"CSV" required:"yes"`
+	} `positional-args:"yes"`
+	to streams
+}
+
+// Execute prints the CSV as a table in TOML.
+func (c *tableImport) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("table import: can't read the file: name one that exists: %w", err)
+	}
+	table, err := mgtable.Import(data)
+	if err != nil {
+		return err
+	}
+	_, err = c.to.out.Write(table.TOML())
+	return err
+}
+
+// dumpWait bounds a dump: a process that needs longer is stuck.
+const dumpWait = 10 * time.Second
+
+type dumpCommand struct {
+	Args struct {
+		Address string `positional-arg-name:"ADDRESS" required:"yes" description:"the process's admin address and port"`
+	} `positional-args:"yes"`
+	to streams
+}
+
+// Execute prints a process's state as JSON.
+func (c *dumpCommand) Execute([]string) error {
+	client := &http.Client{Timeout: dumpWait}
+	response, err := client.Get("http://" + strings.TrimPrefix(c.Args.Address, "http://") + "/dump")
+	if err != nil {
+		return fmt.Errorf("dump: can't reach the process: give its admin address as IP:port: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("dump: the process answered %s: give its admin address, not its callers' one", response.Status)
+	}
+	_, err = io.Copy(c.to.out, response.Body)
+	return err
+}
--- a/internal/process/mgentry/form.go
+++ b/internal/process/mgentry/form.go
@@ -67,25 +67,39 @@
 	return append(head, `,"choices":[{"index":0,`+open...)
 }
 
-// tokens returns the event that delivers a decision's tokens; it is valid
-// until the next call.
+// tokens returns the events that deliver a turn's tokens, one a token; they
+// are valid until the next call.
 func (f *form) tokens(t turn) []byte {
-	d := t.decision
 	f.begin(t.attempt)
-	f.event(d.Last())
-	f.out = append(f.out, f.head...)
-	text, _ := json.Marshal(strings.Join(d.Tokens(), ""))
-	f.out = append(f.out, text...)
-	if f.chat {
-		f.out = append(f.out, '}')
+	f.out = f.out[:0]
+	for i, text := range t.decision.Tokens() {
+		f.event(t.decision.First() + uint64(i))
+		f.out = append(f.out, f.head...)
+		f.out = appendJSON(f.out, text)
+		if f.chat {
+			f.out = append(f.out, '}')
+		}
+		f.out = append(f.out, `,"finish_reason":null}]}`...)
+		f.out = append(f.out, "\n\n"...)
 	}
-	f.out = append(f.out, `,"finish_reason":null}]}`...)
-	f.out = append(f.out, "\n\n"...)
 	return f.out
 }
 
+// appendJSON appends a text in JSON. Most tokens need no escapes.
+func appendJSON(dst []byte, text string) []byte {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			escaped, _ := json.Marshal(text)
+			return append(dst, escaped...)
+		}
+	}
+	dst = append(dst, '"')
+	dst = append(dst, text...)
+	return append(dst, '"')
+}
+
 func (f *form) event(seq uint64) {
-	f.out = append(f.out[:0], "id: "...)
+	f.out = append(f.out, "id: "...)
 	f.out = append(f.out, mganswer.FormatEventID(f.answer, seq)...)
 	f.out = append(f.out, "\ndata: "...)
 }
@@ -94,6 +108,7 @@
 func (f *form) finish(t turn) []byte {
 	d := t.decision
 	f.begin(t.attempt)
+	f.out = f.out[:0]
 	f.event(d.Last())
 	f.out = append(f.out, f.head...)
 	f.out = append(f.out, `""`...)
--- /dev/null
+++ b/internal/process/mgnode/serve.go
@@ -0,0 +1,68 @@
+package mgnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// closeWait is how long listeners wait for their last responses once the
+// drain is over.
+const closeWait = mgclock.Second
+
+// ServerSpec describes one listener of a process.
+type ServerSpec struct {
+	Name     string
+	Listener net.Listener
+	Handler  http.Handler
+	// Head bounds a request's header in bytes, Slow the time in which it must
+	// arrive.
+	Head int
+	Slow mgclock.Millis
+}
+
+const (
+	// defaultHead is enough for the headers of the system's own calls.
+	defaultHead = 32 << 10
+	// defaultSlow is ample time for a header of the system's own calls.
+	defaultSlow = 10 * mgclock.Second
+	// idleSlow closes a caller's idle connection; balancers open new ones.
+	idleSlow = 2 * mgclock.Minute
+)
+
+// Serve answers on a listener until ctx ends.
+func Serve(ctx context.Context, log logr.Logger, spec ServerSpec) {
+	if spec.Head == 0 {
+		spec.Head = defaultHead
+	}
+	if spec.Slow == 0 {
+		spec.Slow = defaultSlow
+	}
+	server := &http.Server{
+		Handler:           spec.Handler,
+		MaxHeaderBytes:    spec.Head,
+		ReadHeaderTimeout: spec.Slow.Duration(),
+		IdleTimeout:       idleSlow.Duration(),
+		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+	}
+	stopped := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		closeCtx, cancel := context.WithTimeout(context.Background(), closeWait.Duration())
+		defer cancel()
+		if server.Shutdown(closeCtx) != nil {
+			_ = server.Close()
+		}
+	})
+	log.Info("listening", "name", spec.Name, "address", spec.Listener.Addr().String())
+	if err := server.Serve(spec.Listener); !errors.Is(err, http.ErrServerClosed) {
+		log.Error(err, "a listener ended", "name", spec.Name)
+		return
+	}
+	<-stopped
+}
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -12,6 +12,7 @@
 	Previous string `toml:"previous" help:"the shared key before the last change, accepted while a new one spreads"`
 	Log      string `toml:"log" default:"info" choice:"debug|info|error" help:"least level of the log"`
 	Drain    int64  `toml:"drain" default:"60000" min:"0" max:"3600000" unit:"ms" help:"longest drain after SIGTERM; work in progress is cut off after it"`
+	Notice   int64  `toml:"notice" default:"2000" min:"0" max:"600000" unit:"ms" help:"time between the loss of readiness and the first refusal, so that the balancer looks elsewhere"`
 	Beat     int64  `toml:"beat" default:"250" min:"20" max:"10000" unit:"ms" help:"interval of heartbeats on token streams"`
 	TLS      TLS    `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
 }
