mgclient: a caller that resumes by itself

Cause: a caller must read each token once and in order although entries and links fail, and must not ask twice for what may run. Change: Complete streams over SSE and goes on through the next entry, on a new connection, with Last-Event-ID; Call, Mint and Cancel for plain services and answers. Waits are the ones asked for plus a bounded jitter.

--- /dev/null
+++ b/pkg/mgclient/client.go
@@ -0,0 +1,222 @@
+package mgclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// The defaults of a Spec.
+const (
+	defaultSilence = 5 * mgclock.Second // five heartbeats
+	defaultBegin   = mgclock.Minute
+	defaultTries   = 8
+)
+
+// replyBytes bounds a reply that is read as a whole.
+const replyBytes = 8 << 20
+
+// problemType begins the type of each problem that is the system's own, and
+// not a plain service's.
+const problemType = "urn:marjoramgauge:"
+
+// A Client calls through entries that may fail. It is safe for use by several
+// goroutines. The zero Client knows no entry: its calls fail as Invalid.
+type Client struct {
+	spec   Spec
+	http   *http.Client
+	chosen atomic.Uint64 // number of the entry in use
+}
+
+// New returns a client.
+func New(spec Spec) *Client {
+	return &Client{
+		spec: spec,
+		http: mgdial.NewClient(),
+	}
+}
+
+func (c *Client) silence() mgclock.Millis {
+	if c.spec.Silence > 0 {
+		return c.spec.Silence
+	}
+	return defaultSilence
+}
+
+func (c *Client) begin() mgclock.Millis {
+	if c.spec.Begin > 0 {
+		return c.spec.Begin
+	}
+	return defaultBegin
+}
+
+func (c *Client) tries() int {
+	if c.spec.Tries > 0 {
+		return c.spec.Tries
+	}
+	return defaultTries
+}
+
+func (c *Client) jitter() float64 {
+	if c.spec.Jitter != nil {
+		return c.spec.Jitter()
+	}
+	return rand.Float64()
+}
+
+// base returns the entry in use.
+func (c *Client) base() (string, uint64) {
+	n := c.chosen.Load()
+	return strings.TrimSuffix(c.spec.Bases[n%uint64(len(c.spec.Bases))], "/"), n
+}
+
+// leave turns to the next entry, unless another goroutine already did.
+func (c *Client) leave(n uint64) { c.chosen.CompareAndSwap(n, n+1) }
+
+// transportError is a try that brought no reply from the system.
+type transportError struct {
+	sent  bool // the system may have seen it
+	cause error
+}
+
+// Error returns the cause.
+func (e *transportError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *transportError) Unwrap() error { return e.cause }
+
+// send sends one request to the entry in use and returns the response, whose
+// status is a success or a plain service's, or a *transportError or a
+// *mgproblem.Problem. The caller closes the body.
+func (c *Client) send(r *http.Request) (*http.Response, error) {
+	r.Header.Set("Authorization", "Bearer "+c.spec.Key)
+	response, err := mgdial.Do(c.http, r)
+	if err != nil {
+		var failure *mgdial.Failure
+		return nil, &transportError{
+			sent:  !errors.As(err, &failure) || failure.Sent(),
+			cause: err,
+		}
+	}
+	if problem := problemOf(response); problem != nil {
+		_ = response.Body.Close()
+		return nil, problem
+	}
+	return response, nil
+}
+
+// watch calls cancel after span, unless it is stopped before.
+func (c *Client) watch(span mgclock.Millis, cancel func()) (stop func()) {
+	stopped := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-stopped:
+		case <-c.spec.Clock.After(span):
+			cancel()
+		}
+	}()
+	return func() {
+		close(stopped)
+		<-done
+	}
+}
+
+// problemOf returns the system's own problem that a response carries, or nil.
+func problemOf(response *http.Response) *mgproblem.Problem {
+	if !strings.HasPrefix(response.Header.Get("Content-Type"), mgproblem.MediaType) {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, replyBytes))
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(data))
+	if err != nil {
+		return nil
+	}
+	problem := parseProblem(data)
+	if problem == nil || problem.Retry() > 0 {
+		return problem
+	}
+	seconds, err := strconv.ParseInt(response.Header.Get("Retry-After"), 10, 64)
+	if err != nil || seconds <= 0 {
+		return problem
+	}
+	return problem.WithRetry(mgclock.Millis(seconds) * mgclock.Second)
+}
+
+// parseProblem returns the system's own problem in data, or nil.
+func parseProblem(data []byte) *mgproblem.Problem {
+	var typed struct {
+		Type string `json:"type"`
+	}
+	problem := &mgproblem.Problem{}
+	if json.Unmarshal(data, &typed) != nil || !strings.HasPrefix(typed.Type, problemType) {
+		return nil
+	}
+	if json.Unmarshal(data, problem) != nil {
+		return nil
+	}
+	return problem
+}
+
+// ready reports why the client can't call, or nil.
+func (c *Client) ready() *mgproblem.Problem {
+	if len(c.spec.Bases) == 0 || c.http == nil {
+		return mgproblem.New(mgproblem.Invalid, mgproblem.NotRun,
+			"the client knows no entry", "create it by New with the entries' base URLs")
+	}
+	return nil
+}
+
+// request returns a request to the entry in use and the entry's number.
+func (c *Client) request(ctx context.Context, method, path string, data []byte) (*http.Request, uint64, error) {
+	base, n := c.base()
+	r, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, n, mgproblem.New(mgproblem.Invalid, mgproblem.NotRun,
+			"the request can't be formed", "check the base URL, method and path").WithCause(err)
+	}
+	return r, n, nil
+}
+
+// Cancel ends an answer, which its caller then can't resume.
+func (c *Client) Cancel(ctx context.Context, answer string) error {
+	_, err := c.repeat(ctx, "/v1/answers/"+url.PathEscape(answer), CallSpec{
+		Method: http.MethodDelete,
+	})
+	return err
+}
+
+// unconfirmed returns the problem of a request of which nothing is known.
+func unconfirmed(err error) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+		"the request was sent and nothing came back",
+		"find out whether it ran before asking again").WithCause(err)
+}
+
+// unreached returns the problem of a request that no entry has seen.
+func unreached(err error) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+		"no entry can be reached", "check the base URLs and try again later").WithCause(err)
+}
+
+// ended returns the problem of a request whose context ended.
+func ended(ctx context.Context, outcome mgproblem.Outcome) *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Cancelled, outcome,
+		fmt.Sprintf("the caller gave up: %v", context.Cause(ctx)),
+		"resume by the answer's name, or ask again").WithCause(context.Cause(ctx))
+}
--- /dev/null
+++ b/pkg/mgclient/client_test.go
@@ -0,0 +1,381 @@
+package mgclient_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclient"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// patience bounds a test that hangs; no verdict depends on it.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A step is what the fake entries do with one request.
+type step func(w http.ResponseWriter, r *http.Request)
+
+// entries are two fake entries that follow one script.
+type entries struct {
+	mu    sync.Mutex
+	steps []step
+	asked []string // method, path, Last-Event-ID and Idempotency-Key of each request
+	bases []string
+}
+
+func newEntries(steps ...step) *entries {
+	e := &entries{
+		steps: steps,
+	}
+	for range 2 {
+		s := httptest.NewServer(http.HandlerFunc(e.serve))
+		Reset(s.Close)
+		e.bases = append(e.bases, s.URL)
+	}
+	return e
+}
+
+func (e *entries) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	e.mu.Lock()
+	n := len(e.asked)
+	e.asked = append(e.asked, r.Method+" "+r.URL.Path+" "+r.Header.Get("Last-Event-ID")+r.Header.Get("Idempotency-Key"))
+	e.mu.Unlock()
+	if n >= len(e.steps) {
+		http.Error(w, "the script is over", http.StatusTeapot)
+		return
+	}
+	e.steps[n](w, r)
+}
+
+// heard returns what the requests were.
+func (e *entries) heard() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.asked)
+}
+
+// client returns a caller of the two entries.
+func (e *entries) client(silence mgclock.Millis) *mgclient.Client {
+	return mgclient.New(mgclient.Spec{
+		Bases:   e.bases,
+		Key:     "key",
+		Silence: silence,
+		Tries:   4,
+		Jitter:  func() float64 { return 0 },
+	})
+}
+
+// tokens sends tokens of an answer and leaves the connection open.
+func tokens(w io.Writer, answer string, seqs ...int) {
+	for _, seq := range seqs {
+		_, _ = fmt.Fprintf(w, "id: %s.%d\ndata: {\"choices\":[{\"delta\":{\"content\":\"%d,\"},\"finish_reason\":null}]}\n\n", answer, seq, seq)
+	}
+}
+
+// part sends tokens and cuts the connection.
+func part(answer string, seqs ...int) step {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		tokens(w, answer, seqs...)
+	}
+}
+
+// rest sends tokens and the answer's end.
+func rest(answer string, seqs ...int) step {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		tokens(w, answer, seqs...)
+		_, _ = fmt.Fprintf(w, ": hb\n\nid: %s.4\ndata: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", answer)
+	}
+}
+
+// silent sends tokens and then nothing more.
+func silent(answer string, seqs ...int) step {
+	return func(w http.ResponseWriter, r *http.Request) {
+		tokens(w, answer, seqs...)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+}
+
+// lost breaks the connection without a reply.
+func lost(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// refuse answers with a problem that is attested not run.
+func refuse(kind mgproblem.Kind) step {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		mgproblem.Write(w, mgproblem.New(kind, mgproblem.NotRun, "a test", "none"))
+	}
+}
+
+// fail sends tokens and a problem in the stream.
+func fail(kind mgproblem.Kind, outcome mgproblem.Outcome, seqs ...int) step {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		tokens(w, "a", seqs...)
+		data, _ := json.Marshal(mgproblem.New(kind, outcome, "a test", "none"))
+		_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
+	}
+}
+
+const (
+	post   = "POST /v1/chat/completions "
+	resume = "GET /v1/answers/a a."
+)
+
+// A gauger reads a shift report as it is written. The entry or the link to it
+// fails somewhere on the way, once or twice. The gauger must read each token
+// once and in order, or be told that the report isn't whole; and a report that
+// may be running is never started a second time.
+func TestComplete(t *testing.T) {
+	cases := []struct {
+		name    string
+		steps   []step
+		silence mgclock.Millis
+		text    string
+		kind    mgproblem.Kind // empty when the answer is whole
+		outcome mgproblem.Outcome
+		asked   []string
+	}{
+		{
+			name:  "nothing fails",
+			steps: []step{rest("a", 1, 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post},
+		},
+		{
+			name:  "the connection is cut",
+			steps: []step{part("a", 1, 2), rest("a", 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, resume + "2"},
+		},
+		{
+			name:  "the connection is cut twice, and tokens come twice",
+			steps: []step{part("a", 1, 2), part("a", 1, 2, 3), rest("a", 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, resume + "2", resume + "3"},
+		},
+		{
+			name:    "the connection falls silent for good",
+			steps:   []step{silent("a", 1, 2), rest("a", 1, 2, 3, 4)},
+			silence: 100,
+			text:    "1,2,3,4,",
+		},
+		{
+			name:  "a token is missing",
+			steps: []step{part("a", 1, 3), rest("a", 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, resume + "1"},
+		},
+		{
+			name:  "another answer's token comes",
+			steps: []step{part("a", 1, 2), part("b", 3), rest("a", 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, resume + "2", resume + "2"},
+		},
+		{
+			name:  "the end comes before the last tokens",
+			steps: []step{rest("a", 1, 2), rest("a", 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, resume + "2"},
+		},
+		{
+			name:  "the next entry isn't ready",
+			steps: []step{part("a", 1), refuse(mgproblem.Unready), rest("a", 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, resume + "1", resume + "1"},
+		},
+		{
+			name:  "it is turned away and comes back when told",
+			steps: []step{refuse(mgproblem.Crowded), rest("a", 1, 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, post},
+		},
+		{
+			name:  "it was given a name, waited, and attested not run",
+			steps: []step{fail(mgproblem.Crowded, mgproblem.NotRun), rest("a", 1, 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, post},
+		},
+		{
+			name:    "the entry dies before it answers",
+			steps:   []step{lost},
+			kind:    mgproblem.Unconfirmed,
+			outcome: mgproblem.Unknown,
+			asked:   []string{post},
+		},
+		{
+			name:    "the engine dies in the middle",
+			steps:   []step{fail(mgproblem.Interrupted, mgproblem.Unknown, 1, 2)},
+			text:    "1,2,",
+			kind:    mgproblem.Interrupted,
+			outcome: mgproblem.Unknown,
+			asked:   []string{post},
+		},
+		{
+			name:    "the key is wrong",
+			steps:   []step{refuse(mgproblem.Stranger)},
+			kind:    mgproblem.Stranger,
+			outcome: mgproblem.NotRun,
+		},
+		{
+			name:    "each try to resume fails",
+			steps:   []step{part("a", 1), lost, lost, lost, lost, lost, lost},
+			text:    "1,",
+			kind:    mgproblem.Interrupted,
+			outcome: mgproblem.Unknown,
+		},
+	}
+	Convey("An answer when", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				e := newEntries(c.steps...)
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				var got string
+				answer, err := e.client(c.silence).Complete(ctx, mgclient.Request{
+					Model: "reports",
+				}, func(token mgclient.Token) error {
+					got += token.Text()
+					return nil
+				})
+				So(got, ShouldEqual, c.text)
+				So(answer.Text(), ShouldEqual, c.text)
+				if c.asked != nil {
+					So(e.heard(), ShouldResemble, c.asked)
+				}
+				if c.kind == "" {
+					So(err, ShouldBeNil)
+					So(answer.End(), ShouldEqual, "stop")
+					return
+				}
+				So(mgproblem.From(err).Kind(), ShouldEqual, c.kind)
+				So(mgproblem.From(err).Outcome(), ShouldEqual, c.outcome)
+				So(answer.End(), ShouldBeEmpty)
+			})
+		}
+	})
+}
+
+// booked is a service's reply.
+func booked(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "booked") }
+
+// A gauger books a transfer ticket and the reply is lost. Booked again under a
+// new name it would move two barrels; not booked again it may move none. Under
+// an operation id each try names the same operation; without one there is no
+// second try, and the gauger is told that nobody knows.
+func TestCall(t *testing.T) {
+	const write, read = "POST /v1/services/tickets/book ", "GET /v1/services/tickets/book "
+	cases := []struct {
+		name      string
+		method    string
+		operation string
+		steps     []step
+		kind      mgproblem.Kind // empty when a reply came
+		outcome   mgproblem.Outcome
+		asked     []string
+	}{
+		{
+			name:      "a write under an operation id is sent again under the same",
+			method:    http.MethodPost,
+			operation: "op",
+			steps:     []step{lost, lost, booked},
+			asked:     []string{write + "op", write + "op", write + "op"},
+		},
+		{
+			name:    "a write without one is sent once",
+			method:  http.MethodPost,
+			steps:   []step{lost, booked},
+			kind:    mgproblem.Unconfirmed,
+			outcome: mgproblem.Unknown,
+			asked:   []string{write},
+		},
+		{
+			name:   "a lookup is sent again",
+			method: http.MethodGet,
+			steps:  []step{lost, booked},
+			asked:  []string{read, read},
+		},
+		{
+			name:   "a write that didn't run is sent again when told",
+			method: http.MethodPost,
+			steps:  []step{refuse(mgproblem.Crowded), booked},
+			asked:  []string{write, write},
+		},
+		{
+			name:      "not run speaks for the last try only",
+			method:    http.MethodPost,
+			operation: "op",
+			steps:     []step{lost, refuse(mgproblem.Forbidden)},
+			kind:      mgproblem.Unconfirmed,
+			outcome:   mgproblem.Unknown,
+		},
+		{
+			name:   "the service's own error is a reply",
+			method: http.MethodPost,
+			steps: []step{func(w http.ResponseWriter, r *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				booked(w, r)
+			}},
+			asked: []string{write},
+		},
+	}
+	Convey("A call of a service:", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				e := newEntries(c.steps...)
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				reply, err := e.client(0).Call(ctx, mgclient.CallSpec{
+					Service:   "tickets",
+					Method:    c.method,
+					Path:      "book",
+					Operation: c.operation,
+				})
+				if c.asked != nil {
+					So(e.heard(), ShouldResemble, c.asked)
+				}
+				if c.kind == "" {
+					So(err, ShouldBeNil)
+					So(string(reply.Body), ShouldEqual, "booked")
+					return
+				}
+				So(mgproblem.From(err).Kind(), ShouldEqual, c.kind)
+				So(mgproblem.From(err).Outcome(), ShouldEqual, c.outcome)
+			})
+		}
+	})
+}
+
+// All entries are gone, as in the first seconds of a replacement. Nothing was
+// sent, and the caller is told so.
+func TestUnreached(t *testing.T) {
+	Convey("Without an entry nothing ran", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		So(l.Close(), ShouldBeNil)
+		client := mgclient.New(mgclient.Spec{
+			Bases:  []string{"http://" + l.Addr().String()},
+			Tries:  2,
+			Jitter: func() float64 { return 0 },
+		})
+		_, err = client.Complete(context.Background(), mgclient.Request{}, nil)
+		So(mgproblem.From(err).Outcome(), ShouldEqual, mgproblem.NotRun)
+		_, err = client.Mint(context.Background(), "tickets")
+		So(mgproblem.From(err).Outcome(), ShouldEqual, mgproblem.NotRun)
+		_, err = (&mgclient.Client{}).Mint(context.Background(), "tickets")
+		So(mgproblem.From(err).Kind(), ShouldEqual, mgproblem.Invalid)
+	})
+}
