--- /dev/null
+++ b/pkg/mgtable/column.go
@@ -0,0 +1,322 @@
+package mgtable
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Bounds of the columns. They are far above any deployment and far below what
+// would overflow when sums over all rows are taken.
+const (
+	maxName     = 64
+	maxWeight   = 1e6
+	maxRate     = 1e9
+	maxStreams  = 1_000_000
+	maxPriority = 9
+	maxDeadline = 3_600_000 // an hour in ms
+	maxTokens   = 1_000_000_000
+	maxBatch    = 100_000
+	maxList     = 1_000
+)
+
+// defaultDeadline is in force where the column is left out, in ms. Nothing
+// waits without a bound.
+const defaultDeadline = 30_000
+
+// marks are the characters of a name besides letters and digits.
+const marks = "._-:/"
+
+// form is the syntactic form of a value.
+type form int
+
+const (
+	absent form = iota
+	text        // a string
+	number      // an integer or a float
+	list        // a list of strings
+	cell        // a spreadsheet's cell, which can be any of them
+)
+
+// value is a column's content before it is checked.
+type value struct {
+	form  form
+	text  string
+	items []string
+}
+
+// complaint is a fault without its place.
+type complaint struct {
+	text   string
+	remedy string
+}
+
+func complain(remedy, format string, args ...any) *complaint {
+	return &complaint{
+		text:   fmt.Sprintf(format, args...),
+		remedy: remedy,
+	}
+}
+
+// column reads and writes one column of rows of type R.
+type column[R any] struct {
+	name string
+	set  func(r *R, v value) *complaint
+	get  func(r *R) value
+}
+
+// numberColumn holds a float from low, or above it when open, up to high.
+func numberColumn[R any](name string, low, high float64, open bool, field func(*R) *float64) column[R] {
+	bounds := fmt.Sprintf("write a number from %g to %g", low, high)
+	if open {
+		bounds = fmt.Sprintf("write a number above %g, up to %g", low, high)
+	}
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			x, c := parseNumber(v)
+			if c != nil {
+				return c
+			}
+			if x < low || x > high || (open && x == low) {
+				return complain(bounds, "%g is out of bounds", x)
+			}
+			*field(r) = x
+			return nil
+		},
+		get: func(r *R) value {
+			x := *field(r)
+			if x == 0 {
+				return value{}
+			}
+			return value{
+				form: number,
+				text: strconv.FormatFloat(x, 'g', -1, 64),
+			}
+		},
+	}
+}
+
+// parseNumber reads a finite number.
+func parseNumber(v value) (float64, *complaint) {
+	const remedy = "write a finite number"
+	if v.form != number && v.form != cell {
+		return 0, complain(remedy, "not a number")
+	}
+	x, err := strconv.ParseFloat(strings.ReplaceAll(v.text, "_", ""), 64)
+	if err != nil {
+		return 0, complain(remedy, "%q is not a number", clip(v.text))
+	}
+	if math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0, complain(remedy, "%s is not finite", clip(v.text))
+	}
+	return x, nil
+}
+
+// countColumn holds a whole number from 0 to high.
+func countColumn[R any](name string, high int64, field func(*R) *int64) column[R] {
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			remedy := fmt.Sprintf("write a whole number from 0 to %d", high)
+			if v.form != number && v.form != cell {
+				return complain(remedy, "not a number")
+			}
+			n, err := strconv.ParseInt(strings.ReplaceAll(v.text, "_", ""), 10, 64)
+			if err != nil {
+				return complain(remedy, "%q is not a whole number in bounds", clip(v.text))
+			}
+			if n < 0 || n > high {
+				return complain(remedy, "%d is out of bounds", n)
+			}
+			*field(r) = n
+			return nil
+		},
+		get: func(r *R) value {
+			n := *field(r)
+			if n == 0 {
+				return value{}
+			}
+			return value{
+				form: number,
+				text: strconv.FormatInt(n, 10),
+			}
+		},
+	}
+}
+
+// nameColumn holds the name of a row.
+func nameColumn[R any](name string, field func(*R) *string) column[R] {
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			if v.form != text && v.form != cell {
+				return complain("write the name as a string", "not a string")
+			}
+			if c := checkName(v.text); c != nil {
+				return c
+			}
+			*field(r) = v.text
+			return nil
+		},
+		get: func(r *R) value { return textValue(*field(r)) },
+	}
+}
+
+// choiceColumn holds one of a few words.
+func choiceColumn[R any](name string, choices []string, field func(*R) *string) column[R] {
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			if (v.form != text && v.form != cell) || !contains(choices, v.text) {
+				return complain("write one of "+strings.Join(choices, ", "), "%q is not a choice", clip(v.text))
+			}
+			*field(r) = v.text
+			return nil
+		},
+		get: func(r *R) value { return textValue(*field(r)) },
+	}
+}
+
+// namesColumn holds a list of names without duplicates.
+func namesColumn[R any](name string, field func(*R) *[]string) column[R] {
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			items, c := listItems(v)
+			if c != nil {
+				return c
+			}
+			seen := make(map[string]bool, len(items))
+			for _, item := range items {
+				if c := checkName(item); c != nil {
+					return c
+				}
+				if seen[item] {
+					return complain("name it once", "%q stands twice in the list", item)
+				}
+				seen[item] = true
+			}
+			*field(r) = items
+			return nil
+		},
+		get: func(r *R) value { return listValue(*field(r)) },
+	}
+}
+
+// digestsColumn holds a list of SHA-256 digests in hexadecimal digits.
+func digestsColumn[R any](name string, field func(*R) *[]Digest) column[R] {
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			items, c := listItems(v)
+			if c != nil {
+				return c
+			}
+			digests := make([]Digest, 0, len(items))
+			for _, item := range items {
+				d, c := parseDigest(item)
+				if c != nil {
+					return c
+				}
+				digests = append(digests, d)
+			}
+			*field(r) = digests
+			return nil
+		},
+		get: func(r *R) value {
+			items := make([]string, 0, len(*field(r)))
+			for _, d := range *field(r) {
+				items = append(items, d.String())
+			}
+			return listValue(items)
+		},
+	}
+}
+
+// parseDigest reads 64 lower-case hexadecimal digits. Its complaint doesn't
+// repeat the text: a key written in the clear by mistake must not reach a log.
+func parseDigest(item string) (Digest, *complaint) {
+	var d Digest
+	raw, err := hex.DecodeString(item)
+	if err != nil || len(raw) != len(d) || strings.ToLower(item) != item {
+		return d, complain("write the SHA-256 of the key as 64 lower-case hexadecimal digits", "an entry is not a digest")
+	}
+	copy(d[:], raw)
+	return d, nil
+}
+
+func listItems(v value) ([]string, *complaint) {
+	switch v.form {
+	case list:
+	case cell:
+		v.items = strings.Fields(v.text)
+	default:
+		return nil, complain("write a list of strings, such as [\"a\", \"b\"]", "not a list")
+	}
+	if len(v.items) > maxList {
+		return nil, complain(fmt.Sprintf("list at most %d", maxList), "%d items are too many", len(v.items))
+	}
+	return v.items, nil
+}
+
+// checkName accepts letters, digits and a few marks, so that a name stands
+// unchanged in a URL, a metric, a log line and a spreadsheet's cell.
+func checkName(name string) *complaint {
+	if name == "" {
+		return complain("give it a name", "the name is empty")
+	}
+	if len(name) > maxName {
+		return complain(fmt.Sprintf("use at most %d characters", maxName), "the name %q is too long", clip(name))
+	}
+	if !nameRune(rune(name[0])) || strings.ContainsRune(marks, rune(name[0])) {
+		// A spreadsheet takes a cell that begins with a mark as a formula.
+		return complain("begin it with a letter or a digit", "the name %q begins with a mark", clip(name))
+	}
+	for _, r := range name {
+		if !nameRune(r) {
+			return complain("use ASCII letters, digits and . _ - : /", "the name %q holds %q", clip(name), r)
+		}
+	}
+	return nil
+}
+
+func nameRune(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return true
+	default:
+		return strings.ContainsRune(marks, r)
+	}
+}
+
+func textValue(s string) value {
+	if s == "" {
+		return value{}
+	}
+	return value{
+		form: text,
+		text: s,
+	}
+}
+
+func listValue(items []string) value {
+	if len(items) == 0 {
+		return value{}
+	}
+	return value{
+		form:  list,
+		items: items,
+	}
+}
+
+// clip shortens text for a message.
+func clip(s string) string {
+	const most = 40
+	if len(s) <= most {
+		return s
+	}
+	return s[:most] + "…"
+}
--- /dev/null
+++ b/pkg/mgtable/columns.go
@@ -0,0 +1,82 @@
+package mgtable
+
+// The names of the kinds of rows.
+const (
+	accountRow  = "account"
+	serviceRow  = "service"
+	modelRow    = "model"
+	upstreamRow = "upstream"
+)
+
+var accountColumns = []column[Account]{
+	nameColumn("name", func(a *Account) *string { return &a.name }),
+	digestsColumn("keys", func(a *Account) *[]Digest { return &a.keys }),
+	numberColumn("weight", 0, maxWeight, true, func(a *Account) *float64 { return &a.weight }),
+	numberColumn("rate", 0, maxRate, false, func(a *Account) *float64 { return &a.rate }),
+	countColumn("streams", maxStreams, func(a *Account) *int64 { return &a.streams }),
+	namesColumn("services", func(a *Account) *[]string { return &a.services }),
+}
+
+var serviceColumns = []column[Service]{
+	nameColumn("name", func(s *Service) *string { return &s.name }),
+	choiceColumn("kind", []string{Generation, Plain}, func(s *Service) *string { return &s.kind }),
+	nameColumn("model", func(s *Service) *string { return &s.model }),
+	choiceColumn("prefer", []string{Steady, Whole}, func(s *Service) *string { return &s.prefer }),
+	countColumn("priority", maxPriority, func(s *Service) *int64 { return &s.priority }),
+	countColumn("deadline", maxDeadline, func(s *Service) *int64 { return &s.deadline }),
+	countColumn("max", maxTokens, func(s *Service) *int64 { return &s.max }),
+	choiceColumn("repeat", []string{Safe, Never}, func(s *Service) *string { return &s.repeat }),
+	numberColumn("hedge", 0, 1, false, func(s *Service) *float64 { return &s.hedge }),
+	namesColumn("paths", func(s *Service) *[]string { return &s.paths }),
+}
+
+var modelColumns = []column[Model]{
+	nameColumn("name", func(m *Model) *string { return &m.name }),
+	countColumn("context", maxTokens, func(m *Model) *int64 { return &m.context }),
+	countColumn("max", maxTokens, func(m *Model) *int64 { return &m.max }),
+}
+
+var upstreamColumns = []column[Upstream]{
+	nameColumn("name", func(u *Upstream) *string { return &u.name }),
+	choiceColumn("kind", []string{Engine, ServiceHost}, func(u *Upstream) *string { return &u.kind }),
+	namesColumn("models", func(u *Upstream) *[]string { return &u.models }),
+	namesColumn("services", func(u *Upstream) *[]string { return &u.services }),
+	countColumn("memory", maxTokens, func(u *Upstream) *int64 { return &u.memory }),
+	countColumn("batch", maxBatch, func(u *Upstream) *int64 { return &u.batch }),
+	choiceColumn("orders", []string{Checked, Ignored}, func(u *Upstream) *string { return &u.orders }),
+}
+
+// setAccountDefaults fills the columns that were left out.
+func setAccountDefaults(a *Account) {
+	if a.weight == 0 {
+		a.weight = 1
+	}
+}
+
+// setServiceDefaults fills the columns that were left out. A plain service that
+// doesn't say whether its calls may be repeated is taken as one whose may not.
+func setServiceDefaults(s *Service) {
+	if s.kind == "" {
+		s.kind = Generation
+	}
+	if s.prefer == "" {
+		s.prefer = Steady
+	}
+	if s.deadline == 0 {
+		s.deadline = defaultDeadline
+	}
+	if s.repeat == "" {
+		s.repeat = Never
+	}
+}
+
+// setUpstreamDefaults fills the columns that were left out. An upstream that
+// isn't known to check orders is taken as one that doesn't.
+func setUpstreamDefaults(u *Upstream) {
+	if u.kind == "" {
+		u.kind = Engine
+	}
+	if u.orders == "" {
+		u.orders = Ignored
+	}
+}
--- /dev/null
+++ b/pkg/mgtable/page.go
@@ -0,0 +1,134 @@
+package mgtable
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// targetPage is the size that pages of accounts stay below, in bytes. An edit
+// moves one page and one manifest to every process. At 35,000 accounts (7 MB)
+// pages of 64 KiB make a manifest of about 17 KB, so that both parts of an
+// edit's cost are of the same order; pages of 1 MB would move fifteen times as
+// much an edit.
+const targetPage = 64 << 10
+
+// Errors of pages.
+var (
+	errPageLarge  = errors.New("page: a page exceeds the limit: shorten the base rows or raise the limit")
+	errPageDigest = errors.New("page: the pages are not those of the manifest: fetch them again by digest")
+)
+
+// A Page is one checked page. It never changes. The text of a page in the
+// canonical form is not kept but written again when a peer asks for it, which
+// is rare: of 35,000 accounts it would take 7 MB.
+type Page struct {
+	digest Digest
+	rows   rows
+
+	// odd is the text of a page that is not in the canonical form.
+	odd []byte
+}
+
+// ReadPage reads a page. The error is a *Faults with the faults of its rows.
+func ReadPage(data []byte) (*Page, error) {
+	var faults Faults
+	_, records := readTOML(data, &faults)
+	set := collect(0, records, &faults)
+	if err := faults.err(); err != nil {
+		return nil, err
+	}
+	p := &Page{
+		digest: DigestOf(data),
+		rows:   set,
+	}
+	if !bytes.Equal(writeTOML(set), data) {
+		p.odd = bytes.Clone(data)
+	}
+	return p, nil
+}
+
+// Digest returns the digest of the page's text.
+func (p *Page) Digest() Digest { return p.digest }
+
+// Bytes returns the page's text. Callers don't change it.
+func (p *Page) Bytes() []byte {
+	if p.odd != nil {
+		return p.odd
+	}
+	return writeTOML(p.rows)
+}
+
+// Pages splits the table into pages of at most limit bytes, the base page
+// first. The same table always yields the same pages.
+func (t *Table) Pages(limit int) (Manifest, [][]byte, error) {
+	base := writeTOML(rows{
+		services:  t.rows.services,
+		models:    t.rows.models,
+		upstreams: t.rows.upstreams,
+	})
+	if len(base) > limit {
+		return Manifest{}, nil, fmt.Errorf("base rows take %d of %d bytes: %w", len(base), limit, errPageLarge)
+	}
+	split, err := t.split(min(limit, targetPage))
+	if err != nil {
+		return Manifest{}, nil, err
+	}
+	pages := append([][]byte{base}, split...)
+	m := Manifest{
+		Version: t.version,
+	}
+	for _, page := range pages {
+		m.Pages = append(m.Pages, DigestOf(page).String())
+	}
+	return m, pages, nil
+}
+
+// split writes the accounts to the fewest pages, of a power of two, that all
+// stay below limit. The power of two keeps the number of pages, and so the
+// place of every account, from changing with most edits.
+func (t *Table) split(limit int) ([][]byte, error) {
+	for count := 1; count < maxPages; count *= 2 {
+		buckets := make([]rows, count)
+		for _, a := range t.rows.accounts {
+			b := &buckets[xxhash.Sum64String(a.name)%uint64(count)]
+			b.accounts = append(b.accounts, a)
+		}
+		pages := make([][]byte, 0, count)
+		for _, b := range buckets {
+			page := writeTOML(b)
+			if len(page) > limit {
+				break
+			}
+			pages = append(pages, page)
+		}
+		if len(pages) == count {
+			return pages, nil
+		}
+	}
+	return nil, fmt.Errorf("%d pages don't hold the accounts: %w", maxPages, errPageLarge)
+}
+
+// Join makes a table of a manifest's pages, which were read before. Pages that
+// two versions share are not read again. The result depends on nothing but the
+// arguments, so that every process accepts or refuses a version alike.
+func Join(m Manifest, pages []*Page) (*Table, error) {
+	if len(pages) != len(m.Pages) {
+		return nil, fmt.Errorf("version %d has %d of %d pages: %w", m.Version, len(pages), len(m.Pages), errPageDigest)
+	}
+	set := rows{
+		version: m.Version,
+	}
+	for i, p := range pages {
+		if p.digest.String() != m.Pages[i] {
+			return nil, fmt.Errorf("version %d, page %d: %w", m.Version, i, errPageDigest)
+		}
+		set.accounts = append(set.accounts, p.rows.accounts...)
+		set.services = append(set.services, p.rows.services...)
+		set.models = append(set.models, p.rows.models...)
+		set.upstreams = append(set.upstreams, p.rows.upstreams...)
+	}
+	return assemble(set, &Faults{})
+}
--- /dev/null
+++ b/pkg/mgtable/row.go
@@ -0,0 +1,197 @@
+package mgtable
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A Digest is a SHA-256.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of data.
+func DigestOf(data []byte) Digest { return sha256.Sum256(data) }
+
+// String returns the digest in hexadecimal digits.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// The kinds of services.
+const (
+	Generation = "generation"
+	Plain      = "plain"
+)
+
+// The preferences of a service: steady tokens, or whole answers without stalls
+// and preemptions.
+const (
+	Steady = "steady"
+	Whole  = "whole"
+)
+
+// Whether the calls of a plain service may be repeated.
+const (
+	Safe  = "safe"
+	Never = "never"
+)
+
+// The kinds of upstreams.
+const (
+	Engine      = "engine"
+	ServiceHost = "service"
+)
+
+// Whether an upstream refuses orders that carry an old fencing number.
+const (
+	Checked = "checked"
+	Ignored = "ignored"
+)
+
+// An Account is one client account.
+type Account struct {
+	name     string
+	keys     []Digest
+	weight   float64
+	rate     float64
+	streams  int64
+	services []string
+	line     int
+}
+
+// Name returns the account's name.
+func (a *Account) Name() string { return a.name }
+
+// Keys returns the digests of the account's API keys. Callers don't change it.
+func (a *Account) Keys() []Digest { return a.keys }
+
+// Weight returns the account's share relative to others where they contend.
+func (a *Account) Weight() float64 { return a.weight }
+
+// Rate returns the cap in tokens a second, or 0 when there is none.
+func (a *Account) Rate() float64 { return a.rate }
+
+// Streams returns the cap on concurrent streams, or 0 when there is none.
+func (a *Account) Streams() int { return int(a.streams) }
+
+// Services returns the services the account may use; none listed means all.
+// Callers don't change it.
+func (a *Account) Services() []string { return a.services }
+
+// Allows reports whether the account may use a service.
+func (a *Account) Allows(service string) bool {
+	if len(a.services) == 0 {
+		return true
+	}
+	return contains(a.services, service)
+}
+
+// A Service is what callers ask for by name.
+type Service struct {
+	name     string
+	kind     string
+	model    string
+	prefer   string
+	priority int64
+	deadline int64
+	max      int64
+	repeat   string
+	hedge    float64
+	paths    []string
+	line     int
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return s.name }
+
+// Kind returns Generation or Plain.
+func (s *Service) Kind() string { return s.kind }
+
+// Model returns the model of a generation service, or "".
+func (s *Service) Model() string { return s.model }
+
+// Prefer returns Steady or Whole.
+func (s *Service) Prefer() string { return s.prefer }
+
+// Priority returns the priority from 0 to 9; more goes first.
+func (s *Service) Priority() int { return int(s.priority) }
+
+// Deadline returns the longest wait to the first token or reply.
+func (s *Service) Deadline() mgclock.Millis { return mgclock.Millis(s.deadline) }
+
+// Max returns the longest output in tokens, or 0 for the model's own bound.
+func (s *Service) Max() int { return int(s.max) }
+
+// Repeatable reports whether calls may run more than once.
+func (s *Service) Repeatable() bool { return s.repeat == Safe }
+
+// Hedge returns the share of calls that may be sent twice, from 0 to 1.
+func (s *Service) Hedge() float64 { return s.hedge }
+
+// Paths returns the upstreams that serve a plain service; none listed means
+// all that name the service. Callers don't change it.
+func (s *Service) Paths() []string { return s.paths }
+
+// A Model is a language model.
+type Model struct {
+	name    string
+	context int64
+	max     int64
+	line    int
+}
+
+// Name returns the model's name.
+func (m *Model) Name() string { return m.name }
+
+// Context returns the longest prompt and output together in tokens.
+func (m *Model) Context() int { return int(m.context) }
+
+// Max returns the longest output in tokens.
+func (m *Model) Max() int { return int(m.max) }
+
+// An Upstream is a model engine or the host of plain services.
+type Upstream struct {
+	name     string
+	kind     string
+	models   []string
+	services []string
+	memory   int64
+	batch    int64
+	orders   string
+	line     int
+}
+
+// Name returns the upstream's name.
+func (u *Upstream) Name() string { return u.name }
+
+// Kind returns Engine or ServiceHost.
+func (u *Upstream) Kind() string { return u.kind }
+
+// Models returns the models an engine may hold. Callers don't change it.
+func (u *Upstream) Models() []string { return u.models }
+
+// Services returns the plain services a host runs. Callers don't change it.
+func (u *Upstream) Services() []string { return u.services }
+
+// Memory returns an engine's memory in tokens.
+func (u *Upstream) Memory() int { return int(u.memory) }
+
+// Batch returns the most generations or calls that run at once.
+func (u *Upstream) Batch() int { return int(u.batch) }
+
+// Orders returns Checked or Ignored.
+func (u *Upstream) Orders() string { return u.orders }
+
+// Runs reports whether the upstream lists a service.
+func (u *Upstream) Runs(service string) bool { return contains(u.services, service) }
+
+// Holds reports whether the upstream lists a model.
+func (u *Upstream) Holds(model string) bool { return contains(u.models, model) }
+
+func contains(list []string, name string) bool {
+	for _, n := range list {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/mgtable/rows.go
@@ -0,0 +1,163 @@
+package mgtable
+
+import (
+	"sort"
+	"strings"
+)
+
+// record is a row as it was read, before it is checked.
+type record struct {
+	kind  string
+	line  int
+	cells []entry
+}
+
+// entry is one column of a record.
+type entry struct {
+	name  string
+	line  int
+	value value
+}
+
+// name returns the record's name as far as it can be told, for messages.
+func (r record) name() string {
+	for _, e := range r.cells {
+		if e.name == "name" {
+			return clip(strings.ToValidUTF8(e.value.text, "?"))
+		}
+	}
+	return ""
+}
+
+// rows are the checked rows of a table or a page.
+type rows struct {
+	version   uint64
+	accounts  []*Account
+	services  []*Service
+	models    []*Model
+	upstreams []*Upstream
+}
+
+// collect makes rows of records.
+func collect(version uint64, records []record, faults *Faults) rows {
+	set := rows{
+		version: version,
+	}
+	names := interner{}
+	for _, r := range records {
+		switch r.kind {
+		case accountRow:
+			a := fill(r, accountColumns, faults)
+			a.line = r.line
+			a.services = names.list(a.services)
+			setAccountDefaults(a)
+			set.accounts = append(set.accounts, a)
+		case serviceRow:
+			s := fill(r, serviceColumns, faults)
+			s.line = r.line
+			setServiceDefaults(s)
+			set.services = append(set.services, s)
+		case modelRow:
+			m := fill(r, modelColumns, faults)
+			m.line = r.line
+			set.models = append(set.models, m)
+		case upstreamRow:
+			u := fill(r, upstreamColumns, faults)
+			u.line = r.line
+			setUpstreamDefaults(u)
+			set.upstreams = append(set.upstreams, u)
+		default:
+			faults.add(Fault{
+				line:   r.line,
+				row:    clip(r.kind),
+				text:   "unknown kind of row",
+				remedy: "use account, service, model or upstream",
+			})
+		}
+	}
+	return set
+}
+
+// fill reads the cells of a record into a new row.
+func fill[R any](r record, columns []column[R], faults *Faults) *R {
+	row := new(R)
+	label := r.kind + " " + r.name()
+	seen := make([]bool, len(columns))
+	for _, e := range r.cells {
+		fault := Fault{
+			line:   e.line,
+			row:    label,
+			column: clip(e.name),
+		}
+		i := find(columns, e.name)
+		switch {
+		case i < 0:
+			fault.text = "unknown column"
+			fault.remedy = "use one of " + columnNames(columns)
+		case seen[i]:
+			fault.text = "the column stands twice"
+			fault.remedy = "keep one of them"
+		default:
+			seen[i] = true
+			c := columns[i].set(row, e.value)
+			if c == nil {
+				continue
+			}
+			fault.text = c.text
+			fault.remedy = c.remedy
+		}
+		faults.add(fault)
+	}
+	if !seen[0] {
+		faults.add(Fault{
+			line:   r.line,
+			row:    label,
+			column: columns[0].name,
+			text:   "the row has no name",
+			remedy: "give it one",
+		})
+	}
+	return row
+}
+
+func find[R any](columns []column[R], name string) int {
+	for i := range columns {
+		if columns[i].name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func columnNames[R any](columns []column[R]) string {
+	names := make([]string, 0, len(columns))
+	for _, c := range columns {
+		names = append(names, c.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// sorted orders the rows by name, the order of the canonical form.
+func (s *rows) sorted() {
+	sort.Slice(s.accounts, func(i, j int) bool { return s.accounts[i].name < s.accounts[j].name })
+	sort.Slice(s.services, func(i, j int) bool { return s.services[i].name < s.services[j].name })
+	sort.Slice(s.models, func(i, j int) bool { return s.models[i].name < s.models[j].name })
+	sort.Slice(s.upstreams, func(i, j int) bool { return s.upstreams[i].name < s.upstreams[j].name })
+}
+
+// interner keeps one copy of each list of names that many accounts share.
+// Without it a table of 35,000 accounts holds the services' names 35,000 times.
+type interner map[string][]string
+
+func (n interner) list(names []string) []string {
+	if len(names) == 0 {
+		return nil
+	}
+	key := strings.Join(names, " ")
+	kept, ok := n[key]
+	if !ok {
+		kept = names
+		n[key] = kept
+	}
+	return kept
+}
--- /dev/null
+++ b/pkg/mgtable/table.go
@@ -0,0 +1,109 @@
+package mgtable
+
+import (
+	"iter"
+)
+
+// A Table is a checked table. It never changes. The zero Table is empty.
+type Table struct {
+	version   uint64
+	rows      rows
+	accounts  map[string]*Account
+	keys      map[Digest]*Account
+	services  map[string]*Service
+	models    map[string]*Model
+	upstreams map[string]*Upstream
+}
+
+// Parse reads a table from TOML. The error is a *Faults with all faults.
+func Parse(data []byte) (*Table, error) {
+	var faults Faults
+	version, records := readTOML(data, &faults)
+	return assemble(collect(version, records, &faults), &faults)
+}
+
+// Check returns all faults of a table in TOML, or nil.
+func Check(data []byte) error {
+	_, err := Parse(data)
+	return err
+}
+
+// assemble indexes rows and checks them against each other. Rows with faults of
+// their own take part, so that one run shows the faults of both kinds.
+func assemble(set rows, faults *Faults) (*Table, error) {
+	set.sorted()
+	t := &Table{
+		version:   set.version,
+		rows:      set,
+		accounts:  make(map[string]*Account, len(set.accounts)),
+		keys:      make(map[Digest]*Account, len(set.accounts)),
+		services:  make(map[string]*Service, len(set.services)),
+		models:    make(map[string]*Model, len(set.models)),
+		upstreams: make(map[string]*Upstream, len(set.upstreams)),
+	}
+	c := checker{
+		table:  t,
+		faults: faults,
+	}
+	c.index()
+	c.references()
+	if err := faults.err(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Version returns the table's version, or 0 when it has none.
+func (t *Table) Version() uint64 { return t.version }
+
+// Account returns the account of a name, or nil.
+func (t *Table) Account(name string) *Account { return t.accounts[name] }
+
+// ByKey returns the account that has an API key, or nil. The lookup compares
+// digests of what was presented, so that its time tells nothing about how much
+// of a key was right.
+func (t *Table) ByKey(key string) *Account { return t.keys[DigestOf([]byte(key))] }
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Model returns the model of a name, or nil.
+func (t *Table) Model(name string) *Model { return t.models[name] }
+
+// Upstream returns the upstream of a name, or nil.
+func (t *Table) Upstream(name string) *Upstream { return t.upstreams[name] }
+
+// Len returns the number of accounts.
+func (t *Table) Len() int { return len(t.rows.accounts) }
+
+// Accounts goes through the accounts by name.
+func (t *Table) Accounts() iter.Seq[*Account] { return each(t.rows.accounts) }
+
+// Services goes through the services by name.
+func (t *Table) Services() iter.Seq[*Service] { return each(t.rows.services) }
+
+// Models goes through the models by name.
+func (t *Table) Models() iter.Seq[*Model] { return each(t.rows.models) }
+
+// Upstreams goes through the upstreams by name.
+func (t *Table) Upstreams() iter.Seq[*Upstream] { return each(t.rows.upstreams) }
+
+func each[R any](list []*R) iter.Seq[*R] {
+	return func(yield func(*R) bool) {
+		for _, row := range list {
+			if !yield(row) {
+				return
+			}
+		}
+	}
+}
+
+// TOML returns the table in its canonical form.
+func (t *Table) TOML() []byte { return writeTOML(t.rows) }
+
+// Digest returns the digest of the table's content without its version.
+func (t *Table) Digest() Digest {
+	set := t.rows
+	set.version = 0
+	return DigestOf(writeTOML(set))
+}
