--- a/cmd/marjoramgauge/standin.go
+++ b/cmd/marjoramgauge/standin.go
@@ -15,6 +15,10 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
+// tableKey stands in a platform's settings for the table, which is published
+// as its manifest and pages.
+const tableKey = "table"
+
 // interrupted returns a context that ends with SIGINT or SIGTERM.
 func interrupted() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -95,7 +99,11 @@
 		if err != nil {
 			return fmt.Errorf("standin: value %s: give a file beside the settings: %w", value.Key, err)
 		}
-		if err := publish(platform, value.Key, data); err != nil {
+		if value.Key != tableKey {
+			platform.Put(value.Key, data)
+			continue
+		}
+		if _, err := platform.PutTable(data); err != nil {
 			return err
 		}
 	}
