mgservice: net/http repeats a write by itself on a pooled connection

Cause: net/http takes the header Idempotency-Key for a permission to send a request again when a reused connection breaks before the reply. Ruled out: redirects and the client's own tries; the repeat comes from the transport and needs a reused connection. Change: a test of both clients: pooled, the service runs the write twice; a connection for each call, once.

--- a/internal/connection/mgservice/client_test.go
+++ b/internal/connection/mgservice/client_test.go
@@ -127,3 +127,55 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// A gauger's second ticket goes over the connection of the first. The service
+// books it and the connection breaks before the reply. net/http takes the
+// Idempotency-Key for a permission to send the request again on another
+// connection, and the service, which knows no such key, books two barrels.
+func TestSilentRepeat(t *testing.T) {
+	cases := []struct {
+		name   string
+		client *http.Client
+		runs   int64
+	}{
+		{
+			name: "a connection for each call: one run",
+			runs: 1,
+		},
+		{
+			name: "the broken variant, pooled connections: two runs",
+			client: &http.Client{
+				Transport: &http.Transport{},
+			},
+			runs: 2,
+		},
+	}
+	Convey("A booking whose reply is lost with", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var runs atomic.Int64
+				s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Header.Get("Idempotency-Key") == "ticket-2" {
+						runs.Add(1)
+						panic(http.ErrAbortHandler)
+					}
+				}))
+				defer s.Close()
+				client := mgservice.NewHTTP(s.URL, c.client)
+				spec := mgservice.CallSpec{
+					Method:    http.MethodPost,
+					Path:      "/tickets",
+					Body:      []byte("{}"),
+					Operation: "ticket-1",
+				}
+				_, err := client.Call(context.Background(), spec)
+				So(err, ShouldBeNil)
+				spec.Operation = "ticket-2"
+				_, err = client.Call(context.Background(), spec)
+				So(mgservice.KindOf(err), ShouldEqual, mgservice.Unknown)
+				So(runs.Load(), ShouldEqual, c.runs)
+			})
+		}
+	})
+}
