--- a/internal/standin/mgstandin/engine_test.go
+++ b/internal/standin/mgstandin/engine_test.go
@@ -81,7 +81,7 @@
 	return c.Start(ctx, mgengine.StartSpec{
 		ID:     id,
 		Prompt: fmt.Sprintf("shift report len=%d", length),
-		Max:    1000,
+		Max:    1 << 29,
 	})
 }
 
