mgplatform: client of the platform's values and list of VMs

Cause: processes read what the platform publishes and can write nothing.

Change: Client with read and watch as seams, over HTTP in the stand-in's form (value as the body, its version in the header Version, 304 for a quiet watch); missing, unchanged, too many reads and no answer are told apart; List and VM.

Conclusion: retries and budgets are left to mgconfig.

--- /dev/null
+++ b/internal/connection/mgplatform/client.go
@@ -0,0 +1,155 @@
+package mgplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// maxValue is the platform's limit for one value, in bytes.
+const maxValue = 1 << 20
+
+// versionHeader carries a value's version.
+const versionHeader = "Version"
+
+// Errors of the client.
+var (
+	ErrMissing   = errors.New("platform: no value has this key: publish it")
+	ErrUnchanged = errors.New("platform: the value has not changed: watch again")
+	ErrRate      = errors.New("platform: too many reads a second: read less often")
+	ErrDown      = errors.New("platform: no answer: keep what is in force and try again later")
+)
+
+// A Value is what was read under a key.
+type Value struct {
+	version uint64
+	data    []byte
+}
+
+// NewValue returns a value, for clients of other protocols.
+func NewValue(version uint64, data []byte) Value {
+	return Value{
+		version: version,
+		data:    data,
+	}
+}
+
+// Version returns the version that the service gave the value. It is not the
+// version of a table.
+func (v Value) Version() uint64 { return v.version }
+
+// Bytes returns the content. Callers don't change it.
+func (v Value) Bytes() []byte { return v.data }
+
+// A Client reads and watches values. The zero Client has no platform and fails
+// with ErrDown.
+type Client struct {
+	read  func(ctx context.Context, key string) (Value, error)
+	watch func(ctx context.Context, key string, after uint64, wait mgclock.Millis) (Value, error)
+}
+
+// NewClient returns a client that reads by read and watches by watch.
+func NewClient(
+	read func(ctx context.Context, key string) (Value, error),
+	watch func(ctx context.Context, key string, after uint64, wait mgclock.Millis) (Value, error),
+) Client {
+	return Client{
+		read:  read,
+		watch: watch,
+	}
+}
+
+// NewHTTP returns a client of the service at base, such as
+// "http://127.0.0.1:7401". A nil client stands for http.DefaultClient.
+func NewHTTP(base string, client *http.Client) Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	h := httpReader{
+		base:   base,
+		client: client,
+	}
+	return NewClient(
+		func(ctx context.Context, key string) (Value, error) {
+			return h.get(ctx, key, nil)
+		},
+		func(ctx context.Context, key string, after uint64, wait mgclock.Millis) (Value, error) {
+			return h.get(ctx, key, url.Values{
+				"after": {strconv.FormatUint(after, 10)},
+				"wait":  {strconv.FormatInt(int64(wait), 10)},
+			})
+		},
+	)
+}
+
+// Read returns the value of a key.
+func (c Client) Read(ctx context.Context, key string) (Value, error) {
+	if c.read == nil {
+		return Value{}, ErrDown
+	}
+	return c.read(ctx, key)
+}
+
+// Watch returns the value of a key once its version is above after, or
+// ErrUnchanged when that doesn't happen within wait.
+func (c Client) Watch(ctx context.Context, key string, after uint64, wait mgclock.Millis) (Value, error) {
+	if c.watch == nil {
+		return Value{}, ErrDown
+	}
+	return c.watch(ctx, key, after, wait)
+}
+
+// httpReader reads over HTTP.
+type httpReader struct {
+	base   string
+	client *http.Client
+}
+
+func (h httpReader) get(ctx context.Context, key string, query url.Values) (Value, error) {
+	address := h.base + "/v1/values/" + url.PathEscape(key)
+	if len(query) > 0 {
+		address += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return Value{}, fmt.Errorf("platform: check its address in the settings: %w", err)
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return Value{}, fmt.Errorf("%w: %w", ErrDown, err)
+	}
+	defer response.Body.Close()
+	return readResponse(key, response)
+}
+
+func readResponse(key string, response *http.Response) (Value, error) {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return Value{}, ErrUnchanged
+	case http.StatusNotFound:
+		return Value{}, fmt.Errorf("key %s: %w", key, ErrMissing)
+	case http.StatusTooManyRequests:
+		return Value{}, ErrRate
+	default:
+		return Value{}, fmt.Errorf("%w: status %d", ErrDown, response.StatusCode)
+	}
+	version, err := strconv.ParseUint(response.Header.Get(versionHeader), 10, 64)
+	if err != nil {
+		return Value{}, fmt.Errorf("%w: the answer has no version", ErrDown)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxValue+1))
+	if err != nil {
+		return Value{}, fmt.Errorf("%w: the answer broke off: %w", ErrDown, err)
+	}
+	if len(data) > maxValue {
+		return Value{}, fmt.Errorf("%w: the value of %s exceeds %d bytes", ErrDown, key, maxValue)
+	}
+	return NewValue(version, data), nil
+}
--- /dev/null
+++ b/internal/connection/mgplatform/client_test.go
@@ -0,0 +1,104 @@
+package mgplatform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+)
+
+func TestClient(t *testing.T) {
+	Convey("Over HTTP", t, func() {
+		for _, c := range []struct {
+			name    string
+			status  int
+			version string
+			body    string
+			err     error
+		}{
+			{
+				name:    "a value has a version",
+				status:  http.StatusOK,
+				version: "7",
+				body:    "x",
+			},
+			{
+				name:   "an absent value is missing",
+				status: http.StatusNotFound,
+				err:    mgplatform.ErrMissing,
+			},
+			{
+				name:   "a quiet watch is unchanged",
+				status: http.StatusNotModified,
+				err:    mgplatform.ErrUnchanged,
+			},
+			{
+				name:   "too many reads are told apart",
+				status: http.StatusTooManyRequests,
+				err:    mgplatform.ErrRate,
+			},
+			{
+				name:   "a fault is no answer",
+				status: http.StatusBadGateway,
+				err:    mgplatform.ErrDown,
+			},
+			{
+				name:   "a value without a version is no answer",
+				status: http.StatusOK,
+				body:   "x",
+				err:    mgplatform.ErrDown,
+			},
+			{
+				name:    "a value over a megabyte is no answer",
+				status:  http.StatusOK,
+				version: "7",
+				body:    strings.Repeat("x", 1<<20+1),
+				err:     mgplatform.ErrDown,
+			},
+		} {
+			Convey(c.name, func() {
+				path := ""
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					path = r.URL.String()
+					if c.version != "" {
+						w.Header().Set("Version", c.version)
+					}
+					w.WriteHeader(c.status)
+					_, _ = w.Write([]byte(c.body))
+				}))
+				defer server.Close()
+				client := mgplatform.NewHTTP(server.URL, server.Client())
+				value, err := client.Watch(context.Background(), mgplatform.ManifestKey, 6, 50)
+				So(path, ShouldEqual, "/v1/values/manifest?after=6&wait=50")
+				if c.err != nil {
+					So(err, ShouldWrap, c.err)
+					return
+				}
+				So(err, ShouldBeNil)
+				So(value.Version(), ShouldEqual, 7)
+				So(string(value.Bytes()), ShouldEqual, c.body)
+			})
+		}
+		Convey("a platform that can't be reached is down", func() {
+			server := httptest.NewServer(http.NotFoundHandler())
+			server.Close()
+			_, err := mgplatform.NewHTTP(server.URL, nil).Read(context.Background(), "vms")
+			So(err, ShouldWrap, mgplatform.ErrDown)
+			_, err = mgplatform.Client{}.Read(context.Background(), "vms")
+			So(err, ShouldWrap, mgplatform.ErrDown)
+		})
+	})
+	Convey("A list leaves out VMs that have no name", t, func() {
+		list, err := mgplatform.ReadList([]byte(`{"version":3,"vms":[{"name":"a","addr":"x"},{"addr":"y"}]}`))
+		So(err, ShouldBeNil)
+		So(list.VMs, ShouldHaveLength, 1)
+		So(list.VMs[0].PeerAddr(), ShouldEqual, "x")
+		_, err = mgplatform.ReadList([]byte("x"))
+		So(err, ShouldNotBeNil)
+	})
+}
