mgstandin: the platform speaks to mgplatform and publishes tables

Cause: mgplatform stands, and the stand-in had types of its own for the list of VMs; a demo starts from a table, not from its pages. Change: the list's types are mgplatform's; PutTable and POST table publish the pages before the manifest; the contract test reads by mgplatform.

--- a/internal/standin/mgstandin/platform.go
+++ b/internal/standin/mgstandin/platform.go
@@ -11,12 +11,17 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // valueBytes bounds a value.
 const valueBytes = 1 << 20
 
+// tableBytes bounds a table, of which 35,000 accounts take about 7 MB.
+const tableBytes = 64 << 20
+
 // keptSeconds bounds the reads counted by second.
 const keptSeconds = 600
 
@@ -54,6 +59,7 @@
 	r := chi.NewRouter()
 	r.Get("/v1/values/*", p.read)
 	r.Post("/standin/put", p.put)
+	r.Post("/standin/table", p.putTable)
 	r.Post("/standin/fault", takeFault(p.Set))
 	r.Get("/standin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, p.Counts())
@@ -71,7 +77,7 @@
 		body:    body,
 		shows:   now,
 	}
-	if key == ListKey {
+	if key == mgplatform.ListKey {
 		v.shows += p.spec.Lag
 	}
 	old := p.values[key]
@@ -88,15 +94,34 @@
 
 // PutVMs publishes the list of VMs, which readers see after the lag. One
 // goroutine publishes it.
-func (p *Platform) PutVMs(vms []VM) (uint64, error) {
-	body, err := json.Marshal(VMList{
-		Version: p.version(ListKey) + 1,
+func (p *Platform) PutVMs(vms []mgplatform.VM) (uint64, error) {
+	body, err := json.Marshal(mgplatform.List{
+		Version: p.version(mgplatform.ListKey) + 1,
 		VMs:     vms,
 	})
 	if err != nil {
 		return 0, fmt.Errorf("standin: the list of VMs can't be written: %w", err)
 	}
-	return p.Put(ListKey, body), nil
+	return p.Put(mgplatform.ListKey, body), nil
+}
+
+// PutTable publishes a table, given as TOML: its pages first, then its
+// manifest, so that nobody reads a manifest whose pages are missing. A faulty
+// table is refused; a test that needs one published puts its parts itself.
+func (p *Platform) PutTable(text []byte) error {
+	table, err := mgtable.Parse(text)
+	if err != nil {
+		return err
+	}
+	manifest, pages, err := table.Pages(valueBytes)
+	if err != nil {
+		return err
+	}
+	for i, page := range pages {
+		p.Put(mgplatform.PageKey(manifest.Pages[i]), page)
+	}
+	p.Put(mgplatform.ManifestKey, manifest.Bytes())
+	return nil
 }
 
 // version returns the newest version of a value, seen or not.
@@ -266,6 +291,18 @@
 	w.Header().Set(VersionHeader, strconv.FormatUint(p.Put(key, body), 10))
 }
 
+func (p *Platform) putTable(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tableBytes))
+	if err == nil {
+		err = p.PutTable(text)
+	}
+	if err != nil {
+		writeRefusal(w, http.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // look returns the present fault and the channel of its change.
 func (p *Platform) look() (string, <-chan struct{}) {
 	p.mu.Lock()
--- a/internal/standin/mgstandin/platform_test.go
+++ b/internal/standin/mgstandin/platform_test.go
@@ -2,42 +2,41 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
-// get reads a value as a line: status, version and body, or "broken".
-func get(ctx context.Context, base, path string) string {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/values/"+path, nil)
-	if err != nil {
-		return err.Error()
-	}
-	response, err := mgdial.Do(mgdial.NewClient(), r)
-	if err != nil {
-		return "broken"
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return "broken"
+// get reads a value as a line: its version and bytes, or why not.
+func get(ctx context.Context, base, key string) string {
+	return line(mgplatform.NewHTTP(base, mgdial.NewClient()).Read(ctx, key))
+}
+
+func line(v mgplatform.Value, err error) string {
+	for _, known := range []error{mgplatform.ErrMissing, mgplatform.ErrUnchanged, mgplatform.ErrRate, mgplatform.ErrDown} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
 	}
-	line := fmt.Sprint(response.StatusCode, " ", response.Header.Get(mgstandin.VersionHeader), " ", string(body))
-	return strings.TrimSpace(line)
+	return fmt.Sprint(v.Version(), " ", string(v.Bytes()))
 }
 
 // An operator publishes a new table while the platform fails. A process that
 // reads then gets the old table, the new one or an error, and never an older
 // one than it had; once the platform is well, it gets the new one.
 func TestPlatformFaults(t *testing.T) {
+	down := mgplatform.ErrDown.Error()
 	cases := []struct {
 		name  string
 		fault string
@@ -49,34 +48,34 @@
 		{
 			name:  "nothing fails",
 			key:   "table",
-			reads: []string{"200 1 old", "200 2 new", "200 2 new"},
+			reads: []string{"1 old", "2 new", "2 new"},
 		},
 		{
 			name:  "it is stale",
 			fault: mgstandin.Stale,
 			key:   "table",
-			reads: []string{"200 1 old", "200 1 old", "200 2 new"},
+			reads: []string{"1 old", "1 old", "2 new"},
 		},
 		{
 			name:  "it is down",
 			fault: mgstandin.Down,
 			key:   "table",
-			reads: []string{"broken", "broken", "200 2 new"},
+			reads: []string{down, down, "2 new"},
 		},
 		{
 			name:  "the list of VMs lags",
-			key:   mgstandin.ListKey,
+			key:   mgplatform.ListKey,
 			lag:   100,
-			reads: []string{"200 1 old", "200 1 old", "200 1 old"},
+			reads: []string{"1 old", "1 old", "1 old"},
 		},
 		{
 			name: "readers are over the rate",
 			key:  "table",
 			rate: 1,
 			reads: []string{
-				"200 1 old",
-				`429  {"kind":"rate","detail":"too many reads a second; read less often"}`,
-				`429  {"kind":"rate","detail":"too many reads a second; read less often"}`,
+				"1 old",
+				mgplatform.ErrRate.Error(),
+				mgplatform.ErrRate.Error(),
 			},
 		},
 	}
@@ -106,7 +105,7 @@
 				So(p.Counts().Reads, ShouldEqual, 3)
 				manual.Advance(c.lag)
 				if c.lag > 0 {
-					So(get(ctx, base, c.key), ShouldEqual, "200 2 new")
+					So(get(ctx, base, c.key), ShouldEqual, "2 new")
 				}
 			})
 		}
@@ -119,23 +118,24 @@
 		ctx := bounded()
 		p := &mgstandin.Platform{}
 		base := serve(p.Handler())
+		client := mgplatform.NewHTTP(base, mgdial.NewClient())
 		var log strings.Builder
-		say := func(path string) { fmt.Fprintln(&log, path, "->", get(ctx, base, path)) }
+		say := func(key string) { fmt.Fprintln(&log, key, "->", get(ctx, base, key)) }
 		say("manifest")
 		p.Put("manifest", []byte("first"))
-		p.Put("pages/0badc0de", []byte("a page"))
+		p.Put("page-0badc0de", []byte("a page"))
 		say("manifest")
-		say("pages/0badc0de")
-		say("manifest?after=1&wait=5")
+		say("page-0badc0de")
+		fmt.Fprintln(&log, "quiet watch ->", line(client.Watch(ctx, "manifest", 1, 5)))
 		seen := make(chan string, 1)
-		go func() { seen <- get(ctx, base, "manifest?after=1&wait=60000") }()
+		go func() { seen <- line(client.Watch(ctx, "manifest", 1, mgclock.Minute)) }()
 		response, err := http.Post(base+"/standin/put?key=manifest", "text/plain", strings.NewReader("second"))
 		So(err, ShouldBeNil)
 		So(response.Body.Close(), ShouldBeNil)
 		http.DefaultClient.CloseIdleConnections()
 		fmt.Fprintln(&log, "put", response.StatusCode, response.Header.Get(mgstandin.VersionHeader))
 		fmt.Fprintln(&log, "watch ->", <-seen)
-		_, err = p.PutVMs([]mgstandin.VM{
+		_, err = p.PutVMs([]mgplatform.VM{
 			{
 				Name:   "agent-1",
 				Kind:   "agent",
@@ -152,3 +152,28 @@
 		golden(t, "platform.golden", log.String())
 	})
 }
+
+// An operator publishes a table while processes read. A manifest that names a
+// page which isn't there yet would leave each reader without a configuration.
+func TestPlatformTable(t *testing.T) {
+	Convey("A table is published pages first, and a faulty one not at all", t, func() {
+		ctx := bounded()
+		p := &mgstandin.Platform{}
+		base := serve(p.Handler())
+		text, err := os.ReadFile("../../../examples/tankline/table.toml")
+		So(err, ShouldBeNil)
+		So(p.PutTable([]byte("version = x")), ShouldNotBeNil)
+		So(get(ctx, base, mgplatform.ManifestKey), ShouldEqual, mgplatform.ErrMissing.Error())
+		So(p.PutTable(text), ShouldBeNil)
+		client := mgplatform.NewHTTP(base, mgdial.NewClient())
+		value, err := client.Read(ctx, mgplatform.ManifestKey)
+		So(err, ShouldBeNil)
+		manifest, err := mgtable.ReadManifest(value.Bytes())
+		So(err, ShouldBeNil)
+		for _, digest := range manifest.Pages {
+			page, err := client.Read(ctx, mgplatform.PageKey(digest))
+			So(err, ShouldBeNil)
+			So(mgtable.DigestOf(page.Bytes()).String(), ShouldEqual, digest)
+		}
+	})
+}
--- a/internal/standin/mgstandin/run.go
+++ b/internal/standin/mgstandin/run.go
@@ -35,6 +35,15 @@
 // RunPlatform serves a platform with its first values until ctx ends.
 func RunPlatform(ctx context.Context, spec PlatformSpec, ready func(addr string)) error {
 	p := NewPlatform(spec, mgclock.Clock{})
+	if spec.Table != "" {
+		text, err := os.ReadFile(spec.Table)
+		if err != nil {
+			return fmt.Errorf("standin: key table: name a file that can be read: %w", err)
+		}
+		if err := p.PutTable(text); err != nil {
+			return fmt.Errorf("standin: key table: %s: %w", spec.Table, err)
+		}
+	}
 	for _, value := range spec.Values {
 		if err := p.putFile(value); err != nil {
 			return err
--- a/internal/standin/mgstandin/run_test.go
+++ b/internal/standin/mgstandin/run_test.go
@@ -39,7 +39,7 @@
 				Values: []string{"table=" + file},
 			}
 			So(mgstandin.RunPlatform(ctx, spec, func(addr string) {
-				So(get(ctx, "http://"+addr, "table"), ShouldEqual, "200 1 a table")
+				So(get(ctx, "http://"+addr, "table"), ShouldEqual, "1 a table")
 				cancel()
 			}), ShouldBeNil)
 			spec.Values = []string{"table"}
--- a/internal/standin/mgstandin/spec.go
+++ b/internal/standin/mgstandin/spec.go
@@ -32,5 +32,6 @@
 	Listen string         `toml:"listen" need:"yes" help:"loopback IP and port"`
 	Rate   int            `toml:"rate" min:"0" max:"1000000" unit:"reads/s" help:"bound on reads; 0 for none"`
 	Lag    mgclock.Millis `toml:"lag" min:"0" max:"600000" unit:"ms" help:"delay of the list of VMs"`
+	Table  string         `toml:"table" help:"file of the table published at the start"`
 	Values []string       `toml:"values" help:"values published at the start, each key=file"`
 }
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -54,28 +54,6 @@
 	Seconds map[int64]int `json:"seconds"` // reads by second since the start, the last 600
 }
 
-// VM is an entry of the list of VMs.
-type VM struct {
-	Name     string   `json:"name"`
-	Kind     string   `json:"kind"` // "entry" or "agent"
-	Addr     string   `json:"addr"` // where callers (entry) or entries (agent) reach it
-	Peer     string   `json:"peer,omitempty"`
-	Zone     string   `json:"zone"`
-	Region   string   `json:"region"`
-	Upstream string   `json:"upstream,omitempty"`
-	Models   []string `json:"models,omitempty"`
-	State    string   `json:"state"` // "live" or "leaving"
-}
-
-// VMList is the value of the key "vms".
-type VMList struct {
-	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
-}
-
-// ListKey is the key of the list of VMs.
-const ListKey = "vms"
-
 // VersionHeader carries a value's version.
 const VersionHeader = "Version"
 
