mglength: reuse evicted classes, fill a curve when enough was counted

Cause: a class per new account allocated 1.5 kB on the path of a request at 35,000 accounts, and each look after a token filled the curve anew.

Change: an evicted class without running answers is reused; a curve may lack a sixteenth of what was counted, 64 counts at most; buckets by bits.Len in place of a logarithm; the prior's tail has a finite mean (shape 2, mean 402 tokens).

--- a/internal/request/mglength/curve.go
+++ b/internal/request/mglength/curve.go
@@ -1,6 +1,9 @@
 package mglength
 
-import "math"
+import (
+	"math"
+	"math/bits"
+)
 
 // Buckets is the number of buckets of a histogram: four an octave from 8
 // tokens to beyond 131,072, the longest answer of a present model.
@@ -19,14 +22,11 @@
 	if length < 8 {
 		return 0
 	}
-	octave := math.Log2(float64(length) / 8)
-	b := min(int(octave*4)+1, Buckets-1)
-	if b+1 < Buckets && float64(length) >= edges[b+1] {
+	octave := bits.Len(uint(length)) - 4
+	b := min(4*octave+1, Buckets-1)
+	for b < Buckets-1 && float64(length) >= edges[b+1] {
 		b++
 	}
-	if float64(length) < edges[b] {
-		b--
-	}
 	return b
 }
 
@@ -93,9 +93,10 @@
 }
 
 // priorHazard is that of a log-logistic law with a median of 256 tokens and
-// the shape 1.2, a long tail: what is unknown is taken for possibly long.
+// the shape 2, a long tail: what is unknown is taken for possibly long. Its
+// mean is 402 tokens.
 var priorHazard = func() (h [Buckets]float64) {
-	law := func(length float64) float64 { return 1 / (1 + math.Pow(length/256, 1.2)) }
+	law := func(length float64) float64 { return 1 / (1 + math.Pow(length/256, 2)) }
 	for b := range h {
 		h[b] = 1 - law(edges[b+1])/law(edges[b])
 	}
@@ -122,8 +123,8 @@
 	}
 }
 
-// beyond returns the chance of a length beyond x.
-func (c *Curve) beyond(x int) float64 {
+// Beyond returns the chance of a length beyond x.
+func (c *Curve) Beyond(x int) float64 {
 	b := bucket(x)
 	part := min((float64(x)-edges[b])/(edges[b+1]-edges[b]), 1)
 	return c.survival[b] + (c.survival[b+1]-c.survival[b])*part
@@ -141,17 +142,17 @@
 // Survival returns the chance that an answer which has produced some tokens
 // still runs after ahead more.
 func (c *Curve) Survival(produced, ahead int) float64 {
-	given := c.beyond(produced)
+	given := c.Beyond(produced)
 	if given <= 0 {
 		return 0
 	}
-	return c.beyond(produced+ahead) / given
+	return c.Beyond(produced+ahead) / given
 }
 
 // Mean returns the expected number of tokens to come of an answer that has
 // produced some and stops at limit, 0 for none.
 func (c *Curve) Mean(produced, limit int) float64 {
-	given := c.beyond(produced)
+	given := c.Beyond(produced)
 	if given <= 0 || limit > 0 && produced >= limit {
 		return 0
 	}
--- a/internal/request/mglength/estimator.go
+++ b/internal/request/mglength/estimator.go
@@ -10,6 +10,11 @@
 // Classes is the most classes that an Estimator keeps.
 const Classes = 4096
 
+// fresh is the most counts that a curve may lack, out of some thousands that
+// weigh: filling it for each count would be most of a decision's cost. A curve
+// with little behind it lacks a sixteenth.
+const fresh = 64
+
 // A Key names a class and the levels above it.
 type Key struct {
 	Account string
@@ -29,7 +34,7 @@
 // node is a class, a service or a model.
 type node struct {
 	above  *node // nil for the prior
-	users  int   // nodes below
+	users  int   // nodes below, or answers that run
 	counts counts
 	curve  Curve
 	turn   uint64 // of all counts when curve was filled
@@ -58,8 +63,10 @@
 
 // Begin starts to follow an answer.
 func (e *Estimator) Begin(key Key) Answer {
+	c := e.class(key)
+	c.users++
 	return Answer{
-		class: &e.class(key).node,
+		class: &c.node,
 	}
 }
 
@@ -88,14 +95,22 @@
 	}
 }
 
-// End tells that the answer came to its own end after a number of tokens in
-// all. An answer that was cut off just isn't followed any more.
+// Stop ends to follow an answer that was cut off.
+func (a *Answer) Stop() {
+	if a.class != nil {
+		a.class.users--
+	}
+	a.class = nil
+}
+
+// End ends to follow an answer that came to its own end after a number of
+// tokens in all.
 func (a *Answer) End(produced int) {
 	a.Progress(produced)
 	for n := a.class; n != nil; n = n.above {
 		n.counts.end(a.passed)
 	}
-	a.class = nil
+	a.Stop()
 }
 
 // hazard returns the chance that an answer which reaches bucket b ends in it.
@@ -106,7 +121,7 @@
 	return n.counts.hazard(b, n.above.hazard(b))
 }
 
-// look returns the curve, filled anew if anything was counted since.
+// look returns the curve, filled anew if enough was counted since.
 func (n *node) look() *Curve {
 	if n == nil {
 		return &prior
@@ -115,7 +130,7 @@
 	for m := n; m != nil; m = m.above {
 		turn += m.counts.turn
 	}
-	if n.turn != turn {
+	if stale := turn - n.turn; n.turn == 0 || stale > min(turn/16, fresh) {
 		n.turn = turn
 		n.curve.fill(n.hazard)
 	}
@@ -127,10 +142,7 @@
 	e.init()
 	c := e.classes[key]
 	if c == nil {
-		if len(e.classes) >= Classes {
-			e.forget(e.ring.prev)
-		}
-		c = e.create(key)
+		c = e.create(key, e.spare())
 	}
 	e.touch(c)
 	return c
@@ -147,7 +159,23 @@
 	e.ring.prev = &e.ring
 }
 
-func (e *Estimator) create(key Key) *class {
+// spare returns an empty class. Once there are Classes it is the one used
+// longest ago, unless answers of that one still run: they keep it until they
+// end.
+func (e *Estimator) spare() *class {
+	if len(e.classes) < Classes {
+		return new(class)
+	}
+	c := e.ring.prev
+	e.forget(c)
+	if c.users > 0 {
+		return new(class)
+	}
+	*c = class{}
+	return c
+}
+
+func (e *Estimator) create(key Key, c *class) *class {
 	model := e.models[key.Model]
 	if model == nil {
 		model = new(node)
@@ -162,9 +190,7 @@
 		e.services[serviceKey(key)] = service
 	}
 	service.users++
-	c := &class{
-		key: key,
-	}
+	c.key = key
 	c.above = service
 	e.classes[key] = c
 	return c
@@ -187,8 +213,7 @@
 	c.prev.next = c.next
 }
 
-// forget drops a class, and the levels above it that have no other. Running
-// answers keep their class until they end.
+// forget drops a class, and the levels above it that have no other.
 func (e *Estimator) forget(c *class) {
 	c.unlink()
 	delete(e.classes, c.key)
