--- /dev/null
+++ b/internal/request/mgadmission/gate_test.go
@@ -0,0 +1,227 @@
+package mgadmission_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgadmission"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mglength"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// answer is one that a play of a batch lets in.
+type answer struct {
+	share  mgadmission.Share
+	follow mglength.Answer
+	made   int
+	length int
+}
+
+// play keeps a batch as full as the gate allows, a token a step, and returns
+// the tokens produced and the steps at which memory was outgrown.
+func play(spec mgadmission.Spec, steps int) (tokens, outgrown int) {
+	r := rand.New(rand.NewPCG(7, 8))
+	gate := mgadmission.NewGate(spec)
+	var lengths mglength.Estimator
+	var batch []*answer
+	next := func() int { return 1 + int(math.Exp(5+1.2*r.NormFloat64())) }
+	length := next()
+	for range steps {
+		for {
+			c := mgadmission.Candidate{
+				Prompt: 200,
+				Max:    8192,
+				Whole:  true,
+				Curve:  lengths.Curve(mglength.Key{}),
+			}
+			if !gate.Admits(c) {
+				break
+			}
+			a := &answer{
+				follow: lengths.Begin(mglength.Key{}),
+				length: min(length, c.Max),
+			}
+			gate.Enter(&a.share, c)
+			batch = append(batch, a)
+			length = next()
+		}
+		if gate.Used() > spec.Memory {
+			outgrown++
+		}
+		kept := batch[:0]
+		for _, a := range batch {
+			a.made++
+			tokens++
+			a.follow.Progress(a.made)
+			if gate.Grow(&a.share, a.made) {
+				gate.Weigh(&a.share, a.follow.Curve())
+			}
+			if a.made < a.length {
+				kept = append(kept, a)
+				continue
+			}
+			a.follow.End(a.made)
+			gate.Leave(&a.share)
+		}
+		batch = kept
+	}
+	return tokens, outgrown
+}
+
+// An engine under saturation preempts all the time, or stands half idle:
+// answers were let in by what fits now, or by the longest they may get.
+func TestRules(t *testing.T) {
+	Convey("Under saturation", t, func() {
+		spec := mgadmission.Spec{
+			Memory: 20_000,
+			Batch:  100,
+		}
+		tokens, outgrown := map[mgadmission.Rule]int{}, map[mgadmission.Rule]int{}
+		for _, rule := range []mgadmission.Rule{mgadmission.Outgrow, mgadmission.Now, mgadmission.Reserve} {
+			spec.Rule = rule
+			tokens[rule], outgrown[rule] = play(spec, 20_000)
+		}
+		Convey("the chance of outgrowing keeps within memory where the present does not", func() {
+			So(outgrown[mgadmission.Outgrow], ShouldBeLessThan, outgrown[mgadmission.Now]/20)
+		})
+		Convey("and gets most of what the present seems to", func() {
+			So(tokens[mgadmission.Outgrow], ShouldBeGreaterThan, tokens[mgadmission.Now]*6/10)
+		})
+		Convey("and far more than the maximum does", func() {
+			So(tokens[mgadmission.Outgrow], ShouldBeGreaterThan, 3*tokens[mgadmission.Reserve])
+		})
+	})
+}
+
+// A preempted dossier never comes back: each time memory becomes free, a new
+// request takes it.
+func TestPreemptedComesFirst(t *testing.T) {
+	Convey("Nothing starts while a preempted answer is out", t, func() {
+		var gate mgadmission.Gate
+		var share mgadmission.Share
+		gate.Enter(&share, mgadmission.Candidate{})
+		gate.Preempted(&share)
+		So(gate.Admits(mgadmission.Candidate{}), ShouldBeFalse)
+		gate.Grow(&share, 1)
+		So(gate.Admits(mgadmission.Candidate{}), ShouldBeTrue)
+	})
+}
+
+// An engine's report of a second ago shows memory that has been freed since,
+// and requests are turned away although there is room.
+func TestLaggingReport(t *testing.T) {
+	Convey("One lagging report takes no memory, a steady difference does", t, func() {
+		gate := mgadmission.NewGate(mgadmission.Spec{
+			Memory: 1000,
+		})
+		for range 8 {
+			gate.Reported(0)
+		}
+		gate.Reported(900)
+		So(gate.Headroom(), ShouldEqual, 1000)
+		for range 8 {
+			gate.Reported(300)
+		}
+		So(gate.Headroom(), ShouldEqual, 700)
+	})
+}
+
+// An upstream hangs, and callers are still told that a wait of seconds will do.
+func TestForecastOfStall(t *testing.T) {
+	Convey("A stalled upstream's predicted waits grow", t, func() {
+		var f mgadmission.Forecast
+		f.Busy(0, true)
+		now := mgclock.Millis(0)
+		for ; now < 10*mgclock.Second; now += 10 {
+			f.Done(now, 10)
+		}
+		So(f.Wait(now, 1000), ShouldBeBetween, 950, 1050)
+		So(f.Wait(now+10*mgclock.Second, 1000), ShouldBeGreaterThan, 5*mgclock.Second)
+	})
+}
+
+// Whatever comes and goes, no rule lets in more than fits or more than a
+// batch, Reserve never outgrows memory, and an empty gate holds nothing.
+func TestGateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := mgadmission.Spec{
+			Memory: rapid.Int64Range(100, 10_000).Draw(t, "memory"),
+			Batch:  rapid.IntRange(1, 20).Draw(t, "batch"),
+			Rule:   rapid.SampledFrom([]mgadmission.Rule{mgadmission.Outgrow, mgadmission.Mark, mgadmission.Reserve, mgadmission.Now}).Draw(t, "rule"),
+			Free:   rapid.Float64Range(0, 1).Draw(t, "free"),
+		}
+		gate := mgadmission.NewGate(spec)
+		var lengths mglength.Estimator
+		var batch []*answer
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			c := mgadmission.Candidate{
+				Prompt: rapid.IntRange(0, 5000).Draw(t, "prompt"),
+				Max:    rapid.IntRange(1, 5000).Draw(t, "max"),
+				Whole:  rapid.Bool().Draw(t, "whole"),
+				Curve:  lengths.Curve(mglength.Key{}),
+			}
+			if gate.Admits(c) {
+				a := &answer{
+					length: c.Max,
+				}
+				gate.Enter(&a.share, c)
+				batch = append(batch, a)
+				if gate.Used() > spec.Memory || gate.Running() > spec.Batch {
+					t.Fatalf("%d of %d tokens, %d of %d answers", gate.Used(), spec.Memory, gate.Running(), spec.Batch)
+				}
+			} else if gate.Running() == 0 && int64(c.Prompt) < spec.Memory {
+				t.Fatal("an idle engine turns away what fits")
+			}
+			kept := batch[:0]
+			for _, a := range batch {
+				a.made = min(a.made+rapid.IntRange(0, 500).Draw(t, "made"), a.length)
+				gate.Grow(&a.share, a.made)
+				gate.Weigh(&a.share, lengths.Curve(mglength.Key{}))
+				if a.made < a.length {
+					kept = append(kept, a)
+				} else {
+					gate.Leave(&a.share)
+				}
+			}
+			batch = kept
+			if spec.Rule == mgadmission.Reserve && len(batch) > 1 && gate.Used() > spec.Memory {
+				t.Fatal("reserved memory was outgrown")
+			}
+		}
+		for _, a := range batch {
+			gate.Leave(&a.share)
+		}
+		if gate.Used() != 0 || gate.Running() != 0 {
+			t.Fatalf("empty, and %d tokens are held by %d", gate.Used(), gate.Running())
+		}
+	})
+}
+
+func BenchmarkAdmits(b *testing.B) {
+	for _, running := range []int{10, 64} {
+		b.Run(fmt.Sprint(running), func(b *testing.B) {
+			gate := mgadmission.NewGate(mgadmission.Spec{
+				Memory: 1 << 20,
+				Batch:  running + 1,
+			})
+			var lengths mglength.Estimator
+			c := mgadmission.Candidate{
+				Prompt: 500,
+				Curve:  lengths.Curve(mglength.Key{}),
+			}
+			shares := make([]mgadmission.Share, running)
+			for n := range shares {
+				gate.Enter(&shares[n], c)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = gate.Admits(c)
+			}
+		})
+	}
+}
