mgscheduler: what an agent decides for its upstream

Change: Submit, Offer, Poll, Withdraw, Progress, Preempted, Finish, Abandon, Used, Leaving and NextWake; named policies. Requests that can't be answered in time are refused when they come, or given up on at the last moment at which the first token could be in time. A leaving upstream hands back what waits.

--- /dev/null
+++ b/internal/request/mgscheduler/scheduler_test.go
@@ -0,0 +1,308 @@
+package mgscheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgadmission"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+var small = mgscheduler.Spec{
+	Memory: 20_000,
+	Batch:  16,
+}
+
+// Five hundred gaugers ask within one second at the change of shift. Some
+// can't be answered in time; they hear it at the end of their patience or
+// never, and the others' answers come late as well.
+func TestBurst(t *testing.T) {
+	Convey("In a burst", t, func() {
+		u := newUpstream(small)
+		calls := make([]*call, 0, 500)
+		for n := range 500 {
+			calls = append(calls, u.send(fmt.Sprint(n%10), "note", 100, 10*mgclock.Second))
+			u.run(mgclock.Millis(2 * n))
+		}
+		u.run(mgclock.Minute)
+
+		Convey("each caller hears in time, and what is let in is answered in time", func() {
+			answered := 0
+			for _, c := range calls {
+				if c.problem != nil {
+					So(c.told, ShouldBeLessThanOrEqualTo, c.request.Deadline)
+					So(c.problem.Outcome(), ShouldEqual, mgproblem.NotRun)
+					So(c.problem.Retry(), ShouldBeGreaterThan, 0)
+					So(c.started, ShouldBeFalse)
+					continue
+				}
+				So(c.first, ShouldBeLessThanOrEqualTo, c.request.Deadline)
+				answered++
+			}
+			// 16 at a time, 2 s each, for 10 s and the time of the first batch.
+			So(answered, ShouldBeGreaterThanOrEqualTo, 5*16)
+		})
+	})
+}
+
+// A caller comes back when it was told to and is turned away again, and again:
+// the time in Retry-After was a guess.
+func TestRetryIsTruthful(t *testing.T) {
+	Convey("Who comes back when told is let in", t, func() {
+		u := newUpstream(small)
+		var c *call
+		for n := 0; ; n++ {
+			c = u.send(fmt.Sprint(n%10), "note", 100, 20*mgclock.Second)
+			u.run(u.now + 40)
+			if c.problem != nil {
+				break
+			}
+		}
+		u.run(u.now + c.problem.Retry() + u.step)
+		again := u.send(c.request.Account, "note", 100, 20*mgclock.Second)
+		So(again.problem, ShouldBeNil)
+		u.run(u.now + mgclock.Minute)
+		So(again.problem, ShouldBeNil)
+		So(again.first, ShouldBeLessThanOrEqualTo, again.request.Deadline)
+	})
+}
+
+// One customer's batch job takes the engine, and the other nine customers'
+// notes time out although they ask for little.
+func TestHeavyAccount(t *testing.T) {
+	Convey("A heavy account keeps nobody from a share", t, func() {
+		u := newUpstream(small)
+		heavy, light := 0, []*call(nil)
+		for u.now < 2*mgclock.Minute {
+			for range 4 {
+				u.send("heavy", "batch", 100, 30*mgclock.Second)
+			}
+			if u.now%mgclock.Second == 0 {
+				light = append(light, u.send(fmt.Sprint("light", u.now/mgclock.Second%9), "note", 100, 30*mgclock.Second))
+			}
+			u.run(u.now + 200)
+		}
+		for _, c := range u.calls {
+			if c.request.Account == "heavy" && c.ended > 0 {
+				heavy++
+			}
+		}
+		for _, c := range light[:len(light)-10] {
+			So(c.problem, ShouldBeNil)
+			So(c.first-c.request.Deadline+30*mgclock.Second, ShouldBeLessThan, 3*mgclock.Second)
+		}
+		// The heavy one gets what the light ones leave of 8 answers a second.
+		So(heavy, ShouldBeGreaterThan, 120*6)
+	})
+}
+
+// An upstream turns ten times slower. Requests are let in as before, and all
+// of them wait out their deadline.
+func TestSlowUpstream(t *testing.T) {
+	Convey("When the upstream turns slow, more are turned away at once", t, func() {
+		u := newUpstream(small)
+		load := func(until mgclock.Millis) (refused, late int) {
+			for u.now < until {
+				c := u.send(fmt.Sprint(u.now/200%7), "note", 100, 15*mgclock.Second)
+				came := u.now
+				u.run(u.now + 200)
+				if c.problem != nil && c.told == came {
+					refused++
+				}
+			}
+			for _, c := range u.calls {
+				if c.problem != nil && c.problem.Kind() == mgproblem.Late {
+					late++
+				}
+			}
+			return refused, late
+		}
+		refused, late := load(mgclock.Minute)
+		So(refused+late, ShouldEqual, 0)
+		u.step = 200
+		refused, late = load(4 * mgclock.Minute)
+		So(refused, ShouldBeGreaterThan, 600)
+		So(late, ShouldBeLessThan, refused/4)
+		for _, c := range u.calls {
+			if c.problem != nil {
+				So(c.told, ShouldBeLessThanOrEqualTo, c.request.Deadline)
+			}
+		}
+	})
+}
+
+// A lookup takes a minute: the batch is full of shift reports, and more of
+// them wait in front.
+func TestLongAmongShort(t *testing.T) {
+	Convey("Lookups pass the reports that wait", t, func() {
+		u := newUpstream(small)
+		r := rand.New(rand.NewPCG(5, 6))
+		lookups := []*call(nil)
+		for u.now < 5*mgclock.Minute {
+			u.send("tank", "report", 500+r.IntN(1000), mgclock.Minute)
+			lookups = append(lookups, u.send("tank", "lookup", 10, 10*mgclock.Second))
+			u.run(u.now + mgclock.Second)
+		}
+		u.run(u.now + mgclock.Minute)
+		inTime := 0
+		for _, c := range lookups {
+			if c.problem == nil {
+				So(c.first, ShouldBeLessThanOrEqualTo, c.request.Deadline)
+				inTime++
+			}
+		}
+		So(inTime, ShouldBeGreaterThan, len(lookups)*9/10)
+	})
+}
+
+// An upstream is reclaimed. Requests that wait for it are kept until it dies,
+// although others could have answered them.
+func TestLeaving(t *testing.T) {
+	Convey("A leaving upstream hands back what waits and ends what runs", t, func() {
+		u := newUpstream(small)
+		for range 20 {
+			u.send("tank", "note", 100, 0)
+		}
+		u.scheduler.Leaving(u.now)
+		u.poll()
+		So(u.send("tank", "note", 100, 0).problem.Kind(), ShouldEqual, mgproblem.Leaving)
+		u.run(mgclock.Minute)
+		ended, handed := 0, 0
+		for _, c := range u.calls {
+			switch {
+			case c.ended > 0:
+				ended++
+			case c.problem.Kind() == mgproblem.Leaving:
+				handed++
+			}
+		}
+		So(ended, ShouldEqual, 16)
+		So(handed, ShouldEqual, 5)
+	})
+}
+
+// Whatever comes, each request gets one verdict, an idle upstream starts what
+// waits, nothing is given up on after its deadline, and an idle scheduler
+// holds nothing.
+func TestSchedulerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := newUpstream(mgscheduler.Spec{
+			Memory: rapid.Int64Range(200, 5000).Draw(t, "memory"),
+			Batch:  rapid.IntRange(1, 8).Draw(t, "batch"),
+			Queue:  rapid.IntRange(1, 32).Draw(t, "queue"),
+			Policy: mgscheduler.Policy{
+				Rule: rapid.SampledFrom([]mgadmission.Rule{mgadmission.Outgrow, mgadmission.Mark, mgadmission.Reserve, mgadmission.Now}).Draw(t, "rule"),
+			},
+		})
+		withdrawn := map[string]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				u.send(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), "note",
+					rapid.IntRange(1, 40).Draw(t, "length"), mgclock.Millis(rapid.IntRange(0, 500).Draw(t, "allowed")))
+			case 2:
+				id := fmt.Sprint(rapid.IntRange(0, len(u.calls)).Draw(t, "id"))
+				if u.scheduler.Withdraw(u.now, id) {
+					withdrawn[id] = true
+				}
+			case 3:
+				if len(u.running) > 0 {
+					u.scheduler.Preempted(u.now, u.running[0].request.ID)
+				}
+			}
+			u.run(u.now + 20)
+			if u.scheduler.Queued() > 0 && u.scheduler.Running() == 0 {
+				t.Fatal("the upstream is idle while requests wait")
+			}
+			if u.scheduler.Running() != len(u.running) {
+				t.Fatalf("%d run, the scheduler says %d", len(u.running), u.scheduler.Running())
+			}
+		}
+		u.run(u.now + 10*mgclock.Minute)
+		for id, c := range u.calls {
+			verdicts := 0
+			for _, is := range []bool{c.ended > 0, c.problem != nil, withdrawn[id]} {
+				if is {
+					verdicts++
+				}
+			}
+			if verdicts != 1 {
+				t.Fatalf("request %s has %d verdicts", id, verdicts)
+			}
+			if c.problem != nil && c.request.Deadline > 0 && c.told > c.request.Deadline {
+				t.Fatalf("request %s was given up on after its deadline", id)
+			}
+		}
+		if u.scheduler.Memory() != 0 {
+			t.Fatalf("idle, and %d tokens are held", u.scheduler.Memory())
+		}
+	})
+}
+
+// BenchmarkOffer and BenchmarkStart measure the two decisions on the path of a
+// request, with as many accounts known and some of them waiting.
+func BenchmarkOffer(b *testing.B) {
+	for _, accounts := range []int{10, 35_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			s, requests := crowd(accounts)
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = s.Offer(mgclock.Millis(n), requests[n%accounts])
+				n++
+			}
+		})
+	}
+}
+
+func BenchmarkStart(b *testing.B) {
+	for _, accounts := range []int{10, 35_000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			s, requests := crowd(accounts)
+			n := 0
+			var decisions []mgscheduler.Decision
+			b.ReportAllocs()
+			for b.Loop() {
+				now := mgclock.Millis(n)
+				r := &requests[n%accounts]
+				if s.Submit(now, *r) != nil {
+					b.Fatal("refused")
+				}
+				decisions = s.Poll(now, decisions[:0])
+				for _, d := range decisions {
+					s.Progress(now, d.ID, 1)
+					s.Finish(now, d.ID)
+				}
+				n++
+			}
+		})
+	}
+}
+
+// crowd returns a scheduler that has answered each account once, and requests
+// of theirs.
+func crowd(accounts int) (*mgscheduler.Scheduler, []mgscheduler.Request) {
+	s := mgscheduler.New(small)
+	requests := make([]mgscheduler.Request, accounts)
+	for n := range requests {
+		requests[n] = mgscheduler.Request{
+			ID:       fmt.Sprint(n),
+			Account:  fmt.Sprint("account", n),
+			Service:  "note",
+			Prompt:   100,
+			Deadline: 1 << 40,
+		}
+		_ = s.Submit(0, requests[n])
+		for _, d := range s.Poll(0, nil) {
+			s.Progress(0, d.ID, 20+n%200)
+			s.Finish(0, d.ID)
+		}
+	}
+	return s, requests
+}
--- /dev/null
+++ b/internal/request/mgscheduler/spec.go
@@ -0,0 +1,117 @@
+package mgscheduler
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgadmission"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// Spec holds the settings of a Scheduler. The zero Spec has no bound on memory
+// and takes the defaults.
+type Spec struct {
+	Memory int64          // tokens of the upstream's memory, 0 for no bound
+	Batch  int            // most answers at a time, 0 for mgadmission.DefaultBatch
+	Queue  int            // most requests that wait, 0 for mgqueue.DefaultBound
+	Boost  mgclock.Millis // head start per priority, 0 for mgqueue.DefaultBoost
+	Policy Policy
+}
+
+// A Policy is a named set of settings that are compared with each other. The
+// zero Policy is the one to use.
+type Policy struct {
+	Rule   mgadmission.Rule // what is let in
+	Free   float64          // share that stays free under mgadmission.Mark
+	Steady float64          // z of steady answers under mgadmission.Outgrow
+	Whole  float64          // z of whole answers under mgadmission.Outgrow
+}
+
+// policies holds the named policies.
+var policies = map[string]Policy{
+	"ours": {},
+	"now": {
+		Rule: mgadmission.Now,
+	},
+	"reserve": {
+		Rule: mgadmission.Reserve,
+	},
+	"mark-0.1": {
+		Rule: mgadmission.Mark,
+		Free: 0.1,
+	},
+	"mark-0.2": {
+		Rule: mgadmission.Mark,
+		Free: 0.2,
+	},
+	"mark-0.3": {
+		Rule: mgadmission.Mark,
+		Free: 0.3,
+	},
+	"mark-0.4": {
+		Rule: mgadmission.Mark,
+		Free: 0.4,
+	},
+}
+
+// Named returns the policy of a name.
+func Named(name string) (Policy, error) {
+	p, ok := policies[name]
+	if !ok {
+		return Policy{}, fmt.Errorf("mgscheduler: no policy is called %q: use one of %q", name, Names())
+	}
+	return p, nil
+}
+
+// Names returns the names of all policies in order.
+func Names() []string {
+	names := make([]string, 0, len(policies))
+	for name := range policies {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Preference is what a service's callers mind most.
+type Preference string
+
+// The preferences.
+const (
+	Steady Preference = ""      // short gaps between tokens
+	Whole  Preference = "whole" // no stall and no preemption
+)
+
+// A Request is what the scheduler is told of a generation.
+type Request struct {
+	ID       string
+	Account  string
+	Service  string
+	Model    string
+	Weight   float64        // the account's, 0 counts as 1
+	Priority int            // the service's, 0 to mgqueue.Levels-1, higher goes first
+	Prefer   Preference     // the service's
+	Prompt   int            // tokens
+	Cached   int            // tokens of the prompt that the upstream has computed before
+	Max      int            // tokens that the answer stops at, 0 for none
+	Deadline mgclock.Millis // when the first token is due at the latest, 0 for none
+}
+
+// uncached returns the prompt tokens that must be computed.
+func (r *Request) uncached() int { return max(r.Prompt-r.Cached, 0) }
+
+// A Decision starts a request or gives it up.
+type Decision struct {
+	ID     string
+	GiveUp *mgproblem.Problem // nil to start
+}
+
+// An Offer tells an entry what a request would meet here.
+type Offer struct {
+	Wait     mgclock.Millis // expected until the first token
+	Headroom int64          // free tokens of memory
+	Running  int
+	Queued   int
+	Refused  *mgproblem.Problem // nil when it would be taken
+}
--- /dev/null
+++ b/internal/request/mgscheduler/upstream_test.go
@@ -0,0 +1,109 @@
+package mgscheduler_test
+
+import (
+	"fmt"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// upstream is a fake that produces a token per running answer and step.
+type upstream struct {
+	scheduler *mgscheduler.Scheduler
+	now       mgclock.Millis
+	step      mgclock.Millis
+	running   []*call
+	calls     map[string]*call
+	decisions []mgscheduler.Decision
+}
+
+// call is a request with what its caller got.
+type call struct {
+	request  mgscheduler.Request
+	length   int
+	produced int
+	started  bool
+	first    mgclock.Millis // when the first token came
+	ended    mgclock.Millis // when the whole answer had come
+	problem  *mgproblem.Problem
+	told     mgclock.Millis // when the problem came
+}
+
+func newUpstream(spec mgscheduler.Spec) *upstream {
+	return &upstream{
+		scheduler: mgscheduler.New(spec),
+		step:      20,
+		calls:     map[string]*call{},
+	}
+}
+
+// send submits a request of an account's service.
+func (u *upstream) send(account, service string, length int, allowed mgclock.Millis) *call {
+	c := &call{
+		length: length,
+		request: mgscheduler.Request{
+			ID:      fmt.Sprint(len(u.calls)),
+			Account: account,
+			Service: service,
+			Prompt:  100,
+		},
+	}
+	if allowed > 0 {
+		c.request.Deadline = u.now + allowed
+	}
+	u.submit(c)
+	return c
+}
+
+func (u *upstream) submit(c *call) {
+	u.calls[c.request.ID] = c
+	c.problem = u.scheduler.Submit(u.now, c.request)
+	c.told = u.now
+	u.poll()
+}
+
+func (u *upstream) poll() {
+	u.decisions = u.scheduler.Poll(u.now, u.decisions[:0])
+	for _, d := range u.decisions {
+		c := u.calls[d.ID]
+		if d.GiveUp != nil {
+			c.problem = d.GiveUp
+			c.told = u.now
+			continue
+		}
+		c.started = true
+		u.running = append(u.running, c)
+	}
+}
+
+// run makes steps until a time, and polls in between when the scheduler asks.
+func (u *upstream) run(until mgclock.Millis) {
+	for next := u.now + u.step; next <= until; next += u.step {
+		for at := u.scheduler.NextWake(u.now); at > 0 && at < next; at = u.scheduler.NextWake(u.now) {
+			u.now = max(u.now, at)
+			u.poll()
+		}
+		u.now = next
+		u.produce()
+		u.poll()
+	}
+}
+
+func (u *upstream) produce() {
+	kept := u.running[:0]
+	for _, c := range u.running {
+		c.produced++
+		u.scheduler.Progress(u.now, c.request.ID, c.produced)
+		if c.produced == 1 {
+			c.first = u.now
+		}
+		if c.produced < c.length {
+			kept = append(kept, c)
+			continue
+		}
+		c.ended = u.now
+		u.scheduler.Finish(u.now, c.request.ID)
+	}
+	u.running = kept
+}
