cmd, mgnode, mgagent, mgentry: the thin path as separate processes

Cause: a request must be served end to end before anything else grows. Change: entry, agent and stand-ins run from settings files; the platform's table and list of VMs are followed directly for now.

--- /dev/null
+++ b/cmd/marjoramgauge/process.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgnode"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+)
+
+// signals returns a context that ends with the first SIGINT or SIGTERM and one
+// that ends with the second.
+func signals() (stop, hurry context.Context) {
+	stop, stopNow := context.WithCancel(context.Background())
+	hurry, hurryNow := context.WithCancel(context.Background())
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-received
+		stopNow()
+		<-received
+		hurryNow()
+	}()
+	return stop, hurry
+}
+
+type entryCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the entry, TOML"`
+	to       streams
+}
+
+// Execute runs an entry until it is told to stop.
+func (c *entryCommand) Execute([]string) error {
+	var settings mgsettings.Entry
+	if err := mgsettings.Load(c.Settings, &settings); err != nil {
+		return err
+	}
+	node, err := mgnode.Open(settings.Process, c.to.err)
+	if err != nil {
+		return err
+	}
+	stop, hurry := signals()
+	return mgnode.RunEntry(stop, hurry, settings, node)
+}
+
+type agentCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the agent, TOML"`
+	to       streams
+}
+
+// Execute runs an agent until it is told to stop.
+func (c *agentCommand) Execute([]string) error {
+	var settings mgsettings.Agent
+	if err := mgsettings.Load(c.Settings, &settings); err != nil {
+		return err
+	}
+	node, err := mgnode.Open(settings.Process, c.to.err)
+	if err != nil {
+		return err
+	}
+	stop, hurry := signals()
+	return mgnode.RunAgent(stop, hurry, settings, node)
+}
--- a/cmd/marjoramgauge/standin.go
+++ b/cmd/marjoramgauge/standin.go
@@ -3,22 +3,17 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// tableKey stands in a platform's settings for the table, which is published
-// as its manifest and pages.
-const tableKey = "table"
-
 // interrupted returns a context that ends with SIGINT or SIGTERM.
 func interrupted() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -37,18 +32,9 @@
 	return nil
 }
 
-// serveStandin serves until the process is told to stop.
-func serveStandin(to streams, name, addr string, handler http.Handler) error {
-	ctx, cancel := interrupted()
-	defer cancel()
-	server, err := mgstandin.Listen(addr, handler)
-	if err != nil {
-		return err
-	}
-	defer server.Close()
-	fmt.Fprintf(to.out, "%s on %s\n", name, server.Addr())
-	<-ctx.Done()
-	return nil
+// listening tells which address a stand-in has.
+func listening(to streams, name string) func(string) {
+	return func(addr string) { fmt.Fprintf(to.out, "%s on %s\n", name, addr) }
 }
 
 type standinEngine struct {
@@ -62,9 +48,9 @@
 	if err := readStandin(c.Settings, &spec); err != nil {
 		return err
 	}
-	engine := mgstandin.NewEngine(spec, mgclock.Clock{})
-	defer engine.Close()
-	return serveStandin(c.to, "engine", spec.Listen, engine.Handler())
+	ctx, cancel := interrupted()
+	defer cancel()
+	return mgstandin.RunEngine(ctx, spec, listening(c.to, "engine"))
 }
 
 type standinService struct {
@@ -78,7 +64,9 @@
 	if err := readStandin(c.Settings, &spec); err != nil {
 		return err
 	}
-	return serveStandin(c.to, "service", spec.Listen, mgstandin.NewService(spec, mgclock.Clock{}).Handler())
+	ctx, cancel := interrupted()
+	defer cancel()
+	return mgstandin.RunService(ctx, spec, listening(c.to, "service"))
 }
 
 type standinPlatform struct {
@@ -86,26 +74,30 @@
 	to       streams
 }
 
-// Execute runs a platform until it is interrupted. Its values' files are
-// found beside the settings.
+// Execute runs a platform until it is interrupted. Its files are named from
+// the settings' folder.
 func (c *standinPlatform) Execute([]string) error {
 	var spec mgstandin.PlatformSpec
 	if err := readStandin(c.Settings, &spec); err != nil {
 		return err
 	}
-	platform := mgstandin.NewPlatform(spec, mgclock.Clock{})
-	for _, value := range spec.Values {
-		data, err := os.ReadFile(filepath.Join(filepath.Dir(c.Settings), value.File))
-		if err != nil {
-			return fmt.Errorf("standin: value %s: give a file beside the settings: %w", value.Key, err)
-		}
-		if value.Key != tableKey {
-			platform.Put(value.Key, data)
-			continue
-		}
-		if _, err := platform.PutTable(data); err != nil {
-			return err
+	folder := filepath.Dir(c.Settings)
+	spec.Table = beside(folder, spec.Table)
+	for i, value := range spec.Values {
+		key, file, found := strings.Cut(value, "=")
+		if found {
+			spec.Values[i] = key + "=" + beside(folder, file)
 		}
 	}
-	return serveStandin(c.to, "platform", spec.Listen, platform.Handler())
+	ctx, cancel := interrupted()
+	defer cancel()
+	return mgstandin.RunPlatform(ctx, spec, listening(c.to, "platform"))
+}
+
+// beside returns a file's path from a folder.
+func beside(folder, file string) string {
+	if file == "" || filepath.IsAbs(file) {
+		return file
+	}
+	return filepath.Join(folder, file)
 }
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -65,9 +66,14 @@
 // row names no batch.
 const callSlots = 64
 
-// New returns an agent that has not started.
-func New(spec Spec) *Agent {
+// New returns an agent that has not started. The table must be in force, for
+// the upstream's row sizes the queue and the memory budget.
+func New(spec Spec) (*Agent, error) {
 	upstream := upstreamOf(spec)
+	policy, err := mgscheduler.Named(spec.Settings.Policy)
+	if err != nil {
+		return nil, fmt.Errorf("key policy: %w", err)
+	}
 	slots := callSlots
 	if upstream != nil && upstream.Batch() > 0 {
 		slots = upstream.Batch()
@@ -76,12 +82,24 @@
 		spec:        spec,
 		attempts:    mgoperation.New(mgoperation.Spec{Window: mgoperation.AttemptWindow}),
 		writes:      mgoperation.New(mgoperation.Spec{Window: mgoperation.OperationWindow}),
-		minter:      mgoperation.NewMinter(spec.Seal, spec.Settings.Name, spec.Incarnation),
+		minter:      mgoperation.NewMinter(spec.Seal, spec.Settings.Upstream, spec.Incarnation),
 		wake:        make(chan struct{}, 1),
 		slots:       make(chan struct{}, slots),
-		scheduler:   mgscheduler.New(schedulerSpec(spec, upstream)),
+		scheduler:   mgscheduler.New(schedulerSpec(spec, policy, upstream)),
 		generations: map[string]*generation{},
+	}, nil
+}
+
+func schedulerSpec(spec Spec, policy mgscheduler.Policy, upstream *mgtable.Upstream) mgscheduler.Spec {
+	made := mgscheduler.Spec{
+		Queue:  int(spec.Settings.Queue),
+		Policy: policy,
+	}
+	if upstream != nil {
+		made.Memory = int64(upstream.Memory())
+		made.Batch = upstream.Batch()
 	}
+	return made
 }
 
 func upstreamOf(spec Spec) *mgtable.Upstream {
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -58,11 +58,11 @@
 }
 
 func (a *Agent) carryOut(ctx context.Context, decision mgscheduler.Decision) {
-	g := a.generation(decision.ID())
+	g := a.generation(decision.ID)
 	if g == nil {
 		return
 	}
-	if problem := decision.Problem(); problem != nil {
+	if problem := decision.GiveUp; problem != nil {
 		now := a.spec.Clock.Now()
 		a.attempts.Cancel(g.id, now, now)
 		a.spec.Metrics.Counter("givenup").Inc(1)
@@ -210,10 +210,11 @@
 	a.attempts.Finish(g.id, mgoperation.Result{Outcome: outcome}, now)
 	g.finish(end, problem, now)
 	a.mu.Lock()
-	a.scheduler.Finish(now, g.id)
 	if problem == nil {
+		a.scheduler.Finish(now, g.id)
 		a.counts.finished++
 	} else {
+		a.scheduler.Abandon(now, g.id)
 		a.counts.broken++
 	}
 	a.mu.Unlock()
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -39,11 +39,11 @@
 	a.mu.Lock()
 	seen := a.scheduler.Offer(now, request)
 	a.mu.Unlock()
-	offer.Wait = int64(seen.Wait())
-	offer.Headroom = seen.Headroom()
-	offer.Running = uint32(seen.Running())
-	offer.Queued = uint32(seen.Queued())
-	if problem := seen.Refused(); problem != nil {
+	offer.Wait = int64(seen.Wait)
+	offer.Headroom = seen.Headroom
+	offer.Running = uint32(seen.Running)
+	offer.Queued = uint32(seen.Queued)
+	if problem := seen.Refused; problem != nil {
 		offer.Refused = string(problem.Kind())
 		offer.Retry = int64(problem.Retry())
 	}
--- /dev/null
+++ b/internal/process/mgnode/agent.go
@@ -0,0 +1,50 @@
+package mgnode
+
+import (
+	"context"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+)
+
+// RunAgent runs an agent until stop ends, then drains it; hurry cuts the drain
+// short.
+func RunAgent(stop, hurry context.Context, settings mgsettings.Agent, n *Node) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer n.Wait()
+	defer cancel()
+	if err := n.Start(ctx, stop); err != nil {
+		return err
+	}
+	peers, err := n.guard.Listen(settings.Peer)
+	if err != nil {
+		return err
+	}
+	agent, err := mgagent.New(mgagent.Spec{
+		Settings:    settings,
+		Incarnation: n.incarnation,
+		Clock:       n.clock,
+		Log:         n.log,
+		Metrics:     n.metrics,
+		Seal:        n.seal,
+		Engine:      mgengine.NewHTTP(settings.Address, nil),
+		Service:     mgservice.NewHTTP(settings.Address, nil),
+		Table:       n.Table,
+		Seen:        n.Seen,
+	})
+	if err != nil {
+		return err
+	}
+	n.admin.Source("agent", func() any { return agent.State() })
+	n.Serve(ctx, ServerSpec{
+		Name:     "peers",
+		Listener: peers,
+		Handler:  n.guard.Require(agent.Routes()),
+	})
+	n.servers.Go(func() { agent.Run(ctx) })
+	<-stop.Done()
+	n.Stop(agent.Leave, agent.Busy).Run(hurry)
+	return nil
+}
--- /dev/null
+++ b/internal/process/mgnode/node.go
@@ -0,0 +1,164 @@
+package mgnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// A Node is one process of the system, before it is told its role.
+type Node struct {
+	settings    mgsettings.Process
+	incarnation string
+	clock       mgclock.Clock
+	log         logr.Logger
+	metrics     *mgmetric.Set
+	admin       *mgadmin.Admin
+	guard       *mgpeer.Guard
+	seal        *mgseal.Signer
+	follower    *follower
+	leaving     atomic.Bool
+	servers     sync.WaitGroup
+}
+
+// Open makes a node that logs to w.
+func Open(settings mgsettings.Process, w io.Writer) (*Node, error) {
+	guard, err := mgpeer.New(settings)
+	if err != nil {
+		return nil, err
+	}
+	seal, err := mgseal.New(mgseal.Spec{
+		Current:  []byte(settings.Secret),
+		Previous: []byte(settings.Previous),
+	})
+	if err != nil {
+		return nil, err
+	}
+	incarnation := incarnation()
+	log := mglog.New(w, settings.Log).WithValues(mglog.Process, settings.Name, mglog.Zone, settings.Zone)
+	n := &Node{
+		settings:    settings,
+		incarnation: incarnation,
+		log:         log,
+		metrics:     mgmetric.New(),
+		admin:       &mgadmin.Admin{},
+		guard:       guard,
+		seal:        seal,
+	}
+	n.follower = &follower{
+		client: mgplatform.NewHTTP(settings.Platform, &http.Client{}),
+		clock:  n.clock,
+		log:    log,
+	}
+	n.admin.Ready(n.ready)
+	return n, nil
+}
+
+// incarnation names a life of a process. The time makes names of one VM sort
+// by age; the random part tells two lives of one second apart.
+func incarnation() string {
+	return strconv.FormatInt(mgclock.Unix(), 36) + "-" + uuid.NewString()[:8]
+}
+
+func (n *Node) ready() (bool, string) {
+	switch {
+	case n.leaving.Load():
+		return false, "leaving"
+	case n.Table() == nil:
+		return false, "no configuration is in force"
+	case n.follower.list.Load() == nil:
+		return false, "no list of VMs"
+	default:
+		return true, ""
+	}
+}
+
+// Table returns the table in force, or nil.
+func (n *Node) Table() *mgtable.Table { return n.follower.table.Load() }
+
+// List returns the list of VMs, or nil.
+func (n *Node) List() *mgplatform.List { return n.follower.list.Load() }
+
+// Incarnation returns this life's name.
+func (n *Node) Incarnation() string { return n.incarnation }
+
+// Clock returns the process's clock.
+func (n *Node) Clock() mgclock.Clock { return n.clock }
+
+// Log returns the process's logger.
+func (n *Node) Log() logr.Logger { return n.log }
+
+// Metrics returns the process's metrics.
+func (n *Node) Metrics() *mgmetric.Set { return n.metrics }
+
+// Admin returns the operators' page.
+func (n *Node) Admin() *mgadmin.Admin { return n.admin }
+
+// Guard returns what secures connections to other processes.
+func (n *Node) Guard() *mgpeer.Guard { return n.guard }
+
+// Seal returns the keys that seal names.
+func (n *Node) Seal() *mgseal.Signer { return n.seal }
+
+// Seen tells that another process goes by a version.
+func (n *Node) Seen(uint64) {}
+
+// Start follows the platform and serves operators until ctx ends, and waits
+// until a configuration is in force, or stop ends.
+func (n *Node) Start(ctx, stop context.Context) error {
+	listener, err := net.Listen("tcp", n.settings.Admin)
+	if err != nil {
+		return fmt.Errorf("key admin: can't listen on %s: give a free IP and port of this VM: %w", n.settings.Admin, err)
+	}
+	n.Serve(ctx, ServerSpec{
+		Name:     "admin",
+		Listener: listener,
+		Handler:  n.admin.Routes(n.metrics),
+	})
+	n.servers.Go(func() { n.follower.run(ctx) })
+	for n.Table() == nil || n.List() == nil {
+		if !n.clock.Sleep(stop, drainLook) {
+			return fmt.Errorf("start: stopped before a configuration was in force: %w", stop.Err())
+		}
+	}
+	return nil
+}
+
+// Serve serves a listener in the background until ctx ends.
+func (n *Node) Serve(ctx context.Context, spec ServerSpec) {
+	n.servers.Go(func() { Serve(ctx, n.log, spec) })
+}
+
+// Wait waits until all that Start and Serve began has ended.
+func (n *Node) Wait() { n.servers.Wait() }
+
+// Stop returns the order of this process's planned stop.
+func (n *Node) Stop(leave func(), busy func() int) Stop {
+	return Stop{
+		Clock:   n.clock,
+		Log:     n.log,
+		Notice:  mgclock.Millis(n.settings.Notice),
+		Longest: mgclock.Millis(n.settings.Drain),
+		Unready: func() { n.leaving.Store(true) },
+		Leave:   leave,
+		Busy:    busy,
+	}
+}
