mgdemo, mgentry, mgagent, mgclient: a deployment in one process, and what it found

(2) An entry that ends cancelled the generations of its callers, so that nobody could resume. (3) A caller whose entry ended before the first token knew no name to resume by. Change: (1) an agent refuses while its engine can't be reached; (2) a caller that says Resume is waited for, the agent cancels after its grace; (3) the answer's name goes ahead in an informational response (103).

--- a/cmd/marjoramgauge/commands.go
+++ b/cmd/marjoramgauge/commands.go
@@ -14,6 +14,7 @@
 	root := parser.Command
 	add(root, "entry", "run an entry, which callers reach", &entryCommand{to: to})
 	add(root, "agent", "run the agent beside an upstream", &agentCommand{to: to})
+	add(root, "demo", "run a whole deployment in this process", &demoCommand{to: to})
 	standin := add(root, "standin", "run a stand-in of what surrounds the system", &struct{}{})
 	add(standin, "engine", "a model engine", &standinEngine{to: to})
 	add(standin, "service", "a plain service", &standinService{to: to})
--- /dev/null
+++ b/cmd/marjoramgauge/demo.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgdemo"
+)
+
+// onceLimit bounds demo --once; it usually takes about ten seconds.
+const onceLimit = 60 * time.Second
+
+type demoCommand struct {
+	Once bool `long:"once" description:"send a short mixed load with failures, check every answer, and exit"`
+	Logs bool `long:"logs" description:"show the processes' logs on standard error"`
+	to   streams
+}
+
+// Execute runs a whole deployment in this process.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+	spec := mgdemo.Spec{}
+	if c.Logs {
+		spec.Log = c.to.err
+		spec.Level = "info"
+	}
+	deployment, err := mgdemo.Start(ctx, spec)
+	if err != nil {
+		return err
+	}
+	defer deployment.Close()
+	if c.Once {
+		return playOnce(ctx, deployment, c.to.out)
+	}
+	entry := deployment.Entries()[0]
+	fmt.Fprintf(c.to.out, "entries on %v\ntry:\n", deployment.Entries())
+	fmt.Fprintf(c.to.out, "  curl -N -H 'Authorization: Bearer sample-tankline' %s/v1/chat/completions \\\n", entry)
+	fmt.Fprintln(c.to.out, `    -d '{"model":"report","stream":true,"messages":[{"role":"user","content":"shift report len=60"}]}'`)
+	<-ctx.Done()
+	return nil
+}
+
+// playOnce plays the load and fails when anything was lost, doubled or
+// crossed.
+func playOnce(ctx context.Context, deployment *mgdemo.Deployment, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, onceLimit)
+	defer cancel()
+	report := deployment.Play(ctx)
+	if err := report.Write(out); err != nil {
+		return err
+	}
+	if faults := report.Faults(); len(faults) > 0 {
+		return fmt.Errorf("demo: %d faults: see the lines above", len(faults))
+	}
+	fmt.Fprintln(out, "nothing was lost, doubled or crossed; an engine and an entry were ended in its middle")
+	return nil
+}
--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -4,7 +4,9 @@
 	"context"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 const (
@@ -74,8 +76,16 @@
 	return nil
 }
 
-// follow reads the engine's lagging load report and cache events.
+// follow keeps up with the engine; a plain service has no such reports.
 func (a *Agent) follow(ctx context.Context) {
+	if upstream := upstreamOf(a.spec); upstream != nil && upstream.Kind() != mgtable.Engine {
+		return
+	}
+	a.followEngine(ctx)
+}
+
+// followEngine reads the engine's lagging load report and cache events.
+func (a *Agent) followEngine(ctx context.Context) {
 	after := uint64(0)
 	for a.spec.Clock.Sleep(ctx, followEvery) {
 		after = a.followOnce(ctx, after)
@@ -86,6 +96,9 @@
 	ctx, cancel := context.WithTimeout(ctx, followWait.Duration())
 	defer cancel()
 	load, err := a.spec.Engine.Load(ctx)
+	if a.sick.Swap(err != nil) != (err != nil) {
+		a.spec.Log.Info("the engine's reachability changed", mglog.Upstream, a.spec.Settings.Upstream, "sick", err != nil)
+	}
 	if err != nil {
 		return after
 	}
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -49,6 +49,7 @@
 	slots    chan struct{}
 	calls    atomic.Int64
 	leaving  atomic.Bool
+	sick     atomic.Bool // the engine can't be reached
 	running  sync.WaitGroup
 
 	mu          sync.Mutex // guards what follows
@@ -180,6 +181,7 @@
 	Incarnation string `json:"incarnation"`
 	Upstream    string `json:"upstream"`
 	Leaving     bool   `json:"leaving"`
+	Sick        bool   `json:"sick"`
 	Generations int    `json:"generations"`
 	Busy        int    `json:"busy"`
 	Calls       int64  `json:"calls"`
@@ -202,6 +204,7 @@
 		Incarnation: a.spec.Incarnation,
 		Upstream:    a.spec.Settings.Upstream,
 		Leaving:     a.leaving.Load(),
+		Sick:        a.sick.Load(),
 		Generations: len(a.generations),
 		Busy:        busy,
 		Calls:       a.calls.Load(),
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -103,6 +103,7 @@
 			return nil
 		}
 		if mgengine.KindOf(err) == mgengine.NotStarted {
+			a.sick.Store(true) // until the next load report
 			return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 				"the engine refused the generation", "try another upstream").WithCause(err)
 		}
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -32,6 +32,11 @@
 		return offer, nil
 	}
 	offer.Version = table.Version()
+	if a.sick.Load() {
+		offer.Refused = string(mgproblem.Crowded)
+		offer.Retry = int64(followEvery)
+		return offer, nil
+	}
 	request := a.request(table, "", in.GetAccount(), in.GetService(), in.GetModel())
 	request.Prompt = int(in.GetPrompt())
 	request.Cached = int(offer.GetCached())
@@ -99,6 +104,9 @@
 		return "", mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
 			"the agent has no configuration yet", "try another upstream")
 	}
+	if a.sick.Load() {
+		return "", unreachable()
+	}
 	deadline := now + mgclock.Millis(in.GetBudget())
 	verdict := a.attempts.Begin(mgoperation.StartSpec{
 		ID:         in.GetAttempt(),
@@ -119,6 +127,14 @@
 	return in.GetAttempt(), nil
 }
 
+// unreachable refuses work while the engine can't be reached. An agent whose
+// engine is gone has an empty queue and would make the best offer: without this
+// it draws all requests and fails each.
+func unreachable() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+		"the engine can't be reached", "try another upstream").WithRetry(followEvery)
+}
+
 // enqueue gives the attempt to the scheduler.
 func (a *Agent) enqueue(table *mgtable.Table, in *mgrpc.StartRequest, now, deadline mgclock.Millis) *mgproblem.Problem {
 	request := a.request(table, in.GetAttempt(), in.GetAccount(), in.GetService(), in.GetModel())
--- /dev/null
+++ b/internal/process/mgdemo/deployment.go
@@ -0,0 +1,356 @@
+package mgdemo
+
+import (
+	"context"
+	_ "embed" // the sample table
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgnode"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+//go:embed table.toml
+var sampleTable []byte
+
+// secret is shared by the demo's processes, all within this one.
+const secret = "sample-secret-of-the-demo"
+
+const (
+	region = "south"
+	// engineSpeed makes the demo's engines this many times as fast as their
+	// model's usual figures, so that long reports end within seconds.
+	engineSpeed = 4
+	// listLag is how late the demo's list of VMs is.
+	listLag = 500 * mgclock.Millis(1)
+	// drainLongest bounds the demo's own stop.
+	drainLongest = 2 * mgclock.Second
+)
+
+// Spec describes a deployment.
+type Spec struct {
+	Entries int       // [2]
+	Engines int       // engine-1 and on, at most 3 [3]
+	Log     io.Writer // the processes' logs [discarded]
+	Level   string    // their level [error]
+}
+
+// A Deployment is a whole system in one process. Make one with Start.
+type Deployment struct {
+	spec     Spec
+	platform *mgstandin.Platform
+	engines  map[string]*mgstandin.Engine
+	services map[string]*mgstandin.Service
+	entries  []string
+	nodes    map[string]*process
+	vms      []mgplatform.VM
+	closers  []func()
+	base     string
+}
+
+// process is an entry or an agent of the deployment.
+type process struct {
+	node *mgnode.Node
+	stop context.CancelFunc
+	done chan error
+}
+
+// Start starts a deployment and returns once its entries are ready.
+func Start(ctx context.Context, spec Spec) (*Deployment, error) {
+	spec = spec.withDefaults()
+	d := &Deployment{
+		spec:     spec,
+		engines:  map[string]*mgstandin.Engine{},
+		services: map[string]*mgstandin.Service{},
+		nodes:    map[string]*process{},
+	}
+	steps := []func() error{d.startPlatform, d.startEngines, d.startServices, d.startEntries, d.publish}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	if err := d.awaitReady(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (s Spec) withDefaults() Spec {
+	if s.Entries <= 0 {
+		s.Entries = 2
+	}
+	if s.Engines <= 0 || s.Engines > 3 {
+		s.Engines = 3
+	}
+	if s.Log == nil {
+		s.Log = io.Discard
+	}
+	if s.Level == "" {
+		s.Level = "error"
+	}
+	return s
+}
+
+// zone spreads the VMs over three availability zones.
+func zone(i int) string { return string(rune('a' + i%3)) }
+
+func (d *Deployment) startPlatform() error {
+	d.platform = mgstandin.NewPlatform(mgstandin.PlatformSpec{Lag: listLag}, mgclock.Clock{})
+	server, err := mgstandin.Listen("127.0.0.1:0", d.platform.Handler())
+	if err != nil {
+		return err
+	}
+	d.base = server.URL()
+	d.closers = append(d.closers, func() { _ = server.Close() })
+	return d.platform.PutTable(sampleTable)
+}
+
+func (d *Deployment) startEngines() error {
+	for i := range d.spec.Engines {
+		name := fmt.Sprintf("engine-%d", i+1)
+		engine := mgstandin.NewEngine(mgstandin.EngineSpec{
+			Model: mgmodel.Spec{
+				Memory: 40000,
+				Batch:  32,
+				Speed:  engineSpeed,
+			},
+			Fenced: i%2 == 0,
+			Lag:    500,
+			Late:   200,
+			Gap:    50,
+		}, mgclock.Clock{})
+		ctx, cancel := context.WithCancel(context.Background())
+		var stepping sync.WaitGroup
+		stepping.Go(func() { engine.Run(ctx) })
+		server, err := mgstandin.Listen("127.0.0.1:0", engine.Handler())
+		if err != nil {
+			cancel()
+			return err
+		}
+		d.closers = append(d.closers, func() {
+			_ = server.Close()
+			cancel()
+			stepping.Wait()
+		})
+		d.engines[name] = engine
+		if err := d.startAgent(name, i, server.URL(), []string{"tank-70b", "mar-70b"}, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startServices() error {
+	offered := map[string][]string{
+		"books":  {"ticket"},
+		"portal": {"status", "submission"},
+	}
+	i := d.spec.Engines
+	for name, services := range offered {
+		service := mgstandin.NewService(mgstandin.ServiceSpec{
+			Name:  name,
+			Delay: 5,
+		}, mgclock.Clock{})
+		server, err := mgstandin.Listen("127.0.0.1:0", service.Handler())
+		if err != nil {
+			return err
+		}
+		d.closers = append(d.closers, func() { _ = server.Close() })
+		d.services[name] = service
+		if err := d.startAgent(name, i, server.URL(), nil, services); err != nil {
+			return err
+		}
+		i++
+	}
+	return nil
+}
+
+// common returns the settings that every process of the demo has.
+func (d *Deployment) common(name string, i int) (mgsettings.Process, error) {
+	peer, err := freeAddress()
+	if err != nil {
+		return mgsettings.Process{}, err
+	}
+	admin, err := freeAddress()
+	if err != nil {
+		return mgsettings.Process{}, err
+	}
+	return mgsettings.Process{
+		Name:     name,
+		Zone:     zone(i),
+		Region:   region,
+		Peer:     peer,
+		Admin:    admin,
+		Platform: d.base,
+		Secret:   secret,
+		Log:      d.spec.Level,
+		Drain:    int64(drainLongest),
+		Beat:     250,
+	}, nil
+}
+
+func (d *Deployment) startAgent(upstream string, i int, address string, models, services []string) error {
+	name := "agent-" + upstream
+	common, err := d.common(name, i)
+	if err != nil {
+		return err
+	}
+	settings := mgsettings.Agent{
+		Process:  common,
+		Upstream: upstream,
+		Address:  address,
+		Grace:    15000,
+		Keep:     60000,
+		Queue:    512,
+		Policy:   "ours",
+	}
+	d.vms = append(d.vms, mgplatform.VM{
+		Name:     name,
+		Kind:     "agent",
+		Addr:     common.Peer,
+		Zone:     common.Zone,
+		Region:   region,
+		Upstream: upstream,
+		Models:   models,
+		Services: services,
+		State:    "live",
+	})
+	return d.launch(name, common, func(stop, hurry context.Context, n *mgnode.Node) error {
+		return mgnode.RunAgent(stop, hurry, settings, n)
+	})
+}
+
+func (d *Deployment) startEntries() error {
+	for i := range d.spec.Entries {
+		name := fmt.Sprintf("entry-%d", i+1)
+		common, err := d.common(name, i)
+		if err != nil {
+			return err
+		}
+		listen, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		settings := mgsettings.Entry{
+			Process: common,
+			Listen:  listen,
+			Body:    1 << 20,
+			Head:    32 << 10,
+			Slow:    10000,
+			Probe:   200,
+			Call:    10000,
+		}
+		d.entries = append(d.entries, "http://"+listen)
+		d.vms = append(d.vms, mgplatform.VM{
+			Name:   name,
+			Kind:   "entry",
+			Addr:   listen,
+			Peer:   common.Peer,
+			Zone:   common.Zone,
+			Region: region,
+			State:  "live",
+		})
+		err = d.launch(name, common, func(stop, hurry context.Context, n *mgnode.Node) error {
+			return mgnode.RunEntry(stop, hurry, settings, n)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) launch(name string, common mgsettings.Process, run func(stop, hurry context.Context, n *mgnode.Node) error) error {
+	node, err := mgnode.Open(common, d.spec.Log)
+	if err != nil {
+		return err
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	p := &process{
+		node: node,
+		stop: cancel,
+		done: make(chan error, 1),
+	}
+	d.nodes[name] = p
+	go func() { p.done <- run(stop, stop, node) }()
+	return nil
+}
+
+func (d *Deployment) publish() error {
+	_, err := d.platform.PutVMs(d.vms)
+	return err
+}
+
+// awaitReady waits until every process takes work.
+func (d *Deployment) awaitReady(ctx context.Context) error {
+	clock := mgclock.Clock{}
+	for name, p := range d.nodes {
+		for {
+			ok, why := p.node.Ready()
+			if ok {
+				break
+			}
+			select {
+			case err := <-p.done:
+				return fmt.Errorf("demo: %s ended at its start: %w", name, err)
+			default:
+			}
+			if !clock.Sleep(ctx, 20) {
+				return fmt.Errorf("demo: %s is not ready (%s): give it more time: %w", name, why, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address that nobody listens on now.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("demo: no free port on loopback: end other programs: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// Entries returns the base URLs of the entries.
+func (d *Deployment) Entries() []string { return d.entries }
+
+// Node returns an entry's or agent's process, or nil.
+func (d *Deployment) Node(name string) *mgnode.Node {
+	if p := d.nodes[name]; p != nil {
+		return p.node
+	}
+	return nil
+}
+
+// Engine returns an engine's stand-in, or nil.
+func (d *Deployment) Engine(name string) *mgstandin.Engine { return d.engines[name] }
+
+// Service returns a plain service's stand-in, or nil.
+func (d *Deployment) Service(name string) *mgstandin.Service { return d.services[name] }
+
+// Platform returns the platform's stand-in.
+func (d *Deployment) Platform() *mgstandin.Platform { return d.platform }
+
+// Close stops everything; nothing is left running.
+func (d *Deployment) Close() {
+	for _, p := range d.nodes {
+		p.stop()
+	}
+	for _, p := range d.nodes {
+		<-p.done
+	}
+	for _, closer := range d.closers {
+		closer()
+	}
+}
--- /dev/null
+++ b/internal/process/mgdemo/report.go
@@ -0,0 +1,240 @@
+package mgdemo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclient"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+const (
+	// longestGap bounds a recorded gap in ms.
+	longestGap = 60_000
+	// gapDigits is the histograms' precision in decimal digits.
+	gapDigits = 3
+	// stallFrom is the gap between tokens from which a caller sees a stall, ten
+	// times the gap of a full engine.
+	stallFrom = 500 * mgclock.Millis(1)
+)
+
+// tally counts what callers of one kind of request got.
+type tally struct {
+	name    string
+	sent    atomic.Int64
+	done    atomic.Int64
+	notRun  atomic.Int64
+	unknown atomic.Int64
+	again   atomic.Int64
+	resumed atomic.Int64
+	evicted atomic.Int64
+
+	mu       sync.Mutex
+	gaps     *hdrhistogram.Histogram
+	stall    mgclock.Millis
+	answers  []given
+	writes   map[string]mgclient.Reply
+	problems []string
+}
+
+// given is an answer as a caller has it.
+type given struct {
+	account string
+	answer  mgclient.Answer
+	wanted  int
+}
+
+func newTally(name string) *tally {
+	return &tally{
+		name:   name,
+		gaps:   hdrhistogram.New(1, longestGap, gapDigits),
+		writes: map[string]mgclient.Reply{},
+	}
+}
+
+// watch measures the gaps between an answer's tokens.
+type watch struct {
+	tally *tally
+	clock mgclock.Clock
+	last  mgclock.Millis
+}
+
+func (t *tally) watch(clock mgclock.Clock) *watch {
+	return &watch{
+		tally: t,
+		clock: clock,
+	}
+}
+
+func (w *watch) token(token mgclient.Token) error {
+	now := w.clock.Now()
+	if token.Seq() > 1 {
+		w.tally.gap(now - w.last)
+	}
+	w.last = now
+	return nil
+}
+
+func (t *tally) gap(gap mgclock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.gaps.RecordValue(min(int64(gap), longestGap))
+	if gap >= stallFrom {
+		t.stall += gap
+	}
+}
+
+func (t *tally) answer(account string, answer mgclient.Answer, wanted int) {
+	t.done.Add(1)
+	t.resumed.Add(int64(answer.Resumes()))
+	t.evicted.Add(int64(answer.Preempted()))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers = append(t.answers, given{
+		account: account,
+		answer:  answer,
+		wanted:  wanted,
+	})
+}
+
+func (t *tally) call(took mgclock.Millis, operation string, reply mgclient.Reply) {
+	t.done.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.gaps.RecordValue(min(int64(took), longestGap))
+	if operation != "" {
+		t.writes[operation] = reply
+	}
+}
+
+func (t *tally) failed(err error) {
+	problem := mgproblem.From(err)
+	if problem.Outcome() == mgproblem.NotRun {
+		t.notRun.Add(1)
+	} else {
+		t.unknown.Add(1)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.problems = append(t.problems, problem.Error())
+}
+
+// A Report is what came of a play.
+type Report struct {
+	rows   []*tally
+	faults []string
+}
+
+// Faults returns what was lost, doubled or crossed.
+func (r *Report) Faults() []string { return r.faults }
+
+// Write prints one line per kind of request.
+func (r *Report) Write(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "kind\tsent\tdone\tnot run\tunknown\tasked again\tresumed\tp50 ms\tp99 ms\tstall ms\tpreempted\t")
+	for _, t := range r.rows {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", t.name, t.sent.Load(), t.done.Load(),
+			t.notRun.Load(), t.unknown.Load(), t.again.Load(), t.resumed.Load(),
+			t.gaps.ValueAtQuantile(50), t.gaps.ValueAtQuantile(99), t.stall, t.evicted.Load())
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, fault := range r.faults {
+		fmt.Fprintln(w, "fault: "+fault)
+	}
+	return nil
+}
+
+// report checks every answer and write against the stand-ins.
+func (p *play) report() *Report {
+	r := &Report{}
+	ran := p.runs()
+	for _, k := range load {
+		t := p.tallies[k.name]
+		r.rows = append(r.rows, t)
+		for _, g := range t.answers {
+			if fault := p.check(g); fault != "" {
+				r.faults = append(r.faults, k.name+": "+fault)
+			}
+		}
+		for operation, reply := range t.writes {
+			if fault := checkWrite(operation, reply, ran); fault != "" {
+				r.faults = append(r.faults, k.name+": "+fault)
+			}
+		}
+		for _, problem := range t.problems {
+			r.faults = append(r.faults, k.name+": lost: "+problem)
+		}
+	}
+	for operation, count := range ran {
+		if count > 1 {
+			r.faults = append(r.faults, fmt.Sprintf("operation %s ran %d times", operation, count))
+		}
+	}
+	return r
+}
+
+// runs returns how often each write ran, by operation.
+func (p *play) runs() map[string]int {
+	ran := map[string]int{}
+	for _, name := range []string{"books", "portal"} {
+		for operation, count := range p.deployment.Service(name).Counts().Runs {
+			if isOperation(operation) {
+				ran[operation] += count
+			}
+		}
+	}
+	return ran
+}
+
+// isOperation tells an operation's id from a method and path, under which the
+// stand-in counts calls without one.
+func isOperation(name string) bool {
+	for _, r := range name {
+		if r == ' ' || r == '/' {
+			return false
+		}
+	}
+	return true
+}
+
+func checkWrite(operation string, reply mgclient.Reply, ran map[string]int) string {
+	var body mgstandin.ServiceReply
+	if err := json.Unmarshal(reply.Body, &body); err != nil {
+		return "a write's reply can't be read: " + err.Error()
+	}
+	if body.Operation != operation {
+		return fmt.Sprintf("crossed: operation %s got the reply of %s", operation, body.Operation)
+	}
+	if ran[operation] != 1 {
+		return fmt.Sprintf("operation %s was answered done and ran %d times", operation, ran[operation])
+	}
+	return ""
+}
+
+// check compares an answer with its generation's tokens as the engine made
+// them: each once, in order, all of them, and no other's.
+func (p *play) check(g given) string {
+	seal := p.deployment.Node("entry-2").Seal()
+	name, err := mganswer.NewSigner(seal).Open(g.account, g.answer.Name())
+	if err != nil {
+		return "an answer's name can't be opened: " + err.Error()
+	}
+	if g.answer.Tokens() != uint64(g.wanted) {
+		return fmt.Sprintf("answer has %d tokens, asked for %d", g.answer.Tokens(), g.wanted)
+	}
+	if g.answer.Text() != mgstandin.Whole(name.Generation(), g.wanted) {
+		return fmt.Sprintf("generation %s: the text is not what the engine made", name.Generation())
+	}
+	return ""
+}
--- a/internal/process/mgentry/form.go
+++ b/internal/process/mgentry/form.go
@@ -152,27 +152,32 @@
 	Preempted  uint32 `json:"preempted"`
 }
 
-// fault returns the event that tells a caller of a stream why it ends early.
+// fault returns the event that tells a caller of a stream why it ends early:
+// the problem, with an error in the form of OpenAI's API.
 func (f *form) fault(p *mgproblem.Problem, delivered uint64) []byte {
-	body, _ := json.Marshal(struct {
-		Error     faultError         `json:"error"`
-		Problem   *mgproblem.Problem `json:"problem"`
-		Delivered uint64             `json:"delivered"`
-	}{
+	problem, _ := json.Marshal(p)
+	extra, _ := json.Marshal(faultExtra{
 		Error: faultError{
 			Message: p.Detail() + ": " + p.Remedy(),
 			Type:    string(p.Kind()),
 			Code:    string(p.Outcome()),
 		},
-		Problem:   p,
 		Delivered: delivered,
 	})
 	f.out = append(f.out[:0], "event: error\ndata: "...)
-	f.out = append(f.out, body...)
+	f.out = append(f.out, problem[:len(problem)-1]...)
+	f.out = append(f.out, ',')
+	f.out = append(f.out, extra[1:]...)
 	f.out = append(f.out, "\n\n"...)
 	return f.out
 }
 
+// faultExtra is what a stream's last event says besides its problem.
+type faultExtra struct {
+	Error     faultError `json:"error"`
+	Delivered uint64     `json:"delivered"`
+}
+
 // faultError is an error in the form of OpenAI's API.
 type faultError struct {
 	Message string `json:"message"`
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -35,6 +35,7 @@
 		avoid:    map[string]bool{},
 	}
 	reading.open()
+	e.announce(w, c.account.Name(), made)
 	form := e.form(j)
 	if j.stream {
 		e.stream(w, r, reading, form)
@@ -43,6 +44,17 @@
 	e.whole(w, r, reading, form)
 }
 
+// nameHeader carries an answer's name ahead of its first token.
+const nameHeader = "Answer"
+
+// announce tells the caller the answer's name before there is a token, in an
+// informational response (RFC 8297). A caller whose entry dies while the
+// request waits resumes by it; one that doesn't know it reads over it.
+func (e *Entry) announce(w http.ResponseWriter, account string, made attempt) {
+	w.Header().Set(nameHeader, e.name(account, made))
+	w.WriteHeader(http.StatusEarlyHints)
+}
+
 func (e *Entry) turnedAway(w http.ResponseWriter, problem *mgproblem.Problem) {
 	e.spec.Metrics.Counter("turnedaway").Inc(1)
 	mgproblem.Write(w, problem)
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -16,6 +16,9 @@
 // row names none.
 const defaultDeadline = 10 * mgclock.Second
 
+// resumeHeader is sent, with any value, by callers that resume their answers.
+const resumeHeader = "Resume"
+
 // body is the JSON that callers send, in the form of OpenAI's API. Other keys
 // of that form (temperature and the like) are accepted and have no effect.
 type body struct {
@@ -48,6 +51,7 @@
 	stream  bool
 	usage   bool
 	chat    bool
+	resumes bool           // the caller comes back after a lost connection
 	due     mgclock.Millis // when the first token is due
 }
 
@@ -86,6 +90,7 @@
 		stream:  in.Stream,
 		usage:   in.StreamSet.Usage,
 		chat:    chat,
+		resumes: r.Header.Get(resumeHeader) != "",
 	}
 	if j.tokens > model.Context() && model.Context() > 0 {
 		return nil, mgproblem.New(mgproblem.Large, mgproblem.NotRun,
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -142,7 +142,7 @@
 		r.note(frame)
 		return r.receiver.Frame(r.number, frame), nil
 	case ctx.Err() != nil:
-		return r.receiver.Cancel(), nil
+		return mgdelivery.Decision{}, r.callerGone(ctx)
 	case waitCtx.Err() != nil:
 		return mgdelivery.Decision{}, r.overdue(ctx)
 	default:
@@ -159,6 +159,16 @@
 	return context.WithTimeout(ctx, max(left, 1).Duration())
 }
 
+// callerGone ends the reading for a caller that has disconnected. One that may
+// resume finds its generation again: the agent cancels it after a grace time.
+// Any other's is cancelled now, for nobody will read it.
+func (r *reading) callerGone(ctx context.Context) *mgproblem.Problem {
+	if r.job != nil && !r.job.resumes {
+		go r.entry.abandon(context.WithoutCancel(ctx), r.attempt)
+	}
+	return mgproblem.New(mgproblem.Cancelled, mgproblem.Unknown, "the caller is gone", "resume by the answer's name")
+}
+
 // overdue gives up a request whose first token is too late, and tells the
 // caller at once what the agent attests.
 func (r *reading) overdue(ctx context.Context) *mgproblem.Problem {
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -12,7 +12,7 @@
 // RunAgent runs an agent until stop ends, then drains it; hurry cuts the drain
 // short.
 func RunAgent(stop, hurry context.Context, settings mgsettings.Agent, n *Node) error {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(n.killed)
 	defer n.Wait()
 	defer cancel()
 	if err := n.Start(ctx, stop); err != nil {
@@ -44,7 +44,11 @@
 		Handler:  n.guard.Require(agent.Routes()),
 	})
 	n.servers.Go(func() { agent.Run(ctx) })
-	<-stop.Done()
+	select {
+	case <-n.killed.Done():
+		return nil
+	case <-stop.Done():
+	}
 	n.Stop(agent.Leave, agent.Busy).Run(hurry)
 	return nil
 }
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -15,7 +15,7 @@
 // RunEntry runs an entry until stop ends, then drains it; hurry cuts the drain
 // short.
 func RunEntry(stop, hurry context.Context, settings mgsettings.Entry, n *Node) error {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(n.killed)
 	defer n.Wait()
 	defer cancel()
 	if err := n.Start(ctx, stop); err != nil {
@@ -49,7 +49,11 @@
 		Head:     int(settings.Head),
 		Slow:     mgclock.Millis(settings.Slow),
 	})
-	<-stop.Done()
+	select {
+	case <-n.killed.Done():
+		return nil
+	case <-stop.Done():
+	}
 	n.Stop(entry.Leave, entry.Busy).Run(hurry)
 	return nil
 }
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -37,6 +37,8 @@
 	follower    *follower
 	leaving     atomic.Bool
 	servers     sync.WaitGroup
+	killed      context.Context
+	kill        context.CancelFunc
 }
 
 // Open makes a node that logs to w.
@@ -63,12 +65,13 @@
 		guard:       guard,
 		seal:        seal,
 	}
+	n.killed, n.kill = context.WithCancel(context.Background())
 	n.follower = &follower{
 		client: mgplatform.NewHTTP(settings.Platform, &http.Client{}),
 		clock:  n.clock,
 		log:    log,
 	}
-	n.admin.Ready(n.ready)
+	n.admin.Ready(n.Ready)
 	return n, nil
 }
 
@@ -78,7 +81,8 @@
 	return strconv.FormatInt(mgclock.Unix(), 36) + "-" + uuid.NewString()[:8]
 }
 
-func (n *Node) ready() (bool, string) {
+// Ready reports whether the process takes new work, and if not, why.
+func (n *Node) Ready() (bool, string) {
 	switch {
 	case n.leaving.Load():
 		return false, "leaving"
@@ -144,9 +148,13 @@
 
 // Serve serves a listener in the background until ctx ends.
 func (n *Node) Serve(ctx context.Context, spec ServerSpec) {
-	n.servers.Go(func() { Serve(ctx, n.log, spec) })
+	n.servers.Go(func() { Serve(ctx, n.killed, n.log, spec) })
 }
 
+// Kill ends the node as a crash of its process would: connections break, and
+// nothing is drained. Demos and tests of failures use it.
+func (n *Node) Kill() { n.kill() }
+
 // Wait waits until all that Start and Serve began has ended.
 func (n *Node) Wait() { n.servers.Wait() }
 
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -35,8 +35,9 @@
 	idleSlow = 2 * mgclock.Minute
 )
 
-// Serve answers on a listener until ctx ends.
-func Serve(ctx context.Context, log logr.Logger, spec ServerSpec) {
+// Serve answers on a listener until ctx ends. When killed ends, it breaks every
+// connection at once, as the end of its process would.
+func Serve(ctx, killed context.Context, log logr.Logger, spec ServerSpec) {
 	if spec.Head == 0 {
 		spec.Head = defaultHead
 	}
@@ -50,6 +51,7 @@
 		IdleTimeout:       idleSlow.Duration(),
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 	}
+	defer context.AfterFunc(killed, func() { _ = server.Close() })()
 	stopped := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/pkg/mgclient/complete.go
+++ b/pkg/mgclient/complete.go
@@ -34,6 +34,7 @@
 	tokens  uint64
 	starts  int
 	resumes int
+	evicted int
 }
 
 // Name returns the answer's name, by which it can be resumed.
@@ -56,6 +57,9 @@
 // Resumes returns how many times the answer went on through a new connection.
 func (a Answer) Resumes() int { return a.resumes }
 
+// Preempted returns how many times the engine evicted the answer's generation.
+func (a Answer) Preempted() int { return a.evicted }
+
 // Complete asks for one answer and passes each of its tokens to each, once and
 // in order. Each may be nil; its error ends the answer. With an error, the
 // Answer holds what came before it.
@@ -161,6 +165,7 @@
 		s.answer.resumes++
 	} else {
 		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set(resumeHeader, "yes")
 		s.answer.starts++
 	}
 	err = s.stream(ctx, r, wait)
@@ -215,8 +220,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := s.client.watch(wait, cancel)
-	response, err := s.client.send(r.WithContext(ctx))
+	var early earlyName
+	response, err := s.client.send(r.WithContext(early.trace(ctx)))
 	stop()
+	if s.answer.name == "" {
+		s.answer.name = early.load()
+	}
 	if err != nil {
 		return err
 	}
@@ -292,6 +301,7 @@
 	if len(c.Choices) == 0 {
 		return false, nil
 	}
+	s.answer.evicted = max(s.answer.evicted, c.Preempted)
 	return s.accept(seq, c.Choices[0])
 }
 
--- a/pkg/mgclient/spec.go
+++ b/pkg/mgclient/spec.go
@@ -46,7 +46,8 @@
 
 // chunk is the data of one event, in the form of OpenAI's streams.
 type chunk struct {
-	Choices []choice `json:"choices"`
+	Choices   []choice `json:"choices"`
+	Preempted int      `json:"preempted"`
 }
 
 type choice struct {
