mgstandin: an engine remembers each generation and finds it by its text

Cause: a caller knows an answer's text, not its generation; a check of what callers got needs the way back. Change: EngineCounts holds a Record by generation; Find returns the generation whose whole text is a given one, and none for a cut or spliced text.

--- a/internal/standin/mgstandin/engine.go
+++ b/internal/standin/mgstandin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -20,6 +21,9 @@
 // was paused doesn't make up for the time it lost.
 const behind = 100 * mgclock.Millis(1)
 
+// promptBytes bounds what is remembered of a prompt.
+const promptBytes = 256
+
 // bytesPerToken estimates the length of a prompt that doesn't say.
 const bytesPerToken = 4
 
@@ -71,10 +75,8 @@
 	e.generations = make(map[string]*generation)
 	e.loaded = slices.Clone(e.spec.Serves)
 	e.role = e.spec.Role
-	if e.counts.Starts == nil {
-		e.counts.Starts = make(map[string]int)
-		e.counts.Lengths = make(map[string]int)
-		e.counts.Cancelled = make(map[string]int)
+	if e.counts.Generations == nil {
+		e.counts.Generations = make(map[string]Record)
 	}
 	if e.spec.Keep == 0 {
 		e.spec.Keep = defaultKeep
@@ -161,7 +163,6 @@
 	if Output(g.spec.Prompt, 0) > int(g.produced) {
 		end = "length"
 	}
-	e.counts.Lengths[g.spec.ID] = int(g.produced)
 	e.close(g, end, now)
 }
 
@@ -169,6 +170,10 @@
 func (e *Engine) close(g *generation, end string, now mgclock.Millis) {
 	g.end = end
 	g.doneAt = now
+	record := e.counts.Generations[g.spec.ID]
+	record.Tokens = int(g.produced)
+	record.End = end
+	e.counts.Generations[g.spec.ID] = record
 	e.finished = append(e.finished, g)
 	g.wake()
 }
@@ -256,9 +261,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	counts := e.counts
-	counts.Starts = copyCounts(counts.Starts)
-	counts.Lengths = copyCounts(counts.Lengths)
-	counts.Cancelled = copyCounts(counts.Cancelled)
+	counts.Generations = maps.Clone(counts.Generations)
 	return counts
 }
 
@@ -295,11 +298,19 @@
 		changed: make(chan struct{}),
 	}
 	e.cache.expect(spec.Prefix)
-	e.counts.Starts[spec.ID]++
+	e.record(spec)
 	e.wake()
 	return nil
 }
 
+// record notes a start.
+func (e *Engine) record(spec mgengine.StartSpec) {
+	e.counts.Generations[spec.ID] = Record{
+		Starts: e.counts.Generations[spec.ID].Starts + 1,
+		Prompt: spec.Prompt[:min(len(spec.Prompt), promptBytes)],
+	}
+}
+
 // Cancel ends a generation and reports whether the engine held it.
 func (e *Engine) Cancel(id string) bool {
 	e.mu.Lock()
@@ -311,7 +322,6 @@
 	}
 	if g.end == "" {
 		e.model.Cancel(id)
-		e.counts.Cancelled[id] = int(g.produced)
 		e.close(g, "cancelled", e.clock.Now())
 	}
 	return true
--- a/internal/standin/mgstandin/http.go
+++ b/internal/standin/mgstandin/http.go
@@ -96,12 +96,3 @@
 		Detail: detail,
 	})
 }
-
-// copyCounts returns a copy of m that its owner doesn't change.
-func copyCounts[K comparable](m map[K]int) map[K]int {
-	c := make(map[K]int, len(m))
-	for k, n := range m {
-		c[k] = n
-	}
-	return c
-}
--- a/internal/standin/mgstandin/platform.go
+++ b/internal/standin/mgstandin/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -163,7 +164,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	counts := p.counts
-	counts.Seconds = copyCounts(counts.Seconds)
+	counts.Seconds = maps.Clone(counts.Seconds)
 	return counts
 }
 
--- a/internal/standin/mgstandin/service.go
+++ b/internal/standin/mgstandin/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -73,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts := s.counts
-	counts.Runs = copyCounts(counts.Runs)
+	counts.Runs = maps.Clone(counts.Runs)
 	return counts
 }
 
--- a/internal/standin/mgstandin/text.go
+++ b/internal/standin/mgstandin/text.go
@@ -39,6 +39,18 @@
 	return b.String()
 }
 
+// Find returns the generation whose whole text is text, and whether there is
+// one: an answer that was cut, doubled, spliced or never generated is found
+// nowhere. Generations that still run aren't found.
+func (c EngineCounts) Find(text string) (string, Record, bool) {
+	for id, record := range c.Generations {
+		if record.End != "" && strings.HasPrefix(text, Text(id, 1)) && Whole(id, record.Tokens) == text {
+			return id, record, true
+		}
+	}
+	return "", Record{}, false
+}
+
 // Output returns how many tokens a prompt generates under a bound of max, 0
 // for none. The engine knows it only when the generation ends. A prompt that
 // holds len=N generates N.
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -28,16 +28,22 @@
 	Delay  mgclock.Millis `json:"delay,omitempty"`  // how much slower a service
 }
 
-// EngineCounts are the counters of an engine.
+// EngineCounts are the counters of an engine. They outlive its death.
 type EngineCounts struct {
-	Starts    map[string]int `json:"starts"`    // generations that began, by id: more than 1 is a double start
-	Lengths   map[string]int `json:"lengths"`   // tokens of each finished generation, by id
-	Cancelled map[string]int `json:"cancelled"` // tokens of each cancelled generation, by id
-	Tokens    int            `json:"tokens"`
-	Preempted int            `json:"preempted"`
-	Orders    int            `json:"orders"` // orders carried out
-	Older     int            `json:"older"`  // of those, orders older than one before
-	Refused   int            `json:"refused"`
+	Generations map[string]Record `json:"generations"` // by id
+	Tokens      int               `json:"tokens"`
+	Preempted   int               `json:"preempted"`
+	Orders      int               `json:"orders"`  // orders carried out
+	Older       int               `json:"older"`   // of those, orders older than one before
+	Refused     int               `json:"refused"` // orders refused
+}
+
+// Record is what an engine remembers of a generation.
+type Record struct {
+	Starts int    `json:"starts"` // how often it began: more than 1 is a double start
+	Tokens int    `json:"tokens"` // produced by its end
+	End    string `json:"end"`    // "stop", "length" or "cancelled"; nothing while it runs or when it was lost
+	Prompt string `json:"prompt"` // the beginning of its prompt
 }
 
 // ServiceCounts are the counters of a service.
