mgrouting: candidates by prefix and by chance, choice among offers

Cause: prefixes are cheap where they are cached, a few of them take most of the load, and many entries decide on the same lagging numbers.

Change: the first candidate by rendezvous hash with a load bound, the rest random in the zone and the region; offers compared by first token, disturbance of running streams, memory that lacks, distance, and what this entry sent since.

--- /dev/null
+++ b/internal/request/mgrouting/fleet_test.go
@@ -0,0 +1,269 @@
+package mgrouting_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+func list(n int) []mgrouting.Upstream {
+	us := make([]mgrouting.Upstream, n)
+	for i := range us {
+		us[i] = mgrouting.Upstream{
+			Name:   fmt.Sprint("engine", i),
+			Zone:   fmt.Sprint("zone", i%3),
+			Region: "south",
+			Models: []string{"small"},
+		}
+	}
+	return us
+}
+
+var query = mgrouting.Query{
+	Model:  "small",
+	Prefix: 77,
+	Zone:   "zone1",
+	Region: "south",
+}
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// One customer's prompts all begin with the same manual. The engine that has
+// it cached gets every request, and its callers wait while others idle.
+func TestHeavyPrefix(t *testing.T) {
+	Convey("A popular prefix spreads beyond its first upstream", t, func() {
+		f := mgrouting.NewFleet(list(12), nil)
+		r := source()
+		home := f.Candidates(nil, query, r)[0]
+		for range 120 {
+			f.Started(f.Candidates(nil, query, r)[0])
+		}
+		So(f.Flights(home), ShouldBeBetween, 5, 14)
+		for i := range f.Len() {
+			So(f.Flights(i), ShouldBeLessThanOrEqualTo, 14)
+			for range f.Flights(i) {
+				f.Ended(i)
+			}
+		}
+		So(f.Candidates(nil, query, r)[0], ShouldEqual, home)
+	})
+}
+
+// A few engines cache most of the prompts and are slow for it, as the hash
+// prefers them.
+func TestPrefixesSpread(t *testing.T) {
+	Convey("Each upstream is the first for its part of the prefixes", t, func() {
+		f := mgrouting.NewFleet(list(12), nil)
+		r := source()
+		got := make([]int, f.Len())
+		for prefix := range uint64(12_000) {
+			q := query
+			q.Prefix = prefix + 1
+			got[f.Candidates(nil, q, r)[0]]++
+		}
+		for _, n := range got {
+			So(n, ShouldBeBetween, 850, 1150)
+		}
+	})
+}
+
+// Every entry sees the same engine as the idlest, all send there, and its
+// callers wait for seconds; a second later it is the next engine's turn.
+func TestHerding(t *testing.T) {
+	Convey("Entries with the same old numbers spread", t, func() {
+		const entries, upstreams = 100, 12
+		r := source()
+		got := make([]int, upstreams)
+		waits := make([]mgclock.Millis, upstreams)
+		for i := range waits {
+			waits[i] = mgclock.Millis(100 + 10*i)
+		}
+		for entry := range entries {
+			f := mgrouting.NewFleet(list(upstreams), nil)
+			q := query
+			q.Prefix = 0
+			q.Zone = fmt.Sprint("zone", entry%3)
+			for range 4 {
+				var offers []mgrouting.Offer
+				for _, i := range f.Candidates(nil, q, r) {
+					offers = append(offers, mgrouting.Offer{
+						Upstream: i,
+						Wait:     waits[i],
+						Headroom: -1,
+					})
+				}
+				at := offers[f.Choose(offers, q, r)].Upstream
+				f.Started(at)
+				got[at]++
+			}
+		}
+		for i := range got {
+			So(got[i], ShouldBeLessThan, 3*entries*4/upstreams)
+		}
+	})
+}
+
+// An upstream said that it is leaving, the list doesn't know yet, and new work
+// still goes there.
+func TestLeaving(t *testing.T) {
+	Convey("A leaving upstream is no candidate and no choice", t, func() {
+		f := mgrouting.NewFleet(list(3), nil)
+		r := source()
+		f.Leave(1)
+		So(f.Candidates(nil, query, r), ShouldNotContain, 1)
+		So(f.Choose([]mgrouting.Offer{
+			{
+				Upstream: 1,
+			},
+		}, query, r), ShouldEqual, -1)
+	})
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name   string
+		offers []mgrouting.Offer
+		want   int
+	}{
+		{
+			name: "the sooner first token",
+			offers: []mgrouting.Offer{
+				{
+					Wait: 300,
+				},
+				{
+					Wait: 200,
+				},
+			},
+			want: 1,
+		},
+		{
+			name: "not what is refused",
+			offers: []mgrouting.Offer{
+				{
+					Wait: 300,
+				},
+				{
+					Refused: true,
+				},
+			},
+			want: 0,
+		},
+		{
+			name: "the prompt that disturbs fewer streams",
+			offers: []mgrouting.Offer{
+				{
+					Wait:     200,
+					Uncached: 4000,
+					Running:  60,
+				},
+				{
+					Wait:     250,
+					Uncached: 4000,
+					Running:  4,
+				},
+			},
+			want: 1,
+		},
+		{
+			name: "the memory that holds the answer",
+			offers: []mgrouting.Offer{
+				{
+					Wait:     200,
+					Headroom: 100,
+				},
+				{
+					Wait:     210,
+					Headroom: 4000,
+				},
+			},
+			want: 1,
+		},
+		{
+			name: "none when all refuse",
+			offers: []mgrouting.Offer{
+				{
+					Refused: true,
+				},
+			},
+			want: -1,
+		},
+	}
+	Convey("The offer taken is", t, func() {
+		f := mgrouting.NewFleet(list(1), nil)
+		q := query
+		q.Prompt = 1000
+		q.Output = 1000
+		for _, c := range cases {
+			Convey(c.name, func() {
+				So(f.Choose(c.offers, q, source()), ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+// Whatever the list: candidates are distinct and live, their number is what
+// there is, and the loss of one upstream moves only its own prefixes.
+func TestCandidateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		us := list(rapid.IntRange(1, 20).Draw(t, "upstreams"))
+		gone := rapid.IntRange(0, len(us)-1).Draw(t, "gone")
+		f := mgrouting.NewFleet(us, nil)
+		us[gone].Leaving = true
+		without := mgrouting.NewFleet(us, nil)
+		q := query
+		q.Prefix = rapid.Uint64Min(1).Draw(t, "prefix")
+		q.Count = rapid.IntRange(1, 6).Draw(t, "count")
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		before := f.Candidates(nil, q, r)
+		after := without.Candidates(nil, q, r)
+		if len(before) != min(q.Count, len(us)) || len(after) != min(q.Count, len(us)-1) {
+			t.Fatalf("%d and %d candidates of %d", len(before), len(after), len(us))
+		}
+		seen := map[int]bool{}
+		for _, i := range after {
+			if i == gone || seen[i] {
+				t.Fatalf("candidate %d left or came twice", i)
+			}
+			seen[i] = true
+		}
+		if before[0] != gone && before[0] != after[0] {
+			t.Fatalf("the prefix moved from %d to %d", before[0], after[0])
+		}
+	})
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, upstreams := range []int{12, 900} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			f := mgrouting.NewFleet(list(upstreams), nil)
+			r := source()
+			dst := make([]int, 0, 3)
+			q := query
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Prefix++
+				dst = f.Candidates(dst[:0], q, r)
+			}
+		})
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	f := mgrouting.NewFleet(list(3), nil)
+	r := source()
+	offers := make([]mgrouting.Offer, 3)
+	for i := range offers {
+		offers[i].Upstream = i
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = f.Choose(offers, query, r)
+	}
+}
