--- /dev/null
+++ b/internal/request/mgretry/budget.go
@@ -0,0 +1,52 @@
+package mgretry
+
+import "sync/atomic"
+
+// Ratio is the part of a retry that each success earns. A tenth lets all of
+// the failures of one upstream in ten be tried again, and multiplies the load
+// by 1.1 at most when all fail.
+const Ratio = 0.1
+
+// HedgeRatio is the part of a hedge that each success earns: the share of
+// lookups that are slower than the 95th percentile.
+const HedgeRatio = 0.05
+
+// Limit is the most retries that a budget holds, and what it begins with:
+// enough for the requests that one failed engine leaves behind.
+const Limit = 64
+
+// milli is a thousandth of a retry, the unit of a budget.
+const milli = 1000
+
+// A Budget bounds retries by a share of successes. The zero Budget is full.
+type Budget struct {
+	spent atomic.Int64 // in thousandths of a retry
+}
+
+// Earn adds the share of a retry that a success brings.
+func (b *Budget) Earn(ratio float64) {
+	part := int64(ratio * milli)
+	for {
+		spent := b.spent.Load()
+		if spent <= 0 || b.spent.CompareAndSwap(spent, max(spent-part, 0)) {
+			return
+		}
+	}
+}
+
+// Spend takes one retry. It reports false, and takes none, when there is none
+// left.
+func (b *Budget) Spend() bool {
+	for {
+		spent := b.spent.Load()
+		if spent+milli > Limit*milli {
+			return false
+		}
+		if b.spent.CompareAndSwap(spent, spent+milli) {
+			return true
+		}
+	}
+}
+
+// Left returns the number of whole retries left.
+func (b *Budget) Left() int { return int(Limit - (b.spent.Load()+milli-1)/milli) }
--- /dev/null
+++ b/internal/request/mgretry/budgets.go
@@ -0,0 +1,41 @@
+package mgretry
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+)
+
+// Budgets holds the budgets of the services. The zero Budgets is empty. A read
+// takes no lock: the map is copied when a service is new, which is bounded by
+// the services of the table.
+type Budgets struct {
+	mu  sync.Mutex
+	all atomic.Pointer[map[string]*Budget]
+}
+
+// Of returns the budget of a service, which begins full.
+func (s *Budgets) Of(service string) *Budget {
+	if all := s.all.Load(); all != nil {
+		if b := (*all)[service]; b != nil {
+			return b
+		}
+	}
+	return s.add(service)
+}
+
+func (s *Budgets) add(service string) *Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[string]*Budget{}
+	if all := s.all.Load(); all != nil {
+		if b := (*all)[service]; b != nil {
+			return b
+		}
+		next = maps.Clone(*all)
+	}
+	b := new(Budget)
+	next[service] = b
+	s.all.Store(&next)
+	return b
+}
--- /dev/null
+++ b/internal/request/mgretry/retry_test.go
@@ -0,0 +1,232 @@
+package mgretry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func failed(kind mgproblem.Kind, outcome mgproblem.Outcome) *mgproblem.Problem {
+	return mgproblem.New(kind, outcome, "it failed", "try again")
+}
+
+// An outage of a minute ends, and the engines fall over again within a second:
+// everything that failed in that minute is tried again at once.
+func TestOutage(t *testing.T) {
+	Convey("Through an outage of a minute", t, func() {
+		const offered = 100 // new requests a second
+		var b mgretry.Budget
+		r := source()
+		attempts := make([]int, 200)
+		again := make([][]int, 500) // tries of the requests that come back, by second
+		for second := range attempts {
+			up := second < 60 || second >= 120
+			try := func(tries int) {
+				attempts[second]++
+				if up {
+					b.Earn(mgretry.Ratio)
+					return
+				}
+				now := mgclock.Millis(second) * mgclock.Second
+				wait, ok := b.Next(now, mgretry.Attempt{
+					Problem: failed(mgproblem.Crowded, mgproblem.NotRun),
+					Tries:   tries,
+				}, r)
+				if ok {
+					at := second + 1 + int(wait/mgclock.Second)
+					again[at] = append(again[at], tries+1)
+				}
+			}
+			for range offered {
+				try(1)
+			}
+			for _, tries := range again[second] {
+				try(tries)
+			}
+		}
+		Convey("retries stay within the budget", func() {
+			sum := 0
+			for _, n := range attempts[60:120] {
+				sum += n - offered
+			}
+			So(sum, ShouldBeLessThanOrEqualTo, mgretry.Limit)
+		})
+		Convey("and nothing storms after it", func() {
+			for _, n := range attempts[120:] {
+				So(n, ShouldBeLessThan, offered*12/10)
+			}
+		})
+	})
+}
+
+// After an outage all callers come back within the same second, though each of
+// them backed off.
+func TestCallersComeBackApart(t *testing.T) {
+	Convey("A thousand callers that failed together", t, func() {
+		r := source()
+		perSecond := map[mgclock.Millis]int{}
+		const outage = 5 * mgclock.Minute
+		for range 1000 {
+			now := mgclock.Millis(0)
+			for tries := 1; now < outage; tries++ {
+				now += mgretry.Backoff(tries, 0, r)
+			}
+			So(now, ShouldBeLessThanOrEqualTo, outage+mgretry.Ceiling)
+			perSecond[now/mgclock.Second]++
+		}
+		for _, n := range perSecond {
+			So(n, ShouldBeLessThan, 120)
+		}
+	})
+}
+
+// A transfer ticket is booked twice: the connection broke after the write had
+// run, and the system sent it again.
+func TestAllowed(t *testing.T) {
+	cases := []struct {
+		name    string
+		attempt mgretry.Attempt
+		want    bool
+	}{
+		{
+			name: "what did not run",
+			attempt: mgretry.Attempt{
+				Problem: failed(mgproblem.Crowded, mgproblem.NotRun),
+			},
+			want: true,
+		},
+		{
+			name: "a write that may have run",
+			attempt: mgretry.Attempt{
+				Problem: failed(mgproblem.Unconfirmed, mgproblem.Unknown),
+			},
+		},
+		{
+			name: "a lookup that may have run",
+			attempt: mgretry.Attempt{
+				Problem:    failed(mgproblem.Unconfirmed, mgproblem.Unknown),
+				Idempotent: true,
+			},
+			want: true,
+		},
+		{
+			name: "an answer of which a part was delivered",
+			attempt: mgretry.Attempt{
+				Problem:    failed(mgproblem.Interrupted, mgproblem.Unknown),
+				Idempotent: true,
+				Delivered:  true,
+			},
+		},
+		{
+			name: "what is done",
+			attempt: mgretry.Attempt{
+				Problem:    failed(mgproblem.Internal, mgproblem.Done),
+				Idempotent: true,
+			},
+		},
+		{
+			name: "what no upstream would take",
+			attempt: mgretry.Attempt{
+				Problem: failed(mgproblem.Invalid, mgproblem.NotRun),
+			},
+		},
+	}
+	Convey("Tried again is", t, func() {
+		for _, c := range cases {
+			Convey(fmt.Sprint(c.name, " ", c.want), func() {
+				So(mgretry.Allowed(c.attempt), ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+// An engine turns slow, each lookup passes the delay after which a second copy
+// is sent, and the copies make it slower.
+func TestHedgesOfSlowUpstream(t *testing.T) {
+	Convey("Hedges", t, func() {
+		var h mgretry.Hedge
+		r := source()
+		_, ok := h.After()
+		So(ok, ShouldBeFalse)
+		for range 10_000 {
+			h.Answered(mgclock.Millis(10 + r.IntN(100)))
+		}
+		after, ok := h.After()
+		So(ok, ShouldBeTrue)
+		So(after, ShouldBeBetween, 100, 130)
+
+		Convey("are ended by the budget when every lookup is slow", func() {
+			sent := 0
+			for range 1000 {
+				if h.Allow() {
+					sent++
+				}
+				h.Answered(2000)
+			}
+			So(sent, ShouldBeLessThanOrEqualTo, mgretry.Limit+1000/20)
+			after, _ := h.After()
+			So(after, ShouldBeGreaterThan, 1500)
+		})
+	})
+}
+
+// However successes and retries mix, retries are at most the limit and the
+// ratio of successes, and a wait is at least what was told.
+func TestBudgetProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b mgretry.Budget
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		earned, spent := 0.0, 0.0
+		for range rapid.IntRange(0, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "success") {
+				b.Earn(mgretry.Ratio)
+				earned += mgretry.Ratio
+			} else if b.Spend() {
+				spent++
+			}
+			if spent > mgretry.Limit+earned+1e-9 || b.Left() < 0 {
+				t.Fatalf("%v retries for %v earned, %d left", spent, earned, b.Left())
+			}
+		}
+		told := mgclock.Millis(rapid.IntRange(0, 100_000).Draw(t, "told"))
+		wait := mgretry.Backoff(rapid.IntRange(0, 100).Draw(t, "tries"), told, r)
+		if wait < told || wait > told+mgretry.Ceiling {
+			t.Fatalf("told %d, waits %d", told, wait)
+		}
+	})
+}
+
+func BenchmarkNext(b *testing.B) {
+	var budgets mgretry.Budgets
+	r := source()
+	a := mgretry.Attempt{
+		Problem: failed(mgproblem.Crowded, mgproblem.NotRun),
+		Tries:   1,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		budget := budgets.Of("report")
+		_, _ = budget.Next(0, a, r)
+		budget.Earn(1)
+	}
+}
+
+func BenchmarkHedge(b *testing.B) {
+	var h mgretry.Hedge
+	n := mgclock.Millis(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Answered(n % 1000)
+		_, _ = h.After()
+		n++
+	}
+}
