--- /dev/null
+++ b/internal/process/mgpace/drain.go
@@ -0,0 +1,44 @@
+package mgpace
+
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
+// Margin is the time before the end of a notice at which the last streams are
+// closed, so that each caller hears of it while the process still lives: some
+// heartbeats of a link.
+const Margin = 2 * mgclock.Second
+
+// Fate is what becomes of a stream of a leaving engine.
+type Fate string
+
+// The fates.
+const (
+	Stay  Fate = "stay"  // it goes on here
+	Move  Fate = "move"  // it is cancelled here and begun anew elsewhere
+	Close Fate = "close" // it ends now, and its caller is told how far it came
+)
+
+// A Stream is one answer of a leaving engine.
+type Stream struct {
+	Remaining float64        // expected tokens to come
+	Gap       mgclock.Millis // between its tokens
+	Delivered int            // tokens that its caller has
+	Whole     bool           // its caller takes nothing but the whole answer
+}
+
+// Drain returns the fate of a stream on an engine that is gone at end. It is
+// asked again as the stream goes on: an answer that was expected to end in time
+// and does not is found out while there is time to move it.
+func Drain(now, end mgclock.Millis, s Stream) Fate {
+	left := end - Margin - now
+	needed := mgclock.Millis(s.Remaining * float64(s.Gap))
+	switch {
+	case needed <= left:
+		return Stay
+	case s.Delivered == 0 || s.Whole:
+		return Move
+	case left > 0:
+		return Stay // it may yet end: lengths are unknown
+	default:
+		return Close
+	}
+}
