mgcap: say the bound of the heavy caller's play as a number

Cause: the bound was written as a product with a conversion that meant nothing.

Conclusion: reads better.

--- a/internal/request/mgcap/cap_test.go
+++ b/internal/request/mgcap/cap_test.go
@@ -36,7 +36,7 @@
 			}
 			running = c.Start(now, 20) == nil
 		}
-		So(got, ShouldBeBetween, 600*95.0, 600*100+mgclock.Second.Duration().Seconds()*300)
+		So(got, ShouldBeBetween, 600*95, 600*100.5)
 	})
 	Convey("and who is turned away may come back when told", t, func() {
 		var c mgcap.Cap
