mgscheduler: a time by which the whole answer is due

Cause: a caller who takes only whole answers gains nothing by a first token in time, and a queue that knows only of first tokens starts answers that can't end in time.

Change: Request.Due; the latest start is also bounded by the expected length times the measured gap between tokens (Forecast.Next, Forecast.Rest).

--- a/internal/request/mgadmission/forecast.go
+++ b/internal/request/mgadmission/forecast.go
@@ -37,6 +37,8 @@
 	span    float64 // milliseconds with work, fading
 	prompts float64 // uncached prompt tokens that reached a first token, fading
 	delays  float64 // milliseconds from their starts, fading
+	tokens  float64 // that followed another one, fading
+	gaps    float64 // milliseconds between them, fading
 }
 
 // Busy tells whether from now on the upstream has work.
@@ -70,6 +72,22 @@
 	return mgclock.Millis(f.delays / f.prompts * float64(uncached+overhead))
 }
 
+// Next tells that an answer produced tokens within a span since its last one.
+func (f *Forecast) Next(tokens int, span mgclock.Millis) {
+	const keep = 255.0 / 256 // an average over some steps of a batch
+	f.tokens = keep*f.tokens + float64(tokens)
+	f.gaps = keep*f.gaps + float64(span)
+}
+
+// Rest returns the expected time that an answer of a length takes from its
+// first token to its last.
+func (f *Forecast) Rest(length float64) mgclock.Millis {
+	if f.tokens == 0 {
+		return 0
+	}
+	return mgclock.Millis(f.gaps / f.tokens * length)
+}
+
 // Wait returns how long work of a cost takes the upstream.
 func (f *Forecast) Wait(now mgclock.Millis, cost float64) mgclock.Millis {
 	f.advance(now)
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -34,7 +34,8 @@
 	request Request
 	came    mgclock.Millis
 	started mgclock.Millis
-	charged float64 // cost that its account was charged
+	last    mgclock.Millis // when it last produced tokens
+	charged float64        // cost that its account was charged
 	answer  mglength.Answer
 	share   mgadmission.Share
 	running bool
@@ -200,11 +201,13 @@
 		return problemLarge()
 	case !s.queue.Room(r.Account, r.Priority):
 		return problemFull(s.retry(now, r, output))
-	case r.Deadline <= 0:
+	}
+	expiry := s.expiry(r, output)
+	if expiry == 0 {
 		return nil
 	}
 	wait := s.wait(now, r, output)
-	slack := s.expiry(r) - now
+	slack := expiry - now
 	if slack < 0 || wait > slack {
 		return problemCrowded(mgadmission.Retry(wait, slack))
 	}
@@ -219,16 +222,25 @@
 		Weight:   r.Weight,
 		Priority: r.Priority,
 		Cost:     mgadmission.Cost(r.uncached(), output),
-		Expiry:   s.expiry(r),
+		Expiry:   s.expiry(r, output),
 	}
 }
 
 // expiry returns when a request must start at the latest, or 0.
-func (s *Scheduler) expiry(r *Request) mgclock.Millis {
-	if r.Deadline <= 0 {
-		return 0
+func (s *Scheduler) expiry(r *Request, output float64) mgclock.Millis {
+	first := s.forecast.FirstToken(r.uncached())
+	expiry := mgclock.Millis(0)
+	if r.Deadline > 0 {
+		expiry = max(r.Deadline-first, 1)
+	}
+	if r.Due <= 0 {
+		return expiry
+	}
+	latest := max(r.Due-first-s.forecast.Rest(output), 1)
+	if expiry > 0 {
+		latest = min(latest, expiry)
 	}
-	return max(r.Deadline-s.forecast.FirstToken(r.uncached()), 1)
+	return latest
 }
 
 // wait returns the expected time until a request would start. Where nothing
@@ -302,11 +314,14 @@
 	}
 }
 
-// work returns the cost that a job's progress adds, and takes note of its
-// first token.
+// work returns the cost that a job's progress adds, and takes note of the pace
+// of its tokens.
 func (s *Scheduler) work(now mgclock.Millis, j *job, produced int) float64 {
 	cost := float64(produced - j.told)
+	last := j.last
+	j.last = now
 	if j.told > 0 {
+		s.forecast.Next(produced-j.told, now-last)
 		return cost
 	}
 	s.forecast.First(j.request.uncached(), now-j.started)
--- a/internal/request/mgscheduler/spec.go
+++ b/internal/request/mgscheduler/spec.go
@@ -96,6 +96,7 @@
 	Cached   int            // tokens of the prompt that the upstream has computed before
 	Max      int            // tokens that the answer stops at, 0 for none
 	Deadline mgclock.Millis // when the first token is due at the latest, 0 for none
+	Due      mgclock.Millis // when the whole answer is due at the latest, 0 for none
 }
 
 // uncached returns the prompt tokens that must be computed.
