--- /dev/null
+++ b/internal/process/mgmember/member.go
@@ -0,0 +1,86 @@
+package mgmember
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+)
+
+// A Member is a process as it was seen when a view was made.
+type Member struct {
+	vm          mgplatform.VM
+	incarnation string
+	leaving     bool
+	suspect     bool
+	listed      bool
+}
+
+// Name returns the name of the VM that the process runs on.
+func (m *Member) Name() string { return m.vm.Name }
+
+// Kind returns mgplatform.EntryKind or mgplatform.AgentKind.
+func (m *Member) Kind() string { return m.vm.Kind }
+
+// Addr returns where callers reach an entry and entries an agent.
+func (m *Member) Addr() string { return m.vm.Addr }
+
+// PeerAddr returns where other processes reach it.
+func (m *Member) PeerAddr() string { return m.vm.PeerAddr() }
+
+// Zone returns the availability zone.
+func (m *Member) Zone() string { return m.vm.Zone }
+
+// Region returns the region.
+func (m *Member) Region() string { return m.vm.Region }
+
+// Upstream returns the name of the upstream beside an agent, or "".
+func (m *Member) Upstream() string { return m.vm.Upstream }
+
+// Models returns the models that the list gives an agent's engine. Callers
+// don't change it.
+func (m *Member) Models() []string { return m.vm.Models }
+
+// Services returns the plain services of an agent's upstream. Callers don't
+// change it.
+func (m *Member) Services() []string { return m.vm.Services }
+
+// Incarnation returns the last incarnation heard, or "".
+func (m *Member) Incarnation() string { return m.incarnation }
+
+// Leaving reports whether the process, or the list, says that it leaves.
+func (m *Member) Leaving() bool { return m.leaving }
+
+// Suspect reports whether it failed lately.
+func (m *Member) Suspect() bool { return m.suspect }
+
+// Listed reports whether it is on the list of VMs.
+func (m *Member) Listed() bool { return m.listed }
+
+// Rank returns the first count members in rendezvous order for a key. Removing
+// a member moves only the keys for which it was among them.
+func Rank(key string, members []*Member, count int) []*Member {
+	type scored struct {
+		score uint64
+		at    int
+	}
+	scores := make([]scored, len(members))
+	for i, m := range members {
+		scores[i] = scored{
+			score: xxhash.Sum64String(key + "\x00" + m.Name()),
+			at:    i,
+		}
+	}
+	sort.Slice(scores, func(i, j int) bool {
+		if scores[i].score != scores[j].score {
+			return scores[i].score > scores[j].score
+		}
+		return members[scores[i].at].Name() < members[scores[j].at].Name()
+	})
+	first := make([]*Member, 0, min(count, len(members)))
+	for _, s := range scores[:min(count, len(members))] {
+		first = append(first, members[s.at])
+	}
+	return first
+}
--- /dev/null
+++ b/internal/process/mgmember/member_test.go
@@ -0,0 +1,240 @@
+package mgmember_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// list returns a list of agents with a model, given as names, with "-" before
+// those that leave.
+func list(version uint64, names string) mgplatform.List {
+	l := mgplatform.List{
+		Version: version,
+	}
+	for _, name := range strings.Fields(names) {
+		state := mgplatform.Live
+		if strings.HasPrefix(name, "-") {
+			state = mgplatform.Leaving
+		}
+		l.VMs = append(l.VMs, mgplatform.VM{
+			Name:     strings.TrimPrefix(name, "-"),
+			Kind:     mgplatform.AgentKind,
+			Zone:     "z",
+			Upstream: "u-" + strings.TrimPrefix(name, "-"),
+			Models:   []string{"m"},
+			State:    state,
+		})
+	}
+	return l
+}
+
+// names returns the names of members.
+func names(members []*mgmember.Member) string {
+	var list []string
+	for _, m := range members {
+		list = append(list, m.Name())
+	}
+	return strings.Join(list, " ")
+}
+
+func TestMembers(t *testing.T) {
+	Convey("The members that get work", t, func() {
+		m := mgmember.New("e")
+		up := func() string { return names(m.View().Upstreams("m")) }
+		So(up(), ShouldEqual, "")
+		So(m.List(0, list(2, "a b c")), ShouldBeTrue)
+		So(up(), ShouldEqual, "a b c")
+
+		Convey("are without one that the list shows leaving", func() {
+			m.List(0, list(3, "a -b c"))
+			So(up(), ShouldEqual, "a c")
+			_, there := m.View().Agent("u-b")
+			So(there, ShouldBeTrue)
+		})
+		Convey("don't go back to an older list", func() {
+			So(m.List(0, list(1, "a")), ShouldBeFalse)
+			So(up(), ShouldEqual, "a b c")
+		})
+		Convey("are without one that says it leaves, though the list lags", func() {
+			// A user's request goes to an engine that is about to be reclaimed.
+			// The agent says so at once; the list shows it live for a minute
+			// more and is published again meanwhile.
+			m.Heard(10, "b", "1", true)
+			So(up(), ShouldEqual, "a c")
+			m.List(20, list(3, "a b c d"))
+			m.Heard(30, "b", "1", false)
+			So(up(), ShouldEqual, "a c d")
+		})
+		Convey("are with its successor again", func() {
+			// The VM's name comes back with another incarnation. A delayed reply
+			// of the old one, "I leave", arrives after the new one was heard.
+			m.Heard(10, "b", "1", true)
+			m.Heard(20, "b", "2", false)
+			m.Heard(30, "b", "1", true)
+			So(up(), ShouldEqual, "a b c")
+		})
+		Convey("are with it again when the word has outlived every lag", func() {
+			m.Heard(10, "b", "1", true)
+			m.Tick(2*mgclock.Minute - 1)
+			So(up(), ShouldEqual, "a c")
+			m.Tick(2*mgclock.Minute + 10)
+			So(up(), ShouldEqual, "a b c")
+		})
+		Convey("are without one that failed twice, until it is tried again", func() {
+			m.Failed(10, "b")
+			So(up(), ShouldEqual, "a b c")
+			m.Failed(20, "b")
+			So(up(), ShouldEqual, "a c")
+			m.Tick(1020)
+			So(up(), ShouldEqual, "a b c")
+			m.Failed(1030, "b")
+			m.Tick(2030)
+			So(up(), ShouldEqual, "a c")
+			m.Heard(2040, "b", "1", false)
+			So(up(), ShouldEqual, "a b c")
+		})
+		Convey("are all of them when all are suspects", func() {
+			// An entry is cut off for a minute and suspects every agent. With
+			// nobody left to ask it would answer "no upstream" long after the
+			// heal; the link was at fault, not every agent.
+			for _, name := range []string{"a", "b", "c"} {
+				m.Failed(10, name)
+				m.Failed(20, name)
+			}
+			So(up(), ShouldEqual, "a b c")
+		})
+		Convey("are with those that a broken list lost but that are heard", func() {
+			m.Heard(10, "a", "1", false)
+			m.List(20, list(3, ""))
+			So(up(), ShouldEqual, "a")
+			m.Tick(10 + 30*mgclock.Second)
+			So(up(), ShouldEqual, "")
+			So(m.Recent(40, "a", mgclock.Second), ShouldBeFalse)
+		})
+	})
+}
+
+// TestHeal: during a partition every entry comes to suspect the far half. Once
+// it heals, no instant may see a large part of the entries try one agent anew.
+func TestHeal(t *testing.T) {
+	Convey("A heal is spread over the last span of suspicion", t, func() {
+		const entries = 360
+		ends := map[mgclock.Millis]int{}
+		for i := range entries {
+			m := mgmember.New(fmt.Sprintf("entry-%d", i))
+			m.List(0, list(1, "a b"))
+			now := mgclock.Millis(0)
+			for range 20 {
+				m.Failed(now, "a")
+				now += mgclock.Second
+			}
+			for names(m.View().Upstreams("m")) != "a b" {
+				now += 100
+				m.Tick(now)
+			}
+			ends[now/mgclock.Second]++
+		}
+		most := 0
+		for _, count := range ends {
+			most = max(most, count)
+		}
+		So(most, ShouldBeLessThan, entries/4)
+	})
+}
+
+func TestRank(t *testing.T) {
+	Convey("Rendezvous moves only the keys of the member that went", t, func() {
+		m := mgmember.New("")
+		m.List(0, list(1, "a b c d e"))
+		before := m.View().All()
+		m.List(0, list(2, "a b d e"))
+		after := m.View().All()
+		moved := 0
+		for i := range 500 {
+			key := fmt.Sprint(i)
+			was, is := mgmember.Rank(key, before, 1)[0].Name(), mgmember.Rank(key, after, 1)[0].Name()
+			if was != is {
+				So(was, ShouldEqual, "c")
+				moved++
+			}
+		}
+		So(moved, ShouldBeBetween, 60, 140)
+	})
+}
+
+func TestPause(t *testing.T) {
+	Convey("A process that overslept", t, func() {
+		var clock, wall mgclock.Manual
+		p := mgmember.NewPause(clock.Clock(), wall.Now)
+		var gaps []mgclock.Millis
+		p.On(func(gap mgclock.Millis) { gaps = append(gaps, gap) })
+		both := func(span mgclock.Millis) {
+			clock.Advance(span)
+			wall.Advance(span)
+		}
+		p.Step()
+		both(100)
+		So(p.Check(), ShouldEqual, 0)
+		p.Step()
+
+		Convey("drops what it believed before it acts", func() {
+			both(5 * mgclock.Second)
+			So(p.Check(), ShouldEqual, 5*mgclock.Second)
+			So(gaps, ShouldHaveLength, 1)
+			So(p.Check(), ShouldEqual, 0)
+			So(p.Count(), ShouldEqual, 1)
+		})
+		Convey("notices a suspended VM, whose monotonic clock stood still", func() {
+			wall.Advance(5 * mgclock.Second)
+			So(p.Check(), ShouldEqual, 5*mgclock.Second)
+		})
+		Convey("isn't misled by a time of day that is set back", func() {
+			wall.Advance(-3 * mgclock.Second)
+			So(p.Check(), ShouldEqual, 0)
+		})
+		Convey("takes no idle time for a pause while Run looks", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				p.Run(ctx)
+			}()
+			cancel()
+			<-done
+			So(gaps, ShouldBeEmpty)
+		})
+	})
+}
+
+func BenchmarkHeard(b *testing.B) {
+	m := mgmember.New("e")
+	m.List(0, list(1, "a b c d e"))
+	for b.Loop() {
+		m.Heard(0, "a", "1", false)
+	}
+}
+
+// BenchmarkList takes a list of the target's 1,260 VMs.
+func BenchmarkList(b *testing.B) {
+	var all []string
+	for i := range 1260 {
+		all = append(all, fmt.Sprintf("vm-%04d", i))
+	}
+	m := mgmember.New("e")
+	l := list(1, strings.Join(all, " "))
+	for b.Loop() {
+		l.Version++
+		m.List(0, l)
+	}
+}
--- /dev/null
+++ b/internal/process/mgmember/members.go
@@ -0,0 +1,241 @@
+package mgmember
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// failLimit is how many calls in a row fail before a member is suspected.
+	// One lost reply on a crowded link is no sign; two in a row are.
+	failLimit = 2
+	// suspectMin is the first span of suspicion and suspectMax the longest.
+	// A second is long against a restart of a connection, and half a minute
+	// bounds the time until a healed member is used again.
+	suspectMin = mgclock.Second
+	suspectMax = 30 * mgclock.Second
+	// wordLife is how long a process's word that it leaves outweighs a list
+	// that shows it live. It must exceed the lag of the list; past it the VM
+	// has been replaced and its name may be in use again.
+	wordLife = 2 * mgclock.Minute
+	// heardLife is how long a member stays known that is not on the list: a
+	// new VM that the list doesn't show yet, or a list that lost its rows.
+	heardLife = 30 * mgclock.Second
+)
+
+// evidence is what was seen of one member directly.
+type evidence struct {
+	incarnation string
+	heard       mgclock.Millis
+	everHeard   bool
+	left        mgclock.Millis // when it said that it leaves
+	leaving     bool
+	failures    int
+	until       mgclock.Millis // end of the suspicion
+	suspect     bool
+}
+
+// Members holds the members. The zero Members is empty and ready for use by
+// several goroutines.
+type Members struct {
+	self string
+	view atomic.Pointer[View]
+
+	mu       sync.Mutex
+	list     mgplatform.List
+	known    map[string]mgplatform.VM // the last listed row of each member
+	evidence map[string]*evidence
+}
+
+// New returns the members as the process named self sees them.
+func New(self string) *Members {
+	return &Members{
+		self: self,
+	}
+}
+
+// Self returns the name of this process.
+func (m *Members) Self() string { return m.self }
+
+// View returns the present view. It takes no lock.
+func (m *Members) View() *View {
+	if v := m.view.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// List takes a list of VMs and reports whether it was newer than the last.
+func (m *Members) List(now mgclock.Millis, list mgplatform.List) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if list.Version <= m.list.Version {
+		return false
+	}
+	m.list = list
+	if m.known == nil {
+		m.known = make(map[string]mgplatform.VM)
+	}
+	for _, vm := range list.VMs {
+		m.known[vm.Name] = vm
+	}
+	m.rebuild(now)
+	return true
+}
+
+// Heard takes a process's word of itself. The word of an older incarnation is
+// dropped: a late reply must not bring back, or send away, its successor.
+func (m *Members) Heard(now mgclock.Millis, name, incarnation string, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.of(name)
+	if incarnation < e.incarnation {
+		return
+	}
+	before := *e
+	if incarnation > e.incarnation {
+		*e = evidence{
+			incarnation: incarnation,
+		}
+	}
+	e.heard = now
+	e.everHeard = true
+	e.failures = 0
+	e.suspect = false
+	if leaving && !e.leaving {
+		e.leaving = true
+		e.left = now
+	}
+	if before.incarnation != e.incarnation || before.leaving != e.leaving || before.suspect {
+		m.rebuild(now)
+	}
+}
+
+// Failed takes a call to a member that brought no answer.
+func (m *Members) Failed(now mgclock.Millis, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.of(name)
+	e.failures++
+	if e.failures < failLimit || now < e.until {
+		return
+	}
+	e.until = now + m.suspicion(name, e.failures)
+	if !e.suspect {
+		e.suspect = true
+		m.rebuild(now)
+	}
+}
+
+// suspicion returns a span that doubles with each failure past the limit, less
+// up to a quarter that differs between observers: after a partition heals, its
+// two halves must not call each other all in one instant.
+func (m *Members) suspicion(name string, failures int) mgclock.Millis {
+	span := suspectMax
+	if shift := failures - failLimit; shift < 5 {
+		span = min(suspectMax, suspectMin<<shift)
+	}
+	spread := xxhash.Sum64String(m.self+"\x00"+name) % uint64(span/4)
+	return span - mgclock.Millis(spread)
+}
+
+// Tick ends the suspicions and words that ran out. Call it about once a second.
+func (m *Members) Tick(now mgclock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := false
+	for name, e := range m.evidence {
+		if e.suspect && now >= e.until {
+			e.suspect = false
+			changed = true
+		}
+		if e.leaving && now >= e.left+wordLife {
+			e.leaving = false
+			changed = true
+		}
+		if m.forget(now, name, e) {
+			changed = true
+		}
+	}
+	if changed {
+		m.rebuild(now)
+	}
+}
+
+// forget drops a member that is neither listed nor heard. It reports whether
+// one was dropped.
+func (m *Members) forget(now mgclock.Millis, name string, e *evidence) bool {
+	v, ok := m.View().Member(name)
+	if ok && v.listed || now < e.heard+heardLife || e.suspect || e.leaving {
+		return false
+	}
+	if !ok {
+		delete(m.evidence, name)
+		return false
+	}
+	delete(m.evidence, name)
+	delete(m.known, name)
+	return true
+}
+
+// Recent reports whether a member was heard within a span.
+func (m *Members) Recent(now mgclock.Millis, name string, span mgclock.Millis) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.evidence[name]
+	return e != nil && e.everHeard && now-e.heard <= span
+}
+
+func (m *Members) of(name string) *evidence {
+	if m.evidence == nil {
+		m.evidence = make(map[string]*evidence)
+	}
+	e := m.evidence[name]
+	if e == nil {
+		e = &evidence{}
+		m.evidence[name] = e
+	}
+	return e
+}
+
+// rebuild replaces the view.
+func (m *Members) rebuild(now mgclock.Millis) {
+	all := make([]*Member, 0, len(m.list.VMs))
+	listed := make(map[string]bool, len(m.list.VMs))
+	for _, vm := range m.list.VMs {
+		listed[vm.Name] = true
+		all = append(all, m.member(vm, true))
+	}
+	for name, vm := range m.known {
+		if listed[name] {
+			continue
+		}
+		e := m.evidence[name]
+		if e == nil || !e.everHeard || now >= e.heard+heardLife {
+			delete(m.known, name)
+			continue
+		}
+		all = append(all, m.member(vm, false))
+	}
+	m.view.Store(newView(m.list.Version, m.self, all))
+}
+
+// member joins a row of the list and the evidence.
+func (m *Members) member(vm mgplatform.VM, listed bool) *Member {
+	member := &Member{
+		vm:      vm,
+		listed:  listed,
+		leaving: vm.State == mgplatform.Leaving,
+	}
+	if e := m.evidence[vm.Name]; e != nil {
+		member.incarnation = e.incarnation
+		member.leaving = member.leaving || e.leaving
+		member.suspect = e.suspect
+	}
+	return member
+}
--- /dev/null
+++ b/internal/process/mgmember/view.go
@@ -0,0 +1,126 @@
+package mgmember
+
+import (
+	"sort"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+)
+
+// A View is a picture of the members. It never changes; the zero View is empty.
+// Callers don't change the slices that it returns.
+type View struct {
+	version   uint64
+	all       []*Member
+	byName    map[string]int
+	upstreams map[string][]*Member // by model
+	hosts     map[string][]*Member // by service
+	agents    map[string]*Member   // by upstream
+	entries   map[string][]*Member // by region
+	zones     map[string][]*Member
+	peers     []*Member
+}
+
+// newView makes a view of members, without self among the peers.
+func newView(version uint64, self string, all []*Member) *View {
+	sort.Slice(all, func(i, j int) bool { return all[i].Name() < all[j].Name() })
+	v := &View{
+		version:   version,
+		all:       all,
+		byName:    make(map[string]int, len(all)),
+		upstreams: make(map[string][]*Member),
+		hosts:     make(map[string][]*Member),
+		agents:    make(map[string]*Member),
+		entries:   make(map[string][]*Member),
+		zones:     make(map[string][]*Member),
+	}
+	for i, m := range all {
+		v.byName[m.Name()] = i
+		v.add(m, m.Name() == self)
+	}
+	for model, list := range v.upstreams {
+		v.upstreams[model] = trusted(list)
+	}
+	for service, list := range v.hosts {
+		v.hosts[service] = trusted(list)
+	}
+	v.peers = trusted(v.peers)
+	return v
+}
+
+func (v *View) add(m *Member, self bool) {
+	v.zones[m.Zone()] = append(v.zones[m.Zone()], m)
+	if !self {
+		v.peers = append(v.peers, m)
+	}
+	if m.Kind() == mgplatform.EntryKind {
+		v.entries[m.Region()] = append(v.entries[m.Region()], m)
+		return
+	}
+	if m.Upstream() != "" {
+		v.agents[m.Upstream()] = m
+	}
+	if m.leaving {
+		return
+	}
+	for _, model := range m.Models() {
+		v.upstreams[model] = append(v.upstreams[model], m)
+	}
+	for _, service := range m.Services() {
+		v.hosts[service] = append(v.hosts[service], m)
+	}
+}
+
+// trusted leaves out suspects, unless nobody else is left. When all are
+// suspected it is likelier that this process was cut off than that all the
+// others died, and giving up on them would keep it from noticing the heal.
+func trusted(list []*Member) []*Member {
+	kept := make([]*Member, 0, len(list))
+	for _, m := range list {
+		if !m.suspect {
+			kept = append(kept, m)
+		}
+	}
+	if len(kept) == 0 {
+		return list
+	}
+	return kept
+}
+
+// Version returns the version of the list of VMs, or 0 before the first.
+func (v *View) Version() uint64 { return v.version }
+
+// All returns all members by name, this process included.
+func (v *View) All() []*Member { return v.all }
+
+// Member returns the member of a name.
+func (v *View) Member(name string) (*Member, bool) {
+	i, ok := v.byName[name]
+	if !ok {
+		return nil, false
+	}
+	return v.all[i], true
+}
+
+// Upstreams returns the agents whose engines may hold a model, without those
+// that leave and, unless nobody else is left, without suspects.
+func (v *View) Upstreams(model string) []*Member { return v.upstreams[model] }
+
+// Hosts returns the agents whose upstreams run a plain service, like Upstreams.
+func (v *View) Hosts(service string) []*Member { return v.hosts[service] }
+
+// Agent returns the agent beside an upstream, also when it leaves.
+func (v *View) Agent(upstream string) (*Member, bool) {
+	m, ok := v.agents[upstream]
+	return m, ok
+}
+
+// Entries returns the entries of a region, leaving and suspect ones included.
+func (v *View) Entries(region string) []*Member { return v.entries[region] }
+
+// Zone returns the members of an availability zone, leaving and suspect ones
+// included, so that those with the same list get the same answer.
+func (v *View) Zone(zone string) []*Member { return v.zones[zone] }
+
+// Peers returns the other processes, without suspects unless nobody else is
+// left.
+func (v *View) Peers() []*Member { return v.peers }
