mgentry, mgnode: routing by offers, membership by evidence, retry budgets

Cause: the thin path shuffled agents and took the first idle one; the lanes' decisions were there and unused. Change: candidates and choice by mgrouting, members by mgmember (list, an agent's own word, suspicion), restarts elsewhere and repeated lookups out of mgretry's budgets, plain services to the host with the fewest calls in flight.

--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -35,7 +35,7 @@
 	// Table returns the table in force, or nil while there is none.
 	Table func() *mgtable.Table
 	// Seen tells that another process goes by a version.
-	Seen func(version uint64)
+	Seen func(version uint64, from string)
 }
 
 // An Agent gives one upstream its work. Make one with New, then Run it.
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -16,7 +16,7 @@
 // Probe answers what the upstream could do for a request now. It reserves
 // nothing: what holds is Start's answer.
 func (a *Agent) Probe(_ context.Context, in *mgrpc.ProbeRequest) (*mgrpc.Offer, error) {
-	a.spec.Seen(in.GetVersion())
+	a.spec.Seen(in.GetVersion(), "")
 	now := a.spec.Clock.Now()
 	offer := &mgrpc.Offer{
 		Agent:       a.spec.Settings.Name,
@@ -79,7 +79,7 @@
 
 // Start queues an attempt, or joins the one that has begun by its id.
 func (a *Agent) Start(_ context.Context, in *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
-	a.spec.Seen(in.GetVersion())
+	a.spec.Seen(in.GetVersion(), "")
 	reply := &mgrpc.StartReply{
 		Incarnation: a.spec.Incarnation,
 	}
--- a/internal/process/mgentry/agents.go
+++ b/internal/process/mgentry/agents.go
@@ -2,30 +2,65 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
 )
 
-// Agent is an agent as the list of VMs and direct evidence show it.
-type Agent struct {
-	Name     string
-	Address  string
-	Zone     string
-	Region   string
-	Upstream string
-	Models   []string
-	Services []string
-	Leaving  bool
+// fleet is the agents of one view, prepared for routing. It lives as long as
+// the view.
+type fleet struct {
+	view    *mgmember.View
+	routes  *mgrouting.Fleet
+	members []*mgmember.Member // by place in routes
 }
 
-func (a Agent) holds(model string) bool { return slices.Contains(a.Models, model) }
+// fleet returns the agents of the present view. The first request after a
+// change prepares them; what is in flight is carried over.
+func (e *Entry) fleet() *fleet {
+	view := e.spec.View()
+	old := e.known.Load()
+	if old != nil && old.view == view {
+		return old
+	}
+	e.preparing.Lock()
+	defer e.preparing.Unlock()
+	if old = e.known.Load(); old != nil && old.view == view {
+		return old
+	}
+	made := prepare(view, old)
+	e.known.Store(made)
+	return made
+}
 
-func (a Agent) runs(service string) bool { return slices.Contains(a.Services, service) }
+func prepare(view *mgmember.View, old *fleet) *fleet {
+	made := &fleet{view: view}
+	var list []mgrouting.Upstream
+	for _, member := range view.All() {
+		if member.Upstream() == "" {
+			continue
+		}
+		made.members = append(made.members, member)
+		list = append(list, mgrouting.Upstream{
+			Name:    member.Upstream(),
+			Zone:    member.Zone(),
+			Region:  member.Region(),
+			Models:  append(append([]string{}, member.Models()...), member.Services()...),
+			Leaving: member.Leaving() || member.Suspect() || !member.Listed(),
+		})
+	}
+	var before *mgrouting.Fleet
+	if old != nil {
+		before = old.routes
+	}
+	made.routes = mgrouting.NewFleet(list, before)
+	return made
+}
 
 // client returns the calls of an agent.
-func (e *Entry) client(agent Agent) mgrpc.Agent {
-	base := e.spec.Base(agent.Address)
+func (e *Entry) client(agent *mgmember.Member) mgrpc.Agent {
+	base := e.spec.Base(agent.PeerAddr())
 	if found, ok := e.clients.Load(base); ok {
 		return found.(mgrpc.Agent)
 	}
@@ -35,11 +70,6 @@
 }
 
 // byUpstream returns the agent that gives an upstream its work now.
-func (e *Entry) byUpstream(upstream string) (Agent, bool) {
-	for _, agent := range e.spec.Agents() {
-		if agent.Upstream == upstream {
-			return agent, true
-		}
-	}
-	return Agent{}, false
+func (e *Entry) byUpstream(upstream string) (*mgmember.Member, bool) {
+	return e.spec.View().Agent(upstream)
 }
--- a/internal/process/mgentry/answers.go
+++ b/internal/process/mgentry/answers.go
@@ -90,6 +90,7 @@
 		id:         name.Generation(),
 		agent:      agent,
 		generation: name.Generation(),
+		ended:      func() {},
 		offer: &mgrpc.Offer{
 			Incarnation: name.Incarnation(),
 		},
--- a/internal/process/mgentry/deliver.go
+++ b/internal/process/mgentry/deliver.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgdelivery"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -77,7 +78,7 @@
 func pull(ctx context.Context, reading *reading) <-chan turn {
 	turns := make(chan turn, framesAhead)
 	go func() {
-		defer func() { reading.stream.Close() }()
+		defer reading.close()
 		for {
 			t := reading.next(ctx)
 			select {
@@ -107,7 +108,7 @@
 	if t.decision.Action() != mgdelivery.Finish {
 		return false, nil
 	}
-	e.spec.Metrics.Counter("answers").Inc(1)
+	e.answered(form)
 	return true, out.write(form.finish(t))
 }
 
@@ -124,7 +125,7 @@
 
 // whole delivers an answer in one piece.
 func (e *Entry) whole(w http.ResponseWriter, r *http.Request, reading *reading, form *form) {
-	defer func() { reading.stream.Close() }()
+	defer reading.close()
 	for {
 		t := reading.next(r.Context())
 		if t.problem != nil {
@@ -133,10 +134,18 @@
 			return
 		}
 		if t.decision.Action() == mgdelivery.Finish {
-			e.spec.Metrics.Counter("answers").Inc(1)
+			e.answered(form)
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = w.Write(form.whole(t))
 			return
 		}
 	}
 }
+
+// answered notes a whole answer, which earns its service a part of a retry.
+func (e *Entry) answered(form *form) {
+	e.spec.Metrics.Counter("answers").Inc(1)
+	if form.model != "" {
+		e.budgets.Of(form.model).Earn(mgretry.Ratio)
+	}
+}
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -1,6 +1,7 @@
 package mgentry
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -9,9 +10,11 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -28,13 +31,13 @@
 	// Table returns the table in force, or nil while there is none.
 	Table func() *mgtable.Table
 	// Seen tells that another process goes by a version.
-	Seen func(version uint64)
-	// Agents returns the agents that the entry may reach; callers don't change
-	// the slice.
-	Agents func() []Agent
-	// Suspect and Heard tell of an agent that can't be, and was, reached.
-	Suspect func(agent string)
-	Heard   func(agent string)
+	Seen func(version uint64, from string)
+	// View returns the other processes as they are known now.
+	View func() *mgmember.View
+	// Failed tells of a process that could not be reached, Heard of one's word
+	// of itself.
+	Failed func(name string)
+	Heard  func(name, incarnation string, leaving bool)
 	// Calls is for calls to agents, Frames opens each stream on a connection of
 	// its own.
 	Calls  http.RoundTripper
@@ -49,10 +52,14 @@
 	signer  *mganswer.Signer
 	clients sync.Map // base URL to mgrpc.Agent
 	frames  *http.Client
+	known   atomic.Pointer[fleet]
+	budgets mgretry.Budgets
 	busy    atomic.Int64
 	leaving atomic.Bool
 	number  atomic.Uint64 // attempts so far
 	epoch   string        // names this process's attempts
+
+	preparing sync.Mutex // held while a fleet is prepared
 }
 
 // New returns an entry; epoch is unique to this life of the process.
@@ -149,6 +156,12 @@
 	}
 }
 
+// random returns a source of random numbers for one request. Requests run on
+// many goroutines and a shared source would need a lock.
+func (e *Entry) random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 // State is the entry's part of the dump.
 type State struct {
 	Busy     int    `json:"busy"`
@@ -163,6 +176,6 @@
 		Busy:     e.Busy(),
 		Leaving:  e.leaving.Load(),
 		Attempts: e.number.Load(),
-		Agents:   len(e.spec.Agents()),
+		Agents:   e.fleet().routes.Len(),
 	}
 }
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -62,5 +62,5 @@
 
 // name returns the answer's name for its account.
 func (e *Entry) name(account string, made attempt) string {
-	return e.signer.Sign(account, mganswer.NewName(made.agent.Upstream, made.offer.GetIncarnation(), made.generation))
+	return e.signer.Sign(account, mganswer.NewName(made.agent.Upstream(), made.offer.GetIncarnation(), made.generation))
 }
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -52,25 +52,31 @@
 	})
 }
 
+// close gives back what the reading holds. It belongs to the goroutine that
+// reads.
+func (r *reading) close() {
+	r.stream.Close()
+	r.attempt.ended()
+}
+
 // openFrames asks an agent for frames on a new connection. The agent may have
 // been replaced since: the one that now serves the upstream is asked.
 func (e *Entry) openFrames(ctx context.Context, made attempt, from uint64) (io.ReadCloser, error) {
 	agent := made.agent
-	if now, ok := e.byUpstream(agent.Upstream); ok {
+	if now, ok := e.byUpstream(agent.Upstream()); ok {
 		agent = now
 	}
-	url := e.spec.Base(agent.Address) + framesPath + made.generation + "?from=" + strconv.FormatUint(from, 10)
+	url := e.spec.Base(agent.PeerAddr()) + framesPath + made.generation + "?from=" + strconv.FormatUint(from, 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
 	response, err := e.frames.Do(request)
 	if err != nil {
-		e.spec.Suspect(agent.Name)
+		e.spec.Failed(agent.Name())
 		return nil, err
 	}
 	if response.StatusCode == http.StatusOK {
-		e.spec.Heard(agent.Name)
 		return response.Body, nil
 	}
 	defer response.Body.Close()
@@ -187,14 +193,20 @@
 	if r.job == nil {
 		return interruptedProblem()
 	}
-	r.avoid[r.attempt.agent.Name] = true
+	// An engine that dies leaves many requests behind at once. Without a budget
+	// all of them go to the engines that are left, which may drown next.
+	if !r.entry.budgets.Of(r.job.service.Name()).Spend() {
+		return crowded()
+	}
+	r.avoid[r.attempt.agent.Name()] = true
+	r.attempt.ended()
 	made, problem := r.entry.begin(ctx, r.job, r.avoid)
 	if problem != nil {
 		return problem
 	}
 	r.entry.spec.Metrics.Counter("elsewhere").Inc(1)
 	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
-		mglog.Attempt, made.id, mglog.Upstream, made.agent.Upstream, mglog.Account, r.job.account.Name())
+		mglog.Attempt, made.id, mglog.Upstream, made.agent.Upstream(), mglog.Account, r.job.account.Name())
 	r.attempt = made
 	r.tokens = 0
 	r.open()
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -13,18 +17,24 @@
 // attempt is one start of a generation at one agent.
 type attempt struct {
 	id         string
-	agent      Agent
+	agent      *mgmember.Member
 	offer      *mgrpc.Offer
 	generation string
+	ended      func() // gives its place in the agent's count back, once
 }
 
 // probed is an agent's answer to a probe.
 type probed struct {
-	agent Agent
-	offer *mgrpc.Offer
-	err   error
+	agent   *mgmember.Member
+	place   int // in the fleet's routes, or none
+	flights int // of this entry, when it was asked
+	offer   *mgrpc.Offer
+	err     error
 }
 
+// none is the place of an agent outside the fleet's routes.
+const none = -1
+
 // nextAttempt returns a name that no other attempt has.
 func (e *Entry) nextAttempt() string {
 	return e.epoch + "-" + strconv.FormatUint(e.number.Add(1), 36)
@@ -34,46 +44,109 @@
 // those in avoid. A problem's outcome is NotRun only when every agent asked
 // attested it.
 func (e *Entry) begin(ctx context.Context, j *job, avoid map[string]bool) (attempt, *mgproblem.Problem) {
-	offers, retry := e.probe(ctx, j, e.candidates(j, avoid))
-	for _, offer := range offers {
-		made, problem := e.start(ctx, j, offer)
-		if problem == nil {
+	random := e.random()
+	fleet := e.fleet()
+	offers, problem := e.probe(ctx, j, fleet, e.candidates(j, fleet, avoid, random))
+	query := e.query(j)
+	for len(offers) > 0 {
+		best := fleet.best(offers, query, random)
+		made, refused := e.start(ctx, j, fleet, offers[best])
+		if refused == nil {
 			return made, nil
 		}
-		if problem.Retry() > 0 && (retry == 0 || problem.Retry() < retry) {
-			retry = problem.Retry()
-		}
+		problem = sooner(problem, refused)
+		offers = slices.Delete(offers, best, best+1)
 	}
-	return attempt{}, crowded(retry)
+	return attempt{}, problem
 }
 
-func crowded(retry mgclock.Millis) *mgproblem.Problem {
-	if retry <= 0 {
-		retry = mgclock.Second
+// sooner returns what a caller is told whom several agents refused. The
+// shortest wait counts; one doubt makes the outcome unknown.
+func sooner(a, b *mgproblem.Problem) *mgproblem.Problem {
+	switch {
+	case a == nil || a.Outcome() == mgproblem.NotRun && b.Outcome() != mgproblem.NotRun:
+		return b
+	case b.Outcome() == a.Outcome() && b.Retry() > 0 && (a.Retry() == 0 || b.Retry() < a.Retry()):
+		return b
+	default:
+		return a
 	}
+}
+
+func crowded() *mgproblem.Problem {
 	return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
-		"no upstream can answer in time", "come back after the time in Retry-After").WithRetry(retry)
+		"no upstream can answer in time", "come back after the time in Retry-After").WithRetry(mgclock.Second)
 }
 
-const probes = 3
+// query says what the job needs.
+func (e *Entry) query(j *job) mgrouting.Query {
+	query := mgrouting.Query{
+		Model:  j.model,
+		Zone:   e.spec.Settings.Zone,
+		Region: e.spec.Settings.Region,
+		Prompt: j.tokens,
+		Output: j.max,
+	}
+	if n := len(j.prefix); n > 0 {
+		query.Prefix = j.prefix[min(n, affinityBlocks)-1]
+	}
+	return query
+}
+
+// affinityBlocks is how many leading blocks decide which engine has a prompt's
+// prefix: 256 tokens hold the instructions that requests share, and not yet
+// what tells them apart.
+const affinityBlocks = 4
 
-func (e *Entry) candidates(j *job, avoid map[string]bool) []Agent {
-	var found []Agent
-	for _, agent := range e.spec.Agents() {
-		if agent.holds(j.model) && !agent.Leaving && !avoid[agent.Name] {
-			found = append(found, agent)
+// candidates returns the agents to ask. When all of a model's agents are
+// suspect they are asked all the same: the fault may be this entry's.
+func (e *Entry) candidates(j *job, fleet *fleet, avoid map[string]bool, random *rand.Rand) []probed {
+	var found []probed
+	for _, place := range fleet.routes.Candidates(nil, e.query(j), random) {
+		if member := fleet.members[place]; !avoid[member.Name()] {
+			found = append(found, probed{
+				agent:   member,
+				place:   place,
+				flights: fleet.routes.Flights(place),
+			})
 		}
 	}
-	rand.Shuffle(len(found), func(i, k int) { found[i], found[k] = found[k], found[i] })
-	if len(found) > probes {
-		found = found[:probes]
+	if len(found) > 0 {
+		return found
+	}
+	for _, member := range fleet.view.Upstreams(j.model) {
+		if !avoid[member.Name()] && len(found) < mgrouting.DefaultCount {
+			found = append(found, probed{
+				agent: member,
+				place: none,
+			})
+		}
 	}
 	return found
 }
 
-// probe asks the candidates in parallel and returns the good offers, best
-// first, and the shortest time after which a refused request may succeed.
-func (e *Entry) probe(ctx context.Context, j *job, candidates []Agent) ([]probed, mgclock.Millis) {
+// best returns the index of the offer to take.
+func (f *fleet) best(offers []probed, query mgrouting.Query, random *rand.Rand) int {
+	list := make([]mgrouting.Offer, 0, len(offers))
+	for _, offered := range offers {
+		if offered.place == none {
+			return 0
+		}
+		list = append(list, mgrouting.Offer{
+			Upstream: offered.place,
+			Wait:     mgclock.Millis(offered.offer.GetWait()),
+			Uncached: query.Prompt - int(offered.offer.GetCached()),
+			Headroom: offered.offer.GetHeadroom(),
+			Running:  int(offered.offer.GetRunning()),
+			Flights:  offered.flights,
+		})
+	}
+	return max(f.routes.Choose(list, query, random), 0)
+}
+
+// probe asks the candidates in parallel and returns the good offers, and what
+// the caller is told when there is none.
+func (e *Entry) probe(ctx context.Context, j *job, fleet *fleet, candidates []probed) ([]probed, *mgproblem.Problem) {
 	ctx, cancel := context.WithTimeout(ctx, mgclock.Millis(e.spec.Settings.Probe).Duration())
 	defer cancel()
 	answers := make(chan probed, len(candidates))
@@ -86,60 +159,61 @@
 		Version: j.table.Version(),
 		Budget:  int64(j.due - e.spec.Clock.Now()),
 	}
-	for _, agent := range candidates {
+	for _, candidate := range candidates {
 		go func() {
-			offer, err := e.client(agent).Probe(ctx, request)
-			answers <- probed{
-				agent: agent,
-				offer: offer,
-				err:   err,
-			}
+			candidate.offer, candidate.err = e.client(candidate.agent).Probe(ctx, request)
+			answers <- candidate
 		}()
 	}
-	return e.gather(answers, len(candidates))
+	return e.gather(answers, len(candidates), fleet)
 }
 
-func (e *Entry) gather(answers <-chan probed, count int) ([]probed, mgclock.Millis) {
+// enough is the number of good offers after which the entry doesn't wait for
+// the slowest agent's: one slow agent must not delay every request.
+const enough = 2
+
+func (e *Entry) gather(answers <-chan probed, count int, fleet *fleet) ([]probed, *mgproblem.Problem) {
 	var good []probed
-	retry := mgclock.Millis(0)
+	problem := crowded()
 	for range count {
 		answer := <-answers
 		if answer.err != nil {
-			e.spec.Suspect(answer.agent.Name)
+			e.spec.Failed(answer.agent.Name())
 			continue
 		}
-		e.spec.Heard(answer.agent.Name)
-		e.spec.Seen(answer.offer.GetVersion())
-		if answer.offer.GetRefused() != "" || answer.offer.GetLeaving() {
-			if wait := mgclock.Millis(answer.offer.GetRetry()); wait > 0 && (retry == 0 || wait < retry) {
-				retry = wait
-			}
-			continue
+		offer := answer.offer
+		e.spec.Heard(answer.agent.Name(), offer.GetIncarnation(), offer.GetLeaving())
+		e.spec.Seen(offer.GetVersion(), answer.agent.Name())
+		switch {
+		case offer.GetLeaving() && answer.place != none:
+			fleet.routes.Leave(answer.place)
+		case offer.GetLeaving():
+		case offer.GetRefused() != "":
+			problem = sooner(problem, mgproblem.New(mgproblem.Kind(offer.GetRefused()), mgproblem.NotRun,
+				"no upstream can answer in time", "come back after the time in Retry-After").
+				WithRetry(mgclock.Millis(offer.GetRetry())))
+		default:
+			good = append(good, answer)
 		}
-		good = append(good, answer)
-	}
-	rank(good)
-	return good, retry
-}
-
-func rank(good []probed) {
-	for i := 1; i < len(good); i++ {
-		for k := i; k > 0 && good[k].offer.GetWait() < good[k-1].offer.GetWait(); k-- {
-			good[k], good[k-1] = good[k-1], good[k]
+		if len(good) >= enough {
+			break
 		}
 	}
+	return good, problem
 }
 
 // start asks one agent to start the job. An agent that doesn't answer is told
 // to cancel, so that nothing runs for nobody.
-func (e *Entry) start(ctx context.Context, j *job, chosen probed) (attempt, *mgproblem.Problem) {
+func (e *Entry) start(ctx context.Context, j *job, fleet *fleet, chosen probed) (attempt, *mgproblem.Problem) {
 	made := attempt{
 		id:    e.nextAttempt(),
 		agent: chosen.agent,
 		offer: chosen.offer,
+		ended: fleet.fly(chosen.place),
 	}
 	budget := j.due - e.spec.Clock.Now()
 	if budget <= 0 {
+		made.ended()
 		return made, late(mgproblem.NotRun)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callWait.Duration())
@@ -159,18 +233,29 @@
 		Stamp:       chosen.offer.GetStamp(),
 	})
 	if err != nil {
-		e.spec.Suspect(chosen.agent.Name)
+		made.ended()
+		e.spec.Failed(chosen.agent.Name())
 		go e.abandon(context.WithoutCancel(ctx), made)
 		return made, mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 			"the agent did not answer", "send the request again").WithCause(err)
 	}
 	if fault := reply.GetFault(); fault != nil {
+		made.ended()
 		return made, problemOf(fault)
 	}
 	made.generation = reply.GetGeneration()
 	return made, nil
 }
 
+// fly counts a request to an agent in and returns what counts it out.
+func (f *fleet) fly(place int) func() {
+	if place == none {
+		return func() {}
+	}
+	f.routes.Started(place)
+	return sync.OnceFunc(func() { f.routes.Ended(place) })
+}
+
 // callWait bounds a short call to an agent: its answer takes about a
 // millisecond, a region away about a hundred.
 const callWait = 2 * mgclock.Second
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -68,36 +72,67 @@
 
 // mintAt mints an operation at any agent that runs the service. Minting runs
 // nothing, so it may be tried at one after another.
-func (e *Entry) mintAt(ctx context.Context, c caller, service string) (string, Agent, *mgproblem.Problem) {
-	for _, agent := range e.hosts(service) {
-		callCtx, cancel := context.WithTimeout(ctx, callWait.Duration())
-		reply, err := e.client(agent).Mint(callCtx, &mgrpc.MintRequest{
-			Account: c.account.Name(),
-			Service: service,
-			Version: c.table.Version(),
-		})
-		cancel()
+func (e *Entry) mintAt(ctx context.Context, c caller, service string) (string, *mgmember.Member, *mgproblem.Problem) {
+	for _, host := range e.hosts(service) {
+		reply, err := e.mintOnce(ctx, host.agent, c, service)
 		if err != nil {
-			e.spec.Suspect(agent.Name)
+			e.spec.Failed(host.agent.Name())
 			continue
 		}
 		if reply.GetFault() == nil {
-			return reply.GetOperation(), agent, nil
+			return reply.GetOperation(), host.agent, nil
 		}
 	}
-	return "", Agent{}, crowded(mgclock.Second)
+	return "", nil, crowded()
 }
 
-// hosts returns the agents whose upstreams run a service, in random order:
-// the load spreads, and no two entries keep the same favourite.
-func (e *Entry) hosts(service string) []Agent {
-	var found []Agent
-	for _, agent := range e.spec.Agents() {
-		if agent.runs(service) && !agent.Leaving {
-			found = append(found, agent)
-		}
+func (e *Entry) mintOnce(ctx context.Context, agent *mgmember.Member, c caller, service string) (*mgrpc.MintReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
+	defer cancel()
+	return e.client(agent).Mint(ctx, &mgrpc.MintRequest{
+		Account: c.account.Name(),
+		Service: service,
+		Version: c.table.Version(),
+	})
+}
+
+// host is an agent whose upstream runs a service.
+type host struct {
+	agent *mgmember.Member
+	fleet *fleet
+	place int
+}
+
+// hosts returns agents whose upstreams run a service, the one with the fewest
+// of this entry's calls in flight first: a slow upstream collects calls and so
+// gets fewer new ones.
+func (e *Entry) hosts(service string) []host {
+	fleet := e.fleet()
+	query := mgrouting.Query{
+		Model:  service,
+		Zone:   e.spec.Settings.Zone,
+		Region: e.spec.Settings.Region,
+	}
+	places := fleet.routes.Candidates(nil, query, e.random())
+	slices.SortStableFunc(places, func(a, b int) int { return fleet.routes.Flights(a) - fleet.routes.Flights(b) })
+	var found []host
+	for _, place := range places {
+		found = append(found, host{
+			agent: fleet.members[place],
+			fleet: fleet,
+			place: place,
+		})
+	}
+	if len(found) > 0 {
+		return found
+	}
+	for _, member := range fleet.view.Hosts(service) {
+		found = append(found, host{
+			agent: member,
+			fleet: fleet,
+			place: none,
+		})
 	}
-	rand.Shuffle(len(found), func(i, k int) { found[i], found[k] = found[k], found[i] })
 	return found
 }
 
@@ -168,7 +203,7 @@
 			return nil, problem
 		}
 		call.request.Operation = minted
-		return e.pinned(ctx, call, agent.Upstream)
+		return e.pinned(ctx, call, agent.Upstream())
 	default:
 		return e.repeatable(ctx, call)
 	}
@@ -184,7 +219,7 @@
 			if err == nil {
 				return reply, replyProblem(reply)
 			}
-			e.spec.Suspect(agent.Name)
+			e.spec.Failed(agent.Name())
 		}
 		e.spec.Clock.Sleep(ctx, repeatPause)
 	}
@@ -193,31 +228,39 @@
 }
 
 // repeatable makes a call that may run more than once, at another upstream
-// when one can't be reached.
+// when one can't be reached and the service's budget allows it.
 func (e *Entry) repeatable(ctx context.Context, call *call) (*mgrpc.InvokeReply, *mgproblem.Problem) {
-	problem := crowded(mgclock.Second)
-	for _, agent := range e.hosts(call.service.Name()) {
-		reply, err := e.invokeAt(ctx, call, agent)
-		if err != nil {
-			e.spec.Suspect(agent.Name)
+	problem := crowded()
+	budget := e.budgets.Of(call.service.Name())
+	for i, host := range e.hosts(call.service.Name()) {
+		if i > 0 && !budget.Spend() {
+			break
+		}
+		ended := host.fleet.fly(host.place)
+		reply, err := e.invokeAt(ctx, call, host.agent)
+		ended()
+		switch {
+		case err != nil:
+			e.spec.Failed(host.agent.Name())
 			problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 				"no upstream answered", "send the call again")
-			continue
-		}
-		if reply.GetFault() == nil {
+		case reply.GetFault() == nil:
+			budget.Earn(mgretry.Ratio)
 			return reply, nil
+		default:
+			problem = problemOf(reply.GetFault())
 		}
-		problem = problemOf(reply.GetFault())
 	}
 	return nil, problem
 }
 
-func (e *Entry) invokeAt(ctx context.Context, call *call, agent Agent) (*mgrpc.InvokeReply, error) {
+func (e *Entry) invokeAt(ctx context.Context, call *call, agent *mgmember.Member) (*mgrpc.InvokeReply, error) {
 	left := call.due - e.spec.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
-	call.request.Budget = int64(left)
-	return e.client(agent).Invoke(ctx, call.request)
+	request := proto.CloneOf(call.request)
+	request.Budget = int64(left)
+	return e.client(agent).Invoke(ctx, request)
 }
 
 func replyProblem(reply *mgrpc.InvokeReply) *mgproblem.Problem {
--- a/internal/process/mgnode/follow.go
+++ b/internal/process/mgnode/follow.go
@@ -23,8 +23,7 @@
 	clock  mgclock.Clock
 	log    logr.Logger
 	table  atomic.Pointer[mgtable.Table]
-	list   atomic.Pointer[mgplatform.List]
-	pages  map[string]*mgtable.Page
+	list   func(mgplatform.List)
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -84,6 +83,6 @@
 	if err != nil {
 		return err
 	}
-	f.list.Store(&list)
+	f.list(list)
 	return nil
 }
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
@@ -35,6 +36,7 @@
 	guard       *mgpeer.Guard
 	seal        *mgseal.Signer
 	follower    *follower
+	members     *mgmember.Members
 	leaving     atomic.Bool
 	servers     sync.WaitGroup
 	killed      context.Context
@@ -64,12 +66,14 @@
 		admin:       &mgadmin.Admin{},
 		guard:       guard,
 		seal:        seal,
+		members:     mgmember.New(settings.Name),
 	}
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.follower = &follower{
 		client: mgplatform.NewHTTP(settings.Platform, &http.Client{}),
 		clock:  n.clock,
 		log:    log,
+		list:   func(list mgplatform.List) { n.members.List(n.clock.Now(), list) },
 	}
 	n.admin.Ready(n.Ready)
 	return n, nil
@@ -88,7 +92,7 @@
 		return false, "leaving"
 	case n.Table() == nil:
 		return false, "no configuration is in force"
-	case n.follower.list.Load() == nil:
+	case n.members.View().Version() == 0:
 		return false, "no list of VMs"
 	default:
 		return true, ""
@@ -98,9 +102,6 @@
 // Table returns the table in force, or nil.
 func (n *Node) Table() *mgtable.Table { return n.follower.table.Load() }
 
-// List returns the list of VMs, or nil.
-func (n *Node) List() *mgplatform.List { return n.follower.list.Load() }
-
 // Incarnation returns this life's name.
 func (n *Node) Incarnation() string { return n.incarnation }
 
@@ -123,7 +124,14 @@
 func (n *Node) Seal() *mgseal.Signer { return n.seal }
 
 // Seen tells that another process goes by a version.
-func (n *Node) Seen(uint64) {}
+func (n *Node) Seen(uint64, string) {}
+
+// failed and heard take direct evidence of another process.
+func (n *Node) failed(name string) { n.members.Failed(n.clock.Now(), name) }
+
+func (n *Node) heard(name, incarnation string, leaving bool) {
+	n.members.Heard(n.clock.Now(), name, incarnation, leaving)
+}
 
 // Start follows the platform and serves operators until ctx ends, and waits
 // until a configuration is in force, or stop ends.
@@ -138,7 +146,8 @@
 		Handler:  n.admin.Routes(n.metrics),
 	})
 	n.servers.Go(func() { n.follower.run(ctx) })
-	for n.Table() == nil || n.List() == nil {
+	n.servers.Go(func() { n.tick(ctx) })
+	for n.Table() == nil || n.members.View().Version() == 0 {
 		if !n.clock.Sleep(stop, drainLook) {
 			return fmt.Errorf("start: stopped before a configuration was in force: %w", stop.Err())
 		}
@@ -146,6 +155,13 @@
 	return nil
 }
 
+// tick lets suspicions run out.
+func (n *Node) tick(ctx context.Context) {
+	for n.clock.Sleep(ctx, mgclock.Second) {
+		n.members.Tick(n.clock.Now())
+	}
+}
+
 // Serve serves a listener in the background until ctx ends.
 func (n *Node) Serve(ctx context.Context, spec ServerSpec) {
 	n.servers.Go(func() { Serve(ctx, n.killed, n.log, spec) })
