mgpeer: TLS towards callers, tests of keys and certificates

Cause: the public table of the entry's settings had no effect. Change: the callers' listener takes a certificate; tests with strangers' keys and another authority's certificate. Seen red: with Require's check always true the stranger's key and the missing key were answered 204.

--- a/internal/connection/mgpeer/peer.go
+++ b/internal/connection/mgpeer/peer.go
@@ -31,6 +31,22 @@
 // dialTimeout bounds a new connection between processes.
 const dialTimeout = time.Second
 
+// Public returns the TLS configuration towards callers, or nil when no
+// certificate is set and the platform's balancer ends TLS.
+func Public(files mgsettings.TLS) (*tls.Config, error) {
+	if files.Cert == "" && files.Key == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(files.Cert, files.Key)
+	if err != nil {
+		return nil, fmt.Errorf("table public: can't load the certificate: give cert and key as PEM files that belong together: %w", err)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		MinVersion:   tls.VersionTLS12,
+	}, nil
+}
+
 // A Guard admits only the system's own processes. The zero Guard admits
 // nobody.
 type Guard struct {
--- /dev/null
+++ b/internal/connection/mgpeer/peer_test.go
@@ -0,0 +1,155 @@
+package mgpeer_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+)
+
+var hello = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+
+func guard(secret, previous string) *mgpeer.Guard {
+	made, err := mgpeer.New(mgsettings.Process{
+		Secret:   secret,
+		Previous: previous,
+	})
+	So(err, ShouldBeNil)
+	return made
+}
+
+// A stranger on the network finds an agent's port and asks it to start work.
+// Without the key it must learn nothing and run nothing. While operators change
+// the key VM by VM, both keys are about, and no call between processes fails.
+func TestRequire(t *testing.T) {
+	const present, before = "present-secret-0001", "before-secret-00001"
+	cases := []struct {
+		name   string
+		sender string
+		status int
+	}{
+		{
+			name:   "the present key",
+			sender: present,
+			status: http.StatusNoContent,
+		},
+		{
+			name:   "the key before the change",
+			sender: before,
+			status: http.StatusNoContent,
+		},
+		{
+			name:   "a stranger's key",
+			sender: "stranger-secret-001",
+			status: http.StatusUnauthorized,
+		},
+	}
+	Convey("A listener of the system's own", t, func() {
+		server := httptest.NewServer(guard(present, before).Require(hello))
+		defer server.Close()
+		for _, c := range cases {
+			Convey("answers "+c.name, func() {
+				client := &http.Client{Transport: guard(c.sender, "").Transport(true)}
+				response, err := client.Get(server.URL)
+				So(err, ShouldBeNil)
+				defer response.Body.Close()
+				So(response.StatusCode, ShouldEqual, c.status)
+			})
+		}
+		Convey("refuses a request without a key", func() {
+			response, err := http.Get(server.URL)
+			So(err, ShouldBeNil)
+			defer response.Body.Close()
+			So(response.StatusCode, ShouldEqual, http.StatusUnauthorized)
+		})
+	})
+
+	Convey("A short key is refused with its remedy", t, func() {
+		_, err := mgpeer.New(mgsettings.Process{Secret: "short"})
+		So(err.Error(), ShouldContainSubstring, "give 16 or more")
+	})
+}
+
+// A process with the right key and a certificate of another authority connects.
+// With mutual TLS set the handshake ends it before the key is even sent.
+func TestTLS(t *testing.T) {
+	Convey("With certificates set", t, func() {
+		ours, strangers := identity(t), identity(t)
+		listener, err := guardTLS(ours).Listen("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		server := &http.Server{Handler: guardTLS(ours).Require(hello)}
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		url := guardTLS(ours).Base(listener.Addr().String())
+
+		Convey("a process of the same authority is answered", func() {
+			response, err := (&http.Client{Transport: guardTLS(ours).Transport(true)}).Get(url)
+			So(err, ShouldBeNil)
+			defer response.Body.Close()
+			So(response.StatusCode, ShouldEqual, http.StatusNoContent)
+		})
+		Convey("a process of another authority is not", func() {
+			_, err := (&http.Client{Transport: guardTLS(strangers).Transport(true)}).Get(url)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
+
+func guardTLS(files mgsettings.TLS) *mgpeer.Guard {
+	made, err := mgpeer.New(mgsettings.Process{
+		Secret: "present-secret-0001",
+		TLS:    files,
+	})
+	So(err, ShouldBeNil)
+	return made
+}
+
+// identity writes a certificate that is its own authority.
+func identity(t *testing.T) mgsettings.TLS {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	So(err, ShouldBeNil)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "marjoramgauge"},
+		NotAfter:              time.Now().Add(time.Hour),
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	So(err, ShouldBeNil)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	So(err, ShouldBeNil)
+	folder := t.TempDir()
+	files := mgsettings.TLS{
+		Cert: filepath.Join(folder, "cert.pem"),
+		Key:  filepath.Join(folder, "key.pem"),
+		CA:   filepath.Join(folder, "cert.pem"),
+	}
+	write(files.Cert, "CERTIFICATE", certificate)
+	write(files.Key, "PRIVATE KEY", private)
+	return files
+}
+
+func write(path, kind string, data []byte) {
+	block := pem.EncodeToMemory(&pem.Block{
+		Type:  kind,
+		Bytes: data,
+	})
+	So(os.WriteFile(path, block, 0o600), ShouldBeNil)
+}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -19,9 +21,9 @@
 	if err := n.Start(ctx, stop); err != nil {
 		return err
 	}
-	public, err := net.Listen("tcp", settings.Listen)
+	public, err := listenPublic(settings)
 	if err != nil {
-		return fmt.Errorf("key listen: can't listen on %s: give a free IP and port of this VM: %w", settings.Listen, err)
+		return err
 	}
 	entry := mgentry.New(mgentry.Spec{
 		Settings: settings,
@@ -54,3 +56,19 @@
 	n.Stop(entry.Leave, entry.Busy).Run(hurry)
 	return nil
 }
+
+// listenPublic opens the callers' listener, with TLS where it is set.
+func listenPublic(settings mgsettings.Entry) (net.Listener, error) {
+	identity, err := mgpeer.Public(settings.Public)
+	if err != nil {
+		return nil, err
+	}
+	public, err := net.Listen("tcp", settings.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("key listen: can't listen on %s: give a free IP and port of this VM: %w", settings.Listen, err)
+	}
+	if identity != nil {
+		return tls.NewListener(public, identity), nil
+	}
+	return public, nil
+}
