--- /dev/null
+++ b/internal/process/mgentry/agents.go
@@ -0,0 +1,75 @@
+package mgentry
+
+import (
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
+)
+
+// fleet is the agents of one view, prepared for routing. It lives as long as
+// the view.
+type fleet struct {
+	view    *mgmember.View
+	routes  *mgrouting.Fleet
+	members []*mgmember.Member // by place in routes
+}
+
+// fleet returns the agents of the present view. The first request after a
+// change prepares them; what is in flight is carried over.
+func (e *Entry) fleet() *fleet {
+	view := e.spec.View()
+	old := e.known.Load()
+	if old != nil && old.view == view {
+		return old
+	}
+	e.preparing.Lock()
+	defer e.preparing.Unlock()
+	if old = e.known.Load(); old != nil && old.view == view {
+		return old
+	}
+	made := prepare(view, old)
+	e.known.Store(made)
+	return made
+}
+
+func prepare(view *mgmember.View, old *fleet) *fleet {
+	made := &fleet{view: view}
+	var list []mgrouting.Upstream
+	for _, member := range view.All() {
+		if member.Upstream() == "" {
+			continue
+		}
+		made.members = append(made.members, member)
+		list = append(list, mgrouting.Upstream{
+			Name:    member.Upstream(),
+			Zone:    member.Zone(),
+			Region:  member.Region(),
+			Models:  append(append([]string{}, member.Models()...), member.Services()...),
+			Leaving: member.Leaving() || member.Suspect() || !member.Listed(),
+		})
+	}
+	var before *mgrouting.Fleet
+	if old != nil {
+		before = old.routes
+	}
+	made.routes = mgrouting.NewFleet(list, before)
+	return made
+}
+
+// client returns the calls of an agent.
+func (e *Entry) client(agent *mgmember.Member) mgrpc.Agent {
+	base := e.spec.Base(agent.PeerAddr())
+	if found, ok := e.clients.Load(base); ok {
+		return found.(mgrpc.Agent)
+	}
+	made := mgrpc.NewAgentProtobufClient(base, &http.Client{Transport: e.spec.Calls})
+	found, _ := e.clients.LoadOrStore(base, made)
+	return found.(mgrpc.Agent)
+}
+
+// byUpstream returns the agent that gives an upstream its work now.
+func (e *Entry) byUpstream(upstream string) (*mgmember.Member, bool) {
+	return e.spec.View().Agent(upstream)
+}
--- /dev/null
+++ b/internal/standin/mgstandin/platform_test.go
@@ -0,0 +1,179 @@
+package mgstandin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// get reads a value as a line: its version and bytes, or why not.
+func get(ctx context.Context, base, key string) string {
+	return line(mgplatform.NewHTTP(base, mgdial.NewClient()).Read(ctx, key))
+}
+
+func line(v mgplatform.Value, err error) string {
+	for _, known := range []error{mgplatform.ErrMissing, mgplatform.ErrUnchanged, mgplatform.ErrRate, mgplatform.ErrDown} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return fmt.Sprint(v.Version(), " ", string(v.Bytes()))
+}
+
+// An operator publishes a new table while the platform fails. A process that
+// reads then gets the old table, the new one or an error, and never an older
+// one than it had; once the platform is well, it gets the new one.
+func TestPlatformFaults(t *testing.T) {
+	down := mgplatform.ErrDown.Error()
+	cases := []struct {
+		name  string
+		fault string
+		key   string
+		lag   mgclock.Millis
+		rate  int
+		reads []string // one before the edit, one after, one after healing
+	}{
+		{
+			name:  "nothing fails",
+			key:   "table",
+			reads: []string{"1 old", "2 new", "2 new"},
+		},
+		{
+			name:  "it is stale",
+			fault: mgstandin.Stale,
+			key:   "table",
+			reads: []string{"1 old", "1 old", "2 new"},
+		},
+		{
+			name:  "it is down",
+			fault: mgstandin.Down,
+			key:   "table",
+			reads: []string{down, down, "2 new"},
+		},
+		{
+			name:  "the list of VMs lags",
+			key:   mgplatform.ListKey,
+			lag:   100,
+			reads: []string{"1 old", "1 old", "1 old"},
+		},
+		{
+			name: "readers are over the rate",
+			key:  "table",
+			rate: 1,
+			reads: []string{
+				"1 old",
+				mgplatform.ErrRate.Error(),
+				mgplatform.ErrRate.Error(),
+			},
+		},
+	}
+	Convey("A reader's view of an edit when", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var manual mgclock.Manual
+				p := mgstandin.NewPlatform(mgstandin.PlatformSpec{
+					Lag:  c.lag,
+					Rate: c.rate,
+				}, manual.Clock())
+				base := serve(p.Handler())
+				ctx := bounded()
+				p.Put(c.key, []byte("old"))
+				manual.Advance(c.lag)
+				p.Set(mgstandin.Fault{
+					Kind: c.fault,
+				})
+				reads := []string{get(ctx, base, c.key)}
+				p.Put(c.key, []byte("new"))
+				reads = append(reads, get(ctx, base, c.key))
+				p.Set(mgstandin.Fault{
+					Kind: mgstandin.Heal,
+				})
+				reads = append(reads, get(ctx, base, c.key))
+				So(reads, ShouldResemble, c.reads)
+				So(p.Counts().Reads, ShouldEqual, 3)
+				manual.Advance(c.lag)
+				if c.lag > 0 {
+					So(get(ctx, base, c.key), ShouldEqual, "2 new")
+				}
+			})
+		}
+	})
+}
+
+// TestPlatformSession plays the whole interface once.
+func TestPlatformSession(t *testing.T) {
+	Convey("A session with the platform", t, func() {
+		ctx := bounded()
+		p := &mgstandin.Platform{}
+		base := serve(p.Handler())
+		client := mgplatform.NewHTTP(base, mgdial.NewClient())
+		var log strings.Builder
+		say := func(key string) { fmt.Fprintln(&log, key, "->", get(ctx, base, key)) }
+		say("manifest")
+		p.Put("manifest", []byte("first"))
+		p.Put("page-0badc0de", []byte("a page"))
+		say("manifest")
+		say("page-0badc0de")
+		fmt.Fprintln(&log, "quiet watch ->", line(client.Watch(ctx, "manifest", 1, 5)))
+		seen := make(chan string, 1)
+		go func() { seen <- line(client.Watch(ctx, "manifest", 1, mgclock.Minute)) }()
+		response, err := http.Post(base+"/standin/put?key=manifest", "text/plain", strings.NewReader("second"))
+		So(err, ShouldBeNil)
+		So(response.Body.Close(), ShouldBeNil)
+		http.DefaultClient.CloseIdleConnections()
+		fmt.Fprintln(&log, "put", response.StatusCode, response.Header.Get(mgstandin.VersionHeader))
+		fmt.Fprintln(&log, "watch ->", <-seen)
+		_, err = p.PutVMs([]mgplatform.VM{
+			{
+				Name:   "agent-1",
+				Kind:   "agent",
+				Addr:   "127.0.0.1:7201",
+				Zone:   "a",
+				Region: "south",
+				State:  "leaving",
+			},
+		})
+		So(err, ShouldBeNil)
+		say("vms")
+		counts := p.Counts()
+		fmt.Fprintln(&log, "reads", counts.Reads, "refused", counts.Refused)
+		golden(t, "platform.golden", log.String())
+	})
+}
+
+// An operator publishes a table while processes read. A manifest that names a
+// page which isn't there yet would leave each reader without a configuration.
+func TestPlatformTable(t *testing.T) {
+	Convey("A table is published pages first, and a faulty one not at all", t, func() {
+		ctx := bounded()
+		p := &mgstandin.Platform{}
+		base := serve(p.Handler())
+		text, err := os.ReadFile("../../../examples/tankline/table.toml")
+		So(err, ShouldBeNil)
+		So(p.PutTable([]byte("version = x")), ShouldNotBeNil)
+		So(get(ctx, base, mgplatform.ManifestKey), ShouldEqual, mgplatform.ErrMissing.Error())
+		So(p.PutTable(text), ShouldBeNil)
+		client := mgplatform.NewHTTP(base, mgdial.NewClient())
+		value, err := client.Read(ctx, mgplatform.ManifestKey)
+		So(err, ShouldBeNil)
+		manifest, err := mgtable.ReadManifest(value.Bytes())
+		So(err, ShouldBeNil)
+		for _, digest := range manifest.Pages {
+			page, err := client.Read(ctx, mgplatform.PageKey(digest))
+			So(err, ShouldBeNil)
+			So(mgtable.DigestOf(page.Bytes()).String(), ShouldEqual, digest)
+		}
+	})
+}
