mgdemo: benchmark of a token and a request against the engine called directly

Cause: what a token costs decides the design of the path, and wasn't measured. Change: BenchmarkToken and BenchmarkRequest, processor time of all hops' ends.

--- /dev/null
+++ b/internal/process/mgdemo/bench_test.go
@@ -0,0 +1,161 @@
+package mgdemo_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgdemo"
+)
+
+// streams is the number of concurrent answers; each of their tokens travels
+// alone, as at an engine's own pace.
+const streams = 32
+
+// cpu returns the processor time of this process in ns.
+func cpu(b *testing.B) float64 {
+	var use syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
+		b.Fatal(err)
+	}
+	return float64(use.Utime.Nano() + use.Stime.Nano())
+}
+
+func deployment(b *testing.B) *mgdemo.Deployment {
+	d, err := mgdemo.Start(context.Background(), mgdemo.Spec{
+		Entries: 1,
+		Engines: 1,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(d.Close)
+	return d
+}
+
+// BenchmarkToken compares the processor time of a token through entry and
+// agent with that of the same engine called directly. All processes and the
+// caller run in this one, so each figure holds every hop's both ends. The
+// ratio is path over direct.
+func BenchmarkToken(b *testing.B) {
+	d := deployment(b)
+	var direct, path float64
+	b.Run("direct", func(b *testing.B) {
+		direct = perToken(b, func(i, tokens int) error { return readDirect(b, d, i, tokens) })
+	})
+	b.Run("path", func(b *testing.B) {
+		path = perToken(b, func(_, tokens int) error { return readPath(d, tokens) })
+		b.ReportMetric(path/direct, "ratio")
+	})
+}
+
+// perToken reads b.N tokens in streams answers at once and returns the
+// processor time of one.
+func perToken(b *testing.B, read func(i, tokens int) error) float64 {
+	tokens := max(b.N/streams, 1)
+	before := cpu(b)
+	b.ReportAllocs()
+	var readers sync.WaitGroup
+	for i := range streams {
+		readers.Go(func() {
+			if err := read(i, tokens); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	readers.Wait()
+	spent := (cpu(b) - before) / float64(tokens*streams)
+	b.ReportMetric(spent, "cpu-ns/token")
+	return spent
+}
+
+func readDirect(b *testing.B, d *mgdemo.Deployment, i, tokens int) error {
+	ctx := context.Background()
+	client := d.EngineClient("engine-1")
+	id := fmt.Sprintf("direct-%d-%d", b.N, i)
+	if err := client.Start(ctx, mgengine.StartSpec{
+		ID:     id,
+		Model:  "tank-70b",
+		Prompt: fmt.Sprintf("len=%d", tokens),
+		Tokens: 4,
+	}); err != nil {
+		return err
+	}
+	stream, err := client.Stream(ctx, id, 1)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		token, err := stream.Next(ctx)
+		if err != nil || token.End != "" {
+			return err
+		}
+	}
+}
+
+func readPath(d *mgdemo.Deployment, tokens int) error {
+	body := fmt.Sprintf(`{"model":"report","stream":true,"messages":[{"role":"user","content":"len=%d"}]}`, min(tokens, 4096))
+	request, err := http.NewRequest(http.MethodPost, d.Entries()[0]+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer sample-tankline")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("status %s: %s", response.Status, text)
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if lines.Text() == "data: [DONE]" {
+			return nil
+		}
+	}
+	return fmt.Errorf("the stream ended early: %w", io.ErrUnexpectedEOF)
+}
+
+// BenchmarkRequest compares a request for one token through entry and agent
+// with the same engine called directly, one after another.
+func BenchmarkRequest(b *testing.B) {
+	d := deployment(b)
+	var direct, path float64
+	b.Run("direct", func(b *testing.B) {
+		before := cpu(b)
+		b.ReportAllocs()
+		n := 0
+		for b.Loop() {
+			n++
+			if err := readDirect(b, d, 1000+n, 1); err != nil {
+				b.Fatal(err)
+			}
+		}
+		direct = (cpu(b) - before) / float64(n)
+		b.ReportMetric(direct, "cpu-ns/request")
+	})
+	b.Run("path", func(b *testing.B) {
+		before := cpu(b)
+		b.ReportAllocs()
+		n := 0
+		for b.Loop() {
+			n++
+			if err := readPath(d, 1); err != nil {
+				b.Fatal(err)
+			}
+		}
+		path = (cpu(b) - before) / float64(n)
+		b.ReportMetric(path, "cpu-ns/request")
+		b.ReportMetric(path/direct, "ratio")
+	})
+}
--- a/internal/process/mgdemo/deployment.go
+++ b/internal/process/mgdemo/deployment.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgnode"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -46,6 +47,7 @@
 	spec     Spec
 	platform *mgstandin.Platform
 	engines  map[string]*mgstandin.Engine
+	clients  map[string]mgengine.Client
 	services map[string]*mgstandin.Service
 	entries  []string
 	nodes    map[string]*process
@@ -67,6 +69,7 @@
 	d := &Deployment{
 		spec:     spec,
 		engines:  map[string]*mgstandin.Engine{},
+		clients:  map[string]mgengine.Client{},
 		services: map[string]*mgstandin.Service{},
 		nodes:    map[string]*process{},
 	}
@@ -142,6 +145,7 @@
 			stepping.Wait()
 		})
 		d.engines[name] = engine
+		d.clients[name] = mgengine.NewHTTP(server.URL(), nil)
 		if err := d.startAgent(name, i, server.URL(), []string{"tank-70b", "mar-70b"}, nil); err != nil {
 			return err
 		}
@@ -336,6 +340,10 @@
 // Engine returns an engine's stand-in, or nil.
 func (d *Deployment) Engine(name string) *mgstandin.Engine { return d.engines[name] }
 
+// EngineClient returns a client of an engine's stand-in, which passes the
+// system by.
+func (d *Deployment) EngineClient(name string) mgengine.Client { return d.clients[name] }
+
 // Service returns a plain service's stand-in, or nil.
 func (d *Deployment) Service(name string) *mgstandin.Service { return d.services[name] }
 
