mgnode, mgagent: ready only once listening; no stray call to a plain service

Ruled out: the relay of the test, which only shows a refused connection as a broken one; the clients, which were truthful (outcome unknown). Change: readiness waits for the listener; only an agent beside an engine asks it for its generations.

--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -21,6 +21,9 @@
 // that their memory is counted and their readers find them. An engine that
 // can't be asked now is asked again when a reader comes.
 func (a *Agent) adopt(ctx context.Context) {
+	if !a.besideEngine() {
+		return
+	}
 	held, err := a.list(ctx)
 	if err != nil {
 		return
@@ -76,12 +79,19 @@
 	return nil
 }
 
+// besideEngine reports whether the upstream is an engine, as one that no table
+// names is taken to be. A plain service is called for callers only: it may take
+// any request for work.
+func (a *Agent) besideEngine() bool {
+	upstream := upstreamOf(a.spec)
+	return upstream == nil || upstream.Kind() == mgtable.Engine
+}
+
 // follow keeps up with the engine; a plain service has no such reports.
 func (a *Agent) follow(ctx context.Context) {
-	if upstream := upstreamOf(a.spec); upstream != nil && upstream.Kind() != mgtable.Engine {
-		return
+	if a.besideEngine() {
+		a.followEngine(ctx)
 	}
-	a.followEngine(ctx)
 }
 
 // followEngine reads the engine's lagging load report and cache events.
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -44,6 +44,7 @@
 		Handler:  n.guard.Require(agent.Routes()),
 	})
 	n.servers.Go(func() { agent.Run(ctx) })
+	n.Serving()
 	select {
 	case <-n.killed.Done():
 		return nil
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -48,6 +48,7 @@
 		Head:     int(settings.Head),
 		Slow:     mgclock.Millis(settings.Slow),
 	})
+	n.Serving()
 	select {
 	case <-n.killed.Done():
 		return nil
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -37,6 +37,7 @@
 	seal        *mgseal.Signer
 	follower    *follower
 	members     *mgmember.Members
+	serving     atomic.Bool // the listeners for work are open
 	leaving     atomic.Bool
 	servers     sync.WaitGroup
 	killed      context.Context
@@ -94,6 +95,8 @@
 		return false, "no configuration is in force"
 	case n.members.View().Version() == 0:
 		return false, "no list of VMs"
+	case !n.serving.Load():
+		return false, "not listening yet"
 	default:
 		return true, ""
 	}
@@ -167,6 +170,10 @@
 	n.servers.Go(func() { Serve(ctx, n.killed, n.log, spec) })
 }
 
+// Serving tells that the listeners for work are open. A process that was ready
+// before would be sent requests that nobody takes.
+func (n *Node) Serving() { n.serving.Store(true) }
+
 // Kill ends the node as a crash of its process would: connections break, and
 // nothing is drained. Demos and tests of failures use it.
 func (n *Node) Kill() { n.kill() }
