--- /dev/null
+++ b/internal/process/mgfleet/fleet_test.go
@@ -0,0 +1,261 @@
+package mgfleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+)
+
+// A fleet is a deployment of separate processes on loopback: two entries,
+// three agents, their three upstreams and the platform. Callers, entries and
+// agents reach what may be cut off over relays.
+type fleet struct {
+	t         *testing.T
+	binary    string
+	folder    string
+	processes map[string]*process
+	admins    map[string]string // admin addresses of entries and agents
+	standins  map[string]string // base URLs of the stand-ins
+	relays    map[string]*relay
+	entries   []string // base URLs for callers
+	version   int      // of the table
+}
+
+// The upstreams and the agents beside them.
+var upstreams = map[string]string{
+	"engine-a": "agent-a",
+	"engine-b": "agent-b",
+	"books":    "agent-c",
+}
+
+// newFleet starts a fleet and returns it once each process is ready.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:         t,
+		binary:    build(t),
+		folder:    t.TempDir(),
+		processes: map[string]*process{},
+		admins:    map[string]string{},
+		standins:  map[string]string{},
+		relays:    map[string]*relay{},
+		version:   1,
+	}
+	f.startStandins()
+	var vms []mgplatform.VM
+	for i, upstream := range []string{"engine-a", "engine-b", "books"} {
+		vms = append(vms, f.startAgent(upstream, string(rune('a'+i))))
+	}
+	for i, name := range []string{"entry-a", "entry-b"} {
+		vms = append(vms, f.startEntry(name, string(rune('a'+i))))
+	}
+	list, err := json.Marshal(mgplatform.List{
+		Version: 1,
+		VMs:     vms,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	post(t, f.standins["platform"]+"/standin/put?key=vms", string(list))
+	f.publish(1, 4)
+	f.awaitReady()
+	return f
+}
+
+// settings writes a settings file and returns its path.
+func (f *fleet) settings(name, format string, args ...any) string {
+	path := filepath.Join(f.folder, name+".toml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, format, args...), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// link puts a relay before an address and returns the relay's.
+func (f *fleet) link(name, target string) string {
+	r, err := newRelay(target)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.close)
+	f.relays[name] = r
+	return r.addr()
+}
+
+func (f *fleet) startStandins() {
+	addrs := freePorts(f.t, 4)
+	for i, name := range []string{"engine-a", "engine-b", "books", "platform"} {
+		kind, extra := "engine", "lag = 200\nlate = 100\n[model]\nspeed = 2\n"
+		switch name {
+		case "books":
+			kind, extra = "service", "name = \"books\"\ndelay = 5\n"
+		case "platform":
+			kind, extra = "platform", "lag = 200\n"
+		}
+		file := f.settings(name, "listen = %q\n%s", addrs[i], extra)
+		f.processes[name] = start(f.t, f.binary, name, "standin", kind, "--settings", file)
+		f.standins[name] = "http://" + addrs[i]
+	}
+	for name, base := range f.standins {
+		until(f.t, name+" serves", func() bool {
+			status, _ := fetch(base + "/standin/counts")
+			return status == http.StatusOK
+		})
+	}
+}
+
+// common returns the settings that entries and agents share.
+func (f *fleet) common(name, zone, peer, admin string) string {
+	return fmt.Sprintf("name = %q\nzone = %q\nregion = \"south\"\npeer = %q\nadmin = %q\nplatform = %q\nsecret = \"sample-secret-of-a-test\"\n",
+		name, zone, peer, admin, f.standins["platform"])
+}
+
+func (f *fleet) startAgent(upstream, zone string) mgplatform.VM {
+	name := upstreams[upstream]
+	addrs := freePorts(f.t, 2)
+	address := "http://" + f.link(upstream, strings.TrimPrefix(f.standins[upstream], "http://"))
+	file := f.settings(name, "%supstream = %q\naddress = %q\n", f.common(name, zone, addrs[0], addrs[1]), upstream, address)
+	f.processes[name] = start(f.t, f.binary, name, "agent", "--settings", file)
+	f.admins[name] = addrs[1]
+	vm := mgplatform.VM{
+		Name:     name,
+		Kind:     mgplatform.AgentKind,
+		Addr:     f.link(name, addrs[0]),
+		Zone:     zone,
+		Region:   "south",
+		Upstream: upstream,
+		State:    mgplatform.Live,
+	}
+	if upstream == "books" {
+		vm.Services = []string{"ticket"}
+	} else {
+		vm.Models = []string{"tank"}
+	}
+	return vm
+}
+
+func (f *fleet) startEntry(name, zone string) mgplatform.VM {
+	addrs := freePorts(f.t, 3)
+	file := f.settings(name, "%slisten = %q\n", f.common(name, zone, addrs[0], addrs[1]), addrs[2])
+	f.processes[name] = start(f.t, f.binary, name, "entry", "--settings", file)
+	f.admins[name] = addrs[1]
+	f.entries = append(f.entries, "http://"+f.link(name, addrs[2]))
+	return mgplatform.VM{
+		Name:   name,
+		Kind:   mgplatform.EntryKind,
+		Addr:   addrs[2],
+		Peer:   addrs[0],
+		Zone:   zone,
+		Region: "south",
+		State:  mgplatform.Live,
+	}
+}
+
+// table returns a version of the operators' table, whose account has a weight.
+func table(version, weight int) string {
+	return fmt.Sprintf(`version = %d
+
+[[model]]
+name = "tank"
+context = 131072
+max = 32768
+
+[[service]]
+name = "report"
+model = "tank"
+prefer = "whole"
+priority = 5
+deadline = 20000
+max = 32768
+
+[[service]]
+name = "ticket"
+kind = "plain"
+priority = 8
+deadline = 5000
+repeat = "never"
+
+[[upstream]]
+name = "engine-a"
+models = ["tank"]
+memory = 40000
+batch = 64
+orders = "ignored"
+
+[[upstream]]
+name = "engine-b"
+models = ["tank"]
+memory = 40000
+batch = 64
+orders = "ignored"
+
+[[upstream]]
+name = "books"
+kind = "service"
+services = ["ticket"]
+batch = 16
+
+[[account]]
+name = "tankline"
+keys = ["be122e6c14afd1b20ab94a1a98ba052768381cb09e24a0d1cde7014300fb2ab0"]
+weight = %d
+`, version, weight)
+}
+
+// publish publishes a version of the table.
+func (f *fleet) publish(version, weight int) {
+	f.t.Helper()
+	post(f.t, f.standins["platform"]+"/standin/table", table(version, weight))
+}
+
+// ready reports whether an entry or agent takes new work.
+func (f *fleet) ready(name string) bool {
+	status, _ := fetch("http://" + f.admins[name] + "/ready")
+	return status == http.StatusOK
+}
+
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	for name := range f.admins {
+		until(f.t, name+" is ready", func() bool { return f.ready(name) })
+	}
+}
+
+// busy reports whether an entry or agent has work in progress.
+func (f *fleet) busy(name string) bool {
+	var state map[string]struct {
+		Busy int `json:"busy"`
+	}
+	_, body := fetch("http://" + f.admins[name] + "/dump")
+	if err := json.Unmarshal([]byte(body), &state); err != nil {
+		f.t.Logf("dump of %s: %v", name, err)
+	}
+	kind, _, _ := strings.Cut(name, "-")
+	return state[kind].Busy > 0
+}
+
+// fault turns a stand-in's switch.
+func (f *fleet) fault(standin string, fault mgstandin.Fault) {
+	f.t.Helper()
+	body, err := json.Marshal(fault)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	post(f.t, f.standins[standin]+"/standin/fault", string(body))
+}
+
+// counts reads a stand-in's counters.
+func (f *fleet) counts(standin string, counts any) {
+	f.t.Helper()
+	_, body := fetch(f.standins[standin] + "/standin/counts")
+	if err := json.Unmarshal([]byte(body), counts); err != nil {
+		f.t.Fatalf("counts of %s: %v", standin, err)
+	}
+}
--- /dev/null
+++ b/internal/process/mgfleet/link_test.go
@@ -0,0 +1,105 @@
+package mgfleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Something between an agent and its engine loses track of their connection in
+// the middle of a report: it neither passes bytes on nor breaks. The reader's
+// patience ends it, and the rest comes over a new connection.
+func TestLink(t *testing.T) {
+	cases := []struct {
+		name string
+		harm func(r *relay) int
+	}{
+		{
+			name: "cut",
+			harm: func(r *relay) int { return r.cut() },
+		},
+		{
+			name: "silent for good",
+			harm: func(r *relay) int { return r.silence() },
+		},
+	}
+	Convey("A report is whole although its link is", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				e := mgstandin.NewEngine(mgstandin.EngineSpec{}, mgclock.Clock{})
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					e.Run(ctx)
+				}()
+				defer func() {
+					cancel()
+					<-done
+				}()
+				s, err := mgstandin.Listen("127.0.0.1:0", e.Handler())
+				So(err, ShouldBeNil)
+				defer s.Close()
+				r, err := newRelay(s.Addr())
+				So(err, ShouldBeNil)
+				defer r.close()
+				client := mgengine.NewHTTP("http://"+r.addr(), nil)
+				So(client.Start(ctx, mgengine.StartSpec{
+					ID:     "g",
+					Prompt: "len=30",
+				}), ShouldBeNil)
+
+				text, err := readSome(ctx, client, 1, func(seq uint64) {
+					if seq == 10 {
+						So(c.harm(r), ShouldEqual, 1)
+					}
+				})
+				So(mgengine.KindOf(err), ShouldEqual, mgengine.Broken)
+				got := uint64(len(text))
+				rest, err := readSome(ctx, client, got+1, nil)
+				So(err, ShouldBeNil)
+				whole := ""
+				for _, token := range append(text, rest...) {
+					whole += token
+				}
+				So(whole, ShouldEqual, mgstandin.Whole("g", 30))
+			})
+		}
+	})
+}
+
+// silence is the patience of a reader whose link gives no sign of life.
+const silence = 3 * time.Second
+
+// readSome reads tokens from seq on until the stream ends or its reader loses
+// patience.
+func readSome(ctx context.Context, client mgengine.Client, seq uint64, seen func(uint64)) ([]string, error) {
+	stream, err := client.Stream(ctx, "g", seq)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	var text []string
+	for {
+		alive, cancel := context.WithTimeout(ctx, silence)
+		token, err := stream.Next(alive)
+		cancel()
+		if err != nil || token.End != "" {
+			return text, err
+		}
+		if token.Heartbeat() {
+			continue
+		}
+		text = append(text, token.Text)
+		if seen != nil {
+			seen(token.Seq)
+		}
+	}
+}
