mgstandin: a fault of the platform may spare a key

Cause: the list of VMs is a source of its own; it may be well while the configuration service is down, and a new process depends on the difference. Change: Fault.Spare names a key that the fault doesn't strike; a case in the fault table.

--- a/internal/standin/mgstandin/platform.go
+++ b/internal/standin/mgstandin/platform.go
@@ -35,7 +35,7 @@
 	mu      sync.Mutex
 	values  map[string][]value // versions of each key, the oldest first
 	frozen  map[string]value   // what is answered while stale
-	fault   string
+	fault   Fault
 	changed chan struct{} // closed and replaced on each change
 	counts  PlatformCounts
 }
@@ -140,11 +140,11 @@
 func (p *Platform) Set(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fault = Heal
+	p.fault = Fault{}
 	if f.Kind == Stale {
 		p.frozen = p.snapshot()
 	}
-	p.fault = f.Kind
+	p.fault = f
 	p.wake()
 }
 
@@ -178,7 +178,7 @@
 
 // visible returns the version of a value that a reader sees now.
 func (p *Platform) visible(key string) (value, bool) {
-	if p.fault == Stale {
+	if p.faultOf(key) == Stale {
 		v, ok := p.frozen[key]
 		return v, ok
 	}
@@ -250,7 +250,7 @@
 func (p *Platform) await(ctx context.Context, key string, after uint64, wait mgclock.Millis) (value, bool) {
 	over := p.clock.After(wait)
 	for {
-		obey(ctx, p.look)
+		obey(ctx, func() (string, <-chan struct{}) { return p.look(key) })
 		p.mu.Lock()
 		v, found := p.visible(key)
 		change := p.change()
@@ -304,11 +304,20 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// look returns the present fault and the channel of its change.
-func (p *Platform) look() (string, <-chan struct{}) {
+// look returns the present fault of a key and the channel of its change.
+func (p *Platform) look(key string) (string, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.change()
+	return p.faultOf(key), p.change()
+}
+
+// faultOf returns the fault that strikes a key. The list of VMs may be well
+// while the configuration is not.
+func (p *Platform) faultOf(key string) string {
+	if p.fault.Spare == key {
+		return Heal
+	}
+	return p.fault.Kind
 }
 
 // obey acts out the faults that strike any connection, and returns once there
--- a/internal/standin/mgstandin/platform_test.go
+++ b/internal/standin/mgstandin/platform_test.go
@@ -40,6 +40,7 @@
 	cases := []struct {
 		name  string
 		fault string
+		spare string
 		key   string
 		lag   mgclock.Millis
 		rate  int
@@ -62,6 +63,13 @@
 			key:   "table",
 			reads: []string{down, down, "2 new"},
 		},
+		{
+			name:  "it is down but for this key",
+			fault: mgstandin.Down,
+			spare: "table",
+			key:   "table",
+			reads: []string{"1 old", "2 new", "2 new"},
+		},
 		{
 			name:  "the list of VMs lags",
 			key:   mgplatform.ListKey,
@@ -92,7 +100,8 @@
 				p.Put(c.key, []byte("old"))
 				manual.Advance(c.lag)
 				p.Set(mgstandin.Fault{
-					Kind: c.fault,
+					Kind:  c.fault,
+					Spare: c.spare,
 				})
 				reads := []string{get(ctx, base, c.key)}
 				p.Put(c.key, []byte("new"))
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -26,6 +26,7 @@
 	Times  int            `json:"times,omitempty"`  // calls of a service it strikes, 0 for all
 	Factor float64        `json:"factor,omitempty"` // how many times as slow an engine
 	Delay  mgclock.Millis `json:"delay,omitempty"`  // how much slower a service
+	Spare  string         `json:"spare,omitempty"`  // a key of the platform's that is well
 }
 
 // EngineCounts are the counters of an engine. They outlive its death.
