mgscheduler, mgadmission: correct predicted waits by those that came

Change: a factor per level of priority from the waits that requests of the level met, over some 64 requests, 2 at most.

--- a/internal/request/mgadmission/forecast.go
+++ b/internal/request/mgadmission/forecast.go
@@ -39,8 +39,26 @@
 	delays  float64 // milliseconds from their starts, fading
 	tokens  float64 // that followed another one, fading
 	gaps    float64 // milliseconds between them, fading
+	biases  [levels]bias
 }
 
+// levels is the number of levels of priority that have a bias of their own.
+const levels = 4
+
+// bias compares predicted waits with those that came.
+type bias struct {
+	predicted float64 // milliseconds, fading
+	waited    float64 // milliseconds, fading
+}
+
+// doubt is a right prediction, in milliseconds, that every bias begins with, so
+// that the first waits don't decide alone.
+const doubt = 10_000.0
+
+// most is the greatest factor by which a bias lengthens a prediction. There is
+// no least one: passing can make a wait next to nothing.
+const most = 2.0
+
 // Busy tells whether from now on the upstream has work.
 func (f *Forecast) Busy(now mgclock.Millis, busy bool) {
 	f.advance(now)
@@ -100,6 +118,29 @@
 	return mgclock.Millis(min(cost*f.span/f.done, float64(mgclock.Minute)))
 }
 
+// Waited tells that a request of a level of priority, which was predicted to
+// wait, did wait for a span.
+func (f *Forecast) Waited(level int, predicted, waited mgclock.Millis) {
+	const keep = 63.0 / 64 // an average over some 64 requests
+	b := f.bias(level)
+	b.predicted = keep*b.predicted + float64(predicted)
+	b.waited = keep*b.waited + float64(waited)
+}
+
+// Corrected returns a predicted wait corrected by what requests of the level
+// met lately. Requests pass each other in ways that the work ahead doesn't
+// show, and a lookup that is turned away for a wait that it would not have had
+// is turned away in vain.
+func (f *Forecast) Corrected(level int, predicted mgclock.Millis) mgclock.Millis {
+	b := f.bias(level)
+	factor := (b.waited + doubt) / (b.predicted + doubt)
+	return mgclock.Millis(float64(predicted) * min(factor, most))
+}
+
+func (f *Forecast) bias(level int) *bias {
+	return &f.biases[min(max(level, 0), levels-1)]
+}
+
 // Retry returns after which span a request that would wait for wait, and may
 // only wait for slack, can come back: when the work ahead has shrunk so far,
 // and an eighth of the wait more, as the rate is known no better. Who comes
--- a/internal/request/mgadmission/gate_test.go
+++ b/internal/request/mgadmission/gate_test.go
@@ -145,6 +145,20 @@
 	})
 }
 
+// Lookups are turned away because of the reports that wait, although each one
+// that was let in passed them at once.
+func TestForecastLearnsFromWaits(t *testing.T) {
+	Convey("A wait that doesn't come is predicted no more, for its level alone", t, func() {
+		var f mgadmission.Forecast
+		for range 200 {
+			f.Waited(2, 8000, 100)
+			f.Waited(0, 8000, 8000)
+		}
+		So(f.Corrected(2, 8000), ShouldBeLessThan, 500)
+		So(f.Corrected(0, 8000), ShouldEqual, 8000)
+	})
+}
+
 // Whatever comes and goes, no rule lets in more than fits or more than a
 // batch, Reserve never outgrows memory, and an empty gate holds nothing.
 func TestGateProperties(t *testing.T) {
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -39,16 +39,17 @@
 
 // job is a request that waits or runs.
 type job struct {
-	request Request
-	came    mgclock.Millis
-	started mgclock.Millis
-	last    mgclock.Millis // when it last produced tokens
-	passed  float64        // cost of the requests that passed it
-	charged float64        // cost that its account was charged
-	answer  mglength.Answer
-	share   mgadmission.Share
-	running bool
-	told    int // tokens produced
+	request   Request
+	came      mgclock.Millis
+	predicted mgclock.Millis // wait, without the correction for its level
+	started   mgclock.Millis
+	last      mgclock.Millis // when it last produced tokens
+	passed    float64        // cost of the requests that passed it
+	charged   float64        // cost that its account was charged
+	answer    mglength.Answer
+	share     mgadmission.Share
+	running   bool
+	told      int // tokens produced
 }
 
 // New returns a scheduler for an idle upstream.
@@ -85,16 +86,18 @@
 		return problemDuplicate(r.ID)
 	}
 	output := s.output(&r)
-	if p := s.refusal(now, &r, output); p != nil {
+	predicted := s.predict(now, &r, output)
+	if p := s.refusal(now, &r, output, predicted); p != nil {
 		return p
 	}
 	err := s.queue.Push(now, s.item(&r, output))
 	if err != nil {
-		return problemFull(s.retry(now, &r, output)).WithCause(err)
+		return problemFull(s.halfway(&r, predicted)).WithCause(err)
 	}
 	j := s.job()
 	j.request = r
 	j.came = now
+	j.predicted = predicted
 	s.jobs[r.ID] = j
 	return nil
 }
@@ -102,12 +105,13 @@
 // Offer tells what a request would meet now. It takes no place for it.
 func (s *Scheduler) Offer(now mgclock.Millis, r Request) Offer {
 	output := s.output(&r)
+	predicted := s.predict(now, &r, output)
 	return Offer{
-		Wait:     s.wait(now, &r, output) + s.forecast.FirstToken(r.uncached()),
+		Wait:     s.forecast.Corrected(r.Priority, predicted) + s.forecast.FirstToken(r.uncached()),
 		Headroom: s.gate.Headroom(),
 		Running:  s.gate.Running(),
 		Queued:   s.queue.Len(),
-		Refused:  s.refusal(now, &r, output),
+		Refused:  s.refusal(now, &r, output, predicted),
 	}
 }
 
@@ -201,21 +205,21 @@
 // waits. What runs goes on.
 func (s *Scheduler) Leaving(mgclock.Millis) { s.leaving = true }
 
-// refusal returns why a request can't be taken, or nil.
-func (s *Scheduler) refusal(now mgclock.Millis, r *Request, output float64) *mgproblem.Problem {
+// refusal returns why a request with a predicted wait can't be taken, or nil.
+func (s *Scheduler) refusal(now mgclock.Millis, r *Request, output float64, predicted mgclock.Millis) *mgproblem.Problem {
 	switch {
 	case s.leaving:
 		return problemLeaving()
 	case !s.gate.Holds(r.Prompt):
 		return problemLarge()
 	case !s.queue.Room(r.Account, r.Priority):
-		return problemFull(s.retry(now, r, output))
+		return problemFull(s.halfway(r, predicted))
 	}
 	expiry := s.expiry(r, output)
 	if expiry == 0 {
 		return nil
 	}
-	wait := s.wait(now, r, output)
+	wait := s.forecast.Corrected(r.Priority, predicted)
 	slack := expiry - now
 	if slack < 0 || wait > slack {
 		return problemCrowded(mgadmission.Retry(wait, slack))
@@ -253,10 +257,10 @@
 	return latest
 }
 
-// wait returns the expected time until a request would start. Where nothing
-// is ahead of it and yet it doesn't fit, something must end first, about the
-// work of one answer.
-func (s *Scheduler) wait(now mgclock.Millis, r *Request, output float64) mgclock.Millis {
+// predict returns the time until a request would start by the work ahead of
+// it. Where nothing is ahead and yet it doesn't fit, something must end first,
+// about the work of one answer.
+func (s *Scheduler) predict(now mgclock.Millis, r *Request, output float64) mgclock.Millis {
 	item := s.item(r, output)
 	ahead := s.queue.Ahead(now, item)
 	if ahead <= 0 && s.gate.Admits(candidate(r, s.lengths.Curve(key(r)))) {
@@ -265,10 +269,10 @@
 	return s.forecast.Wait(now, ahead+item.Cost)
 }
 
-// retry returns when a request that finds no place can come back: half of what
-// is ahead of it has gone by then.
-func (s *Scheduler) retry(now mgclock.Millis, r *Request, output float64) mgclock.Millis {
-	wait := s.wait(now, r, output)
+// halfway returns when a request that finds no place can come back: half of
+// what is ahead of it has gone by then.
+func (s *Scheduler) halfway(r *Request, predicted mgclock.Millis) mgclock.Millis {
+	wait := s.forecast.Corrected(r.Priority, predicted)
 	return mgadmission.Retry(wait, wait/2)
 }
 
@@ -311,6 +315,7 @@
 func (s *Scheduler) start(now mgclock.Millis, id string) Decision {
 	item, _ := s.queue.Take(id)
 	j := s.jobs[item.ID]
+	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
 	j.running = true
 	j.started = now
 	j.charged = item.Cost
@@ -325,7 +330,8 @@
 // giveUp answers a request that can no longer be answered in time.
 func (s *Scheduler) giveUp(now mgclock.Millis, item mgqueue.Item) Decision {
 	j := s.jobs[item.ID]
-	wait := s.wait(now, &j.request, item.Cost)
+	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
+	wait := s.forecast.Corrected(j.request.Priority, s.predict(now, &j.request, s.output(&j.request)))
 	retry := mgadmission.Retry(wait, item.Expiry-j.came)
 	s.drop(j)
 	return Decision{
