mgadmission, mgscheduler: a preempted answer no longer stops all that is new

Cause: nothing started while a preempted answer was out. An engine that loses such an answer would have stopped its upstream until somebody gave the answer up, and the guard was never measured.

Change: the answer's memory stays counted, which is what keeps new work from taking it; the stop is gone. Preempted counts for the dump.

--- a/internal/request/mgadmission/doc.go
+++ b/internal/request/mgadmission/doc.go
@@ -27,8 +27,8 @@
 //   - Reserve counts each answer with its maximum length.
 //   - Now lets in what fits now.
 //
-// An idle engine lets in whatever fits its memory, under every rule. While a
-// preempted answer has not come back, nothing is let in.
+// An idle engine lets in whatever fits its memory, under every rule. The memory
+// of a preempted answer stays counted until it has come back and ended.
 //
 // # Time
 //
--- a/internal/request/mgadmission/gate.go
+++ b/internal/request/mgadmission/gate.go
@@ -44,7 +44,6 @@
 	weighed  int // produced when outlook was computed
 	max      int
 	running  bool
-	out      bool // preempted and not back
 }
 
 // Held returns the tokens of memory that the answer holds.
@@ -58,7 +57,6 @@
 	used     int64
 	reserved int64
 	running  int
-	out      int
 	reports  [reports]int64 // of memory that the engine holds beyond used
 	report   int
 }
@@ -100,8 +98,8 @@
 	return g.spec.Memory <= 0 || int64(prompt) < g.spec.Memory
 }
 
-// Full reports whether nothing may start, whatever it is.
-func (g *Gate) Full() bool { return g.running >= g.batch() || g.out > 0 }
+// Full reports whether a batch runs, so that nothing may start.
+func (g *Gate) Full() bool { return g.running >= g.batch() }
 
 // Admits reports whether c may start now.
 func (g *Gate) Admits(c Candidate) bool {
@@ -142,31 +140,18 @@
 	g.Weigh(s, c.Curve)
 }
 
-// Grow tells that the answer has produced a number of tokens in all, which
-// brings a preempted answer back. It reports whether Weigh is due.
+// Grow tells that the answer has produced a number of tokens in all. It reports
+// whether Weigh is due. An answer that the engine preempts just doesn't grow: its
+// memory stays counted, so that nothing is let in which would keep it out.
 func (g *Gate) Grow(s *Share, produced int) bool {
 	if !s.running || produced <= s.produced {
 		return false
 	}
-	if s.out {
-		s.out = false
-		g.out--
-	}
 	g.used += int64(produced - s.produced)
 	s.produced = produced
 	return g.spec.Rule == Outgrow && produced-s.weighed >= stride
 }
 
-// Preempted tells that the engine took the answer's memory away for a while.
-// It stays counted, as the answer comes back before anything new.
-func (g *Gate) Preempted(s *Share) {
-	if !s.running || s.out {
-		return
-	}
-	s.out = true
-	g.out++
-}
-
 // Leave gives the answer's memory back.
 func (g *Gate) Leave(s *Share) {
 	if !s.running {
@@ -175,9 +160,6 @@
 	g.running--
 	g.used -= int64(s.Held())
 	g.reserved -= g.most(s.prompt, s.max)
-	if s.out {
-		g.out--
-	}
 	g.outlook.subtract(&s.outlook)
 	if g.running == 0 {
 		g.outlook = outlook{} // no drift of the sums
@@ -204,7 +186,7 @@
 
 // Weigh computes the answer's outlook anew from the curve of its length.
 func (g *Gate) Weigh(s *Share, curve *mglength.Curve) {
-	if g.spec.Rule != Outgrow || !s.running {
+	if g.spec.Rule != Outgrow || g.spec.Memory <= 0 || !s.running {
 		return
 	}
 	g.outlook.subtract(&s.outlook)
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -26,15 +26,16 @@
 // A Scheduler decides for one upstream. The zero Scheduler has the defaults of
 // a Spec and is ready for use.
 type Scheduler struct {
-	spec     Spec
-	queue    mgqueue.Queue
-	gate     mgadmission.Gate
-	forecast mgadmission.Forecast
-	lengths  mglength.Estimator
-	jobs     map[string]*job // that wait or run
-	old      []*job
-	leaving  bool
-	others   []mgqueue.Item
+	spec        Spec
+	queue       mgqueue.Queue
+	gate        mgadmission.Gate
+	forecast    mgadmission.Forecast
+	lengths     mglength.Estimator
+	jobs        map[string]*job // that wait or run
+	old         []*job
+	leaving     bool
+	others      []mgqueue.Item
+	preemptions int64
 }
 
 // job is a request that waits or runs.
@@ -81,6 +82,9 @@
 // Memory returns the tokens of memory that the running requests hold.
 func (s *Scheduler) Memory() int64 { return s.gate.Used() }
 
+// Preemptions returns how often a running request lost its memory.
+func (s *Scheduler) Preemptions() int64 { return s.preemptions }
+
 // Submit queues a request, or returns the problem for which it is refused.
 func (s *Scheduler) Submit(now mgclock.Millis, r Request) *mgproblem.Problem {
 	if s.jobs[r.ID] != nil {
@@ -170,10 +174,11 @@
 	}
 }
 
-// Preempted tells that the upstream took a running request's memory away.
+// Preempted tells that the upstream took a running request's memory away. The
+// memory stays counted, as the request takes it again before it ends.
 func (s *Scheduler) Preempted(_ mgclock.Millis, id string) {
-	if j := s.jobs[id]; j != nil {
-		s.gate.Preempted(&j.share)
+	if j := s.jobs[id]; j != nil && j.running {
+		s.preemptions++
 	}
 }
 
