--- /dev/null
+++ b/internal/bench/mgbench/doc.go
@@ -0,0 +1,29 @@
+// Package mgbench measures policies for generations of unknown length side by
+// side: the same requests, engines and clients, one policy after the other, in
+// virtual time.
+//
+// It is a driver of the decision packages and of engine models
+// (internal/bench/mgmodel) in one loop. It has no network, no membership and
+// at most eight engines; what a partition or a pause does is tested elsewhere.
+//
+// Terms:
+//
+//   - scenario: engines, accounts, services, a pattern of load, and what
+//     changes on the way.
+//   - policy: what admits, orders, turns away and routes. A gate is a policy's
+//     part beside one engine.
+//   - stall: a gap between two tokens of an answer above a named bound. The
+//     stall time is the sum of such gaps.
+//   - goodput: answers complete within their deadline, per second.
+//   - backlogged: an account that has a request waiting or turned away at each
+//     look within a window.
+//
+// Output lengths are lognormal or a mixture of two lognormals, as production
+// traces show (Wang et al. 2024, BurstGPT; Patel et al. 2024, Splitwise);
+// arrivals are a Poisson process whose rate a Markov chain of two states
+// modulates (Fischer and Meier-Hellstern 1993). Fairness is the index of Jain,
+// Chiu and Hawe (1984) over weight-normalized service. Delays are kept in HDR
+// histograms (Tene 2012).
+//
+// All random numbers come from the seed, so that a run repeats exactly.
+package mgbench
--- /dev/null
+++ b/internal/bench/mgbench/driver.go
@@ -0,0 +1,327 @@
+package mgbench
+
+import (
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// How clients behave, in ms.
+const (
+	askAgain  = 5       // times at most, as a person would
+	leastWait = 500.0   // before asking again, also when told less
+	mostWait  = 30000.0 // a client doesn't stay away for longer
+	spread    = 0.25    // of the wait, drawn per request, so that clients don't return together
+)
+
+// idleTurn is how often an idle engine's gate is asked while calls wait, in ms.
+const idleTurn = 20.0
+
+// lookEvery is how often the accounts' backlogs are looked at, in ms.
+const lookEvery = 500.0
+
+// driver runs a workload under a policy.
+type driver struct {
+	agenda    agenda
+	workload  *workload
+	calls     []*call
+	upstreams []*upstream
+	route     router
+	meter     *meter
+	verdicts  []verdict
+}
+
+// simulate runs w under p and returns what was measured.
+func simulate(w *workload, p policy, seed uint64) *meter {
+	d := &driver{
+		workload: w,
+		meter:    newMeter(w.scenario),
+	}
+	for i := range w.scenario.Engines {
+		d.upstreams = append(d.upstreams, &upstream{
+			index:  i,
+			engine: mgmodel.New(w.scenario.Model),
+		})
+	}
+	d.route = p.build(w.scenario, d.upstreams, seed)
+	d.enter()
+	d.agenda.run()
+	return d.meter
+}
+
+// enter puts all that is known beforehand on the agenda.
+func (d *driver) enter() {
+	s := d.workload.scenario
+	d.calls = make([]*call, len(d.workload.requests))
+	for i := range d.workload.requests {
+		r := &d.workload.requests[i]
+		c := &call{
+			request: r,
+			spec:    s.Services[r.service],
+		}
+		d.calls[i] = c
+		d.agenda.add(r.arrival, func(now float64) { d.arrive(now, c) })
+	}
+	for at := 0.0; at < s.Span*1000; at += lookEvery {
+		d.agenda.add(at, d.meter.look)
+	}
+	d.enterFault(s)
+}
+
+// enterFault puts the scenario's fault on the agenda.
+func (d *driver) enterFault(s ScenarioSpec) {
+	from, until := s.Fault.From*s.Span*1000, s.Fault.Until*s.Span*1000
+	for _, u := range d.upstreams[:s.Fault.Engines] {
+		if s.Fault.Speed == 0 {
+			d.agenda.add(from, func(now float64) { d.notice(now, u) })
+			d.agenda.add(from+s.Fault.Notice*1000, func(now float64) { d.reclaim(now, u) })
+			continue
+		}
+		d.agenda.add(from, func(float64) { u.engine.SetSpeed(s.Fault.Speed) })
+		d.agenda.add(until, func(float64) { u.engine.SetSpeed(1) })
+	}
+}
+
+// millis returns a time of the agenda on the policies' clock.
+func millis(at float64) mgclock.Millis { return mgclock.Millis(at) }
+
+// arrive is the first asking of a call.
+func (d *driver) arrive(now float64, c *call) {
+	d.meter.arrive(c)
+	d.agenda.add(c.deadline, func(at float64) { d.expire(at, c) })
+	d.ask(now, c)
+}
+
+// ask sends a call to the upstream that the policy chooses.
+func (d *driver) ask(now float64, c *call) {
+	if c.state != asking {
+		return
+	}
+	c.attempts++
+	u := d.route(millis(now), c)
+	if u == nil {
+		d.refuse(now, c, noUpstream)
+		return
+	}
+	d.attach(c, u)
+	c.state = queued
+	if u.gate.submit != nil {
+		if problem := u.gate.submit(millis(now), c); problem != nil {
+			d.detach(c)
+			d.refuse(now, c, problem)
+			return
+		}
+	}
+	d.wake(now, u)
+}
+
+// noUpstream is the refusal when no upstream takes work.
+var noUpstream = mgproblem.New(mgproblem.Crowded, mgproblem.NotRun, "no upstream takes work", "ask again later").WithRetry(mgclock.Second)
+
+func (d *driver) attach(c *call, u *upstream) {
+	c.upstream = u
+	u.calls = append(u.calls, c)
+}
+
+func (d *driver) detach(c *call) {
+	u := c.upstream
+	i := slices.Index(u.calls, c)
+	u.calls = slices.Delete(u.calls, i, i+1)
+	c.upstream = nil
+}
+
+// refuse tells the client "not run". It asks again at the time that it is
+// told, unless it has asked often or would come back too late.
+func (d *driver) refuse(now float64, c *call, problem *mgproblem.Problem) {
+	c.state = asking
+	wait := min(max(float64(problem.Retry()), leastWait), mostWait)
+	wait *= 1 + spread*c.jitter
+	again := problem.Retry() > 0 && c.attempts < askAgain && now+wait < c.deadline
+	d.meter.refuse(now, c, again)
+	if !again {
+		c.state = ended
+		return
+	}
+	d.agenda.add(now+wait, func(at float64) { d.ask(at, c) })
+}
+
+// expire is the client's hanging up at its deadline.
+func (d *driver) expire(now float64, c *call) {
+	if c.state == ended {
+		return
+	}
+	d.meter.expire(now, c)
+	d.drop(now, c)
+	c.state = ended
+}
+
+// drop takes a call away from its upstream, if it has one.
+func (d *driver) drop(now float64, c *call) {
+	u := c.upstream
+	if u == nil {
+		return
+	}
+	if u.gate.withdraw != nil {
+		u.gate.withdraw(millis(now), c)
+	}
+	if c.state == running {
+		u.engine.Cancel(c.sequence.ID)
+	}
+	d.detach(c)
+}
+
+// notice marks an upstream as leaving. What waits there goes elsewhere.
+func (d *driver) notice(now float64, u *upstream) {
+	u.leaving = true
+	for _, c := range slices.Clone(u.calls) {
+		if c.state == queued {
+			d.move(now, c)
+		}
+	}
+}
+
+// reclaim takes an upstream away. What runs there starts anew elsewhere.
+func (d *driver) reclaim(now float64, u *upstream) {
+	for _, c := range slices.Clone(u.calls) {
+		d.meter.lose(now, c)
+		d.move(now, c)
+	}
+	u.gone = true
+}
+
+// move asks for a call again, without a wait of the client's.
+func (d *driver) move(now float64, c *call) {
+	d.drop(now, c)
+	d.meter.requeue(c)
+	c.state = asking
+	c.produced = 0
+	c.last = 0
+	c.attempts--
+	d.ask(now, c)
+}
+
+// wake gives an idle upstream its turn.
+func (d *driver) wake(now float64, u *upstream) {
+	if !u.busy {
+		u.busy = true
+		d.agenda.add(now, func(at float64) { d.turn(at, u) })
+	}
+}
+
+// turn lets the gate decide and runs a step of the engine.
+func (d *driver) turn(now float64, u *upstream) {
+	u.busy = false
+	if u.gone {
+		return
+	}
+	d.poll(now, u)
+	r := u.engine.Step()
+	for _, id := range r.Preempted() {
+		d.preempt(now, u, d.named(id))
+	}
+	switch {
+	case r.Duration() > 0:
+		u.busy = true
+		d.agenda.add(now+r.Duration(), func(at float64) { d.deliver(at, u, r) })
+	case len(u.calls) > 0:
+		u.busy = true
+		d.agenda.add(now+idleTurn, func(at float64) { d.turn(at, u) })
+	}
+}
+
+// named returns the call of a sequence.
+func (d *driver) named(id string) *call {
+	i, err := strconv.Atoi(id)
+	if err != nil {
+		panic("mgbench: a sequence that the driver didn't name: " + id)
+	}
+	return d.calls[i]
+}
+
+// poll carries the gate's verdicts out.
+func (d *driver) poll(now float64, u *upstream) {
+	d.verdicts = u.gate.poll(millis(now), d.verdicts[:0])
+	for _, v := range d.verdicts {
+		if v.problem != nil {
+			d.detach(v.call)
+			d.refuse(now, v.call, v.problem)
+			continue
+		}
+		d.start(now, u, v.call)
+	}
+}
+
+// start gives a call to u's engine, also one that waited elsewhere.
+func (d *driver) start(now float64, u *upstream, c *call) {
+	if c.upstream != u {
+		d.detach(c)
+		d.attach(c, u)
+	}
+	c.state = running
+	d.meter.start(now, c)
+	if !u.engine.Add(c.sequence) {
+		panic("mgbench: the model refuses " + c.sequence.ID)
+	}
+}
+
+// preempt tells of a running call that lost its memory.
+func (d *driver) preempt(now float64, u *upstream, c *call) {
+	d.meter.preempt(c)
+	if u.gate.preempted != nil {
+		u.gate.preempted(millis(now), c)
+	}
+}
+
+// deliver hands the tokens of a step out at its end. A call that was dropped
+// during the step no longer runs here.
+func (d *driver) deliver(now float64, u *upstream, r mgmodel.Result) {
+	for _, token := range r.Tokens() {
+		c := d.named(token.ID())
+		if c.upstream != u {
+			continue
+		}
+		c.produced = token.Seq()
+		d.meter.token(now, c)
+		if u.gate.progress != nil {
+			u.gate.progress(millis(now), c)
+		}
+	}
+	for _, id := range r.Finished() {
+		c := d.named(id)
+		if c.upstream != u {
+			continue
+		}
+		d.finish(now, c)
+	}
+	d.turn(now, u)
+}
+
+// finish ends a call that is complete.
+func (d *driver) finish(now float64, c *call) {
+	if c.produced != min(c.sequence.Output, d.room(c)) {
+		panic("mgbench: an answer ended early: " + c.sequence.ID)
+	}
+	d.meter.finish(now, c)
+	if f := c.upstream.gate.finish; f != nil {
+		f(millis(now), c)
+	}
+	d.detach(c)
+	c.state = ended
+}
+
+// room returns the output that memory allows c at most.
+func (d *driver) room(c *call) int {
+	return c.upstream.engine.Spec().Memory - c.sequence.Prompt
+}
+
+// gapUntil returns the time since c's latest token, or 0 before the first.
+func (c *call) gapUntil(now float64) float64 {
+	if c.last == 0 {
+		return 0
+	}
+	return math.Max(now-c.last, 0)
+}
--- /dev/null
+++ b/internal/bench/mgbench/driver_test.go
@@ -0,0 +1,198 @@
+package mgbench
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// shortened returns a scenario with a span in seconds.
+func shortened(s ScenarioSpec, span float64) ScenarioSpec {
+	s.Span = span
+	return s
+}
+
+// A user sees each request answered, turned away or timed out, once, whatever
+// happens to engines on the way. Each scenario runs under each policy; the
+// model's memory and the order of tokens are checked by the driver and the
+// model. A request that was counted twice or got lost would flatter a policy.
+func TestEachRequestEndsOnce(t *testing.T) {
+	for _, s := range Scenarios() {
+		w := newWorkload(shortened(s, 15), 3)
+		for _, p := range append(policies(), oracleOrders()...) {
+			if p.build == nil {
+				continue
+			}
+			m := simulate(w, p, 3)
+			Convey(s.Name+" and "+p.name, t, func() {
+				So(m.asked, ShouldEqual, len(w.requests))
+				So(m.inTime+m.away+m.expired, ShouldEqual, m.asked)
+				So(m.late, ShouldBeLessThanOrEqualTo, m.expired)
+			})
+		}
+	}
+}
+
+// The oracle knows all lengths, so that a policy that answers more in time
+// shows that the oracle is wrong and every figure against it misleads. The
+// cases are small enough for an order to matter: a burst that must wait, and a
+// memory that holds a handful of reports.
+func TestOracleIsTheLimit(t *testing.T) {
+	Convey("No policy answers more in time than the oracle", t, func() {
+		for _, name := range []string{"burst", "small", "long", "sat20"} {
+			s, err := scenarioNamed(name)
+			So(err, ShouldBeNil)
+			s = shortened(s, 40)
+			for seed := uint64(1); seed <= 2; seed++ {
+				limit := measured(s, oraclePolicy(), seed)
+				for _, p := range policies() {
+					So(measured(s, p, seed).inTime, ShouldBeLessThanOrEqualTo, limit.inTime)
+				}
+			}
+		}
+	})
+}
+
+func measured(s ScenarioSpec, p policy, seed uint64) *meter {
+	j := job{
+		scenario: s,
+		policy:   p,
+		seed:     seed,
+	}
+	return j.measure().meter
+}
+
+// refuser is a policy that turns each request away and says when to return.
+func refuser(retry mgclock.Millis) policy {
+	problem := mgproblem.New(mgproblem.Crowded, mgproblem.NotRun, "full", "come back")
+	return policy{
+		build: func(_ ScenarioSpec, us []*upstream, _ uint64) router {
+			for _, u := range us {
+				u.gate = gate{
+					submit: func(mgclock.Millis, *call) *mgproblem.Problem { return problem.WithRetry(retry) },
+					poll:   func(_ mgclock.Millis, dst []verdict) []verdict { return dst },
+				}
+			}
+			return leastConnections(us)
+		},
+	}
+}
+
+func TestClients(t *testing.T) {
+	s := shortened(calm(), 20)
+	s.Services = []ServiceSpec{lookup(1)}
+	cases := []struct {
+		name  string
+		retry mgclock.Millis
+		asked int
+	}{
+		{"not told to return, doesn't", 0, 1},
+		{"told a second, asks as often as a person would", mgclock.Second, askAgain},
+		{"told a time past its deadline, doesn't", 20 * mgclock.Second, 1},
+		{"told a moment, waits the least time", 1, askAgain},
+	}
+	for _, c := range cases {
+		Convey("A client that is "+c.name, t, func() {
+			m := simulate(newWorkload(s, 1), refuser(c.retry), 1)
+			So(m.refusals, ShouldEqual, c.asked*m.asked)
+			So(m.away, ShouldEqual, m.asked)
+			So(m.late, ShouldEqual, 0)
+		})
+	}
+}
+
+// A caller whose stream stands still until it hangs up has stalled, though no
+// later token closes the gap. A meter that counts gaps at the next token only
+// would make the policy that starves a stream look the best.
+func TestOpenGapIsStall(t *testing.T) {
+	Convey("A gap that is open at the deadline counts", t, func() {
+		m := newMeter(calm())
+		c := &call{
+			request: &request{
+				deadline: 5000,
+			},
+			state: running,
+		}
+		m.token(1000, c)
+		m.expire(5000, c)
+		So(m.stall, ShouldEqual, 4000)
+	})
+}
+
+// A client whose request waits until its deadline never learns that it didn't
+// run. A gate that keeps quiet so that the client doesn't ask again must not
+// get away with it: the request counts as a late "not run".
+func TestSilenceIsLate(t *testing.T) {
+	Convey("A request that waits until its deadline counts as late", t, func() {
+		silent := refuser(0)
+		build := silent.build
+		silent.build = func(s ScenarioSpec, us []*upstream, seed uint64) router {
+			r := build(s, us, seed)
+			for _, u := range us {
+				u.gate.submit = nil
+			}
+			return r
+		}
+		m := simulate(newWorkload(shortened(calm(), 20), 1), silent, 1)
+		So(m.late, ShouldEqual, m.asked)
+	})
+}
+
+func TestJain(t *testing.T) {
+	cases := []struct {
+		name   string
+		served []float64
+		want   float64
+	}{
+		{"alike", []float64{2, 2, 2}, 1},
+		{"one gets all", []float64{9, 0, 0}, 1.0 / 3},
+		{"none gets any", []float64{0, 0}, 1},
+		{"one gets twice as much", []float64{1, 2}, 0.9},
+	}
+	for _, c := range cases {
+		Convey("Jain's index when "+c.name, t, func() {
+			So(jain(c.served), ShouldAlmostEqual, c.want)
+		})
+	}
+}
+
+func TestWorkload(t *testing.T) {
+	Convey("A workload", t, func() {
+		Convey("keeps the mean rate, with bursts too", func() {
+			for _, s := range []ScenarioSpec{calm(), burst()} {
+				s = shortened(s, 3000)
+				mean := s.Rate * s.Load * float64(s.Engines) * s.Span
+				So(float64(len(newWorkload(s, 2).requests))/mean, ShouldAlmostEqual, 1, 0.1)
+			}
+		})
+
+		Convey("repeats by its seed", func() {
+			s := shortened(burst(), 60)
+			So(newWorkload(s, 5).requests, ShouldResemble, newWorkload(s, 5).requests)
+			So(newWorkload(s, 5).requests, ShouldNotResemble, newWorkload(s, 6).requests)
+		})
+
+		Convey("doubles its accounts at a takeover", func() {
+			s := takeover()
+			for _, r := range newWorkload(s, 1).requests {
+				if s.Accounts[r.account].From*s.Span*1000 > r.arrival {
+					So(r, ShouldBeZeroValue)
+				}
+			}
+		})
+	})
+}
+
+func BenchmarkSimulate(b *testing.B) {
+	s := shortened(saturation("sat10", 1), 60)
+	w := newWorkload(s, 1)
+	p := simplePolicy()
+	tokens := int64(0)
+	for b.Loop() {
+		tokens += simulate(w, p, 1).between.TotalCount()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tokens), "ns/token")
+}
--- /dev/null
+++ b/internal/bench/mgbench/figures.go
@@ -0,0 +1,122 @@
+package mgbench
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// figure is one measured quantity of a run.
+type figure struct {
+	name   string // short, as in JSON
+	head   string // with its unit, as in the table
+	digits int
+	of     func(m *meter) float64
+}
+
+func newFigure(name, head string, digits int, of func(m *meter) float64) figure {
+	return figure{
+		name:   name,
+		head:   head,
+		digits: digits,
+		of:     of,
+	}
+}
+
+// figureNamed returns the quantity of a name.
+func figureNamed(name string) figure {
+	for _, f := range figures() {
+		if f.name == name {
+			return f
+		}
+	}
+	panic("mgbench: no figure " + name)
+}
+
+// figures returns the quantities in the order of the tables.
+func figures() []figure {
+	return []figure{
+		newFigure("goodput", "answers/s", 2, (*meter).goodput),
+		newFigure("tokens", "tokens/s", 0, (*meter).tokenRate),
+		newFigure("away", "away %", 1, func(m *meter) float64 { return m.percent(m.away) }),
+		newFigure("expired", "expired %", 1, func(m *meter) float64 { return m.percent(m.expired) }),
+		newFigure("late", "late", 0, func(m *meter) float64 { return float64(m.late) }),
+		newFigure("preempts", "preempt/100", 1, func(m *meter) float64 { return m.perHundred(float64(m.preempts)) }),
+		newFigure("stall", "stall s/100", 1, func(m *meter) float64 { return m.perHundred(m.stall / 1000) }),
+		newFigure("p50", "p50 ms", 1, func(m *meter) float64 { return quantile(m.between, 50) }),
+		newFigure("p95", "p95 ms", 1, func(m *meter) float64 { return quantile(m.between, 95) }),
+		newFigure("p99", "p99 ms", 1, func(m *meter) float64 { return quantile(m.between, 99) }),
+		newFigure("first50", "first50 ms", 0, func(m *meter) float64 { return quantile(m.first, 50) }),
+		newFigure("first95", "first95 ms", 0, func(m *meter) float64 { return quantile(m.first, 95) }),
+		newFigure("jain", "jain", 3, (*meter).fairness),
+	}
+}
+
+func (m *meter) goodput() float64 { return float64(m.inTime) / m.scenario.Span }
+
+func (m *meter) tokenRate() float64 { return float64(m.tokens) / m.scenario.Span }
+
+func (m *meter) percent(count int) float64 {
+	return 100 * float64(count) / float64(max(m.asked, 1))
+}
+
+// perHundred returns a total per 100 answers in time.
+func (m *meter) perHundred(total float64) float64 {
+	return 100 * total / float64(max(m.inTime, 1))
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) * microsecond
+}
+
+// run is a measured run.
+type run struct {
+	scenario string
+	policy   string
+	seed     uint64
+	meter    *meter
+}
+
+// MarshalJSON returns a run as one object with the names of the figures. What
+// wasn't measured is null.
+func (r run) MarshalJSON() ([]byte, error) {
+	line := map[string]any{
+		"scenario": r.scenario,
+		"policy":   r.policy,
+		"seed":     r.seed,
+		"asked":    r.meter.asked,
+		"lost":     r.meter.lost,
+		"refusals": r.meter.refusals,
+	}
+	for _, f := range figures() {
+		if x := f.of(r.meter); !math.IsNaN(x) {
+			line[f.name] = x
+		} else {
+			line[f.name] = nil
+		}
+	}
+	return json.Marshal(line)
+}
+
+// spreadOf returns the median and the range of a figure over runs, without
+// those that couldn't measure it.
+func spreadOf(runs []run, f figure) (median, least, most float64) {
+	var values []float64
+	for _, r := range runs {
+		if x := f.of(r.meter); !math.IsNaN(x) {
+			values = append(values, x)
+		}
+	}
+	if len(values) == 0 {
+		return math.NaN(), math.NaN(), math.NaN()
+	}
+	slices.Sort(values)
+	middle := len(values) / 2
+	median = values[middle]
+	if len(values)%2 == 0 {
+		median = (values[middle-1] + values[middle]) / 2
+	}
+	return median, values[0], values[len(values)-1]
+}
--- /dev/null
+++ b/internal/bench/mgbench/meter.go
@@ -0,0 +1,212 @@
+package mgbench
+
+import (
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// stallBound is the gap between two tokens, in ms, above which a reader
+// notices that the stream stands still. It is five times the step of a full
+// batch of the default engine (about 20 ms), and the same for all policies, so
+// that a policy can't gain by slowing its usual step.
+const stallBound = 100.0
+
+// window is the span over which fairness and shares are taken, in ms. It is
+// some times the life of a usual answer, so that one answer doesn't decide it.
+const window = 20000.0
+
+// promptShare is what a prompt token counts for in the service that an account
+// gets; an output token counts 1. Prompts are computed in parallel.
+const promptShare = 0.1
+
+// microsecond is the histograms' unit in ms.
+const microsecond = 0.001
+
+// newHistogram returns a histogram of 1 microsecond to 10 minutes, to 3 digits.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, 600_000_000, 3)
+}
+
+func record(h *hdrhistogram.Histogram, ms float64) {
+	value := min(max(int64(ms/microsecond), 1), 600_000_000)
+	if err := h.RecordValue(value); err != nil {
+		panic("mgbench: a delay out of the histogram's range")
+	}
+}
+
+// meter measures one run.
+type meter struct {
+	scenario ScenarioSpec
+	asked    int
+	inTime   int
+	tokens   int // of answers in time
+	away     int // requests that ended "not run"
+	refusals int // times that a client was told "not run"
+	expired  int // requests that the client hung up on
+	late     int // of these, such as nobody had started or turned away
+	lost     int // generations that went with their engine
+	preempts int
+	stall    float64 // ms
+	between  *hdrhistogram.Histogram
+	first    *hdrhistogram.Histogram
+	accounts []accountMeter
+	windows  int
+	looks    int
+	jains    []float64
+}
+
+// accountMeter is an account's part of a meter.
+type accountMeter struct {
+	demand  int     // requests that wait or were turned away for now
+	least   int     // demand, the least within the window
+	service float64 // within the window
+	shares  []float64
+}
+
+func newMeter(s ScenarioSpec) *meter {
+	return &meter{
+		scenario: s,
+		between:  newHistogram(),
+		first:    newHistogram(),
+		accounts: make([]accountMeter, len(s.Accounts)),
+	}
+}
+
+func (m *meter) arrive(c *call) {
+	m.asked++
+	m.accounts[c.account].demand++
+}
+
+// requeue counts a running or queued call as waiting again.
+func (m *meter) requeue(c *call) {
+	if c.state == running {
+		m.accounts[c.account].demand++
+	}
+}
+
+func (m *meter) start(_ float64, c *call) {
+	a := &m.accounts[c.account]
+	a.demand--
+	a.service += promptShare * float64(c.sequence.Prompt)
+}
+
+// token counts a token and the gap before it.
+func (m *meter) token(now float64, c *call) {
+	m.accounts[c.account].service++
+	if c.last > 0 {
+		record(m.between, now-c.last)
+		m.stalled(now - c.last)
+	} else if c.first == 0 {
+		c.first = now
+		record(m.first, now-c.arrival)
+	}
+	c.last = now
+}
+
+// stalled counts a gap as stall time if it is long.
+func (m *meter) stalled(gap float64) {
+	if gap > stallBound {
+		m.stall += gap
+	}
+}
+
+func (m *meter) finish(now float64, c *call) {
+	if now <= c.deadline {
+		m.inTime++
+		m.tokens += c.produced
+	}
+}
+
+func (m *meter) refuse(now float64, c *call, again bool) {
+	m.refusals++
+	if now > c.deadline {
+		m.late++
+	}
+	if !again {
+		m.away++
+		m.accounts[c.account].demand--
+	}
+}
+
+// expire counts a client that hangs up. A gap that is still open is stall time
+// too, or a policy could hide its longest stalls behind the deadline.
+func (m *meter) expire(now float64, c *call) {
+	m.expired++
+	m.stalled(c.gapUntil(now))
+	switch c.state {
+	case queued:
+		m.late++
+		m.accounts[c.account].demand--
+	case asking:
+		m.accounts[c.account].demand--
+	}
+}
+
+func (m *meter) lose(now float64, c *call) {
+	if c.state == running {
+		m.lost++
+		m.stalled(c.gapUntil(now))
+	}
+}
+
+func (m *meter) preempt(*call) { m.preempts++ }
+
+// look samples the accounts' demands, and closes a window when it is full.
+func (m *meter) look(now float64) {
+	for i := range m.accounts {
+		a := &m.accounts[i]
+		if m.looks == 0 || a.demand < a.least {
+			a.least = a.demand
+		}
+	}
+	m.looks++
+	if now >= float64(m.windows+1)*window-lookEvery {
+		m.close()
+	}
+}
+
+// close ends a window.
+func (m *meter) close() {
+	var served []float64
+	for i := range m.accounts {
+		a := &m.accounts[i]
+		a.shares = append(a.shares, a.service)
+		if a.least > 0 {
+			served = append(served, a.service/m.scenario.Accounts[i].Weight)
+		}
+		a.service = 0
+	}
+	if len(served) > 1 {
+		m.jains = append(m.jains, jain(served))
+	}
+	m.windows++
+	m.looks = 0
+}
+
+// jain returns the fairness index of Jain, Chiu and Hawe: 1 when all are
+// served alike, 1/n when one gets all.
+func jain(served []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, x := range served {
+		sum += x
+		squares += x * x
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / (float64(len(served)) * squares)
+}
+
+// fairness returns the mean index over windows with two backlogged accounts or
+// more, or NaN when there were none.
+func (m *meter) fairness() float64 {
+	if len(m.jains) == 0 {
+		return math.NaN()
+	}
+	sum := 0.0
+	for _, x := range m.jains {
+		sum += x
+	}
+	return sum / float64(len(m.jains))
+}
--- /dev/null
+++ b/internal/bench/mgbench/oracle.go
@@ -0,0 +1,240 @@
+package mgbench
+
+import (
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// Costs by which the oracle compares upstreams and foresees an end, in ms: a
+// token's part of a step in a usual batch, a whole step of a light batch, and
+// a prompt token's computing.
+const (
+	shareCost  = 0.4
+	stepCost   = 12
+	promptCost = 0.03
+)
+
+// oracleDepth is how many queued calls the oracle looks at per turn. The order
+// puts the best first, so that more changes nothing that shows.
+const oracleDepth = 64
+
+// oracle is a gate that knows all output lengths.
+type oracle struct {
+	upstream *upstream
+	peers    []*oracle
+	order    func(a, b *call) int
+	steal    bool
+	line     []*call
+	batch    []load
+}
+
+// load is what a running call still does to memory: what it holds and how many
+// steps it holds on.
+type load struct {
+	held, left int
+}
+
+// oraclePolicy knows lengths and orders freely. No order is the best for every
+// load: the driver runs the orders of oracleOrders and keeps the best run.
+func oraclePolicy() policy {
+	return policy{
+		name: "oracle",
+		text: "lengths known, exact peak of memory, the best of several orders, work moves to idle engines",
+	}
+}
+
+// oracleOrders returns the oracle's candidates.
+func oracleOrders() []policy {
+	return []policy{
+		oracleOrdered("oracle/short", byWork, true),
+		oracleOrdered("oracle/due", byDeadline, true),
+		oracleOrdered("oracle/fifo", byArrival, true),
+	}
+}
+
+// peakPolicy knows lengths but keeps the queue and the routes of the
+// baselines: what knowing the lengths alone is worth.
+func peakPolicy() policy {
+	return oracleOrdered("peak", byArrival, false)
+}
+
+func oracleOrdered(name string, order func(a, b *call) int, free bool) policy {
+	return policy{
+		name: name,
+		text: "least connections, FIFO, lengths known, exact peak of memory",
+		build: func(_ ScenarioSpec, us []*upstream, _ uint64) router {
+			peers := make([]*oracle, len(us))
+			for i, u := range us {
+				peers[i] = &oracle{
+					upstream: u,
+					order:    order,
+					steal:    free,
+				}
+				u.gate = peers[i].gate()
+			}
+			for _, o := range peers {
+				o.peers = peers
+			}
+			if free {
+				return leastWork(us)
+			}
+			return leastConnections(us)
+		},
+	}
+}
+
+func byWork(a, b *call) int {
+	return a.work() - b.work()
+}
+
+func byDeadline(a, b *call) int {
+	return int(a.deadline - b.deadline)
+}
+
+func byArrival(a, b *call) int {
+	return a.index - b.index
+}
+
+// work returns the memory that c takes, summed over its steps.
+func (c *call) work() int {
+	out := c.sequence.Output
+	return (c.sequence.Prompt + out/2) * out
+}
+
+// leastWork chooses the upstream that would be done first.
+func leastWork(us []*upstream) router {
+	return func(_ mgclock.Millis, c *call) *upstream {
+		var chosen *upstream
+		best := 0.0
+		for _, u := range us {
+			if u.leaving {
+				continue
+			}
+			cost := u.backlog(c)
+			if chosen == nil || cost < best {
+				chosen, best = u, cost
+			}
+		}
+		return chosen
+	}
+}
+
+// backlog returns the ms of work at u, with that of c's prompt.
+func (u *upstream) backlog(c *call) float64 {
+	tokens := 0
+	for _, other := range u.calls {
+		tokens += other.left()
+	}
+	uncached := c.sequence.Prompt - u.engine.Cached(c.sequence.Prefix)
+	cost := shareCost*float64(tokens) + promptCost*float64(uncached)
+	return cost / u.engine.Spec().Speed
+}
+
+// gate returns o as a gate.
+func (o *oracle) gate() gate {
+	return gate{
+		submit:   o.submit,
+		poll:     o.poll,
+		withdraw: o.leave,
+	}
+}
+
+func (o *oracle) submit(_ mgclock.Millis, c *call) *mgproblem.Problem {
+	at, _ := slices.BinarySearchFunc(o.line, c, o.order)
+	o.line = slices.Insert(o.line, at, c)
+	return nil
+}
+
+func (o *oracle) leave(_ mgclock.Millis, c *call) {
+	if i := slices.Index(o.line, c); i >= 0 {
+		o.line = slices.Delete(o.line, i, i+1)
+	}
+}
+
+// poll starts what fits the future, in order, then what idle engines can take
+// from others' lines.
+func (o *oracle) poll(now mgclock.Millis, dst []verdict) []verdict {
+	o.batch = o.batch[:0]
+	for _, c := range o.upstream.calls {
+		if c.state == running {
+			o.batch = append(o.batch, load{
+				held: c.held(),
+				left: c.left(),
+			})
+		}
+	}
+	dst = o.take(now, o, dst)
+	if !o.steal || len(o.line) > 0 || o.upstream.leaving {
+		return dst
+	}
+	for _, other := range o.peers {
+		if other != o {
+			dst = o.take(now, other, dst)
+		}
+	}
+	return dst
+}
+
+// take starts calls of a line that fit. With a free order, calls that can't be
+// in time any more are given up and calls that don't fit are passed over.
+func (o *oracle) take(now mgclock.Millis, from *oracle, dst []verdict) []verdict {
+	kept := from.line[:0:0]
+	for i, c := range from.line {
+		full := len(o.batch) >= o.upstream.engine.Spec().Batch
+		if full || i >= oracleDepth {
+			kept = append(kept, from.line[i:]...)
+			break
+		}
+		switch {
+		case o.steal && o.hopeless(now, c):
+			dst = append(dst, verdict{
+				call:    c,
+				problem: mgproblem.New(mgproblem.Crowded, mgproblem.NotRun, "no time is left", "ask with a later deadline"),
+			})
+		case o.fits(c):
+			dst = append(dst, verdict{
+				call: c,
+			})
+		case !o.steal:
+			kept = append(kept, from.line[i:]...)
+			from.line = kept
+			return dst
+		default:
+			kept = append(kept, c)
+		}
+	}
+	from.line = kept
+	return dst
+}
+
+// hopeless reports whether c can't be in time even in a light batch.
+func (o *oracle) hopeless(now mgclock.Millis, c *call) bool {
+	least := stepCost * float64(c.left()) / o.upstream.engine.Spec().Speed
+	return float64(now)+least > c.deadline
+}
+
+// fits reports whether the peak of memory stays within bounds with c, and
+// counts c in if so. All calls grow by a token per step until their ends, so
+// that the peak is at one of the ends.
+func (o *oracle) fits(c *call) bool {
+	own := load{
+		held: c.held(),
+		left: c.left(),
+	}
+	batch := append(o.batch, own)
+	slices.SortFunc(batch, func(a, b load) int { return a.left - b.left })
+	sum, peak := 0, 0
+	for i := len(batch) - 1; i >= 0; i-- {
+		sum += batch[i].held
+		peak = max(peak, sum+batch[i].left*(len(batch)-i))
+	}
+	if peak <= o.upstream.engine.Spec().Memory {
+		o.batch = batch
+		return true
+	}
+	at := slices.Index(batch, own)
+	o.batch = slices.Delete(batch, at, at+1)
+	return false
+}
--- /dev/null
+++ b/internal/bench/mgbench/plot.go
@@ -0,0 +1,244 @@
+package mgbench
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+// Sizes of the plots.
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 13 * vg.Centimeter
+	tileHeight = 7 * vg.Centimeter
+	barWidth   = 14 * vg.Millimeter
+	barInch    = 2.4 * vg.Centimeter
+	lineWidth  = 1.5
+)
+
+// palette holds colours that can be told apart, also by the colour-blind (Okabe
+// and Ito 2008), in the order of use; dashes tell the later rounds apart.
+var palette = []color.RGBA{
+	{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
+	{R: 0xd5, G: 0x5e, B: 0x00, A: 0xff},
+	{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
+	{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+	{R: 0xe6, G: 0x9f, B: 0x00, A: 0xff},
+	{R: 0x56, G: 0xb4, B: 0xe9, A: 0xff},
+	{R: 0x00, G: 0x00, B: 0x00, A: 0xff},
+}
+
+// style returns the i-th line style.
+func style(i int) draw.LineStyle {
+	line := draw.LineStyle{
+		Color: palette[i%len(palette)],
+		Width: vg.Points(lineWidth),
+	}
+	if round := i / len(palette); round > 0 {
+		line.Dashes = []vg.Length{vg.Points(float64(5 * round)), vg.Points(3)}
+	}
+	return line
+}
+
+// writePlots writes the plots of a scenario to a directory.
+func writePlots(dir string, s ScenarioSpec, policies []policy, runs []run) error {
+	tail := plotTail(s, policies, runs)
+	if err := save(tail, plotWidth, plotHeight, dir, "tail-"+s.Name); err != nil {
+		return err
+	}
+	for _, name := range []string{"stall", "preempts", "goodput", "p99"} {
+		bars, err := plotBars(s, policies, runs, figureNamed(name))
+		if err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+		width := barInch * vg.Length(len(policies)+1)
+		if err := save(bars, width, plotHeight, dir, name+"-"+s.Name); err != nil {
+			return err
+		}
+	}
+	return plotShares(filepath.Join(dir, "share-"+s.Name+".png"), s, policies, runs)
+}
+
+func save(p *plot.Plot, width, height vg.Length, dir, name string) error {
+	if err := p.Save(width, height, filepath.Join(dir, name+".png")); err != nil {
+		return fmt.Errorf("plot %s: %w", name, err)
+	}
+	return nil
+}
+
+// plotTail draws the share of gaps between tokens that are longer than a time.
+func plotTail(s ScenarioSpec, policies []policy, runs []run) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = s.Name + ": gaps between tokens"
+	p.X.Label.Text = "gap, ms"
+	p.Y.Label.Text = "share of longer gaps"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.Add(plotter.NewGrid())
+	p.Legend.Top = true
+	for i, o := range policies {
+		line, err := plotter.NewLine(tailOf(runsOf(runs, s.Name, o.name)))
+		if err != nil {
+			continue // a policy under which nothing was answered has no gaps
+		}
+		line.LineStyle = style(i)
+		p.Add(line)
+		p.Legend.Add(o.name, line)
+	}
+	p.X.Min, p.Y.Max = 5, 1
+	return p
+}
+
+// tailLeast is the smallest share that a tail shows: below it a point stands
+// for a few gaps only.
+const tailLeast = 1e-6
+
+// tailOf returns the tail of the gaps of runs.
+func tailOf(runs []run) plotter.XYs {
+	all := newHistogram()
+	for _, r := range runs {
+		all.Merge(r.meter.between)
+	}
+	var points plotter.XYs
+	total := float64(all.TotalCount())
+	seen := 0.0
+	for _, bar := range all.Distribution() {
+		seen += float64(bar.Count)
+		rest := 1 - seen/total
+		if bar.Count == 0 || rest < tailLeast {
+			continue
+		}
+		points = append(points, plotter.XY{
+			X: middle(bar),
+			Y: rest,
+		})
+	}
+	return points
+}
+
+// middle returns the middle of a bar in ms.
+func middle(bar hdrhistogram.Bar) float64 {
+	return float64(bar.From+bar.To) / 2 * microsecond
+}
+
+// spreads holds the medians and ranges of bars, for plotter.NewYErrorBars.
+type spreads struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
+// plotBars draws a figure's median per policy, with the range over the seeds.
+func plotBars(s ScenarioSpec, policies []policy, runs []run, f figure) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = s.Name + ": " + f.head + ", median and range"
+	p.Y.Label.Text = f.head
+	p.Y.Min = 0
+	var values plotter.Values
+	var errors spreads
+	var names []string
+	for i, o := range policies {
+		median, least, most := spreadOf(runsOf(runs, s.Name, o.name), f)
+		values = append(values, median)
+		errors.XYs = append(errors.XYs, plotter.XY{
+			X: float64(i),
+			Y: median,
+		})
+		errors.YErrors = append(errors.YErrors, struct{ Low, High float64 }{
+			Low:  median - least,
+			High: most - median,
+		})
+		names = append(names, o.name)
+	}
+	bars, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return nil, err
+	}
+	bars.Color = palette[0]
+	ranges, err := plotter.NewYErrorBars(errors)
+	if err != nil {
+		return nil, err
+	}
+	p.Add(bars, ranges)
+	p.NominalX(names...)
+	return p, nil
+}
+
+// plotShares draws the weight-normalized service of each account over time,
+// under each policy, of the first seed.
+func plotShares(path string, s ScenarioSpec, policies []policy, runs []run) error {
+	plots := make([][]*plot.Plot, 0, len(policies))
+	most := 0.0
+	for _, o := range policies {
+		p := plotShare(s, o, runsOf(runs, s.Name, o.name)[0])
+		most = max(most, p.Y.Max)
+		plots = append(plots, []*plot.Plot{p})
+	}
+	canvas := vgimg.New(plotWidth, tileHeight*vg.Length(len(plots)))
+	tiles := draw.Tiles{
+		Rows: len(plots),
+		Cols: 1,
+		PadY: vg.Points(8),
+	}
+	for i, row := range plot.Align(plots, tiles, draw.New(canvas)) {
+		plots[i][0].Y.Max = most
+		plots[i][0].Draw(row[0])
+	}
+	return writePNG(path, canvas)
+}
+
+// plotShare draws one policy's tile. The legend names the first accounts, which
+// are the large ones, as more would cover the lines.
+func plotShare(s ScenarioSpec, o policy, r run) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = s.Name + ", " + o.name + ": service per weight"
+	p.X.Label.Text = "time, s"
+	p.Y.Label.Text = "tokens/s"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for i, a := range s.Accounts {
+		points := make(plotter.XYs, len(r.meter.accounts[i].shares))
+		for k, tokens := range r.meter.accounts[i].shares {
+			points[k] = plotter.XY{
+				X: float64(k+1) * window / 1000,
+				Y: tokens / a.Weight / (window / 1000),
+			}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			continue // a run shorter than a window has no points
+		}
+		line.LineStyle = style(i)
+		p.Add(line)
+		if i < len(palette) {
+			p.Legend.Add(fmt.Sprintf("%s, weight %g", a.Name, a.Weight), line)
+		}
+	}
+	p.X.Max = s.Span * 1.3 // leaves room for the legend
+	return p
+}
+
+func writePNG(path string, canvas *vgimg.Canvas) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	image := vgimg.PngCanvas{
+		Canvas: canvas,
+	}
+	if _, err := image.WriteTo(f); err != nil {
+		f.Close()
+		return fmt.Errorf("plot: %w", err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/mgbench/policy.go
@@ -0,0 +1,113 @@
+package mgbench
+
+import (
+	"fmt"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// state tells where a call stands.
+type state int
+
+const (
+	asking  state = iota // at the client: not sent yet, or waiting to ask again
+	queued               // in a gate's queue
+	running              // given to an engine
+	ended
+)
+
+// call is a request on its way under one policy.
+type call struct {
+	*request
+	spec     ServiceSpec
+	state    state
+	upstream *upstream
+	attempts int
+	produced int
+	first    float64 // time of the first token, ms
+	last     float64 // time of the latest token, ms
+}
+
+// left returns the tokens still to come. Only the oracle may ask.
+func (c *call) left() int { return c.sequence.Output - c.produced }
+
+// held returns the memory that c takes now.
+func (c *call) held() int { return c.sequence.Prompt + c.produced }
+
+// upstream is an engine with the policy's gate beside it.
+type upstream struct {
+	index   int
+	engine  *mgmodel.Engine
+	gate    gate
+	calls   []*call // queued or running here, in the order of their coming
+	busy    bool    // its next turn is scheduled
+	leaving bool    // takes no new work
+	gone    bool
+}
+
+// verdict is a gate's decision on a queued call: start it, or give it up with
+// a problem.
+type verdict struct {
+	call    *call
+	problem *mgproblem.Problem
+}
+
+// gate is a policy's part beside one engine. Nil fields do nothing.
+type gate struct {
+	submit    func(now mgclock.Millis, c *call) *mgproblem.Problem
+	poll      func(now mgclock.Millis, dst []verdict) []verdict
+	progress  func(now mgclock.Millis, c *call)
+	preempted func(now mgclock.Millis, c *call)
+	finish    func(now mgclock.Millis, c *call)
+	withdraw  func(now mgclock.Millis, c *call)
+}
+
+// policy is a way to admit, order, turn away and route.
+type policy struct {
+	name  string
+	text  string
+	build func(s ScenarioSpec, us []*upstream, seed uint64) router
+}
+
+// router chooses the upstream of a call among those that take new work. It
+// sets the gates up when it is built.
+type router func(now mgclock.Millis, c *call) *upstream
+
+// policies returns all policies in the order of the tables.
+func policies() []policy {
+	all := []policy{simplePolicy(), reservePolicy()}
+	for _, percent := range []int{10, 20, 30, 40} {
+		all = append(all, markPolicy(percent))
+	}
+	return append(all, peakPolicy(), oraclePolicy())
+}
+
+// policyNamed returns the policy of a name.
+func policyNamed(name string) (policy, error) {
+	var names []string
+	for _, p := range policies() {
+		if p.name == name {
+			return p, nil
+		}
+		names = append(names, p.name)
+	}
+	return policy{}, fmt.Errorf("policy %q: unknown: use all or some of %v", name, names)
+}
+
+// leastConnections chooses the upstream with the fewest calls.
+func leastConnections(us []*upstream) router {
+	return func(_ mgclock.Millis, _ *call) *upstream {
+		var chosen *upstream
+		for _, u := range us {
+			if u.leaving {
+				continue
+			}
+			if chosen == nil || len(u.calls) < len(chosen.calls) {
+				chosen = u
+			}
+		}
+		return chosen
+	}
+}
--- /dev/null
+++ b/internal/bench/mgbench/report.go
@@ -0,0 +1,77 @@
+package mgbench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"text/tabwriter"
+)
+
+// writeTable writes a scenario's runs as a table of medians, with the range
+// over the seeds below when there are several.
+func writeTable(w io.Writer, s ScenarioSpec, policies []policy, runs []run) error {
+	fmt.Fprintf(w, "%s: %s\n", s.Name, s.Text)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "policy\t")
+	for _, f := range figures() {
+		fmt.Fprint(t, f.head, "\t")
+	}
+	fmt.Fprintln(t)
+	for _, p := range policies {
+		writeRow(t, p.name, runsOf(runs, s.Name, p.name))
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
+
+func writeRow(w io.Writer, name string, runs []run) {
+	fmt.Fprint(w, name, "\t")
+	for _, f := range figures() {
+		median, _, _ := spreadOf(runs, f)
+		fmt.Fprint(w, number(median, f.digits), "\t")
+	}
+	fmt.Fprintln(w)
+	if len(runs) < 2 {
+		return
+	}
+	fmt.Fprint(w, "\t")
+	for _, f := range figures() {
+		_, least, most := spreadOf(runs, f)
+		fmt.Fprint(w, number(least, f.digits), "..", number(most, f.digits), "\t")
+	}
+	fmt.Fprintln(w)
+}
+
+func number(x float64, digits int) string {
+	if math.IsNaN(x) {
+		return "-"
+	}
+	return strconv.FormatFloat(x, 'f', digits, 64)
+}
+
+// runsOf returns the runs of a scenario under a policy.
+func runsOf(runs []run, scenario, policy string) []run {
+	var chosen []run
+	for _, r := range runs {
+		if r.scenario == scenario && r.policy == policy {
+			chosen = append(chosen, r)
+		}
+	}
+	return chosen
+}
+
+// writeLines writes the runs as JSON lines.
+func writeLines(w io.Writer, runs []run) error {
+	encoder := json.NewEncoder(w)
+	for _, r := range runs {
+		if err := encoder.Encode(r); err != nil {
+			return fmt.Errorf("runs: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/mgbench/scenario.go
@@ -0,0 +1,237 @@
+package mgbench
+
+import (
+	"fmt"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+)
+
+// Spans and sizes that the scenarios share.
+const (
+	runSpan     = 600.0 // s of arrivals: several times the longest deadline
+	runEngines  = 4     // enough for routing to matter, cheap enough for sweeps
+	lossEngines = 8     // so that a quarter is two engines
+)
+
+// Saturation rates in requests per second and engine: what the oracle answers
+// in time when twice as much arrives and its queue is first come, first served
+// (docs/MEASUREMENTS.md, "Saturation").
+const (
+	mixedRate = 3.4
+	longRate  = 2.0
+	smallRate = 0.85
+)
+
+// Scenarios returns all scenarios in the order of the tables.
+func Scenarios() []ScenarioSpec {
+	return []ScenarioSpec{
+		calm(), burst(), heavy(), slow(), long(), small(),
+		saturation("sat10", 1.0), saturation("sat13", 1.3), saturation("sat20", 2.0),
+		shift(), takeover(), loss(),
+	}
+}
+
+// scenarioNamed returns the scenario of a name.
+func scenarioNamed(name string) (ScenarioSpec, error) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return ScenarioSpec{}, fmt.Errorf("scenario %q: unknown: use all or one of %v", name, scenarioNames())
+}
+
+func scenarioNames() []string {
+	var names []string
+	for _, s := range Scenarios() {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func lognormal(median, sigma float64, limit int) LengthSpec {
+	return LengthSpec{
+		Median: median,
+		Sigma:  sigma,
+		Limit:  limit,
+	}
+}
+
+func bimodal(near, far, share, sigma float64, limit int) LengthSpec {
+	return LengthSpec{
+		Median: near,
+		Sigma:  sigma,
+		Far:    far,
+		Share:  share,
+		Limit:  limit,
+	}
+}
+
+// lookup is a short answer that somebody waits for at a tank.
+func lookup(share float64) ServiceSpec {
+	return ServiceSpec{
+		Name:     "lookup",
+		Share:    share,
+		Prompt:   lognormal(300, 0.5, 2000),
+		Output:   lognormal(60, 0.6, 512),
+		Common:   0.6,
+		Deadline: 10,
+		Priority: 2,
+		Prefer:   Steady,
+	}
+}
+
+// note is a gauge anomaly note.
+func note(share float64) ServiceSpec {
+	return ServiceSpec{
+		Name:     "note",
+		Share:    share,
+		Prompt:   lognormal(500, 0.5, 3000),
+		Output:   lognormal(200, 0.6, 1024),
+		Common:   0.5,
+		Deadline: 30,
+		Priority: 1,
+		Prefer:   Steady,
+	}
+}
+
+// report is a shift report or a dossier, a third of them very long.
+func report(share float64) ServiceSpec {
+	return ServiceSpec{
+		Name:     "report",
+		Share:    share,
+		Prompt:   lognormal(600, 0.5, 4000),
+		Output:   bimodal(400, 2500, 0.3, 0.5, 6000),
+		Common:   0.4,
+		Deadline: 180,
+		Prefer:   Whole,
+	}
+}
+
+// mixed returns the services of most scenarios.
+func mixed() []ServiceSpec {
+	return []ServiceSpec{lookup(0.45), note(0.25), report(0.30)}
+}
+
+// equals returns accounts of equal weights and Zipf-like shares of the load,
+// as a few are large.
+func equals(count int, from float64) []AccountSpec {
+	accounts := make([]AccountSpec, count)
+	for i := range accounts {
+		accounts[i] = AccountSpec{
+			Name:   fmt.Sprintf("account%02d", i+1),
+			Weight: 1,
+			Share:  1 / float64(i+1),
+			From:   from,
+		}
+	}
+	return accounts
+}
+
+func base(name, text string, load float64) ScenarioSpec {
+	return ScenarioSpec{
+		Name:     name,
+		Text:     text,
+		Span:     runSpan,
+		Engines:  runEngines,
+		Rate:     mixedRate,
+		Load:     load,
+		Services: mixed(),
+		Accounts: equals(10, 0),
+	}
+}
+
+func calm() ScenarioSpec {
+	return base("calm", "half of saturation", 0.5)
+}
+
+func burst() ScenarioSpec {
+	s := base("burst", "three times the mean rate for 15 s every 75 s", 0.85)
+	s.Burst = BurstSpec{
+		Factor: 3,
+		Burst:  15,
+		Calm:   60,
+	}
+	return s
+}
+
+func heavy() ScenarioSpec {
+	s := base("heavy", "three of ten accounts, of weights 1, 2 and 3, send three quarters of 1.6 times saturation", 1.6)
+	for i := range s.Accounts {
+		s.Accounts[i].Share = 0.25 / 7
+		if i < 3 {
+			s.Accounts[i].Weight = float64(i + 1)
+			s.Accounts[i].Share = 0.25
+		}
+	}
+	return s
+}
+
+func slow() ScenarioSpec {
+	s := base("slow", "one of four engines runs at a quarter of its speed for half of the run", 0.75)
+	s.Fault = FaultSpec{
+		Engines: 1,
+		From:    0.25,
+		Until:   0.75,
+		Speed:   0.25,
+	}
+	return s
+}
+
+func long() ScenarioSpec {
+	s := base("long", "one very long report to six lookups", 0.95)
+	s.Rate = longRate
+	s.Services = []ServiceSpec{lookup(0.85), report(0.15)}
+	s.Services[1].Output = lognormal(3000, 0.4, 8000)
+	s.Services[1].Deadline = 240
+	return s
+}
+
+func small() ScenarioSpec {
+	s := base("small", "memory for a handful of reports", 0.95)
+	s.Rate = smallRate
+	s.Model = mgmodel.Spec{
+		Memory: 12000,
+	}
+	s.Services = []ServiceSpec{note(0.4), report(0.6)}
+	return s
+}
+
+func saturation(name string, load float64) ScenarioSpec {
+	return base(name, fmt.Sprintf("%.1f times saturation", load), load)
+}
+
+func shift() ScenarioSpec {
+	s := base("shift", "a third into the run, outputs grow to 2.5 times and arrivals halve", 0.9)
+	s.Phases = []PhaseSpec{{
+		From:   1.0 / 3,
+		Rate:   0.5,
+		Length: 2.5,
+	}}
+	return s
+}
+
+func takeover() ScenarioSpec {
+	s := base("takeover", "from the middle on, twice the accounts send twice the load", 0.6)
+	for _, a := range equals(10, 0.5) {
+		a.Name = "new" + a.Name
+		s.Accounts = append(s.Accounts, a)
+	}
+	s.Phases = []PhaseSpec{{
+		From:   0.5,
+		Rate:   2,
+		Length: 1,
+	}}
+	return s
+}
+
+func loss() ScenarioSpec {
+	s := base("loss", "two of eight engines leave on 30 s notice", 0.85)
+	s.Engines = lossEngines
+	s.Fault = FaultSpec{
+		Engines: 2,
+		From:    0.5,
+		Notice:  30,
+	}
+	return s
+}
--- /dev/null
+++ b/internal/bench/mgbench/workload.go
@@ -0,0 +1,213 @@
+package mgbench
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+)
+
+// request is one request of a workload. It is the same for each policy.
+type request struct {
+	index    int
+	account  int
+	service  int
+	arrival  float64 // ms
+	deadline float64 // ms
+	jitter   float64 // 0 to 1, for the client's waits
+	sequence mgmodel.Sequence
+}
+
+// workload is what the clients of a scenario send under one seed.
+type workload struct {
+	scenario ScenarioSpec
+	requests []request
+}
+
+// sampler draws the random numbers of a workload.
+type sampler struct {
+	scenario ScenarioSpec
+	source   rand.Source
+	uniform  distuv.Uniform
+	services distuv.Categorical
+	block    int
+	bursting bool
+	turn     float64 // when the burst state ends or begins, ms
+}
+
+// newWorkload draws the requests of s under seed.
+func newWorkload(s ScenarioSpec, seed uint64) *workload {
+	d := newSampler(s, seed)
+	w := &workload{
+		scenario: s,
+	}
+	now := d.next(0)
+	for now < s.Span*1000 {
+		w.requests = append(w.requests, d.request(len(w.requests), now))
+		now = d.next(now)
+	}
+	return w
+}
+
+// stream separates the bench's random numbers from other uses of a seed.
+const stream = 0x6d617267
+
+func newSampler(s ScenarioSpec, seed uint64) *sampler {
+	source := rand.NewPCG(seed, stream)
+	d := &sampler{
+		scenario: s,
+		source:   source,
+		uniform: distuv.Uniform{
+			Max: 1,
+			Src: source,
+		},
+		block: mgmodel.New(s.Model).Spec().Block,
+	}
+	weights := make([]float64, len(s.Services))
+	for i, service := range s.Services {
+		weights[i] = service.Share
+	}
+	d.services = distuv.NewCategorical(weights, source)
+	d.turn = math.Inf(1)
+	if s.Burst.Factor > 0 {
+		d.turn = d.exponential(s.Burst.Calm * 1000)
+	}
+	return d
+}
+
+func (d *sampler) exponential(mean float64) float64 {
+	return distuv.Exponential{
+		Rate: 1 / mean,
+		Src:  d.source,
+	}.Rand()
+}
+
+// next draws the arrival after now. A draw that passes the next turn of the
+// rate is drawn again from there, which changes nothing in distribution, as
+// the exponential has no memory.
+func (d *sampler) next(now float64) float64 {
+	for {
+		at := now + d.exponential(d.meanGap(now))
+		if at < d.turn {
+			return at
+		}
+		now = d.turn
+		d.bursting = !d.bursting
+		stay := d.scenario.Burst.Calm
+		if d.bursting {
+			stay = d.scenario.Burst.Burst
+		}
+		d.turn = now + d.exponential(stay*1000)
+	}
+}
+
+// meanGap returns the mean time in ms between arrivals at now.
+func (d *sampler) meanGap(now float64) float64 {
+	s := d.scenario
+	rate := s.Rate * s.Load * float64(s.Engines) * d.phase(now).Rate * s.Burst.factor(d.bursting)
+	return 1000 / rate
+}
+
+// factor returns the factor on the mean rate in the burst or the calm state.
+// The calm one keeps the mean.
+func (b BurstSpec) factor(bursting bool) float64 {
+	switch {
+	case b.Factor == 0:
+		return 1
+	case bursting:
+		return b.Factor
+	default:
+		return (b.Burst + b.Calm - b.Factor*b.Burst) / b.Calm
+	}
+}
+
+// phase returns the phase that holds at now.
+func (d *sampler) phase(now float64) PhaseSpec {
+	current := PhaseSpec{
+		Rate:   1,
+		Length: 1,
+	}
+	for _, p := range d.scenario.Phases {
+		if now >= p.From*d.scenario.Span*1000 {
+			current = p
+		}
+	}
+	return current
+}
+
+// request draws the request that arrives at now.
+func (d *sampler) request(index int, now float64) request {
+	service := int(d.services.Rand())
+	account := d.account(now)
+	spec := d.scenario.Services[service]
+	prompt := d.length(spec.Prompt, 1)
+	return request{
+		index:    index,
+		account:  account,
+		service:  service,
+		arrival:  now,
+		deadline: now + spec.Deadline*1000,
+		jitter:   d.uniform.Rand(),
+		sequence: mgmodel.Sequence{
+			ID:     strconv.Itoa(index),
+			Prompt: prompt,
+			Prefix: d.prefix(index, account, service, prompt),
+			Output: d.length(spec.Output, d.phase(now).Length),
+		},
+	}
+}
+
+// account draws an account among those that have come by now.
+func (d *sampler) account(now float64) int {
+	part := now / (d.scenario.Span * 1000)
+	total := 0.0
+	for _, a := range d.scenario.Accounts {
+		if part >= a.From {
+			total += a.Share
+		}
+	}
+	left := d.uniform.Rand() * total
+	for i, a := range d.scenario.Accounts {
+		if part < a.From {
+			continue
+		}
+		left -= a.Share
+		if left < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// length draws a number of tokens, stretched by a factor.
+func (d *sampler) length(s LengthSpec, factor float64) int {
+	median := s.Median
+	if s.Share > 0 && d.uniform.Rand() < s.Share {
+		median = s.Far
+	}
+	n := distuv.LogNormal{
+		Mu:    math.Log(median * factor),
+		Sigma: s.Sigma,
+		Src:   d.source,
+	}.Rand()
+	return min(max(int(n), 1), s.Limit)
+}
+
+// prefix returns the hashes of a prompt's whole blocks. The leading ones, a
+// part of the service's median prompt, are common to the account's requests.
+func (d *sampler) prefix(index, account, service, prompt int) []uint64 {
+	spec := d.scenario.Services[service]
+	common := int(spec.Common*spec.Prompt.Median) / d.block
+	blocks := make([]uint64, prompt/d.block)
+	for i := range blocks {
+		owner := uint64(account)<<8 | uint64(service)
+		if i >= common {
+			owner = 1<<32 | uint64(index)
+		}
+		blocks[i] = owner<<16 | uint64(i)
+	}
+	return blocks
+}
--- a/internal/bench/mgmodel/engine_test.go
+++ b/internal/bench/mgmodel/engine_test.go
@@ -135,7 +135,7 @@
 			cold := e.Step().Duration()
 			So(e.Cached(s.Prefix), ShouldEqual, 300)
 			e.Add(s)
-			So(e.Step().Duration(), ShouldAlmostEqual, cold-0.3*30)
+			So(e.Step().Duration(), ShouldAlmostEqual, cold-0.3*50)
 		})
 
 		Convey("refuses a name that is taken and a prompt that can't fit", func() {
--- a/internal/bench/mgmodel/spec.go
+++ b/internal/bench/mgmodel/spec.go
@@ -4,14 +4,14 @@
 // brackets, which is about a small dense model on one accelerator.
 type Spec struct {
 	Memory  int     `toml:"memory"`  // key-value memory, tokens [40000]
-	Batch   int     `toml:"batch"`   // running sequences at most [64]
+	Batch   int     `toml:"batch"`   // running sequences at most [128]
 	Chunk   int     `toml:"chunk"`   // prompt tokens computed per step at most [512]
 	Block   int     `toml:"block"`   // tokens per block of the prefix cache [64]
 	Cache   int     `toml:"cache"`   // memory of the prefix cache, tokens [16384]
 	Base    float64 `toml:"base"`    // fixed cost of a step, ms [10]
 	Each    float64 `toml:"each"`    // cost per decoding sequence, ms [0.08]
 	Context float64 `toml:"context"` // cost per 1000 tokens attended to, ms [0.12]
-	Prefill float64 `toml:"prefill"` // cost per 1000 prompt tokens computed, ms [30]
+	Prefill float64 `toml:"prefill"` // cost per 1000 prompt tokens computed, ms [50]
 	Speed   float64 `toml:"speed"`   // steps are this many times as fast [1]
 }
 
@@ -27,14 +27,14 @@
 // withDefaults returns s with its zero fields replaced.
 func (s Spec) withDefaults() Spec {
 	s.Memory = orInt(s.Memory, 40000)
-	s.Batch = orInt(s.Batch, 64)
+	s.Batch = orInt(s.Batch, 128)
 	s.Chunk = orInt(s.Chunk, 512)
 	s.Block = orInt(s.Block, 64)
 	s.Cache = orInt(s.Cache, 16384)
 	s.Base = orFloat(s.Base, 10)
 	s.Each = orFloat(s.Each, 0.08)
 	s.Context = orFloat(s.Context, 0.12)
-	s.Prefill = orFloat(s.Prefill, 30)
+	s.Prefill = orFloat(s.Prefill, 50)
 	s.Speed = orFloat(s.Speed, 1)
 	return s
 }
