mgagent: five answers that were not true, found by playing endings

Cause, each seen red in notrun_test.go before its mend: - the engine's first answer to a start was lost and the next try was refused: "not run" was attested, though the engine may have run the first; - a copy of a start that had been taken met an engine that could not be reached: "not run", and the first copy ran; - a start refused while the engine was unreachable left nothing behind: a copy that came later ran; - a write minted before, begun on a leaving upstream, ran there; - requests swept because their callers left kept their entry in the record for good (4 of 4 held after two minutes), until it would have been full. Change: the ledger is asked before anything else about a start, and each refusal after it leaves a tombstone; a refusal counts as "not run" only when no try before is in doubt; a leaving agent joins and answers, and begins nothing; a withdrawal is told to the ledger. Ruled out: a fault of the ledger itself; its model has no such schedule.

--- a/internal/process/mgagent/invoke.go
+++ b/internal/process/mgagent/invoke.go
@@ -77,6 +77,12 @@
 	case mgoperation.Refuse:
 		return mgoperation.Result{}, verdict.Problem()
 	case mgoperation.Run:
+		if a.leaving.Load() {
+			// A leaving upstream gets no new work, minted before or not. The
+			// tombstone keeps a copy of the call from running after all.
+			a.writes.Cancel(in.GetOperation(), operation.Stamp(), now)
+			return mgoperation.Result{}, leavingProblem()
+		}
 		// The call outlives the entry that asked for it: what was sent to the
 		// service is recorded, so that the caller's next try learns its result.
 		a.calls.Add(1)
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -97,6 +97,7 @@
 // startAt starts the generation, which the engine does once per id.
 func (a *Agent) startAt(ctx context.Context, g *generation) *mgproblem.Problem {
 	var err error
+	doubt := false // a try before may have started it
 	for range startTries {
 		err = a.tryStart(ctx, g)
 		if err == nil {
@@ -104,9 +105,15 @@
 		}
 		if mgengine.KindOf(err) == mgengine.NotStarted {
 			a.sick.Store(true) // until the next load report
+			if doubt {
+				// A refusal speaks for this try alone. The one before was sent and
+				// not answered, so that the engine may have run it until it died.
+				break
+			}
 			return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 				"the engine refused the generation", "try another upstream").WithCause(err)
 		}
+		doubt = true
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -99,14 +99,6 @@
 		return "", mgproblem.New(mgproblem.Incarnation, mgproblem.Unknown,
 			"the agent was replaced since its offer", "ask for offers again")
 	}
-	table := a.spec.Table()
-	if table == nil {
-		return "", mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
-			"the agent has no configuration yet", "try another upstream")
-	}
-	if a.sick.Load() {
-		return "", unreachable()
-	}
 	deadline := now + mgclock.Millis(in.GetBudget())
 	verdict := a.attempts.Begin(mgoperation.StartSpec{
 		ID:         in.GetAttempt(),
@@ -120,13 +112,28 @@
 	case mgoperation.Refuse:
 		return "", verdict.Problem()
 	}
-	if problem := a.enqueue(table, in, now, deadline); problem != nil {
+	if problem := a.admit(in, now, deadline); problem != nil {
 		a.attempts.Cancel(in.GetAttempt(), mgclock.Millis(in.GetStamp()), now)
 		return "", problem
 	}
 	return in.GetAttempt(), nil
 }
 
+// admit takes an attempt that has begun in the ledger. It comes after the
+// ledger, which knows whether another copy of the start was taken before, and
+// keeps a copy that comes later from making a refusal's "not run" false.
+func (a *Agent) admit(in *mgrpc.StartRequest, now, deadline mgclock.Millis) *mgproblem.Problem {
+	table := a.spec.Table()
+	if table == nil {
+		return mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+			"the agent has no configuration yet", "try another upstream")
+	}
+	if a.sick.Load() {
+		return unreachable()
+	}
+	return a.enqueue(table, in, now, deadline)
+}
+
 // unreachable refuses work while the engine can't be reached. An agent whose
 // engine is gone has an empty queue and would make the best offer: without this
 // it draws all requests and fails each.
@@ -192,6 +199,9 @@
 	withdrawn := g != nil && a.scheduler.Withdraw(now, id)
 	a.mu.Unlock()
 	if withdrawn {
+		// Nobody else tells the ledger when the generation is swept because its
+		// callers left; its entry would be held for good.
+		a.attempts.Cancel(id, now, now)
 		g.finish("", cancelled(mgproblem.NotRun), now)
 		return
 	}
