mgnetwork: a network in memory that falls silent, is cut and loses hosts

Cause: the failures of connections are to be played against the real entry and agent, with the same verdict each run. Change: the in-memory network of mglink's tests becomes a package, with named hosts, silence, cuts and kills; mglink's tests use it.

--- /dev/null
+++ b/internal/connection/mglink/bubble_test.go
@@ -0,0 +1,37 @@
+package mglink_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgnetwork"
+)
+
+// bubble plays with an agent's handler in virtual time.
+func bubble(t *testing.T, handler http.Handler, body func(*mgnetwork.Network)) {
+	synctest.Test(t, func(*testing.T) {
+		var n mgnetwork.Network
+		n.Serve("agent", handler)
+		body(&n)
+		n.Close()
+		synctest.Wait()
+	})
+}
+
+func token(seq uint64, text string) *mgrpc.Frame {
+	return &mgrpc.Frame{
+		Generation: "g",
+		Seq:        seq,
+		Text:       []string{text},
+	}
+}
+
+func last(total uint64) *mgrpc.Frame {
+	return &mgrpc.Frame{
+		Generation: "g",
+		End:        "stop",
+		Total:      total,
+	}
+}
--- a/internal/connection/mglink/stream_test.go
+++ b/internal/connection/mglink/stream_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgnetwork"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -69,9 +70,9 @@
 	}
 }
 
-func open(n *network) func(context.Context, uint64) (io.ReadCloser, error) {
+func open(n *mgnetwork.Network) func(context.Context, uint64) (io.ReadCloser, error) {
 	client := http.Client{
-		Transport: n.transport(),
+		Transport: n.Transport("entry", false),
 	}
 	return func(ctx context.Context, from uint64) (io.ReadCloser, error) {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://agent/?from="+fmt.Sprint(from), nil)
@@ -121,7 +122,7 @@
 		var stall mgclock.Millis
 		var err error
 		var reopens, dials int
-		bubble(t, &a, func(n *network) {
+		bubble(t, &a, func(n *mgnetwork.Network) {
 			a.begun = a.clock.Now()
 			s := mglink.NewStream(mglink.StreamSpec{
 				Open:     open(n),
@@ -129,10 +130,10 @@
 			})
 			text, stall, err = read(s, func(seq uint64) {
 				if seq == 3 || seq == 6 {
-					n.silence()
+					n.Silence("agent")
 				}
 			})
-			reopens, dials = s.Reopens(), n.dials()
+			reopens, dials = s.Reopens(), n.Dials("agent")
 		})
 		So(err, ShouldBeNil)
 		So(text, ShouldEqual, allTokens)
@@ -149,7 +150,7 @@
 	Convey("A stream without tokens stays on its connection", t, func() {
 		var a agent
 		reopens := -1
-		bubble(t, &a, func(n *network) {
+		bubble(t, &a, func(n *mgnetwork.Network) {
 			a.begun = a.clock.Now() + mgclock.Minute
 			s := mglink.NewStream(mglink.StreamSpec{
 				Open:     open(n),
@@ -196,16 +197,17 @@
 		var a agent
 		var failed []error
 		synctest.Test(t, func(*testing.T) {
-			n := newNetwork(&a)
+			var n mgnetwork.Network
+			n.Serve("agent", &a)
 			a.begun = a.clock.Now()
-			conn, _ := n.dial(context.Background(), "", "")
+			conn, _ := n.Dial("entry")(context.Background(), "tcp", "agent:80")
 			_, _ = io.WriteString(conn, "GET /?from=1 HTTP/1.1\r\nHost: agent\r\n\r\n")
 			a.clock.Sleep(context.Background(), 5*mgclock.Second)
 			synctest.Wait()
 			a.mu.Lock()
 			failed = append(failed, a.failed...)
 			a.mu.Unlock()
-			n.stop()
+			n.Close()
 			synctest.Wait()
 		})
 		So(len(failed), ShouldEqual, 1)
@@ -296,19 +298,19 @@
 				status = response.StatusCode
 			}
 		}
-		guard := func(n *network) *mglink.Guard {
+		guard := func(n *mgnetwork.Network) *mglink.Guard {
 			return &mglink.Guard{
-				Pooled:   n.transport(),
-				Again:    n.transport(),
+				Pooled:   n.Transport("entry", false),
+				Again:    n.Transport("entry", false),
 				Interval: interval,
 			}
 		}
 		Convey("leaves a silent connection of the pool", func() {
-			bubble(t, handler(0), func(n *network) {
+			bubble(t, handler(0), func(n *mgnetwork.Network) {
 				g := guard(n)
 				call(g)
 				synctest.Wait()
-				n.silence()
+				n.Silence("agent")
 				call(g)
 			})
 			So(status, ShouldEqual, http.StatusAccepted)
@@ -316,7 +318,7 @@
 			So(took, ShouldBeBetweenOrEqual, 3*interval, 4*interval)
 		})
 		Convey("waits for one that takes long", func() {
-			bubble(t, handler(mgclock.Minute), func(n *network) { call(guard(n)) })
+			bubble(t, handler(mgclock.Minute), func(n *mgnetwork.Network) { call(guard(n)) })
 			So(status, ShouldEqual, http.StatusAccepted)
 			So(calls, ShouldEqual, 1)
 			So(took, ShouldEqual, mgclock.Minute)
--- /dev/null
+++ b/internal/standin/mgnetwork/network.go
@@ -0,0 +1,248 @@
+package mgnetwork
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// ErrRefused is returned for a host that doesn't listen.
+var ErrRefused = errors.New("network: connection refused: serve the host first")
+
+// A Network connects hosts. The zero Network has none.
+type Network struct {
+	mu    sync.Mutex
+	hosts map[string]*host
+	conns []*conn
+	cuts  map[path]bool
+}
+
+// path is from one host to another.
+type path struct {
+	from, to string
+}
+
+// Serve makes a host answer with h, in place of what it served before.
+func (n *Network) Serve(name string, h http.Handler) {
+	n.Kill(name)
+	made := &host{
+		accept: make(chan net.Conn),
+		closed: make(chan struct{}),
+		server: &http.Server{
+			Handler: h,
+		},
+	}
+	n.mu.Lock()
+	if n.hosts == nil {
+		n.hosts = make(map[string]*host)
+	}
+	n.hosts[name] = made
+	n.mu.Unlock()
+	go func() { _ = made.server.Serve(made) }()
+}
+
+// Kill breaks a host's connections and makes it refuse new ones.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	killed := n.hosts[name]
+	delete(n.hosts, name)
+	n.mu.Unlock()
+	if killed != nil {
+		_ = killed.server.Close()
+	}
+}
+
+// Silence makes the connections that were made to a host so far carry nothing
+// any more.
+func (n *Network) Silence(to string) {
+	n.silence(func(c *conn) bool { return c.path.to == to })
+}
+
+// Cut makes the path between two hosts carry nothing, in both directions.
+func (n *Network) Cut(from, to string) {
+	along := path{
+		from: from,
+		to:   to,
+	}
+	n.mu.Lock()
+	if n.cuts == nil {
+		n.cuts = make(map[path]bool)
+	}
+	n.cuts[along] = true
+	n.mu.Unlock()
+	n.silence(func(c *conn) bool { return c.path == along })
+}
+
+// Heal ends the cut between two hosts.
+func (n *Network) Heal(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, path{
+		from: from,
+		to:   to,
+	})
+}
+
+// Close breaks everything.
+func (n *Network) Close() {
+	n.mu.Lock()
+	hosts, conns := n.hosts, n.conns
+	n.hosts, n.conns = nil, nil
+	n.mu.Unlock()
+	for _, h := range hosts {
+		_ = h.server.Close()
+	}
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Dials returns how many connections were made to a host.
+func (n *Network) Dials(to string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, c := range n.conns {
+		if c.path.to == to {
+			count++
+		}
+	}
+	return count
+}
+
+// Transport returns a host's transport. With fresh set no connection is used
+// twice.
+func (n *Network) Transport(from string, fresh bool) *http.Transport {
+	return &http.Transport{
+		DialContext:       n.Dial(from),
+		DisableKeepAlives: fresh,
+	}
+}
+
+// Dial returns a host's dial function. It takes the name from the address and
+// leaves out the port.
+func (n *Network) Dial(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		name, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return n.dial(ctx, path{
+			from: from,
+			to:   name,
+		})
+	}
+}
+
+func (n *Network) dial(ctx context.Context, along path) (net.Conn, error) {
+	n.mu.Lock()
+	to, cut := n.hosts[along.to], n.cuts[along]
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done() // nothing comes back, not even a refusal
+		return nil, ctx.Err()
+	}
+	if to == nil {
+		return nil, ErrRefused
+	}
+	near, far := net.Pipe()
+	c := &conn{
+		Conn:   near,
+		path:   along,
+		dead:   make(chan struct{}),
+		closed: make(chan struct{}),
+	}
+	select {
+	case to.accept <- far:
+	case <-to.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, c)
+	n.mu.Unlock()
+	return c, nil
+}
+
+func (n *Network) silence(which func(*conn) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if which(c) {
+			c.silence.Do(func() { close(c.dead) })
+		}
+	}
+}
+
+// host is a listener and its server.
+type host struct {
+	accept chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+	server *http.Server
+}
+
+// Accept implements net.Listener.
+func (h *host) Accept() (net.Conn, error) {
+	select {
+	case c := <-h.accept:
+		return c, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *host) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *host) Addr() net.Addr { return &net.TCPAddr{} }
+
+// conn takes what is written and brings nothing once it is dead.
+type conn struct {
+	net.Conn
+	path    path
+	silence sync.Once
+	dead    chan struct{}
+	closing sync.Once
+	closed  chan struct{}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Read implements net.Conn. On a dead connection it returns once this end
+// closes it; what the far end does isn't seen any more.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.dead:
+	default:
+		return n, err
+	}
+	sink := make([]byte, 1024)
+	for err == nil {
+		_, err = c.Conn.Read(sink)
+	}
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	select {
+	case <-c.dead:
+		return len(b), nil
+	default:
+		return c.Conn.Write(b)
+	}
+}
