mgstandin, mgdemo: ports below the system's own

Cause: a run of all tests failed once: a port that was chosen as free was taken by an outgoing connection before its process listened. Change: FreeAddress chooses from 20000 to 31519, by process id.

--- a/internal/process/mgdemo/deployment.go
+++ b/internal/process/mgdemo/deployment.go
@@ -5,7 +5,6 @@
 	_ "embed" // the sample table
 	"fmt"
 	"io"
-	"net"
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
@@ -180,11 +179,11 @@
 
 // common returns the settings that every process of the demo has.
 func (d *Deployment) common(name string, i int) (mgsettings.Process, error) {
-	peer, err := freeAddress()
+	peer, err := mgstandin.FreeAddress()
 	if err != nil {
 		return mgsettings.Process{}, err
 	}
-	admin, err := freeAddress()
+	admin, err := mgstandin.FreeAddress()
 	if err != nil {
 		return mgsettings.Process{}, err
 	}
@@ -240,7 +239,7 @@
 		if err != nil {
 			return err
 		}
-		listen, err := freeAddress()
+		listen, err := mgstandin.FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -316,16 +315,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that nobody listens on now.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("demo: no free port on loopback: end other programs: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // Entries returns the base URLs of the entries.
 func (d *Deployment) Entries() []string { return d.entries }
 
