docs, mgsettings: a page for operators, its settings from the types

Cause: operators had no list of settings, columns, metrics and problems. Change: docs/OPERATIONS.md; the tables of settings are generated from the tags and compared in a test.

--- /dev/null
+++ b/internal/process/mgsettings/reference.go
@@ -0,0 +1,50 @@
+package mgsettings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Reference returns the keys of a settings type as the rows of a Markdown
+// table: key, meaning, unit, default and bounds. Settings is a struct.
+func Reference(settings any) string {
+	var b strings.Builder
+	b.WriteString("| key | meaning | unit | default | bounds |\n|---|---|---|---|---|\n")
+	rows(&b, "", reflect.TypeOf(settings))
+	return b.String()
+}
+
+func rows(b *strings.Builder, prefix string, kind reflect.Type) {
+	for i := range kind.NumField() {
+		field := kind.Field(i)
+		name := join(prefix, field.Tag.Get("toml"))
+		switch {
+		case field.Anonymous:
+			rows(b, prefix, field.Type)
+		case field.Type.Kind() == reflect.Struct:
+			fmt.Fprintf(b, "| `[%s]` | %s | | | |\n", name, field.Tag.Get("help"))
+			rows(b, name, field.Type)
+		default:
+			fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s |\n", name, field.Tag.Get("help"),
+				field.Tag.Get("unit"), standard(field), limits(field))
+		}
+	}
+}
+
+func standard(field reflect.StructField) string {
+	if field.Tag.Get("need") != "" {
+		return "required"
+	}
+	return field.Tag.Get("default")
+}
+
+func limits(field reflect.StructField) string {
+	if choice := field.Tag.Get("choice"); choice != "" {
+		return strings.ReplaceAll(choice, "|", ", ")
+	}
+	if field.Tag.Get("max") == "" {
+		return ""
+	}
+	return field.Tag.Get("min") + " to " + field.Tag.Get("max")
+}
--- /dev/null
+++ b/internal/process/mgsettings/reference_test.go
@@ -0,0 +1,46 @@
+package mgsettings_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+)
+
+var update = flag.Bool("update", false, "rewrite the settings' tables in docs/OPERATIONS.md")
+
+// page is the operators' page, whose tables of settings come from the types.
+const page = "../../../docs/OPERATIONS.md"
+
+// An operator looks up a key and finds a default that the program no longer
+// has: the page was written by hand and the type changed after it.
+func TestReference(t *testing.T) {
+	Convey("docs/OPERATIONS.md has the settings as they are", t, func() {
+		data, err := os.ReadFile(page)
+		So(err, ShouldBeNil)
+		text := string(data)
+		for name, settings := range map[string]any{
+			"entry": mgsettings.Entry{},
+			"agent": mgsettings.Agent{},
+		} {
+			want := mgsettings.Reference(settings)
+			from, to := "<!-- settings "+name+" -->\n", "<!-- end "+name+" -->"
+			head, rest, found := strings.Cut(text, from)
+			So(found, ShouldBeTrue)
+			have, tail, found := strings.Cut(rest, to)
+			So(found, ShouldBeTrue)
+			if *update {
+				text = head + from + want + to + tail
+				continue
+			}
+			So(have, ShouldEqual, want)
+		}
+		if *update {
+			So(os.WriteFile(page, []byte(text), 0o644), ShouldBeNil)
+		}
+	})
+}
