mgfleet: ports that outgoing connections don't take

Ruled out: the process's start, which is ready in under a second otherwise. Change: the search begins below that range, at a place of the test process's own. Conclusion: mended here; mgdemo's freeAddress has the same weakness.

--- a/internal/process/mgfleet/process_test.go
+++ b/internal/process/mgfleet/process_test.go
@@ -185,17 +185,37 @@
 	}
 }
 
-// freePorts returns addresses on which nothing listens now.
+// The ports of the processes are below those that the kernel gives to outgoing
+// connections: one of these would otherwise take a port while the process that
+// was to have it starts or is replaced.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// nextPort is where the search for a free port goes on. It begins at a place
+// of this test process's own.
+var nextPort = firstPort + os.Getpid()*100%(lastPort-firstPort)
+
+// freePorts returns addresses on which nothing listens now, each once.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addrs) < n; tries++ {
+		if tries > lastPort-firstPort {
+			t.Fatal("no free ports on loopback")
+		}
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
+		_ = l.Close()
+		addrs = append(addrs, addr)
 	}
 	return addrs
 }
