mgscheduler: a limit on the batch that changes, and a mark of 0.05 by name

Change: Scheduler.Limit and Gate.Limit; the policy mark-0.05.

Conclusion: TestLimit shows it on the zero scheduler.

--- a/internal/request/mgadmission/gate.go
+++ b/internal/request/mgadmission/gate.go
@@ -88,6 +88,10 @@
 	g.report++
 }
 
+// Limit sets the most answers at a time from now on, 0 for DefaultBatch. What
+// runs beyond it goes on.
+func (g *Gate) Limit(batch int) { g.spec.Batch = batch }
+
 // room returns the memory that is the gate's to fill.
 func (g *Gate) room() int64 {
 	return g.spec.Memory - slices.Min(g.reports[:])
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -207,6 +207,10 @@
 	s.gate.Reported(tokens)
 }
 
+// Limit sets the most answers at a time from now on, 0 for the default: an
+// engine that warms up takes part of its batch. What runs beyond it goes on.
+func (s *Scheduler) Limit(_ mgclock.Millis, batch int) { s.gate.Limit(batch) }
+
 // Leaving refuses new work from now on, and the next Poll hands back what
 // waits. What runs goes on.
 func (s *Scheduler) Leaving(mgclock.Millis) { s.leaving = true }
--- a/internal/request/mgscheduler/scheduler_test.go
+++ b/internal/request/mgscheduler/scheduler_test.go
@@ -194,6 +194,22 @@
 	})
 }
 
+// An engine comes back with cold caches and gets a full batch at once.
+func TestLimit(t *testing.T) {
+	Convey("The zero scheduler starts no more than its limit", t, func() {
+		u := newUpstream(mgscheduler.Spec{})
+		u.scheduler = new(mgscheduler.Scheduler)
+		u.scheduler.Limit(0, 3)
+		for range 10 {
+			u.send("tank", "note", 10, 0)
+		}
+		So(u.scheduler.Running(), ShouldEqual, 3)
+		u.scheduler.Limit(0, 0)
+		u.poll()
+		So(u.scheduler.Running(), ShouldEqual, 10)
+	})
+}
+
 // An upstream is reclaimed. Requests that wait for it are kept until it dies,
 // although others could have answered them.
 func TestLeaving(t *testing.T) {
--- a/internal/request/mgscheduler/spec.go
+++ b/internal/request/mgscheduler/spec.go
@@ -57,6 +57,10 @@
 	"reserve": {
 		Rule: mgadmission.Reserve,
 	},
+	"mark-0.05": {
+		Rule: mgadmission.Mark,
+		Free: 0.05,
+	},
 	"mark-0.1": {
 		Rule: mgadmission.Mark,
 		Free: 0.1,
