--- a/internal/process/mgpace/pace_test.go
+++ b/internal/process/mgpace/pace_test.go
@@ -1,7 +1,6 @@
 package mgpace_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -101,65 +100,26 @@
 // though they would have ended, and a long one ends without a word.
 func TestDrain(t *testing.T) {
 	const end = 30 * mgclock.Second
-	cases := []struct {
-		name   string
-		now    mgclock.Millis
-		stream mgpace.Stream
-		want   mgpace.Fate
-	}{
-		{
-			name: "ends in time",
-			stream: mgpace.Stream{
-				Remaining: 500,
-				Gap:       20,
-				Delivered: 10,
-			},
-			want: mgpace.Stay,
-		},
-		{
-			name: "too long, nothing delivered",
-			stream: mgpace.Stream{
-				Remaining: 5000,
-				Gap:       20,
-			},
-			want: mgpace.Move,
-		},
-		{
-			name: "too long, wanted whole",
-			stream: mgpace.Stream{
-				Remaining: 5000,
-				Gap:       20,
-				Delivered: 10,
-				Whole:     true,
-			},
-			want: mgpace.Move,
-		},
-		{
-			name: "too long and delivered, with time left",
-			stream: mgpace.Stream{
-				Remaining: 5000,
-				Gap:       20,
-				Delivered: 10,
-			},
-			want: mgpace.Stay,
-		},
-		{
-			name: "too long and delivered, at the margin",
-			now:  end - mgpace.Margin,
-			stream: mgpace.Stream{
-				Remaining: 5000,
-				Gap:       20,
-				Delivered: 10,
-			},
-			want: mgpace.Close,
-		},
+	stream := func(remaining float64, delivered int, whole bool) mgpace.Stream {
+		return mgpace.Stream{
+			Remaining: remaining,
+			Gap:       20,
+			Delivered: delivered,
+			Whole:     whole,
+		}
 	}
 	Convey("A stream of a leaving engine", t, func() {
-		for _, c := range cases {
-			Convey(fmt.Sprint(c.name, ": ", c.want), func() {
-				So(mgpace.Drain(c.now, end, c.stream), ShouldEqual, c.want)
-			})
-		}
+		Convey("stays where it ends in time", func() {
+			So(mgpace.Drain(0, end, stream(500, 10, false)), ShouldEqual, mgpace.Stay)
+		})
+		Convey("moves where its caller has nothing of it, or wants it whole", func() {
+			So(mgpace.Drain(0, end, stream(5000, 0, false)), ShouldEqual, mgpace.Move)
+			So(mgpace.Drain(0, end, stream(5000, 10, true)), ShouldEqual, mgpace.Move)
+		})
+		Convey("is closed at the margin, and no sooner, where a part was delivered", func() {
+			So(mgpace.Drain(end-mgpace.Margin-1, end, stream(5000, 10, false)), ShouldEqual, mgpace.Stay)
+			So(mgpace.Drain(end-mgpace.Margin, end, stream(5000, 10, false)), ShouldEqual, mgpace.Close)
+		})
 	})
 }
 
--- a/internal/request/mgretry/retry_test.go
+++ b/internal/request/mgretry/retry_test.go
@@ -1,7 +1,6 @@
 package mgretry_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -92,60 +91,28 @@
 // A transfer ticket is booked twice: the connection broke after the write had
 // run, and the system sent it again.
 func TestAllowed(t *testing.T) {
-	cases := []struct {
-		name    string
-		attempt mgretry.Attempt
-		want    bool
-	}{
-		{
-			name: "what did not run",
-			attempt: mgretry.Attempt{
-				Problem: failed(mgproblem.Crowded, mgproblem.NotRun),
-			},
-			want: true,
-		},
-		{
-			name: "a write that may have run",
-			attempt: mgretry.Attempt{
-				Problem: failed(mgproblem.Unconfirmed, mgproblem.Unknown),
-			},
-		},
-		{
-			name: "a lookup that may have run",
-			attempt: mgretry.Attempt{
-				Problem:    failed(mgproblem.Unconfirmed, mgproblem.Unknown),
-				Idempotent: true,
-			},
-			want: true,
-		},
-		{
-			name: "an answer of which a part was delivered",
-			attempt: mgretry.Attempt{
-				Problem:    failed(mgproblem.Interrupted, mgproblem.Unknown),
-				Idempotent: true,
-				Delivered:  true,
-			},
-		},
-		{
-			name: "what is done",
-			attempt: mgretry.Attempt{
-				Problem:    failed(mgproblem.Internal, mgproblem.Done),
-				Idempotent: true,
-			},
-		},
-		{
-			name: "what no upstream would take",
-			attempt: mgretry.Attempt{
-				Problem: failed(mgproblem.Invalid, mgproblem.NotRun),
-			},
-		},
+	allowed := func(kind mgproblem.Kind, outcome mgproblem.Outcome, idempotent, delivered bool) bool {
+		return mgretry.Allowed(mgretry.Attempt{
+			Problem:    failed(kind, outcome),
+			Idempotent: idempotent,
+			Delivered:  delivered,
+		})
 	}
 	Convey("Tried again is", t, func() {
-		for _, c := range cases {
-			Convey(fmt.Sprint(c.name, " ", c.want), func() {
-				So(mgretry.Allowed(c.attempt), ShouldEqual, c.want)
-			})
-		}
+		Convey("what did not run", func() {
+			So(allowed(mgproblem.Crowded, mgproblem.NotRun, false, false), ShouldBeTrue)
+		})
+		Convey("of what may have run, a lookup but no write", func() {
+			So(allowed(mgproblem.Unconfirmed, mgproblem.Unknown, true, false), ShouldBeTrue)
+			So(allowed(mgproblem.Unconfirmed, mgproblem.Unknown, false, false), ShouldBeFalse)
+		})
+		Convey("nothing that is done, or of which a part was delivered", func() {
+			So(allowed(mgproblem.Internal, mgproblem.Done, true, false), ShouldBeFalse)
+			So(allowed(mgproblem.Interrupted, mgproblem.Unknown, true, true), ShouldBeFalse)
+		})
+		Convey("nothing that no upstream would take", func() {
+			So(allowed(mgproblem.Invalid, mgproblem.NotRun, true, false), ShouldBeFalse)
+		})
 	})
 }
 
--- a/internal/request/mgrouting/fleet_test.go
+++ b/internal/request/mgrouting/fleet_test.go
@@ -125,86 +125,39 @@
 	})
 }
 
+// A request goes where its first token comes soonest, and there it stalls the
+// sixty streams that run, or is preempted as soon as it has grown.
 func TestChoose(t *testing.T) {
-	cases := []struct {
-		name   string
-		offers []mgrouting.Offer
-		want   int
-	}{
-		{
-			name: "the sooner first token",
-			offers: []mgrouting.Offer{
-				{
-					Wait: 300,
-				},
-				{
-					Wait: 200,
-				},
-			},
-			want: 1,
-		},
-		{
-			name: "not what is refused",
-			offers: []mgrouting.Offer{
-				{
-					Wait: 300,
-				},
-				{
-					Refused: true,
-				},
-			},
-			want: 0,
-		},
-		{
-			name: "the prompt that disturbs fewer streams",
-			offers: []mgrouting.Offer{
-				{
-					Wait:     200,
-					Uncached: 4000,
-					Running:  60,
-				},
-				{
-					Wait:     250,
-					Uncached: 4000,
-					Running:  4,
-				},
-			},
-			want: 1,
-		},
-		{
-			name: "the memory that holds the answer",
-			offers: []mgrouting.Offer{
-				{
-					Wait:     200,
-					Headroom: 100,
-				},
-				{
-					Wait:     210,
-					Headroom: 4000,
-				},
-			},
-			want: 1,
-		},
-		{
-			name: "none when all refuse",
-			offers: []mgrouting.Offer{
-				{
-					Refused: true,
-				},
-			},
-			want: -1,
-		},
-	}
-	Convey("The offer taken is", t, func() {
+	Convey("The offer taken", t, func() {
 		f := mgrouting.NewFleet(list(1), nil)
 		q := query
 		q.Prompt = 1000
 		q.Output = 1000
-		for _, c := range cases {
-			Convey(c.name, func() {
-				So(f.Choose(c.offers, q, source()), ShouldEqual, c.want)
-			})
+		offer := func(wait mgclock.Millis, running int, headroom int64) mgrouting.Offer {
+			return mgrouting.Offer{
+				Wait:     wait,
+				Uncached: 1000,
+				Running:  running,
+				Headroom: headroom,
+			}
+		}
+		refused := mgrouting.Offer{
+			Refused: true,
 		}
+		choose := func(offers ...mgrouting.Offer) int { return f.Choose(offers, q, source()) }
+		Convey("has the sooner first token", func() {
+			So(choose(offer(300, 4, 4000), offer(200, 4, 4000)), ShouldEqual, 1)
+		})
+		Convey("is not refused", func() {
+			So(choose(refused, offer(300, 4, 4000)), ShouldEqual, 1)
+			So(choose(refused), ShouldEqual, -1)
+		})
+		Convey("disturbs few streams", func() {
+			So(choose(offer(200, 60, 4000), offer(250, 4, 4000)), ShouldEqual, 1)
+		})
+		Convey("has memory for the answer", func() {
+			So(choose(offer(200, 4, 100), offer(210, 4, 4000)), ShouldEqual, 1)
+		})
 	})
 }
 
