mgadmission: say what a retry time promises

Change: the comment says that the time holds for a request with as much time as the first had, and not while the overload goes on.

--- a/internal/request/mgadmission/forecast.go
+++ b/internal/request/mgadmission/forecast.go
@@ -142,9 +142,10 @@
 }
 
 // Retry returns after which span a request that would wait for wait, and may
-// only wait for slack, can come back: when the work ahead has shrunk so far,
-// and an eighth of the wait more, as the rate is known no better. Who comes
-// back too early is turned away again.
+// only wait for slack, can come back with as much time as it has now: when the
+// work ahead has shrunk so far, and an eighth of the wait more, as the rate is
+// known no better. Who comes back too early is turned away again; so is who
+// comes back while the overload goes on, as those who came since are ahead.
 func Retry(wait, slack mgclock.Millis) mgclock.Millis {
 	return max(wait+wait/8-max(slack, 0), leastRetry)
 }
