mgentry: whole sessions under faults, and three faults that they found

Cause: the guards were proved one by one, not on the path that callers use. Change: a rig runs the real entries and agents with the stand-ins over a network in memory, in virtual time; 17 stories, each with a golden file of what the caller saw, its text checked against what the engine made, and a bound on the longest stall. Calls between processes go through mglink.Guard, and agents answer them with 102 heartbeats (Alive). Seen red without a guard: generation check (crossed text), bound on silence and the bound on the engine's stream (both never end), honest outcomes. Ruled out: a retry of calls whose used connection broke; net/http does it where it is safe, and no story needed it. Figures: stalls are bounds in virtual time, silence being 3 x 250 ms; the real ones are measured apart.

--- a/internal/connection/mglink/call.go
+++ b/internal/connection/mglink/call.go
@@ -99,8 +99,9 @@
 // Made again means that the first may have arrived too. So all calls that go
 // through a Guard are idempotent by an id of theirs, or may be repeated.
 type Guard struct {
-	// Pooled makes the first try.
-	Pooled *http.Transport
+	// Pooled makes the first try. If it is an *http.Transport, or closes idle
+	// connections as one does, they are closed after a silent call.
+	Pooled http.RoundTripper
 	// Again makes the second, by default Fresh's.
 	Again http.RoundTripper
 	// Clock tells the time.
@@ -122,15 +123,19 @@
 	if err == nil || r.Context().Err() != nil || !errors.Is(err, errSilent) {
 		return response, err
 	}
-	g.Pooled.CloseIdleConnections()
+	client := http.Client{
+		Transport: g.Pooled,
+	}
+	client.CloseIdleConnections()
 	again, err := rewind(r)
 	if err != nil {
 		return nil, err
 	}
-	if g.Again == nil {
-		return g.try(again, Fresh(g.silence()).Transport)
+	by := g.Again
+	if by == nil {
+		by = Fresh(g.silence()).Transport
 	}
-	return g.try(again, g.Again)
+	return g.try(again, by)
 }
 
 // try makes a call and reads its reply while something is heard.
--- a/internal/connection/mglink/stream.go
+++ b/internal/connection/mglink/stream.go
@@ -69,7 +69,8 @@
 	last    uint64
 	barren  int // tries in a row that brought nothing
 	reopens int
-	over    bool
+	ended   bool // the final frame was read
+	over    bool // nothing follows, whatever the reader thinks of it
 	current *connection
 }
 
@@ -105,9 +106,11 @@
 }
 
 // Reopen makes the next Next read from the token after last on a new
-// connection, for a reader that refused a frame.
+// connection, for a reader that refused a frame. The final frame may be refused
+// as well: it may be another generation's, or come before the tokens it ends.
 func (s *Stream) Reopen(last uint64) {
 	s.drop()
+	s.ended = false
 	s.last = last
 	s.barren++
 }
@@ -116,7 +119,7 @@
 // returns io.EOF. It returns ErrLost when the stream can't be had any more, and
 // the Problem when the agent says why.
 func (s *Stream) Next(ctx context.Context) (*mgrpc.Frame, error) {
-	for !s.over {
+	for !s.over && !s.ended {
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
@@ -229,7 +232,8 @@
 		s.barren = 0
 	}
 	if Final(f) {
-		s.Close()
+		s.ended = true
+		s.drop()
 	}
 }
 
--- a/internal/connection/mglink/stream_test.go
+++ b/internal/connection/mglink/stream_test.go
@@ -190,6 +190,26 @@
 	})
 }
 
+// The end of an answer overtakes its last tokens, or is another's: the reader
+// refuses it. Taken as the end of reading, it would lose an answer that is there.
+func TestFinalFrameRefused(t *testing.T) {
+	Convey("A stream whose final frame was refused is read again", t, func() {
+		var a agent
+		var again string
+		bubble(t, &a, func(n *mgnetwork.Network) {
+			a.begun = a.clock.Now()
+			s := mglink.NewStream(mglink.StreamSpec{
+				Open:     open(n),
+				Interval: interval,
+			})
+			_, _, _ = read(s, nil)
+			s.Reopen(whole - 2)
+			again, _, _ = read(s, nil)
+		})
+		So(again, ShouldEqual, "t9t10")
+	})
+}
+
 // An entry vanishes without a word. The agent's writes to it fail in time, and
 // don't hold its goroutine until the system gives up.
 func TestReaderGone(t *testing.T) {
--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -19,7 +19,7 @@
 // Routes returns the handler of the agent's calls and frames for entries.
 func (a *Agent) Routes() http.Handler {
 	router := chi.NewRouter()
-	router.Mount(mgrpc.AgentPathPrefix, mgrpc.NewAgentServer(a))
+	router.Mount(mgrpc.AgentPathPrefix, mglink.Alive(mgrpc.NewAgentServer(a), a.spec.Clock, mgclock.Millis(a.spec.Settings.Beat)))
 	router.Get(FramesPath+"{generation}", a.frames)
 	return router
 }
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -118,11 +118,19 @@
 			break
 		}
 	}
-	_ = a.spec.Engine.Cancel(context.WithoutCancel(ctx), g.id)
+	a.cancelAt(context.WithoutCancel(ctx), g.id)
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the engine did not answer", "try another upstream").WithCause(err)
 }
 
+// cancelAt tells the engine to end a generation. A silent engine would hold the
+// caller for good, and with it the sweep or the agent's stop.
+func (a *Agent) cancelAt(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
+	defer cancel()
+	_ = a.spec.Engine.Cancel(ctx, id)
+}
+
 func (a *Agent) tryStart(ctx context.Context, g *generation) error {
 	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
 	defer cancel()
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -205,7 +205,7 @@
 		g.finish("", cancelled(mgproblem.NotRun), now)
 		return
 	}
-	_ = a.spec.Engine.Cancel(ctx, id)
+	a.cancelAt(ctx, id)
 	if g != nil {
 		g.finish("", cancelled(mgproblem.Unknown), now)
 		g.stop()
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -36,6 +36,8 @@
 	avoid    map[string]bool
 	tokens   int
 	evicted  uint32
+	notRun   bool // the agent attests that the attempt did not run
+	doubt    bool // an attempt before this one may have run
 }
 
 // open connects to the attempt's generation.
@@ -179,12 +181,23 @@
 // caller at once what the agent attests.
 func (r *reading) overdue(ctx context.Context) *mgproblem.Problem {
 	r.stream.Close()
-	return late(r.entry.abandon(ctx, r.attempt))
+	return r.honest(late(r.entry.abandon(ctx, r.attempt)))
 }
 
 func (r *reading) note(frame *mgrpc.Frame) {
 	r.tokens += len(frame.GetText())
 	r.evicted = frame.GetPreempted()
+	r.notRun = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
+}
+
+// honest returns what the caller is told. What is attested of the last attempt
+// says nothing of those before: an engine may have worked on one until it died,
+// and "not run" would not be true of the request.
+func (r *reading) honest(problem *mgproblem.Problem) *mgproblem.Problem {
+	if problem == nil || !r.doubt || problem.Outcome() != mgproblem.NotRun {
+		return problem
+	}
+	return mgproblem.New(problem.Kind(), mgproblem.Unknown, problem.Detail(), problem.Remedy()).WithRetry(problem.Retry())
 }
 
 // elsewhere starts another generation where nothing was delivered.
@@ -193,16 +206,17 @@
 	if r.job == nil {
 		return interruptedProblem()
 	}
+	r.doubt = r.doubt || !r.notRun
 	// An engine that dies leaves many requests behind at once. Without a budget
 	// all of them go to the engines that are left, which may drown next.
 	if !r.entry.budgets.Of(r.job.service.Name()).Spend() {
-		return crowded()
+		return r.honest(crowded())
 	}
 	r.avoid[r.attempt.agent.Name()] = true
 	r.attempt.ended()
 	made, problem := r.entry.begin(ctx, r.job, r.avoid)
 	if problem != nil {
-		return problem
+		return r.honest(problem)
 	}
 	r.entry.spec.Metrics.Counter("elsewhere").Inc(1)
 	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
--- /dev/null
+++ b/internal/process/mgentry/rig_test.go
@@ -0,0 +1,386 @@
+package mgentry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgnetwork"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const table = `
+version = 1
+
+[[model]]
+name = "tank-70b"
+context = 65536
+max = 8192
+
+[[service]]
+name = "report"
+model = "tank-70b"
+prefer = "steady"
+deadline = 4000
+max = 4096
+
+[[service]]
+name = "ticket"
+kind = "plain"
+deadline = 5000
+repeat = "never"
+
+[[upstream]]
+name = "engine-1"
+models = ["tank-70b"]
+memory = 40000
+batch = 32
+orders = "checked"
+
+[[upstream]]
+name = "engine-2"
+models = ["tank-70b"]
+memory = 40000
+batch = 32
+orders = "ignored"
+
+[[upstream]]
+name = "books"
+kind = "service"
+services = ["ticket"]
+batch = 16
+
+[[account]]
+name = "tankline"
+keys = ["be122e6c14afd1b20ab94a1a98ba052768381cb09e24a0d1cde7014300fb2ab0"]
+services = ["report", "ticket"]
+
+[[account]]
+name = "cooperativa"
+keys = ["bf06daad306a74c0998dc01b84ce9d6278f5a81ce01a395427145c09aa092709"]
+services = ["report"]
+`
+
+const (
+	beat mgclock.Millis = 250
+	// silence is the longest that a link may say nothing.
+	silence = 3 * beat
+	// callWait bounds a plain-service call of the rig's entries.
+	callWait = 5 * mgclock.Second
+)
+
+// A rig is a whole deployment over a network in memory, in virtual time: the
+// real entries and agents, and the stand-ins of the engines and the service.
+type rig struct {
+	mgnetwork.Network
+	clock    mgclock.Clock
+	seal     mgseal.Signer
+	table    *mgtable.Table
+	ctx      context.Context
+	engines  map[string]*mgstandin.Engine
+	books    *mgstandin.Service
+	list     mgplatform.List
+	stops    map[string]func()
+	lives    int
+	crossing func(http.Handler) http.Handler // around the agents' frames, or nil
+}
+
+// play runs a story on a rig with engine-1 and on.
+func play(t *testing.T, engines int, story func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		parsed, err := mgtable.Parse([]byte(table))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &rig{
+			ctx:     ctx,
+			table:   parsed,
+			engines: map[string]*mgstandin.Engine{},
+			stops:   map[string]func(){},
+			books:   mgstandin.NewService(mgstandin.ServiceSpec{}, mgclock.Clock{}),
+		}
+		r.list.Version = 1
+		var running sync.WaitGroup
+		for i := range engines {
+			name := fmt.Sprint("engine-", i+1)
+			e := mgstandin.NewEngine(mgstandin.EngineSpec{
+				Model: mgmodel.Spec{
+					Memory: 40000,
+					Batch:  32,
+				},
+			}, mgclock.Clock{})
+			r.engines[name] = e
+			running.Go(func() { e.Run(ctx) })
+			r.Serve(name, e.Handler())
+			r.row("agent-"+name, name, []string{"tank-70b"}, nil)
+		}
+		r.Serve("books", r.books.Handler())
+		r.row("agent-books", "books", nil, []string{"ticket"})
+		for _, vm := range r.list.VMs {
+			r.agent(vm.Name, vm.Upstream)
+		}
+		r.entry("entry-1")
+		r.entry("entry-2")
+		synctest.Wait()
+		story(r)
+		for _, stop := range r.stops {
+			stop()
+		}
+		cancel()
+		r.Close()
+		running.Wait()
+	})
+}
+
+func (r *rig) row(name, upstream string, models, services []string) {
+	r.list.VMs = append(r.list.VMs, mgplatform.VM{
+		Name:     name,
+		Kind:     mgplatform.AgentKind,
+		Addr:     name + ":80",
+		Zone:     "a",
+		Region:   "south",
+		Upstream: upstream,
+		Models:   models,
+		Services: services,
+		State:    "live",
+	})
+}
+
+// agent starts an agent, in place of the one that had its name.
+func (r *rig) agent(name, upstream string) {
+	r.kill(name)
+	r.lives++
+	client := mgdial.NewClientWith(r.Dial(name))
+	a, err := mgagent.New(mgagent.Spec{
+		Settings: mgsettings.Agent{
+			Process: mgsettings.Process{
+				Name: name,
+				Zone: "a",
+				Beat: int64(beat),
+			},
+			Upstream: upstream,
+			Grace:    15000,
+			Keep:     60000,
+			Queue:    512,
+			Policy:   "ours",
+		},
+		Incarnation: fmt.Sprintf("life-%02d", r.lives),
+		Log:         logr.Discard(),
+		Metrics:     mgmetric.New(),
+		Seal:        &r.seal,
+		Engine:      mgengine.NewHTTP("http://"+upstream, client),
+		Service:     mgservice.NewHTTP("http://"+upstream, client),
+		Table:       func() *mgtable.Table { return r.table },
+		Seen:        func(uint64, string) {},
+	})
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Run(ctx)
+	}()
+	routes := a.Routes()
+	if r.crossing != nil {
+		routes = r.crossing(routes)
+	}
+	r.Serve(name, routes)
+	r.stops[name] = func() {
+		r.Kill(name)
+		cancel()
+		<-done
+	}
+}
+
+// entry starts an entry, in place of the one that had its name.
+func (r *rig) entry(name string) {
+	r.kill(name)
+	r.lives++
+	members := mgmember.New(name)
+	members.List(r.clock.Now(), r.list)
+	e := mgentry.New(mgentry.Spec{
+		Settings: mgsettings.Entry{
+			Process: mgsettings.Process{
+				Name:   name,
+				Zone:   "a",
+				Region: "south",
+				Beat:   int64(beat),
+			},
+			Body:  1 << 20,
+			Slow:  10000,
+			Probe: 200,
+			Call:  int64(callWait),
+		},
+		Log:     logr.Discard(),
+		Metrics: mgmetric.New(),
+		Seal:    &r.seal,
+		Table:   func() *mgtable.Table { return r.table },
+		Seen:    func(uint64, string) {},
+		View:    members.View,
+		Failed:  func(agent string) { members.Failed(r.clock.Now(), agent) },
+		Heard:   func(agent, life string, leaving bool) { members.Heard(r.clock.Now(), agent, life, leaving) },
+		Calls: &mglink.Guard{
+			Pooled:   r.Transport(name, false),
+			Again:    r.Transport(name, true),
+			Interval: beat,
+		},
+		Frames: r.Transport(name, true),
+		Base:   func(address string) string { return "http://" + address },
+	}, fmt.Sprintf("life-%02d", r.lives))
+	ctx, cancel := context.WithCancel(r.ctx)
+	go func() {
+		for r.clock.Sleep(ctx, mgclock.Second) {
+			members.Tick(r.clock.Now())
+		}
+	}()
+	r.Serve(name, e.Routes())
+	r.stops[name] = func() {
+		r.Kill(name)
+		cancel()
+	}
+}
+
+// kill ends a process without a word.
+func (r *rig) kill(name string) {
+	if stop := r.stops[name]; stop != nil {
+		delete(r.stops, name)
+		stop()
+	}
+}
+
+// busy returns the engine that holds a generation.
+func (r *rig) busy() *mgstandin.Engine {
+	for _, e := range r.engines {
+		if e.Load(); len(e.List()) > 0 && !e.List()[0].Done {
+			return e
+		}
+	}
+	return nil
+}
+
+// A caller reads one answer over one connection after another, and keeps what
+// a person would see.
+type caller struct {
+	rig     *rig
+	account string
+	answer  string // its name
+	last    string // the last event's id
+	tokens  int
+	text    strings.Builder
+	seen    []string // statuses, and events other than tokens
+	stall   mgclock.Millis
+	heard   mgclock.Millis
+	each    func(tokens int)
+	padding int // words before the prompt, which take the engine time
+}
+
+func (r *rig) caller() *caller {
+	return &caller{
+		rig:     r,
+		account: "tankline",
+	}
+}
+
+func (c *caller) do(entry, method, path, body string, header map[string]string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(c.rig.ctx, method, "http://"+entry+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer sample-"+c.account)
+	for key, value := range header {
+		request.Header.Set(key, value)
+	}
+	client := http.Client{
+		Transport: c.rig.Transport("caller", true),
+	}
+	return client.Do(request)
+}
+
+// ask asks for an answer of a length, and reads it as far as it comes.
+func (c *caller) ask(entry string, length int, stream bool) {
+	body := fmt.Sprintf(`{"model":"report","stream":%t,"messages":[{"role":"user","content":"%sshift report len=%d"}]}`, stream, strings.Repeat("level ", c.padding), length)
+	response, err := c.do(entry, http.MethodPost, "/v1/chat/completions", body, map[string]string{
+		"Resume": "yes",
+	})
+	c.read(response, err)
+}
+
+// resume goes on through an entry with the last event that came.
+func (c *caller) resume(entry string) {
+	header := map[string]string{}
+	if c.last != "" {
+		header["Last-Event-ID"] = c.last
+	}
+	response, err := c.do(entry, http.MethodGet, "/v1/answers/"+c.answer, "", header)
+	c.read(response, err)
+}
+
+func (c *caller) read(response *http.Response, err error) {
+	if err != nil {
+		c.seen = append(c.seen, "no response")
+		return
+	}
+	defer response.Body.Close()
+	c.seen = append(c.seen, fmt.Sprint(response.StatusCode))
+	if response.Header.Get("Content-Type") != "text/event-stream" {
+		body, _ := io.ReadAll(response.Body)
+		c.seen = append(c.seen, string(bytes.TrimSpace(body)))
+		return
+	}
+	c.heard = c.rig.clock.Now()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		c.line(lines.Text())
+	}
+	if lines.Err() != nil {
+		c.seen = append(c.seen, "cut")
+	}
+}
+
+func (c *caller) line(line string) {
+	switch {
+	case strings.HasPrefix(line, "id: "):
+		c.last = strings.TrimPrefix(line, "id: ")
+		c.answer, _, _ = mganswer.ParseEventID(c.last)
+	case strings.HasPrefix(line, "data: "):
+		c.data(strings.TrimPrefix(line, "data: "))
+	case strings.HasPrefix(line, "event: "):
+		c.seen = append(c.seen, line)
+	}
+}
+
+// generation returns the generation that the answer's name tells.
+func (c *caller) generation() string {
+	name, err := mganswer.NewSigner(&c.rig.seal).Open(c.account, c.answer)
+	if err != nil {
+		return "none"
+	}
+	return name.Generation()
+}
--- /dev/null
+++ b/internal/process/mgentry/session_test.go
@@ -0,0 +1,355 @@
+package mgentry_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// chunk is what a caller reads of an event's data.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage struct {
+		Completion int `json:"completion_tokens"`
+	} `json:"usage"`
+	Generation string `json:"generation"`
+}
+
+func (c *caller) data(data string) {
+	var in chunk
+	if err := json.Unmarshal([]byte(data), &in); err != nil || len(in.Choices) == 0 || in.Choices[0].Finish != "" {
+		c.seen = append(c.seen, data)
+		return
+	}
+	now := c.rig.clock.Now()
+	c.stall = max(c.stall, now-c.heard)
+	c.heard = now
+	c.tokens++
+	c.text.WriteString(in.Choices[0].Delta.Content)
+	if c.each != nil {
+		c.each(c.tokens)
+	}
+}
+
+// names are what differs between two runs of one session.
+var names = []struct {
+	pattern *regexp.Regexp
+	stand   string
+}{
+	{
+		pattern: regexp.MustCompile(`"id":"[^"]*"`),
+		stand:   `"id":"ANSWER"`,
+	},
+	{
+		pattern: regexp.MustCompile(`"created":\d+`),
+		stand:   `"created":0`,
+	},
+	{
+		pattern: regexp.MustCompile(`life-\d+-\w+`),
+		stand:   `GENERATION`,
+	},
+	{
+		pattern: regexp.MustCompile(`("content":")([^"]+)"`),
+		stand:   `$1 TEXT"`,
+	},
+}
+
+// session is what the caller saw, with the names that differ between runs left
+// out and its tokens checked against those that the engine made.
+func (c *caller) session() string {
+	var b strings.Builder
+	for _, line := range c.seen {
+		for _, n := range names {
+			line = n.pattern.ReplaceAllString(line, n.stand)
+		}
+		fmt.Fprintln(&b, line)
+	}
+	fmt.Fprintf(&b, "tokens: %d\n", c.tokens)
+	if c.tokens > 0 {
+		fmt.Fprintf(&b, "as generated: %t\n", c.text.String() == mgstandin.Whole(c.generation(), c.tokens))
+	}
+	return b.String()
+}
+
+// at calls what once, when the caller has had some tokens.
+func (c *caller) at(tokens int, what func()) {
+	c.each = func(n int) {
+		if n == tokens {
+			what()
+		}
+	}
+}
+
+// wholeText compares the text of an answer in one piece.
+func (c *caller) wholeText() string {
+	var in chunk
+	if len(c.seen) < 2 || json.Unmarshal([]byte(c.seen[1]), &in) != nil || len(in.Choices) == 0 {
+		return "no answer"
+	}
+	want := mgstandin.Whole(in.Generation, in.Usage.Completion)
+	return fmt.Sprintf("as generated: %t", in.Choices[0].Message.Content == want)
+}
+
+// crossed gives the first reader of frames those of another generation.
+func crossed(other func() string) func(http.Handler) http.Handler {
+	var done atomic.Bool
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/frames/") && other() != "" && !done.Swap(true) {
+				r.URL.Path = "/frames/" + other()
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// What a gauger or member sees of an answer, when something fails under it.
+// Each case is a story: the order of events, and its cause as the name says.
+// The golden file holds what the caller saw; a text that was cut, doubled,
+// mixed or spliced is not "as generated". Stall bounds the longest wait for a
+// token, in virtual time.
+func TestSessions(t *testing.T) {
+	cases := []struct {
+		story   string
+		engines int
+		stall   mgclock.Millis
+		play    func(r *rig, c *caller)
+	}{
+		{
+			story:   "nothing fails",
+			engines: 2,
+			stall:   100,
+			play:    func(_ *rig, c *caller) { c.ask("entry-1", 20, true) },
+		},
+		{
+			story:   "the connection to the agent goes silent",
+			engines: 1,
+			stall:   silence + beat,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() { r.Silence("agent-engine-1") })
+				c.ask("entry-1", 200, true)
+			},
+		},
+		{
+			story:   "the connection to the agent goes silent twice",
+			engines: 1,
+			stall:   silence + beat,
+			play: func(r *rig, c *caller) {
+				c.each = func(n int) {
+					if n == 5 || n == 90 {
+						r.Silence("agent-engine-1")
+					}
+				}
+				c.ask("entry-1", 300, true)
+			},
+		},
+		{
+			story:   "the agent is replaced mid-stream",
+			engines: 1,
+			stall:   mgclock.Second,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() { r.agent("agent-engine-1", "engine-1") })
+				c.ask("entry-1", 100, true)
+			},
+		},
+		{
+			story:   "the entry is killed mid-stream",
+			engines: 1,
+			stall:   100,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() { r.kill("entry-1") })
+				c.ask("entry-1", 100, true)
+				c.each = nil
+				c.resume("entry-2")
+			},
+		},
+		{
+			story:   "the caller goes and is back after two seconds",
+			engines: 1,
+			stall:   100,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() { r.kill("entry-1") })
+				c.ask("entry-1", 100, true)
+				c.each = nil
+				r.clock.Sleep(r.ctx, 2*mgclock.Second)
+				r.entry("entry-1")
+				c.resume("entry-1")
+			},
+		},
+		{
+			story:   "the engine is killed before the first token",
+			engines: 2,
+			play: func(r *rig, c *caller) {
+				c.padding = 2000
+				go func() {
+					r.clock.Sleep(r.ctx, 5)
+					r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die})
+				}()
+				c.ask("entry-1", 20, true)
+			},
+		},
+		{
+			story:   "the engine is killed after the first token",
+			engines: 2,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() { r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die}) })
+				c.ask("entry-1", 100, true)
+			},
+		},
+		{
+			story:   "the engine is killed under whole delivery",
+			engines: 2,
+			play: func(r *rig, c *caller) {
+				go func() {
+					r.clock.Sleep(r.ctx, 300)
+					r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die})
+				}()
+				c.ask("entry-1", 100, false)
+				c.seen = append(c.seen, c.wholeText())
+			},
+		},
+		{
+			story:   "the only engine is killed before the first token",
+			engines: 1,
+			play: func(r *rig, c *caller) {
+				c.padding = 2000
+				go func() {
+					r.clock.Sleep(r.ctx, 5)
+					r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die})
+				}()
+				c.ask("entry-1", 20, true)
+			},
+		},
+		{
+			story:   "the engine's stream breaks off",
+			engines: 1,
+			stall:   mgclock.Second,
+			play: func(r *rig, c *caller) {
+				r.engines["engine-1"].Set(mgstandin.Fault{Kind: mgstandin.Cut, After: 7})
+				c.ask("entry-1", 100, true)
+			},
+		},
+		{
+			story:   "the engine's stream goes silent",
+			engines: 1,
+			stall:   4 * mgclock.Second,
+			play: func(r *rig, c *caller) {
+				r.engines["engine-1"].Set(mgstandin.Fault{Kind: mgstandin.Stall, After: 7})
+				c.ask("entry-1", 100, true)
+			},
+		},
+		{
+			story:   "frames of another generation cross the stream",
+			engines: 1,
+			stall:   100,
+			play: func(r *rig, c *caller) {
+				other := r.caller()
+				other.ask("entry-1", 20, true)
+				r.crossing = crossed(other.generation)
+				r.agent("agent-engine-1", "engine-1")
+				c.ask("entry-1", 20, true)
+			},
+		},
+		{
+			story:   "a partition parts the entry from the agent for good",
+			engines: 1,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() { r.Cut("entry-1", "agent-engine-1") })
+				c.ask("entry-1", 100, true)
+				c.each = nil
+				c.resume("entry-2")
+			},
+		},
+		{
+			story:   "the engine is to be reclaimed and the work is longer",
+			engines: 2,
+			play: func(r *rig, c *caller) {
+				c.at(5, func() {
+					e := r.busy()
+					e.Set(mgstandin.Fault{Kind: mgstandin.Leave})
+					go func() {
+						r.clock.Sleep(r.ctx, mgclock.Second)
+						e.Set(mgstandin.Fault{Kind: mgstandin.Die})
+					}()
+				})
+				c.ask("entry-1", 1000, true)
+			},
+		},
+		{
+			story:   "the engine answers nothing, and the first token is late",
+			engines: 1,
+			play: func(r *rig, c *caller) {
+				c.ask("entry-1", 3, true)
+				r.engines["engine-1"].Set(mgstandin.Fault{Kind: mgstandin.Silent})
+				c.ask("entry-1", 20, true)
+			},
+		},
+		{
+			story:   "a stranger asks for the answer",
+			engines: 1,
+			play: func(r *rig, c *caller) {
+				c.ask("entry-1", 20, true)
+				stranger := r.caller()
+				stranger.account = "cooperativa"
+				stranger.answer = c.answer
+				stranger.resume("entry-1")
+				stranger.answer = "bmV2ZXI"
+				stranger.resume("entry-1")
+				c.seen = append(c.seen, stranger.seen...)
+			},
+		},
+	}
+	Convey("What a caller sees", t, func() {
+		for _, c := range cases {
+			Convey(c.story, func() {
+				var got string
+				var stall mgclock.Millis
+				play(t, c.engines, func(r *rig) {
+					who := r.caller()
+					c.play(r, who)
+					got = who.session()
+					stall = who.stall
+				})
+				golden(t, c.story, got)
+				if c.stall > 0 {
+					So(stall, ShouldBeLessThanOrEqualTo, c.stall)
+				}
+			})
+		}
+	})
+}
+
+// golden compares a session with its file.
+func golden(t *testing.T, story, got string) {
+	file := filepath.Join("testdata", "sessions", strings.NewReplacer(" ", "-", ",", "").Replace(story)+".txt")
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	So(err, ShouldBeNil)
+	So(got, ShouldEqual, string(want))
+}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -36,9 +37,14 @@
 		View:     n.members.View,
 		Failed:   n.failed,
 		Heard:    n.heard,
-		Calls:    n.guard.Transport(false),
-		Frames:   n.guard.Transport(true),
-		Base:     n.guard.Base,
+		Calls: &mglink.Guard{
+			Pooled:   n.guard.Transport(false),
+			Again:    n.guard.Transport(true),
+			Clock:    n.clock,
+			Interval: mgclock.Millis(settings.Beat),
+		},
+		Frames: n.guard.Transport(true),
+		Base:   n.guard.Base,
 	}, n.incarnation)
 	n.admin.Source("entry", func() any { return entry.State() })
 	n.Serve(ctx, ServerSpec{
--- a/internal/standin/mgnetwork/network.go
+++ b/internal/standin/mgnetwork/network.go
@@ -16,7 +16,7 @@
 	mu    sync.Mutex
 	hosts map[string]*host
 	conns []*conn
-	cuts  map[path]bool
+	cuts  map[path]chan struct{} // closed when the cut heals
 }
 
 // path is from one host to another.
@@ -27,11 +27,16 @@
 // Serve makes a host answer with h, in place of what it served before.
 func (n *Network) Serve(name string, h http.Handler) {
 	n.Kill(name)
+	// A handler that hasn't read its request's body isn't told when the
+	// connection goes; the context of all requests ends it.
+	ctx, cancel := context.WithCancel(context.Background())
 	made := &host{
 		accept: make(chan net.Conn),
 		closed: make(chan struct{}),
+		cancel: cancel,
 		server: &http.Server{
-			Handler: h,
+			Handler:     h,
+			BaseContext: func(net.Listener) context.Context { return ctx },
 		},
 	}
 	n.mu.Lock()
@@ -50,7 +55,7 @@
 	delete(n.hosts, name)
 	n.mu.Unlock()
 	if killed != nil {
-		_ = killed.server.Close()
+		killed.kill()
 	}
 }
 
@@ -68,31 +73,41 @@
 	}
 	n.mu.Lock()
 	if n.cuts == nil {
-		n.cuts = make(map[path]bool)
+		n.cuts = make(map[path]chan struct{})
+	}
+	if n.cuts[along] == nil {
+		n.cuts[along] = make(chan struct{})
 	}
-	n.cuts[along] = true
 	n.mu.Unlock()
 	n.silence(func(c *conn) bool { return c.path == along })
 }
 
-// Heal ends the cut between two hosts.
+// Heal ends the cut between two hosts. Connections that were tried meanwhile
+// are made now, as TCP tries again by itself.
 func (n *Network) Heal(from, to string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.cuts, path{
+	along := path{
 		from: from,
 		to:   to,
-	})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if healed := n.cuts[along]; healed != nil {
+		close(healed)
+		delete(n.cuts, along)
+	}
 }
 
 // Close breaks everything.
 func (n *Network) Close() {
 	n.mu.Lock()
-	hosts, conns := n.hosts, n.conns
-	n.hosts, n.conns = nil, nil
+	hosts, conns, cuts := n.hosts, n.conns, n.cuts
+	n.hosts, n.conns, n.cuts = nil, nil, nil
 	n.mu.Unlock()
+	for _, healed := range cuts {
+		close(healed)
+	}
 	for _, h := range hosts {
-		_ = h.server.Close()
+		h.kill()
 	}
 	for _, c := range conns {
 		_ = c.Close()
@@ -138,12 +153,18 @@
 
 func (n *Network) dial(ctx context.Context, along path) (net.Conn, error) {
 	n.mu.Lock()
-	to, cut := n.hosts[along.to], n.cuts[along]
+	cut := n.cuts[along]
 	n.mu.Unlock()
-	if cut {
-		<-ctx.Done() // nothing comes back, not even a refusal
-		return nil, ctx.Err()
+	if cut != nil {
+		select {
+		case <-cut:
+		case <-ctx.Done(): // nothing came back, not even a refusal
+			return nil, ctx.Err()
+		}
 	}
+	n.mu.Lock()
+	to := n.hosts[along.to]
+	n.mu.Unlock()
 	if to == nil {
 		return nil, ErrRefused
 	}
@@ -182,9 +203,16 @@
 	accept chan net.Conn
 	once   sync.Once
 	closed chan struct{}
+	cancel context.CancelFunc
 	server *http.Server
 }
 
+// kill breaks the host's connections.
+func (h *host) kill() {
+	h.cancel()
+	_ = h.server.Close()
+}
+
 // Accept implements net.Listener.
 func (h *host) Accept() (net.Conn, error) {
 	select {
