mgagent: a generation cancelled while it starts doesn't run on

Cause: a cancel between the ledger's leave and the engine's start found nothing to stop; the generation then ran for nobody and its entry stayed in the record. Change: run looks once more whether the generation has ended after it can be stopped, and a reader that finds it ended cancels at the engine once more. Ruled out: the test's own order of events; the entry left was the one swept while it started.

--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -83,6 +83,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g.setCancel(cancel)
+	if g.ended() {
+		// It was cancelled between the ledger's leave and this line, when there
+		// was nothing yet to stop: it would run with nobody to read it.
+		a.end(g, "", cancelled(mgproblem.Unknown))
+		return
+	}
 	if problem := a.startAt(ctx, g); problem != nil {
 		a.end(g, "", problem)
 		return
@@ -145,6 +151,8 @@
 		token, err := a.readOnce(ctx, g)
 		switch {
 		case g.ended():
+			// The cancel may have reached the engine before the start.
+			a.cancelAt(context.WithoutCancel(ctx), g.id)
 			a.end(g, "", cancelled(mgproblem.Unknown))
 			return
 		case err == nil && token.End != "":
