--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -83,6 +83,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g.setCancel(cancel)
+	if g.ended() {
+		// It was cancelled between the ledger's leave and this line, when there
+		// was nothing yet to stop: it would run with nobody to read it.
+		a.end(g, "", cancelled(mgproblem.Unknown))
+		return
+	}
 	if problem := a.startAt(ctx, g); problem != nil {
 		a.end(g, "", problem)
 		return
@@ -118,11 +124,19 @@
 			break
 		}
 	}
-	_ = a.spec.Engine.Cancel(context.WithoutCancel(ctx), g.id)
+	a.cancelAt(context.WithoutCancel(ctx), g.id)
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the engine did not answer", "try another upstream").WithCause(err)
 }
 
+// cancelAt tells the engine to end a generation. A silent engine would hold the
+// caller for good, and with it the sweep or the agent's stop.
+func (a *Agent) cancelAt(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
+	defer cancel()
+	_ = a.spec.Engine.Cancel(ctx, id)
+}
+
 func (a *Agent) tryStart(ctx context.Context, g *generation) error {
 	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
 	defer cancel()
@@ -137,6 +151,8 @@
 		token, err := a.readOnce(ctx, g)
 		switch {
 		case g.ended():
+			// The cancel may have reached the engine before the start.
+			a.cancelAt(context.WithoutCancel(ctx), g.id)
 			a.end(g, "", cancelled(mgproblem.Unknown))
 			return
 		case err == nil && token.End != "":
