mgentry: a start without an answer leaves a doubt that later refusals keep

Cause: begin started a request at a second agent after the first one's start had got no answer. When the second attested not run, the caller was told so, though the first may have run it. Change: an attempt carries the doubt of those before it.

--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -32,6 +32,7 @@
 		job:      j,
 		receiver: mgdelivery.New(mgdelivery.Spec{Whole: !j.stream}),
 		attempt:  made,
+		doubt:    made.doubt,
 		avoid:    map[string]bool{},
 	}
 	reading.open()
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -222,6 +222,7 @@
 	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
 		mglog.Attempt, made.id, mglog.Upstream, made.agent.Upstream(), mglog.Account, r.job.account.Name())
 	r.attempt = made
+	r.doubt = r.doubt || made.doubt
 	r.tokens = 0
 	r.open()
 	return nil
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -20,6 +20,7 @@
 	agent      *mgmember.Member
 	offer      *mgrpc.Offer
 	generation string
+	doubt      bool   // an attempt before this one may have run
 	ended      func() // gives its place in the agent's count back, once
 }
 
@@ -48,12 +49,15 @@
 	fleet := e.fleet()
 	offers, problem := e.probe(ctx, j, fleet, e.candidates(j, fleet, avoid, random))
 	query := e.query(j)
+	doubt := false
 	for len(offers) > 0 {
 		best := fleet.best(offers, query, random)
 		made, refused := e.start(ctx, j, fleet, offers[best])
 		if refused == nil {
+			made.doubt = doubt
 			return made, nil
 		}
+		doubt = doubt || refused.Outcome() != mgproblem.NotRun
 		problem = sooner(problem, refused)
 		offers = slices.Delete(offers, best, best+1)
 	}
