mgentry: TestDoubt can fail

Change: the fakes are served under a context of their own. Figures: without the guard the test now fails (outcome notrun), with it it passes.

--- a/internal/process/mgentry/doubt_test.go
+++ b/internal/process/mgentry/doubt_test.go
@@ -74,13 +74,14 @@
 // hosts answers requests by their host; starts and cancels at agent-1 break.
 type hosts map[string]http.Handler
 
-// RoundTrip serves a request in this goroutine.
+// RoundTrip serves a request in this goroutine, without the context of the
+// entry's own router.
 func (h hosts) RoundTrip(r *http.Request) (*http.Response, error) {
 	if r.URL.Host == "agent-1" && !strings.HasSuffix(r.URL.Path, "Probe") {
 		return nil, errReset
 	}
 	recorder := httptest.NewRecorder()
-	h[r.URL.Host].ServeHTTP(recorder, r)
+	h[r.URL.Host].ServeHTTP(recorder, r.WithContext(context.Background()))
 	return recorder.Result(), nil
 }
 
