--- a/internal/process/mgentry/doubt_test.go
+++ b/internal/process/mgentry/doubt_test.go
@@ -61,6 +61,10 @@
 	return &mgrpc.StartReply{Generation: in.GetAttempt()}, nil
 }
 
+func (givesUp) Cancel(context.Context, *mgrpc.CancelRequest) (*mgrpc.CancelReply, error) {
+	return &mgrpc.CancelReply{Outcome: "notrun"}, nil
+}
+
 func frames(w http.ResponseWriter, r *http.Request) {
 	_ = mglink.WriteFrame(w, &mgrpc.Frame{
 		Generation: chi.URLParam(r, "generation"),
