mgagent: no "not run" after a start whose answer was lost

Cause: the agent repeats a start whose outcome is unknown, and took a refusal of the second try for the outcome of both: an engine that took the first and died was attested as not run. Ruled out: the client's typing of failures, which is right for each try. Change: after a try in doubt a refusal ends as interrupted, unknown, and the engine is told to cancel. Before: TestStartDoubt, 'the answer lost, then refused', red (notrun in place of unknown). After: green, go test -race -count=10.

--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -94,22 +94,29 @@
 	a.read(ctx, g)
 }
 
-// startAt starts the generation, which the engine does once per id.
+// startAt starts the generation, which the engine does once per id. A refusal
+// speaks for its own start only: after one whose answer was lost, the
+// generation may have run, and "not run" would be a claim too many.
 func (a *Agent) startAt(ctx context.Context, g *generation) *mgproblem.Problem {
 	var err error
+	doubt := false
 	for range startTries {
 		err = a.tryStart(ctx, g)
 		if err == nil {
 			return nil
 		}
-		if mgengine.KindOf(err) == mgengine.NotStarted {
+		refused := mgengine.KindOf(err) == mgengine.NotStarted
+		if refused {
 			a.sick.Store(true) // until the next load report
+		}
+		if refused && !doubt {
 			return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 				"the engine refused the generation", "try another upstream").WithCause(err)
 		}
-		if ctx.Err() != nil {
+		if refused || ctx.Err() != nil {
 			break
 		}
+		doubt = true
 	}
 	_ = a.spec.Engine.Cancel(context.WithoutCancel(ctx), g.id)
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
