mgstandin: a step's tokens are there at its end

Cause: the engine published a step's tokens before the step had taken its time, so that a first token always came at once and no test could lose a generation before it. Change: Run waits for the step's duration and publishes then; what was cancelled or died meanwhile stays unpublished. Conclusion: go test -race -count=10 of the package passes, 10 of 10.

--- a/internal/standin/mgstandin/engine.go
+++ b/internal/standin/mgstandin/engine.go
@@ -39,6 +39,7 @@
 	finished    []*generation // in the order of their end
 	faults      Fault
 	changed     chan struct{} // closed and replaced when a switch turns or work arrives
+	life        int           // deaths so far
 	loaded      []string
 	role        string
 	fence       uint64
@@ -86,12 +87,12 @@
 	}
 }
 
-// Run steps the engine until ctx ends.
+// Run steps the engine until ctx ends. A step's tokens are there at its end.
 func (e *Engine) Run(ctx context.Context) {
 	due := float64(e.clock.Now())
 	for ctx.Err() == nil {
-		result, change := e.step()
-		if result == 0 {
+		result, life, change := e.step()
+		if result.Duration() == 0 {
 			select {
 			case <-change:
 			case <-ctx.Done():
@@ -99,37 +100,67 @@
 			due = float64(e.clock.Now())
 			continue
 		}
-		due += result
+		due += result.Duration()
 		now := e.clock.Now()
 		due = max(due, float64(now-behind))
 		e.clock.Sleep(ctx, mgclock.Millis(due)-now)
+		e.publish(result, life)
 	}
 }
 
-// step runs one step of the batch, publishes its tokens and returns its
-// duration, 0 when there is nothing to run until the channel is closed.
-func (e *Engine) step() (float64, <-chan struct{}) {
+// step runs one step of the batch. Its duration is 0 when there is nothing to
+// run until the channel is closed.
+func (e *Engine) step() (mgmodel.Result, int, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.prepare()
 	if e.faults.Kind == Die || e.faults.Kind == Silent {
-		return 0, e.change()
+		return mgmodel.Result{}, e.life, e.change()
+	}
+	return e.model.Step(), e.life, e.change()
+}
+
+// publish makes what a step did seen, unless the engine died meanwhile.
+func (e *Engine) publish(result mgmodel.Result, life int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if life != e.life {
+		return
 	}
 	now := e.clock.Now()
-	result := e.model.Step()
 	for _, t := range result.Tokens() {
-		e.generations[t.ID()].advance(uint64(t.Seq()))
+		e.advance(t.ID(), uint64(t.Seq()))
 	}
 	for _, id := range result.Preempted() {
-		e.generations[id].preempted++
+		if g := e.running(id); g != nil {
+			g.preempted++
+		}
 	}
 	for _, id := range result.Finished() {
-		e.finish(e.generations[id], now)
+		if g := e.running(id); g != nil {
+			e.finish(g, now)
+		}
 	}
-	e.counts.Tokens += len(result.Tokens())
 	e.counts.Preempted += len(result.Preempted())
 	e.observe(now)
-	return result.Duration(), e.change()
+}
+
+// advance publishes a generation's tokens up to seq.
+func (e *Engine) advance(id string, seq uint64) {
+	if g := e.running(id); g != nil {
+		e.counts.Tokens++
+		g.produced = seq
+		g.wake()
+	}
+}
+
+// running returns a generation, or nil when it was cancelled during the step.
+func (e *Engine) running(id string) *generation {
+	g := e.generations[id]
+	if g == nil || g.end != "" {
+		return nil
+	}
+	return g
 }
 
 // observe takes what the lagging report and the late events will tell, and
@@ -178,12 +209,6 @@
 	g.wake()
 }
 
-// advance publishes the tokens up to seq.
-func (g *generation) advance(seq uint64) {
-	g.produced = seq
-	g.wake()
-}
-
 // wake lets the streams of a generation look again.
 func (g *generation) wake() {
 	close(g.changed)
@@ -248,6 +273,7 @@
 	for _, g := range e.generations {
 		g.wake()
 	}
+	e.life++
 	e.model = nil
 	e.finished = nil
 	e.fence = 0
