mgclient: a lost generation is final

Cause: a problem that names a time to come back was retried by the answer's name, also where the generation behind it was lost. Change: interrupted is final; whether to ask anew is the caller's to decide. Before: the new case of TestComplete red. After: green, go test -race -count=5, 5 of 5.

--- a/pkg/mgclient/client_test.go
+++ b/pkg/mgclient/client_test.go
@@ -231,6 +231,15 @@
 			text:  "1,2,3,4,",
 			asked: []string{post, resume + "0"},
 		},
+		{
+			name: "its name came ahead, and its generation was lost",
+			steps: []step{early(func(w http.ResponseWriter, _ *http.Request) {
+				mgproblem.Write(w, mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown, "a test", "none").WithRetry(1))
+			})},
+			kind:    mgproblem.Interrupted,
+			outcome: mgproblem.Unknown,
+			asked:   []string{post},
+		},
 		{
 			name:    "the entry dies before it answers",
 			steps:   []step{lost},
--- a/pkg/mgclient/complete.go
+++ b/pkg/mgclient/complete.go
@@ -187,8 +187,7 @@
 func (s *session) judge(err error, try int) *mgproblem.Problem {
 	var problem *mgproblem.Problem
 	if errors.As(err, &problem) {
-		again := passes(problem) || s.answer.name != "" && (elsewhere(problem) || problem.Retry() > 0)
-		if !again || try >= s.client.tries() {
+		if !s.again(problem) || try >= s.client.tries() {
 			return problem
 		}
 		return nil
@@ -209,6 +208,15 @@
 	}
 }
 
+// again reports whether the next try may do better after a problem. A
+// generation that was lost stays lost, also where a new request may succeed.
+func (s *session) again(problem *mgproblem.Problem) bool {
+	if problem.Kind() == mgproblem.Interrupted {
+		return false
+	}
+	return passes(problem) || s.answer.name != "" && (elsewhere(problem) || problem.Retry() > 0)
+}
+
 // wait returns how long to wait before the next try. An answer whose
 // connection failed for the first time goes on at once.
 func (s *session) wait(err error, try int) mgclock.Millis {
