mgentry: no "not run" for a request whose first generation was lost

Cause: a generation that is lost before its first token is started elsewhere; when no other upstream takes it, the caller got the outcome of that search, 'not run', though the first generation had run. The same where the second is late. Ruled out: the agents, which attest each for its own attempt, rightly. Change: after an attempt that isn't attested as not run, a later 'not run' becomes interrupted, unknown, with the same time to come back.

--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -36,6 +36,8 @@
 	avoid    map[string]bool
 	tokens   int
 	evicted  uint32
+	attested bool // the agent says that the attempt has not run
+	doubt    bool // an earlier attempt may have run
 }
 
 // open connects to the attempt's generation.
@@ -123,7 +125,7 @@
 		case mgdelivery.Reopen:
 			r.stream.Reopen(r.receiver.Last())
 		case mgdelivery.Elsewhere:
-			problem = r.elsewhere(ctx)
+			problem = r.whole(r.elsewhere(ctx))
 		case mgdelivery.Fail:
 			problem = decision.Problem()
 		}
@@ -150,7 +152,7 @@
 	case ctx.Err() != nil:
 		return mgdelivery.Decision{}, r.callerGone(ctx)
 	case waitCtx.Err() != nil:
-		return mgdelivery.Decision{}, r.overdue(ctx)
+		return mgdelivery.Decision{}, r.whole(r.overdue(ctx))
 	default:
 		return r.receiver.Lost(r.number), nil
 	}
@@ -185,6 +187,18 @@
 func (r *reading) note(frame *mgrpc.Frame) {
 	r.tokens += len(frame.GetText())
 	r.evicted = frame.GetPreempted()
+	r.attested = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
+}
+
+// whole returns a problem of the last attempt as that of the whole request:
+// after an attempt that may have run, "not run" would be a claim too many.
+func (r *reading) whole(problem *mgproblem.Problem) *mgproblem.Problem {
+	if problem == nil || !r.doubt || problem.Outcome() != mgproblem.NotRun {
+		return problem
+	}
+	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		"the generation was lost before its first token, and no other upstream takes the request",
+		"send the request again for a new answer").WithRetry(problem.Retry()).WithCause(problem)
 }
 
 // elsewhere starts another generation where nothing was delivered.
@@ -193,6 +207,7 @@
 	if r.job == nil {
 		return interruptedProblem()
 	}
+	r.doubt = r.doubt || !r.attested
 	// An engine that dies leaves many requests behind at once. Without a budget
 	// all of them go to the engines that are left, which may drown next.
 	if !r.entry.budgets.Of(r.job.service.Name()).Spend() {
@@ -208,6 +223,7 @@
 	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
 		mglog.Attempt, made.id, mglog.Upstream, made.agent.Upstream(), mglog.Account, r.job.account.Name())
 	r.attempt = made
+	r.attested = false
 	r.tokens = 0
 	r.open()
 	return nil
--- a/internal/process/mgfleet/play_test.go
+++ b/internal/process/mgfleet/play_test.go
@@ -208,24 +208,18 @@
 	return checkProblem(engines, r)
 }
 
-// checkProblem checks that a report that isn't whole is told so truly.
+// checkProblem checks that a report that isn't whole is told so truly: it is
+// the beginning of one generation, and not told not run where one began.
 func checkProblem(engines mgstandin.EngineCounts, r report) string {
-	behind := 0
+	beginning := r.answer.Tokens() == 0
 	for id, record := range engines.Generations {
-		if !strings.Contains(record.Prompt, r.prompt) {
-			continue
-		}
-		behind++
-		if mgstandin.Whole(id, int(r.answer.Tokens())) == r.answer.Text() {
-			behind = 0
-			break
-		}
+		mine := strings.Contains(record.Prompt, r.prompt)
+		beginning = beginning || mine && mgstandin.Whole(id, int(r.answer.Tokens())) == r.answer.Text()
 	}
-	notRun := mgproblem.From(r.err).Outcome() == mgproblem.NotRun
 	switch {
-	case notRun && r.answer.Tokens() > 0:
-		return "told not run after tokens came: " + r.err.Error()
-	case behind > 0 && r.answer.Tokens() > 0:
+	case mgproblem.From(r.err).Outcome() == mgproblem.NotRun && began(engines, r.prompt):
+		return "told not run, and a generation began: " + r.err.Error()
+	case !beginning:
 		return "what came is the beginning of no generation"
 	}
 	return ""
