--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -83,6 +83,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g.setCancel(cancel)
+	if g.ended() {
+		// It was cancelled between the ledger's leave and this line, when there
+		// was nothing yet to stop: it would run with nobody to read it.
+		a.end(g, "", cancelled(mgproblem.Unknown))
+		return
+	}
 	if problem := a.startAt(ctx, g); problem != nil {
 		a.end(g, "", problem)
 		return
@@ -94,35 +100,43 @@
 	a.read(ctx, g)
 }
 
-// startAt starts the generation, which the engine does once per id. A refusal
-// speaks for its own start only: after one whose answer was lost, the
-// generation may have run, and "not run" would be a claim too many.
+// startAt starts the generation, which the engine does once per id.
 func (a *Agent) startAt(ctx context.Context, g *generation) *mgproblem.Problem {
 	var err error
-	doubt := false
+	doubt := false // a try before may have started it
 	for range startTries {
 		err = a.tryStart(ctx, g)
 		if err == nil {
 			return nil
 		}
-		refused := mgengine.KindOf(err) == mgengine.NotStarted
-		if refused {
+		if mgengine.KindOf(err) == mgengine.NotStarted {
 			a.sick.Store(true) // until the next load report
-		}
-		if refused && !doubt {
+			if doubt {
+				// A refusal speaks for this try alone. The one before was sent and
+				// not answered, so that the engine may have run it until it died.
+				break
+			}
 			return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 				"the engine refused the generation", "try another upstream").WithCause(err)
 		}
-		if refused || ctx.Err() != nil {
+		doubt = true
+		if ctx.Err() != nil {
 			break
 		}
-		doubt = true
 	}
-	_ = a.spec.Engine.Cancel(context.WithoutCancel(ctx), g.id)
+	a.cancelAt(context.WithoutCancel(ctx), g.id)
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the engine did not answer", "try another upstream").WithCause(err)
 }
 
+// cancelAt tells the engine to end a generation. A silent engine would hold the
+// caller for good, and with it the sweep or the agent's stop.
+func (a *Agent) cancelAt(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
+	defer cancel()
+	_ = a.spec.Engine.Cancel(ctx, id)
+}
+
 func (a *Agent) tryStart(ctx context.Context, g *generation) error {
 	ctx, cancel := context.WithTimeout(ctx, startWait.Duration())
 	defer cancel()
@@ -137,6 +151,8 @@
 		token, err := a.readOnce(ctx, g)
 		switch {
 		case g.ended():
+			// The cancel may have reached the engine before the start.
+			a.cancelAt(context.WithoutCancel(ctx), g.id)
 			a.end(g, "", cancelled(mgproblem.Unknown))
 			return
 		case err == nil && token.End != "":
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -36,8 +36,8 @@
 	avoid    map[string]bool
 	tokens   int
 	evicted  uint32
-	attested bool // the agent says that the attempt has not run
-	doubt    bool // an earlier attempt may have run
+	notRun   bool // the agent attests that the attempt did not run
+	doubt    bool // an attempt before this one may have run
 }
 
 // open connects to the attempt's generation.
@@ -125,7 +125,7 @@
 		case mgdelivery.Reopen:
 			r.stream.Reopen(r.receiver.Last())
 		case mgdelivery.Elsewhere:
-			problem = r.whole(r.elsewhere(ctx))
+			problem = r.elsewhere(ctx)
 		case mgdelivery.Fail:
 			problem = decision.Problem()
 		}
@@ -152,7 +152,7 @@
 	case ctx.Err() != nil:
 		return mgdelivery.Decision{}, r.callerGone(ctx)
 	case waitCtx.Err() != nil:
-		return mgdelivery.Decision{}, r.whole(r.overdue(ctx))
+		return mgdelivery.Decision{}, r.overdue(ctx)
 	default:
 		return r.receiver.Lost(r.number), nil
 	}
@@ -181,24 +181,23 @@
 // caller at once what the agent attests.
 func (r *reading) overdue(ctx context.Context) *mgproblem.Problem {
 	r.stream.Close()
-	return late(r.entry.abandon(ctx, r.attempt))
+	return r.honest(late(r.entry.abandon(ctx, r.attempt)))
 }
 
 func (r *reading) note(frame *mgrpc.Frame) {
 	r.tokens += len(frame.GetText())
 	r.evicted = frame.GetPreempted()
-	r.attested = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
+	r.notRun = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
 }
 
-// whole returns a problem of the last attempt as that of the whole request:
-// after an attempt that may have run, "not run" would be a claim too many.
-func (r *reading) whole(problem *mgproblem.Problem) *mgproblem.Problem {
+// honest returns what the caller is told. What is attested of the last attempt
+// says nothing of those before: an engine may have worked on one until it died,
+// and "not run" would not be true of the request.
+func (r *reading) honest(problem *mgproblem.Problem) *mgproblem.Problem {
 	if problem == nil || !r.doubt || problem.Outcome() != mgproblem.NotRun {
 		return problem
 	}
-	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
-		"the generation was lost before its first token, and no other upstream takes the request",
-		"send the request again for a new answer").WithRetry(problem.Retry()).WithCause(problem)
+	return mgproblem.New(problem.Kind(), mgproblem.Unknown, problem.Detail(), problem.Remedy()).WithRetry(problem.Retry())
 }
 
 // elsewhere starts another generation where nothing was delivered.
@@ -207,23 +206,22 @@
 	if r.job == nil {
 		return interruptedProblem()
 	}
-	r.doubt = r.doubt || !r.attested
+	r.doubt = r.doubt || !r.notRun
 	// An engine that dies leaves many requests behind at once. Without a budget
 	// all of them go to the engines that are left, which may drown next.
 	if !r.entry.budgets.Of(r.job.service.Name()).Spend() {
-		return crowded()
+		return r.honest(crowded())
 	}
 	r.avoid[r.attempt.agent.Name()] = true
 	r.attempt.ended()
 	made, problem := r.entry.begin(ctx, r.job, r.avoid)
 	if problem != nil {
-		return problem
+		return r.honest(problem)
 	}
 	r.entry.spec.Metrics.Counter("elsewhere").Inc(1)
 	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
 		mglog.Attempt, made.id, mglog.Upstream, made.agent.Upstream(), mglog.Account, r.job.account.Name())
 	r.attempt = made
-	r.attested = false
 	r.tokens = 0
 	r.open()
 	return nil
--- a/internal/request/mgadmission/gate.go
+++ b/internal/request/mgadmission/gate.go
@@ -7,12 +7,16 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mglength"
 )
 
-// The defaults of a Spec.
+// The defaults of a Spec. DefaultSteady lets in a request that prefers steady
+// tokens as far as the batch outgrows memory with a chance of some 7 % at one
+// moment; DefaultWhole, for one that must not be preempted, is 0.6 %. Their
+// difference leaves room for short requests at all times: with one z for both, a
+// lookup waits until a report ends. Trials are in the commit that set them.
 const (
 	DefaultBatch  = 64
 	DefaultFree   = 0.1
-	DefaultSteady = 2
-	DefaultWhole  = 3
+	DefaultSteady = 1.5
+	DefaultWhole  = 2.5
 )
 
 // stride is the number of tokens after which an answer's part in the outlook
@@ -39,9 +43,7 @@
 	produced int
 	weighed  int // produced when outlook was computed
 	max      int
-	whole    bool
 	running  bool
-	out      bool // preempted and not back
 }
 
 // Held returns the tokens of memory that the answer holds.
@@ -55,8 +57,6 @@
 	used     int64
 	reserved int64
 	running  int
-	whole    int
-	out      int
 	reports  [reports]int64 // of memory that the engine holds beyond used
 	report   int
 }
@@ -88,6 +88,10 @@
 	g.report++
 }
 
+// Limit sets the most answers at a time from now on, 0 for DefaultBatch. What
+// runs beyond it goes on.
+func (g *Gate) Limit(batch int) { g.spec.Batch = batch }
+
 // room returns the memory that is the gate's to fill.
 func (g *Gate) room() int64 {
 	return g.spec.Memory - slices.Min(g.reports[:])
@@ -98,10 +102,13 @@
 	return g.spec.Memory <= 0 || int64(prompt) < g.spec.Memory
 }
 
+// Full reports whether a batch runs, so that nothing may start.
+func (g *Gate) Full() bool { return g.running >= g.batch() }
+
 // Admits reports whether c may start now.
 func (g *Gate) Admits(c Candidate) bool {
 	switch {
-	case g.running >= g.batch() || g.out > 0:
+	case g.Full():
 		return false
 	case g.spec.Memory <= 0:
 		return true
@@ -129,43 +136,26 @@
 	*s = Share{
 		prompt:  c.Prompt,
 		max:     c.Max,
-		whole:   c.Whole,
 		running: true,
 	}
 	g.running++
 	g.used += int64(c.Prompt)
 	g.reserved += g.most(c.Prompt, c.Max)
-	if c.Whole {
-		g.whole++
-	}
 	g.Weigh(s, c.Curve)
 }
 
-// Grow tells that the answer has produced a number of tokens in all, which
-// brings a preempted answer back. It reports whether Weigh is due.
+// Grow tells that the answer has produced a number of tokens in all. It reports
+// whether Weigh is due. An answer that the engine preempts just doesn't grow: its
+// memory stays counted, so that nothing is let in which would keep it out.
 func (g *Gate) Grow(s *Share, produced int) bool {
 	if !s.running || produced <= s.produced {
 		return false
 	}
-	if s.out {
-		s.out = false
-		g.out--
-	}
 	g.used += int64(produced - s.produced)
 	s.produced = produced
 	return g.spec.Rule == Outgrow && produced-s.weighed >= stride
 }
 
-// Preempted tells that the engine took the answer's memory away for a while.
-// It stays counted, as the answer comes back before anything new.
-func (g *Gate) Preempted(s *Share) {
-	if !s.running || s.out {
-		return
-	}
-	s.out = true
-	g.out++
-}
-
 // Leave gives the answer's memory back.
 func (g *Gate) Leave(s *Share) {
 	if !s.running {
@@ -174,12 +164,6 @@
 	g.running--
 	g.used -= int64(s.Held())
 	g.reserved -= g.most(s.prompt, s.max)
-	if s.whole {
-		g.whole--
-	}
-	if s.out {
-		g.out--
-	}
 	g.outlook.subtract(&s.outlook)
 	if g.running == 0 {
 		g.outlook = outlook{} // no drift of the sums
@@ -189,7 +173,7 @@
 
 // within reports whether the batch with c stays within memory at each moment.
 func (g *Gate) within(c Candidate, room float64) bool {
-	z := g.spec.z(g.whole > 0 || c.Whole)
+	z := g.spec.z(c.Whole)
 	var sum outlook
 	sum.fill(&Share{
 		prompt: c.Prompt,
@@ -206,7 +190,7 @@
 
 // Weigh computes the answer's outlook anew from the curve of its length.
 func (g *Gate) Weigh(s *Share, curve *mglength.Curve) {
-	if g.spec.Rule != Outgrow || !s.running {
+	if g.spec.Rule != Outgrow || g.spec.Memory <= 0 || !s.running {
 		return
 	}
 	g.outlook.subtract(&s.outlook)
