mgentry: the caller learns the name of the generation that takes over

Where a dying engine breaks connections instead of refusing them, the agent needs up to 500 ms to find it out; requests started there go elsewhere. The caller had been told the first generation's name (103), took the second one's tokens for a stranger's and resumed the dead one. Ruled out: the retry budget (33 of 64 spent), the receiver (it did go elsewhere). Change: the entry tells the new name when an answer starts over.

--- a/internal/process/mgentry/deliver.go
+++ b/internal/process/mgentry/deliver.go
@@ -99,6 +99,10 @@
 	if t.problem != nil {
 		return true, e.fail(out, form, t)
 	}
+	if t.moved {
+		e.announce(out.w, form.account, t.attempt)
+		return false, nil
+	}
 	if len(t.decision.Tokens()) > 0 {
 		if err := out.write(form.tokens(t)); err != nil {
 			return true, err
@@ -133,6 +137,9 @@
 			mgproblem.Write(w, t.problem)
 			return
 		}
+		if t.moved {
+			e.announce(w, form.account, t.attempt)
+		}
 		if t.decision.Action() == mgdelivery.Finish {
 			e.answered(form)
 			w.Header().Set("Content-Type", "application/json")
--- a/internal/process/mgentry/doubt_test.go
+++ b/internal/process/mgentry/doubt_test.go
@@ -10,11 +10,9 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
@@ -65,73 +63,83 @@
 	return &mgrpc.CancelReply{Outcome: "notrun"}, nil
 }
 
-func frames(w http.ResponseWriter, r *http.Request) {
-	_ = mglink.WriteFrame(w, &mgrpc.Frame{
-		Generation: chi.URLParam(r, "generation"),
-		Fault:      "crowded",
-		Outcome:    "notrun",
-		Remedy:     "try another upstream",
-		Retry:      1000,
-	})
-}
-
-// hosts answers requests by their host; starts and cancels at agent-1 break.
+// hosts answers requests by their host.
 type hosts map[string]http.Handler
 
 // RoundTrip serves a request in this goroutine, without the context of the
 // entry's own router.
 func (h hosts) RoundTrip(r *http.Request) (*http.Response, error) {
-	if r.URL.Host == "agent-1" && !strings.HasSuffix(r.URL.Path, "Probe") {
-		return nil, errReset
-	}
 	recorder := httptest.NewRecorder()
 	h[r.URL.Host].ServeHTTP(recorder, r.WithContext(context.Background()))
 	return recorder.Result(), nil
 }
 
+// silent is hosts of which one answers nothing but probes.
+type silent struct {
+	hosts
+	host string
+}
+
+// RoundTrip breaks the connection of a request to the silent host.
+func (s silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Host == s.host && !strings.HasSuffix(r.URL.Path, "Probe") {
+		return nil, errReset
+	}
+	return s.hosts.RoundTrip(r)
+}
+
+// entryOver returns an entry that reaches agent-1 and agent-2 by network.
+func entryOver(network http.RoundTripper) *mgentry.Entry {
+	parsed, err := mgtable.Parse([]byte(table))
+	So(err, ShouldBeNil)
+	members := mgmember.New("entry")
+	members.List(0, mgplatform.List{
+		Version: 1,
+		VMs:     []mgplatform.VM{agentVM("agent-1", "engine-1"), agentVM("agent-2", "engine-2")},
+	})
+	return mgentry.New(mgentry.Spec{
+		Settings: mgsettings.Entry{
+			Process: mgsettings.Process{
+				Zone:   "a",
+				Region: "south",
+				Beat:   250,
+			},
+			Body:  1 << 20,
+			Probe: 5000,
+			Slow:  5000,
+		},
+		Log:     logr.Discard(),
+		Metrics: mgmetric.New(),
+		Seal:    &mgseal.Signer{},
+		Table:   func() *mgtable.Table { return parsed },
+		Seen:    func(uint64, string) {},
+		View:    members.View,
+		Failed:  func(string) {},
+		Heard:   func(string, string, bool) {},
+		Calls:   network,
+		Frames:  network,
+		Base:    func(address string) string { return "http://" + address },
+	}, "epoch")
+}
+
 // A gauger is told "not run" and sends the report again, while the first one
 // runs. The start at the first agent got no answer, the second agent took the
 // request and later attested that it had not run there. One attempt's "not run"
 // says nothing of the one before it.
 func TestDoubt(t *testing.T) {
 	Convey("A refusal after a start without an answer is unknown", t, func() {
-		parsed, err := mgtable.Parse([]byte(table))
-		So(err, ShouldBeNil)
-		members := mgmember.New("entry")
-		members.List(0, mgplatform.List{
-			Version: 1,
-			VMs:     []mgplatform.VM{agentVM("agent-1", "engine-1"), agentVM("agent-2", "engine-2")},
-		})
-		second := chi.NewRouter()
-		second.Mount(mgrpc.AgentPathPrefix, mgrpc.NewAgentServer(givesUp{}))
-		second.Get("/frames/{generation}", frames)
-		network := hosts{
-			"agent-1": mgrpc.NewAgentServer(&silentStart{}),
-			"agent-2": second,
-		}
-		entry := mgentry.New(mgentry.Spec{
-			Settings: mgsettings.Entry{
-				Process: mgsettings.Process{
-					Zone:   "a",
-					Region: "south",
-					Beat:   250,
-				},
-				Body:  1 << 20,
-				Probe: 5000,
-				Slow:  5000,
+		entry := entryOver(silent{
+			host: "agent-1",
+			hosts: hosts{
+				"agent-1": mgrpc.NewAgentServer(&silentStart{}),
+				"agent-2": host(givesUp{}, &mgrpc.Frame{
+					Fault:   "crowded",
+					Outcome: "notrun",
+					Remedy:  "try another upstream",
+					Retry:   1000,
+				}),
 			},
-			Log:     logr.Discard(),
-			Metrics: mgmetric.New(),
-			Seal:    &mgseal.Signer{},
-			Table:   func() *mgtable.Table { return parsed },
-			Seen:    func(uint64, string) {},
-			View:    members.View,
-			Failed:  func(string) {},
-			Heard:   func(string, string, bool) {},
-			Calls:   network,
-			Frames:  network,
-			Base:    func(address string) string { return "http://" + address },
-		}, "epoch")
+		})
 		request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions",
 			strings.NewReader(`{"model":"report","messages":[{"role":"user","content":"len=5"}]}`))
 		request.Header.Set("Authorization", "Bearer sample-tankline")
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -49,8 +49,9 @@
 const nameHeader = "Answer"
 
 // announce tells the caller the answer's name before there is a token, in an
-// informational response (RFC 8297). A caller whose entry dies while the
-// request waits resumes by it; one that doesn't know it reads over it.
+// informational response (RFC 8297), and again when the answer starts over
+// elsewhere. A caller whose entry dies while the request waits resumes by it;
+// one that doesn't know it reads over it.
 func (e *Entry) announce(w http.ResponseWriter, account string, made attempt) {
 	w.Header().Set(nameHeader, e.name(account, made))
 	w.WriteHeader(http.StatusEarlyHints)
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -106,6 +106,7 @@
 	problem  *mgproblem.Problem // the last word, when the answer fails
 	attempt  attempt
 	evicted  uint32
+	moved    bool // the answer started over elsewhere and has a new name
 }
 
 // over reports whether nothing follows the turn.
@@ -129,13 +130,15 @@
 		case mgdelivery.Fail:
 			problem = decision.Problem()
 		}
+		moved := decision.Action() == mgdelivery.Elsewhere
 		deliver := decision.Action() == mgdelivery.Deliver || decision.Action() == mgdelivery.Finish
-		if deliver || problem != nil {
+		if deliver || moved || problem != nil {
 			return turn{
 				decision: decision,
 				problem:  problem,
 				attempt:  r.attempt,
 				evicted:  r.evicted,
+				moved:    moved,
 			}
 		}
 	}
--- a/pkg/mgclient/client_test.go
+++ b/pkg/mgclient/client_test.go
@@ -121,6 +121,15 @@
 	}
 }
 
+// moved tells the name of the generation that the answer started over with.
+func moved(answer string, then step) step {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Answer", answer)
+		w.WriteHeader(http.StatusEarlyHints)
+		then(w, r)
+	}
+}
+
 // lost breaks the connection without a reply.
 func lost(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
@@ -231,6 +240,21 @@
 			text:  "1,2,3,4,",
 			asked: []string{post, resume + "0"},
 		},
+		{
+			// A lookup's engine dies before the first token. The entry starts over
+			// elsewhere and streams under a new name, and the caller, who held to
+			// the first name, gave the right answer up.
+			name:  "its name came ahead, and it started over elsewhere",
+			steps: []step{early(moved("b", rest("b", 1, 2, 3, 4)))},
+			text:  "1,2,3,4,",
+			asked: []string{post},
+		},
+		{
+			name:  "it started over elsewhere, and the entry dies",
+			steps: []step{early(moved("b", lost)), rest("b", 1, 2, 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, "GET /v1/answers/b b.0"},
+		},
 		{
 			name: "its name came ahead, and its generation was lost",
 			steps: []step{early(func(w http.ResponseWriter, _ *http.Request) {
