--- /dev/null
+++ b/internal/bench/mgnet/net.go
@@ -0,0 +1,136 @@
+// Package mgnet is a link between the members of a focused test, in virtual
+// time: it delays, loses and cuts messages and pauses members. It serves the
+// tests and slopes of configuration, membership and shares, and nothing else.
+package mgnet
+
+import (
+	"container/heap"
+	"math/rand/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A Net delivers messages and timers in the order of their times. Its zero
+// value loses nothing and delays nothing.
+type Net struct {
+	now    mgclock.Millis
+	rng    *rand.Rand
+	queue  queue
+	count  uint64
+	paused map[string]mgclock.Millis
+
+	// delay returns how long a message takes, cut whether it is lost.
+	delay func(from, to string) mgclock.Millis
+	cut   func(from, to string) bool
+	loss  float64
+
+	messages map[string]int // sent and received, by member
+	bytes    map[string]int
+}
+
+// New returns a net whose losses and jitter follow from a seed.
+func New(seed uint64, delay func(from, to string) mgclock.Millis) *Net {
+	return &Net{
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		delay:    delay,
+		paused:   make(map[string]mgclock.Millis),
+		messages: make(map[string]int),
+		bytes:    make(map[string]int),
+	}
+}
+
+// Now returns the virtual time.
+func (n *Net) Now() mgclock.Millis { return n.now }
+
+// Cut loses the messages for which cut is true, and a share of all others.
+func (n *Net) Cut(loss float64, cut func(from, to string) bool) {
+	n.loss = loss
+	n.cut = cut
+}
+
+// Pause stops a member for a span. What falls due for it waits.
+func (n *Net) Pause(name string, span mgclock.Millis) {
+	n.paused[name] = max(n.paused[name], n.now+span)
+}
+
+// Send runs a function at the receiver after the delay, unless it is lost.
+func (n *Net) Send(from, to string, size int, run func()) {
+	n.meter(from, size)
+	if n.cut != nil && n.cut(from, to) || n.loss > 0 && n.rng.Float64() < n.loss {
+		return
+	}
+	span := mgclock.Millis(0)
+	if n.delay != nil {
+		span = n.delay(from, to)
+	}
+	n.At(n.now+span, to, func() {
+		n.meter(to, size)
+		run()
+	})
+}
+
+func (n *Net) meter(name string, size int) {
+	if n.messages != nil {
+		n.messages[name]++
+		n.bytes[name] += size
+	}
+}
+
+// Traffic returns the messages and bytes that a member sent and received.
+func (n *Net) Traffic(name string) (messages, bytes int) { return n.messages[name], n.bytes[name] }
+
+// At runs a function of a member at a time.
+func (n *Net) At(at mgclock.Millis, owner string, run func()) {
+	n.count++
+	heap.Push(&n.queue, event{
+		at:    at,
+		seq:   n.count,
+		owner: owner,
+		run:   run,
+	})
+}
+
+// Run delivers what falls due until a time.
+func (n *Net) Run(until mgclock.Millis) {
+	for len(n.queue) > 0 && n.queue[0].at <= until {
+		e := heap.Pop(&n.queue).(event)
+		n.now = max(n.now, e.at)
+		if wakes := n.paused[e.owner]; wakes > n.now {
+			n.At(wakes, e.owner, e.run)
+			continue
+		}
+		e.run()
+	}
+	n.now = max(n.now, until)
+}
+
+// event is a message or a timer.
+type event struct {
+	at    mgclock.Millis
+	seq   uint64
+	owner string
+	run   func()
+}
+
+// queue is a heap of events.
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].seq < q[j].seq
+}
+
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/version/mgconfig/fleet_test.go
@@ -0,0 +1,335 @@
+package mgconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgnet"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// callBytes is what HTTP adds to a message and its reply together, as
+// BenchmarkExchangeBytes measures it on a connection that is kept open.
+const callBytes = 420
+
+// zones and regions of a fleet: seven zones in three regions.
+const zoneCount = 7
+
+// platform is a stand-in for the configuration service in virtual time.
+type platform struct {
+	net     *mgnet.Net
+	values  map[string]mgplatform.Value
+	frozen  map[string]mgplatform.Value // what is shown while stale
+	stale   bool
+	down    bool
+	waiting []func() bool // watches; true when answered
+	reads   map[mgclock.Millis]int
+}
+
+func (p *platform) get(key string) (mgplatform.Value, error) {
+	values := p.values
+	if p.stale {
+		values = p.frozen
+	}
+	v, ok := values[key]
+	if !ok {
+		return v, mgplatform.ErrMissing
+	}
+	return v, nil
+}
+
+func (p *platform) put(key string, data []byte) {
+	p.values[key] = mgplatform.NewValue(p.values[key].Version()+1, data)
+	kept := p.waiting[:0]
+	for _, look := range p.waiting {
+		if !look() {
+			kept = append(kept, look)
+		}
+	}
+	p.waiting = kept
+}
+
+func (p *platform) freeze(stale bool) {
+	p.stale = stale
+	p.frozen = make(map[string]mgplatform.Value)
+	for key, v := range p.values {
+		p.frozen[key] = v
+	}
+}
+
+// peak returns the most reads in a second from one time on.
+func (p *platform) peak(from mgclock.Millis) int {
+	most := 0
+	for second, count := range p.reads {
+		if second >= from/mgclock.Second {
+			most = max(most, count)
+		}
+	}
+	return most
+}
+
+// node is a member of a fleet.
+type node struct {
+	name    string
+	machine *Machine
+	members *mgmember.Members
+	life    int // restarts, so that timers of a former life do nothing
+	high    mark
+	since   map[uint64]mgclock.Millis // when a version came in force
+	ready   mgclock.Millis
+}
+
+// fleet is a few members over a net.
+type fleet struct {
+	net      *mgnet.Net
+	platform *platform
+	nodes    []*node
+	byName   map[string]*node
+	spread   mgclock.Millis
+	back     string // how a member went back, or ""
+}
+
+func newFleet(seed uint64, count int, spread mgclock.Millis) *fleet {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	net := mgnet.New(seed, func(string, string) mgclock.Millis { return 1 + mgclock.Millis(rng.IntN(3)) })
+	f := &fleet{
+		net: net,
+		platform: &platform{
+			net:    net,
+			values: make(map[string]mgplatform.Value),
+			reads:  make(map[mgclock.Millis]int),
+		},
+		byName: make(map[string]*node),
+		spread: spread,
+	}
+	var list mgplatform.List
+	list.Version = 1
+	for i := range count {
+		n := &node{
+			name: fmt.Sprintf("vm-%04d", i),
+		}
+		f.nodes = append(f.nodes, n)
+		f.byName[n.name] = n
+		list.VMs = append(list.VMs, mgplatform.VM{
+			Name:   n.name,
+			Kind:   mgplatform.EntryKind,
+			Addr:   n.name,
+			Zone:   zoneOf(i),
+			Region: "r" + fmt.Sprint(i%zoneCount%3),
+			State:  mgplatform.Live,
+		})
+	}
+	data, _ := json.Marshal(list)
+	f.platform.put(mgplatform.ListKey, data)
+	return f
+}
+
+func zoneOf(i int) string { return fmt.Sprintf("z%d", i%zoneCount) }
+
+// start begins a new life of a member.
+func (f *fleet) start(i int) {
+	n := f.nodes[i]
+	n.life++
+	n.members = mgmember.New(n.name)
+	n.high = mark{}
+	n.ready = never
+	n.since = make(map[uint64]mgclock.Millis)
+	n.machine = NewMachine(f.net.Now(), MachineSpec{
+		Name:        n.name,
+		Zone:        zoneOf(i),
+		Incarnation: fmt.Sprintf("%08d", n.life),
+		Addr:        n.name,
+		Seed:        uint64(i*1000 + n.life),
+		Spread:      f.spread,
+	}, n.members)
+	f.tick(n, n.life)
+}
+
+func (f *fleet) startAll() {
+	for i := range f.nodes {
+		f.start(i)
+	}
+}
+
+func (f *fleet) tick(n *node, life int) {
+	f.net.At(max(f.net.Now(), n.machine.Wake()), n.name, func() {
+		if n.life != life {
+			return
+		}
+		f.perform(n, n.machine.Tick(f.net.Now()))
+		f.tick(n, life)
+	})
+}
+
+// perform carries out actions and checks that the member didn't go back.
+func (f *fleet) perform(n *node, actions []Action) {
+	now := f.net.Now()
+	current := n.machine.Current().mark()
+	if n.high.above(current) {
+		f.back = fmt.Sprintf("%s went from %v back to %v at %d", n.name, n.high, current, now)
+	}
+	if current.above(n.high) {
+		n.since[current.version] = now
+	}
+	n.high = current
+	if n.ready == never && n.machine.Ready(now) {
+		n.ready = now
+		if n.machine.join.high.above(current) {
+			f.back = n.name + " is ready below what it heard"
+		}
+	}
+	for _, a := range actions {
+		f.carry(n, a)
+	}
+}
+
+// carry sends one action and returns its result, once.
+func (f *fleet) carry(n *node, a Action) {
+	life, over := n.life, false
+	finish := func(result ResultSpec) {
+		if over || n.life != life {
+			return
+		}
+		over = true
+		result.Action = a
+		f.perform(n, n.machine.Done(f.net.Now(), result))
+	}
+	f.net.At(f.net.Now()+timeout(a), n.name, func() {
+		finish(ResultSpec{
+			Err: mgplatform.ErrDown,
+		})
+	})
+	switch a.Kind() {
+	case Exchange, Fetch:
+		f.call(n, a, finish)
+	default:
+		f.read(n, a, finish)
+	}
+}
+
+func (f *fleet) call(n *node, a Action, finish func(ResultSpec)) {
+	to := f.byName[a.Addr()]
+	if a.Kind() == Exchange {
+		f.net.Send(n.name, to.name, proto.Size(a.Summary())+callBytes/2, func() {
+			reply, actions := to.machine.Heard(f.net.Now(), a.Summary())
+			f.perform(to, actions)
+			f.net.Send(to.name, n.name, proto.Size(reply)+callBytes/2, func() {
+				finish(ResultSpec{
+					Summary: reply,
+				})
+			})
+		})
+		return
+	}
+	f.net.Send(n.name, to.name, proto.Size(a.Fetch())+callBytes/2, func() {
+		reply := Serve(to.machine.Current(), to.machine.List(), a.Fetch())
+		f.net.Send(to.name, n.name, proto.Size(reply)+callBytes/2, func() {
+			values, list, err := unpack(reply)
+			finish(ResultSpec{
+				Values: values,
+				List:   list,
+				Err:    err,
+			})
+		})
+	})
+}
+
+func (f *fleet) read(n *node, a Action, finish func(ResultSpec)) {
+	p := f.platform
+	answer := func(v mgplatform.Value, err error) {
+		f.net.Send("platform", n.name, len(v.Bytes())+callBytes/2, func() {
+			finish(ResultSpec{
+				Value: v,
+				Err:   err,
+			})
+		})
+	}
+	f.net.Send(n.name, "platform", callBytes/2, func() {
+		p.reads[f.net.Now()/mgclock.Second]++
+		if p.down {
+			answer(mgplatform.Value{}, mgplatform.ErrDown)
+			return
+		}
+		v, err := p.get(a.Key())
+		if a.Kind() == Read || err != nil || v.Version() > a.After() {
+			answer(v, err)
+			return
+		}
+		f.await(a, answer)
+	})
+}
+
+// await holds a watch until the value changes or the wait is over.
+func (f *fleet) await(a Action, answer func(mgplatform.Value, error)) {
+	over := false
+	f.platform.waiting = append(f.platform.waiting, func() bool {
+		v, err := f.platform.get(a.Key())
+		if over {
+			return true
+		}
+		if f.platform.down || err != nil || v.Version() <= a.After() {
+			return false
+		}
+		over = true
+		answer(v, nil)
+		return true
+	})
+	f.net.At(f.net.Now()+a.Wait(), "platform", func() {
+		if !over {
+			over = true
+			answer(mgplatform.Value{}, mgplatform.ErrUnchanged)
+		}
+	})
+}
+
+// tableText returns a table of some accounts whose weights follow from edit.
+func tableText(version uint64, edit int) []byte {
+	text := fmt.Sprintf("version = %d\n[[model]]\nname = \"m\"\ncontext = 9\nmax = 9\n", version)
+	text += "[[service]]\nname = \"s\"\nmodel = \"m\"\n"
+	for i := range 12 {
+		text += fmt.Sprintf("[[account]]\nname = \"a%d\"\nweight = %d\n", i, 1+(edit+i)%7)
+	}
+	return []byte(text)
+}
+
+// publish puts a version on the platform, its pages first.
+func (f *fleet) publish(version uint64, edit int) {
+	table, err := mgtable.Parse(tableText(version, edit))
+	if err != nil {
+		panic(err)
+	}
+	m, pages, err := table.Pages(200)
+	if err != nil {
+		panic(err)
+	}
+	for i, page := range pages {
+		f.platform.put(mgplatform.PageKey(m.Pages[i]), page)
+	}
+	f.platform.put(mgplatform.ManifestKey, m.Bytes())
+}
+
+// publishFaulty puts a version on the platform whose page doesn't hold.
+func (f *fleet) publishFaulty(version uint64) {
+	page := []byte("[[account]]\nname = \"a\"\nweight = -1\n")
+	m := mgtable.Manifest{
+		Version: version,
+		Pages:   []string{mgtable.DigestOf(page).String()},
+	}
+	f.platform.put(mgplatform.PageKey(m.Pages[0]), page)
+	f.platform.put(mgplatform.ManifestKey, m.Bytes())
+}
+
+// versions returns how many members have a version in force.
+func (f *fleet) versions() map[uint64]int {
+	counts := make(map[uint64]int)
+	for _, n := range f.nodes {
+		counts[n.machine.Current().Version()]++
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/version/mgconfig/loop.go
@@ -0,0 +1,259 @@
+package mgconfig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Timeouts of actions. A peer answers an exchange from memory; a fetch may carry
+// a megabyte.
+const (
+	exchangeTimeout = mgclock.Second
+	fetchTimeout    = 5 * mgclock.Second
+	readTimeout     = 5 * mgclock.Second
+)
+
+// errStopped is the error of a loop that doesn't run.
+var errStopped = errors.New("mgconfig: this process is starting or stopping: ask another peer")
+
+// A LoopSpec joins a machine to the outside.
+type LoopSpec struct {
+	Machine  MachineSpec
+	Clock    mgclock.Clock
+	Members  *mgmember.Members
+	Platform mgplatform.Client
+	Log      logr.Logger
+
+	// Exchange and Fetch call the peer at an address.
+	Exchange func(ctx context.Context, addr string, s *mgrpc.Summary) (*mgrpc.Summary, error)
+	Fetch    func(ctx context.Context, addr string, r *mgrpc.FetchRequest) (*mgrpc.FetchReply, error)
+
+	// Adopted is told of each snapshot put in force, in order. It may be nil.
+	// It must not call the loop and return soon: a control event is the right
+	// size.
+	Adopted func(*Snapshot)
+}
+
+// A Loop carries out a machine's actions and feeds it their results.
+type Loop struct {
+	spec    LoopSpec
+	machine *Machine
+
+	mu      sync.Mutex
+	told    *Snapshot     // the last snapshot that was reported
+	refused error         // the last refusal that was reported
+	changed chan struct{} // closed and replaced at each adoption
+	kick    chan struct{} // wakes Run after the machine changed its mind
+	ctx     context.Context
+	stopped bool
+	running sync.WaitGroup
+}
+
+// NewLoop returns a loop. It does nothing until Run.
+func NewLoop(spec LoopSpec) *Loop {
+	return &Loop{
+		spec:    spec,
+		machine: NewMachine(spec.Clock.Now(), spec.Machine, spec.Members),
+		changed: make(chan struct{}),
+		kick:    make(chan struct{}, 1),
+	}
+}
+
+// Current returns the snapshot in force, or nil. It takes no lock.
+func (l *Loop) Current() *Snapshot { return l.machine.Current() }
+
+// Ready reports whether the process may serve.
+func (l *Loop) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Ready(l.spec.Clock.Now())
+}
+
+// Status returns the state for the dump.
+func (l *Loop) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Status(l.spec.Clock.Now())
+}
+
+// Run keeps the table up to date until ctx ends, and returns once all its
+// goroutines have.
+func (l *Loop) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	for ctx.Err() == nil {
+		l.step((*Machine).Tick)
+		l.rest(ctx)
+	}
+	l.mu.Lock()
+	l.stopped = true
+	l.mu.Unlock()
+	l.running.Wait()
+}
+
+// rest waits until the machine is due or was changed by a call.
+func (l *Loop) rest(ctx context.Context) {
+	l.mu.Lock()
+	span := l.machine.Wake() - l.spec.Clock.Now()
+	l.mu.Unlock()
+	if span <= 0 {
+		return
+	}
+	select {
+	case <-l.spec.Clock.After(span):
+	case <-l.kick:
+	case <-ctx.Done():
+	}
+}
+
+// Exchange serves a peer's exchange.
+func (l *Loop) Exchange(_ context.Context, s *mgrpc.Summary) (*mgrpc.Summary, error) {
+	var reply *mgrpc.Summary
+	l.act(func(m *Machine, now mgclock.Millis) []Action {
+		var actions []Action
+		reply, actions = m.Heard(now, s)
+		return actions
+	})
+	if reply == nil {
+		return nil, errStopped
+	}
+	return reply, nil
+}
+
+// Fetch serves a peer's fetch.
+func (l *Loop) Fetch(_ context.Context, r *mgrpc.FetchRequest) (*mgrpc.FetchReply, error) {
+	l.mu.Lock()
+	list := l.machine.List()
+	l.mu.Unlock()
+	return Serve(l.Current(), list, r), nil
+}
+
+// Seen takes a version number that came with a call from a peer. It costs two
+// loads where the peer isn't ahead.
+func (l *Loop) Seen(version uint64, from string) {
+	if version <= l.Current().Version() {
+		return
+	}
+	l.act(func(m *Machine, now mgclock.Millis) []Action {
+		return m.Seen(now, version, from)
+	})
+}
+
+// Await returns once a version, or a later one, is in force. Whoever learns in
+// a call that it is behind waits here before it decides.
+func (l *Loop) Await(ctx context.Context, version uint64) error {
+	for {
+		l.mu.Lock()
+		changed := l.changed
+		l.mu.Unlock()
+		if l.Current().Version() >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("mgconfig: version %d is not in force here yet: try again or elsewhere: %w", version, ctx.Err())
+		}
+	}
+}
+
+// Leave tells a few peers that this process leaves, and all that ask later.
+func (l *Loop) Leave() { l.act((*Machine).Leave) }
+
+// act lets the machine decide and has Run look when it is due next.
+func (l *Loop) act(decide func(*Machine, mgclock.Millis) []Action) {
+	l.step(decide)
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// step lets the machine decide and starts what it decided.
+func (l *Loop) step(decide func(*Machine, mgclock.Millis) []Action) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopped || l.ctx == nil {
+		return
+	}
+	actions := decide(l.machine, l.spec.Clock.Now())
+	l.report()
+	for _, action := range actions {
+		l.running.Add(1)
+		go l.perform(action)
+	}
+}
+
+// report logs and hands on what the machine adopted or refused.
+func (l *Loop) report() {
+	if version, err := l.machine.Refused(); err != nil && err != l.refused {
+		l.refused = err
+		l.spec.Log.Error(err, "a version of the table was refused, the last good one stays",
+			"version", version, "inforce", l.Current().Version())
+	}
+	current := l.Current()
+	if current == l.told {
+		return
+	}
+	l.told = current
+	l.spec.Log.Info("a version of the table is in force",
+		"version", current.Version(), "accounts", current.Table().Len(), "digest", current.Digest())
+	if l.spec.Adopted != nil {
+		l.spec.Adopted(current)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// perform carries out one action.
+func (l *Loop) perform(action Action) {
+	defer l.running.Done()
+	result := l.call(action)
+	l.act(func(m *Machine, now mgclock.Millis) []Action {
+		return m.Done(now, result)
+	})
+}
+
+func (l *Loop) call(action Action) ResultSpec {
+	result := ResultSpec{
+		Action: action,
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, timeout(action).Duration())
+	defer cancel()
+	switch action.kind {
+	case Exchange:
+		result.Summary, result.Err = l.spec.Exchange(ctx, action.addr, action.summary)
+	case Fetch:
+		var reply *mgrpc.FetchReply
+		reply, result.Err = l.spec.Fetch(ctx, action.addr, action.fetch)
+		if result.Err == nil {
+			result.Values, result.List, result.Err = unpack(reply)
+		}
+	case Read:
+		result.Value, result.Err = l.spec.Platform.Read(ctx, action.key)
+	case Watch:
+		result.Value, result.Err = l.spec.Platform.Watch(ctx, action.key, action.after, action.wait)
+	}
+	return result
+}
+
+func timeout(action Action) mgclock.Millis {
+	switch action.kind {
+	case Exchange:
+		return exchangeTimeout
+	case Fetch:
+		return fetchTimeout
+	default:
+		return action.wait + readTimeout
+	}
+}
--- /dev/null
+++ b/internal/version/mgconfig/machine.go
@@ -0,0 +1,148 @@
+package mgconfig
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A MachineSpec says which process a machine is part of.
+type MachineSpec struct {
+	Name        string
+	Zone        string
+	Incarnation string
+	Addr        string // where peers reach this process
+	Seed        uint64 // of the jitter and the choice of peers
+
+	// Seeds are addresses of peers to ask while no list of VMs is known, such
+	// as when the platform is down at the start.
+	Seeds []string
+
+	// Spread is the span over which first reads are spread. In a mass restart
+	// all processes make their first reads within it.
+	Spread mgclock.Millis
+}
+
+// A Machine decides what a process does to have the newest table in force. Its
+// methods are called by one goroutine at a time, but for Current.
+type Machine struct {
+	spec    MachineSpec
+	members *mgmember.Members
+	rng     *rand.Rand
+	current atomic.Pointer[Snapshot]
+
+	list     []byte // the text of the list of VMs in use
+	leaving  bool
+	exchange mgclock.Millis // next exchange
+	tick     mgclock.Millis // next tick of the members
+	manifest source
+	vms      source
+	budget   budget
+	pull     *pull
+	pulls    int // number of pulls begun
+	listPull listPull
+	asked    map[string]bool // peers with an exchange under way
+	join     join
+	refused  refused
+	counts   Counts
+}
+
+// exchangeSpan is the mean interval of exchanges. Together with the push it
+// brings a version to all members in a few rounds; at two seconds the messages
+// of an idle member stay under one and a half a second, sent and received.
+const exchangeSpan = 2 * mgclock.Second
+
+// tickSpan is the interval at which suspicions of members end.
+const tickSpan = mgclock.Second
+
+// NewMachine returns a machine that starts at a time.
+func NewMachine(now mgclock.Millis, spec MachineSpec, members *mgmember.Members) *Machine {
+	m := &Machine{
+		spec:    spec,
+		members: members,
+		rng:     rand.New(rand.NewPCG(spec.Seed, 0)),
+		asked:   make(map[string]bool),
+	}
+	m.manifest.key = mgplatform.ManifestKey
+	m.vms.key = mgplatform.ListKey
+	m.exchange = now + m.jitter(exchangeSpan)
+	m.tick = now + tickSpan
+	m.vms.next = now + m.jitter(spec.Spread)
+	m.manifest.next = m.vms.next
+	m.join.begin(now)
+	return m
+}
+
+// Current returns the snapshot in force, or nil. It takes no lock.
+func (m *Machine) Current() *Snapshot { return m.current.Load() }
+
+// Leave makes the machine tell its peers that the process leaves.
+func (m *Machine) Leave(now mgclock.Millis) []Action {
+	m.leaving = true
+	return m.push(now)
+}
+
+// Tick does what is due.
+func (m *Machine) Tick(now mgclock.Millis) []Action {
+	var actions []Action
+	if now >= m.tick {
+		m.tick = now + tickSpan
+		m.members.Tick(now)
+	}
+	actions = append(actions, m.readPlatform(now)...)
+	if now >= m.exchange {
+		m.exchange = now + exchangeSpan*3/4 + m.jitter(exchangeSpan/2)
+		actions = append(actions, m.ask(m.choose())...)
+	}
+	actions = append(actions, m.askFirst(now)...)
+	actions = append(actions, m.stepPull(now)...)
+	return actions
+}
+
+// Wake returns when Tick is due next.
+func (m *Machine) Wake() mgclock.Millis {
+	wake := min(m.tick, m.exchange, m.join.wake())
+	wake = min(wake, m.manifest.wake(), m.vms.wake())
+	if m.pull != nil && !m.pull.busy {
+		wake = min(wake, m.pull.next)
+	}
+	return wake
+}
+
+// Done takes the result of an action.
+func (m *Machine) Done(now mgclock.Millis, result ResultSpec) []Action {
+	switch result.Action.kind {
+	case Exchange:
+		return m.exchanged(now, result)
+	case Fetch:
+		return m.fetched(now, result)
+	default:
+		return m.answered(now, result)
+	}
+}
+
+// jitter returns a random span up to most.
+func (m *Machine) jitter(most mgclock.Millis) mgclock.Millis {
+	if most <= 0 {
+		return 0
+	}
+	return mgclock.Millis(m.rng.Int64N(int64(most)))
+}
+
+// summary returns what the process tells its peers.
+func (m *Machine) summary() *mgrpc.Summary {
+	current := m.Current()
+	return &mgrpc.Summary{
+		Name:        m.spec.Name,
+		Incarnation: m.spec.Incarnation,
+		Version:     current.Version(),
+		Digest:      current.Digest(),
+		List:        m.members.View().Version(),
+		Leaving:     m.leaving,
+		Addr:        m.spec.Addr,
+	}
+}
--- /dev/null
+++ b/internal/version/mgconfig/machine_test.go
@@ -0,0 +1,233 @@
+package mgconfig
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const sec = mgclock.Second
+
+// schedules is how many schedules of faults TestSchedules drives.
+var schedules = flag.Int("schedules", 100, "number of seeded schedules of faults")
+
+// running returns a fleet with version 1 in force.
+func running(seed uint64, count int) *fleet {
+	f := newFleet(seed, count, 0)
+	f.publish(1, 0)
+	f.startAll()
+	f.net.Run(20 * sec)
+	So(f.versions(), ShouldResemble, map[uint64]int{1: count})
+	return f
+}
+
+func TestSpread(t *testing.T) {
+	Convey("A fleet with a version in force", t, func() {
+		f := running(1, 14)
+		all := func(version uint64) map[uint64]int { return map[uint64]int{version: 14} }
+
+		Convey("has the next one within seconds", func() {
+			f.publish(2, 1)
+			f.net.Run(28 * sec)
+			So(f.versions(), ShouldResemble, all(2))
+		})
+		Convey("keeps the newest while the platform is stale", func() {
+			// An operator lowers a cap, and an hour later one entry lets the old
+			// rate through. The platform lost a replica and shows what was
+			// published before; the entry's VM had just been replaced.
+			f.platform.freeze(true)
+			f.platform.frozen[mgplatform.ManifestKey] = f.platform.values[mgplatform.ManifestKey]
+			f.publish(2, 1)
+			f.platform.stale = false
+			f.net.Run(28 * sec)
+			f.platform.stale = true
+			f.start(3)
+			f.net.Run(60 * sec)
+			So(f.versions(), ShouldResemble, all(2))
+			So(f.nodes[3].ready, ShouldBeLessThan, 34*sec)
+		})
+		Convey("starts a new process while the platform is down, from its peers", func() {
+			f.platform.down = true
+			f.start(3)
+			f.nodes[3].machine.spec.Seeds = []string{"vm-0001", "vm-0002"}
+			f.net.Run(30 * sec)
+			So(f.nodes[3].machine.Ready(f.net.Now()), ShouldBeTrue)
+			So(f.versions(), ShouldResemble, all(1))
+		})
+		Convey("keeps a new process that hears nobody from serving", func() {
+			// A user's request is let in under a table from last week. The only
+			// process that let it in had started in a partition, alone with a
+			// stale platform, while the list named thirteen others.
+			f.net.Cut(0, func(from, to string) bool {
+				return (from == "vm-0003" || to == "vm-0003") && from != "platform" && to != "platform"
+			})
+			f.start(3)
+			f.net.Run(80 * sec)
+			So(f.nodes[3].machine.Current().Version(), ShouldEqual, 1)
+			So(f.nodes[3].machine.Ready(f.net.Now()), ShouldBeFalse)
+			f.net.Cut(0, nil)
+			f.net.Run(120 * sec)
+			So(f.nodes[3].machine.Ready(f.net.Now()), ShouldBeTrue)
+		})
+		Convey("refuses a faulty version alike and goes on with the next", func() {
+			f.publishFaulty(2)
+			f.net.Run(30 * sec)
+			So(f.versions(), ShouldResemble, all(1))
+			version, err := f.nodes[0].machine.Refused()
+			So(version, ShouldEqual, 2)
+			So(err.Error(), ShouldContainSubstring, "column weight")
+			f.publish(3, 1)
+			f.net.Run(40 * sec)
+			So(f.versions(), ShouldResemble, all(3))
+		})
+		Convey("waits for pages that come after their manifest", func() {
+			// The platform's values change one after another: a watcher reads a
+			// manifest whose page isn't there yet.
+			table, err := mgtable.Parse(tableText(2, 1))
+			So(err, ShouldBeNil)
+			m, pages, err := table.Pages(200)
+			So(err, ShouldBeNil)
+			f.platform.put(mgplatform.ManifestKey, m.Bytes())
+			f.net.Run(25 * sec)
+			So(f.versions(), ShouldResemble, all(1))
+			for i, page := range pages {
+				f.platform.put(mgplatform.PageKey(m.Pages[i]), page)
+			}
+			f.net.Run(40 * sec)
+			So(f.versions(), ShouldResemble, all(2))
+		})
+		Convey("settles two manifests under one version alike", func() {
+			// Two operators publish at once, and half of the fleet sees either.
+			table, err := mgtable.Parse(tableText(2, 5))
+			So(err, ShouldBeNil)
+			f.publish(2, 1)
+			f.net.Run(20*sec + 2)
+			m, pages, _ := table.Pages(200)
+			for i, page := range pages {
+				f.platform.put(mgplatform.PageKey(m.Pages[i]), page)
+			}
+			f.platform.put(mgplatform.ManifestKey, m.Bytes())
+			f.net.Run(40 * sec)
+			for _, n := range f.nodes {
+				So(n.machine.Current().Digest(), ShouldEqual, f.nodes[0].machine.Current().Digest())
+			}
+		})
+		Convey("pulls what a call's version number tells of", func() {
+			n := f.nodes[0]
+			So(n.machine.Seen(f.net.Now(), 1, "vm-0001"), ShouldBeEmpty)
+			actions := n.machine.Seen(f.net.Now(), 2, "vm-0001")
+			So(actions, ShouldHaveLength, 1)
+			So(actions[0].Peer(), ShouldEqual, "vm-0001")
+			So(n.machine.Seen(f.net.Now(), 2, "vm-0001"), ShouldBeEmpty)
+		})
+		Convey("doesn't take a manifest under another version than its own", func() {
+			n := f.nodes[0]
+			old := n.machine.Current().manifest
+			n.machine.learn(f.net.Now(), mark{
+				version: 9,
+				digest:  mgtable.DigestOf(old).String(),
+			}, peer{
+				name: "vm-0001",
+				addr: "vm-0001",
+			})
+			n.machine.takeManifest(f.net.Now(), old)
+			So(n.machine.pull, ShouldBeNil)
+			n.machine.takeManifest(f.net.Now(), []byte("{}"))
+			So(n.machine.Status(f.net.Now()).Faults, ShouldContainSubstring, "manifest")
+		})
+		So(f.back, ShouldBeEmpty)
+	})
+}
+
+// TestSchedules drives seeded schedules of faults: partitions between members
+// and from the platform, loss, pauses, restarts, a platform that is down or
+// stale, versions that are faulty. A user would see an edit undone by itself.
+func TestSchedules(t *testing.T) {
+	reverted, apart := 0, 0
+	for seed := range *schedules {
+		f := schedule(uint64(seed))
+		if f.back != "" {
+			reverted++
+			t.Errorf("seed %d: %s", seed, f.back)
+		}
+		last := f.nodes[0].machine.Current().mark()
+		for _, n := range f.nodes {
+			if n.machine.Current().mark() != last || last.version%4 == 0 {
+				apart++
+				t.Errorf("seed %d: %s has %v, not %v", seed, n.name, n.machine.Current().mark(), last)
+				break
+			}
+		}
+	}
+	t.Logf("%d schedules: %d with a member that went back, %d without agreement after the heal", *schedules, reverted, apart)
+}
+
+// schedule runs a minute of faults and half a minute of heal. Every fourth
+// version is faulty, but for the last.
+func schedule(seed uint64) *fleet {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	f := newFleet(seed, 8, sec)
+	f.publish(1, 0)
+	f.startAll()
+	version := uint64(1)
+	for f.net.Now() < 60*sec {
+		f.net.Run(f.net.Now() + mgclock.Millis(200+rng.IntN(3000)))
+		switch rng.IntN(8) {
+		case 0:
+			f.net.Cut(0, nil)
+		case 1:
+			f.net.Cut(0.2, nil)
+		case 2, 3:
+			side := rng.Uint64()
+			f.net.Cut(0, func(from, to string) bool { return half(side, from) != half(side, to) })
+		case 4:
+			f.net.Pause(f.nodes[rng.IntN(8)].name, mgclock.Millis(rng.IntN(15_000)))
+		case 5:
+			f.start(rng.IntN(8))
+		case 6:
+			f.platform.down = rng.IntN(2) == 0
+			f.platform.freeze(rng.IntN(2) == 0)
+		case 7:
+			version++
+			if version%4 == 0 {
+				f.publishFaulty(version)
+				break
+			}
+			f.publish(version, rng.IntN(7))
+		}
+	}
+	f.net.Cut(0, nil)
+	f.platform.down = false
+	f.platform.stale = false
+	f.publish(version+4-version%4+1, 3)
+	f.net.Run(f.net.Now() + 90*sec)
+	return f
+}
+
+// half puts a member, or the platform, on one side of a partition.
+func half(side uint64, name string) bool {
+	bit := 63
+	_, _ = fmt.Sscanf(name, "vm-%d", &bit)
+	return side>>bit&1 == 1
+}
+
+func TestServe(t *testing.T) {
+	Convey("A damaged value of a peer is an error", t, func() {
+		_, _, err := unpack(&mgrpc.FetchReply{
+			Values: [][]byte{{1, 2, 3}},
+		})
+		So(err, ShouldWrap, errValue)
+		_, _, err = unpack(&mgrpc.FetchReply{
+			List: compress(make([]byte, valueBytes+1)),
+		})
+		So(err, ShouldWrap, errValue)
+	})
+}
--- /dev/null
+++ b/internal/version/mgconfig/platform.go
@@ -0,0 +1,209 @@
+package mgconfig
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// watchers is the number of members that watch the platform in each zone.
+	// With three a zone keeps a watcher while one is replaced and one has died.
+	watchers = 3
+	// watchWait is how long a watch waits. The platform counts it as one read,
+	// and a stale answer can hide for no longer.
+	watchWait = 20 * mgclock.Second
+	// watchPause is the shortest interval between two watches of a key, against
+	// a platform that answers at once over and over.
+	watchPause = 500 * mgclock.Millis(1)
+	// plainEvery makes every so manieth watch a plain read. A platform that was
+	// set up anew counts its versions from 1, and a watch for more than the old
+	// count would never see a change.
+	plainEvery = 10
+	// pollPerMember makes the poll's interval grow with the fleet, so that all
+	// polls together make two reads a second at any size.
+	pollPerMember = 500 * mgclock.Millis(1)
+	pollMin       = 30 * mgclock.Second
+	// backoffMin and backoffMax bound the pause after a failed read. Half a
+	// minute is the longest that a change waits once the platform is back.
+	backoffMin = mgclock.Second
+	backoffMax = 30 * mgclock.Second
+)
+
+// Budgets of pages read from the platform. Twenty-one watchers (three in each of
+// seven zones) with 40 reads a second each stay under half of the platform's
+// 2,000; the other members read a page in ten seconds at most, 126 a second from
+// 1,260 of them.
+const (
+	watcherRate  = 40
+	watcherBurst = 40
+	memberRate   = 0.1
+	memberBurst  = 2
+)
+
+// budget bounds the reads of pages.
+type budget struct {
+	watcher *rate.Limiter
+	member  *rate.Limiter
+}
+
+func (b *budget) allow(now mgclock.Millis, watching bool) bool {
+	if b.watcher == nil {
+		b.watcher = rate.NewLimiter(watcherRate, watcherBurst)
+		b.member = rate.NewLimiter(memberRate, memberBurst)
+	}
+	at := time.UnixMilli(int64(now))
+	if watching {
+		return b.watcher.AllowN(at, 1)
+	}
+	return b.member.AllowN(at, 1)
+}
+
+// source is a key of the platform that is kept up to date.
+type source struct {
+	key      string
+	busy     bool
+	next     mgclock.Millis
+	failures int
+	rounds   int
+	version  uint64 // the platform's, not a table's
+	answered bool
+}
+
+// never is a time that doesn't come.
+const never = mgclock.Millis(math.MaxInt64)
+
+func (s *source) wake() mgclock.Millis {
+	if s.busy {
+		return never
+	}
+	return s.next
+}
+
+// readPlatform begins the reads that are due.
+func (m *Machine) readPlatform(now mgclock.Millis) []Action {
+	var actions []Action
+	for _, s := range []*source{&m.vms, &m.manifest} {
+		if s.busy || now < s.next {
+			continue
+		}
+		s.busy = true
+		m.counts.Reads++
+		actions = append(actions, m.readSource(s))
+	}
+	return actions
+}
+
+// readSource watches as a watcher that has the value, and reads otherwise.
+func (m *Machine) readSource(s *source) Action {
+	s.rounds++
+	if s.version == 0 || !m.watching() || s.rounds%plainEvery == 0 {
+		return Action{
+			kind: Read,
+			key:  s.key,
+		}
+	}
+	return Action{
+		kind:  Watch,
+		key:   s.key,
+		after: s.version,
+		wait:  watchWait,
+	}
+}
+
+// watching reports whether this process watches the platform for its zone.
+// Suspects are passed over, so that the next in the ranking takes over from
+// watchers that died before the list shows it.
+func (m *Machine) watching() bool {
+	var able []*mgmember.Member
+	for _, member := range m.members.View().Zone(m.spec.Zone) {
+		self := member.Name() == m.spec.Name
+		if self || !member.Suspect() && !member.Leaving() {
+			able = append(able, member)
+		}
+	}
+	for _, member := range mgmember.Rank("watch", able, watchers) {
+		if member.Name() == m.spec.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// answered takes the answer to a read or a watch.
+func (m *Machine) answered(now mgclock.Millis, result ResultSpec) []Action {
+	switch result.Action.key {
+	case mgplatform.ListKey:
+		return m.answeredList(now, result)
+	case mgplatform.ManifestKey:
+		return m.answeredManifest(now, result)
+	default:
+		return m.answeredPage(now, result)
+	}
+}
+
+func (m *Machine) answeredList(now mgclock.Millis, result ResultSpec) []Action {
+	fresh := m.vms.done(now, result, m)
+	if !fresh || !m.takeList(now, result.Value.Bytes()) {
+		return nil
+	}
+	// The list says who watches: a watcher begins at once, the others wait for
+	// their poll.
+	m.manifest.next = min(m.manifest.next, m.after(now, &m.manifest))
+	return append(m.push(now), m.askFirst(now)...)
+}
+
+func (m *Machine) answeredManifest(now mgclock.Millis, result ResultSpec) []Action {
+	if m.manifest.done(now, result, m) {
+		m.takeManifest(now, result.Value.Bytes())
+	}
+	return m.stepPull(now)
+}
+
+func (m *Machine) answeredPage(now mgclock.Millis, result ResultSpec) []Action {
+	if m.pull == nil || m.pull.id != result.Action.pull {
+		return nil
+	}
+	m.pull.busy = false
+	if result.Err == nil && m.takeValue(now, result.Value.Bytes()) {
+		return m.stepPull(now)
+	}
+	// The platform shows the manifest before its pages, or is down.
+	m.nextRound(now)
+	return nil
+}
+
+// done notes the end of a read and when the next is due. It reports whether a
+// value came.
+func (s *source) done(now mgclock.Millis, result ResultSpec, m *Machine) bool {
+	s.busy = false
+	unchanged := errors.Is(result.Err, mgplatform.ErrUnchanged)
+	if result.Err != nil && !unchanged {
+		s.failures++
+		s.next = now + backoffMin/2 + m.jitter(min(backoffMax, backoffMin<<min(s.failures, 5)))
+		return false
+	}
+	s.failures = 0
+	s.answered = true
+	s.next = m.after(now, s)
+	if unchanged {
+		return false
+	}
+	s.version = result.Value.Version()
+	return true
+}
+
+// after returns when a source is read next after now.
+func (m *Machine) after(now mgclock.Millis, s *source) mgclock.Millis {
+	if m.watching() {
+		return now + watchPause
+	}
+	span := max(pollMin, pollPerMember*mgclock.Millis(len(m.members.View().All())))
+	return now + span/2 + m.jitter(span)
+}
--- /dev/null
+++ b/internal/version/mgconfig/pull.go
@@ -0,0 +1,306 @@
+package mgconfig
+
+import (
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const (
+	// retryMin and retryMax bound the pause between two rounds over the peers
+	// that are known to have a version.
+	retryMin = 200 * mgclock.Millis(1)
+	retryMax = 5 * mgclock.Second
+	// budgetSpan is the pause of a watcher whose budget of reads is used up.
+	budgetSpan = mgclock.Second / watcherRate
+	// peerRounds is the number of rounds over peers, about eight seconds, before
+	// a member that is no watcher turns to the platform. In a mass restart the
+	// watchers need that long to read all pages, and what a peer has doesn't
+	// cost a read.
+	peerRounds = 6
+)
+
+// pull is the way to a version that was heard of and is not yet in force.
+type pull struct {
+	id       int // tells the answers to its fetches from those to an earlier pull
+	mark     mark
+	manifest mgtable.Manifest
+	text     []byte // of the manifest, nil until fetched
+	pages    map[string]*mgtable.Page
+	sources  []peer
+	at       int // the next source
+	rounds   int
+	busy     bool
+	next     mgclock.Millis
+}
+
+// learn takes that a peer, or nobody in particular, has a version.
+func (m *Machine) learn(now mgclock.Millis, k mark, from peer) {
+	if k.version == 0 || !k.above(m.Current().mark()) || m.refused.has(k.digest) {
+		return
+	}
+	if m.pull == nil || k.above(m.pull.mark) {
+		m.beginPull(now, k)
+	}
+	if k != m.pull.mark || from.addr == "" {
+		return
+	}
+	for _, p := range m.pull.sources {
+		if p == from {
+			return
+		}
+	}
+	m.pull.sources = append(m.pull.sources, from)
+}
+
+// beginPull turns to a version. Pages fetched for an older one are kept.
+func (m *Machine) beginPull(now mgclock.Millis, k mark) {
+	pages := make(map[string]*mgtable.Page)
+	if m.pull != nil {
+		pages = m.pull.pages
+	}
+	m.pulls++
+	m.pull = &pull{
+		id:    m.pulls,
+		mark:  k,
+		pages: pages,
+		next:  now,
+	}
+}
+
+// takeManifest takes a manifest's text from wherever it came.
+func (m *Machine) takeManifest(now mgclock.Millis, text []byte) {
+	digest := mgtable.DigestOf(text).String()
+	manifest, err := mgtable.ReadManifest(text)
+	k := mark{
+		version: manifest.Version,
+		digest:  digest,
+	}
+	if m.pull != nil && m.pull.mark.digest == digest && m.pull.mark != k {
+		// It can't be read, or a peer gave it another version than it has.
+		// Adopting it under the peer's word could mean going back.
+		m.pull = nil
+	}
+	if err != nil {
+		m.refused.add(0, digest, err)
+		return
+	}
+	m.learn(now, k, peer{})
+	if m.pull == nil || m.pull.mark != k || m.pull.text != nil {
+		return
+	}
+	m.pull.text = text
+	m.pull.manifest = manifest
+	m.pull.next = now
+}
+
+// stepPull does the next step towards the version that is pulled.
+func (m *Machine) stepPull(now mgclock.Millis) []Action {
+	p := m.pull
+	if p == nil || p.busy || now < p.next {
+		return nil
+	}
+	if !p.mark.above(m.Current().mark()) {
+		m.pull = nil
+		return nil
+	}
+	missing := m.missing()
+	if len(missing) == 0 {
+		return m.adopt(now)
+	}
+	if p.at < len(p.sources) {
+		return m.fetchFrom(p.sources[p.at], missing)
+	}
+	return m.fetchElsewhere(now, missing[0])
+}
+
+// missing returns the digests of the values still to fetch.
+func (m *Machine) missing() []string {
+	p := m.pull
+	if p.text == nil {
+		return []string{p.mark.digest}
+	}
+	var missing []string
+	for _, digest := range p.manifest.Pages {
+		if m.page(digest) == nil {
+			missing = append(missing, digest)
+		}
+	}
+	return missing
+}
+
+// page returns a page that was fetched or that the present snapshot has.
+func (m *Machine) page(digest string) *mgtable.Page {
+	if page := m.pull.pages[digest]; page != nil {
+		return page
+	}
+	if current := m.Current(); current != nil {
+		return current.pages[digest]
+	}
+	return nil
+}
+
+func (m *Machine) fetchFrom(p peer, missing []string) []Action {
+	m.pull.busy = true
+	m.counts.Fetches++
+	return []Action{{
+		kind: Fetch,
+		pull: m.pull.id,
+		peer: p.name,
+		addr: p.addr,
+		fetch: &mgrpc.FetchRequest{
+			Digests: missing,
+		},
+	}}
+}
+
+// fetchElsewhere follows a round over all sources. A watcher, and a member that
+// has tried its peers often enough, reads one value of the platform. The others
+// look for a peer that has it and begin another round after a pause.
+func (m *Machine) fetchElsewhere(now mgclock.Millis, digest string) []Action {
+	p := m.pull
+	watching := m.watching()
+	if p.text != nil && (watching || p.rounds >= peerRounds) {
+		if m.budget.allow(now, watching) {
+			return m.readPage(digest)
+		}
+		if watching {
+			p.next = now + budgetSpan
+			return nil
+		}
+	}
+	m.nextRound(now)
+	if len(p.sources) == 0 {
+		return m.ask(m.choose())
+	}
+	return nil
+}
+
+func (m *Machine) readPage(digest string) []Action {
+	m.pull.busy = true
+	m.counts.Reads++
+	return []Action{{
+		kind: Read,
+		pull: m.pull.id,
+		key:  mgplatform.PageKey(digest),
+	}}
+}
+
+func (m *Machine) nextRound(now mgclock.Millis) {
+	p := m.pull
+	p.rounds++
+	p.at = 0
+	p.next = now + m.backoff(p.rounds)
+}
+
+// backoff returns a random pause whose bound doubles with each round.
+func (m *Machine) backoff(rounds int) mgclock.Millis {
+	bound := retryMax
+	if rounds < 5 {
+		bound = min(retryMax, retryMin<<rounds)
+	}
+	return retryMin/2 + m.jitter(bound)
+}
+
+// fetched takes the answer to a fetch.
+func (m *Machine) fetched(now mgclock.Millis, result ResultSpec) []Action {
+	if result.Err != nil && result.Action.peer != "" {
+		m.members.Failed(now, result.Action.peer)
+	}
+	if result.Action.fetch.GetList() {
+		m.listPull.busy = false
+		m.listPull.next = now + listPullSpan
+		if result.Err == nil && m.takeList(now, result.List) {
+			return m.push(now)
+		}
+		return nil
+	}
+	if m.pull == nil || m.pull.id != result.Action.pull {
+		return nil
+	}
+	progress := false
+	for _, value := range result.Values {
+		if m.takeValue(now, value) {
+			progress = true
+		}
+	}
+	if m.pull == nil {
+		return nil
+	}
+	m.pull.busy = false
+	if progress {
+		m.pull.rounds = 0
+	} else {
+		m.pull.at++
+	}
+	return m.stepPull(now)
+}
+
+// takeValue takes a fetched manifest or page. What it is follows from its
+// digest alone, so that it doesn't matter who sent it. It reports whether it was
+// wanted.
+func (m *Machine) takeValue(now mgclock.Millis, value []byte) bool {
+	p := m.pull
+	if p == nil {
+		return false
+	}
+	digest := mgtable.DigestOf(value).String()
+	if p.text == nil {
+		if digest != p.mark.digest {
+			return false
+		}
+		m.takeManifest(now, value)
+		return true
+	}
+	for _, wanted := range m.missing() {
+		if wanted == digest {
+			m.takePage(digest, value)
+			return true
+		}
+	}
+	return false
+}
+
+// takePage reads a page that belongs to the pulled version. A faulty page makes
+// the version faulty.
+func (m *Machine) takePage(digest string, value []byte) {
+	page, err := mgtable.ReadPage(value)
+	if err != nil {
+		m.refuse(err)
+		return
+	}
+	m.pull.pages[digest] = page
+}
+
+// adopt puts the pulled version in force, or refuses it.
+func (m *Machine) adopt(now mgclock.Millis) []Action {
+	p := m.pull
+	pages := make([]*mgtable.Page, 0, len(p.manifest.Pages))
+	byDigest := make(map[string]*mgtable.Page, len(p.manifest.Pages))
+	for _, digest := range p.manifest.Pages {
+		page := m.page(digest)
+		pages = append(pages, page)
+		byDigest[digest] = page
+	}
+	table, err := mgtable.Join(p.manifest, pages)
+	if err != nil {
+		m.refuse(err)
+		return nil
+	}
+	m.pull = nil
+	m.current.Store(&Snapshot{
+		table:    table,
+		digest:   p.mark.digest,
+		manifest: p.text,
+		pages:    byDigest,
+	})
+	m.counts.Adoptions++
+	return m.push(now)
+}
+
+// refuse drops the pulled version for good. The one in force stays.
+func (m *Machine) refuse(err error) {
+	m.refused.add(m.pull.mark.version, m.pull.mark.digest, err)
+	m.pull = nil
+}
--- /dev/null
+++ b/internal/version/mgconfig/refused.go
@@ -0,0 +1,32 @@
+package mgconfig
+
+// refused remembers faulty values, so that they are not fetched again.
+type refused struct {
+	version uint64
+	err     error
+	digests []string
+}
+
+// refusedMost bounds the memory of refusals. Only the newest are still offered.
+const refusedMost = 32
+
+func (r *refused) add(version uint64, digest string, err error) {
+	r.version = version
+	r.err = err
+	if r.has(digest) {
+		return
+	}
+	r.digests = append(r.digests, digest)
+	if len(r.digests) > refusedMost {
+		r.digests = r.digests[1:]
+	}
+}
+
+func (r *refused) has(digest string) bool {
+	for _, d := range r.digests {
+		if d == digest {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/version/mgconfig/serve.go
@@ -0,0 +1,92 @@
+package mgconfig
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+)
+
+const (
+	// replyBytes bounds the values of one reply before compression. Whoever
+	// lacks more asks again.
+	replyBytes = 1 << 20
+	// valueBytes bounds one decompressed value: the platform's own limit.
+	valueBytes = 1 << 20
+)
+
+// errValue is the error of a value that can't be decompressed.
+var errValue = errors.New("mgconfig: a peer's value is damaged: ask another peer")
+
+// Serve answers a fetch out of a snapshot and the text of the list of VMs.
+func Serve(s *Snapshot, list []byte, request *mgrpc.FetchRequest) *mgrpc.FetchReply {
+	reply := &mgrpc.FetchReply{}
+	if request.GetList() && list != nil {
+		reply.List = compress(list)
+	}
+	size := 0
+	for _, digest := range request.GetDigests() {
+		value, ok := s.value(digest)
+		if !ok {
+			continue
+		}
+		size += len(value)
+		if size > replyBytes && len(reply.Values) > 0 {
+			break
+		}
+		reply.Values = append(reply.Values, compress(value))
+	}
+	return reply
+}
+
+// unpack decompresses a reply.
+func unpack(reply *mgrpc.FetchReply) (values [][]byte, list []byte, err error) {
+	if packed := reply.GetList(); packed != nil {
+		list, err = decompress(packed)
+		if err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, packed := range reply.GetValues() {
+		value, err := decompress(packed)
+		if err != nil {
+			return nil, nil, err
+		}
+		values = append(values, value)
+	}
+	return values, list, nil
+}
+
+// writers keeps the state of compressions, which takes over a megabyte each.
+var writers sync.Pool
+
+func compress(data []byte) []byte {
+	var b bytes.Buffer
+	w, ok := writers.Get().(*flate.Writer)
+	if ok {
+		w.Reset(&b)
+	} else {
+		// The level is a constant in range.
+		w, _ = flate.NewWriter(&b, flate.BestSpeed)
+	}
+	// A buffer's Write doesn't fail.
+	_, _ = w.Write(data)
+	_ = w.Close()
+	writers.Put(w)
+	return b.Bytes()
+}
+
+func decompress(data []byte) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), valueBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errValue, err)
+	}
+	if len(value) > valueBytes {
+		return nil, fmt.Errorf("%w: it exceeds %d bytes", errValue, valueBytes)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/version/mgconfig/spread.go
@@ -0,0 +1,184 @@
+package mgconfig
+
+import (
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// fanout is the number of peers that are told of a new version. With four
+	// the push reaches all but about 2 % of a large fleet (Karp et al. 2000),
+	// and exchanges reach the rest.
+	fanout = 4
+	// farShare is one in how many peers is chosen outside of the own zone.
+	farShare = 4
+)
+
+// peer is a process that can be asked.
+type peer struct {
+	name string
+	addr string
+}
+
+// choose returns a random peer, most often of the own zone, or none.
+func (m *Machine) choose() peer {
+	peers := m.members.View().Peers()
+	if len(peers) == 0 {
+		return m.seed()
+	}
+	far := m.rng.IntN(farShare) == 0
+	var chosen *mgmember.Member
+	// A few draws find a peer on the wanted side where there is one.
+	for range 2 * farShare {
+		chosen = peers[m.rng.IntN(len(peers))]
+		if (chosen.Zone() != m.spec.Zone) == far {
+			break
+		}
+	}
+	return peerOf(chosen)
+}
+
+func peerOf(m *mgmember.Member) peer {
+	return peer{
+		name: m.Name(),
+		addr: m.PeerAddr(),
+	}
+}
+
+// seed returns a random peer of the settings, or none.
+func (m *Machine) seed() peer {
+	if len(m.spec.Seeds) == 0 {
+		return peer{}
+	}
+	return peer{
+		addr: m.spec.Seeds[m.rng.IntN(len(m.spec.Seeds))],
+	}
+}
+
+// named returns the peer of a name, or a random one when it isn't known.
+func (m *Machine) named(name string) peer {
+	if member, ok := m.members.View().Member(name); ok && name != m.spec.Name {
+		return peerOf(member)
+	}
+	return m.choose()
+}
+
+// ask exchanges summaries with a peer, unless one exchange with it is under
+// way: version numbers on many calls at once make for one exchange.
+func (m *Machine) ask(p peer) []Action {
+	if p.addr == "" || m.asked[p.addr] {
+		return nil
+	}
+	m.asked[p.addr] = true
+	m.counts.Exchanges++
+	return []Action{{
+		kind:    Exchange,
+		peer:    p.name,
+		addr:    p.addr,
+		summary: m.summary(),
+	}}
+}
+
+// push tells a few peers what is new here.
+func (m *Machine) push(mgclock.Millis) []Action {
+	var actions []Action
+	for range fanout {
+		actions = append(actions, m.ask(m.choose())...)
+	}
+	return actions
+}
+
+// Heard takes a peer's summary and returns the own one as it was before.
+func (m *Machine) Heard(now mgclock.Millis, s *mgrpc.Summary) (*mgrpc.Summary, []Action) {
+	reply := m.summary()
+	return reply, m.take(now, s)
+}
+
+// Seen takes a version number that came with another call.
+func (m *Machine) Seen(now mgclock.Millis, version uint64, from string) []Action {
+	if version <= m.Current().Version() || m.pull != nil && m.pull.mark.version >= version {
+		return nil
+	}
+	return m.ask(m.named(from))
+}
+
+// exchanged takes the answer to an exchange.
+func (m *Machine) exchanged(now mgclock.Millis, result ResultSpec) []Action {
+	delete(m.asked, result.Action.addr)
+	if result.Err != nil {
+		if result.Action.peer != "" {
+			m.members.Failed(now, result.Action.peer)
+		}
+		return nil
+	}
+	m.join.heard(result.Summary)
+	return m.take(now, result.Summary)
+}
+
+// take learns from a summary.
+func (m *Machine) take(now mgclock.Millis, s *mgrpc.Summary) []Action {
+	if s.GetName() == m.spec.Name {
+		return nil
+	}
+	m.members.Heard(now, s.GetName(), s.GetIncarnation(), s.GetLeaving())
+	from := peer{
+		name: s.GetName(),
+		addr: s.GetAddr(),
+	}
+	var actions []Action
+	if s.GetList() > m.members.View().Version() {
+		actions = append(actions, m.fetchList(now, from)...)
+	}
+	m.learn(now, mark{
+		version: s.GetVersion(),
+		digest:  s.GetDigest(),
+	}, from)
+	return append(actions, m.stepPull(now)...)
+}
+
+// listPull is a fetch of the list of VMs from a peer.
+type listPull struct {
+	busy bool
+	next mgclock.Millis
+}
+
+// listPullSpan is the shortest interval of fetches of the list. While VMs are
+// replaced by the hundred the list changes every few seconds, and a member that
+// took each change of 1,260 rows would spend its budget on them.
+const listPullSpan = 5 * mgclock.Second
+
+func (m *Machine) fetchList(now mgclock.Millis, from peer) []Action {
+	if m.listPull.busy || now < m.listPull.next || from.addr == "" {
+		return nil
+	}
+	m.listPull.busy = true
+	m.counts.Fetches++
+	return []Action{{
+		kind: Fetch,
+		peer: from.name,
+		addr: from.addr,
+		fetch: &mgrpc.FetchRequest{
+			List: true,
+		},
+	}}
+}
+
+// takeList adopts a list of VMs that is newer. It reports whether it was.
+func (m *Machine) takeList(now mgclock.Millis, data []byte) bool {
+	list, err := mgplatform.ReadList(data)
+	if err != nil {
+		m.refused.add(0, mgplatform.ListKey, err)
+		return false
+	}
+	if !m.members.List(now, list) {
+		return false
+	}
+	m.list = data
+	m.counts.Lists++
+	return true
+}
+
+// List returns the text of the list of VMs in use, for peers that ask.
+func (m *Machine) List() []byte { return m.list }
--- /dev/null
+++ b/internal/version/mgconfig/status.go
@@ -0,0 +1,59 @@
+package mgconfig
+
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
+// Counts are the numbers of what a machine has done since it began.
+type Counts struct {
+	Exchanges int `json:"exchanges"` // sent
+	Fetches   int `json:"fetches"`   // sent
+	Reads     int `json:"reads"`     // of the platform, watches included
+	Adoptions int `json:"adoptions"`
+	Lists     int `json:"lists"` // lists of VMs adopted
+}
+
+// Status is a machine's state for the dump.
+type Status struct {
+	Version  uint64 `json:"version"`
+	Digest   string `json:"digest"`
+	Accounts int    `json:"accounts"`
+	Ready    bool   `json:"ready"`
+	Watcher  bool   `json:"watcher"`
+	List     uint64 `json:"list"`
+	Members  int    `json:"members"`
+	Heard    int    `json:"heard"`             // peers that answered while it joined
+	Pulling  uint64 `json:"pulling,omitempty"` // version on its way
+	Refused  uint64 `json:"refused,omitempty"` // version refused last
+	Faults   string `json:"faults,omitempty"`  // why, one fault a line
+	Failures int    `json:"failures"`          // reads of the platform failed in a row
+	Counts   Counts `json:"counts"`
+}
+
+// Status returns the machine's state.
+func (m *Machine) Status(now mgclock.Millis) Status {
+	s := Status{
+		Version:  m.Current().Version(),
+		Digest:   m.Current().Digest(),
+		Ready:    m.Ready(now),
+		Watcher:  m.watching(),
+		List:     m.members.View().Version(),
+		Members:  len(m.members.View().All()),
+		Heard:    len(m.join.peers),
+		Refused:  m.refused.version,
+		Failures: m.manifest.failures,
+		Counts:   m.counts,
+	}
+	if current := m.Current(); current != nil {
+		s.Accounts = current.table.Len()
+	}
+	if m.pull != nil {
+		s.Pulling = m.pull.mark.version
+	}
+	if m.refused.err != nil {
+		s.Faults = m.refused.err.Error()
+	}
+	return s
+}
+
+// Refused returns the version refused last and why, or nil. Version 0 stands
+// for a value that could not be read at all.
+func (m *Machine) Refused() (uint64, error) { return m.refused.version, m.refused.err }
