mgentry: writes under faults, none run twice; mgagent: no questions to services

Cause: "at most once" was proved for the record alone, not for callers that repeat through any entry while services, agents, entries and links fail. Change: 14 stories of one write, each with what every try is told and how often the service ran it; a storm of 2,000 writes by 20 callers against 14 kinds of faults, counted by the stand-in. An agent beside a plain service no longer asks it for generations: the stand-in counted that question as a call.

--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -21,6 +21,9 @@
 // that their memory is counted and their readers find them. An engine that
 // can't be asked now is asked again when a reader comes.
 func (a *Agent) adopt(ctx context.Context) {
+	if a.plain() {
+		return // its service would take the question for a call
+	}
 	held, err := a.list(ctx)
 	if err != nil {
 		return
@@ -78,12 +81,18 @@
 
 // follow keeps up with the engine; a plain service has no such reports.
 func (a *Agent) follow(ctx context.Context) {
-	if upstream := upstreamOf(a.spec); upstream != nil && upstream.Kind() != mgtable.Engine {
+	if a.plain() {
 		return
 	}
 	a.followEngine(ctx)
 }
 
+// plain reports whether the upstream is a plain service.
+func (a *Agent) plain() bool {
+	upstream := upstreamOf(a.spec)
+	return upstream != nil && upstream.Kind() != mgtable.Engine
+}
+
 // followEngine reads the engine's lagging load report and cache events.
 func (a *Agent) followEngine(ctx context.Context) {
 	after := uint64(0)
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -104,6 +106,7 @@
 	engines  map[string]*mgstandin.Engine
 	books    *mgstandin.Service
 	list     mgplatform.List
+	mu       sync.Mutex // guards what follows
 	stops    map[string]func()
 	lives    int
 	crossing func(http.Handler) http.Handler // around the agents' frames, or nil
@@ -148,8 +151,8 @@
 		r.entry("entry-2")
 		synctest.Wait()
 		story(r)
-		for _, stop := range r.stops {
-			stop()
+		for _, name := range r.running() {
+			r.kill(name)
 		}
 		cancel()
 		r.Close()
@@ -174,7 +177,6 @@
 // agent starts an agent, in place of the one that had its name.
 func (r *rig) agent(name, upstream string) {
 	r.kill(name)
-	r.lives++
 	client := mgdial.NewClientWith(r.Dial(name))
 	a, err := mgagent.New(mgagent.Spec{
 		Settings: mgsettings.Agent{
@@ -189,7 +191,7 @@
 			Queue:    512,
 			Policy:   "ours",
 		},
-		Incarnation: fmt.Sprintf("life-%02d", r.lives),
+		Incarnation: r.life(),
 		Log:         logr.Discard(),
 		Metrics:     mgmetric.New(),
 		Seal:        &r.seal,
@@ -212,17 +214,16 @@
 		routes = r.crossing(routes)
 	}
 	r.Serve(name, routes)
-	r.stops[name] = func() {
+	r.begun(name, func() {
 		r.Kill(name)
 		cancel()
 		<-done
-	}
+	})
 }
 
 // entry starts an entry, in place of the one that had its name.
 func (r *rig) entry(name string) {
 	r.kill(name)
-	r.lives++
 	members := mgmember.New(name)
 	members.List(r.clock.Now(), r.list)
 	e := mgentry.New(mgentry.Spec{
@@ -253,7 +254,7 @@
 		},
 		Frames: r.Transport(name, true),
 		Base:   func(address string) string { return "http://" + address },
-	}, fmt.Sprintf("life-%02d", r.lives))
+	}, r.life())
 	ctx, cancel := context.WithCancel(r.ctx)
 	go func() {
 		for r.clock.Sleep(ctx, mgclock.Second) {
@@ -261,20 +262,44 @@
 		}
 	}()
 	r.Serve(name, e.Routes())
-	r.stops[name] = func() {
+	r.begun(name, func() {
 		r.Kill(name)
 		cancel()
-	}
+	})
 }
 
 // kill ends a process without a word.
 func (r *rig) kill(name string) {
-	if stop := r.stops[name]; stop != nil {
-		delete(r.stops, name)
+	r.mu.Lock()
+	stop := r.stops[name]
+	delete(r.stops, name)
+	r.mu.Unlock()
+	if stop != nil {
 		stop()
 	}
 }
 
+// begun notes how a process is ended.
+func (r *rig) begun(name string, stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops[name] = stop
+}
+
+func (r *rig) running() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.stops))
+}
+
+// life names a new life of a process.
+func (r *rig) life() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lives++
+	return fmt.Sprintf("life-%02d", r.lives)
+}
+
 // busy returns the engine that holds a generation.
 func (r *rig) busy() *mgstandin.Engine {
 	for _, e := range r.engines {
--- /dev/null
+++ b/internal/process/mgentry/write_test.go
@@ -0,0 +1,348 @@
+package mgentry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// mint returns an operation's id, or "" when there is none to be had.
+func (c *caller) mint(entry string) string {
+	response, err := c.do(entry, http.MethodPost, "/v1/services/ticket/operations", "", nil)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	var in struct {
+		Operation string `json:"operation"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&in)
+	return in.Operation
+}
+
+// write books a ticket under a key and returns what the caller is told.
+func (c *caller) write(entry, key string) string {
+	header := map[string]string{}
+	if key != "" {
+		header["Idempotency-Key"] = key
+	}
+	response, err := c.do(entry, http.MethodPost, "/v1/services/ticket/tickets", "two barrels", header)
+	if err != nil {
+		return "no response"
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "no response"
+	}
+	var in struct {
+		Kind    string `json:"kind"`
+		Outcome string `json:"outcome"`
+	}
+	_ = json.Unmarshal(body, &in)
+	if in.Kind != "" {
+		return in.Kind + "/" + in.Outcome
+	}
+	return response.Header.Get("Outcome")
+}
+
+// A doubled transfer ticket books two barrels where one moved; a lost one none.
+// Each case plays a write under a fault: what the caller is told at each of its
+// tries, and how often the service truly ran the write.
+func TestWrites(t *testing.T) {
+	cases := []struct {
+		story string
+		play  func(r *rig, c *caller) []string
+		told  string
+		runs  int
+	}{
+		{
+			story: "nothing fails, and the caller repeats it through the other entry",
+			play: func(_ *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				return []string{c.write("entry-1", id), c.write("entry-2", id)}
+			},
+			told: "[done done]",
+			runs: 1,
+		},
+		{
+			story: "the service runs it and its answer is lost",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.books.Set(mgstandin.Fault{Kind: mgstandin.Lost, Times: 1})
+				return []string{c.write("entry-1", id), c.write("entry-2", id)}
+			},
+			told: "[unconfirmed/unknown unconfirmed/unknown]",
+			runs: 1,
+		},
+		{
+			story: "the service is silent after the body was sent",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.books.Set(mgstandin.Fault{Kind: mgstandin.Hang, Times: 1})
+				return []string{c.write("entry-1", id), c.write("entry-1", id)}
+			},
+			told: "[unconfirmed/unknown unconfirmed/unknown]",
+			runs: 1,
+		},
+		{
+			story: "the service breaks off before it read the body",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.books.Set(mgstandin.Fault{Kind: mgstandin.Early, Times: 1})
+				return []string{c.write("entry-1", id), c.write("entry-1", id)}
+			},
+			told: "[unconfirmed/unknown unconfirmed/unknown]",
+		},
+		{
+			story: "the service can't be reached",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.Kill("books")
+				told := []string{c.write("entry-1", id)}
+				r.Serve("books", r.books.Handler())
+				return append(told, c.write("entry-1", id), c.write("entry-1", c.mint("entry-1")))
+			},
+			told: "[crowded/notrun tombstone/notrun done]",
+			runs: 1,
+		},
+		{
+			story: "the agent is replaced between two tries",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				told := []string{c.write("entry-1", id)}
+				r.agent("agent-books", "books")
+				return append(told, c.write("entry-1", id), c.write("entry-2", id))
+			},
+			told: "[done incarnation/unknown incarnation/unknown]",
+			runs: 1,
+		},
+		{
+			story: "the agent is replaced before the first try",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.agent("agent-books", "books")
+				return []string{c.write("entry-1", id)}
+			},
+			told: "[incarnation/unknown]",
+		},
+		{
+			story: "the entry is killed while it runs",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.books.Set(mgstandin.Fault{Kind: mgstandin.Slow, Delay: mgclock.Second})
+				go func() {
+					r.clock.Sleep(r.ctx, 100)
+					r.kill("entry-1")
+				}()
+				return []string{c.write("entry-1", id), c.write("entry-2", id)}
+			},
+			told: "[no response done]",
+			runs: 1,
+		},
+		{
+			story: "two entries send it at once",
+			play: func(_ *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				told := make([]string, 2)
+				var both sync.WaitGroup
+				for i, entry := range []string{"entry-1", "entry-2"} {
+					both.Go(func() { told[i] = c.write(entry, id) })
+				}
+				both.Wait()
+				return told
+			},
+			told: "[done done]",
+			runs: 1,
+		},
+		{
+			story: "the pooled connections to the agent have gone silent, twice",
+			play: func(r *rig, c *caller) []string {
+				var told []string
+				for range 2 {
+					id := c.mint("entry-1")
+					r.Silence("agent-books")
+					before := r.clock.Now()
+					told = append(told, c.write("entry-1", id))
+					told = append(told, fmt.Sprint(r.clock.Now()-before <= silence+beat))
+				}
+				return told
+			},
+			told: "[done true done true]",
+			runs: 2,
+		},
+		{
+			story: "the connection goes silent after the call was sent",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.books.Set(mgstandin.Fault{Kind: mgstandin.Slow, Delay: mgclock.Second})
+				go func() {
+					r.clock.Sleep(r.ctx, 100)
+					r.Silence("agent-books")
+				}()
+				return []string{c.write("entry-1", id)}
+			},
+			told: "[done]",
+			runs: 1,
+		},
+		{
+			story: "a partition parts the entry from the agent, and heals",
+			play: func(r *rig, c *caller) []string {
+				id := c.mint("entry-1")
+				r.Cut("entry-1", "agent-books")
+				told := []string{c.write("entry-1", id), c.write("entry-2", id)}
+				r.Heal("entry-1", "agent-books")
+				return append(told, c.write("entry-1", id))
+			},
+			told: "[unconfirmed/unknown done done]",
+			runs: 1,
+		},
+		{
+			story: "a key of the caller's own",
+			play: func(_ *rig, c *caller) []string {
+				return []string{c.write("entry-1", "ticket-4711"), c.write("entry-2", "01890a5d-ac96-774b-bcce-b302099a8057")}
+			},
+			told: "[unpromisable/notrun unpromisable/notrun]",
+		},
+		{
+			story: "no key",
+			play:  func(_ *rig, c *caller) []string { return []string{c.write("entry-1", "")} },
+			told:  "[done]",
+			runs:  1,
+		},
+	}
+	Convey("A write", t, func() {
+		for _, c := range cases {
+			Convey(c.story, func() {
+				var told string
+				runs := 0
+				play(t, 1, func(r *rig) {
+					told = fmt.Sprint(c.play(r, r.caller()))
+					runs = r.books.Counts().Total
+				})
+				So(told, ShouldEqual, c.told)
+				So(runs, ShouldEqual, c.runs)
+			})
+		}
+	})
+}
+
+const (
+	writes  = 2000
+	writers = 20
+	tries   = 4 // of a caller that is told nothing for sure
+)
+
+// ledger is what the callers of a storm were told of their writes.
+type ledger struct {
+	mu   sync.Mutex
+	told map[string]string
+}
+
+// A weekend of failures: services that lose answers, hang and break off, agents
+// and entries that are replaced, connections that go silent, partitions. Callers
+// repeat their writes through any entry until they are told. None may run
+// twice, none that was told "not run" may have run, and each that was told
+// "done" has run.
+func TestStormOfWrites(t *testing.T) {
+	var l ledger
+	var runs map[string]int
+	play(t, 1, func(r *rig) {
+		l.told = map[string]string{}
+		var callers sync.WaitGroup
+		stop := make(chan struct{})
+		var storming sync.WaitGroup
+		storming.Go(func() { storm(r, stop) })
+		for i := range writers {
+			callers.Go(func() { l.write(r, i) })
+		}
+		callers.Wait()
+		close(stop)
+		storming.Wait()
+		runs = r.books.Counts().Runs
+	})
+	counts := map[string]int{}
+	for id, told := range l.told {
+		outcome := told[strings.LastIndex(told, "/")+1:]
+		counts[outcome]++
+		if runs[id] > 1 || outcome == "notrun" && runs[id] > 0 || outcome == "done" && runs[id] != 1 {
+			t.Errorf("told %s, ran %d times", told, runs[id])
+		}
+	}
+	total, twice := 0, 0
+	for _, n := range runs {
+		total += n
+		if n > 1 {
+			twice++
+		}
+	}
+	t.Logf("%d writes: told %v; %d runs, %d writes ran twice", len(l.told), counts, total, twice)
+	if len(l.told) != writes {
+		t.Errorf("%d writes were told of", len(l.told))
+	}
+}
+
+// write makes one caller's share of the writes.
+func (l *ledger) write(r *rig, number int) {
+	random := rand.New(rand.NewPCG(5, uint64(number)))
+	c := r.caller()
+	entries := []string{"entry-1", "entry-2"}
+	for range writes / writers {
+		id := ""
+		for id == "" {
+			id = c.mint(entries[random.IntN(2)])
+			r.clock.Sleep(r.ctx, mgclock.Millis(random.IntN(200)))
+		}
+		told := ""
+		for range tries {
+			told = c.write(entries[random.IntN(2)], id)
+			if told == "done" || strings.HasSuffix(told, "/notrun") {
+				break
+			}
+			r.clock.Sleep(r.ctx, mgclock.Millis(random.IntN(500)))
+		}
+		l.mu.Lock()
+		l.told[id] = told
+		l.mu.Unlock()
+	}
+}
+
+// storm plays a fault every half second or so.
+func storm(r *rig, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(7, 7))
+	faults := []func(){
+		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Lost, Times: 3}) },
+		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Hang, Times: 2}) },
+		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Early, Times: 3}) },
+		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Slow, Delay: 300}) },
+		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Heal}) },
+		func() { r.Silence("agent-books") },
+		func() { r.Silence("books") },
+		func() { r.Cut("entry-1", "agent-books") },
+		func() { r.Heal("entry-1", "agent-books") },
+		func() { r.agent("agent-books", "books") },
+		func() { r.entry("entry-2") },
+		func() { r.Kill("books") },
+		func() { r.Serve("books", r.books.Handler()) },
+		func() { r.Serve("books", r.books.Handler()) },
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		faults[random.IntN(len(faults))]()
+		r.clock.Sleep(r.ctx, mgclock.Millis(200+random.IntN(600)))
+	}
+}
--- a/internal/standin/mgnetwork/network.go
+++ b/internal/standin/mgnetwork/network.go
@@ -207,10 +207,11 @@
 	server *http.Server
 }
 
-// kill breaks the host's connections.
+// kill breaks the host's connections, and then tells its handlers: a process
+// that is killed has no time for a last word.
 func (h *host) kill() {
-	h.cancel()
 	_ = h.server.Close()
+	h.cancel()
 }
 
 // Accept implements net.Listener.
