--- /dev/null
+++ b/internal/process/mgnode/entry.go
@@ -0,0 +1,81 @@
+package mgnode
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// RunEntry runs an entry until stop ends, then drains it; hurry cuts the drain
+// short.
+func RunEntry(stop, hurry context.Context, settings mgsettings.Entry, n *Node) error {
+	ctx, cancel := context.WithCancel(n.killed)
+	defer n.Wait()
+	defer cancel()
+	if err := n.Start(ctx, stop); err != nil {
+		return err
+	}
+	public, err := listenPublic(settings)
+	if err != nil {
+		return err
+	}
+	entry := mgentry.New(mgentry.Spec{
+		Settings: settings,
+		Clock:    n.clock,
+		Log:      n.log,
+		Metrics:  n.metrics,
+		Seal:     n.seal,
+		Table:    n.Table,
+		Seen:     n.Seen,
+		View:     n.members.View,
+		Failed:   n.failed,
+		Heard:    n.heard,
+		Calls: &mglink.Guard{
+			Pooled:   n.guard.Transport(false),
+			Again:    n.guard.Transport(true),
+			Clock:    n.clock,
+			Interval: mgclock.Millis(settings.Beat),
+		},
+		Frames: n.guard.Transport(true),
+		Base:   n.guard.Base,
+	}, n.incarnation)
+	n.admin.Source("entry", func() any { return entry.State() })
+	n.Serve(ctx, ServerSpec{
+		Name:     "callers",
+		Listener: public,
+		Handler:  entry.Routes(),
+		Head:     int(settings.Head),
+		Slow:     mgclock.Millis(settings.Slow),
+	})
+	n.Serving()
+	select {
+	case <-n.killed.Done():
+		return nil
+	case <-stop.Done():
+	}
+	n.Stop(entry.Leave, entry.Busy).Run(hurry)
+	return nil
+}
+
+// listenPublic opens the callers' listener, with TLS where it is set.
+func listenPublic(settings mgsettings.Entry) (net.Listener, error) {
+	identity, err := mgpeer.Public(settings.Public)
+	if err != nil {
+		return nil, err
+	}
+	public, err := net.Listen("tcp", settings.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("key listen: can't listen on %s: give a free IP and port of this VM: %w", settings.Listen, err)
+	}
+	if identity != nil {
+		return tls.NewListener(public, identity), nil
+	}
+	return public, nil
+}
