--- a/internal/request/mgscheduler/scheduler_test.go
+++ b/internal/request/mgscheduler/scheduler_test.go
@@ -168,7 +168,8 @@
 		u := newUpstream(mgscheduler.Spec{
 			Memory: 1000,
 			Policy: mgscheduler.Policy{
-				Rule: mgadmission.Now,
+				Rule:    mgadmission.Now,
+				Passing: 1,
 			},
 		})
 		for range 40 {
