mgnode: the table and the list of VMs by mgconfig, among peers

Cause: each process watched the platform for itself, so that its reads grew with the fleet, and a process alone could go by a stale platform. Change: mgconfig's loop in place of the follower: watchers, exchanges, fetches by digest; the peers' listener opens first; a leaving process tells its peers at once, and an agent refuses at once; pauses are looked for.

--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -18,10 +18,6 @@
 	if err := n.Start(ctx, stop); err != nil {
 		return err
 	}
-	peers, err := n.guard.Listen(settings.Peer)
-	if err != nil {
-		return err
-	}
 	agent, err := mgagent.New(mgagent.Spec{
 		Settings:    settings,
 		Incarnation: n.incarnation,
@@ -38,11 +34,7 @@
 		return err
 	}
 	n.admin.Source("agent", func() any { return agent.State() })
-	n.Serve(ctx, ServerSpec{
-		Name:     "peers",
-		Listener: peers,
-		Handler:  n.guard.Require(agent.Routes()),
-	})
+	n.Role(agent.Routes())
 	n.servers.Go(func() { agent.Run(ctx) })
 	n.Serving()
 	select {
@@ -50,6 +42,10 @@
 		return nil
 	case <-stop.Done():
 	}
-	n.Stop(agent.Leave, agent.Busy).Run(hurry)
+	// An entry learns of a leaving agent from its first refusal and goes
+	// elsewhere, so that no notice is needed.
+	stopping := n.Stop(agent.Leave, agent.Busy)
+	stopping.Notice = 0
+	stopping.Run(hurry)
 	return nil
 }
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -38,7 +38,7 @@
 		Failed:   n.failed,
 		Heard:    n.heard,
 		Calls: &mglink.Guard{
-			Pooled:   n.guard.Transport(false),
+			Pooled:   n.calls,
 			Again:    n.guard.Transport(true),
 			Clock:    n.clock,
 			Interval: mgclock.Millis(settings.Beat),
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -10,17 +10,18 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
@@ -34,10 +35,14 @@
 	metrics     *mgmetric.Set
 	admin       *mgadmin.Admin
 	guard       *mgpeer.Guard
+	calls       http.RoundTripper // between processes, over pooled connections
 	seal        *mgseal.Signer
-	follower    *follower
 	members     *mgmember.Members
-	serving     atomic.Bool // the listeners for work are open
+	loop        *mgconfig.Loop
+	pause       *mgmember.Pause
+	peers       sync.Map                     // base URL to mgrpc.Peer
+	role        atomic.Pointer[http.Handler] // what the peers' listener serves besides
+	serving     atomic.Bool                  // the listeners for work are open
 	leaving     atomic.Bool
 	servers     sync.WaitGroup
 	killed      context.Context
@@ -70,12 +75,11 @@
 		members:     mgmember.New(settings.Name),
 	}
 	n.killed, n.kill = context.WithCancel(context.Background())
-	n.follower = &follower{
-		client: mgplatform.NewHTTP(settings.Platform, &http.Client{}),
-		clock:  n.clock,
-		log:    log,
-		list:   func(list mgplatform.List) { n.members.List(n.clock.Now(), list) },
-	}
+	n.calls = guard.Transport(false)
+	n.pause = mgmember.NewPause(n.clock, nil)
+	n.loop = mgconfig.NewLoop(n.loopSpec())
+	n.admin.Source("table", func() any { return n.loop.Status() })
+	n.admin.Source("members", n.memberState)
 	n.admin.Ready(n.Ready)
 	return n, nil
 }
@@ -86,6 +90,9 @@
 	return strconv.FormatInt(mgclock.Unix(), 36) + "-" + uuid.NewString()[:8]
 }
 
+// seed makes the jitter of one life from its name.
+func seed(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
+
 // Ready reports whether the process takes new work, and if not, why.
 func (n *Node) Ready() (bool, string) {
 	switch {
@@ -95,6 +102,8 @@
 		return false, "no configuration is in force"
 	case n.members.View().Version() == 0:
 		return false, "no list of VMs"
+	case !n.loop.Ready():
+		return false, "asking the peers and the platform for the newest configuration"
 	case !n.serving.Load():
 		return false, "not listening yet"
 	default:
@@ -103,7 +112,12 @@
 }
 
 // Table returns the table in force, or nil.
-func (n *Node) Table() *mgtable.Table { return n.follower.table.Load() }
+func (n *Node) Table() *mgtable.Table {
+	if snapshot := n.loop.Current(); snapshot != nil {
+		return snapshot.Table()
+	}
+	return nil
+}
 
 // Incarnation returns this life's name.
 func (n *Node) Incarnation() string { return n.incarnation }
@@ -127,7 +141,7 @@
 func (n *Node) Seal() *mgseal.Signer { return n.seal }
 
 // Seen tells that another process goes by a version.
-func (n *Node) Seen(uint64, string) {}
+func (n *Node) Seen(version uint64, from string) { n.loop.Seen(version, from) }
 
 // failed and heard take direct evidence of another process.
 func (n *Node) failed(name string) { n.members.Failed(n.clock.Now(), name) }
@@ -136,21 +150,31 @@
 	n.members.Heard(n.clock.Now(), name, incarnation, leaving)
 }
 
-// Start follows the platform and serves operators until ctx ends, and waits
-// until a configuration is in force, or stop ends.
+// Start opens the listeners for operators and peers, finds the newest table and
+// waits until it is in force, or stop ends.
 func (n *Node) Start(ctx, stop context.Context) error {
-	listener, err := net.Listen("tcp", n.settings.Admin)
+	operators, err := net.Listen("tcp", n.settings.Admin)
 	if err != nil {
 		return fmt.Errorf("key admin: can't listen on %s: give a free IP and port of this VM: %w", n.settings.Admin, err)
 	}
 	n.Serve(ctx, ServerSpec{
 		Name:     "admin",
-		Listener: listener,
+		Listener: operators,
 		Handler:  n.admin.Routes(n.metrics),
 	})
-	n.servers.Go(func() { n.follower.run(ctx) })
+	peers, err := n.guard.Listen(n.settings.Peer)
+	if err != nil {
+		return err
+	}
+	n.Serve(ctx, ServerSpec{
+		Name:     "peers",
+		Listener: peers,
+		Handler:  n.guard.Require(n.peerRoutes()),
+	})
+	n.servers.Go(func() { n.loop.Run(ctx) })
+	n.servers.Go(func() { n.pause.Run(ctx) })
 	n.servers.Go(func() { n.tick(ctx) })
-	for n.Table() == nil || n.members.View().Version() == 0 {
+	for n.Table() == nil || !n.loop.Ready() {
 		if !n.clock.Sleep(stop, drainLook) {
 			return fmt.Errorf("start: stopped before a configuration was in force: %w", stop.Err())
 		}
@@ -188,8 +212,11 @@
 		Log:     n.log,
 		Notice:  mgclock.Millis(n.settings.Notice),
 		Longest: mgclock.Millis(n.settings.Drain),
-		Unready: func() { n.leaving.Store(true) },
-		Leave:   leave,
-		Busy:    busy,
+		Unready: func() {
+			n.leaving.Store(true)
+			n.loop.Leave()
+		},
+		Leave: leave,
+		Busy:  busy,
 	}
 }
--- /dev/null
+++ b/internal/process/mgnode/peer.go
@@ -0,0 +1,134 @@
+package mgnode
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/twitchtv/twirp"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// loopSpec joins the configuration's loop to the node.
+func (n *Node) loopSpec() mgconfig.LoopSpec {
+	return mgconfig.LoopSpec{
+		Machine: mgconfig.MachineSpec{
+			Name:        n.settings.Name,
+			Zone:        n.settings.Zone,
+			Incarnation: n.incarnation,
+			Addr:        n.settings.Peer,
+			Seed:        seed(n.incarnation),
+			Seeds:       n.settings.Seeds,
+		},
+		Clock:    n.clock,
+		Members:  n.members,
+		Platform: mgplatform.NewHTTP(n.settings.Platform, &http.Client{}),
+		Log:      n.log,
+		Exchange: func(ctx context.Context, addr string, s *mgrpc.Summary) (*mgrpc.Summary, error) {
+			return n.peer(addr).Exchange(ctx, s)
+		},
+		Fetch: func(ctx context.Context, addr string, r *mgrpc.FetchRequest) (*mgrpc.FetchReply, error) {
+			return n.peer(addr).Fetch(ctx, r)
+		},
+	}
+}
+
+// peer returns the calls of the process at an address.
+func (n *Node) peer(addr string) mgrpc.Peer {
+	base := n.guard.Base(addr)
+	if found, ok := n.peers.Load(base); ok {
+		return found.(mgrpc.Peer)
+	}
+	made := mgrpc.NewPeerProtobufClient(base, &http.Client{Transport: n.calls})
+	found, _ := n.peers.LoadOrStore(base, made)
+	return found.(mgrpc.Peer)
+}
+
+// peerRoutes serves the peers' calls from the start, so that new processes
+// find each other, and the role's own once it is there.
+func (n *Node) peerRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Mount(mgrpc.PeerPathPrefix, mgrpc.NewPeerServer(peerServer{node: n}))
+	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		role := n.role.Load()
+		if role == nil {
+			mgproblem.Write(w, mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+				"this process is starting", "try another one"))
+			return
+		}
+		(*role).ServeHTTP(w, r)
+	})
+	return router
+}
+
+// Role adds the calls of a role to the peers' listener.
+func (n *Node) Role(handler http.Handler) { n.role.Store(&handler) }
+
+// peerServer answers the other processes.
+type peerServer struct {
+	node *Node
+}
+
+// Exchange compares versions with a peer.
+func (p peerServer) Exchange(ctx context.Context, s *mgrpc.Summary) (*mgrpc.Summary, error) {
+	return p.node.loop.Exchange(ctx, s)
+}
+
+// Fetch gives a peer pages and the list of VMs.
+func (p peerServer) Fetch(ctx context.Context, r *mgrpc.FetchRequest) (*mgrpc.FetchReply, error) {
+	return p.node.loop.Fetch(ctx, r)
+}
+
+// Lease answers an entry that takes this process for the home of an account.
+func (p peerServer) Lease(context.Context, *mgrpc.LeaseRequest) (*mgrpc.LeaseReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "this process gives no leases: ask an entry")
+}
+
+// Support answers an entry that asks for a witness.
+func (p peerServer) Support(context.Context, *mgrpc.SupportRequest) (*mgrpc.SupportReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "this process is no witness: ask an entry")
+}
+
+// memberState is the part of the dump that tells of other processes.
+func (n *Node) memberState() any {
+	view := n.members.View()
+	rows := make([]memberRow, 0, len(view.All()))
+	for _, member := range view.All() {
+		rows = append(rows, memberRow{
+			Name:        member.Name(),
+			Kind:        member.Kind(),
+			Zone:        member.Zone(),
+			Upstream:    member.Upstream(),
+			Incarnation: member.Incarnation(),
+			Leaving:     member.Leaving(),
+			Suspect:     member.Suspect(),
+			Listed:      member.Listed(),
+		})
+	}
+	return memberDump{
+		List:    view.Version(),
+		Pauses:  n.pause.Count(),
+		Members: rows,
+	}
+}
+
+type memberDump struct {
+	List    uint64      `json:"list"`
+	Pauses  int         `json:"pauses"`
+	Members []memberRow `json:"members"`
+}
+
+type memberRow struct {
+	Name        string `json:"name"`
+	Kind        string `json:"kind"`
+	Zone        string `json:"zone"`
+	Upstream    string `json:"upstream,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	Suspect     bool   `json:"suspect,omitempty"`
+	Listed      bool   `json:"listed"`
+}
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -2,19 +2,20 @@
 
 // Process holds the settings that every process has.
 type Process struct {
-	Name     string `toml:"name" need:"yes" help:"the VM's name in the platform's list"`
-	Zone     string `toml:"zone" need:"yes" help:"the availability zone"`
-	Region   string `toml:"region" need:"yes" help:"the region"`
-	Peer     string `toml:"peer" need:"yes" help:"IP and port for the system's other processes"`
-	Admin    string `toml:"admin" need:"yes" help:"IP and port for operators: health, dump, metrics"`
-	Platform string `toml:"platform" need:"yes" help:"base URL of the platform's config service"`
-	Secret   string `toml:"secret" need:"yes" help:"the key that the system's processes share, 16 characters or more"`
-	Previous string `toml:"previous" help:"the shared key before the last change, accepted while a new one spreads"`
-	Log      string `toml:"log" default:"info" choice:"debug|info|error" help:"least level of the log"`
-	Drain    int64  `toml:"drain" default:"60000" min:"0" max:"3600000" unit:"ms" help:"longest drain after SIGTERM; work in progress is cut off after it"`
-	Notice   int64  `toml:"notice" default:"2000" min:"0" max:"600000" unit:"ms" help:"time between the loss of readiness and the first refusal, so that the balancer looks elsewhere"`
-	Beat     int64  `toml:"beat" default:"250" min:"20" max:"10000" unit:"ms" help:"interval of heartbeats on token streams"`
-	TLS      TLS    `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
+	Name     string   `toml:"name" need:"yes" help:"the VM's name in the platform's list"`
+	Zone     string   `toml:"zone" need:"yes" help:"the availability zone"`
+	Region   string   `toml:"region" need:"yes" help:"the region"`
+	Peer     string   `toml:"peer" need:"yes" help:"IP and port for the system's other processes"`
+	Admin    string   `toml:"admin" need:"yes" help:"IP and port for operators: health, dump, metrics"`
+	Platform string   `toml:"platform" need:"yes" help:"base URL of the platform's config service"`
+	Seeds    []string `toml:"seeds" help:"peer addresses to ask while the platform gives no list of VMs"`
+	Secret   string   `toml:"secret" need:"yes" help:"the key that the system's processes share, 16 characters or more"`
+	Previous string   `toml:"previous" help:"the shared key before the last change, accepted while a new one spreads"`
+	Log      string   `toml:"log" default:"info" choice:"debug|info|error" help:"least level of the log"`
+	Drain    int64    `toml:"drain" default:"60000" min:"0" max:"3600000" unit:"ms" help:"longest drain after SIGTERM; work in progress is cut off after it"`
+	Notice   int64    `toml:"notice" default:"2000" min:"0" max:"600000" unit:"ms" help:"time between the loss of readiness and the first refusal, so that the balancer looks elsewhere"`
+	Beat     int64    `toml:"beat" default:"250" min:"20" max:"10000" unit:"ms" help:"interval of heartbeats on token streams"`
+	TLS      TLS      `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
 }
 
 // TLS names the files of a process's certificate.
