mgplacement: which engine holds which model, and when it may load

Cause: 900 engines that load at once drain a rate-limited weight store, and a list that flaps would move models for nothing.

Pacer waits until a change has held still, gives engines that change together slots in the order of their ranks, and spreads retries over what all loads take.

--- /dev/null
+++ b/internal/version/mgplacement/pacer.go
@@ -0,0 +1,108 @@
+package mgplacement
+
+import (
+	"math/rand/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// settleSpan is how long a change of plan must hold still. It exceeds the
+	// flaps of a list while VMs are replaced.
+	settleSpan = 30 * mgclock.Second
+	// urgentSpan stands in for it where the engine holds nothing, so that there
+	// is nothing to lose but a load.
+	urgentSpan = 2 * mgclock.Second
+	// coldSpan is the span within which an agent that has just started begins.
+	// It can't tell a lone replacement, which should be quick, from a cold start
+	// of all, which the store's refusals then spread.
+	coldSpan = 10 * mgclock.Second
+	// defaultRate is how many loads a second the store is taken to admit.
+	defaultRate = 5
+)
+
+// A Pacer tells one agent when to load a model. The zero Pacer wants nothing.
+type Pacer struct {
+	upstream string
+	rate     float64
+	rng      *rand.Rand
+
+	plan   *Plan
+	wanted string
+	loaded string
+	at     mgclock.Millis // not before
+	tries  int
+}
+
+// NewPacer returns a pacer for an upstream. Rate is how many loads a second the
+// weight store admits from the whole fleet, 0 for the default.
+func NewPacer(upstream string, rate float64, seed uint64) *Pacer {
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	return &Pacer{
+		upstream: upstream,
+		rate:     rate,
+		rng:      rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// Loaded notes which model the engine holds, "" for none.
+func (p *Pacer) Loaded(model string) {
+	p.loaded = model
+	p.tries = 0
+}
+
+// Plan takes a new plan.
+func (p *Pacer) Plan(now mgclock.Millis, plan *Plan) {
+	before := p.plan
+	p.plan = plan
+	wanted := plan.Model(p.upstream)
+	if wanted == p.wanted && before != nil {
+		return
+	}
+	p.wanted = wanted
+	p.tries = 0
+	if before == nil {
+		p.at = now + p.jitter(coldSpan)
+		return
+	}
+	settle := settleSpan
+	if p.loaded == "" {
+		settle = urgentSpan
+	}
+	p.at = now + settle + p.slot(before)
+}
+
+// slot returns how long the engines before this one take to load.
+func (p *Pacer) slot(before *Plan) mgclock.Millis {
+	for i, upstream := range Changes(before, p.plan) {
+		if upstream == p.upstream {
+			return mgclock.Millis(float64(i) * 1000 / p.rate)
+		}
+	}
+	return 0
+}
+
+// Due returns the model to load now, or "". The caller loads it and calls Loaded
+// or Refused.
+func (p *Pacer) Due(now mgclock.Millis) string {
+	if p.wanted == "" || p.wanted == p.loaded || now < p.at {
+		return ""
+	}
+	return p.wanted
+}
+
+// Refused notes that the store refused a load, or that it failed. The next try
+// comes at a random time in a span that doubles up to twice what the loads of all
+// engines take: from then on their tries come no faster than the store admits.
+func (p *Pacer) Refused(now mgclock.Millis) {
+	all := mgclock.Millis(float64(max(1, p.plan.Len())) * 2000 / p.rate)
+	span := min(all, coldSpan<<min(p.tries, 16))
+	p.tries++
+	p.at = now + mgclock.Second + p.jitter(span)
+}
+
+func (p *Pacer) jitter(span mgclock.Millis) mgclock.Millis {
+	return mgclock.Millis(p.rng.Int64N(int64(span) + 1))
+}
--- /dev/null
+++ b/internal/version/mgplacement/plan_test.go
@@ -0,0 +1,159 @@
+package mgplacement_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const sec = mgclock.Second
+
+// table returns a table of engines, each of which may hold each of the models.
+func table(engines, models int) *mgtable.Table {
+	var b strings.Builder
+	var all []string
+	for i := range models {
+		fmt.Fprintf(&b, "[[model]]\nname = \"m%d\"\ncontext = 9\nmax = 9\n", i)
+		all = append(all, fmt.Sprintf("\"m%d\"", i))
+	}
+	b.WriteString("[[service]]\nname = \"s\"\nmodel = \"m0\"\n[[account]]\nname = \"a\"\n")
+	for i := range engines {
+		fmt.Fprintf(&b, "[[upstream]]\nname = \"u%03d\"\nmodels = [%s]\nmemory = 9\nbatch = 9\n", i, strings.Join(all, ", "))
+	}
+	t, err := mgtable.Parse([]byte(b.String()))
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+// view returns a view of the agents beside some upstreams.
+func view(engines int, without ...int) *mgmember.View {
+	list := mgplatform.List{
+		Version: 1,
+	}
+	gone := make(map[int]bool)
+	for _, i := range without {
+		gone[i] = true
+	}
+	for i := range engines {
+		if gone[i] {
+			continue
+		}
+		list.VMs = append(list.VMs, mgplatform.VM{
+			Name:     fmt.Sprintf("vm-%03d", i),
+			Kind:     mgplatform.AgentKind,
+			Upstream: fmt.Sprintf("u%03d", i),
+			State:    mgplatform.Live,
+		})
+	}
+	members := mgmember.New("")
+	members.List(0, list)
+	return members.View()
+}
+
+func TestPlan(t *testing.T) {
+	Convey("A plan for 900 engines and 9 models", t, func() {
+		big := table(900, 9)
+		plan := mgplacement.Assign(big, view(900))
+		Convey("spreads the engines over the models", func() {
+			for i := range 9 {
+				So(plan.Engines(fmt.Sprintf("m%d", i)), ShouldBeBetween, 60, 140)
+			}
+		})
+		Convey("moves nothing when an engine goes", func() {
+			So(mgplacement.Changes(plan, mgplacement.Assign(big, view(900, 5))), ShouldBeEmpty)
+		})
+	})
+	Convey("No model is left without an engine while one can be spared", t, func() {
+		small := table(4, 3)
+		for i := range 4 {
+			plan := mgplacement.Assign(small, view(4, i))
+			So(plan.Len(), ShouldEqual, 3)
+			for m := range 3 {
+				So(plan.Engines(fmt.Sprintf("m%d", m)), ShouldEqual, 1)
+			}
+		}
+	})
+}
+
+func TestPacer(t *testing.T) {
+	Convey("A change of plan", t, func() {
+		small := table(4, 3)
+		plan := mgplacement.Assign(small, view(4))
+		other := mgplacement.Assign(table(4, 1), view(4)) // m0 everywhere
+		upstream := ""
+		for i := range 4 {
+			if name := fmt.Sprintf("u%03d", i); plan.Model(name) != "m0" {
+				upstream = name
+			}
+		}
+		p := mgplacement.NewPacer(upstream, 5, 1)
+		p.Plan(0, plan)
+		p.Loaded(plan.Model(upstream))
+		Convey("that is undone at once loads nothing", func() {
+			p.Plan(sec, other)
+			p.Plan(2*sec, plan)
+			So(p.Due(100*sec), ShouldEqual, "")
+		})
+		Convey("is acted upon once it has held still", func() {
+			p.Plan(sec, other)
+			So(p.Due(30*sec), ShouldEqual, "")
+			So(p.Due(32*sec), ShouldEqual, "m0")
+			p.Loaded("m0")
+			So(p.Due(99*sec), ShouldEqual, "")
+		})
+	})
+}
+
+// TestColdStart: a region comes back after a power cut and 900 agents start with
+// empty engines. Requests for all models fail for an hour when the agents retry
+// in step and the weight store refuses most of them over and over.
+func TestColdStart(t *testing.T) {
+	Convey("A cold start of 900 engines stays near the store's rate", t, func() {
+		const engines, rate = 900, 5
+		plan := mgplacement.Assign(table(engines, 9), view(engines))
+		pacers := make([]*mgplacement.Pacer, engines)
+		for i := range pacers {
+			pacers[i] = mgplacement.NewPacer(fmt.Sprintf("u%03d", i), rate, uint64(i))
+			pacers[i].Plan(0, plan)
+		}
+		loaded, tries, latePeak := 0, 0, 0
+		now := mgclock.Millis(0)
+		for loaded < engines && now < 3600*sec {
+			now += sec
+			admitted, asked := 0, 0
+			for _, p := range pacers {
+				model := p.Due(now)
+				if model == "" {
+					continue
+				}
+				asked++
+				if admitted == rate {
+					p.Refused(now)
+					continue
+				}
+				admitted++
+				p.Loaded(model)
+				loaded++
+			}
+			tries += asked
+			if now > 120*sec {
+				latePeak = max(latePeak, asked)
+			}
+		}
+		Printf("all loaded after %d s with %.1f tries each, %d a second at most after two minutes ",
+			now/sec, float64(tries)/engines, latePeak)
+		So(now, ShouldBeLessThan, 900*sec)
+		So(float64(tries)/engines, ShouldBeLessThan, 8)
+		So(latePeak, ShouldBeLessThan, 4*rate)
+	})
+}
