mgclient: a name that came ahead gives way to that of the first token

Cause: an entry tells an answer's name ahead; when that generation is lost before its first token, the entry starts another under a new name. The client took its tokens for another answer's, gave up the connection, and resumed by the lost name: 'incomplete: 0 tokens'. Ruled out: the receiver in the entry, whose bound of three generations was not reached; the retry budgets, whose refusal says crowded. Change: until a token or a resume settles it, the name follows the stream. Conclusion: mended.

--- a/pkg/mgclient/client_test.go
+++ b/pkg/mgclient/client_test.go
@@ -225,6 +225,12 @@
 			text:  "1,2,3,4,",
 			asked: []string{post, post},
 		},
+		{
+			name:  "its name came ahead, and it was started anew elsewhere",
+			steps: []step{early(part("b", 1, 2)), rest("b", 3, 4)},
+			text:  "1,2,3,4,",
+			asked: []string{post, "GET /v1/answers/b b.2"},
+		},
 		{
 			name:  "its name came ahead, and the entry dies",
 			steps: []step{early(lost), rest("a", 1, 2, 3, 4)},
--- a/pkg/mgclient/complete.go
+++ b/pkg/mgclient/complete.go
@@ -96,6 +96,7 @@
 			name:   answer,
 			tokens: last,
 		},
+		named: true,
 	}
 	err := s.run(ctx)
 	s.answer.text = s.text.String()
@@ -109,6 +110,7 @@
 	each   func(Token) error
 	answer Answer
 	text   strings.Builder
+	named  bool // a token or a resume has settled the answer's name
 }
 
 // errSilent is the cause of a connection given up for its silence. The other
@@ -161,6 +163,7 @@
 	}
 	r.Header.Set("Accept", "text/event-stream")
 	if s.answer.name != "" {
+		s.named = true
 		r.Header.Set("Last-Event-ID", s.answer.name+"."+strconv.FormatUint(s.answer.tokens, 10))
 		s.answer.resumes++
 	} else {
@@ -298,8 +301,11 @@
 	if err != nil {
 		return false, err
 	}
-	if s.answer.name == "" {
+	if !s.named {
+		// The name that came ahead may be of a generation that was lost before
+		// its first token; the entry has then started another.
 		s.answer.name = name
+		s.named = true
 	}
 	if name != s.answer.name {
 		return false, fmt.Errorf("a token of the answer %q came: the connection was given up", name)
@@ -323,6 +329,7 @@
 	attested := errors.As(err, &problem) && problem.Outcome() == mgproblem.NotRun
 	if attested && s.answer.tokens == 0 {
 		s.answer.name = ""
+		s.named = false
 	}
 }
 
