mgclient: no "not run" for an answer whose resume is refused

Cause: a resume that an entry refuses as not run was passed on as the outcome of the whole request, though its answer had begun. Before: the new case of TestComplete red (notrun in place of unknown).

--- a/pkg/mgclient/client_test.go
+++ b/pkg/mgclient/client_test.go
@@ -267,6 +267,13 @@
 			kind:    mgproblem.Stranger,
 			outcome: mgproblem.NotRun,
 		},
+		{
+			name:    "its resume is refused, which says nothing of the answer",
+			steps:   []step{part("a", 1), refuse(mgproblem.Stranger)},
+			text:    "1,",
+			kind:    mgproblem.Stranger,
+			outcome: mgproblem.Unknown,
+		},
 		{
 			name:    "each try to resume fails",
 			steps:   []step{part("a", 1), lost, lost, lost, lost, lost, lost},
