mgentry, mgnode: caps leased from the accounts' homes

Cause: a table's rate and streams had no effect: each entry let everything in. Change: mgshare's loop in each entry, mgcap's count over its leases. A lease begins without tokens, so that an account at rest was always turned away first; its only stream at an entry is charged when it ends. A first try, a full bucket after a rest inside mgcap, broke mgcap's property (no more starts than leases brought) and was taken back.

--- a/internal/process/mgdemo/deployment.go
+++ b/internal/process/mgdemo/deployment.go
@@ -251,6 +251,7 @@
 			Slow:    10000,
 			Probe:   200,
 			Call:    10000,
+			Fresh:   true,
 		}
 		d.entries = append(d.entries, "http://"+listen)
 		d.vms = append(d.vms, mgplatform.VM{
--- a/internal/process/mgentry/answers.go
+++ b/internal/process/mgentry/answers.go
@@ -37,7 +37,8 @@
 			From:   last,
 			Pinned: true,
 		}),
-		attempt: made,
+		attempt:  made,
+		giveBack: func(int) {}, // its start was charged
 	}
 	reading.open()
 	form := &form{
--- /dev/null
+++ b/internal/process/mgentry/caps.go
@@ -0,0 +1,146 @@
+package mgentry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgcap"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+const (
+	// leaseWait bounds the wait for an idle account's first lease: one call to
+	// its home within the region. Without an answer the fixed part is used.
+	leaseWait = 200 * mgclock.Millis(1)
+	// firstGuess is the expected length of an account's answer in tokens before
+	// one is known.
+	firstGuess = 256
+	// guessWeight is the weight of the newest answer in the expected length.
+	// Each start's guess is corrected when it ends, so that only the order of
+	// magnitude matters.
+	guessWeight = 0.1
+	// idleCap is how long an account's count is kept after its last use, longer
+	// than a bucket takes to fill.
+	idleCap = mgclock.Minute
+)
+
+// caps hold the accounts that have caps to this entry's part of them. An
+// account without caps, or idle, costs no memory. The zero caps are empty.
+type caps struct {
+	mu       sync.Mutex
+	accounts map[string]*capped
+	swept    mgclock.Millis
+}
+
+// capped is an account's count in this entry.
+type capped struct {
+	cap   mgcap.Cap
+	guess float64
+	used  mgclock.Millis
+}
+
+// take takes a stream and its expected tokens under an account's caps. The
+// function that it returns gives back what the answer did not need; it may be
+// called more than once.
+func (e *Entry) take(ctx context.Context, account string) (func(tokens int), *mgproblem.Problem) {
+	if e.spec.Acquire == nil {
+		return func(int) {}, nil
+	}
+	expected := e.caps.guess(account)
+	waitCtx, cancel := context.WithTimeout(ctx, leaseWait.Duration())
+	defer cancel()
+	slice, limited := e.spec.Acquire(waitCtx, account, expected)
+	if !limited {
+		return func(int) {}, nil
+	}
+	now := e.spec.Clock.Now()
+	charged, running, problem := e.caps.start(now, account, slice, expected)
+	if problem != nil {
+		e.spec.Metrics.Counter("capped").Inc(1)
+		return nil, problem
+	}
+	e.spec.Running(account, running)
+	var once sync.Once
+	return func(tokens int) {
+		once.Do(func() {
+			left := e.caps.end(e.spec.Clock.Now(), account, charged, float64(tokens))
+			e.spec.Running(account, left)
+		})
+	}, nil
+}
+
+// guess returns the expected length of an account's next answer in tokens.
+func (c *caps) guess(account string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.accounts[account]; a != nil {
+		return a.guess
+	}
+	return firstGuess
+}
+
+// start takes a stream and returns the tokens that it was charged. A lease
+// brings its tokens over time and begins with none, so that an account's first
+// request after a rest would always be turned away. Its only stream here is
+// charged when it ends instead: the account pays after it what others pay
+// before, and gets no more over time.
+func (c *caps) start(now mgclock.Millis, account string, slice mgshare.Slice, expected float64) (charged float64, running int, problem *mgproblem.Problem) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweep(now)
+	a := c.accounts[account]
+	if a == nil {
+		a = &capped{guess: firstGuess}
+		c.accounts[account] = a
+	}
+	a.used = now
+	a.cap.Renew(now, mgcap.Lease{
+		Rate:    slice.Rate,
+		Streams: slice.Streams,
+		End:     slice.End,
+	})
+	charged = expected
+	if a.cap.Streams() == 0 {
+		charged = 0
+	}
+	problem = a.cap.Start(now, charged)
+	return charged, a.cap.Streams(), problem
+}
+
+func (c *caps) end(now mgclock.Millis, account string, charged, tokens float64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.accounts[account]
+	if a == nil {
+		return 0
+	}
+	a.used = now
+	a.cap.End(now, charged, tokens)
+	a.guess += guessWeight * (tokens - a.guess)
+	return a.cap.Streams()
+}
+
+// sweep forgets idle accounts.
+func (c *caps) sweep(now mgclock.Millis) {
+	if c.accounts == nil {
+		c.accounts = map[string]*capped{}
+	}
+	if now < c.swept+idleCap {
+		return
+	}
+	c.swept = now
+	for name, a := range c.accounts {
+		if a.cap.Streams() == 0 && now >= a.used+idleCap {
+			delete(c.accounts, name)
+		}
+	}
+}
+
+// Len returns the number of accounts that cost memory.
+func (c *caps) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.accounts)
+}
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -1,6 +1,7 @@
 package mgentry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -38,6 +40,11 @@
 	// of itself.
 	Failed func(name string)
 	Heard  func(name, incarnation string, leaving bool)
+	// Acquire returns this entry's slice of an account's caps, and false for an
+	// account without caps; Running tells how many streams of it run here.
+	// Without Acquire no account has caps.
+	Acquire func(ctx context.Context, account string, tokens float64) (mgshare.Slice, bool)
+	Running func(account string, count int)
 	// Calls is for calls to agents, Frames opens each stream on a connection of
 	// its own.
 	Calls  http.RoundTripper
@@ -54,6 +61,7 @@
 	frames  *http.Client
 	known   atomic.Pointer[fleet]
 	budgets mgretry.Budgets
+	caps    caps
 	busy    atomic.Int64
 	leaving atomic.Bool
 	number  atomic.Uint64 // attempts so far
@@ -168,6 +176,7 @@
 	Leaving  bool   `json:"leaving"`
 	Attempts uint64 `json:"attempts"`
 	Agents   int    `json:"agents"`
+	Capped   int    `json:"capped"` // accounts whose caps are counted here
 }
 
 // State returns what the entry holds, in numbers.
@@ -177,5 +186,6 @@
 		Leaving:  e.leaving.Load(),
 		Attempts: e.number.Load(),
 		Agents:   e.fleet().routes.Len(),
+		Capped:   e.caps.Len(),
 	}
 }
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -22,8 +22,14 @@
 		return
 	}
 	e.spec.Metrics.Counter("requests").Inc(1)
+	giveBack, problem := e.take(r.Context(), c.account.Name())
+	if problem != nil {
+		e.turnedAway(w, problem)
+		return
+	}
 	made, problem := e.begin(r.Context(), j, nil)
 	if problem != nil {
+		giveBack(0)
 		e.turnedAway(w, problem)
 		return
 	}
@@ -32,6 +38,7 @@
 		job:      j,
 		receiver: mgdelivery.New(mgdelivery.Spec{Whole: !j.stream}),
 		attempt:  made,
+		giveBack: giveBack,
 		doubt:    made.doubt,
 		avoid:    map[string]bool{},
 	}
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -35,6 +35,7 @@
 	stream   *mglink.Stream
 	avoid    map[string]bool
 	tokens   int
+	giveBack func(tokens int) // returns what the account's caps were charged too much
 	evicted  uint32
 	notRun   bool // the agent attests that the attempt did not run
 	doubt    bool // an attempt before this one may have run
@@ -59,6 +60,7 @@
 func (r *reading) close() {
 	r.stream.Close()
 	r.attempt.ended()
+	r.giveBack(r.tokens)
 }
 
 // openFrames asks an agent for frames on a new connection. The agent may have
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -10,6 +10,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -26,6 +27,10 @@
 	if err != nil {
 		return err
 	}
+	shares := mgshare.NewLoop(n.sharesSpec(settings.Fresh))
+	n.shares.Store(shares)
+	n.pause.On(func(mgclock.Millis) { shares.Drop() })
+	n.servers.Go(func() { shares.Run(ctx) })
 	entry := mgentry.New(mgentry.Spec{
 		Settings: settings,
 		Clock:    n.clock,
@@ -37,6 +42,8 @@
 		View:     n.members.View,
 		Failed:   n.failed,
 		Heard:    n.heard,
+		Acquire:  shares.Acquire,
+		Running:  shares.Running,
 		Calls: &mglink.Guard{
 			Pooled:   n.calls,
 			Again:    n.guard.Transport(true),
@@ -47,6 +54,7 @@
 		Base:   n.guard.Base,
 	}, n.incarnation)
 	n.admin.Source("entry", func() any { return entry.State() })
+	n.admin.Source("shares", func() any { return shares.Status() })
 	n.Serve(ctx, ServerSpec{
 		Name:     "callers",
 		Listener: public,
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -22,6 +22,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
@@ -42,6 +43,7 @@
 	pause       *mgmember.Pause
 	peers       sync.Map                     // base URL to mgrpc.Peer
 	role        atomic.Pointer[http.Handler] // what the peers' listener serves besides
+	shares      atomic.Pointer[mgshare.Loop] // of an entry, else nil
 	serving     atomic.Bool                  // the listeners for work are open
 	leaving     atomic.Bool
 	servers     sync.WaitGroup
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -10,6 +10,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -83,14 +84,59 @@
 	return p.node.loop.Fetch(ctx, r)
 }
 
-// Lease answers an entry that takes this process for the home of an account.
-func (p peerServer) Lease(context.Context, *mgrpc.LeaseRequest) (*mgrpc.LeaseReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this process gives no leases: ask an entry")
+// errRole refuses what only an entry answers.
+var errRole = twirp.NewError(twirp.Unavailable, "this process leases no caps: ask an entry that is ready")
+
+// Lease answers an entry that takes this process for the home of accounts.
+func (p peerServer) Lease(ctx context.Context, r *mgrpc.LeaseRequest) (*mgrpc.LeaseReply, error) {
+	shares := p.node.shares.Load()
+	if shares == nil {
+		return nil, errRole
+	}
+	return shares.Lease(ctx, r)
+}
+
+// Support answers a home that asks for a witness.
+func (p peerServer) Support(ctx context.Context, r *mgrpc.SupportRequest) (*mgrpc.SupportReply, error) {
+	shares := p.node.shares.Load()
+	if shares == nil {
+		return nil, errRole
+	}
+	return shares.Support(ctx, r)
 }
 
-// Support answers an entry that asks for a witness.
-func (p peerServer) Support(context.Context, *mgrpc.SupportRequest) (*mgrpc.SupportReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this process is no witness: ask an entry")
+// sharesSpec joins an entry's shares to the node.
+func (n *Node) sharesSpec(fresh bool) mgshare.LoopSpec {
+	return mgshare.LoopSpec{
+		Shares: mgshare.SharesSpec{
+			Name:        n.settings.Name,
+			Incarnation: n.incarnation,
+			Region:      n.settings.Region,
+			Members:     n.members,
+			Account:     n.capsOf,
+			Fresh:       fresh,
+		},
+		Clock: n.clock,
+		Lease: func(ctx context.Context, addr string, r *mgrpc.LeaseRequest) (*mgrpc.LeaseReply, error) {
+			return n.peer(addr).Lease(ctx, r)
+		},
+		Support: func(ctx context.Context, addr string, r *mgrpc.SupportRequest) (*mgrpc.SupportReply, error) {
+			return n.peer(addr).Support(ctx, r)
+		},
+	}
+}
+
+// capsOf returns an account's caps by the table in force.
+func (n *Node) capsOf(name string) (mgshare.Caps, bool) {
+	table := n.Table()
+	if table == nil {
+		return mgshare.Caps{}, false
+	}
+	account := table.Account(name)
+	if account == nil {
+		return mgshare.Caps{}, false
+	}
+	return mgshare.CapsOf(account)
 }
 
 // memberState is the part of the dump that tells of other processes.
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -34,6 +34,7 @@
 	Slow   int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends its request or takes what is written"`
 	Probe  int64  `toml:"probe" default:"50" min:"1" max:"5000" unit:"ms" help:"longest wait for offers"`
 	Call   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
+	Fresh  bool   `toml:"fresh" help:"no process ran under this name lately, so that caps are leased from the start; for demos and tests"`
 	Public TLS    `toml:"public" help:"certificate towards callers; empty: plain HTTP behind the platform's balancer"`
 }
 
