mgagent, mgnode: orders to engines by plan, pace and fencing number

Cause: nothing gave an engine its model; mgplacement and mgfence were unused. Change: the agent compares its plan with the engine's report, paces the load and sends it under a fencing number while it is the engine's own by a list that a peer went by within 5 s. It refuses requests for a model that its engine says it lacks. Open: on an engine that ignores numbers, see mgfence.

--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -112,6 +112,7 @@
 	if err != nil {
 		return after
 	}
+	a.orders.held.Store(&load.Models)
 	if load.Leaving {
 		a.Leave()
 	}
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -36,6 +37,14 @@
 	Table func() *mgtable.Table
 	// Seen tells that another process goes by a version.
 	Seen func(version uint64, from string)
+	// Plan returns which engine holds which model. Without it the agent gives
+	// no orders and takes its engine to have every model.
+	Plan func() *mgplacement.Plan
+	// Ours reports whether this agent is the engine's own as far as the list of
+	// VMs and the peers know, and when that was asked.
+	Ours func() (mgclock.Millis, bool)
+	// Started is the process's start in Unix ms.
+	Started int64
 }
 
 // An Agent gives one upstream its work. Make one with New, then Run it.
@@ -47,6 +56,7 @@
 	prefix   mgprefix.Record
 	wake     chan struct{}
 	slots    chan struct{}
+	orders   *orders
 	calls    atomic.Int64
 	leaving  atomic.Bool
 	sick     atomic.Bool // the engine can't be reached
@@ -86,6 +96,7 @@
 		minter:      mgoperation.NewMinter(spec.Seal, spec.Settings.Upstream, spec.Incarnation),
 		wake:        make(chan struct{}, 1),
 		slots:       make(chan struct{}, slots),
+		orders:      newOrders(spec, upstream),
 		scheduler:   mgscheduler.New(schedulerSpec(spec, policy, upstream)),
 		generations: map[string]*generation{},
 	}, nil
@@ -119,6 +130,7 @@
 	loops.Go(func() { a.pump(ctx) })
 	loops.Go(func() { a.sweep(ctx) })
 	loops.Go(func() { a.follow(ctx) })
+	loops.Go(func() { a.order(ctx) })
 	loops.Wait()
 	a.running.Wait()
 }
--- /dev/null
+++ b/internal/process/mgagent/orders.go
@@ -0,0 +1,158 @@
+package mgagent
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgfence"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const (
+	// orderEvery is the interval at which the plan is compared with what the
+	// engine holds. It is well below mgfence's bound on an unseen pause.
+	orderEvery = 500 * mgclock.Millis(1)
+	// orderWait bounds an order: a load of weights takes tens of seconds.
+	orderWait = 2 * mgclock.Minute
+	// reportLag is how long an engine's report may lag behind an order that it
+	// has carried out. Without it the agent orders the same load again.
+	reportLag = 30 * mgclock.Second
+)
+
+// orders gives the engine its orders: which model to load.
+type orders struct {
+	guard   *mgfence.Guard
+	pacer   *mgplacement.Pacer
+	pending atomic.Bool              // an order is on its way
+	refused atomic.Bool              // the last one was refused
+	done    atomic.Pointer[load]     // the last one that was carried out
+	held    atomic.Pointer[[]string] // models that the engine reports, nil before the first
+}
+
+// load is a model that the engine was ordered to load, and did.
+type load struct {
+	model string
+	at    mgclock.Millis
+}
+
+func newOrders(spec Spec, upstream *mgtable.Upstream) *orders {
+	checks := upstream != nil && upstream.Orders() == mgtable.Checked
+	return &orders{
+		guard: mgfence.New(mgfence.Spec{
+			Started: spec.Started,
+			Begun:   spec.Clock.Now(),
+			Checks:  checks,
+		}),
+		pacer: mgplacement.NewPacer(spec.Settings.Upstream, 0, uint64(spec.Started)),
+	}
+}
+
+// lacks reports whether the engine says that it has other models and not this
+// one. An engine that reports none is tried: it refuses what it can't run.
+func (o *orders) lacks(model string) bool {
+	held := o.held.Load()
+	return held != nil && len(*held) > 0 && !slices.Contains(*held, model)
+}
+
+// order gives orders as they fall due, until ctx ends.
+func (a *Agent) order(ctx context.Context) {
+	if a.spec.Plan == nil || !a.besideEngine() {
+		return
+	}
+	for a.spec.Clock.Sleep(ctx, orderEvery) {
+		a.orderOnce(ctx)
+	}
+}
+
+func (a *Agent) orderOnce(ctx context.Context) {
+	now := a.spec.Clock.Now()
+	a.renew(now)
+	held := a.orders.held.Load()
+	table := a.spec.Table()
+	if held == nil || table == nil || a.orders.pending.Load() {
+		return
+	}
+	plan := a.spec.Plan()
+	a.orders.pacer.Plan(now, plan)
+	if a.orders.refused.Swap(false) {
+		a.orders.pacer.Refused(now)
+	}
+	if model := a.orders.holding(now, *held, plan.Model(a.spec.Settings.Upstream)); model != "" {
+		a.orders.pacer.Loaded(model)
+	}
+	if model := a.orders.pacer.Due(now); model != "" {
+		a.loadModel(ctx, table.Version(), model)
+	}
+}
+
+// renew keeps the lease on the engine's orders while this agent is the
+// engine's own as far as anybody knows.
+func (a *Agent) renew(now mgclock.Millis) {
+	a.orders.guard.Look(now)
+	if asked, ours := a.spec.Ours(); ours && !a.leaving.Load() {
+		a.orders.guard.Renew(asked, now)
+		return
+	}
+	a.orders.guard.Revoke()
+}
+
+// holding returns the wanted model if the engine holds it by its report or by
+// an order since, else any that it holds, or "".
+func (o *orders) holding(now mgclock.Millis, held []string, wanted string) string {
+	done := o.done.Load()
+	if done != nil && done.model == wanted && now < done.at+reportLag || slices.Contains(held, wanted) {
+		return wanted
+	}
+	if len(held) > 0 {
+		return held[0]
+	}
+	return ""
+}
+
+// loadModel orders the engine to load a model, in the background: it takes long.
+func (a *Agent) loadModel(ctx context.Context, version uint64, model string) {
+	order, err := a.orders.guard.Plan(version, a.spec.Clock.Now())
+	if err != nil {
+		return // no lease yet; the next look tries again
+	}
+	a.orders.pending.Store(true)
+	a.running.Go(func() {
+		defer a.orders.pending.Store(false)
+		a.sendLoad(ctx, order, model)
+	})
+}
+
+func (a *Agent) sendLoad(ctx context.Context, order mgfence.Order, model string) {
+	ctx, cancel := context.WithTimeout(ctx, orderWait.Duration())
+	defer cancel()
+	// A process that was paused since the order was planned learns it here.
+	if err := a.orders.guard.Send(order, a.spec.Clock.Now()); err != nil {
+		return
+	}
+	err := a.spec.Engine.Order(ctx, mgengine.OrderSpec{
+		Kind:  mgengine.LoadModel,
+		Model: model,
+		Fence: order.Number(),
+	})
+	if err == nil {
+		a.orders.done.Store(&load{
+			model: model,
+			at:    a.spec.Clock.Now(),
+		})
+		a.spec.Metrics.Counter("loads").Inc(1)
+		a.spec.Log.Info("a model is loaded", "model", model, mglog.Upstream, a.spec.Settings.Upstream)
+		return
+	}
+	var fenced *mgengine.FenceError
+	if errors.As(err, &fenced) {
+		a.orders.guard.Refused(fenced.Newest())
+	}
+	a.orders.refused.Store(true)
+	a.spec.Log.Info("an order was refused", "model", model, mglog.Upstream, a.spec.Settings.Upstream, "cause", err.Error())
+}
--- /dev/null
+++ b/internal/process/mgagent/orders_test.go
@@ -0,0 +1,185 @@
+package mgagent_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// ordered is an engine that notes its orders and when they came.
+type ordered struct {
+	mu     sync.Mutex
+	clock  mgclock.Clock
+	held   []string
+	newest uint64 // the highest fencing number it has seen
+	orders []mgengine.OrderSpec
+	times  []mgclock.Millis
+}
+
+func (o *ordered) load(context.Context) (mgengine.Load, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return mgengine.Load{Models: o.held}, nil
+}
+
+func (o *ordered) order(_ context.Context, spec mgengine.OrderSpec) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.orders = append(o.orders, spec)
+	o.times = append(o.times, o.clock.Now())
+	if spec.Fence < o.newest {
+		return mgengine.NewFenceError(spec.Fence, o.newest)
+	}
+	o.newest = spec.Fence
+	o.held = []string{spec.Model}
+	return nil
+}
+
+// An engine loads a model for minutes that nobody asked it for, or the one
+// model that callers wait for is on no engine: an agent that was replaced gave
+// an order, or its successor gave none. Each case plays two minutes.
+func TestOrders(t *testing.T) {
+	const others = 1 << 62 // far above the numbers of this agent
+	cases := []struct {
+		name   string
+		checks string
+		held   []string
+		newest uint64
+		ours   bool
+		leaves bool
+		orders int
+		first  mgclock.Millis // no order before it
+	}{
+		{
+			name:   "the engine lacks its model and gets it by one order",
+			checks: mgtable.Checked,
+			held:   []string{"old"},
+			ours:   true,
+			orders: 1,
+		},
+		{
+			name:   "the engine has its model",
+			checks: mgtable.Checked,
+			held:   []string{"tank-70b"},
+			ours:   true,
+		},
+		{
+			name:   "another agent is the engine's own",
+			checks: mgtable.Checked,
+			held:   []string{"old"},
+		},
+		{
+			name:   "this agent is leaving",
+			checks: mgtable.Checked,
+			held:   []string{"old"},
+			ours:   true,
+			leaves: true,
+		},
+		{
+			name:   "the engine doesn't check: the predecessor's orders are waited out",
+			checks: mgtable.Ignored,
+			held:   []string{"old"},
+			ours:   true,
+			orders: 1,
+			first:  12 * mgclock.Second,
+		},
+		{
+			name:   "the engine has seen a higher number: the next order is higher still",
+			checks: mgtable.Checked,
+			held:   []string{"old"},
+			newest: others,
+			ours:   true,
+			orders: 2,
+		},
+	}
+	Convey("Orders", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				engine := &ordered{
+					held:   c.held,
+					newest: c.newest,
+				}
+				synctest.Test(t, func(t *testing.T) {
+					agent, err := orderAgent(engine, c.checks, c.ours)
+					if err != nil {
+						t.Fatal(err)
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), (2 * mgclock.Minute).Duration())
+					defer cancel()
+					if c.leaves {
+						agent.Leave()
+					}
+					start := engine.clock.Now()
+					agent.Run(ctx)
+					for i := range engine.times {
+						engine.times[i] -= start
+					}
+				})
+				So(len(engine.orders), ShouldEqual, c.orders)
+				for i, order := range engine.orders {
+					So(order.Model, ShouldEqual, "tank-70b")
+					So(engine.times[i], ShouldBeGreaterThanOrEqualTo, c.first)
+					if i > 0 {
+						So(order.Fence, ShouldBeGreaterThan, engine.orders[i-1].Fence)
+					}
+				}
+			})
+		}
+	})
+}
+
+func orderAgent(engine *ordered, checks string, ours bool) (*mgagent.Agent, error) {
+	parsed, err := mgtable.Parse([]byte(strings.Replace(table, `orders = "checked"`, `orders = "`+checks+`"`, 1)))
+	if err != nil {
+		return nil, err
+	}
+	members := mgmember.New("agent-1")
+	members.List(0, mgplatform.List{
+		Version: 1,
+		VMs: []mgplatform.VM{{
+			Name:     "agent-1",
+			Kind:     mgplatform.AgentKind,
+			Addr:     "agent-1",
+			Upstream: "engine-1",
+			Models:   []string{"tank-70b"},
+			State:    mgplatform.Live,
+		}},
+	})
+	return mgagent.New(mgagent.Spec{
+		Settings: mgsettings.Agent{
+			Upstream: "engine-1",
+			Policy:   "ours",
+		},
+		Incarnation: "i1",
+		Log:         logr.Discard(),
+		Metrics:     mgmetric.New(),
+		Seal:        &mgseal.Signer{},
+		Engine: mgengine.NewClient(mgengine.Seams{
+			Load:   engine.load,
+			Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
+			List:   func(context.Context) ([]mgengine.Generation, error) { return nil, nil },
+			Order:  engine.order,
+		}),
+		Table:   func() *mgtable.Table { return parsed },
+		Seen:    func(uint64, string) {},
+		Plan:    func() *mgplacement.Plan { return mgplacement.Assign(parsed, members.View()) },
+		Ours:    func() (mgclock.Millis, bool) { return engine.clock.Now(), ours },
+		Started: mgclock.UnixMillis(),
+	})
+}
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -32,7 +32,7 @@
 		return offer, nil
 	}
 	offer.Version = table.Version()
-	if a.sick.Load() {
+	if a.sick.Load() || a.orders.lacks(in.GetModel()) {
 		offer.Refused = string(mgproblem.Crowded)
 		offer.Retry = int64(followEvery)
 		return offer, nil
@@ -131,6 +131,10 @@
 	if a.sick.Load() {
 		return unreachable()
 	}
+	if a.orders.lacks(in.GetModel()) {
+		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"the engine has not loaded the model", "try another upstream").WithRetry(mgclock.Second)
+	}
 	return a.enqueue(table, in, now, deadline)
 }
 
--- a/internal/process/mgdemo/deployment.go
+++ b/internal/process/mgdemo/deployment.go
@@ -125,6 +125,7 @@
 				Batch:  32,
 				Speed:  engineSpeed,
 			},
+			Serves: []string{"tank-70b", "mar-70b"},
 			Fenced: i%2 == 0,
 			Lag:    500,
 			Late:   200,
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -6,7 +6,11 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // RunAgent runs an agent until stop ends, then drains it; hurry cuts the drain
@@ -29,6 +33,9 @@
 		Service:     mgservice.NewHTTP(settings.Address, nil),
 		Table:       n.Table,
 		Seen:        n.Seen,
+		Plan:        (&planner{node: n}).plan,
+		Ours:        func() (mgclock.Millis, bool) { return n.owns(settings.Upstream) },
+		Started:     mgclock.UnixMillis(),
 	})
 	if err != nil {
 		return err
@@ -49,3 +56,48 @@
 	stopping.Run(hurry)
 	return nil
 }
+
+// planner works the placement out anew when the table or the members change.
+// One goroutine, that of the agent's orders, uses it.
+type planner struct {
+	node  *Node
+	table *mgtable.Table
+	view  *mgmember.View
+	made  *mgplacement.Plan
+}
+
+func (p *planner) plan() *mgplacement.Plan {
+	table, view := p.node.Table(), p.node.members.View()
+	if p.made == nil || p.table != table || p.view != view {
+		p.table, p.view = table, view
+		p.made = mgplacement.Assign(table, view)
+	}
+	return p.made
+}
+
+// evidence is how lately a peer must have been heard for the list to count as
+// present: two rounds of exchanges and a delay.
+const evidence = 5 * mgclock.Second
+
+// owns reports whether this process is an upstream's own agent: listed as such,
+// by a list that some peer, too, went by lately. A process that hears nobody
+// may be the one that was replaced.
+func (n *Node) owns(upstream string) (mgclock.Millis, bool) {
+	view := n.members.View()
+	now := n.clock.Now()
+	own, found := view.Agent(upstream)
+	if !found || own.Name() != n.settings.Name || own.Leaving() || !own.Listed() {
+		return now, false
+	}
+	alone := true
+	for _, member := range view.All() {
+		if member.Name() == n.settings.Name {
+			continue
+		}
+		if n.members.Recent(now, member.Name(), evidence) {
+			return now, true
+		}
+		alone = alone && !member.Listed()
+	}
+	return now, alone
+}
--- a/pkg/mgclock/clock.go
+++ b/pkg/mgclock/clock.go
@@ -84,3 +84,6 @@
 
 // Deadline returns span from now in the form that connections take.
 func Deadline(span Millis) time.Time { return time.Now().Add(span.Duration()) }
+
+// UnixMillis returns the ms since 1970 by the system's clock, as Unix does.
+func UnixMillis() int64 { return time.Now().UnixMilli() }
