mgevent: control events through watermill, one ordered handler

Cause: handlers of control events (adoption, leaving, pause) must not see two events in two orders, and who publishes must not wait.

Change: Bus queues events, publishes them one at a time to watermill's gochannel with BlockPublishUntilSubscriberAck (without it each message gets a goroutine of its own and the order is lost) and keeps a trace.

--- /dev/null
+++ b/internal/process/mgevent/bus.go
@@ -0,0 +1,173 @@
+package mgevent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// topic is the one topic: several would be several orders.
+	topic = "control"
+	// queueMost bounds the events that wait. Control events come by the second;
+	// this many mean that a handler hangs.
+	queueMost = 4096
+	// traceMost bounds the trace.
+	traceMost = 128
+)
+
+// ErrFull is the error of an event that was dropped.
+var ErrFull = errors.New("mgevent: the queue of control events is full: a handler hangs, see the trace in the dump")
+
+// A Bus queues events and runs their handlers. NewBus makes one.
+type Bus struct {
+	clock mgclock.Clock
+
+	mu       sync.Mutex
+	handlers map[Kind][]func(Event)
+	queue    []Event
+	seq      uint64
+	wake     chan struct{}
+	trace    []Trace
+}
+
+// NewBus returns a bus on a clock.
+func NewBus(clock mgclock.Clock) *Bus {
+	return &Bus{
+		clock:    clock,
+		handlers: make(map[Kind][]func(Event)),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// On adds a handler for a kind of event. Handlers of a kind run in the order in
+// which they were added.
+func (b *Bus) On(kind Kind, handle func(Event)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handlers[kind] = append(b.handlers[kind], handle)
+}
+
+// Publish queues an event and returns at once. The error is ErrFull.
+func (b *Bus) Publish(kind Kind, subject, detail string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queue) >= queueMost {
+		return ErrFull
+	}
+	b.seq++
+	b.queue = append(b.queue, Event{
+		Seq:     b.seq,
+		Kind:    kind,
+		Subject: subject,
+		Detail:  detail,
+		At:      b.clock.Now(),
+	})
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Run handles events until ctx ends.
+func (b *Bus) Run(ctx context.Context) error {
+	channel := gochannel.NewGoChannel(gochannel.Config{
+		BlockPublishUntilSubscriberAck: true,
+	}, watermill.NopLogger{})
+	messages, err := channel.Subscribe(ctx, topic)
+	if err != nil {
+		return fmt.Errorf("mgevent: can't subscribe: report it: %w", err)
+	}
+	var handling sync.WaitGroup
+	handling.Add(1)
+	go func() {
+		defer handling.Done()
+		for m := range messages {
+			b.handle(m)
+		}
+	}()
+	err = b.pump(ctx, channel)
+	closed := channel.Close()
+	handling.Wait()
+	return errors.Join(err, closed)
+}
+
+// pump publishes the queued events one by one.
+func (b *Bus) pump(ctx context.Context, channel *gochannel.GoChannel) error {
+	for {
+		event, ok := b.next()
+		if !ok {
+			select {
+			case <-b.wake:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		// An event is numbers and strings and always has a JSON form.
+		payload, _ := json.Marshal(event)
+		m := message.NewMessage(strconv.FormatUint(event.Seq, 10), payload)
+		if err := channel.Publish(topic, m); err != nil {
+			return fmt.Errorf("mgevent: can't publish: report it: %w", err)
+		}
+	}
+}
+
+// next takes the first queued event.
+func (b *Bus) next() (Event, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queue) == 0 {
+		return Event{}, false
+	}
+	event := b.queue[0]
+	b.queue = b.queue[1:]
+	return event, true
+}
+
+// handle runs an event's handlers.
+func (b *Bus) handle(m *message.Message) {
+	defer m.Ack()
+	var event Event
+	if err := json.Unmarshal(m.Payload, &event); err != nil {
+		return
+	}
+	b.mu.Lock()
+	handlers := b.handlers[event.Kind]
+	b.mu.Unlock()
+	begun := b.clock.Now()
+	for _, handle := range handlers {
+		handle(event)
+	}
+	b.note(Trace{
+		Event:  event,
+		Waited: begun - event.At,
+		Took:   b.clock.Now() - begun,
+	})
+}
+
+func (b *Bus) note(t Trace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trace = append(b.trace, t)
+	if len(b.trace) > traceMost {
+		b.trace = b.trace[1:]
+	}
+}
+
+// Trace returns the last handled events, the oldest first.
+func (b *Bus) Trace() []Trace {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Trace(nil), b.trace...)
+}
--- /dev/null
+++ b/internal/process/mgevent/bus_test.go
@@ -0,0 +1,233 @@
+package mgevent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestBus(t *testing.T) {
+	Convey("Events are handled one by one, in one order", t, func() {
+		bus := NewBus(mgclock.Clock{})
+		var seen []uint64 // without a lock: the race detector checks the claim
+		done := make(chan struct{})
+		handle := func(e Event) {
+			seen = append(seen, e.Seq)
+			if len(seen) == 200 {
+				close(done)
+			}
+		}
+		bus.On(Adopted, handle)
+		bus.On(Leaving, handle)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- bus.Run(ctx) }()
+		var publishers sync.WaitGroup
+		for _, kind := range []Kind{Adopted, Leaving} {
+			publishers.Add(1)
+			go func() {
+				defer publishers.Done()
+				for range 100 {
+					_ = bus.Publish(kind, "", "")
+				}
+			}()
+		}
+		publishers.Wait()
+		<-done
+		for i, seq := range seen {
+			So(seq, ShouldEqual, i+1)
+		}
+		cancel()
+		So(<-ended, ShouldBeNil)
+		So(bus.Trace(), ShouldHaveLength, traceMost)
+	})
+	Convey("A handler that hangs makes events drop, not publishers wait", t, func() {
+		bus := NewBus(mgclock.Clock{})
+		for range queueMost {
+			So(bus.Publish(Paused, "", ""), ShouldBeNil)
+		}
+		So(bus.Publish(Paused, "", ""), ShouldWrap, ErrFull)
+	})
+}
+
+// store is control state: a version and what followed from it. Keeping both in
+// step is what a queue or a lock is for.
+type store struct {
+	mu      sync.RWMutex
+	version uint64
+	derived uint64
+	current atomic.Uint64
+}
+
+// update takes a change whose consequences need work to work out.
+func (s *store) update(version uint64) {
+	s.version = version
+	work()
+	s.derived = version
+	s.current.Store(version)
+}
+
+// work stands for the adoption of an edit: about a hundred microseconds.
+func work() {
+	for begun := time.Now(); time.Since(begun) < 100*time.Microsecond; {
+	}
+}
+
+// BenchmarkHandled compares the time from a change to its consequences in force,
+// by a lock and by the bus.
+func BenchmarkHandled(b *testing.B) {
+	b.Run("lock", func(b *testing.B) {
+		var s store
+		for i := 0; b.Loop(); i++ {
+			s.mu.Lock()
+			s.update(uint64(i))
+			s.mu.Unlock()
+		}
+	})
+	b.Run("queue", func(b *testing.B) {
+		var s store
+		bus, stop := runBus(func(e Event) { s.update(e.Seq) })
+		defer stop()
+		for i := uint64(1); b.Loop(); i++ {
+			_ = bus.Publish(Adopted, "", "")
+			for s.current.Load() < i {
+			}
+		}
+	})
+}
+
+func runBus(handle func(Event)) (*Bus, func()) {
+	bus := NewBus(mgclock.Clock{})
+	bus.On(Adopted, handle)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- bus.Run(ctx) }()
+	return bus, func() {
+		cancel()
+		<-ended
+	}
+}
+
+// BenchmarkRequestPath measures what a request waits for control state while
+// changes come every 200 microseconds and take half of that: under a lock that is held over the
+// change, and with the snapshot that the bus's handler replaces.
+func BenchmarkRequestPath(b *testing.B) {
+	b.Run("lock", func(b *testing.B) {
+		var s store
+		stop := make(chan struct{})
+		var updater sync.WaitGroup
+		updater.Add(1)
+		go func() {
+			defer updater.Done()
+			pace := time.NewTicker(200 * time.Microsecond)
+			defer pace.Stop()
+			for i := uint64(1); ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-pace.C:
+				}
+				s.mu.Lock()
+				s.update(i)
+				s.mu.Unlock()
+			}
+		}()
+		blocked(b, func() {
+			s.mu.RLock()
+			_ = s.derived
+			s.mu.RUnlock()
+		})
+		close(stop)
+		updater.Wait()
+	})
+	b.Run("queue", func(b *testing.B) {
+		var s store
+		bus, stopBus := runBus(func(e Event) { s.update(e.Seq) })
+		defer stopBus()
+		stop := make(chan struct{})
+		var publisher sync.WaitGroup
+		publisher.Add(1)
+		go func() {
+			defer publisher.Done()
+			pace := time.NewTicker(200 * time.Microsecond)
+			defer pace.Stop()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-pace.C:
+				}
+				_ = bus.Publish(Adopted, "", "")
+			}
+		}()
+		blocked(b, func() { _ = s.current.Load() })
+		close(stop)
+		publisher.Wait()
+	})
+}
+
+// blocked reports the mean and the longest time of a read.
+func blocked(b *testing.B, read func()) {
+	var longest, total time.Duration
+	count := 0
+	for b.Loop() {
+		begun := time.Now()
+		read()
+		span := time.Since(begun)
+		total += span
+		longest = max(longest, span)
+		count++
+	}
+	b.ReportMetric(float64(total.Nanoseconds())/float64(count), "mean-ns")
+	b.ReportMetric(float64(longest.Nanoseconds()), "max-ns")
+}
+
+// BenchmarkInversions counts how often listeners learn of two changes in the
+// wrong order when a lock is given up before they are told, as it must be where
+// a listener takes locks of its own. The bus has none by its construction.
+func BenchmarkInversions(b *testing.B) {
+	b.Run("lock", func(b *testing.B) {
+		var s store
+		var last, inversions atomic.Uint64
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				s.mu.Lock()
+				s.version++
+				version := s.version
+				s.mu.Unlock()
+				if last.Swap(version) > version {
+					inversions.Add(1)
+				}
+			}
+		})
+		b.ReportMetric(float64(inversions.Load())/float64(b.N), "inversions/op")
+	})
+	b.Run("queue", func(b *testing.B) {
+		last, inversions := uint64(0), 0
+		handled := make(chan struct{}, 1024)
+		bus, stop := runBus(func(e Event) {
+			if e.Seq < last {
+				inversions++
+			}
+			last = e.Seq
+			handled <- struct{}{}
+		})
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				_ = bus.Publish(Adopted, "", "")
+				<-handled
+			}
+		})
+		stop()
+		b.ReportMetric(float64(inversions)/float64(b.N), "inversions/op")
+	})
+}
