mgdemo: measure the stalls that callers see

Cause: the bound on silence is proved in virtual time; what a caller waits for on real connections was not measured. Change: BenchmarkStall, with a relay on loopback that makes open connections silent for good while new ones work; 16 answers of 600 tokens at once, struck at the first one's 60th token, the longest wait of each answer recorded.

--- /dev/null
+++ b/internal/process/mgdemo/stall_test.go
@@ -0,0 +1,255 @@
+package mgdemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclient"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// readers is the number of answers that a fault strikes at once.
+	readers = 16
+	// length of each in tokens, and the token of the first reader at which the
+	// fault strikes.
+	length  = 600
+	strikes = 60
+	// demoBeat is the heartbeat interval of the demo's processes.
+	demoBeat mgclock.Millis = 250
+)
+
+// relay carries bytes to an address, until it is told to go silent: what is open
+// then stays open and carries nothing, and new connections work.
+type relay struct {
+	listener net.Listener
+	to       string
+
+	mu     sync.Mutex
+	silent chan struct{}
+	conns  []net.Conn
+}
+
+func newRelay(b *testing.B, to string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := &relay{
+		listener: listener,
+		to:       to,
+		silent:   make(chan struct{}),
+	}
+	go r.run()
+	b.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) run() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.to)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		r.mu.Lock()
+		r.conns = append(r.conns, near, far)
+		silent := r.silent
+		r.mu.Unlock()
+		go pipe(near, far, silent)
+		go pipe(far, near, silent)
+	}
+}
+
+// pipe copies until an end closes. Once silent it reads on and drops, and tells
+// the other end nothing.
+func pipe(from, to net.Conn, silent <-chan struct{}) {
+	chunk := make([]byte, 4096)
+	for {
+		n, err := from.Read(chunk)
+		select {
+		case <-silent:
+			if err != nil {
+				return
+			}
+			continue
+		default:
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(chunk[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.silent)
+	r.silent = make(chan struct{})
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// through puts a relay between the entries and an agent, and waits until the
+// lagging list has told them.
+func through(b *testing.B, d *Deployment, name string) *relay {
+	vms := slices.Clone(d.vms)
+	at := slices.IndexFunc(vms, func(vm mgplatform.VM) bool { return vm.Name == name })
+	r := newRelay(b, vms[at].Addr)
+	vms[at].Addr = r.listener.Addr().String()
+	if _, err := d.platform.PutVMs(vms); err != nil {
+		b.Fatal(err)
+	}
+	for r.count() == 0 {
+		if _, err := client(d.entries).Complete(context.Background(), ask(3), nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return r
+}
+
+func (r *relay) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns)
+}
+
+func client(bases []string) *mgclient.Client {
+	return mgclient.New(mgclient.Spec{
+		Bases:   bases,
+		Key:     "sample-tankline",
+		Silence: callerSilence,
+	})
+}
+
+func ask(tokens int) mgclient.Request {
+	return mgclient.Request{
+		Model: "report",
+		Messages: []mgclient.Message{{
+			Role:    "user",
+			Content: fmt.Sprintf("len=%d", tokens),
+		}},
+	}
+}
+
+// strike reads answers at once, lets a fault strike, and records the longest
+// time that each reader waited for a token. A lost or short answer is an error.
+func strike(b *testing.B, bases []string, into *hdrhistogram.Histogram, fault func()) {
+	var all sync.WaitGroup
+	var once sync.Once
+	var mu sync.Mutex
+	for i := range readers {
+		all.Go(func() {
+			var clock mgclock.Clock
+			var last, stall mgclock.Millis
+			answer, err := client(bases).Complete(context.Background(), ask(length), func(token mgclient.Token) error {
+				now := clock.Now()
+				if last > 0 {
+					stall = max(stall, now-last)
+				}
+				last = now
+				if i == 0 && token.Seq() == strikes {
+					once.Do(fault)
+				}
+				return nil
+			})
+			if err != nil || answer.Tokens() != length {
+				b.Errorf("%d tokens: %v", answer.Tokens(), err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			_ = into.RecordValue(int64(stall))
+		})
+	}
+	all.Wait()
+}
+
+func report(b *testing.B, stalls *hdrhistogram.Histogram) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(stalls.TotalCount()), "answers")
+	b.ReportMetric(float64(stalls.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(stalls.ValueAtQuantile(99)), "p99-ms")
+	b.ReportMetric(float64(stalls.Max()), "max-ms")
+	b.ReportMetric(float64(stalls.ValueAtQuantile(99))/float64(demoBeat), "p99-beats")
+}
+
+// BenchmarkStall measures how long a caller waits for its next token when the
+// connection between entry and agent goes silent for good (limit: three
+// heartbeats), when its own connection does (limit: its Silence), when its entry
+// is killed, and when nothing fails.
+func BenchmarkStall(b *testing.B) {
+	b.Run("none", func(b *testing.B) {
+		stalls := hdrhistogram.New(1, longestGap, gapDigits)
+		d := started(b)
+		defer d.Close()
+		for b.Loop() {
+			strike(b, d.entries, stalls, func() {})
+		}
+		report(b, stalls)
+	})
+	b.Run("silent", func(b *testing.B) {
+		stalls := hdrhistogram.New(1, longestGap, gapDigits)
+		d := started(b)
+		defer d.Close()
+		r := through(b, d, "agent-engine-1")
+		for b.Loop() {
+			strike(b, d.entries, stalls, r.silence)
+		}
+		report(b, stalls)
+	})
+	b.Run("caller", func(b *testing.B) {
+		stalls := hdrhistogram.New(1, longestGap, gapDigits)
+		d := started(b)
+		defer d.Close()
+		r := newRelay(b, strings.TrimPrefix(d.entries[0], "http://"))
+		bases := []string{"http://" + r.listener.Addr().String(), d.entries[1]}
+		for b.Loop() {
+			strike(b, bases, stalls, r.silence)
+		}
+		report(b, stalls)
+	})
+	b.Run("entry", func(b *testing.B) {
+		stalls := hdrhistogram.New(1, longestGap, gapDigits)
+		for b.Loop() {
+			d := started(b)
+			strike(b, d.entries, stalls, d.Node("entry-1").Kill)
+			d.Close()
+		}
+		report(b, stalls)
+	})
+}
+
+// started starts a deployment, which its caller closes.
+func started(b *testing.B) *Deployment {
+	d, err := Start(context.Background(), Spec{
+		Entries: 2,
+		Engines: 1,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return d
+}
