mgentry: leaving, drains and a memory that fills up, on the whole path

Cause: "no new work after a few seconds", "a stop cuts off nothing" and a memory that fills up mid-decode were not played through entry and agent. Change: two ways for an upstream to leave and one for an entry, with ten answers in progress and ten after the bound of 3 s; ten answers in a tenth of the memory that the table says.

--- /dev/null
+++ b/internal/process/mgentry/leave_test.go
@@ -0,0 +1,120 @@
+package mgentry_test
+
+import (
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// leaveBound is how long after the first sign an upstream may still get work.
+const leaveBound = 3 * mgclock.Second
+
+// starts returns how many generations each engine began.
+func (r *rig) starts() map[string]int {
+	counts := map[string]int{}
+	for name, e := range r.engines {
+		for _, record := range e.Counts().Generations {
+			counts[name] += record.Starts
+		}
+	}
+	return counts
+}
+
+// A dossier is cut off by a planned stop, or sent to an engine that is about to
+// go. Each case leaves in its own way while ten answers stream; ten more are
+// asked for after the bound. All twenty must be whole, and none of the later
+// ones on the one that leaves.
+func TestLeaving(t *testing.T) {
+	cases := map[string]func(r *rig){
+		"the agent leaves": func(r *rig) { r.agents["agent-engine-1"].Leave() },
+		"the engine says that it leaves": func(r *rig) {
+			r.engines["engine-1"].Set(mgstandin.Fault{Kind: mgstandin.Leave})
+		},
+	}
+	Convey("An upstream that leaves gets no new work, and ends what it has", t, func() {
+		for story, leave := range cases {
+			Convey(story, func() {
+				var whole, late, before int
+				play(t, 2, func(r *rig) {
+					var all sync.WaitGroup
+					early := ask(r, &all, 10)
+					r.clock.Sleep(r.ctx, 500)
+					leave(r)
+					r.clock.Sleep(r.ctx, leaveBound)
+					before = r.starts()["engine-1"]
+					later := ask(r, &all, 10)
+					all.Wait()
+					late = r.starts()["engine-1"] - before
+					whole = wholes(early) + wholes(later)
+				})
+				So(before, ShouldBeGreaterThan, 0)
+				So(whole, ShouldEqual, 20)
+				So(late, ShouldEqual, 0)
+			})
+		}
+	})
+	Convey("An entry that leaves ends what it has and refuses the rest at once", t, func() {
+		var whole int
+		var told string
+		play(t, 2, func(r *rig) {
+			var all sync.WaitGroup
+			early := ask(r, &all, 10)
+			r.clock.Sleep(r.ctx, 500)
+			r.entries["entry-1"].Leave()
+			c := r.caller()
+			c.ask("entry-1", 5, true)
+			told = c.seen[0]
+			all.Wait()
+			whole = wholes(early)
+		})
+		So(told, ShouldEqual, "503")
+		So(whole, ShouldEqual, 10)
+	})
+}
+
+// answerLength outlasts the bound: about five seconds of decoding.
+const answerLength = 400
+
+// ask asks for answers at once through entry-1.
+func ask(r *rig, all *sync.WaitGroup, count int) []*caller {
+	callers := make([]*caller, count)
+	for i := range callers {
+		callers[i] = r.caller()
+		callers[i].padding = 50 * i // tells the prompts apart
+		all.Go(func() { callers[i].ask("entry-1", answerLength, true) })
+	}
+	return callers
+}
+
+// wholes counts the callers whose answer is whole and as generated.
+func wholes(callers []*caller) int {
+	count := 0
+	for _, c := range callers {
+		if c.tokens == answerLength && c.text.String() == mgstandin.Whole(c.generation(), c.tokens) {
+			count++
+		}
+	}
+	return count
+}
+
+// An engine has less memory than it was thought to have, and fills up while
+// streams run. It evicts some and computes them again; no caller sees more than
+// a wait, and every text is whole.
+func TestMemoryFillsUp(t *testing.T) {
+	Convey("Preempted generations are delivered whole", t, func() {
+		var whole, preempted int
+		playWith(t, 1, 4000, func(r *rig) {
+			var all sync.WaitGroup
+			callers := ask(r, &all, 10)
+			all.Wait()
+			whole = wholes(callers)
+			preempted = r.engines["engine-1"].Counts().Preempted
+		})
+		So(preempted, ShouldBeGreaterThan, 0)
+		So(whole, ShouldEqual, 10)
+	})
+}
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -104,6 +104,8 @@
 	table    *mgtable.Table
 	ctx      context.Context
 	engines  map[string]*mgstandin.Engine
+	agents   map[string]*mgagent.Agent
+	entries  map[string]*mgentry.Entry
 	books    *mgstandin.Service
 	list     mgplatform.List
 	mu       sync.Mutex // guards what follows
@@ -112,8 +114,16 @@
 	crossing func(http.Handler) http.Handler // around the agents' frames, or nil
 }
 
+// engineMemory is what the table says of the engines, in tokens.
+const engineMemory = 40000
+
 // play runs a story on a rig with engine-1 and on.
 func play(t *testing.T, engines int, story func(r *rig)) {
+	playWith(t, engines, engineMemory, story)
+}
+
+// playWith is play with engines of another memory than the table says.
+func playWith(t *testing.T, engines, memory int, story func(r *rig)) {
 	synctest.Test(t, func(t *testing.T) {
 		parsed, err := mgtable.Parse([]byte(table))
 		if err != nil {
@@ -124,6 +134,8 @@
 			ctx:     ctx,
 			table:   parsed,
 			engines: map[string]*mgstandin.Engine{},
+			agents:  map[string]*mgagent.Agent{},
+			entries: map[string]*mgentry.Entry{},
 			stops:   map[string]func(){},
 			books:   mgstandin.NewService(mgstandin.ServiceSpec{}, mgclock.Clock{}),
 		}
@@ -133,7 +145,7 @@
 			name := fmt.Sprint("engine-", i+1)
 			e := mgstandin.NewEngine(mgstandin.EngineSpec{
 				Model: mgmodel.Spec{
-					Memory: 40000,
+					Memory: memory,
 					Batch:  32,
 				},
 			}, mgclock.Clock{})
@@ -203,6 +215,9 @@
 	if err != nil {
 		panic(err)
 	}
+	r.mu.Lock()
+	r.agents[name] = a
+	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(r.ctx)
 	done := make(chan struct{})
 	go func() {
@@ -255,6 +270,9 @@
 		Frames: r.Transport(name, true),
 		Base:   func(address string) string { return "http://" + address },
 	}, r.life())
+	r.mu.Lock()
+	r.entries[name] = e
+	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(r.ctx)
 	go func() {
 		for r.clock.Sleep(ctx, mgclock.Second) {
