--- a/internal/bench/mgbench/command.go
+++ b/internal/bench/mgbench/command.go
@@ -20,7 +20,7 @@
 	Policy   string  `long:"policy" default:"all" description:"policies, separated by commas, or all"`
 	Seed     uint64  `long:"seed" default:"1" description:"first seed"`
 	Seeds    int     `long:"seeds" default:"5" description:"number of seeds, from the first one on"`
-	Out      string  `long:"out" description:"directory for runs.jsonl and plots; none is written without it"`
+	Out      string  `long:"out" description:"directory for runs.jsonl, tables.md and plots; none is written without it"`
 	Span     float64 `long:"span" description:"seconds of arrivals, in place of the scenarios' own"`
 	Jobs     int     `long:"jobs" description:"runs at once; half of the processors without it"`
 
@@ -178,17 +178,18 @@
 	return r
 }
 
-// write writes the runs and the plots to the directory.
+// write writes the runs, the tables and the plots to the directory.
 func (c *Command) write(scenarios []ScenarioSpec, chosen []policy, runs []run) error {
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return fmt.Errorf("out: create the directory or name another: %w", err)
 	}
-	f, err := os.Create(filepath.Join(c.Out, "runs.jsonl"))
+	err := c.file("runs.jsonl", func(w io.Writer) error { return writeLines(w, runs) })
 	if err != nil {
-		return fmt.Errorf("out: %w", err)
+		return err
 	}
-	if err := errors.Join(writeLines(f, runs), f.Close()); err != nil {
-		return fmt.Errorf("out: %w", err)
+	err = c.file("tables.md", func(w io.Writer) error { return writePages(w, scenarios, chosen, runs) })
+	if err != nil {
+		return err
 	}
 	var group errgroup.Group
 	group.SetLimit(c.atOnce())
@@ -197,3 +198,15 @@
 	}
 	return group.Wait()
 }
+
+// file writes one file of the directory.
+func (c *Command) file(name string, write func(w io.Writer) error) error {
+	f, err := os.Create(filepath.Join(c.Out, name))
+	if err != nil {
+		return fmt.Errorf("out: %w", err)
+	}
+	if err := errors.Join(write(f), f.Close()); err != nil {
+		return fmt.Errorf("out: %s: %w", name, err)
+	}
+	return nil
+}
--- a/internal/bench/mgbench/report.go
+++ b/internal/bench/mgbench/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -75,3 +76,37 @@
 	}
 	return nil
 }
+
+// writePages writes all scenarios as Markdown tables: medians, with the ranges
+// over the seeds in brackets.
+func writePages(w io.Writer, scenarios []ScenarioSpec, policies []policy, runs []run) error {
+	text := new(strings.Builder)
+	for _, s := range scenarios {
+		fmt.Fprintf(text, "### %s\n\n%s.\n\n| policy |", s.Name, s.Text)
+		for _, f := range figures() {
+			fmt.Fprintf(text, " %s |", f.head)
+		}
+		fmt.Fprintf(text, "\n|---|%s\n", strings.Repeat("---|", len(figures())))
+		for _, p := range policies {
+			pageRow(text, p.name, runsOf(runs, s.Name, p.name))
+		}
+		fmt.Fprintln(text)
+	}
+	if _, err := io.WriteString(w, text.String()); err != nil {
+		return fmt.Errorf("tables: %w", err)
+	}
+	return nil
+}
+
+func pageRow(w io.Writer, name string, runs []run) {
+	fmt.Fprintf(w, "| %s |", name)
+	for _, f := range figures() {
+		median, least, most := spreadOf(runs, f)
+		fmt.Fprintf(w, " %s", number(median, f.digits))
+		if least < most {
+			fmt.Fprintf(w, " (%s to %s)", number(least, f.digits), number(most, f.digits))
+		}
+		fmt.Fprint(w, " |")
+	}
+	fmt.Fprintln(w)
+}
