--- a/internal/bench/mgbench/command.go
+++ b/internal/bench/mgbench/command.go
@@ -20,7 +20,7 @@
 	Policy   string  `long:"policy" default:"all" description:"policies, separated by commas, or all"`
 	Seed     uint64  `long:"seed" default:"1" description:"first seed"`
 	Seeds    int     `long:"seeds" default:"5" description:"number of seeds, from the first one on"`
-	Out      string  `long:"out" description:"directory for runs.jsonl, tables.md and plots; none is written without it"`
+	Out      string  `long:"out" description:"directory for runs.jsonl, summary.md, tables.md and plots; none is written without it"`
 	Span     float64 `long:"span" description:"seconds of arrivals, in place of the scenarios' own"`
 	Jobs     int     `long:"jobs" description:"runs at once; half of the processors without it"`
 
@@ -183,13 +183,15 @@
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return fmt.Errorf("out: create the directory or name another: %w", err)
 	}
-	err := c.file("runs.jsonl", func(w io.Writer) error { return writeLines(w, runs) })
-	if err != nil {
-		return err
+	files := map[string]func(w io.Writer) error{
+		"runs.jsonl": func(w io.Writer) error { return writeLines(w, runs) },
+		"summary.md": func(w io.Writer) error { return writeSummary(w, scenarios, chosen, runs) },
+		"tables.md":  func(w io.Writer) error { return writePages(w, scenarios, chosen, runs) },
 	}
-	err = c.file("tables.md", func(w io.Writer) error { return writePages(w, scenarios, chosen, runs) })
-	if err != nil {
-		return err
+	for name, write := range files {
+		if err := c.file(name, write); err != nil {
+			return err
+		}
 	}
 	var group errgroup.Group
 	group.SetLimit(c.atOnce())
--- a/internal/bench/mgbench/plot.go
+++ b/internal/bench/mgbench/plot.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgimg"
@@ -16,12 +17,13 @@
 
 // Sizes of the plots.
 const (
-	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 13 * vg.Centimeter
-	tileHeight = 7 * vg.Centimeter
-	barWidth   = 14 * vg.Millimeter
-	barInch    = 2.4 * vg.Centimeter
-	lineWidth  = 1.5
+	plotWidth   = 22 * vg.Centimeter
+	plotHeight  = 13 * vg.Centimeter
+	tileHeight  = 7 * vg.Centimeter
+	barWidth    = 14 * vg.Millimeter
+	barInch     = 2.4 * vg.Centimeter
+	lineWidth   = 1.5
+	glyphRadius = 4
 )
 
 // palette holds colours that can be told apart, also by the colour-blind (Okabe
@@ -181,6 +183,12 @@
 // frontLeast is what stands for nothing on the front's logarithmic scale.
 const frontLeast = 0.01
 
+// frontMargin is the part of the front's width that the legend takes.
+const frontMargin = 0.35
+
+// edgeMargin keeps the outermost glyph whole.
+const edgeMargin = 0.03
+
 // plotFront draws each policy by its gaps between tokens and its preemptions,
 // the two that the table's preference weighs against each other.
 func plotFront(s ScenarioSpec, policies []policy, runs []run) (*plot.Plot, error) {
@@ -190,27 +198,29 @@
 	p.Y.Label.Text = fmt.Sprintf("preemptions per 100 answers, at least %g", frontLeast)
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Add(plotter.NewGrid())
-	var labels plotter.XYLabels
-	for _, o := range policies {
+	p.Legend.Top, p.Legend.Left = true, true
+	for i, o := range policies {
 		own := runsOf(runs, s.Name, o.name)
 		x, _, _ := spreadOf(own, figureNamed("p99"))
 		y, _, _ := spreadOf(own, figureNamed("preempts"))
-		labels.XYs = append(labels.XYs, plotter.XY{
+		point, err := plotter.NewScatter(plotter.XYs{{
 			X: x,
 			Y: max(y, frontLeast),
-		})
-		labels.Labels = append(labels.Labels, " "+o.name)
-	}
-	points, err := plotter.NewScatter(labels.XYs)
-	if err != nil {
-		return nil, err
-	}
-	points.Color = palette[0]
-	names, err := plotter.NewLabels(labels)
-	if err != nil {
-		return nil, err
+		}})
+		if err != nil {
+			return nil, err
+		}
+		point.GlyphStyle = draw.GlyphStyle{
+			Color:  palette[i%len(palette)],
+			Radius: vg.Points(glyphRadius),
+			Shape:  plotutil.Shape(i / len(palette)),
+		}
+		p.Add(point)
+		p.Legend.Add(o.name, point)
 	}
-	p.Add(points, names)
+	width := p.X.Max - p.X.Min
+	p.X.Min -= frontMargin * width
+	p.X.Max += edgeMargin * width
 	p.Y.Min, p.Y.Max = frontLeast/2, max(p.Y.Max, 1)
 	return p, nil
 }
--- a/internal/bench/mgbench/report.go
+++ b/internal/bench/mgbench/report.go
@@ -77,6 +77,35 @@
 	return nil
 }
 
+// summarized are the figures that get a table of their own over all scenarios.
+var summarized = []string{"goodput", "tokens", "preempts", "stall", "p99", "first50", "away", "jain"}
+
+// writeSummary writes a Markdown table of medians for each main figure.
+func writeSummary(w io.Writer, scenarios []ScenarioSpec, policies []policy, runs []run) error {
+	text := new(strings.Builder)
+	for _, name := range summarized {
+		f := figureNamed(name)
+		fmt.Fprintf(text, "### %s\n\n| policy |", f.head)
+		for _, s := range scenarios {
+			fmt.Fprintf(text, " %s |", s.Name)
+		}
+		fmt.Fprintf(text, "\n|---|%s\n", strings.Repeat("---|", len(scenarios)))
+		for _, p := range policies {
+			fmt.Fprintf(text, "| %s |", p.name)
+			for _, s := range scenarios {
+				median, _, _ := spreadOf(runsOf(runs, s.Name, p.name), f)
+				fmt.Fprintf(text, " %s |", number(median, f.digits))
+			}
+			fmt.Fprintln(text)
+		}
+		fmt.Fprintln(text)
+	}
+	if _, err := io.WriteString(w, text.String()); err != nil {
+		return fmt.Errorf("summary: %w", err)
+	}
+	return nil
+}
+
 // writePages writes all scenarios as Markdown tables: medians, with the ranges
 // over the seeds in brackets.
 func writePages(w io.Writer, scenarios []ScenarioSpec, policies []policy, runs []run) error {
