--- /dev/null
+++ b/internal/process/mgfleet/edit_test.go
@@ -0,0 +1,165 @@
+package mgfleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+)
+
+// edited returns a version of the table whose mark is one more service.
+func edited(version int, mark string) string {
+	return table(version, 4) + fmt.Sprintf("\n[[service]]\nname = %q\nmodel = \"tank\"\npriority = 5\ndeadline = 20000\nmax = 512\n", mark)
+}
+
+// away stands for an entry that doesn't answer.
+const away = "away"
+
+// once uses a connection for each request.
+var once = mgdial.NewClient()
+
+// marks returns the mark of the table in force at each entry. One response
+// shows it, so that it can't be taken from two tables.
+func (f *fleet) marks() []string {
+	var marks []string
+	for _, base := range f.entries {
+		marks = append(marks, f.mark(base))
+	}
+	return marks
+}
+
+func (f *fleet) mark(base string) string {
+	r, err := http.NewRequest(http.MethodGet, base+"/v1/models", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer sample-tankline")
+	response, err := mgdial.Do(once, r)
+	if err != nil {
+		return away
+	}
+	defer response.Body.Close()
+	var list struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&list) != nil {
+		return away
+	}
+	mark := ""
+	for _, model := range list.Data {
+		if model.ID != "report" && model.ID != "tank" {
+			mark += model.ID
+		}
+	}
+	return mark
+}
+
+// moves waits until a table is in force at each entry, by its mark, and reports
+// what was seen on the way besides it and the table before: nothing else may be
+// in force, nor the old one come back.
+func (f *fleet) moves(from, to string) []string {
+	f.t.Helper()
+	var odd []string
+	arrived := make([]bool, len(f.entries))
+	until(f.t, "in force everywhere: "+to, func() bool {
+		everywhere := true
+		for i, mark := range f.marks() {
+			reverted := arrived[i] && mark != to
+			if reverted || mark != from && mark != to && mark != away {
+				odd = append(odd, fmt.Sprintf("entry %d goes by %q", i, mark))
+			}
+			arrived[i] = arrived[i] || mark == to
+			everywhere = everywhere && mark == to
+		}
+		return everywhere
+	})
+	return odd
+}
+
+// edit publishes a version of the table by its mark.
+func (f *fleet) edit(version int, mark string) {
+	f.t.Helper()
+	post(f.t, f.standins["platform"]+"/standin/table", edited(version, mark))
+}
+
+// An edit is a step of operators' work and what must come of it.
+type edit struct {
+	name string
+	play func(f *fleet) []string // returns what is wrong
+}
+
+var edits = []edit{
+	{
+		name: "made by two operators at once is alike everywhere",
+		play: func(f *fleet) []string {
+			var both sync.WaitGroup
+			for _, mark := range []string{"harbour", "crew"} {
+				both.Go(func() { f.edit(2, mark) })
+			}
+			both.Wait()
+			until(f.t, "one of the two in force on both entries", func() bool {
+				marks := f.marks()
+				return marks[0] == marks[1] && (marks[0] == "harbour" || marks[0] == "crew")
+			})
+			return nil
+		},
+	},
+	{
+		name: "made after it wins",
+		play: func(f *fleet) []string {
+			f.edit(3, "pilots")
+			return f.moves(f.marks()[0], "pilots")
+		},
+	},
+	{
+		name: "that is older and comes late changes nothing",
+		play: func(f *fleet) []string {
+			f.edit(2, "crew")
+			f.edit(4, "harbour")
+			return f.moves("pilots", "harbour")
+		},
+	},
+	{
+		name: "that is faulty is in force nowhere",
+		play: func(f *fleet) []string {
+			post(f.t, f.standins["platform"]+"/standin/put?key=manifest", `{"version":9,"pages":["00"]}`)
+			f.edit(10, "crew")
+			return f.moves("harbour", "crew")
+		},
+	},
+	{
+		name: "made while the platform is stale is in force once it is well",
+		play: func(f *fleet) []string {
+			f.fault("platform", mgstandin.Fault{Kind: mgstandin.Stale})
+			f.edit(11, "pilots")
+			f.fault("platform", mgstandin.Fault{Kind: mgstandin.Heal})
+			return f.moves("crew", "pilots")
+		},
+	},
+}
+
+// Operators edit the table while the platform fails, and two of them at once.
+// A service that one entry knows and the next doesn't, or that comes and goes
+// without an edit, is what a table that isn't in force everywhere, or reverts,
+// looks like.
+func TestEdits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts nine processes")
+	}
+	f := newFleet(t)
+	Convey("An edit", t, func() {
+		for _, e := range edits {
+			Convey(e.name, func() {
+				So(e.play(f), ShouldBeEmpty)
+			})
+		}
+	})
+}
