mgnode: control events through mgevent

Cause: adoption, pauses and leaving were handled where they arose, untraced. Change: one ordered handler over watermill; the dump shows the last events. What must hold before a request goes on (dropped leases) stays where it arises.

--- /dev/null
+++ b/internal/process/mgnode/events.go
@@ -0,0 +1,52 @@
+package mgnode
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgevent"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// handleEvents says what follows from each control event. Handlers run one
+// after another; what must be true before a request goes on, such as the drop
+// of leases after a pause, is done where the event arises and not here.
+func (n *Node) handleEvents() {
+	n.bus.On(mgevent.Adopted, func(e mgevent.Event) {
+		version, _ := strconv.ParseInt(e.Subject, 10, 64)
+		n.metrics.Gauge("version").Update(version)
+	})
+	n.bus.On(mgevent.Paused, func(e mgevent.Event) {
+		// Any pooled connection may have died while the process stood still.
+		if pool, ok := n.calls.(interface{ CloseIdleConnections() }); ok {
+			pool.CloseIdleConnections()
+		}
+		n.metrics.Counter("pauses").Inc(1)
+		n.log.Info("the process was paused; leases and pooled connections are dropped", "ms", e.Detail)
+	})
+	n.bus.On(mgevent.Leaving, func(e mgevent.Event) {
+		n.loop.Leave()
+	})
+	n.pause.On(func(gap mgclock.Millis) {
+		n.publish(mgevent.Paused, n.settings.Name, strconv.FormatInt(int64(gap), 10))
+	})
+	n.admin.Source("events", func() any { return n.bus.Trace() })
+}
+
+// adopted takes a new table from the configuration's loop.
+func (n *Node) adopted(snapshot *mgconfig.Snapshot) {
+	n.publish(mgevent.Adopted, strconv.FormatUint(snapshot.Version(), 10), snapshot.Digest())
+}
+
+func (n *Node) publish(kind mgevent.Kind, subject, detail string) {
+	if err := n.bus.Publish(kind, subject, detail); err != nil {
+		n.log.Error(err, "a control event was dropped", "event", string(kind))
+	}
+}
+
+func (n *Node) runEvents(ctx context.Context) {
+	if err := n.bus.Run(ctx); err != nil && ctx.Err() == nil {
+		n.log.Error(err, "control events are not handled any more: restart the process")
+	}
+}
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgevent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
@@ -41,6 +42,7 @@
 	members     *mgmember.Members
 	loop        *mgconfig.Loop
 	pause       *mgmember.Pause
+	bus         *mgevent.Bus
 	peers       sync.Map                     // base URL to mgrpc.Peer
 	role        atomic.Pointer[http.Handler] // what the peers' listener serves besides
 	shares      atomic.Pointer[mgshare.Loop] // of an entry, else nil
@@ -79,6 +81,8 @@
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
 	n.pause = mgmember.NewPause(n.clock, nil)
+	n.bus = mgevent.NewBus(n.clock)
+	n.handleEvents()
 	n.loop = mgconfig.NewLoop(n.loopSpec())
 	n.admin.Source("table", func() any { return n.loop.Status() })
 	n.admin.Source("members", n.memberState)
@@ -173,6 +177,7 @@
 		Listener: peers,
 		Handler:  n.guard.Require(n.peerRoutes()),
 	})
+	n.servers.Go(func() { n.runEvents(ctx) })
 	n.servers.Go(func() { n.loop.Run(ctx) })
 	n.servers.Go(func() { n.pause.Run(ctx) })
 	n.servers.Go(func() { n.tick(ctx) })
@@ -216,7 +221,7 @@
 		Longest: mgclock.Millis(n.settings.Drain),
 		Unready: func() {
 			n.leaving.Store(true)
-			n.loop.Leave()
+			n.publish(mgevent.Leaving, n.settings.Name, "")
 		},
 		Leave: leave,
 		Busy:  busy,
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -29,6 +29,7 @@
 		Members:  n.members,
 		Platform: mgplatform.NewHTTP(n.settings.Platform, &http.Client{}),
 		Log:      n.log,
+		Adopted:  n.adopted,
 		Exchange: func(ctx context.Context, addr string, s *mgrpc.Summary) (*mgrpc.Summary, error) {
 			return n.peer(addr).Exchange(ctx, s)
 		},
