mgagent: one timer for a connection, not one for each token

Cause: a deadline and a heartbeat timer were made for each token. Change: the engine's stream has one watchdog that each token sets back, a reader's stream one heartbeat timer an interval.

--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -50,6 +50,8 @@
 		return
 	}
 	sent := from - 1
+	interval := mgclock.Millis(a.spec.Settings.Beat)
+	beat := a.spec.Clock.After(interval)
 	for {
 		seen := g.after(sent)
 		if len(seen.tokens) > 0 || seen.over() {
@@ -58,23 +60,16 @@
 			}
 			sent += uint64(len(seen.tokens))
 		}
-		if !a.await(r, writer, seen.changed) {
-			return
-		}
-	}
-}
-
-// await waits for the next change and keeps the stream alive meanwhile.
-func (a *Agent) await(r *http.Request, writer *mglink.Writer, changed <-chan struct{}) bool {
-	for {
 		select {
-		case <-changed:
-			return true
+		case <-seen.changed:
 		case <-r.Context().Done():
-			return false
-		case <-a.spec.Clock.After(mgclock.Millis(a.spec.Settings.Beat)):
+			return
+		case <-beat:
+			// One timer an interval, with or without tokens: a timer for each
+			// token costs more than a heartbeat.
+			beat = a.spec.Clock.After(interval)
 			if writer.Beat() != nil {
-				return false
+				return
 			}
 		}
 	}
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
@@ -185,11 +186,17 @@
 		return mgengine.Token{}, err
 	}
 	defer stream.Close()
+	// A connection that says nothing for streamSilence is given up: the engine's
+	// heartbeats would have come, so something between has lost track of it, and
+	// a new connection works. One timer serves all its tokens.
+	silence := time.AfterFunc(streamSilence.Duration(), cancel)
+	defer silence.Stop()
 	for {
-		token, err := a.next(ctx, stream)
+		token, err := stream.Next(ctx)
 		if err != nil {
-			return mgengine.Token{}, err
+			return mgengine.Token{}, broken(err)
 		}
+		silence.Reset(streamSilence.Duration())
 		if token.Seq > uint64(g.produced())+1 {
 			// Tokens between were lost. Dropped, this one would be the first of a
 			// tail that is missing from an answer that then ends as if whole.
@@ -202,17 +209,12 @@
 	}
 }
 
-// next reads one token. A connection that says nothing for streamSilence is
-// given up: the engine's heartbeats would have come, so something between has
-// lost track of it, and a new connection works.
-func (a *Agent) next(ctx context.Context, stream *mgengine.TokenStream) (mgengine.Token, error) {
-	ctx, cancel := context.WithTimeout(ctx, streamSilence.Duration())
-	defer cancel()
-	token, err := stream.Next(ctx)
+// broken tells a stream that ended without its last token from one that did.
+func broken(err error) error {
 	if errors.Is(err, io.EOF) {
-		return token, io.ErrUnexpectedEOF
+		return io.ErrUnexpectedEOF
 	}
-	return token, err
+	return err
 }
 
 func (a *Agent) take(g *generation, token mgengine.Token) {
