mgagent: a long answer is read again in frames of bounded size

Cause: a reader that began anew got all tokens in one frame; above 256 KiB the link refuses a frame, so that an answer of more than about 20,000 tokens could not be resumed or read whole a second time. Change: a frame holds at most 1,024 tokens and 64 KiB; the end goes with the last token.

--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -60,6 +60,9 @@
 			}
 			sent += uint64(len(seen.tokens))
 		}
+		if seen.more {
+			continue
+		}
 		select {
 		case <-seen.changed:
 		case <-r.Context().Done():
--- /dev/null
+++ b/internal/process/mgagent/frames_test.go
@@ -0,0 +1,119 @@
+package mgagent_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// A shift report of 30,000 tokens was whole, its caller's connection broke, and
+// it could never be read again: the agent put all of it into one frame, which
+// the link refuses as too large, each time anew.
+func TestLongAnswerIsReadAgain(t *testing.T) {
+	const tokens = 30_000
+	Convey("A long answer is read again from its first token", t, func() {
+		parsed, err := mgtable.Parse([]byte(table))
+		So(err, ShouldBeNil)
+		var produced atomic.Bool
+		agent, err := mgagent.New(mgagent.Spec{
+			Settings: mgsettings.Agent{
+				Process:  mgsettings.Process{Beat: 250},
+				Upstream: "engine-1",
+				Policy:   "ours",
+				Grace:    60000,
+				Keep:     60000,
+			},
+			Log:     logr.Discard(),
+			Metrics: mgmetric.New(),
+			Seal:    &mgseal.Signer{},
+			Engine:  longEngine(tokens, &produced),
+			Table:   func() *mgtable.Table { return parsed },
+			Seen:    func(uint64, string) {},
+		})
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			agent.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		server := httptest.NewServer(agent.Routes())
+		defer server.Close()
+		So(readAll(server.URL), ShouldEqual, tokens) // the reader for whom it is made
+		So(produced.Load(), ShouldBeTrue)
+		So(readAll(server.URL), ShouldEqual, tokens)
+	})
+}
+
+// longEngine holds one generation, called long, of 16 bytes a token.
+func longEngine(tokens int, produced *atomic.Bool) mgengine.Client {
+	return mgengine.NewClient(mgengine.Seams{
+		Load:   func(context.Context) (mgengine.Load, error) { return mgengine.Load{}, nil },
+		Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
+		Cancel: func(context.Context, string) error { return nil },
+		List: func(context.Context) ([]mgengine.Generation, error) {
+			return []mgengine.Generation{{ID: "long"}}, nil
+		},
+		Stream: func(_ context.Context, _ string, from uint64) (*mgengine.TokenStream, error) {
+			next := from
+			return mgengine.NewTokenStream(func(context.Context) (mgengine.Token, error) {
+				if next > uint64(tokens) {
+					produced.Store(true)
+					return mgengine.Token{End: "stop"}, nil
+				}
+				token := mgengine.Token{
+					Seq:  next,
+					Text: fmt.Sprintf("%-16d", next),
+				}
+				next++
+				return token, nil
+			}, nil), nil
+		},
+	})
+}
+
+// readAll returns how many tokens of the generation come, in order, to its end.
+func readAll(base string) int {
+	response, err := http.Get(base + mgagent.FramesPath + "long?from=1")
+	So(err, ShouldBeNil)
+	defer response.Body.Close()
+	in := bufio.NewReader(response.Body)
+	count := 0
+	for {
+		frame, err := mglink.ReadFrame(in)
+		if err == io.EOF {
+			return -count // it ended without its end
+		}
+		So(err, ShouldBeNil)
+		for i, text := range frame.GetText() {
+			if strings.TrimSpace(text) != fmt.Sprint(int(frame.GetSeq())+i) {
+				return -1
+			}
+		}
+		count += len(frame.GetText())
+		if frame.GetEnd() != "" {
+			return count
+		}
+	}
+}
--- a/internal/process/mgagent/generation.go
+++ b/internal/process/mgagent/generation.go
@@ -46,26 +46,52 @@
 	problem   *mgproblem.Problem
 	preempted uint32
 	total     uint64
+	more      bool // there are more tokens than one frame holds
 	changed   <-chan struct{}
 }
 
 // over reports whether nothing will follow.
 func (v view) over() bool { return v.end != "" || v.problem != nil }
 
-// after returns the tokens that follow the first count, and a channel that is
-// closed when there is more. The tokens are shared and never change.
+// The bounds of one frame. A reader that begins anew may be behind by a whole
+// answer; in one frame a long one is above what the link takes, and could never
+// be read again.
+const (
+	frameTokens = 1024
+	frameBytes  = 64 << 10
+)
+
+// portion returns how many of the tokens one frame holds, at least one.
+func portion(tokens []string) int {
+	bytes := 0
+	for i, text := range tokens {
+		bytes += len(text)
+		if i > 0 && (i == frameTokens || bytes > frameBytes) {
+			return i
+		}
+	}
+	return len(tokens)
+}
+
+// after returns the tokens that follow the first count, as many as one frame
+// holds, and a channel that is closed when there is more. How the generation
+// ended goes with its last token. The tokens are shared and never change.
 func (g *generation) after(count uint64) view {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	seen := view{
-		end:       g.end,
-		problem:   g.problem,
 		preempted: g.preempted,
 		total:     uint64(len(g.tokens)),
 		changed:   g.changed,
 	}
-	if count < uint64(len(g.tokens)) {
-		seen.tokens = g.tokens[count:len(g.tokens):len(g.tokens)]
+	if count < seen.total {
+		end := count + uint64(portion(g.tokens[count:]))
+		seen.tokens = g.tokens[count:end:end]
+		seen.more = end < seen.total
+	}
+	if !seen.more {
+		seen.end = g.end
+		seen.problem = g.problem
 	}
 	return seen
 }
