--- /dev/null
+++ b/internal/process/mgentry/fuzz_test.go
@@ -0,0 +1,50 @@
+package mgentry_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// FuzzBody sends bodies to an entry that knows no agent: whatever they hold,
+// it answers with a problem of its own.
+func FuzzBody(f *testing.F) {
+	parsed, err := mgtable.Parse([]byte(table))
+	if err != nil {
+		f.Fatal(err)
+	}
+	var members mgmember.Members
+	e := mgentry.New(mgentry.Spec{
+		Settings: mgsettings.Entry{
+			Body:  1 << 16,
+			Probe: 1,
+		},
+		Log:     logr.Discard(),
+		Metrics: mgmetric.New(),
+		Seal:    &mgseal.Signer{},
+		Table:   func() *mgtable.Table { return parsed },
+		View:    members.View,
+	}, "life")
+	routes := e.Routes()
+	f.Add("/v1/chat/completions", `{"model":"report","messages":[{"role":"user","content":"len=3"}]}`)
+	f.Fuzz(func(t *testing.T, path, body string) {
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+		r.URL.Path = path
+		r.Header.Set("Authorization", "Bearer sample-tankline")
+		w := httptest.NewRecorder()
+		routes.ServeHTTP(w, r)
+		if w.Code < 400 || w.Code == http.StatusInternalServerError {
+			t.Fatalf("status %d: %s", w.Code, w.Body)
+		}
+	})
+}
