mgdelivery: a premature end takes nothing; tables of cases as words

Cause: a final frame with tokens and a wrong total asked for a reopening and gave tokens with it; the entry takes tokens only from Deliver and Finish, so they would have been lost and the answer called whole. Found by reading the two together. Change: nothing of such a frame is taken, and it comes again; Frame is cut into steps; Receiver.Cancel, which nobody called, goes. The tables of mgdelivery, mganswer and mgoperation are words, since struct literals stand one field a line. No case was dropped; three were added. Seen red first: the two premature ends without the check of the total.

--- a/internal/request/mganswer/answer_test.go
+++ b/internal/request/mganswer/answer_test.go
@@ -41,9 +41,7 @@
 	if strings.HasPrefix(text, swapped) {
 		swapped = "B"
 	}
-	cases := []struct {
-		story, account, text string
-	}{
+	cases := [][3]string{
 		{"another account's name", "cooperativa", text},
 		{"a name that never was", "tankline", "bm9uZQ"},
 		{"a changed agent", "tankline", swapped + text[1:]},
@@ -55,8 +53,8 @@
 	Convey("A stranger's name gives nothing", t, func() {
 		_, never := s.Open("tankline", "bm9uZQ")
 		for _, c := range cases {
-			Convey(c.story, func() {
-				opened, err := s.Open(c.account, c.text)
+			Convey(c[0], func() {
+				opened, err := s.Open(c[1], c[2])
 				So(opened, ShouldResemble, mganswer.Name{})
 				So(mgproblem.From(err).Kind(), ShouldEqual, mgproblem.Missing)
 				So(err.Error(), ShouldEqual, never.Error())
--- a/internal/request/mgdelivery/receiver.go
+++ b/internal/request/mgdelivery/receiver.go
@@ -101,31 +101,50 @@
 		// A stream that was crossed with another, or an agent that started over.
 		return r.refuse()
 	}
-	if f.GetFault() != "" {
-		return r.lost(f.GetFault())
+	if cause := broken(f); cause != "" {
+		return r.lost(cause)
 	}
+	fresh := r.fresh(f)
+	if r.missing(f, fresh) {
+		return r.refuse()
+	}
+	return r.take(f, fresh)
+}
+
+// broken returns why the generation of f can't be continued, or "".
+func broken(f *mgrpc.Frame) string {
 	if f.GetEnd() == endCancelled {
-		return r.lost("it was cancelled at the engine")
+		return "it was cancelled at the engine"
 	}
+	return f.GetFault()
+}
+
+// missing reports whether tokens were lost before f, or before the end that it
+// tells. Taken, the text would lack them, and with the end nobody would see it.
+func (r *Receiver) missing(f *mgrpc.Frame, fresh []string) bool {
 	if len(f.GetText()) > 0 && f.GetSeq() > r.last+1 {
-		// Frames between were lost. Taken, the text would lack them unseen.
-		return r.refuse()
+		return true
 	}
-	fresh := r.fresh(f)
-	r.last += uint64(len(fresh))
+	return f.GetEnd() != "" && f.GetTotal() != r.last+uint64(len(fresh))
+}
+
+// take notes the fresh tokens and decides what the caller is given.
+func (r *Receiver) take(f *mgrpc.Frame, fresh []string) Decision {
 	if len(fresh) > 0 {
 		r.refusals = 0
 	}
+	r.last += uint64(len(fresh))
 	if r.spec.Whole {
 		r.kept = append(r.kept, fresh...)
 	}
-	if f.GetEnd() != "" {
+	switch {
+	case f.GetEnd() != "":
 		return r.end(f, fresh)
-	}
-	if r.spec.Whole || len(fresh) == 0 {
+	case r.spec.Whole || len(fresh) == 0:
 		return Decision{}
+	default:
+		return r.deliver(Deliver, fresh)
 	}
-	return r.deliver(Deliver, fresh)
 }
 
 // Lost tells that an attempt's generation can't be read any more: its agent or
@@ -137,16 +156,6 @@
 	return r.lost("the connection to its engine is lost")
 }
 
-// Cancel tells that the caller gave up.
-func (r *Receiver) Cancel() Decision {
-	if r.over {
-		return Decision{}
-	}
-	return r.fail(mgproblem.New(mgproblem.Cancelled, mgproblem.Unknown,
-		fmt.Sprintf("cancelled after %d tokens", r.delivered()),
-		"ask again to have a new answer"))
-}
-
 // fresh returns the tokens of f that were not taken yet. A reopened stream
 // repeats some, and a frame may hold both.
 func (r *Receiver) fresh(f *mgrpc.Frame) []string {
@@ -161,12 +170,8 @@
 	return slices.Clone(text[known:])
 }
 
-// end takes the last frame. It counts only when nothing is missing before it.
+// end gives the caller the rest and the end.
 func (r *Receiver) end(f *mgrpc.Frame, fresh []string) Decision {
-	if f.GetTotal() != r.last {
-		// The tail was lost and the end arrived: a cut that nobody would see.
-		return r.refuseEnd(fresh)
-	}
 	r.over = true
 	if r.spec.Whole {
 		fresh = r.kept
@@ -176,20 +181,14 @@
 	return d
 }
 
-// refuseEnd delivers what came with a premature end, and reads again.
-func (r *Receiver) refuseEnd(fresh []string) Decision {
-	if r.spec.Whole || len(fresh) == 0 {
-		return r.refuse()
-	}
-	return r.deliver(Reopen, fresh)
-}
-
 func (r *Receiver) refuse() Decision {
 	r.refusals++
 	if r.refusals > maxRefusals {
 		return r.lost("its frames don't follow one another")
 	}
-	return r.deliver(Reopen, nil)
+	return Decision{
+		action: Reopen,
+	}
 }
 
 // lost gives up on the generation. What the caller has had decides: nothing,
--- a/internal/request/mgdelivery/receiver_test.go
+++ b/internal/request/mgdelivery/receiver_test.go
@@ -1,7 +1,7 @@
 package mgdelivery_test
 
 import (
-	"fmt"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -11,70 +11,92 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
-func text(generation string, seq uint64, tokens ...string) *mgrpc.Frame {
-	return &mgrpc.Frame{
-		Generation: generation,
-		Seq:        seq,
-		Text:       tokens,
-	}
+// kinds are the specs of the cases, by name.
+var kinds = map[string]mgdelivery.Spec{
+	"stream": {},
+	"whole": {
+		Whole: true,
+	},
+	"once": {
+		Generations: 1,
+	},
+	"back": {
+		From:   1,
+		Pinned: true,
+	},
 }
 
-func end(generation string, total uint64) *mgrpc.Frame {
-	return &mgrpc.Frame{
-		Generation: generation,
-		End:        "stop",
-		Total:      total,
-	}
+// actions are the words of the cases.
+var actions = map[mgdelivery.Action]string{
+	mgdelivery.Wait:      "wait",
+	mgdelivery.Deliver:   "deliver",
+	mgdelivery.Finish:    "finish",
+	mgdelivery.Reopen:    "reopen",
+	mgdelivery.Elsewhere: "elsewhere",
+	mgdelivery.Fail:      "fail",
 }
 
-func fault(generation string) *mgrpc.Frame {
-	return &mgrpc.Frame{
-		Generation: generation,
-		Fault:      "interrupted",
+// parse reads a frame: generation, first token's number and one letter a token,
+// and = with the total at the end, as in g1ab=2. ! is a fault, ~ a cancel.
+func parse(word string) *mgrpc.Frame {
+	f := &mgrpc.Frame{
+		Generation: word[:1],
+	}
+	tokens, total, ended := strings.Cut(word[1:], "=")
+	switch {
+	case tokens == "!":
+		f.Fault = "interrupted"
+	case tokens == "~":
+		f.End = "cancelled"
+	case tokens != "":
+		f.Seq = uint64(tokens[0] - '0')
+		f.Text = strings.Split(tokens[1:], "")
+	}
+	if ended {
+		f.End = "stop"
+		f.Total = uint64(total[0] - '0')
 	}
+	return f
 }
 
 // A reader of a report sees tokens twice, none, or of two texts. The frames
-// came again after a reopen, with a gap, or from another stream. Each case
-// gives the frames of one attempt and the decision on the last of them.
+// came again after a reopen, with a gap, or from another stream. Each case has
+// its story, the kind of caller, the frames of one attempt, and the decision on
+// the last of them with its tokens.
 func TestFrames(t *testing.T) {
-	cases := []struct {
-		story  string
-		spec   mgdelivery.Spec
-		frames []*mgrpc.Frame
-		action mgdelivery.Action
-		tokens []string
-	}{
-		{"new tokens", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a", "b")}, mgdelivery.Deliver, []string{"a", "b"}},
-		{"a duplicate", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), text("g", 1, "a")}, mgdelivery.Wait, nil},
-		{"an overlap", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), text("g", 1, "a", "b")}, mgdelivery.Deliver, []string{"b"}},
-		{"a gap", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), text("g", 3, "c")}, mgdelivery.Reopen, nil},
-		{"a crossed stream", mgdelivery.Spec{}, []*mgrpc.Frame{text("h", 1, "x")}, mgdelivery.Reopen, nil},
-		{"a crossed stream that goes on", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), text("h", 2, "x"), text("h", 2, "x"), text("h", 2, "x"), text("h", 2, "x")}, mgdelivery.Fail, nil},
-		{"the end", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), end("g", 1)}, mgdelivery.Finish, nil},
-		{"the end before the tail", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), end("g", 2)}, mgdelivery.Reopen, nil},
-		{"a frame after the end", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), end("g", 1), text("g", 2, "b")}, mgdelivery.Wait, nil},
-		{"an engine killed before the first token", mgdelivery.Spec{}, []*mgrpc.Frame{fault("g")}, mgdelivery.Elsewhere, nil},
-		{"an engine killed after the first token", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), fault("g")}, mgdelivery.Fail, nil},
-		{"the last allowed generation killed", mgdelivery.Spec{Generations: 1}, []*mgrpc.Frame{fault("g")}, mgdelivery.Fail, nil},
-		{"whole delivery waits", mgdelivery.Spec{Whole: true}, []*mgrpc.Frame{text("g", 1, "a")}, mgdelivery.Wait, nil},
-		{"whole delivery ends", mgdelivery.Spec{Whole: true}, []*mgrpc.Frame{text("g", 1, "a"), text("g", 2, "b"), end("g", 2)}, mgdelivery.Finish, []string{"a", "b"}},
-		{"an engine killed in whole delivery", mgdelivery.Spec{Whole: true}, []*mgrpc.Frame{text("g", 1, "a"), fault("g")}, mgdelivery.Elsewhere, nil},
-		{"a caller that is back", mgdelivery.Spec{From: 1, Pinned: true}, []*mgrpc.Frame{text("g", 1, "a", "b")}, mgdelivery.Deliver, []string{"b"}},
-		{"an engine killed while the caller was away", mgdelivery.Spec{From: 1, Pinned: true}, []*mgrpc.Frame{fault("g")}, mgdelivery.Fail, nil},
-		{"a generation cancelled at the engine", mgdelivery.Spec{}, []*mgrpc.Frame{text("g", 1, "a"), {Generation: "g", End: "cancelled", Total: 1}}, mgdelivery.Fail, nil},
+	cases := [][4]string{
+		{"new tokens", "stream", "g1ab", "deliver ab"},
+		{"a duplicate", "stream", "g1a g1a", "wait "},
+		{"an overlap", "stream", "g1a g1ab", "deliver b"},
+		{"a gap", "stream", "g1a g3c", "reopen "},
+		{"a crossed stream", "stream", "h1x", "reopen "},
+		{"a crossed stream that goes on", "stream", "g1a h2x h2x h2x h2x", "fail "},
+		{"the end", "stream", "g1a g=1", "finish "},
+		{"the end before the tail", "stream", "g1a g=2", "reopen "},
+		{"the end with a token, before the tail", "stream", "g1a g2b=3", "reopen "},
+		{"the end with the last tokens", "stream", "g1a g2bc=3", "finish bc"},
+		{"the end after a reopening", "stream", "g1a g=2 g2b g=2", "finish "},
+		{"a frame after the end", "stream", "g1a g=1 g2b", "wait "},
+		{"an engine killed before the first token", "stream", "g!", "elsewhere "},
+		{"an engine killed after the first token", "stream", "g1a g!", "fail "},
+		{"the last allowed generation killed", "once", "g!", "fail "},
+		{"whole delivery waits", "whole", "g1a", "wait "},
+		{"whole delivery ends", "whole", "g1a g2b g=2", "finish ab"},
+		{"an engine killed in whole delivery", "whole", "g1a g!", "elsewhere "},
+		{"a caller that is back", "back", "g1ab", "deliver b"},
+		{"an engine killed while the caller was away", "back", "g!", "fail "},
+		{"a generation cancelled at the engine", "stream", "g1a g~", "fail "},
 	}
 	Convey("The decision on the last frame", t, func() {
 		for _, c := range cases {
-			Convey(c.story, func() {
-				r := mgdelivery.New(c.spec)
+			Convey(c[0], func() {
+				r := mgdelivery.New(kinds[c[1]])
 				attempt := r.Begin("g")
 				var d mgdelivery.Decision
-				for _, f := range c.frames {
-					d = r.Frame(attempt, f)
+				for _, word := range strings.Fields(c[2]) {
+					d = r.Frame(attempt, parse(word))
 				}
-				So(d.Action(), ShouldEqual, c.action)
-				So(fmt.Sprint(d.Tokens()), ShouldEqual, fmt.Sprint(c.tokens))
+				So(actions[d.Action()]+" "+strings.Join(d.Tokens(), ""), ShouldEqual, c[3])
 			})
 		}
 	})
@@ -86,15 +108,15 @@
 func TestInterrupted(t *testing.T) {
 	Convey("An interruption after the first token is told as it is", t, func() {
 		var r mgdelivery.Receiver
-		attempt := r.Begin("g7")
-		r.Frame(attempt, text("g7", 1, "a", "b"))
+		attempt := r.Begin("g")
+		r.Frame(attempt, parse("g1ab"))
 		d := r.Lost(attempt)
 		So(d.Problem().Kind(), ShouldEqual, mgproblem.Interrupted)
-		So(d.Problem().Detail(), ShouldContainSubstring, "2 tokens of generation g7")
-		So(d.Cancel(), ShouldEqual, "g7")
+		So(d.Problem().Detail(), ShouldContainSubstring, "2 tokens of generation g")
+		So(d.Cancel(), ShouldEqual, "g")
 		Convey("and no other generation can follow it", func() {
-			So(r.Begin("g8"), ShouldEqual, 0)
-			So(r.Frame(0, text("g8", 3, "c")).Action(), ShouldEqual, mgdelivery.Wait)
+			So(r.Begin("h"), ShouldEqual, 0)
+			So(r.Frame(0, parse("h3c")).Action(), ShouldEqual, mgdelivery.Wait)
 		})
 	})
 }
@@ -107,10 +129,10 @@
 		var r mgdelivery.Receiver
 		old := r.Begin("g")
 		So(r.Lost(old).Action(), ShouldEqual, mgdelivery.Elsewhere)
-		So(r.Frame(old, text("g", 1, "x")).Action(), ShouldEqual, mgdelivery.Wait)
+		So(r.Frame(old, parse("g1x")).Action(), ShouldEqual, mgdelivery.Wait)
 		attempt := r.Begin("h")
-		So(r.Frame(old, text("g", 1, "x")).Action(), ShouldEqual, mgdelivery.Wait)
+		So(r.Frame(old, parse("g1x")).Action(), ShouldEqual, mgdelivery.Wait)
 		So(r.Lost(old).Action(), ShouldEqual, mgdelivery.Wait)
-		So(r.Frame(attempt, text("h", 1, "y")).Tokens(), ShouldResemble, []string{"y"})
+		So(r.Frame(attempt, parse("h1y")).Tokens(), ShouldResemble, []string{"y"})
 	})
 }
--- a/internal/request/mgoperation/ledger_test.go
+++ b/internal/request/mgoperation/ledger_test.go
@@ -25,6 +25,12 @@
 	}
 }
 
+func ended(outcome mgproblem.Outcome) mgoperation.Result {
+	return mgoperation.Result{
+		Outcome: outcome,
+	}
+}
+
 func done(body string) mgoperation.Result {
 	return mgoperation.Result{
 		Outcome: mgproblem.Done,
@@ -37,7 +43,7 @@
 // plays one way to an ending, with the events in order, and gives the words
 // that the events brought.
 func TestEndings(t *testing.T) {
-	cases := []struct{ story, events, words string }{
+	cases := [][3]string{
 		{"it runs", "begin submit finish lookup", "run ok - done"},
 		{"its start comes twice", "begin begin submit begin finish begin", "run join ok join - join"},
 		{"cancelled before its start arrives", "cancel begin begin", "notrun tombstone/notrun tombstone/notrun"},
@@ -56,8 +62,8 @@
 	}
 	Convey("What is told at each ending", t, func() {
 		for _, c := range cases {
-			Convey(c.story, func() {
-				So(play(c.events), ShouldEqual, c.words)
+			Convey(c[0], func() {
+				So(play(c[1]), ShouldEqual, c[2])
 			})
 		}
 	})
@@ -96,9 +102,9 @@
 	case "finish":
 		ledger.Finish(id, done("ticket"), *now)
 	case "fail":
-		ledger.Finish(id, mgoperation.Result{Outcome: mgproblem.NotRun}, *now)
+		ledger.Finish(id, ended(mgproblem.NotRun), *now)
 	case "lose":
-		ledger.Finish(id, mgoperation.Result{Outcome: mgproblem.Unknown}, *now)
+		ledger.Finish(id, ended(mgproblem.Unknown), *now)
 	case "cancel":
 		return string(ledger.Cancel(id, 0, *now))
 	case "lookup":
@@ -191,32 +197,33 @@
 func TestKeys(t *testing.T) {
 	var seal mgseal.Signer
 	id := mgoperation.NewMinter(&seal, "app-1", "i1").Mint("tankline", "ticket", 1)
-	cases := []struct {
-		story, key string
-		idempotent bool
-		promise    mgoperation.Promise
-		refused    bool
-	}{
-		{"no key", "", false, mgoperation.Single, false},
-		{"a minted key", id, false, mgoperation.Pinned, false},
-		{"an opaque key", "ticket-4711", false, mgoperation.Single, true},
-		{"a UUID with a time in it", "01890a5d-ac96-774b-bcce-b302099a8057", false, mgoperation.Single, true},
-		{"an opaque key for calls that may be repeated", "ticket-4711", true, mgoperation.Repeatable, false},
+	const opaque = "ticket-4711"
+	cases := [][4]string{
+		{"no key", "", "never", "single"},
+		{"a minted key", id, "never", "pinned"},
+		{"an opaque key", opaque, "never", "unpromisable/notrun"},
+		{"a UUID with a time in it", "01890a5d-ac96-774b-bcce-b302099a8057", "never", "unpromisable/notrun"},
+		{"an opaque key for calls that may be repeated", opaque, "safe", "repeatable"},
+	}
+	words := map[mgoperation.Promise]string{
+		mgoperation.Repeatable: "repeatable",
+		mgoperation.Single:     "single",
+		mgoperation.Pinned:     "pinned",
 	}
 	Convey("What a key promises", t, func() {
 		for _, c := range cases {
-			Convey(c.story, func() {
+			Convey(c[0], func() {
 				promise, _, err := mgoperation.Weigh(&seal, mgoperation.KeySpec{
 					Account:    "tankline",
 					Service:    "ticket",
-					Key:        c.key,
-					Idempotent: c.idempotent,
+					Key:        c[1],
+					Idempotent: c[2] == "safe",
 				})
-				So(promise, ShouldEqual, c.promise)
-				So(err != nil, ShouldEqual, c.refused)
-				if c.refused {
-					So(problem(mgproblem.From(err)), ShouldEqual, "unpromisable/notrun")
+				told := words[promise]
+				if err != nil {
+					told = problem(mgproblem.From(err))
 				}
+				So(told, ShouldEqual, c[3])
 			})
 		}
 	})
