mglink, mgagent: one timer an interval for a stream's heartbeats

Cause: the agent armed a timer for each frame that it waited for; Writer.Copy had the one-timer way and nobody used it. Change: Idle and Tend, which Copy and the agent's loop share.

--- a/internal/connection/mglink/writer.go
+++ b/internal/connection/mglink/writer.go
@@ -43,6 +43,7 @@
 type Writer struct {
 	spec  WriterSpec
 	wrote mgclock.Millis
+	alarm <-chan struct{}
 }
 
 // NewWriter returns a Writer.
@@ -107,7 +108,6 @@
 	if err := w.Beat(); err != nil {
 		return err
 	}
-	idle := w.spec.Clock.After(w.spec.Interval)
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,22 +119,29 @@
 			if err := w.Write(f); err != nil || Final(f) {
 				return err
 			}
-		case <-idle:
-			wait, err := w.idle()
-			if err != nil {
+		case <-w.Idle():
+			if err := w.Tend(); err != nil {
 				return err
 			}
-			idle = w.spec.Clock.After(wait)
 		}
 	}
 }
 
-// idle beats if nothing was written for an interval, and returns the time until
-// the next look. One timer an interval serves any number of frames.
-func (w *Writer) idle() (mgclock.Millis, error) {
-	quiet := w.spec.Clock.Now() - w.wrote
-	if quiet < w.spec.Interval {
-		return w.spec.Interval - quiet, nil
+// Idle returns a channel that is closed when it is time to call Tend. One timer
+// an interval serves any number of frames.
+func (w *Writer) Idle() <-chan struct{} {
+	if w.alarm == nil {
+		quiet := w.spec.Clock.Now() - w.wrote
+		w.alarm = w.spec.Clock.After(w.spec.Interval - quiet)
 	}
-	return w.spec.Interval, w.Beat()
+	return w.alarm
+}
+
+// Tend beats if nothing was written for an interval.
+func (w *Writer) Tend() error {
+	w.alarm = nil
+	if w.spec.Clock.Now()-w.wrote < w.spec.Interval {
+		return nil
+	}
+	return w.Beat()
 }
--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -58,22 +58,22 @@
 			}
 			sent += uint64(len(seen.tokens))
 		}
-		if !a.await(r, writer, seen.changed) {
+		if !await(r, writer, seen.changed) {
 			return
 		}
 	}
 }
 
 // await waits for the next change and keeps the stream alive meanwhile.
-func (a *Agent) await(r *http.Request, writer *mglink.Writer, changed <-chan struct{}) bool {
+func await(r *http.Request, writer *mglink.Writer, changed <-chan struct{}) bool {
 	for {
 		select {
 		case <-changed:
 			return true
 		case <-r.Context().Done():
 			return false
-		case <-a.spec.Clock.After(mgclock.Millis(a.spec.Settings.Beat)):
-			if writer.Beat() != nil {
+		case <-writer.Idle():
+			if writer.Tend() != nil {
 				return false
 			}
 		}
