--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -50,8 +50,6 @@
 		return
 	}
 	sent := from - 1
-	interval := mgclock.Millis(a.spec.Settings.Beat)
-	beat := a.spec.Clock.After(interval)
 	for {
 		seen := g.after(sent)
 		if len(seen.tokens) > 0 || seen.over() {
@@ -60,19 +58,23 @@
 			}
 			sent += uint64(len(seen.tokens))
 		}
-		if seen.more {
-			continue
+		if !seen.more && !await(r, writer, seen.changed) {
+			return
 		}
+	}
+}
+
+// await waits for the next change and keeps the stream alive meanwhile.
+func await(r *http.Request, writer *mglink.Writer, changed <-chan struct{}) bool {
+	for {
 		select {
-		case <-seen.changed:
+		case <-changed:
+			return true
 		case <-r.Context().Done():
-			return
-		case <-beat:
-			// One timer an interval, with or without tokens: a timer for each
-			// token costs more than a heartbeat.
-			beat = a.spec.Clock.After(interval)
-			if writer.Beat() != nil {
-				return
+			return false
+		case <-writer.Idle():
+			if writer.Tend() != nil {
+				return false
 			}
 		}
 	}
