mgfleet: an edit after the links to the platform fell silent

Cause: pooled connections to the platform may fall silent for good, and a watch waits on one for long by design. Change: the processes reach the platform over a relay; an edit made after the relay went silent must be in force everywhere.

--- a/internal/process/mgfleet/edit_test.go
+++ b/internal/process/mgfleet/edit_test.go
@@ -167,6 +167,16 @@
 			return append(odd, f.moves("pilots", "crew")...)
 		},
 	},
+	{
+		name: "made after the links to the platform fell silent is in force all the same",
+		play: func(f *fleet) []string {
+			if f.relays["platform"].silence() == 0 {
+				return []string{"no link to the platform was struck"}
+			}
+			f.edit(13, "tide")
+			return f.moves("crew", "tide")
+		},
+	},
 }
 
 // Operators edit the table while the platform fails, and two of them at once.
--- a/internal/process/mgfleet/fleet_test.go
+++ b/internal/process/mgfleet/fleet_test.go
@@ -108,12 +108,13 @@
 			return status == http.StatusOK
 		})
 	}
+	f.link("platform", strings.TrimPrefix(f.standins["platform"], "http://"))
 }
 
 // common returns the settings that entries and agents share.
 func (f *fleet) common(name, zone, peer, admin string) string {
 	return fmt.Sprintf("name = %q\nzone = %q\nregion = \"south\"\npeer = %q\nadmin = %q\nplatform = %q\nsecret = \"sample-secret-of-a-test\"\n",
-		name, zone, peer, admin, f.standins["platform"])
+		name, zone, peer, admin, "http://"+f.relays["platform"].addr())
 }
 
 func (f *fleet) startAgent(upstream, zone string) mgplatform.VM {
