--- /dev/null
+++ b/internal/standin/mgstandin/order.go
@@ -0,0 +1,50 @@
+package mgstandin
+
+import (
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+)
+
+// Order carries out an order. An engine without fencing carries out old ones
+// too, and counts them.
+func (e *Engine) Order(spec mgengine.OrderSpec) *mgengine.Refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prepare()
+	older := spec.Fence < e.fence
+	if e.spec.Fenced && older {
+		e.counts.Refused++
+		return &mgengine.Refusal{
+			Kind:   mgengine.FenceRefusal,
+			Detail: "a newer agent gives the orders",
+			Fence:  e.fence,
+		}
+	}
+	if older {
+		e.counts.Older++
+	}
+	e.fence = max(e.fence, spec.Fence)
+	e.counts.Orders++
+	e.carryOut(spec)
+	return nil
+}
+
+func (e *Engine) carryOut(spec mgengine.OrderSpec) {
+	at := slices.Index(e.loaded, spec.Model)
+	switch {
+	case spec.Kind == mgengine.LoadModel && at < 0:
+		e.loaded = append(e.loaded, spec.Model)
+	case spec.Kind == mgengine.UnloadModel && at >= 0:
+		e.loaded = slices.Delete(e.loaded, at, at+1)
+	case spec.Kind == mgengine.SetRole:
+		e.role = spec.Model
+	}
+}
+
+func refusal(kind, detail string) *mgengine.Refusal {
+	return &mgengine.Refusal{
+		Kind:   kind,
+		Detail: detail,
+	}
+}
--- /dev/null
+++ b/internal/standin/mgstandin/switches.go
@@ -0,0 +1,45 @@
+package mgstandin
+
+// Set turns a switch: Die, Cut, Stall, Silent, Slow, Leave or Heal. An engine
+// that died and is healed has lost its generations, its fencing number and
+// the orders it carried out.
+func (e *Engine) Set(f Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prepare()
+	e.faults = f
+	e.model.SetSpeed(e.speed())
+	if f.Kind == Die {
+		e.die()
+	}
+	for _, g := range e.generations {
+		g.struck = false
+	}
+	e.wake()
+}
+
+// speed returns how fast the steps are under the present fault.
+func (e *Engine) speed() float64 {
+	speed := e.spec.Model.Speed
+	if speed <= 0 {
+		speed = 1
+	}
+	if e.faults.Kind == Slow && e.faults.Factor > 0 {
+		speed /= e.faults.Factor
+	}
+	return speed
+}
+
+// die loses all state but the counters.
+func (e *Engine) die() {
+	for _, g := range e.generations {
+		g.wake()
+	}
+	e.life++
+	e.model = nil
+	e.finished = nil
+	e.fence = 0
+	e.report = lagged{}
+	e.cache = cacheLog{}
+	e.prepare()
+}
