mgqueue, mgscheduler: files by what they hold

Cause: queue.go had 541 lines and scheduler.go 455, the calls of an agent among the bookkeeping.

Conclusion: the calls stand together.

--- /dev/null
+++ b/internal/request/mgscheduler/decide.go
@@ -0,0 +1,135 @@
+package mgscheduler
+
+import (
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgadmission"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgqueue"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// refusal returns why a request with a predicted wait can't be taken, or nil.
+func (s *Scheduler) refusal(now mgclock.Millis, r *Request, output float64, predicted mgclock.Millis) *mgproblem.Problem {
+	switch {
+	case s.leaving:
+		return problemLeaving()
+	case !s.gate.Holds(r.Prompt):
+		return problemLarge()
+	case !s.queue.Room(r.Account, r.Priority):
+		return problemFull(s.halfway(r, predicted))
+	}
+	expiry := s.expiry(r, output)
+	if expiry == 0 {
+		return nil
+	}
+	wait := s.forecast.Corrected(r.Priority, predicted)
+	slack := expiry - now
+	if slack < 0 || wait > slack {
+		return problemCrowded(mgadmission.Retry(wait, slack))
+	}
+	return nil
+}
+
+// halfway returns when a request that finds no place can come back: half of
+// what is ahead of it has gone by then.
+func (s *Scheduler) halfway(r *Request, predicted mgclock.Millis) mgclock.Millis {
+	wait := s.forecast.Corrected(r.Priority, predicted)
+	return mgadmission.Retry(wait, wait/2)
+}
+
+// predict returns the time until a request would start by the work ahead of
+// it. Where nothing is ahead and yet it doesn't fit, something must end first,
+// about the work of one answer.
+func (s *Scheduler) predict(now mgclock.Millis, r *Request, output float64) mgclock.Millis {
+	item := s.item(r, output)
+	ahead := s.queue.Ahead(now, item)
+	if ahead <= 0 && s.gate.Admits(candidate(r, s.lengths.Curve(key(r)))) {
+		return 0
+	}
+	return s.forecast.Wait(now, ahead+item.Cost)
+}
+
+// expiry returns when a request must start at the latest, or 0.
+func (s *Scheduler) expiry(r *Request, output float64) mgclock.Millis {
+	first := s.forecast.FirstToken(r.uncached())
+	expiry := mgclock.Millis(0)
+	if r.Deadline > 0 {
+		expiry = max(r.Deadline-first, 1)
+	}
+	if r.Due <= 0 {
+		return expiry
+	}
+	latest := max(r.Due-first-s.forecast.Rest(output), 1)
+	if expiry > 0 {
+		latest = min(latest, expiry)
+	}
+	return latest
+}
+
+// next returns the request that starts next, if one may: the head of the queue
+// or one that passes it.
+func (s *Scheduler) next() (mgqueue.Item, bool) {
+	item, ok := s.queue.Peek()
+	if !ok || s.gate.Full() {
+		return item, false
+	}
+	head := s.jobs[item.ID]
+	if s.gate.Admits(s.candidate(head)) {
+		return item, true
+	}
+	left := s.passing()*item.Cost - head.passed
+	if left <= 0 {
+		return item, false
+	}
+	s.others = s.queue.Others(s.others[:0])
+	for _, other := range s.others {
+		if other.Cost <= left && s.gate.Admits(s.candidate(s.jobs[other.ID])) {
+			head.passed += other.Cost
+			return other, true
+		}
+	}
+	return item, false
+}
+
+// start takes a request out of the queue.
+func (s *Scheduler) start(now mgclock.Millis, id string) Decision {
+	item, _ := s.queue.Take(id)
+	j := s.jobs[item.ID]
+	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
+	j.running = true
+	j.started = now
+	j.charged = item.Cost
+	j.answer = s.lengths.Begin(key(&j.request))
+	s.gate.Enter(&j.share, candidate(&j.request, j.answer.Curve()))
+	s.forecast.Busy(now, true)
+	return Decision{
+		ID: item.ID,
+	}
+}
+
+// giveUp answers a request that can no longer be answered in time.
+func (s *Scheduler) giveUp(now mgclock.Millis, item mgqueue.Item) Decision {
+	j := s.jobs[item.ID]
+	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
+	wait := s.forecast.Corrected(j.request.Priority, s.predict(now, &j.request, s.output(&j.request)))
+	retry := mgadmission.Retry(wait, item.Expiry-j.came)
+	s.drop(j)
+	return Decision{
+		ID:     item.ID,
+		GiveUp: problemLate(retry),
+	}
+}
+
+// handBack gives up everything that waits, as it can start elsewhere.
+func (s *Scheduler) handBack(dst []Decision) []Decision {
+	for {
+		item, ok := s.queue.Pop()
+		if !ok {
+			return dst
+		}
+		s.drop(s.jobs[item.ID])
+		dst = append(dst, Decision{
+			ID:     item.ID,
+			GiveUp: problemLeaving(),
+		})
+	}
+}
