mgscheduler, mglength: a replaced agent counts what its upstream runs

Cause: an agent that comes back adopts the generations of its engine but had no way to tell the scheduler, which took the engine for empty and would let in a full batch on top.

Change: Scheduler.Resume counts a running request against memory and batch; Answer.Skip keeps it from counting as evidence for the tokens that nobody saw (left truncation). mgretry: the comment on Ratio says what share it pays for.

--- a/internal/request/mglength/estimator.go
+++ b/internal/request/mglength/estimator.go
@@ -99,6 +99,11 @@
 	}
 }
 
+// Skip tells that the answer had produced a number of tokens when it was first
+// seen. That it came so far is no evidence: those that did not were never seen
+// (left truncation).
+func (a *Answer) Skip(produced int) { a.passed = bucket(produced) }
+
 // Stop ends to follow an answer that was cut off.
 func (a *Answer) Stop() {
 	if a.class != nil {
--- a/internal/request/mgretry/budget.go
+++ b/internal/request/mgretry/budget.go
@@ -2,9 +2,10 @@
 
 import "sync/atomic"
 
-// Ratio is the part of a retry that each success earns. A tenth lets all of
-// the failures of one upstream in ten be tried again, and multiplies the load
-// by 1.1 at most when all fail.
+// Ratio is the part of a retry that each success earns. When a share f of the
+// tries fails, it pays for Ratio·(1-f)/f of the retries: for nine tenths of them
+// while one upstream in ten fails, for none while all do. It multiplies the load
+// by 1 + Ratio at most.
 const Ratio = 0.1
 
 // HedgeRatio is the part of a hedge that each success earns: the share of
--- a/internal/request/mgscheduler/decide.go
+++ b/internal/request/mgscheduler/decide.go
@@ -95,12 +95,8 @@
 	item, _ := s.queue.Take(id)
 	j := s.jobs[item.ID]
 	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
-	j.running = true
-	j.started = now
 	j.charged = item.Cost
-	j.answer = s.lengths.Begin(key(&j.request))
-	s.gate.Enter(&j.share, candidate(&j.request, j.answer.Curve()))
-	s.forecast.Busy(now, true)
+	s.run(now, j)
 	return Decision{
 		ID: item.ID,
 	}
--- a/internal/request/mgscheduler/job.go
+++ b/internal/request/mgscheduler/job.go
@@ -36,6 +36,17 @@
 	return j
 }
 
+// run counts a job as running.
+func (s *Scheduler) run(now mgclock.Millis, j *job) {
+	j.running = true
+	j.started = now
+	j.last = now
+	j.answer = s.lengths.Begin(key(&j.request))
+	s.gate.Enter(&j.share, candidate(&j.request, j.answer.Curve()))
+	s.forecast.Busy(now, true)
+}
+
+// drop forgets a job.
 func (s *Scheduler) drop(j *job) {
 	j.answer.Stop()
 	delete(s.jobs, j.request.ID)
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// Resume tells of a request that the upstream runs already and has produced a
+// number of tokens of, as a replaced agent finds it. It counts against memory
+// and batch from now on, and its account pays for what is still to come.
+func (s *Scheduler) Resume(now mgclock.Millis, r Request, produced int) {
+	if s.jobs[r.ID] != nil {
+		return
+	}
+	j := s.job()
+	j.request = r
+	j.came = now
+	j.told = produced
+	j.charged = j.cost()
+	s.jobs[r.ID] = j
+	s.run(now, j)
+	j.answer.Skip(produced)
+	s.gate.Grow(&j.share, produced)
+	s.gate.Weigh(&j.share, j.answer.Curve())
+}
+
 // NextWake returns when Poll has something to do without an event, or 0.
 func (s *Scheduler) NextWake(mgclock.Millis) mgclock.Millis {
 	return s.queue.NextExpiry()
--- a/internal/request/mgscheduler/scheduler_test.go
+++ b/internal/request/mgscheduler/scheduler_test.go
@@ -195,6 +195,30 @@
 	})
 }
 
+// An agent is replaced while eight long answers run. The new one takes the
+// engine for empty, lets in a full batch, and the engine preempts all of them.
+func TestResume(t *testing.T) {
+	Convey("What the upstream runs already counts", t, func() {
+		u := newUpstream(small)
+		for n := range 8 {
+			u.scheduler.Resume(u.now, mgscheduler.Request{
+				ID:     fmt.Sprint("old", n),
+				Prompt: 2000,
+			}, 400)
+		}
+		So(u.scheduler.Memory(), ShouldEqual, 8*2400)
+		waiting := u.prompt("report", 1000, 10)
+		So(waiting.started, ShouldBeFalse)
+		for n := range 8 {
+			u.scheduler.Progress(u.now, fmt.Sprint("old", n), 401)
+			u.scheduler.Finish(u.now, fmt.Sprint("old", n))
+		}
+		u.poll()
+		So(waiting.started, ShouldBeTrue)
+		So(u.scheduler.Memory(), ShouldEqual, 1000)
+	})
+}
+
 // An engine comes back with cold caches and gets a full batch at once.
 func TestLimit(t *testing.T) {
 	Convey("The zero scheduler starts no more than its limit", t, func() {
