--- a/internal/bench/mgbench/scenario.go
+++ b/internal/bench/mgbench/scenario.go
@@ -13,9 +13,9 @@
 	lossEngines = 8     // so that a quarter is two engines
 )
 
-// Saturation rates in requests per second and engine: what the oracle answers
-// in time when twice as much arrives and its queue is first come, first served
-// (docs/MEASUREMENTS.md, "Saturation").
+// Saturation rates in requests per second and engine: the tokens that an engine
+// produces under peak when about twice as much arrives, over the mean length of
+// an answer (docs/MEASUREMENTS.md, "Saturation").
 const (
 	mixedRate = 3.4
 	longRate  = 2.0
