--- a/internal/process/mgdemo/deployment.go
+++ b/internal/process/mgdemo/deployment.go
@@ -125,6 +125,7 @@
 				Batch:  32,
 				Speed:  engineSpeed,
 			},
+			Serves: []string{"tank-70b", "mar-70b"},
 			Fenced: i%2 == 0,
 			Lag:    500,
 			Late:   200,
@@ -251,6 +252,7 @@
 			Slow:    10000,
 			Probe:   200,
 			Call:    10000,
+			Fresh:   true,
 		}
 		d.entries = append(d.entries, "http://"+listen)
 		d.vms = append(d.vms, mgplatform.VM{
