mgbench: ours gives the engine the service's priority, as the agent does

Cause: mgagent passes the priority of the table's row on to the engine, which preempts the lowest first; the bench left it out, so that lookups were preempted before reports. Change: a gate may name the priority.

--- a/internal/bench/mgbench/driver.go
+++ b/internal/bench/mgbench/driver.go
@@ -260,7 +260,11 @@
 	}
 	c.state = running
 	d.meter.start(now, c)
-	if !u.engine.Add(c.sequence) {
+	sequence := c.sequence
+	if u.gate.priority != nil {
+		sequence.Priority = u.gate.priority(c)
+	}
+	if !u.engine.Add(sequence) {
 		panic("mgbench: the model refuses " + c.sequence.ID)
 	}
 }
--- a/internal/bench/mgbench/ours.go
+++ b/internal/bench/mgbench/ours.go
@@ -182,6 +182,7 @@
 			a.forget(c)
 		},
 		withdraw: a.withdraw,
+		priority: func(c *call) int { return c.spec.Priority },
 	}
 }
 
--- a/internal/bench/mgbench/policy.go
+++ b/internal/bench/mgbench/policy.go
@@ -62,6 +62,7 @@
 	preempted func(now mgclock.Millis, c *call)
 	finish    func(now mgclock.Millis, c *call)
 	withdraw  func(now mgclock.Millis, c *call)
+	priority  func(c *call) int // for the engine
 }
 
 // policy is a way to admit, order, turn away and route.
