--- a/internal/process/mgdemo/bench_test.go
+++ b/internal/process/mgdemo/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,9 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgdemo"
@@ -28,6 +32,9 @@
 	return float64(use.Utime.Nano() + use.Stime.Nano())
 }
 
+// unseen is for reads that measure no latency.
+func unseen() {}
+
 func deployment(b *testing.B) *mgdemo.Deployment {
 	d, err := mgdemo.Start(context.Background(), mgdemo.Spec{
 		Entries: 1,
@@ -48,10 +55,10 @@
 	d := deployment(b)
 	var direct, path float64
 	b.Run("direct", func(b *testing.B) {
-		direct = perToken(b, func(i, tokens int) error { return readDirect(b, d, i, tokens) })
+		direct = perToken(b, func(i, tokens int) error { return readDirect(b, d, i, tokens, unseen) })
 	})
 	b.Run("path", func(b *testing.B) {
-		path = perToken(b, func(_, tokens int) error { return readPath(d, tokens) })
+		path = perToken(b, func(_, tokens int) error { return readPath(d, tokens, unseen) })
 		b.ReportMetric(path/direct, "ratio")
 	})
 }
@@ -76,7 +83,8 @@
 	return spent
 }
 
-func readDirect(b *testing.B, d *mgdemo.Deployment, i, tokens int) error {
+// readDirect reads an answer from the engine; seen is called for each token.
+func readDirect(b *testing.B, d *mgdemo.Deployment, i, tokens int, seen func()) error {
 	ctx := context.Background()
 	client := d.EngineClient("engine-1")
 	id := fmt.Sprintf("direct-%d-%d", b.N, i)
@@ -98,10 +106,14 @@
 		if err != nil || token.End != "" {
 			return err
 		}
+		if token.Seq > 0 {
+			seen()
+		}
 	}
 }
 
-func readPath(d *mgdemo.Deployment, tokens int) error {
+// readPath reads an answer through an entry; seen is called for each token.
+func readPath(d *mgdemo.Deployment, tokens int, seen func()) error {
 	body := fmt.Sprintf(`{"model":"report","stream":true,"messages":[{"role":"user","content":"len=%d"}]}`, min(tokens, 4096))
 	request, err := http.NewRequest(http.MethodPost, d.Entries()[0]+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
@@ -119,9 +131,13 @@
 	}
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
-		if lines.Text() == "data: [DONE]" {
+		line := lines.Bytes()
+		if string(line) == "data: [DONE]" {
 			return nil
 		}
+		if bytes.HasPrefix(line, []byte("data: ")) && bytes.Contains(line, []byte(`"finish_reason":null`)) {
+			seen()
+		}
 	}
 	return fmt.Errorf("the stream ended early: %w", io.ErrUnexpectedEOF)
 }
@@ -137,7 +153,7 @@
 		n := 0
 		for b.Loop() {
 			n++
-			if err := readDirect(b, d, 1000+n, 1); err != nil {
+			if err := readDirect(b, d, 1000+n, 1, unseen); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -150,7 +166,7 @@
 		n := 0
 		for b.Loop() {
 			n++
-			if err := readPath(d, 1); err != nil {
+			if err := readPath(d, 1, unseen); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -159,3 +175,54 @@
 		b.ReportMetric(path/direct, "ratio")
 	})
 }
+
+// BenchmarkLatency compares the first token and the gaps between tokens of
+// eight answers at once, through entry and agent and from the engine directly.
+// An iteration is eight answers of 200 tokens.
+func BenchmarkLatency(b *testing.B) {
+	const answers, tokens = 8, 200
+	d := deployment(b)
+	run := func(b *testing.B, read func(i, tokens int, seen func()) error) {
+		var mu sync.Mutex
+		first := hdrhistogram.New(1, 60_000_000, 3)
+		gaps := hdrhistogram.New(1, 60_000_000, 3)
+		round := 0
+		for b.Loop() {
+			round++
+			var readers sync.WaitGroup
+			for i := range answers {
+				readers.Go(func() {
+					begun, last := time.Now(), time.Time{}
+					err := read(round*answers+i, tokens, func() {
+						now := time.Now()
+						mu.Lock()
+						defer mu.Unlock()
+						if last.IsZero() {
+							_ = first.RecordValue(now.Sub(begun).Microseconds())
+						} else {
+							_ = gaps.RecordValue(now.Sub(last).Microseconds())
+						}
+						last = now
+					})
+					if err != nil {
+						b.Error(err)
+					}
+				})
+			}
+			readers.Wait()
+		}
+		for name, h := range map[string]*hdrhistogram.Histogram{
+			"first": first,
+			"gap":   gaps,
+		} {
+			b.ReportMetric(float64(h.ValueAtQuantile(50)), name+"-p50-us")
+			b.ReportMetric(float64(h.ValueAtQuantile(99)), name+"-p99-us")
+		}
+	}
+	b.Run("direct", func(b *testing.B) {
+		run(b, func(i, tokens int, seen func()) error { return readDirect(b, d, i, tokens, seen) })
+	})
+	b.Run("path", func(b *testing.B) {
+		run(b, func(_, tokens int, seen func()) error { return readPath(d, tokens, seen) })
+	})
+}
