mgentry: a write without a key is told a remedy that its caller can follow

Cause: "ask again with the same operation" was told to callers that have none; asking again would be another write. Change: they are told to look in the service, and to mint first next time. Seen red first: the new story in TestWrites.

--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -341,7 +341,8 @@
 	stall   mgclock.Millis
 	heard   mgclock.Millis
 	each    func(tokens int)
-	padding int // words before the prompt, which take the engine time
+	remedy  string // of the last write's problem
+	padding int    // words before the prompt, which take the engine time
 }
 
 func (r *rig) caller() *caller {
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -203,12 +203,24 @@
 			return nil, problem
 		}
 		call.request.Operation = minted
-		return e.pinned(ctx, call, agent.Upstream())
+		reply, problem := e.pinned(ctx, call, agent.Upstream())
+		return reply, keyless(problem)
 	default:
 		return e.repeatable(ctx, call)
 	}
 }
 
+// keyless returns what a caller without a key is told. It can't ask again under
+// the operation, which this entry minted and which nobody else knows; asking
+// again would be another write.
+func keyless(problem *mgproblem.Problem) *mgproblem.Problem {
+	if problem == nil || problem.Outcome() != mgproblem.Unknown {
+		return problem
+	}
+	return mgproblem.New(problem.Kind(), mgproblem.Unknown, problem.Detail(),
+		"look in the service whether it ran; mint an operation first to be able to ask again").WithRetry(problem.Retry())
+}
+
 // pinned makes an operation's call at the one agent that may run it. Asking
 // that agent again is safe: it joins the first call.
 func (e *Entry) pinned(ctx context.Context, call *call, upstream string) (*mgrpc.InvokeReply, *mgproblem.Problem) {
--- a/internal/process/mgentry/write_test.go
+++ b/internal/process/mgentry/write_test.go
@@ -48,8 +48,10 @@
 	var in struct {
 		Kind    string `json:"kind"`
 		Outcome string `json:"outcome"`
+		Remedy  string `json:"remedy"`
 	}
 	_ = json.Unmarshal(body, &in)
+	c.remedy = in.Remedy
 	if in.Kind != "" {
 		return in.Kind + "/" + in.Outcome
 	}
@@ -152,12 +154,12 @@
 		},
 		{
 			story: "two entries send it at once",
-			play: func(_ *rig, c *caller) []string {
+			play: func(r *rig, c *caller) []string {
 				id := c.mint("entry-1")
 				told := make([]string, 2)
 				var both sync.WaitGroup
 				for i, entry := range []string{"entry-1", "entry-2"} {
-					both.Go(func() { told[i] = c.write(entry, id) })
+					both.Go(func() { told[i] = r.caller().write(entry, id) })
 				}
 				both.Wait()
 				return told
@@ -214,6 +216,16 @@
 			},
 			told: "[unpromisable/notrun unpromisable/notrun]",
 		},
+		{
+			story: "no key, and the answer is lost",
+			play: func(r *rig, c *caller) []string {
+				r.books.Set(mgstandin.Fault{Kind: mgstandin.Lost, Times: 1})
+				told := c.write("entry-1", "")
+				return []string{told, fmt.Sprint(strings.Contains(c.remedy, "mint an operation first"))}
+			},
+			told: "[unconfirmed/unknown true]",
+			runs: 1,
+		},
 		{
 			story: "no key",
 			play:  func(_ *rig, c *caller) []string { return []string{c.write("entry-1", "")} },
