mgagent: a generation picked up for a reader ends with the agent

Cause: a predecessor's generation, picked up when a reader asked for it, was read on without bound after the agent was told to end, and its stop waited for it, past the longest drain. Seen red in TestStopEndsAdopted. Change: what outlives the call that began it lives as long as the agent's Run. Ruled out: ending it with its reader; another reader may come back to it.

--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -73,7 +73,9 @@
 	}
 	for _, found := range held {
 		if found.ID == id {
-			return a.adoptOne(context.WithoutCancel(ctx), found)
+			// It is read on when this reader goes, and no longer than the agent
+			// runs: its stop waits for it.
+			return a.adoptOne(a.life, found)
 		}
 	}
 	return nil
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -61,6 +61,8 @@
 	leaving  atomic.Bool
 	sick     atomic.Bool // the engine can't be reached
 	running  sync.WaitGroup
+	life     context.Context // of what outlives the call that began it
+	endLife  context.CancelFunc
 
 	mu          sync.Mutex // guards what follows
 	scheduler   *mgscheduler.Scheduler
@@ -89,8 +91,11 @@
 	if upstream != nil && upstream.Batch() > 0 {
 		slots = upstream.Batch()
 	}
+	life, endLife := context.WithCancel(context.Background())
 	return &Agent{
 		spec:        spec,
+		life:        life,
+		endLife:     endLife,
 		attempts:    mgoperation.New(mgoperation.Spec{Window: mgoperation.AttemptWindow}),
 		writes:      mgoperation.New(mgoperation.Spec{Window: mgoperation.OperationWindow}),
 		minter:      mgoperation.NewMinter(spec.Seal, spec.Settings.Upstream, spec.Incarnation),
@@ -132,6 +137,7 @@
 	loops.Go(func() { a.follow(ctx) })
 	loops.Go(func() { a.order(ctx) })
 	loops.Wait()
+	a.endLife()
 	a.running.Wait()
 }
 
--- a/internal/process/mgagent/notrun_test.go
+++ b/internal/process/mgagent/notrun_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,10 +63,13 @@
 	agent *mgagent.Agent
 	clock mgclock.Clock
 	ctx   context.Context
+	stop  func()
+	done  chan struct{} // closed once the agent has ended
 
 	mu     sync.Mutex
-	starts func(n int) error // the engine's word on its n-th start
-	sick   atomic.Bool       // the engine's load can't be read
+	starts func(n int) error     // the engine's word on its n-th start
+	sick   atomic.Bool           // the engine's load can't be read
+	held   []mgengine.Generation // what the engine lists
 	tried  int
 	ran    map[string]int
 	told   []string
@@ -103,7 +107,7 @@
 			Cancel: func(context.Context, string) error { return nil },
 			Load:   r.load,
 			Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
-			List:   func(context.Context) ([]mgengine.Generation, error) { return nil, nil },
+			List:   r.list,
 		}),
 		Service: mgservice.NewClient(r.call),
 		Table:   func() *mgtable.Table { return parsed },
@@ -137,6 +141,12 @@
 	}, nil), nil
 }
 
+func (r *rig) list(context.Context) ([]mgengine.Generation, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held, nil
+}
+
 func (r *rig) load(context.Context) (mgengine.Load, error) {
 	if r.sick.Load() {
 		return mgengine.Load{}, errDown
@@ -357,6 +367,34 @@
 	})
 }
 
+// A planned stop takes longer than its longest drain. The agent had picked up a
+// generation of its predecessor's when a reader asked for it, and read it on
+// after it was told to end.
+func TestStopEndsAdopted(t *testing.T) {
+	Convey("A generation picked up late ends with the agent", t, func() {
+		ended := false
+		bubble(t, func(r *rig) {
+			r.mu.Lock()
+			r.held = []mgengine.Generation{{
+				ID: "x",
+			}}
+			r.mu.Unlock()
+			asked, gone := context.WithCancel(r.ctx)
+			go r.agent.Routes().ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(asked, "GET", "/frames/x?from=1", nil))
+			r.sleep(mgclock.Second)
+			gone()
+			r.stop()
+			select {
+			case <-r.done:
+				ended = true
+			case <-r.clock.After(mgclock.Minute):
+				r.cancel("x", 0) // so that the test itself ends
+			}
+		})
+		So(ended, ShouldBeTrue)
+	})
+}
+
 // bubble plays with an agent in virtual time.
 func bubble(t *testing.T, play func(r *rig)) { bubbleWith(t, endless, play) }
 
@@ -368,14 +406,15 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		done := make(chan struct{})
+		r.stop = cancel
+		r.done = make(chan struct{})
 		go func() {
-			defer close(done)
+			defer close(r.done)
 			r.agent.Run(ctx)
 		}()
 		synctest.Wait()
 		play(r)
 		cancel()
-		<-done
+		<-r.done
 	})
 }
