--- a/internal/bench/mgbench/ours.go
+++ b/internal/bench/mgbench/ours.go
@@ -182,6 +182,7 @@
 			a.forget(c)
 		},
 		withdraw: a.withdraw,
+		priority: func(c *call) int { return c.spec.Priority },
 	}
 }
 
@@ -192,6 +193,7 @@
 	return mgrouting.Offer{
 		Upstream: a.upstream.index,
 		Wait:     o.Wait,
+		Rest:     o.Rest,
 		Uncached: r.Prompt - r.Cached,
 		Headroom: o.Headroom,
 		Running:  o.Running,
--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -58,7 +58,7 @@
 			}
 			sent += uint64(len(seen.tokens))
 		}
-		if !await(r, writer, seen.changed) {
+		if !seen.more && !await(r, writer, seen.changed) {
 			return
 		}
 	}
