--- a/internal/process/mgfleet/fleet_test.go
+++ b/internal/process/mgfleet/fleet_test.go
@@ -25,7 +25,7 @@
 	standins  map[string]string // base URLs of the stand-ins
 	relays    map[string]*relay
 	entries   []string // base URLs for callers
-	version   int      // of the table
+	struck    string   // the agent that the last harm chose
 }
 
 // The upstreams and the agents beside them.
@@ -46,7 +46,6 @@
 		admins:    map[string]string{},
 		standins:  map[string]string{},
 		relays:    map[string]*relay{},
-		version:   1,
 	}
 	f.startStandins()
 	var vms []mgplatform.VM
@@ -109,12 +108,13 @@
 			return status == http.StatusOK
 		})
 	}
+	f.link("platform", strings.TrimPrefix(f.standins["platform"], "http://"))
 }
 
 // common returns the settings that entries and agents share.
 func (f *fleet) common(name, zone, peer, admin string) string {
 	return fmt.Sprintf("name = %q\nzone = %q\nregion = \"south\"\npeer = %q\nadmin = %q\nplatform = %q\nsecret = \"sample-secret-of-a-test\"\n",
-		name, zone, peer, admin, f.standins["platform"])
+		name, zone, peer, admin, "http://"+f.relays["platform"].addr())
 }
 
 func (f *fleet) startAgent(upstream, zone string) mgplatform.VM {
