mgbench: what the services of each preference get

Cause: steady and whole services were measured together, so that the front of the table's preference couldn't be seen. Change: p99 and p99.9 between tokens of steady services, stalls and preemptions of whole ones, in the JSON lines, the summary and on the front's axes.

--- a/internal/bench/mgbench/figures.go
+++ b/internal/bench/mgbench/figures.go
@@ -27,7 +27,7 @@
 
 // figureNamed returns the quantity of a name.
 func figureNamed(name string) figure {
-	for _, f := range figures() {
+	for _, f := range append(figures(), details()...) {
 		if f.name == name {
 			return f
 		}
@@ -35,6 +35,17 @@
 	panic("mgbench: no figure " + name)
 }
 
+// details returns what the services of each preference get, which is too wide
+// for the terminal.
+func details() []figure {
+	return []figure{
+		newFigure("steady99", "steady p99 ms", 1, func(m *meter) float64 { return quantile(m.steady.between, 99) }),
+		newFigure("steady999", "steady p99.9 ms", 1, func(m *meter) float64 { return quantile(m.steady.between, 99.9) }),
+		newFigure("wholestall", "whole stall s/100", 1, func(m *meter) float64 { return m.whole.perHundred(m.whole.stall / 1000) }),
+		newFigure("wholepreempts", "whole preempt/100", 1, func(m *meter) float64 { return m.whole.perHundred(float64(m.whole.preempts)) }),
+	}
+}
+
 // figures returns the quantities in the order of the tables.
 func figures() []figure {
 	return []figure{
@@ -67,6 +78,11 @@
 	return 100 * total / float64(max(m.inTime, 1))
 }
 
+// perHundred returns a total per 100 answers in time of the preference.
+func (s *streamMeter) perHundred(total float64) float64 {
+	return 100 * total / float64(max(s.inTime, 1))
+}
+
 func quantile(h *hdrhistogram.Histogram, q float64) float64 {
 	return float64(h.ValueAtQuantile(q)) * microsecond
 }
@@ -90,7 +106,7 @@
 		"lost":     r.meter.lost,
 		"refusals": r.meter.refusals,
 	}
-	for _, f := range figures() {
+	for _, f := range append(figures(), details()...) {
 		if x := f.of(r.meter); !math.IsNaN(x) {
 			line[f.name] = x
 		} else {
--- a/internal/bench/mgbench/meter.go
+++ b/internal/bench/mgbench/meter.go
@@ -50,12 +50,30 @@
 	stall    float64 // ms
 	between  *hdrhistogram.Histogram
 	first    *hdrhistogram.Histogram
+	steady   streamMeter // of the services that prefer steady tokens
+	whole    streamMeter // of those that mind stalls and preemptions
 	accounts []accountMeter
 	windows  int
 	looks    int
 	jains    []float64
 }
 
+// streamMeter is the part of a meter for the services of one preference.
+type streamMeter struct {
+	between  *hdrhistogram.Histogram
+	stall    float64 // ms
+	preempts int
+	inTime   int
+}
+
+// streams returns the part for c's preference.
+func (m *meter) streams(c *call) *streamMeter {
+	if c.spec.Prefer == Whole {
+		return &m.whole
+	}
+	return &m.steady
+}
+
 // accountMeter is an account's part of a meter.
 type accountMeter struct {
 	demand  int     // requests that wait or were turned away for now
@@ -70,6 +88,12 @@
 		between:  newHistogram(),
 		first:    newHistogram(),
 		accounts: make([]accountMeter, len(s.Accounts)),
+		steady: streamMeter{
+			between: newHistogram(),
+		},
+		whole: streamMeter{
+			between: newHistogram(),
+		},
 	}
 }
 
@@ -96,7 +120,8 @@
 	m.accounts[c.account].service++
 	if c.last > 0 {
 		record(m.between, now-c.last)
-		m.stalled(now - c.last)
+		record(m.streams(c).between, now-c.last)
+		m.stalled(c, now-c.last)
 	} else if c.first == 0 {
 		c.first = now
 		record(m.first, now-c.arrival)
@@ -105,15 +130,17 @@
 }
 
 // stalled counts a gap as stall time if it is long.
-func (m *meter) stalled(gap float64) {
+func (m *meter) stalled(c *call, gap float64) {
 	if gap > stallBound {
 		m.stall += gap
+		m.streams(c).stall += gap
 	}
 }
 
 func (m *meter) finish(now float64, c *call) {
 	if now <= c.deadline {
 		m.inTime++
+		m.streams(c).inTime++
 		m.tokens += c.produced
 	}
 }
@@ -133,7 +160,7 @@
 // too, or a policy could hide its longest stalls behind the deadline.
 func (m *meter) expire(now float64, c *call) {
 	m.expired++
-	m.stalled(c.gapUntil(now))
+	m.stalled(c, c.gapUntil(now))
 	switch c.state {
 	case queued:
 		m.late++
@@ -146,11 +173,14 @@
 func (m *meter) lose(now float64, c *call) {
 	if c.state == running {
 		m.lost++
-		m.stalled(c.gapUntil(now))
+		m.stalled(c, c.gapUntil(now))
 	}
 }
 
-func (m *meter) preempt(*call) { m.preempts++ }
+func (m *meter) preempt(c *call) {
+	m.preempts++
+	m.streams(c).preempts++
+}
 
 // look samples the accounts' demands, and closes a window when it is full.
 func (m *meter) look(now float64) {
--- a/internal/bench/mgbench/plot.go
+++ b/internal/bench/mgbench/plot.go
@@ -189,20 +189,20 @@
 // edgeMargin keeps the outermost glyph whole.
 const edgeMargin = 0.03
 
-// plotFront draws each policy by its gaps between tokens and its preemptions,
-// the two that the table's preference weighs against each other.
+// plotFront draws each policy by what the services of each preference mind: the
+// gaps of those that prefer steady tokens, the preemptions of the others.
 func plotFront(s ScenarioSpec, policies []policy, runs []run) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = s.Name + ": steady tokens against preemptions, medians"
-	p.X.Label.Text = "p99 between tokens, ms"
-	p.Y.Label.Text = fmt.Sprintf("preemptions per 100 answers, at least %g", frontLeast)
+	p.X.Label.Text = "steady services: p99 between tokens, ms"
+	p.Y.Label.Text = fmt.Sprintf("whole services: preemptions per 100 answers, at least %g", frontLeast)
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Add(plotter.NewGrid())
 	p.Legend.Top, p.Legend.Left = true, true
 	for i, o := range policies {
 		own := runsOf(runs, s.Name, o.name)
-		x, _, _ := spreadOf(own, figureNamed("p99"))
-		y, _, _ := spreadOf(own, figureNamed("preempts"))
+		x, _, _ := spreadOf(own, figureNamed("steady99"))
+		y, _, _ := spreadOf(own, figureNamed("wholepreempts"))
 		point, err := plotter.NewScatter(plotter.XYs{{
 			X: x,
 			Y: max(y, frontLeast),
--- a/internal/bench/mgbench/report.go
+++ b/internal/bench/mgbench/report.go
@@ -78,7 +78,7 @@
 }
 
 // summarized are the figures that get a table of their own over all scenarios.
-var summarized = []string{"goodput", "tokens", "preempts", "stall", "p99", "first50", "away", "jain"}
+var summarized = []string{"goodput", "tokens", "preempts", "stall", "p99", "first50", "away", "jain", "steady99", "steady999", "wholestall", "wholepreempts"}
 
 // writeSummary writes a Markdown table of medians for each main figure.
 func writeSummary(w io.Writer, scenarios []ScenarioSpec, policies []policy, runs []run) error {
