mgagent: the scheduler learns what the engine tells

Cause: the decide lane's scheduler takes more than the agent gave it: what a replaced agent's engine runs already, preemptions, the engine's count of memory, a limit while it warms up, and an offer's time to the last token. Change: Resume on adoption, Preempted, Used, Limit by mgpace's ramp when an engine comes back, and rest in the offer. Figures: TestAdoptedCounts: headroom 40,000 without, 10,000 at most with it; TestReturnedEngineWarmsUp: 16 starts at once without, at most 6 with it (batch 16). Both seen red.

--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -5,6 +5,8 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgadmission"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgscheduler"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
@@ -53,6 +55,14 @@
 	}, now)
 	a.generations[g.id] = g
 	a.counts.adopted++
+	if !found.Done {
+		// Its memory counts; the engine doesn't say what its prompt took.
+		a.scheduler.Resume(now, mgscheduler.Request{
+			ID:     found.ID,
+			Model:  found.Model,
+			Weight: 1,
+		}, int(found.Produced))
+	}
 	a.running.Go(func() {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -108,6 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, followWait.Duration())
 	defer cancel()
 	load, err := a.spec.Engine.Load(ctx)
+	a.warm(a.sick.Load() && err == nil)
 	if a.sick.Swap(err != nil) != (err != nil) {
 		a.spec.Log.Info("the engine's reachability changed", mglog.Upstream, a.spec.Settings.Upstream, "sick", err != nil)
 	}
@@ -115,6 +126,9 @@
 		return after
 	}
 	a.orders.held.Store(&load.Models)
+	a.mu.Lock()
+	a.scheduler.Used(a.spec.Clock.Now(), load.Capacity-load.Free)
+	a.mu.Unlock()
 	if load.Leaving {
 		a.Leave()
 	}
@@ -129,6 +143,28 @@
 	return after
 }
 
+// warm lets an engine that has come back take part of its batch, and more as it
+// warms up: its caches are empty, and as the idlest of all it would be given
+// everything at once.
+func (a *Agent) warm(back bool) {
+	now := a.spec.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if back {
+		a.ramp.Begin(now)
+		a.warming = true
+	}
+	if !a.warming {
+		return
+	}
+	batch := mgadmission.DefaultBatch
+	if upstream := upstreamOf(a.spec); upstream != nil && upstream.Batch() > 0 {
+		batch = upstream.Batch()
+	}
+	a.warming = a.ramp.Share(now) < 1
+	a.scheduler.Limit(now, a.ramp.Limit(now, batch))
+}
+
 // note applies a cache event. After a gap the lost events may have been
 // evictions, so the record starts over rather than promise what is gone.
 func (a *Agent) note(event mgengine.Event, after uint64) {
--- /dev/null
+++ b/internal/process/mgagent/adopt_test.go
@@ -0,0 +1,153 @@
+package mgagent_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// idleEngine runs every generation without a token, and starts count.
+type idleEngine struct {
+	held   []mgengine.Generation
+	sick   atomic.Bool
+	starts atomic.Int64
+}
+
+func (e *idleEngine) client() mgengine.Client {
+	return mgengine.NewClient(mgengine.Seams{
+		Start: func(context.Context, mgengine.StartSpec) error {
+			e.starts.Add(1)
+			return nil
+		},
+		Stream: func(context.Context, string, uint64) (*mgengine.TokenStream, error) {
+			return mgengine.NewTokenStream(func(ctx context.Context) (mgengine.Token, error) {
+				mgclock.Clock{}.Sleep(ctx, mgclock.Second)
+				return mgengine.Token{}, ctx.Err()
+			}, nil), nil
+		},
+		Load: func(context.Context) (mgengine.Load, error) {
+			if e.sick.Load() {
+				return mgengine.Load{}, errDown
+			}
+			return mgengine.Load{Models: []string{"tank-70b"}}, nil
+		},
+		Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
+		Cancel: func(context.Context, string) error { return nil },
+		List:   func(context.Context) ([]mgengine.Generation, error) { return e.held, nil },
+	})
+}
+
+// beside plays with an agent beside the engine in virtual time.
+func beside(t *testing.T, e *idleEngine, play func(ctx context.Context, agent *mgagent.Agent)) {
+	synctest.Test(t, func(t *testing.T) {
+		parsed, err := mgtable.Parse([]byte(strings.Replace(table, "batch = 1\n", "batch = 16\n", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		agent, err := mgagent.New(mgagent.Spec{
+			Settings: mgsettings.Agent{
+				Upstream: "engine-1",
+				Policy:   "ours",
+				Grace:    60000,
+				Keep:     60000,
+			},
+			Incarnation: "i1",
+			Log:         logr.Discard(),
+			Metrics:     mgmetric.New(),
+			Seal:        &mgseal.Signer{},
+			Engine:      e.client(),
+			Table:       func() *mgtable.Table { return parsed },
+			Seen:        func(uint64, string) {},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			agent.Run(ctx)
+		}()
+		synctest.Wait()
+		play(ctx, agent)
+		cancel()
+		<-done
+	})
+}
+
+// An agent is replaced while its engine is full of dossiers. The new one counts
+// its own starts only, takes the engine for empty, lets new work in, and the
+// engine preempts the dossiers.
+func TestAdoptedCounts(t *testing.T) {
+	Convey("What the engine runs already takes its memory", t, func() {
+		e := &idleEngine{
+			held: []mgengine.Generation{{
+				ID:       "dossier",
+				Model:    "tank-70b",
+				Produced: 30_000,
+			}},
+		}
+		headroom := int64(-1)
+		beside(t, e, func(ctx context.Context, agent *mgagent.Agent) {
+			offer, err := agent.Probe(ctx, &mgrpc.ProbeRequest{
+				Account: "tankline",
+				Service: "report",
+				Model:   "tank-70b",
+				Prompt:  10,
+				Budget:  10_000,
+			})
+			if err == nil {
+				headroom = offer.GetHeadroom()
+			}
+		})
+		So(headroom, ShouldBeBetween, 0, 10_001)
+	})
+}
+
+// An engine comes back from a crash with empty caches. As the idlest of all it
+// is given a full batch at once, and every caller there waits.
+func TestReturnedEngineWarmsUp(t *testing.T) {
+	Convey("An engine that has come back takes part of its batch first", t, func() {
+		e := &idleEngine{}
+		early, late := int64(0), int64(0)
+		beside(t, e, func(ctx context.Context, agent *mgagent.Agent) {
+			e.sick.Store(true)
+			mgclock.Clock{}.Sleep(ctx, mgclock.Second)
+			e.sick.Store(false)
+			mgclock.Clock{}.Sleep(ctx, mgclock.Second)
+			for i := range 20 {
+				_, _ = agent.Start(ctx, &mgrpc.StartRequest{
+					Attempt:     fmt.Sprint("a", i),
+					Incarnation: "i1",
+					Account:     "tankline",
+					Service:     "report",
+					Model:       "tank-70b",
+					Prompt:      "shift report",
+					Budget:      50_000,
+					Stamp:       int64(mgclock.Clock{}.Now()),
+				})
+			}
+			synctest.Wait()
+			early = e.starts.Load()
+			mgclock.Clock{}.Sleep(ctx, 31*mgclock.Second)
+			late = e.starts.Load()
+		})
+		So(early, ShouldBeBetweenOrEqual, 1, 6)
+		So(late, ShouldBeGreaterThan, early)
+	})
+}
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgpace"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
@@ -68,6 +69,8 @@
 	scheduler   *mgscheduler.Scheduler
 	generations map[string]*generation
 	counts      counts
+	ramp        mgpace.Ramp
+	warming     bool // the engine takes part of its batch only
 }
 
 // counts are the agent's totals, for the dump.
--- a/internal/process/mgagent/generation.go
+++ b/internal/process/mgagent/generation.go
@@ -103,25 +103,30 @@
 	return len(g.tokens)
 }
 
-// accept takes the engine's token and reports whether it was the next one. A
-// stream that was opened again repeats what the agent has; it is dropped.
-func (g *generation) accept(token mgengine.Token) bool {
+// accept takes the engine's token and reports whether it was the next one, and
+// whether the engine evicted the generation since the last. A stream that was
+// opened again repeats what the agent has; it is dropped.
+func (g *generation) accept(token mgengine.Token) (next, evicted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.over != 0 || token.Seq != uint64(len(g.tokens))+1 {
-		return false
+	if g.endedLocked() || token.Seq != uint64(len(g.tokens))+1 {
+		return false, false
 	}
+	evicted = uint32(token.Preempted) > g.preempted
 	g.tokens = append(g.tokens, token.Text)
 	g.preempted = uint32(token.Preempted)
 	g.wakeLocked()
-	return true
+	return true, evicted
 }
 
+// endedLocked reports whether the generation is over.
+func (g *generation) endedLocked() bool { return g.end != "" || g.problem != nil }
+
 // finish ends the generation; only the first end counts.
 func (g *generation) finish(end string, problem *mgproblem.Problem, now mgclock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.end != "" || g.problem != nil {
+	if g.endedLocked() {
 		return false
 	}
 	g.end = end
@@ -135,7 +140,7 @@
 func (g *generation) ended() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.end != "" || g.problem != nil
+	return g.endedLocked()
 }
 
 func (g *generation) wakeLocked() {
@@ -163,15 +168,14 @@
 func (g *generation) unread(before mgclock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	running := g.end == "" && g.problem == nil
-	return running && g.readers == 0 && g.idle <= before
+	return !g.endedLocked() && g.readers == 0 && g.idle <= before
 }
 
 // expired reports whether a generation ended before the time and nobody reads.
 func (g *generation) expired(before mgclock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.over != 0 && g.over <= before && g.readers == 0
+	return g.endedLocked() && g.over <= before && g.readers == 0
 }
 
 // busy reports whether a stop would cut something off: the generation runs, or
@@ -179,7 +183,7 @@
 func (g *generation) busy() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.readers > 0 || (g.end == "" && g.problem == nil)
+	return g.readers > 0 || !g.endedLocked()
 }
 
 // setCancel keeps what ends the engine's stream.
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -218,13 +218,21 @@
 }
 
 func (a *Agent) take(g *generation, token mgengine.Token) {
-	if token.Seq == 0 || !g.accept(token) {
+	if token.Seq == 0 {
+		return
+	}
+	next, evicted := g.accept(token)
+	if !next {
 		return
 	}
 	now := a.spec.Clock.Now()
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	if evicted {
+		a.scheduler.Preempted(now, g.id)
+		a.ramp.Trouble(now)
+	}
 	a.scheduler.Progress(now, g.id, int(token.Seq))
-	a.mu.Unlock()
 }
 
 func interrupted(detail string) *mgproblem.Problem {
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -45,6 +45,7 @@
 	seen := a.scheduler.Offer(now, request)
 	a.mu.Unlock()
 	offer.Wait = int64(seen.Wait)
+	offer.Rest = int64(seen.Rest)
 	offer.Headroom = seen.Headroom
 	offer.Running = uint32(seen.Running)
 	offer.Queued = uint32(seen.Queued)
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -139,6 +139,7 @@
 		list = append(list, mgrouting.Offer{
 			Upstream: offered.place,
 			Wait:     mgclock.Millis(offered.offer.GetWait()),
+			Rest:     mgclock.Millis(offered.offer.GetRest()),
 			Uncached: query.Prompt - int(offered.offer.GetCached()),
 			Headroom: offered.offer.GetHeadroom(),
 			Running:  int(offered.offer.GetRunning()),
