mgmember, mgshare, mgconfig: an answer ends a row of failures

Cause: calls other than exchanges told of failures only, so that two that lay hours apart suspected a member whose answers in between weren't counted.

Change: Members.Answered, called for answered leases, words and fetches.

--- a/internal/process/mgmember/member_test.go
+++ b/internal/process/mgmember/member_test.go
@@ -104,6 +104,16 @@
 			m.Heard(2040, "b", "1", false)
 			So(up(), ShouldEqual, "a b c")
 		})
+		Convey("keep one whose failures don't follow one another", func() {
+			m.Failed(10, "b")
+			m.Answered(20, "b")
+			m.Failed(30, "b")
+			So(up(), ShouldEqual, "a b c")
+			m.Failed(40, "b")
+			So(up(), ShouldEqual, "a c")
+			m.Answered(50, "b")
+			So(up(), ShouldEqual, "a b c")
+		})
 		Convey("are all of them when all are suspects", func() {
 			// An entry is cut off for a minute and suspects every agent. With
 			// nobody left to ask it would answer "no upstream" long after the
--- a/internal/process/mgmember/members.go
+++ b/internal/process/mgmember/members.go
@@ -121,6 +121,21 @@
 	m.stale = m.stale || before.incarnation != e.incarnation
 }
 
+// Answered takes a call to a member that brought an answer, but no word of itself.
+// Without it two failures that lie hours apart would count as two in a row.
+func (m *Members) Answered(now mgclock.Millis, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.of(name)
+	e.heard = now
+	e.everHeard = true
+	e.failures = 0
+	if e.suspect {
+		e.suspect = false
+		m.rebuild(now)
+	}
+}
+
 // Failed takes a call to a member that brought no answer.
 func (m *Members) Failed(now mgclock.Millis, name string) {
 	m.mu.Lock()
--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -205,8 +205,12 @@
 
 // fetched takes the answer to a fetch.
 func (m *Machine) fetched(now mgclock.Millis, result ResultSpec) []Action {
-	if result.Err != nil && result.Action.peer != "" {
+	switch {
+	case result.Action.peer == "":
+	case result.Err != nil:
 		m.members.Failed(now, result.Action.peer)
+	default:
+		m.members.Answered(now, result.Action.peer)
 	}
 	if result.Action.fetch.GetList() {
 		m.listPull.busy = false
--- a/internal/version/mgshare/loop.go
+++ b/internal/version/mgshare/loop.go
@@ -86,6 +86,8 @@
 		if ctx.Err() == nil || context.Cause(ctx) == context.DeadlineExceeded {
 			l.spec.Shares.Members.Failed(now, call.Home)
 		}
+	} else {
+		l.spec.Shares.Members.Answered(now, call.Home)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -205,6 +207,7 @@
 		l.spec.Shares.Members.Failed(l.spec.Clock.Now(), a.Witness)
 		return
 	}
+	l.spec.Shares.Members.Answered(l.spec.Clock.Now(), a.Witness)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.shares.Said(sent, a, reply)
--- a/internal/version/mgshare/shares_test.go
+++ b/internal/version/mgshare/shares_test.go
@@ -135,7 +135,7 @@
 		if reply == nil {
 			e.members.Failed(r.net.Now(), call.Home)
 		} else {
-			e.members.Heard(r.net.Now(), call.Home, "1", false)
+			e.members.Answered(r.net.Now(), call.Home)
 		}
 		e.shares.Answered(r.net.Now(), call, reply)
 		r.check()
