--- a/internal/bench/mgbench/oracle.go
+++ b/internal/bench/mgbench/oracle.go
@@ -8,12 +8,13 @@
 )
 
 // Costs by which the oracle compares upstreams and foresees an end, in ms: a
-// token's part of a step in a usual batch, a whole step of a light batch, and
-// a prompt token's computing.
+// token's part of a step in a usual batch, a whole step of a light batch, a
+// prompt token's computing, and a whole step of a full batch.
 const (
 	shareCost  = 0.4
 	stepCost   = 14
 	promptCost = 0.03
+	fullCost   = 18
 )
 
 // oracleDepth is how many queued calls the oracle looks at per turn. The order
@@ -51,6 +52,7 @@
 		oracleOrdered("oracle/short", byWork, true),
 		oracleOrdered("oracle/due", byDeadline, true),
 		oracleOrdered("oracle/fifo", byArrival, true),
+		careful(oracleOrdered("oracle/careful", byDeadline, true)),
 	}
 }
 
@@ -67,6 +69,9 @@
 		build: func(_ ScenarioSpec, us []*upstream, _ uint64) router {
 			peers := make([]*oracle, len(us))
 			for i, u := range us {
+				if u.step == 0 {
+					u.step = stepCost
+				}
 				peers[i] = &oracle{
 					upstream: u,
 					order:    order,
@@ -85,6 +90,19 @@
 	}
 }
 
+// careful returns p with upstreams that expect the step of a full batch, so that
+// less is begun that ends too late.
+func careful(p policy) policy {
+	build := p.build
+	p.build = func(s ScenarioSpec, us []*upstream, seed uint64) router {
+		for _, u := range us {
+			u.step = fullCost
+		}
+		return build(s, us, seed)
+	}
+	return p
+}
+
 func byWork(a, b *call) int {
 	return a.work() - b.work()
 }
@@ -111,7 +129,7 @@
 	}
 	uncached := c.sequence.Prompt - u.engine.Cached(c.sequence.Prefix)
 	cost := shareCost*float64(tokens) + promptCost*float64(uncached)
-	cost += stepCost * float64(c.left())
+	cost += u.step * float64(c.left())
 	return cost / u.engine.Spec().Speed
 }
 
@@ -221,7 +239,7 @@
 
 // hopeless reports whether c can't be in time even in a light batch.
 func (o *oracle) hopeless(now mgclock.Millis, c *call) bool {
-	least := stepCost * float64(c.left()) / o.upstream.engine.Spec().Speed
+	least := o.upstream.step * float64(c.left()) / o.upstream.engine.Spec().Speed
 	return float64(now)+least > c.deadline
 }
 
--- a/internal/bench/mgbench/plot.go
+++ b/internal/bench/mgbench/plot.go
@@ -195,7 +195,7 @@
 	p := plot.New()
 	p.Title.Text = s.Name + ": steady tokens against preemptions, medians"
 	p.X.Label.Text = "steady services: p99 between tokens, ms"
-	p.Y.Label.Text = fmt.Sprintf("whole services: preemptions per 100 answers, at least %g", frontLeast)
+	p.Y.Label.Text = fmt.Sprintf("whole services: preemptions per 100, at least %g", frontLeast)
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Add(plotter.NewGrid())
 	p.Legend.Top, p.Legend.Left = true, true
--- a/internal/bench/mgbench/policy.go
+++ b/internal/bench/mgbench/policy.go
@@ -41,6 +41,7 @@
 	index   int
 	engine  *mgmodel.Engine
 	gate    gate
+	step    float64 // ms that the oracle expects of a step, else 0
 	calls   []*call // queued or running here, in the order of their coming
 	busy    bool    // its next turn is scheduled
 	leaving bool    // takes no new work
