--- a/internal/process/mgfleet/fleet_test.go
+++ b/internal/process/mgfleet/fleet_test.go
@@ -1,3 +1,10 @@
+// Package mgfleet_test runs the built binary as separate processes on loopback
+// and plays failures at fixed points of a scripted load: kills, pauses, cut and
+// silent links, platform faults and edits of the table. What callers got is
+// compared with what the stand-ins generated and ran.
+//
+// Each wait is for a condition with a deadline that only a hang reaches, so
+// that a verdict doesn't depend on the machine's speed.
 package mgfleet_test
 
 import (
