mgentry: lookups that may run twice are hedged by the table's share

Cause: a service's hedge in the table had no effect: a lookup at a slow upstream waited for it. Change: after the 95th percentile of a service's delays a second copy goes to another upstream, out of a budget that each answer feeds by the table's share.

--- a/internal/process/mgentry/doubt_test.go
+++ b/internal/process/mgentry/doubt_test.go
@@ -88,14 +88,30 @@
 	return s.hosts.RoundTrip(r)
 }
 
-// entryOver returns an entry that reaches agent-1 and agent-2 by network.
+// entryOver returns an entry that reaches agent-1 and agent-2, beside two
+// engines, by network.
 func entryOver(network http.RoundTripper) *mgentry.Entry {
-	parsed, err := mgtable.Parse([]byte(table))
-	So(err, ShouldBeNil)
+	return entryBy(table, "", network)
+}
+
+// entryBy returns an entry with a table whose agents run a plain service, or
+// have engines when it is empty.
+func entryBy(text, service string, network http.RoundTripper) *mgentry.Entry {
+	parsed, err := mgtable.Parse([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	vms := []mgplatform.VM{agentVM("agent-1", "engine-1"), agentVM("agent-2", "engine-2")}
+	for i := range vms {
+		if service != "" {
+			vms[i].Models = nil
+			vms[i].Services = []string{service}
+		}
+	}
 	members := mgmember.New("entry")
 	members.List(0, mgplatform.List{
 		Version: 1,
-		VMs:     []mgplatform.VM{agentVM("agent-1", "engine-1"), agentVM("agent-2", "engine-2")},
+		VMs:     vms,
 	})
 	return mgentry.New(mgentry.Spec{
 		Settings: mgsettings.Entry{
@@ -107,6 +123,7 @@
 			Body:  1 << 20,
 			Probe: 5000,
 			Slow:  5000,
+			Call:  10000,
 		},
 		Log:     logr.Discard(),
 		Metrics: mgmetric.New(),
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -61,6 +61,7 @@
 	frames  *http.Client
 	known   atomic.Pointer[fleet]
 	budgets mgretry.Budgets
+	hedges  hedges
 	caps    caps
 	busy    atomic.Int64
 	leaving atomic.Bool
--- /dev/null
+++ b/internal/process/mgentry/hedge_test.go
@@ -0,0 +1,107 @@
+package mgentry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// lookups is the table of the sessions with a lookup that may be sent twice, on two upstreams.
+var lookups = strings.Replace(table, `services = ["report", "ticket"]`, `services = ["report", "ticket", "level"]`, 1) + `
+[[service]]
+name = "level"
+kind = "plain"
+deadline = 5000
+repeat = "safe"
+hedge = 0.05
+
+[[upstream]]
+name = "tanks-1"
+kind = "service"
+services = ["level"]
+batch = 16
+
+[[upstream]]
+name = "tanks-2"
+kind = "service"
+services = ["level"]
+batch = 16
+`
+
+// after is an agent that answers each call after a time.
+type after struct {
+	mgrpc.Agent
+	delay *atomic.Int64 // ms
+	calls *atomic.Int64
+}
+
+func (a after) Invoke(ctx context.Context, _ *mgrpc.InvokeRequest) (*mgrpc.InvokeReply, error) {
+	a.calls.Add(1)
+	mgclock.Clock{}.Sleep(ctx, mgclock.Millis(a.delay.Load()))
+	return &mgrpc.InvokeReply{
+		Status:  http.StatusOK,
+		Outcome: "done",
+	}, nil
+}
+
+// A gauger stands at a tank and waits for a level: its upstream has turned slow
+// and the other one is idle. Once it is known that lookups take 20 ms, a second
+// copy goes to the other upstream, and the first good reply counts. When both
+// are slow, the copies stop: they would only add to the load.
+func TestHedge(t *testing.T) {
+	Convey("Lookups at a slow upstream", t, func() {
+		var slowest mgclock.Millis
+		var extra int64
+		synctest.Test(t, func(t *testing.T) {
+			var delays, calls [2]atomic.Int64
+			delays[0].Store(20)
+			delays[1].Store(20)
+			entry := entryBy(lookups, "level", hosts{
+				"agent-1": mgrpc.NewAgentServer(after{delay: &delays[0], calls: &calls[0]}),
+				"agent-2": mgrpc.NewAgentServer(after{delay: &delays[1], calls: &calls[1]}),
+			})
+			for range 200 {
+				lookup(entry.Routes())
+			}
+			delays[0].Store(2000)
+			for range 40 {
+				slowest = max(slowest, lookup(entry.Routes()))
+			}
+			delays[1].Store(2000)
+			before := calls[0].Load() + calls[1].Load()
+			for range 100 {
+				lookup(entry.Routes())
+			}
+			synctest.Wait()
+			extra = calls[0].Load() + calls[1].Load() - before - 100
+		})
+		Convey("are answered by the other one", func() {
+			So(slowest, ShouldBeLessThan, 100)
+		})
+		Convey("cost no more than the budget's copies when both are slow", func() {
+			So(extra, ShouldBeLessThan, 75)
+		})
+	})
+}
+
+// lookup makes one lookup and returns how long it took.
+func lookup(handler http.Handler) mgclock.Millis {
+	begun := mgclock.Clock{}.Now()
+	request := httptest.NewRequest(http.MethodGet, "/v1/services/level/tank/7", strings.NewReader(""))
+	request.Header.Set("Authorization", "Bearer sample-tankline")
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	if recorder.Code != http.StatusOK {
+		return mgclock.Minute
+	}
+	return mgclock.Clock{}.Now() - begun
+}
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -244,24 +244,22 @@
 func (e *Entry) repeatable(ctx context.Context, call *call) (*mgrpc.InvokeReply, *mgproblem.Problem) {
 	problem := crowded()
 	budget := e.budgets.Of(call.service.Name())
-	for i, host := range e.hosts(call.service.Name()) {
+	hosts := e.hosts(call.service.Name())
+	for i, host := range hosts {
 		if i > 0 && !budget.Spend() {
 			break
 		}
-		ended := host.fleet.fly(host.place)
-		reply, err := e.invokeAt(ctx, call, host.agent)
-		ended()
-		switch {
-		case err != nil:
-			e.spec.Failed(host.agent.Name())
-			problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
-				"no upstream answered", "send the call again")
-		case reply.GetFault() == nil:
+		answer := e.hedged(ctx, call, host, hosts[i+1:])
+		if answer.good() {
 			budget.Earn(mgretry.Ratio)
-			return reply, nil
-		default:
-			problem = problemOf(reply.GetFault())
+			return answer.reply, nil
+		}
+		if answer.err == nil {
+			problem = problemOf(answer.reply.GetFault())
+			continue
 		}
+		problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+			"no upstream answered", "send the call again")
 	}
 	return nil, problem
 }
--- a/internal/request/mgretry/hedge.go
+++ b/internal/request/mgretry/hedge.go
@@ -26,9 +26,10 @@
 	counts [slots]atomic.Int64
 }
 
-// Answered tells that a lookup was answered after a delay.
-func (h *Hedge) Answered(delay mgclock.Millis) {
-	h.budget.Earn(HedgeRatio)
+// Answered tells that a lookup was answered after a delay. Ratio is the part of
+// a second copy that it earns, from 0 to 1.
+func (h *Hedge) Answered(delay mgclock.Millis, ratio float64) {
+	h.budget.Earn(ratio)
 	h.counts[slot(delay)].Add(1)
 	if h.total.Add(1) == faded {
 		h.fade()
--- a/internal/request/mgretry/retry_test.go
+++ b/internal/request/mgretry/retry_test.go
@@ -125,7 +125,7 @@
 		_, ok := h.After()
 		So(ok, ShouldBeFalse)
 		for range 10_000 {
-			h.Answered(mgclock.Millis(10 + r.IntN(100)))
+			h.Answered(mgclock.Millis(10+r.IntN(100)), mgretry.HedgeRatio)
 		}
 		after, ok := h.After()
 		So(ok, ShouldBeTrue)
@@ -137,7 +137,7 @@
 				if h.Allow() {
 					sent++
 				}
-				h.Answered(2000)
+				h.Answered(2000, mgretry.HedgeRatio)
 			}
 			So(sent, ShouldBeLessThanOrEqualTo, mgretry.Limit+1000/20)
 			after, _ := h.After()
@@ -192,7 +192,7 @@
 	n := mgclock.Millis(0)
 	b.ReportAllocs()
 	for b.Loop() {
-		h.Answered(n % 1000)
+		h.Answered(n % 1000, mgretry.HedgeRatio)
 		_, _ = h.After()
 		n++
 	}
