--- a/internal/request/mgretry/retry_test.go
+++ b/internal/request/mgretry/retry_test.go
@@ -192,7 +192,7 @@
 	n := mgclock.Millis(0)
 	b.ReportAllocs()
 	for b.Loop() {
-		h.Answered(n % 1000, mgretry.HedgeRatio)
+		h.Answered(n%1000, mgretry.HedgeRatio)
 		_, _ = h.After()
 		n++
 	}
