mgstandin: the preemption test has the same verdict on a busy machine

Cause: TestEnginePreemption failed once under load: its four generations began one call after another while the engine ran 100 times as fast, so that the first could end before the last began and nothing was evicted. Change: all four begin before the first step. The checks are as they were.

--- a/internal/process/mgentry/hedge_test.go
+++ b/internal/process/mgentry/hedge_test.go
@@ -53,6 +53,13 @@
 	}, nil
 }
 
+func delayed(delay, calls *atomic.Int64) http.Handler {
+	return mgrpc.NewAgentServer(after{
+		delay: delay,
+		calls: calls,
+	})
+}
+
 // A gauger stands at a tank and waits for a level: its upstream has turned slow
 // and the other one is idle. Once it is known that lookups take 20 ms, a second
 // copy goes to the other upstream, and the first good reply counts. When both
@@ -66,8 +73,8 @@
 			delays[0].Store(20)
 			delays[1].Store(20)
 			entry := entryBy(lookups, "level", hosts{
-				"agent-1": mgrpc.NewAgentServer(after{delay: &delays[0], calls: &calls[0]}),
-				"agent-2": mgrpc.NewAgentServer(after{delay: &delays[1], calls: &calls[1]}),
+				"agent-1": delayed(&delays[0], &calls[0]),
+				"agent-2": delayed(&delays[1], &calls[1]),
 			})
 			for range 200 {
 				lookup(entry.Routes())
--- a/internal/standin/mgstandin/engine_test.go
+++ b/internal/standin/mgstandin/engine_test.go
@@ -63,6 +63,11 @@
 func runEngine(ctx context.Context, spec mgstandin.EngineSpec) (*mgstandin.Engine, mgengine.Client) {
 	spec.Model.Speed = 100
 	e := mgstandin.NewEngine(spec, mgclock.Clock{})
+	return e, step(ctx, e)
+}
+
+// step lets an engine run until the end of the test.
+func step(ctx context.Context, e *mgstandin.Engine) mgengine.Client {
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -73,16 +78,21 @@
 		cancel()
 		<-done
 	})
-	return e, mgengine.NewHTTP(serve(e.Handler()), nil)
+	return mgengine.NewHTTP(serve(e.Handler()), nil)
 }
 
 // begin starts a generation of a length.
 func begin(ctx context.Context, c mgengine.Client, id string, length int) error {
-	return c.Start(ctx, mgengine.StartSpec{
+	return c.Start(ctx, ofLength(id, length))
+}
+
+// ofLength describes a generation of a length.
+func ofLength(id string, length int) mgengine.StartSpec {
+	return mgengine.StartSpec{
 		ID:     id,
 		Prompt: fmt.Sprintf("shift report len=%d", length),
 		Max:    1 << 29,
-	})
+	}
 }
 
 // read reads a stream's tokens from seq on, until it ends or breaks.
@@ -249,14 +259,18 @@
 func TestEnginePreemption(t *testing.T) {
 	Convey("Preempted generations arrive whole", t, func() {
 		ctx := bounded()
-		e, client := runEngine(ctx, mgstandin.EngineSpec{
+		e := mgstandin.NewEngine(mgstandin.EngineSpec{
 			Model: mgmodel.Spec{
 				Memory: 200,
+				Speed:  100,
 			},
-		})
+		}, mgclock.Clock{})
+		// All four are there before the first step: on a busy machine the first
+		// would else be done before the last begins, and nothing is evicted.
 		for i := range 4 {
-			So(begin(ctx, client, fmt.Sprint("g", i), 90), ShouldBeNil)
+			So(e.Start(ofLength(fmt.Sprint("g", i), 90)), ShouldBeNil)
 		}
+		client := step(ctx, e)
 		for i := range 4 {
 			id := fmt.Sprint("g", i)
 			text, _, err := read(ctx, client, id, 1)
