mgconfig: polls that fail wait for their turn

Cause: a member that is no watcher went over to the watchers' pace, a try in 16 s on average, when its poll failed. With the platform down for long all 1,260 would do so: about 157 reads a second worked out, growing with the fleet, where it must be flat.

Change: a failed poll waits for the poll's interval again, once the process is ready. TestOutage: an hour's outage at 42 members.

--- a/internal/version/mgconfig/machine_test.go
+++ b/internal/version/mgconfig/machine_test.go
@@ -147,6 +147,28 @@
 	})
 }
 
+// TestOutage: the platform is down for an hour in which an operator publishes an
+// edit to it. When it comes back, every process that had been retrying could read
+// at once and take it down again.
+func TestOutage(t *testing.T) {
+	Convey("After an hour's outage the platform is read as before, and the edit is in force", t, func() {
+		const count = 42
+		f := running(2, count)
+		f.platform.down = true
+		f.net.Run(3600 * sec)
+		retries := f.readsFrom(3000 * sec)
+		f.publish(2, 1)
+		f.platform.down = false
+		f.net.Run(3640 * sec)
+		Printf("%.2f reads a second while down, %d at most in a second after ", float64(retries)/600, f.platform.peak(3600*sec))
+		So(float64(retries)/600, ShouldBeLessThan, 4.5)
+		// Twenty-one watchers read a manifest and nine new pages each at most.
+		So(f.platform.peak(3600*sec), ShouldBeLessThan, 60)
+		So(f.versions(), ShouldResemble, map[uint64]int{2: count})
+		So(f.back, ShouldBeEmpty)
+	})
+}
+
 // TestSchedules drives seeded schedules of faults: partitions between members
 // and from the platform, loss, pauses, restarts, a platform that is down or
 // stale, versions that are faulty. A user would see an edit undone by itself.
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -187,6 +187,11 @@
 	if result.Err != nil && !unchanged {
 		s.failures++
 		s.next = now + backoffMin/2 + m.jitter(min(backoffMax, backoffMin<<min(s.failures, 5)))
+		if m.join.ready && !m.watching() {
+			// A poll that failed waits for its turn again. Otherwise every
+			// member would be retrying after an hour's outage.
+			s.next = m.after(now, s)
+		}
 		return false
 	}
 	s.failures = 0
