--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgpace"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
@@ -61,11 +62,15 @@
 	leaving  atomic.Bool
 	sick     atomic.Bool // the engine can't be reached
 	running  sync.WaitGroup
+	life     context.Context // of what outlives the call that began it
+	endLife  context.CancelFunc
 
 	mu          sync.Mutex // guards what follows
 	scheduler   *mgscheduler.Scheduler
 	generations map[string]*generation
 	counts      counts
+	ramp        mgpace.Ramp
+	warming     bool // the engine takes part of its batch only
 }
 
 // counts are the agent's totals, for the dump.
@@ -89,8 +94,11 @@
 	if upstream != nil && upstream.Batch() > 0 {
 		slots = upstream.Batch()
 	}
+	life, endLife := context.WithCancel(context.Background())
 	return &Agent{
 		spec:        spec,
+		life:        life,
+		endLife:     endLife,
 		attempts:    mgoperation.New(mgoperation.Spec{Window: mgoperation.AttemptWindow}),
 		writes:      mgoperation.New(mgoperation.Spec{Window: mgoperation.OperationWindow}),
 		minter:      mgoperation.NewMinter(spec.Seal, spec.Settings.Upstream, spec.Incarnation),
@@ -132,6 +140,7 @@
 	loops.Go(func() { a.follow(ctx) })
 	loops.Go(func() { a.order(ctx) })
 	loops.Wait()
+	a.endLife()
 	a.running.Wait()
 }
 
