--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -40,21 +40,6 @@
 	preemptions int64
 }
 
-// job is a request that waits or runs.
-type job struct {
-	request   Request
-	came      mgclock.Millis
-	predicted mgclock.Millis // wait, without the correction for its level
-	started   mgclock.Millis
-	last      mgclock.Millis // when it last produced tokens
-	passed    float64        // cost of the requests that passed it
-	charged   float64        // cost that its account was charged
-	answer    mglength.Answer
-	share     mgadmission.Share
-	running   bool
-	told      int // tokens produced
-}
-
 // New returns a scheduler for an idle upstream.
 func New(spec Spec) *Scheduler {
 	return &Scheduler{
@@ -69,6 +54,7 @@
 			Batch:  spec.Batch,
 			Rule:   spec.Policy.Rule,
 			Free:   spec.Policy.Free,
+			Short:  spec.Policy.Short,
 			Steady: spec.Policy.Steady,
 			Whole:  spec.Policy.Whole,
 		}),
@@ -115,6 +101,7 @@
 	predicted := s.predict(now, &r, output)
 	return Offer{
 		Wait:     s.forecast.Corrected(r.Priority, predicted) + s.forecast.FirstToken(r.uncached()),
+		Rest:     s.forecast.Rest(output),
 		Headroom: s.gate.Headroom(),
 		Running:  s.gate.Running(),
 		Queued:   s.queue.Len(),
@@ -143,6 +130,25 @@
 	}
 }
 
+// Resume tells of a request that the upstream runs already and has produced a
+// number of tokens of, as a replaced agent finds it. It counts against memory
+// and batch from now on, and its account pays for what is still to come.
+func (s *Scheduler) Resume(now mgclock.Millis, r Request, produced int) {
+	if s.jobs[r.ID] != nil {
+		return
+	}
+	j := s.job()
+	j.request = r
+	j.came = now
+	j.told = produced
+	j.charged = j.cost()
+	s.jobs[r.ID] = j
+	s.run(now, j)
+	j.answer.Skip(produced)
+	s.gate.Grow(&j.share, produced)
+	s.gate.Weigh(&j.share, j.answer.Curve())
+}
+
 // NextWake returns when Poll has something to do without an event, or 0.
 func (s *Scheduler) NextWake(mgclock.Millis) mgclock.Millis {
 	return s.queue.NextExpiry()
@@ -217,193 +223,6 @@
 // waits. What runs goes on.
 func (s *Scheduler) Leaving(mgclock.Millis) { s.leaving = true }
 
-// refusal returns why a request with a predicted wait can't be taken, or nil.
-func (s *Scheduler) refusal(now mgclock.Millis, r *Request, output float64, predicted mgclock.Millis) *mgproblem.Problem {
-	switch {
-	case s.leaving:
-		return problemLeaving()
-	case !s.gate.Holds(r.Prompt):
-		return problemLarge()
-	case !s.queue.Room(r.Account, r.Priority):
-		return problemFull(s.halfway(r, predicted))
-	}
-	expiry := s.expiry(r, output)
-	if expiry == 0 {
-		return nil
-	}
-	wait := s.forecast.Corrected(r.Priority, predicted)
-	slack := expiry - now
-	if slack < 0 || wait > slack {
-		return problemCrowded(mgadmission.Retry(wait, slack))
-	}
-	return nil
-}
-
-// item returns a request as the queue sees it.
-func (s *Scheduler) item(r *Request, output float64) mgqueue.Item {
-	return mgqueue.Item{
-		ID:       r.ID,
-		Account:  r.Account,
-		Weight:   r.Weight,
-		Priority: r.Priority,
-		Cost:     mgadmission.Cost(r.uncached(), output),
-		Due:      r.due(),
-		Expiry:   s.expiry(r, output),
-	}
-}
-
-// expiry returns when a request must start at the latest, or 0.
-func (s *Scheduler) expiry(r *Request, output float64) mgclock.Millis {
-	first := s.forecast.FirstToken(r.uncached())
-	expiry := mgclock.Millis(0)
-	if r.Deadline > 0 {
-		expiry = max(r.Deadline-first, 1)
-	}
-	if r.Due <= 0 {
-		return expiry
-	}
-	latest := max(r.Due-first-s.forecast.Rest(output), 1)
-	if expiry > 0 {
-		latest = min(latest, expiry)
-	}
-	return latest
-}
-
-// predict returns the time until a request would start by the work ahead of
-// it. Where nothing is ahead and yet it doesn't fit, something must end first,
-// about the work of one answer.
-func (s *Scheduler) predict(now mgclock.Millis, r *Request, output float64) mgclock.Millis {
-	item := s.item(r, output)
-	ahead := s.queue.Ahead(now, item)
-	if ahead <= 0 && s.gate.Admits(candidate(r, s.lengths.Curve(key(r)))) {
-		return 0
-	}
-	return s.forecast.Wait(now, ahead+item.Cost)
-}
-
-// halfway returns when a request that finds no place can come back: half of
-// what is ahead of it has gone by then.
-func (s *Scheduler) halfway(r *Request, predicted mgclock.Millis) mgclock.Millis {
-	wait := s.forecast.Corrected(r.Priority, predicted)
-	return mgadmission.Retry(wait, wait/2)
-}
-
-// output returns the expected length of a request's answer.
-func (s *Scheduler) output(r *Request) float64 {
-	return s.lengths.Curve(key(r)).Mean(0, r.Max)
-}
-
-// candidate returns a waiting job as the gate sees it.
-func (s *Scheduler) candidate(j *job) mgadmission.Candidate {
-	return candidate(&j.request, s.lengths.Curve(key(&j.request)))
-}
-
-// next returns the request that starts next, if one may: the head of the queue
-// or one that passes it.
-func (s *Scheduler) next() (mgqueue.Item, bool) {
-	item, ok := s.queue.Peek()
-	if !ok || s.gate.Full() {
-		return item, false
-	}
-	head := s.jobs[item.ID]
-	if s.gate.Admits(s.candidate(head)) {
-		return item, true
-	}
-	left := s.passing()*item.Cost - head.passed
-	if left <= 0 {
-		return item, false
-	}
-	s.others = s.queue.Others(s.others[:0])
-	for _, other := range s.others {
-		if other.Cost <= left && s.gate.Admits(s.candidate(s.jobs[other.ID])) {
-			head.passed += other.Cost
-			return other, true
-		}
-	}
-	return item, false
-}
-
-// start takes a request out of the queue.
-func (s *Scheduler) start(now mgclock.Millis, id string) Decision {
-	item, _ := s.queue.Take(id)
-	j := s.jobs[item.ID]
-	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
-	j.running = true
-	j.started = now
-	j.charged = item.Cost
-	j.answer = s.lengths.Begin(key(&j.request))
-	s.gate.Enter(&j.share, candidate(&j.request, j.answer.Curve()))
-	s.forecast.Busy(now, true)
-	return Decision{
-		ID: item.ID,
-	}
-}
-
-// giveUp answers a request that can no longer be answered in time.
-func (s *Scheduler) giveUp(now mgclock.Millis, item mgqueue.Item) Decision {
-	j := s.jobs[item.ID]
-	s.forecast.Waited(j.request.Priority, j.predicted, now-j.came)
-	wait := s.forecast.Corrected(j.request.Priority, s.predict(now, &j.request, s.output(&j.request)))
-	retry := mgadmission.Retry(wait, item.Expiry-j.came)
-	s.drop(j)
-	return Decision{
-		ID:     item.ID,
-		GiveUp: problemLate(retry),
-	}
-}
-
-// handBack gives up everything that waits, as it can start elsewhere.
-func (s *Scheduler) handBack(dst []Decision) []Decision {
-	for {
-		item, ok := s.queue.Pop()
-		if !ok {
-			return dst
-		}
-		s.drop(s.jobs[item.ID])
-		dst = append(dst, Decision{
-			ID:     item.ID,
-			GiveUp: problemLeaving(),
-		})
-	}
-}
-
-// work returns the cost that a job's progress adds, and takes note of the pace
-// of its tokens.
-func (s *Scheduler) work(now mgclock.Millis, j *job, produced int) float64 {
-	cost := float64(produced - j.told)
-	last := j.last
-	j.last = now
-	if j.told > 0 {
-		s.forecast.Next(produced-j.told, now-last)
-		return cost
-	}
-	s.forecast.First(j.request.uncached(), now-j.started)
-	return cost + mgadmission.Cost(j.request.uncached(), 0)
-}
-
-// charge makes cost what the job's account has been charged.
-func (s *Scheduler) charge(j *job, cost float64) {
-	s.queue.Charge(j.request.Account, j.request.Weight, cost-j.charged)
-	j.charged = cost
-}
-
-// end forgets a running job and settles what it cost.
-func (s *Scheduler) end(now mgclock.Millis, j *job) {
-	s.charge(j, j.cost())
-	s.gate.Leave(&j.share)
-	s.drop(j)
-	if s.gate.Running() > 0 {
-		return
-	}
-	s.forecast.Busy(now, false)
-	s.queue.Rest()
-}
-
-// cost returns what the job has cost until now.
-func (j *job) cost() float64 {
-	return mgadmission.Cost(j.request.uncached(), float64(j.told))
-}
-
 // passing returns the cost that may pass a request, in its own cost.
 func (s *Scheduler) passing() float64 {
 	if p := s.spec.Policy.Passing; p != 0 {
@@ -411,43 +230,3 @@
 	}
 	return DefaultPassing
 }
-
-// job returns an empty job.
-func (s *Scheduler) job() *job {
-	if s.jobs == nil {
-		s.jobs = make(map[string]*job)
-	}
-	last := len(s.old) - 1
-	if last < 0 {
-		return new(job)
-	}
-	j := s.old[last]
-	s.old = s.old[:last]
-	return j
-}
-
-func (s *Scheduler) drop(j *job) {
-	j.answer.Stop()
-	delete(s.jobs, j.request.ID)
-	*j = job{}
-	if len(s.old) < spares {
-		s.old = append(s.old, j)
-	}
-}
-
-func candidate(r *Request, curve *mglength.Curve) mgadmission.Candidate {
-	return mgadmission.Candidate{
-		Prompt: r.Prompt,
-		Max:    r.Max,
-		Whole:  r.Prefer == Whole,
-		Curve:  curve,
-	}
-}
-
-func key(r *Request) mglength.Key {
-	return mglength.Key{
-		Account: r.Account,
-		Service: r.Service,
-		Model:   r.Model,
-	}
-}
