mgnode, cmd: first reads spread, a smaller heap, every answer counts

Change: setting spread (4,000 ms by default), garbage collection at 50 % growth in entry and agent, Heard on each reply.

--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgnode"
@@ -26,6 +27,11 @@
 	return stop, hurry
 }
 
+// collectAt is the growth of the heap in per cent at which a process collects.
+// With 35,000 accounts it holds the memory in use to 18.3 MB in place of 25.3 at
+// the usual 100 (mgtable's BenchmarkFootprint); 25 brings little more.
+const collectAt = 50
+
 type entryCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the entry, TOML"`
 	to       streams
@@ -41,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectAt)
 	stop, hurry := signals()
 	return mgnode.RunEntry(stop, hurry, settings, node)
 }
@@ -60,6 +67,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectAt)
 	stop, hurry := signals()
 	return mgnode.RunAgent(stop, hurry, settings, node)
 }
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -244,6 +244,7 @@
 		return made, mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 			"the agent did not answer", "send the request again").WithCause(err)
 	}
+	e.spec.Heard(chosen.agent.Name(), reply.GetIncarnation(), false)
 	if fault := reply.GetFault(); fault != nil {
 		made.ended()
 		return made, problemOf(fault)
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -270,7 +270,12 @@
 	defer cancel()
 	request := proto.CloneOf(call.request)
 	request.Budget = int64(left)
-	return e.client(agent).Invoke(ctx, request)
+	reply, err := e.client(agent).Invoke(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	e.spec.Heard(agent.Name(), reply.GetIncarnation(), false)
+	return reply, nil
 }
 
 func replyProblem(reply *mgrpc.InvokeReply) *mgproblem.Problem {
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -11,6 +11,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -24,6 +25,7 @@
 			Addr:        n.settings.Peer,
 			Seed:        seed(n.incarnation),
 			Seeds:       n.settings.Seeds,
+			Spread:      mgclock.Millis(n.settings.Spread),
 		},
 		Clock:    n.clock,
 		Members:  n.members,
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -15,6 +15,7 @@
 	Drain    int64    `toml:"drain" default:"60000" min:"0" max:"3600000" unit:"ms" help:"longest drain after SIGTERM; work in progress is cut off after it"`
 	Notice   int64    `toml:"notice" default:"2000" min:"0" max:"600000" unit:"ms" help:"time between the loss of readiness and the first refusal, so that the balancer looks elsewhere"`
 	Beat     int64    `toml:"beat" default:"250" min:"20" max:"10000" unit:"ms" help:"interval of heartbeats on token streams"`
+	Spread   int64    `toml:"spread" default:"4000" min:"0" max:"60000" unit:"ms" help:"span over which a new process puts off its first reads of the platform, so that a restart of all stays within its rate"`
 	TLS      TLS      `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
 }
 
