--- a/internal/process/mgagent/generation.go
+++ b/internal/process/mgagent/generation.go
@@ -46,26 +46,52 @@
 	problem   *mgproblem.Problem
 	preempted uint32
 	total     uint64
+	more      bool // there are more tokens than one frame holds
 	changed   <-chan struct{}
 }
 
 // over reports whether nothing will follow.
 func (v view) over() bool { return v.end != "" || v.problem != nil }
 
-// after returns the tokens that follow the first count, and a channel that is
-// closed when there is more. The tokens are shared and never change.
+// The bounds of one frame. A reader that begins anew may be behind by a whole
+// answer; in one frame a long one is above what the link takes, and could never
+// be read again.
+const (
+	frameTokens = 1024
+	frameBytes  = 64 << 10
+)
+
+// portion returns how many of the tokens one frame holds, at least one.
+func portion(tokens []string) int {
+	bytes := 0
+	for i, text := range tokens {
+		bytes += len(text)
+		if i > 0 && (i == frameTokens || bytes > frameBytes) {
+			return i
+		}
+	}
+	return len(tokens)
+}
+
+// after returns the tokens that follow the first count, as many as one frame
+// holds, and a channel that is closed when there is more. How the generation
+// ended goes with its last token. The tokens are shared and never change.
 func (g *generation) after(count uint64) view {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	seen := view{
-		end:       g.end,
-		problem:   g.problem,
 		preempted: g.preempted,
 		total:     uint64(len(g.tokens)),
 		changed:   g.changed,
 	}
-	if count < uint64(len(g.tokens)) {
-		seen.tokens = g.tokens[count:len(g.tokens):len(g.tokens)]
+	if count < seen.total {
+		end := count + uint64(portion(g.tokens[count:]))
+		seen.tokens = g.tokens[count:end:end]
+		seen.more = end < seen.total
+	}
+	if !seen.more {
+		seen.end = g.end
+		seen.problem = g.problem
 	}
 	return seen
 }
@@ -77,25 +103,30 @@
 	return len(g.tokens)
 }
 
-// accept takes the engine's token and reports whether it was the next one. A
-// stream that was opened again repeats what the agent has; it is dropped.
-func (g *generation) accept(token mgengine.Token) bool {
+// accept takes the engine's token and reports whether it was the next one, and
+// whether the engine evicted the generation since the last. A stream that was
+// opened again repeats what the agent has; it is dropped.
+func (g *generation) accept(token mgengine.Token) (next, evicted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.over != 0 || token.Seq != uint64(len(g.tokens))+1 {
-		return false
+	if g.endedLocked() || token.Seq != uint64(len(g.tokens))+1 {
+		return false, false
 	}
+	evicted = uint32(token.Preempted) > g.preempted
 	g.tokens = append(g.tokens, token.Text)
 	g.preempted = uint32(token.Preempted)
 	g.wakeLocked()
-	return true
+	return true, evicted
 }
 
+// endedLocked reports whether the generation is over.
+func (g *generation) endedLocked() bool { return g.end != "" || g.problem != nil }
+
 // finish ends the generation; only the first end counts.
 func (g *generation) finish(end string, problem *mgproblem.Problem, now mgclock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.end != "" || g.problem != nil {
+	if g.endedLocked() {
 		return false
 	}
 	g.end = end
@@ -109,7 +140,7 @@
 func (g *generation) ended() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.end != "" || g.problem != nil
+	return g.endedLocked()
 }
 
 func (g *generation) wakeLocked() {
@@ -137,15 +168,14 @@
 func (g *generation) unread(before mgclock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	running := g.end == "" && g.problem == nil
-	return running && g.readers == 0 && g.idle <= before
+	return !g.endedLocked() && g.readers == 0 && g.idle <= before
 }
 
 // expired reports whether a generation ended before the time and nobody reads.
 func (g *generation) expired(before mgclock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.over != 0 && g.over <= before && g.readers == 0
+	return g.endedLocked() && g.over <= before && g.readers == 0
 }
 
 // busy reports whether a stop would cut something off: the generation runs, or
@@ -153,7 +183,7 @@
 func (g *generation) busy() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.readers > 0 || (g.end == "" && g.problem == nil)
+	return g.readers > 0 || !g.endedLocked()
 }
 
 // setCancel keeps what ends the engine's stream.
--- a/internal/version/mgshare/holder.go
+++ b/internal/version/mgshare/holder.go
@@ -14,7 +14,9 @@
 	openStreams = 1_000_000
 )
 
-// renewPart of a lease's life is left when it is renewed: time for two tries.
+// renewPart is the part of a lease's life, one in three, that is left when it is
+// renewed. With one in four the slices of a contended account lapsed for a
+// twentieth of the time between the end of a lease and its renewal.
 const renewPart = 3
 
 // A Holder keeps the leases of one entry. The zero Holder has none.
@@ -158,7 +160,7 @@
 	}
 	a.asked = false
 	if slice == nil {
-		a.retry = now + leaseShort/renewPart/2
+		a.retry = now + leaseShort/renewPart/5
 		return
 	}
 	a.retry = 0
