mgbench: the oracle's look at a line in two functions

Cause: one function of three nested choices was hard to read. Change: pass holds what becomes of a call that an engine is too slow for.

--- a/internal/bench/mgbench/oracle.go
+++ b/internal/bench/mgbench/oracle.go
@@ -187,40 +187,46 @@
 // take starts calls of a line that fit. With a free order, calls that can't be
 // in time any more are given up and calls that don't fit are passed over.
 func (o *oracle) take(now mgclock.Millis, from *oracle, dst []verdict) []verdict {
-	kept := from.line[:0:0]
-	for i, c := range from.line {
+	line := from.line
+	from.line = line[:0:0]
+	for i, c := range line {
 		full := len(o.batch) >= o.upstream.engine.Spec().Batch
 		if full || i >= oracleDepth {
-			kept = append(kept, from.line[i:]...)
-			break
+			from.line = append(from.line, line[i:]...)
+			return dst
 		}
 		switch {
 		case o.steal && o.hopeless(now, c):
-			quickest := o.quickest()
-			switch {
-			case quickest.hopeless(now, c):
-				dst = append(dst, verdict{
-					call:    c,
-					problem: tooLate,
-				})
-			case quickest == from:
-				kept = append(kept, c)
-			default:
-				quickest.submit(now, c)
-			}
+			dst = o.pass(now, c, from, dst)
 		case o.fits(c):
 			dst = append(dst, verdict{
 				call: c,
 			})
-		case !o.steal:
-			kept = append(kept, from.line[i:]...)
-			from.line = kept
-			return dst
+		case o.steal:
+			from.line = append(from.line, c)
 		default:
-			kept = append(kept, c)
+			from.line = append(from.line, line[i:]...)
+			return dst
 		}
 	}
-	from.line = kept
+	return dst
+}
+
+// pass gives c up if the quickest peer can't do it in time either. Else c stays
+// in that peer's line or moves to it.
+func (o *oracle) pass(now mgclock.Millis, c *call, from *oracle, dst []verdict) []verdict {
+	quickest := o.quickest()
+	switch {
+	case quickest.hopeless(now, c):
+		return append(dst, verdict{
+			call:    c,
+			problem: tooLate,
+		})
+	case quickest == from:
+		from.line = append(from.line, c)
+	default:
+		quickest.submit(now, c)
+	}
 	return dst
 }
 
