--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -202,7 +202,9 @@
 	if problem == nil || !r.doubt || problem.Outcome() != mgproblem.NotRun {
 		return problem
 	}
-	return mgproblem.New(problem.Kind(), mgproblem.Unknown, problem.Detail(), problem.Remedy()).WithRetry(problem.Retry())
+	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		"a generation of this answer was lost, and no upstream takes the request now",
+		"send the request again for a new answer").WithRetry(problem.Retry())
 }
 
 // elsewhere starts another generation where nothing was delivered.
