--- a/internal/process/mgagent/orders.go
+++ b/internal/process/mgagent/orders.go
@@ -84,7 +84,7 @@
 		a.orders.pacer.Refused(now)
 	}
 	if model := a.orders.holding(now, *held, plan.Model(a.spec.Settings.Upstream)); model != "" {
-		a.orders.pacer.Loaded(model)
+		a.orders.pacer.Loaded(now, model)
 	}
 	if model := a.orders.pacer.Due(now); model != "" {
 		a.loadModel(ctx, table.Version(), model)
--- a/internal/version/mgplacement/doc.go
+++ b/internal/version/mgplacement/doc.go
@@ -7,9 +7,11 @@
 // less moves nothing else, and a model that would be left without an engine gets
 // the one that can best be spared.
 //
-// Loads are paced three ways, because the weight store admits few at a time and
-// 900 engines may want to load at once. A change of plan must hold still before
-// it is acted upon, so that a list that flaps moves nothing. Engines that change
+// Loads are paced by the Pacer alone, because the weight store admits few at a
+// time and 900 engines may want to load at once. A change of plan must hold still
+// before it is acted upon, so that a list that flaps moves nothing; an engine that
+// has changed its model keeps it for some minutes, so that a list that flaps
+// slowly doesn't cost it its caches each time. Engines that change
 // together load in the order of their ranks, as many a second as the store
 // admits. An engine that can't know how many others load begins within seconds,
 // and when the store refuses it comes back at a random time within the span that
--- a/internal/version/mgplacement/pacer.go
+++ b/internal/version/mgplacement/pacer.go
@@ -13,6 +13,9 @@
 	// urgentSpan stands in for it where the engine holds nothing, so that there
 	// is nothing to lose but a load.
 	urgentSpan = 2 * mgclock.Second
+	// dwellSpan is how long an engine keeps a model that it was ordered to load:
+	// many times what a change costs, some ten seconds and its caches.
+	dwellSpan = 2 * mgclock.Minute
 	// coldSpan is the span within which an agent that has just started begins.
 	// It can't tell a lone replacement, which should be quick, from a cold start
 	// of all, which the store's refusals then spread.
@@ -31,6 +34,9 @@
 	wanted string
 	loaded string
 	at     mgclock.Millis // not before
+	due    string         // what Due returned last
+	dwells bool           // the model that is held was ordered, and stays
+	kept   mgclock.Millis // until then
 	tries  int
 }
 
@@ -48,7 +54,11 @@
 }
 
 // Loaded notes which model the engine holds, "" for none.
-func (p *Pacer) Loaded(model string) {
+func (p *Pacer) Loaded(now mgclock.Millis, model string) {
+	if model != p.loaded {
+		p.dwells = model != "" && model == p.due
+		p.kept = now + dwellSpan
+	}
 	p.loaded = model
 	p.tries = 0
 }
@@ -90,6 +100,10 @@
 	if p.wanted == "" || p.wanted == p.loaded || now < p.at {
 		return ""
 	}
+	if p.dwells && now < p.kept {
+		return ""
+	}
+	p.due = p.wanted
 	return p.wanted
 }
 
--- a/internal/version/mgplacement/plan_test.go
+++ b/internal/version/mgplacement/plan_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
@@ -98,7 +99,7 @@
 		}
 		p := mgplacement.NewPacer(upstream, 5, 1)
 		p.Plan(0, plan)
-		p.Loaded(plan.Model(upstream))
+		p.Loaded(0, plan.Model(upstream))
 		Convey("that is undone at once loads nothing", func() {
 			p.Plan(sec, other)
 			p.Plan(2*sec, plan)
@@ -108,12 +109,103 @@
 			p.Plan(sec, other)
 			So(p.Due(30*sec), ShouldEqual, "")
 			So(p.Due(32*sec), ShouldEqual, "m0")
-			p.Loaded("m0")
+			p.Loaded(32*sec, "m0")
 			So(p.Due(99*sec), ShouldEqual, "")
 		})
 	})
 }
 
+// An engine loads another model each time a list flaps, each second or each
+// minute, loses its caches each time, and is slow until nobody asks any more.
+func TestFlapping(t *testing.T) {
+	some := mgplacement.Assign(table(4, 3), view(4))
+	all := mgplacement.Assign(table(4, 1), view(4)) // m0 everywhere
+	upstream := ""
+	for i := range 4 {
+		if name := fmt.Sprintf("u%03d", i); some.Model(name) != "m0" {
+			upstream = name
+		}
+	}
+	cases := []struct {
+		name  string
+		every mgclock.Millis
+		most  int // loads in ten minutes
+	}{
+		{
+			name:  "each second",
+			every: sec,
+		},
+		{
+			name:  "at the pace of the list",
+			every: 20 * sec,
+		},
+		{
+			name:  "each minute: once in the dwell at most",
+			every: 60 * sec,
+			most:  5,
+		},
+	}
+	Convey("A list that flaps", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				p := mgplacement.NewPacer(upstream, 5, 1)
+				p.Plan(0, some)
+				p.Loaded(0, some.Model(upstream))
+				loads := 0
+				for now := sec; now < 600*sec; now += sec {
+					plan := some
+					if now/c.every%2 == 1 {
+						plan = all
+					}
+					p.Plan(now, plan)
+					if model := p.Due(now); model != "" {
+						p.Loaded(now, model)
+						loads++
+					}
+				}
+				So(loads, ShouldBeLessThanOrEqualTo, c.most)
+			})
+		}
+	})
+}
+
+// Whatever the list does and the store says, no load begins before a refusal's
+// second is over, and an engine's changes are two minutes apart.
+func TestPacerProperties(t *testing.T) {
+	plans := []*mgplacement.Plan{
+		mgplacement.Assign(table(4, 3), view(4)),
+		mgplacement.Assign(table(4, 2), view(4)),
+		mgplacement.Assign(table(4, 1), view(4)),
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		upstream := fmt.Sprintf("u%03d", rapid.IntRange(0, 3).Draw(t, "engine"))
+		p := mgplacement.NewPacer(upstream, 5, rapid.Uint64().Draw(t, "seed"))
+		now, refused, changed := mgclock.Millis(0), -sec, -120*sec
+		held := ""
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += mgclock.Millis(rapid.IntRange(0, 60_000).Draw(t, "span"))
+			p.Plan(now, plans[rapid.IntRange(0, 2).Draw(t, "plan")])
+			model := p.Due(now)
+			if model == "" {
+				continue
+			}
+			if model == held || now-refused < sec {
+				t.Fatalf("%q loaded over %q, %d ms after a refusal", model, held, now-refused)
+			}
+			if rapid.Bool().Draw(t, "refused") {
+				p.Refused(now)
+				refused = now
+				continue
+			}
+			if held != "" && now-changed < 120*sec {
+				t.Fatalf("changed after %d ms", now-changed)
+			}
+			p.Loaded(now, model)
+			held, changed = model, now
+		}
+	})
+}
+
 // TestColdStart: a region comes back after a power cut and 900 agents start with
 // empty engines. Requests for all models fail for an hour when the agents retry
 // in step and the weight store refuses most of them over and over.
@@ -142,7 +234,7 @@
 					continue
 				}
 				admitted++
-				p.Loaded(model)
+				p.Loaded(now, model)
 				loaded++
 			}
 			tries += asked
