mgagent, mgpace, mgengine: a reclaimed engine's answers move or end in time

Cause: mgpace.Drain was wired nowhere. An engine that said it was leaving got no new work, and what ran there went on until it died: an answer that nobody had a word of could have begun elsewhere, and a streamed one broke off with "interrupted" once the engine was gone.

Change: the engine's load report has Notice, the time until it is gone (0 untold: nothing changes then). The agent keeps the earliest end it was told, as reports lag, and each second asks mgpace.Drain of each generation. Move and Close end it with kind leaving, outcome unknown: the engine has begun it. The entry starts elsewhere what has delivered nothing, under its budget, and tells the others how far they came. mgpace.Stream holds the expected Rest in place of tokens and gap, which mgscheduler.Rest tells; TestDrain's cases are the same. A stopped generation's log line names its own cause. The stand-in's Leave takes a Delay as notice.

Conclusion: with notice, callers hear of a reclaim while the engine lives. An engine whose pace is not known yet keeps its silent answers to the margin.

--- a/internal/connection/mgengine/wire.go
+++ b/internal/connection/mgengine/wire.go
@@ -1,5 +1,7 @@
 package mgengine
 
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
 // StartSpec says what a generation is to be.
 type StartSpec struct {
 	ID       string   `json:"id"`
@@ -37,6 +39,9 @@
 	Role     string   `json:"role"`
 	Fence    uint64   `json:"fence"`   // highest fencing number it accepted, 0 if it ignores them
 	Leaving  bool     `json:"leaving"` // it takes no new generations
+
+	// Notice is how long until it is gone, 0 when nobody has said.
+	Notice mgclock.Millis `json:"notice,omitempty"`
 }
 
 // Event is a change of the prefix cache. Seq rises by one; a gap means that
--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -53,6 +53,7 @@
 		ID:    found.ID,
 		Model: found.Model,
 	}, now)
+	g.had = int(found.Produced)
 	a.generations[g.id] = g
 	a.counts.adopted++
 	if !found.Done {
@@ -129,6 +130,7 @@
 	a.mu.Lock()
 	a.scheduler.Used(a.spec.Clock.Now(), load.Capacity-load.Free)
 	a.mu.Unlock()
+	a.notice(load)
 	if load.Leaving {
 		a.Leave()
 	}
@@ -182,6 +184,7 @@
 func (a *Agent) sweep(ctx context.Context) {
 	for a.spec.Clock.Sleep(ctx, mgclock.Second) {
 		a.sweepOnce(ctx, a.spec.Clock.Now())
+		a.drain(a.spec.Clock.Now())
 	}
 }
 
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -70,7 +70,9 @@
 	generations map[string]*generation
 	counts      counts
 	ramp        mgpace.Ramp
-	warming     bool // the engine takes part of its batch only
+	warming     bool           // the engine takes part of its batch only
+	noticed     bool           // the engine has said when it is gone
+	gone        mgclock.Millis // when
 }
 
 // counts are the agent's totals, for the dump.
--- /dev/null
+++ b/internal/process/mgagent/drain_test.go
@@ -0,0 +1,205 @@
+package mgagent_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// reclaimedEngine gives each generation a token a second, but for "mute", which
+// gets none, and "short", which ends with its tenth.
+type reclaimedEngine struct {
+	leaves atomic.Bool
+	gone   atomic.Int64 // when, 0 if it doesn't say
+}
+
+func (e *reclaimedEngine) load(context.Context) (mgengine.Load, error) {
+	load := mgengine.Load{
+		Leaving: e.leaves.Load(),
+	}
+	if gone := e.gone.Load(); gone != 0 {
+		load.Notice = mgclock.Millis(gone) - mgclock.Clock{}.Now()
+	}
+	return load, nil
+}
+
+func (e *reclaimedEngine) stream(_ context.Context, id string, from uint64) (*mgengine.TokenStream, error) {
+	next := from
+	return mgengine.NewTokenStream(func(ctx context.Context) (mgengine.Token, error) {
+		mgclock.Clock{}.Sleep(ctx, mgclock.Second)
+		if ctx.Err() != nil || id == "mute" {
+			return mgengine.Token{}, ctx.Err()
+		}
+		token := mgengine.Token{
+			Seq:  next,
+			Text: "x",
+		}
+		if id == "short" && next == 10 {
+			token.End = "stop"
+		}
+		next++
+		return token, nil
+	}, nil), nil
+}
+
+// An ending is how a generation ended for its reader.
+type ending struct {
+	told   string
+	tokens int
+	at     mgclock.Millis
+}
+
+// follow reads a generation to its end.
+func follow(agent *mgagent.Agent, id string) ending {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodGet, mgagent.FramesPath+id+"?from=1", nil)
+	agent.Routes().ServeHTTP(recorder, request)
+	seen := ending{
+		at: mgclock.Clock{}.Now(),
+	}
+	in := bufio.NewReader(recorder.Body)
+	for {
+		frame, err := mglink.ReadFrame(in)
+		if err != nil {
+			return seen
+		}
+		seen.tokens += len(frame.GetText())
+		seen.told = frame.GetEnd()
+		if frame.GetFault() != "" {
+			seen.told = frame.GetFault() + "/" + frame.GetOutcome()
+		}
+	}
+}
+
+// An engine is reclaimed with half a minute's notice. Its answers go on as if
+// nothing were: those that nobody has a word of yet could have begun elsewhere,
+// and the others break off without a word when it dies.
+func TestReclaim(t *testing.T) {
+	const notice = 30 * mgclock.Second
+	play := func(t *testing.T, say bool) map[string]ending {
+		endings := map[string]ending{}
+		synctest.Test(t, func(t *testing.T) {
+			e := &reclaimedEngine{}
+			agent, err := reclaimedAgent(e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var all sync.WaitGroup
+			all.Go(func() { agent.Run(ctx) })
+			var clock mgclock.Clock
+			var mu sync.Mutex
+			var readers sync.WaitGroup
+			for _, id := range []string{"mute", "short", "long", "whole"} {
+				_, _ = agent.Start(ctx, &mgrpc.StartRequest{
+					Attempt:     id,
+					Incarnation: "i1",
+					Account:     "tankline",
+					Service:     "report",
+					Model:       "tank-70b",
+					Prompt:      "shift report",
+					Max:         1000,
+					Budget:      50_000,
+					Whole:       id == "whole",
+					Stamp:       int64(clock.Now()),
+				})
+				readers.Go(func() {
+					seen := follow(agent, id)
+					mu.Lock()
+					defer mu.Unlock()
+					endings[id] = seen
+				})
+			}
+			clock.Sleep(ctx, 5*mgclock.Second)
+			start := clock.Now()
+			if say {
+				e.gone.Store(int64(start + notice))
+			}
+			e.leaves.Store(true)
+			clock.Sleep(ctx, notice)
+			cancel() // the engine is gone, and the agent with it
+			readers.Wait()
+			all.Wait()
+			for id, seen := range endings {
+				seen.at -= start
+				endings[id] = seen
+			}
+		})
+		return endings
+	}
+	Convey("Of the answers of an engine that is reclaimed", t, func() {
+		seen := play(t, true)
+		Convey("one that ends in time does so", func() {
+			So(seen["short"].told, ShouldEqual, "stop")
+			So(seen["short"].tokens, ShouldEqual, 10)
+		})
+		Convey("one that has delivered nothing is given up at once, to begin elsewhere", func() {
+			for _, id := range []string{"mute", "whole"} {
+				So(fmt.Sprint(id, " ", seen[id].told), ShouldEqual, id+" leaving/unknown")
+				So(seen[id].at, ShouldBeLessThan, 3*mgclock.Second)
+			}
+		})
+		Convey("one that has begun to arrive goes on to the margin, and its caller is told", func() {
+			So(seen["long"].told, ShouldEqual, "leaving/unknown")
+			So(seen["long"].at, ShouldBeBetween, notice-4*mgclock.Second, notice)
+			So(seen["long"].tokens, ShouldBeGreaterThan, 30)
+		})
+	})
+	Convey("An engine that doesn't say when it is gone keeps its answers", t, func() {
+		seen := play(t, false)
+		for _, id := range []string{"mute", "whole", "long"} {
+			So(seen[id].told, ShouldNotStartWith, "leaving")
+		}
+		So(seen["short"].told, ShouldEqual, "stop")
+	})
+}
+
+func reclaimedAgent(e *reclaimedEngine) (*mgagent.Agent, error) {
+	parsed, err := mgtable.Parse([]byte(strings.Replace(table, "batch = 1\n", "batch = 16\n", 1)))
+	if err != nil {
+		return nil, err
+	}
+	return mgagent.New(mgagent.Spec{
+		Settings: mgsettings.Agent{
+			Upstream: "engine-1",
+			Policy:   "ours",
+			Grace:    60000,
+			Keep:     60000,
+			Queue:    8,
+		},
+		Incarnation: "i1",
+		Log:         logr.Discard(),
+		Metrics:     mgmetric.New(),
+		Seal:        &mgseal.Signer{},
+		Engine: mgengine.NewClient(mgengine.Seams{
+			Start:  func(context.Context, mgengine.StartSpec) error { return nil },
+			Stream: e.stream,
+			Load:   e.load,
+			Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
+			Cancel: func(context.Context, string) error { return nil },
+			List:   func(context.Context) ([]mgengine.Generation, error) { return nil, nil },
+		}),
+		Table: func() *mgtable.Table { return parsed },
+		Seen:  func(uint64, string) {},
+	})
+}
--- a/internal/process/mgagent/generation.go
+++ b/internal/process/mgagent/generation.go
@@ -15,6 +15,8 @@
 	account string
 	service string
 	spec    mgengine.StartSpec
+	whole   bool // its caller takes nothing but the whole answer
+	had     int  // tokens that a predecessor may have delivered
 
 	mu        sync.Mutex
 	tokens    []string
@@ -103,6 +105,9 @@
 	return len(g.tokens)
 }
 
+// delivered returns the number of tokens that its caller may have.
+func (g *generation) delivered() int { return max(g.produced(), g.had) }
+
 // accept takes the engine's token and reports whether it was the next one, and
 // whether the engine evicted the generation since the last. A stream that was
 // opened again repeats what the agent has; it is dropped.
@@ -143,6 +148,17 @@
 	return g.endedLocked()
 }
 
+// cause returns why a generation that was stopped ended: its caller cancelled
+// it, or its engine is reclaimed.
+func (g *generation) cause() *mgproblem.Problem {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.problem != nil {
+		return g.problem
+	}
+	return cancelled(mgproblem.Unknown)
+}
+
 func (g *generation) wakeLocked() {
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -87,7 +87,7 @@
 	if g.ended() {
 		// It was cancelled between the ledger's leave and this line, when there
 		// was nothing yet to stop: it would run with nobody to read it.
-		a.end(g, "", cancelled(mgproblem.Unknown))
+		a.end(g, "", g.cause())
 		return
 	}
 	if problem := a.startAt(ctx, g); problem != nil {
@@ -154,7 +154,7 @@
 		case g.ended():
 			// The cancel may have reached the engine before the start.
 			a.cancelAt(context.WithoutCancel(ctx), g.id)
-			a.end(g, "", cancelled(mgproblem.Unknown))
+			a.end(g, "", g.cause())
 			return
 		case err == nil && token.End != "":
 			a.end(g, token.End, nil)
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -166,6 +166,7 @@
 		Priority: request.Priority,
 	}
 	g := newGeneration(in.GetAttempt(), in.GetAccount(), in.GetService(), spec, now)
+	g.whole = in.GetWhole()
 	a.mu.Lock()
 	problem := a.scheduler.Submit(now, request)
 	if problem == nil {
--- a/internal/process/mgentry/leave_test.go
+++ b/internal/process/mgentry/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -76,6 +77,59 @@
 	})
 }
 
+// An engine is reclaimed with four seconds' notice while a long answer comes.
+// The caller sees it break off when the engine dies, and nobody knows why; one
+// who wants it whole waits until then for an answer that could have begun
+// elsewhere.
+func TestReclaimed(t *testing.T) {
+	cases := []struct {
+		name    string
+		stream  bool
+		session []string // parts of it
+	}{
+		{
+			name:    "a caller who reads along is told why, and how far it came",
+			stream:  true,
+			session: []string{"delivered: leaving", `"outcome":"unknown"`, "as generated: true"},
+		},
+		{
+			name:    "a caller who wants it whole has it from elsewhere before the engine dies",
+			session: []string{`"completion_tokens":1000`, `"finish_reason":"stop"`},
+		},
+	}
+	Convey("An engine is reclaimed with notice", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				const notice = 4 * mgclock.Second
+				var session string
+				var over atomic.Bool
+				var told bool // while the engine lived
+				var begun map[string]int
+				play(t, 2, func(r *rig) {
+					var all sync.WaitGroup
+					who := r.caller()
+					all.Go(func() {
+						who.ask("entry-1", 1000, c.stream)
+						over.Store(true)
+					})
+					r.clock.Sleep(r.ctx, mgclock.Second)
+					r.reclaim(notice)
+					r.clock.Sleep(r.ctx, notice-1)
+					told = over.Load()
+					begun = r.starts()
+					all.Wait()
+					session = who.session()
+				})
+				So(told, ShouldEqual, c.stream)
+				So(len(begun) == 2, ShouldEqual, !c.stream)
+				for _, part := range c.session {
+					So(session, ShouldContainSubstring, part)
+				}
+			})
+		}
+	})
+}
+
 // answerLength outlasts the bound: about five seconds of decoding.
 const answerLength = 400
 
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -328,6 +328,19 @@
 	return nil
 }
 
+// reclaim gives the engine that holds a generation notice, and ends it then.
+func (r *rig) reclaim(notice mgclock.Millis) {
+	e := r.busy()
+	e.Set(mgstandin.Fault{
+		Kind:  mgstandin.Leave,
+		Delay: notice,
+	})
+	go func() {
+		r.clock.Sleep(r.ctx, notice)
+		e.Set(mgstandin.Fault{Kind: mgstandin.Die})
+	}()
+}
+
 // A caller reads one answer over one connection after another, and keeps what
 // a person would see.
 type caller struct {
--- a/internal/process/mgpace/drain.go
+++ b/internal/process/mgpace/drain.go
@@ -19,8 +19,7 @@
 
 // A Stream is one answer of a leaving engine.
 type Stream struct {
-	Remaining float64        // expected tokens to come
-	Gap       mgclock.Millis // between its tokens
+	Rest      mgclock.Millis // until its expected end
 	Delivered int            // tokens that its caller has
 	Whole     bool           // its caller takes nothing but the whole answer
 }
@@ -30,9 +29,8 @@
 // and does not is found out while there is time to move it.
 func Drain(now, end mgclock.Millis, s Stream) Fate {
 	left := end - Margin - now
-	needed := mgclock.Millis(s.Remaining * float64(s.Gap))
 	switch {
-	case needed <= left:
+	case s.Rest <= left:
 		return Stay
 	case s.Delivered == 0 || s.Whole:
 		return Move
--- a/internal/process/mgpace/pace_test.go
+++ b/internal/process/mgpace/pace_test.go
@@ -31,10 +31,9 @@
 // though they would have ended, and a long one ends without a word.
 func TestDrain(t *testing.T) {
 	const end = 30 * mgclock.Second
-	stream := func(remaining float64, delivered int, whole bool) mgpace.Stream {
+	stream := func(tokens mgclock.Millis, delivered int, whole bool) mgpace.Stream {
 		return mgpace.Stream{
-			Remaining: remaining,
-			Gap:       20,
+			Rest:      tokens * 20,
 			Delivered: delivered,
 			Whole:     whole,
 		}
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -202,6 +202,19 @@
 	s.end(now, j)
 }
 
+// Rest returns how long a running request is expected to take to its end.
+func (s *Scheduler) Rest(id string) mgclock.Millis {
+	j := s.jobs[id]
+	if j == nil || !j.running {
+		return 0
+	}
+	rest := s.forecast.Rest(j.answer.Curve().Mean(j.told, j.request.Max))
+	if j.told == 0 {
+		rest += s.forecast.FirstToken(j.request.uncached())
+	}
+	return rest
+}
+
 // Abandon tells that a running request was cut off, by its caller or by a
 // fault. Its length says nothing.
 func (s *Scheduler) Abandon(now mgclock.Millis, id string) {
--- a/internal/standin/mgstandin/engine.go
+++ b/internal/standin/mgstandin/engine.go
@@ -32,8 +32,9 @@
 	generations map[string]*generation
 	finished    []*generation // in the order of their end
 	faults      Fault
-	changed     chan struct{} // closed and replaced when a switch turns or work arrives
-	life        int           // deaths so far
+	gone        mgclock.Millis // end of the notice of a Leave
+	changed     chan struct{}  // closed and replaced when a switch turns or work arrives
+	life        int            // deaths so far
 	loaded      []string
 	role        string
 	fence       uint64
@@ -150,6 +151,7 @@
 		Role:     e.role,
 		Fence:    e.fence,
 		Leaving:  e.faults.Kind == Leave,
+		Notice:   e.notice(),
 	}
 }
 
--- a/internal/standin/mgstandin/engine_test.go
+++ b/internal/standin/mgstandin/engine_test.go
@@ -254,6 +254,33 @@
 	})
 }
 
+// An engine is reclaimed and says how long it still has. An agent that is told
+// too much ends its streams too late, when their readers can't be told.
+func TestEngineNotice(t *testing.T) {
+	Convey("A leaving engine's report counts its notice down", t, func() {
+		var clock mgclock.Manual
+		e := mgstandin.NewEngine(mgstandin.EngineSpec{}, clock.Clock())
+		So(e.Load().Notice, ShouldEqual, 0)
+		e.Set(mgstandin.Fault{
+			Kind: mgstandin.Leave,
+		})
+		So(e.Load().Leaving, ShouldBeTrue)
+		So(e.Load().Notice, ShouldEqual, 0)
+		e.Set(mgstandin.Fault{
+			Kind:  mgstandin.Leave,
+			Delay: 30 * mgclock.Second,
+		})
+		clock.Advance(10 * mgclock.Second)
+		So(e.Load().Notice, ShouldEqual, 20*mgclock.Second)
+		clock.Advance(mgclock.Minute)
+		So(e.Load().Notice, ShouldEqual, 1)
+		e.Set(mgstandin.Fault{
+			Kind: mgstandin.Heal,
+		})
+		So(e.Load().Notice, ShouldEqual, 0)
+	})
+}
+
 // Memory fills while dossiers decode. The engine evicts one and computes it
 // again: its reader sees a pause and a count, never a token twice.
 func TestEnginePreemption(t *testing.T) {
--- a/internal/standin/mgstandin/switches.go
+++ b/internal/standin/mgstandin/switches.go
@@ -1,5 +1,7 @@
 package mgstandin
 
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
 // Set turns a switch: Die, Cut, Stall, Silent, Slow, Leave or Heal. An engine
 // that died and is healed has lost its generations, its fencing number and
 // the orders it carried out.
@@ -8,6 +10,7 @@
 	defer e.mu.Unlock()
 	e.prepare()
 	e.faults = f
+	e.gone = e.clock.Now() + f.Delay
 	e.model.SetSpeed(e.speed())
 	if f.Kind == Die {
 		e.die()
@@ -30,6 +33,14 @@
 	return speed
 }
 
+// notice returns how long a leaving engine still has, 0 when it isn't told.
+func (e *Engine) notice() mgclock.Millis {
+	if e.faults.Kind != Leave || e.faults.Delay <= 0 {
+		return 0
+	}
+	return max(e.gone-e.clock.Now(), 1)
+}
+
 // die loses all state but the counters.
 func (e *Engine) die() {
 	for _, g := range e.generations {
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -25,7 +25,7 @@
 	After  uint64         `json:"after,omitempty"`  // tokens before a cut or stall
 	Times  int            `json:"times,omitempty"`  // calls of a service it strikes, 0 for all
 	Factor float64        `json:"factor,omitempty"` // how many times as slow an engine
-	Delay  mgclock.Millis `json:"delay,omitempty"`  // how much slower a service
+	Delay  mgclock.Millis `json:"delay,omitempty"`  // how much slower a service; how long a leaving engine still has, 0 untold
 	Spare  string         `json:"spare,omitempty"`  // a key of the platform's that is well
 }
 
