mgagent: an order that was held before it left has its play

Change: a debug line tells of an order just before the last look at the clock. A log whose taker is full is what holds a process there, and the play holds it so: for three seconds, in which another agent becomes the engine's own. The engine must get no order. The case also fails if nothing was held.

--- a/internal/process/mgagent/orders.go
+++ b/internal/process/mgagent/orders.go
@@ -131,7 +131,9 @@
 func (a *Agent) sendLoad(ctx context.Context, order mgfence.Order, model string) {
 	ctx, cancel := context.WithTimeout(ctx, orderWait.Duration())
 	defer cancel()
-	// A process that was paused since the order was planned learns it here.
+	mglog.Debug(a.spec.Log).Info("an order is about to leave", "model", model, "fence", order.Number())
+	// A process that was paused since the order was planned learns it here. The
+	// line above may have held it: what takes the log may be full.
 	if err := a.orders.guard.Send(order, a.spec.Clock.Now()); err != nil {
 		return
 	}
--- a/internal/process/mgagent/orders_test.go
+++ b/internal/process/mgagent/orders_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
@@ -27,7 +29,8 @@
 	mu     sync.Mutex
 	clock  mgclock.Clock
 	held   []string
-	newest uint64 // the highest fencing number it has seen
+	newest uint64      // the highest fencing number it has seen
+	lost   atomic.Bool // another agent is the engine's own by now
 	orders []mgengine.OrderSpec
 	times  []mgclock.Millis
 }
@@ -63,6 +66,7 @@
 		newest uint64
 		ours   bool
 		leaves bool
+		paused bool // between the decision on an order and its sending
 		orders int
 		first  mgclock.Millis // no order before it
 	}{
@@ -107,6 +111,13 @@
 			ours:   true,
 			orders: 2,
 		},
+		{
+			name:   "the process is held before it sends, and is replaced meanwhile",
+			checks: mgtable.Ignored,
+			held:   []string{"old"},
+			ours:   true,
+			paused: true,
+		},
 	}
 	Convey("Orders", t, func() {
 		for _, c := range cases {
@@ -116,7 +127,12 @@
 					newest: c.newest,
 				}
 				synctest.Test(t, func(t *testing.T) {
-					agent, err := orderAgent(engine, c.checks, c.ours)
+					held := false
+					log := logr.Discard()
+					if c.paused {
+						log = holding(t.Context(), engine, &held)
+					}
+					agent, err := orderAgent(engine, log, c.checks, c.ours)
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -127,6 +143,9 @@
 					}
 					start := engine.clock.Now()
 					agent.Run(ctx)
+					if held != c.paused {
+						t.Errorf("an order was held before it left: %v", held)
+					}
 					for i := range engine.times {
 						engine.times[i] -= start
 					}
@@ -144,7 +163,22 @@
 	})
 }
 
-func orderAgent(engine *ordered, checks string, ours bool) (*mgagent.Agent, error) {
+// holding returns a log that holds the agent for three seconds at the line
+// before an order leaves, while another agent becomes the engine's own.
+func holding(ctx context.Context, engine *ordered, held *bool) logr.Logger {
+	return funcr.New(func(_, line string) {
+		if !strings.Contains(line, "an order is about to leave") {
+			return
+		}
+		*held = true
+		engine.lost.Store(true)
+		engine.clock.Sleep(ctx, 3*mgclock.Second)
+	}, funcr.Options{
+		Verbosity: 9, // all lines
+	})
+}
+
+func orderAgent(engine *ordered, log logr.Logger, checks string, ours bool) (*mgagent.Agent, error) {
 	parsed, err := mgtable.Parse([]byte(strings.Replace(table, `orders = "checked"`, `orders = "`+checks+`"`, 1)))
 	if err != nil {
 		return nil, err
@@ -167,7 +201,7 @@
 			Policy:   "ours",
 		},
 		Incarnation: "i1",
-		Log:         logr.Discard(),
+		Log:         log,
 		Metrics:     mgmetric.New(),
 		Seal:        &mgseal.Signer{},
 		Engine: mgengine.NewClient(mgengine.Seams{
@@ -179,7 +213,7 @@
 		Table:   func() *mgtable.Table { return parsed },
 		Seen:    func(uint64, string) {},
 		Plan:    func() *mgplacement.Plan { return mgplacement.Assign(parsed, members.View()) },
-		Ours:    func() (mgclock.Millis, bool) { return engine.clock.Now(), ours },
+		Ours:    func() (mgclock.Millis, bool) { return engine.clock.Now(), ours && !engine.lost.Load() },
 		Started: mgclock.UnixMillis(),
 	})
 }
