--- a/internal/process/mgagent/orders.go
+++ b/internal/process/mgagent/orders.go
@@ -84,7 +84,7 @@
 		a.orders.pacer.Refused(now)
 	}
 	if model := a.orders.holding(now, *held, plan.Model(a.spec.Settings.Upstream)); model != "" {
-		a.orders.pacer.Loaded(model)
+		a.orders.pacer.Loaded(now, model)
 	}
 	if model := a.orders.pacer.Due(now); model != "" {
 		a.loadModel(ctx, table.Version(), model)
@@ -131,7 +131,9 @@
 func (a *Agent) sendLoad(ctx context.Context, order mgfence.Order, model string) {
 	ctx, cancel := context.WithTimeout(ctx, orderWait.Duration())
 	defer cancel()
-	// A process that was paused since the order was planned learns it here.
+	mglog.Debug(a.spec.Log).Info("an order is about to leave", "model", model, "fence", order.Number())
+	// A process that was paused since the order was planned learns it here. The
+	// line above may have held it: what takes the log may be full.
 	if err := a.orders.guard.Send(order, a.spec.Clock.Now()); err != nil {
 		return
 	}
