mgagent: one rig for its tests

Five test files each built an agent with a fake engine, its settings and its goroutine. newAgent, quiet and runAgent in rig_test.go do it once; each file keeps its cases and says only what differs. No test was left out.

--- a/internal/process/mgagent/adopt_test.go
+++ b/internal/process/mgagent/adopt_test.go
@@ -8,17 +8,12 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // idleEngine runs every generation without a token, and starts count.
@@ -28,61 +23,31 @@
 	starts atomic.Int64
 }
 
-func (e *idleEngine) client() mgengine.Client {
-	return mgengine.NewClient(mgengine.Seams{
-		Start: func(context.Context, mgengine.StartSpec) error {
-			e.starts.Add(1)
-			return nil
-		},
-		Stream: func(context.Context, string, uint64) (*mgengine.TokenStream, error) {
-			return mgengine.NewTokenStream(func(ctx context.Context) (mgengine.Token, error) {
-				mgclock.Clock{}.Sleep(ctx, mgclock.Second)
-				return mgengine.Token{}, ctx.Err()
-			}, nil), nil
-		},
-		Load: func(context.Context) (mgengine.Load, error) {
-			if e.sick.Load() {
-				return mgengine.Load{}, errDown
-			}
-			return mgengine.Load{Models: []string{"tank-70b"}}, nil
-		},
-		Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
-		Cancel: func(context.Context, string) error { return nil },
-		List:   func(context.Context) ([]mgengine.Generation, error) { return e.held, nil },
-	})
+func (e *idleEngine) seams() mgengine.Seams {
+	engine := quiet()
+	engine.Start = func(context.Context, mgengine.StartSpec) error {
+		e.starts.Add(1)
+		return nil
+	}
+	engine.Stream = endless
+	engine.Load = func(context.Context) (mgengine.Load, error) {
+		if e.sick.Load() {
+			return mgengine.Load{}, errDown
+		}
+		return mgengine.Load{Models: []string{"tank-70b"}}, nil
+	}
+	engine.List = func(context.Context) ([]mgengine.Generation, error) { return e.held, nil }
+	return engine
 }
 
 // beside plays with an agent beside the engine in virtual time.
 func beside(t *testing.T, e *idleEngine, play func(ctx context.Context, agent *mgagent.Agent)) {
 	synctest.Test(t, func(t *testing.T) {
-		parsed, err := mgtable.Parse([]byte(strings.Replace(table, "batch = 1\n", "batch = 16\n", 1)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		agent, err := mgagent.New(mgagent.Spec{
-			Settings: mgsettings.Agent{
-				Upstream: "engine-1",
-				Policy:   "ours",
-				Grace:    60000,
-				Keep:     60000,
-			},
-			Incarnation: "i1",
-			Log:         logr.Discard(),
-			Metrics:     mgmetric.New(),
-			Seal:        &mgseal.Signer{},
-			Engine:      e.client(),
-			Table:       func() *mgtable.Table { return parsed },
-			Seen:        func(uint64, string) {},
-		})
+		agent, err := newAgent(strings.Replace(table, "batch = 1\n", "batch = 16\n", 1), e.seams(), asIs)
 		if err != nil {
 			t.Fatal(err)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			agent.Run(ctx)
-		}()
+		ctx, cancel, done := runAgent(agent)
 		synctest.Wait()
 		play(ctx, agent)
 		cancel()
--- a/internal/process/mgagent/frames_test.go
+++ b/internal/process/mgagent/frames_test.go
@@ -11,16 +11,11 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // A shift report of 30,000 tokens was whole, its caller's connection broke, and
@@ -29,31 +24,12 @@
 func TestLongAnswerIsReadAgain(t *testing.T) {
 	const tokens = 30_000
 	Convey("A long answer is read again from its first token", t, func() {
-		parsed, err := mgtable.Parse([]byte(table))
-		So(err, ShouldBeNil)
 		var produced atomic.Bool
-		agent, err := mgagent.New(mgagent.Spec{
-			Settings: mgsettings.Agent{
-				Process:  mgsettings.Process{Beat: 250},
-				Upstream: "engine-1",
-				Policy:   "ours",
-				Grace:    60000,
-				Keep:     60000,
-			},
-			Log:     logr.Discard(),
-			Metrics: mgmetric.New(),
-			Seal:    &mgseal.Signer{},
-			Engine:  longEngine(tokens, &produced),
-			Table:   func() *mgtable.Table { return parsed },
-			Seen:    func(uint64, string) {},
+		agent, err := newAgent(table, longEngine(tokens, &produced), func(spec *mgagent.Spec) {
+			spec.Settings.Beat = 250
 		})
 		So(err, ShouldBeNil)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			agent.Run(ctx)
-		}()
+		_, cancel, done := runAgent(agent)
 		defer func() {
 			cancel()
 			<-done
@@ -67,30 +43,29 @@
 }
 
 // longEngine holds one generation, called long, of 16 bytes a token.
-func longEngine(tokens int, produced *atomic.Bool) mgengine.Client {
-	return mgengine.NewClient(mgengine.Seams{
-		Load:   func(context.Context) (mgengine.Load, error) { return mgengine.Load{}, nil },
-		Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
-		Cancel: func(context.Context, string) error { return nil },
-		List: func(context.Context) ([]mgengine.Generation, error) {
-			return []mgengine.Generation{{ID: "long"}}, nil
-		},
-		Stream: func(_ context.Context, _ string, from uint64) (*mgengine.TokenStream, error) {
-			next := from
-			return mgengine.NewTokenStream(func(context.Context) (mgengine.Token, error) {
-				if next > uint64(tokens) {
-					produced.Store(true)
-					return mgengine.Token{End: "stop"}, nil
-				}
-				token := mgengine.Token{
-					Seq:  next,
-					Text: fmt.Sprintf("%-16d", next),
-				}
-				next++
-				return token, nil
-			}, nil), nil
-		},
-	})
+func longEngine(tokens int, produced *atomic.Bool) mgengine.Seams {
+	engine := quiet()
+	engine.List = func(context.Context) ([]mgengine.Generation, error) {
+		return []mgengine.Generation{{
+			ID: "long",
+		}}, nil
+	}
+	engine.Stream = func(_ context.Context, _ string, from uint64) (*mgengine.TokenStream, error) {
+		next := from
+		return mgengine.NewTokenStream(func(context.Context) (mgengine.Token, error) {
+			if next > uint64(tokens) {
+				produced.Store(true)
+				return mgengine.Token{End: "stop"}, nil
+			}
+			token := mgengine.Token{
+				Seq:  next,
+				Text: fmt.Sprintf("%-16d", next),
+			}
+			next++
+			return token, nil
+		}, nil), nil
+	}
+	return engine
 }
 
 // readAll returns how many tokens of the generation come, in order, to its end.
--- a/internal/process/mgagent/orders_test.go
+++ b/internal/process/mgagent/orders_test.go
@@ -7,16 +7,12 @@
 	"testing"
 	"testing/synctest"
 
-	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -145,10 +141,7 @@
 }
 
 func orderAgent(engine *ordered, checks string, ours bool) (*mgagent.Agent, error) {
-	parsed, err := mgtable.Parse([]byte(strings.Replace(table, `orders = "checked"`, `orders = "`+checks+`"`, 1)))
-	if err != nil {
-		return nil, err
-	}
+	text := strings.Replace(table, `orders = "checked"`, `orders = "`+checks+`"`, 1)
 	members := mgmember.New("agent-1")
 	members.List(0, mgplatform.List{
 		Version: 1,
@@ -161,25 +154,12 @@
 			State:    mgplatform.Live,
 		}},
 	})
-	return mgagent.New(mgagent.Spec{
-		Settings: mgsettings.Agent{
-			Upstream: "engine-1",
-			Policy:   "ours",
-		},
-		Incarnation: "i1",
-		Log:         logr.Discard(),
-		Metrics:     mgmetric.New(),
-		Seal:        &mgseal.Signer{},
-		Engine: mgengine.NewClient(mgengine.Seams{
-			Load:   engine.load,
-			Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
-			List:   func(context.Context) ([]mgengine.Generation, error) { return nil, nil },
-			Order:  engine.order,
-		}),
-		Table:   func() *mgtable.Table { return parsed },
-		Seen:    func(uint64, string) {},
-		Plan:    func() *mgplacement.Plan { return mgplacement.Assign(parsed, members.View()) },
-		Ours:    func() (mgclock.Millis, bool) { return engine.clock.Now(), ours },
-		Started: mgclock.UnixMillis(),
+	seams := quiet()
+	seams.Load = engine.load
+	seams.Order = engine.order
+	return newAgent(text, seams, func(spec *mgagent.Spec) {
+		spec.Plan = func() *mgplacement.Plan { return mgplacement.Assign(spec.Table(), members.View()) }
+		spec.Ours = func() (mgclock.Millis, bool) { return engine.clock.Now(), ours }
+		spec.Started = mgclock.UnixMillis()
 	})
 }
--- /dev/null
+++ b/internal/process/mgagent/rig_test.go
@@ -0,0 +1,280 @@
+package mgagent_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const table = `
+version = 1
+
+[[model]]
+name = "tank-70b"
+context = 65536
+max = 8192
+
+[[service]]
+name = "report"
+model = "tank-70b"
+prefer = "steady"
+deadline = 60000
+max = 64
+
+[[service]]
+name = "ticket"
+kind = "plain"
+deadline = 5000
+repeat = "never"
+
+[[upstream]]
+name = "engine-1"
+models = ["tank-70b"]
+memory = 40000
+batch = 1
+orders = "checked"
+
+[[account]]
+name = "tankline"
+keys = ["be122e6c14afd1b20ab94a1a98ba052768381cb09e24a0d1cde7014300fb2ab0"]
+services = ["report", "ticket"]
+`
+
+// newAgent makes the agent i1 beside engine-1, with a table and an engine; change
+// sets what a test has otherwise.
+func newAgent(text string, engine mgengine.Seams, change func(spec *mgagent.Spec)) (*mgagent.Agent, error) {
+	parsed, err := mgtable.Parse([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	spec := mgagent.Spec{
+		Settings: mgsettings.Agent{
+			Upstream: "engine-1",
+			Policy:   "ours",
+			Grace:    60000,
+			Keep:     60000,
+		},
+		Incarnation: "i1",
+		Log:         logr.Discard(),
+		Metrics:     mgmetric.New(),
+		Seal:        &mgseal.Signer{},
+		Engine:      mgengine.NewClient(engine),
+		Table:       func() *mgtable.Table { return parsed },
+		Seen:        func(uint64, string) {},
+	}
+	change(&spec)
+	return mgagent.New(spec)
+}
+
+// asIs changes nothing of newAgent's spec.
+func asIs(*mgagent.Spec) {}
+
+// quiet is an engine that runs nothing and has nothing to say.
+func quiet() mgengine.Seams {
+	return mgengine.Seams{
+		Load:   func(context.Context) (mgengine.Load, error) { return mgengine.Load{}, nil },
+		Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
+		Cancel: func(context.Context, string) error { return nil },
+		List:   func(context.Context) ([]mgengine.Generation, error) { return nil, nil },
+	}
+}
+
+// runAgent runs an agent; done is closed once it has ended after cancel.
+func runAgent(agent *mgagent.Agent) (ctx context.Context, cancel func(), done chan struct{}) {
+	ctx, cancel = context.WithCancel(context.Background())
+	done = make(chan struct{})
+	go func() {
+		defer close(done)
+		agent.Run(ctx)
+	}()
+	return ctx, cancel, done
+}
+
+// rig is an agent in virtual time with an engine and a service that do as they
+// are told. It counts what truly ran.
+type rig struct {
+	agent *mgagent.Agent
+	clock mgclock.Clock
+	ctx   context.Context
+	stop  func()
+	done  chan struct{} // closed once the agent has ended
+
+	mu     sync.Mutex
+	starts func(n int) error     // the engine's word on its n-th start
+	sick   atomic.Bool           // the engine's load can't be read
+	held   []mgengine.Generation // what the engine lists
+	tried  int
+	ran    map[string]int
+	told   []string
+}
+
+var errDown = mgengine.NewFailure(mgengine.NotStarted, "start", "refused", nil)
+
+var errSilent = mgengine.NewFailure(mgengine.Unknown, "start", "no answer", nil)
+
+func newRig(stream streamSeam) (*rig, error) {
+	r := &rig{
+		ran:    map[string]int{},
+		starts: func(int) error { return nil },
+	}
+	engine := quiet()
+	engine.Start = r.start
+	engine.Stream = stream
+	engine.Load = r.load
+	engine.List = r.list
+	agent, err := newAgent(table, engine, func(spec *mgagent.Spec) {
+		spec.Settings.Grace = 5000
+		spec.Settings.Keep = 5000
+		spec.Settings.Queue = 8
+		spec.Service = mgservice.NewClient(r.call)
+	})
+	r.agent = agent
+	return r, err
+}
+
+// start runs the generation unless the engine attests that it did not.
+func (r *rig) start(_ context.Context, spec mgengine.StartSpec) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tried++
+	err := r.starts(r.tried)
+	if mgengine.KindOf(err) != mgengine.NotStarted || err == nil {
+		r.ran[spec.ID]++
+	}
+	return err
+}
+
+// streamSeam opens a generation's stream.
+type streamSeam func(ctx context.Context, id string, from uint64) (*mgengine.TokenStream, error)
+
+// endless gives no token until its reader leaves: generations run on and hold
+// the batch.
+func endless(context.Context, string, uint64) (*mgengine.TokenStream, error) {
+	return mgengine.NewTokenStream(func(ctx context.Context) (mgengine.Token, error) {
+		var clock mgclock.Clock
+		clock.Sleep(ctx, mgclock.Second)
+		return mgengine.Token{}, ctx.Err()
+	}, nil), nil
+}
+
+func (r *rig) list(context.Context) ([]mgengine.Generation, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held, nil
+}
+
+func (r *rig) load(context.Context) (mgengine.Load, error) {
+	if r.sick.Load() {
+		return mgengine.Load{}, errDown
+	}
+	return mgengine.Load{}, nil
+}
+
+func (r *rig) call(_ context.Context, spec mgservice.CallSpec) (mgservice.Reply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran[spec.Operation]++
+	return mgservice.Reply{
+		Status: 200,
+	}, nil
+}
+
+// begin sends a copy of an attempt's start and notes what is told.
+func (r *rig) begin(id, incarnation string) {
+	reply, err := r.agent.Start(r.ctx, &mgrpc.StartRequest{
+		Attempt:     id,
+		Incarnation: incarnation,
+		Account:     "tankline",
+		Service:     "report",
+		Model:       "tank-70b",
+		Prompt:      "shift report",
+		Budget:      30_000,
+		Stamp:       int64(r.clock.Now()),
+	})
+	switch {
+	case err != nil:
+		r.told = append(r.told, err.Error())
+	case reply.GetFault() != nil:
+		r.told = append(r.told, reply.GetFault().GetKind()+"/"+reply.GetFault().GetOutcome())
+	default:
+		r.told = append(r.told, "ok")
+	}
+}
+
+func (r *rig) cancel(id string, stamp mgclock.Millis) {
+	reply, err := r.agent.Cancel(r.ctx, &mgrpc.CancelRequest{
+		Attempt:     id,
+		Incarnation: "i1",
+		Stamp:       int64(stamp),
+	})
+	if err != nil {
+		r.told = append(r.told, err.Error())
+		return
+	}
+	r.told = append(r.told, reply.GetOutcome())
+}
+
+func (r *rig) sleep(span mgclock.Millis) {
+	r.clock.Sleep(r.ctx, span)
+	synctest.Wait()
+}
+
+// invoke makes a write under an operation minted before.
+func (r *rig) invoke(operation string) {
+	reply, err := r.agent.Invoke(r.ctx, &mgrpc.InvokeRequest{
+		Account:   "tankline",
+		Service:   "ticket",
+		Method:    "POST",
+		Path:      "/tickets",
+		Operation: operation,
+		Budget:    5000,
+	})
+	if err != nil {
+		r.told = append(r.told, err.Error())
+		return
+	}
+	r.told = append(r.told, reply.GetFault().GetKind()+"/"+reply.GetOutcome())
+}
+
+func (r *rig) mint() string {
+	reply, err := r.agent.Mint(r.ctx, &mgrpc.MintRequest{
+		Account: "tankline",
+		Service: "ticket",
+	})
+	if err != nil {
+		r.told = append(r.told, err.Error())
+	}
+	return reply.GetOperation()
+}
+
+// bubble plays with an agent in virtual time.
+func bubble(t *testing.T, play func(r *rig)) { bubbleWith(t, endless, play) }
+
+// bubbleWith is bubble with streams of the caller's.
+func bubbleWith(t *testing.T, stream streamSeam, play func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r, err := newRig(stream)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.ctx, r.stop, r.done = runAgent(r.agent)
+		synctest.Wait()
+		play(r)
+		r.stop()
+		<-r.done
+	})
+}
