mgentry: one spec for its tests' entries

The rig, the tests against two stand-in agents and the fuzz test each spelt out an entry's settings and seams. entrySpec does it once, each test says what differs; the stand-in agents and hosts have a file, stub_test.go, and givesUp was taker with another word on cancel.

--- a/internal/process/mgentry/fuzz_test.go
+++ b/internal/process/mgentry/fuzz_test.go
@@ -6,13 +6,8 @@
 	"strings"
 	"testing"
 
-	"github.com/go-logr/logr"
-
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
@@ -24,17 +19,10 @@
 		f.Fatal(err)
 	}
 	var members mgmember.Members
-	e := mgentry.New(mgentry.Spec{
-		Settings: mgsettings.Entry{
-			Body:  1 << 16,
-			Probe: 1,
-		},
-		Log:     logr.Discard(),
-		Metrics: mgmetric.New(),
-		Seal:    &mgseal.Signer{},
-		Table:   func() *mgtable.Table { return parsed },
-		View:    members.View,
-	}, "life")
+	spec := entrySpec(parsed, &members)
+	spec.Settings.Body = 1 << 16
+	spec.Settings.Probe = 1
+	e := mgentry.New(spec, "life")
 	routes := e.Routes()
 	f.Add("/v1/chat/completions", `{"model":"report","messages":[{"role":"user","content":"len=3"}]}`)
 	f.Fuzz(func(t *testing.T, path, body string) {
--- a/internal/process/mgentry/hedge_test.go
+++ b/internal/process/mgentry/hedge_test.go
@@ -103,10 +103,8 @@
 // lookup makes one lookup and returns how long it took.
 func lookup(handler http.Handler) mgclock.Millis {
 	begun := mgclock.Clock{}.Now()
-	request := httptest.NewRequest(http.MethodGet, "/v1/services/level/tank/7", strings.NewReader(""))
-	request.Header.Set("Authorization", "Bearer sample-tankline")
 	recorder := httptest.NewRecorder()
-	handler.ServeHTTP(recorder, request)
+	handler.ServeHTTP(recorder, tankline(http.MethodGet, "/v1/services/level/tank/7", ""))
 	if recorder.Code != http.StatusOK {
 		return mgclock.Minute
 	}
--- a/internal/process/mgentry/moved_test.go
+++ b/internal/process/mgentry/moved_test.go
@@ -10,53 +10,28 @@
 	"strings"
 	"testing"
 
-	"github.com/go-chi/chi/v5"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 )
 
-// taker takes every start; its offers differ in their wait.
-type taker struct {
-	mgrpc.Agent
-	wait int64
-}
-
-func (a taker) Probe(context.Context, *mgrpc.ProbeRequest) (*mgrpc.Offer, error) {
-	return &mgrpc.Offer{Wait: a.wait}, nil
-}
-
-func (taker) Start(_ context.Context, in *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
-	return &mgrpc.StartReply{Generation: in.GetAttempt()}, nil
-}
-
-func (taker) Cancel(context.Context, *mgrpc.CancelRequest) (*mgrpc.CancelReply, error) {
-	return &mgrpc.CancelReply{Outcome: "unknown"}, nil
-}
-
-// host is an agent that answers each read of frames with one frame.
-func host(agent mgrpc.Agent, frame *mgrpc.Frame) http.Handler {
-	router := chi.NewRouter()
-	router.Mount(mgrpc.AgentPathPrefix, mgrpc.NewAgentServer(agent))
-	router.Get("/frames/{generation}", func(w http.ResponseWriter, r *http.Request) {
-		frame.Generation = chi.URLParam(r, "generation")
-		_ = mglink.WriteFrame(w, frame)
-	})
-	return router
-}
-
 // A lookup's engine dies before the first token, and the entry starts over
 // elsewhere. The caller had been told the first generation's name ahead, held
 // the second one's tokens for a stranger's, and resumed the dead one: lost.
 func TestMoved(t *testing.T) {
 	Convey("The last name told ahead is that of the tokens that come", t, func() {
 		entry := entryOver(hosts{
-			"agent-1": host(taker{wait: 1}, &mgrpc.Frame{
+			"agent-1": host(taker{
+				wait: 1,
+				told: "unknown",
+			}, &mgrpc.Frame{
 				Fault:   "interrupted",
 				Outcome: "unknown",
 			}),
-			"agent-2": host(taker{wait: 900}, &mgrpc.Frame{
+			"agent-2": host(taker{
+				wait: 900,
+				told: "unknown",
+			}, &mgrpc.Frame{
 				Seq:   1,
 				Text:  []string{"tide "},
 				End:   "stop",
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -173,17 +173,11 @@
 }
 
 func (r *rig) row(name, upstream string, models, services []string) {
-	r.list.VMs = append(r.list.VMs, mgplatform.VM{
-		Name:     name,
-		Kind:     mgplatform.AgentKind,
-		Addr:     name + ":80",
-		Zone:     "a",
-		Region:   "south",
-		Upstream: upstream,
-		Models:   models,
-		Services: services,
-		State:    "live",
-	})
+	vm := agentVM(name, upstream)
+	vm.Addr = name + ":80"
+	vm.Models = models
+	vm.Services = services
+	r.list.VMs = append(r.list.VMs, vm)
 }
 
 // agent starts an agent, in place of the one that had its name.
@@ -241,35 +235,21 @@
 	r.kill(name)
 	members := mgmember.New(name)
 	members.List(r.clock.Now(), r.list)
-	e := mgentry.New(mgentry.Spec{
-		Settings: mgsettings.Entry{
-			Process: mgsettings.Process{
-				Name:   name,
-				Zone:   "a",
-				Region: "south",
-				Beat:   int64(beat),
-			},
-			Body:  1 << 20,
-			Slow:  10000,
-			Probe: 200,
-			Call:  int64(callWait),
-		},
-		Log:     logr.Discard(),
-		Metrics: mgmetric.New(),
-		Seal:    &r.seal,
-		Table:   func() *mgtable.Table { return r.table },
-		Seen:    func(uint64, string) {},
-		View:    members.View,
-		Failed:  func(agent string) { members.Failed(r.clock.Now(), agent) },
-		Heard:   func(agent, life string, leaving bool) { members.Heard(r.clock.Now(), agent, life, leaving) },
-		Calls: &mglink.Guard{
-			Pooled:   r.Transport(name, false),
-			Again:    r.Transport(name, true),
-			Interval: beat,
-		},
-		Frames: r.Transport(name, true),
-		Base:   func(address string) string { return "http://" + address },
-	}, r.life())
+	spec := entrySpec(r.table, members)
+	spec.Settings.Name = name
+	spec.Settings.Slow = 10000
+	spec.Settings.Probe = 200
+	spec.Settings.Call = int64(callWait)
+	spec.Seal = &r.seal
+	spec.Failed = func(agent string) { members.Failed(r.clock.Now(), agent) }
+	spec.Heard = func(agent, life string, leaving bool) { members.Heard(r.clock.Now(), agent, life, leaving) }
+	spec.Calls = &mglink.Guard{
+		Pooled:   r.Transport(name, false),
+		Again:    r.Transport(name, true),
+		Interval: beat,
+	}
+	spec.Frames = r.Transport(name, true)
+	e := mgentry.New(spec, r.life())
 	r.mu.Lock()
 	r.entries[name] = e
 	r.mu.Unlock()
--- /dev/null
+++ b/internal/process/mgentry/stub_test.go
@@ -0,0 +1,161 @@
+package mgentry_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// entrySpec is what the entries of all tests are made with; each adds its
+// network.
+func entrySpec(parsed *mgtable.Table, members *mgmember.Members) mgentry.Spec {
+	return mgentry.Spec{
+		Settings: mgsettings.Entry{
+			Process: mgsettings.Process{
+				Zone:   "a",
+				Region: "south",
+				Beat:   int64(beat),
+			},
+			Body:  1 << 20,
+			Probe: 5000,
+			Slow:  5000,
+			Call:  10000,
+		},
+		Log:     logr.Discard(),
+		Metrics: mgmetric.New(),
+		Seal:    &mgseal.Signer{},
+		Table:   func() *mgtable.Table { return parsed },
+		Seen:    func(uint64, string) {},
+		View:    members.View,
+		Failed:  func(string) {},
+		Heard:   func(string, string, bool) {},
+		Base:    func(address string) string { return "http://" + address },
+	}
+}
+
+// tankline returns a request of the account of that name.
+func tankline(method, path, body string) *http.Request {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer sample-tankline")
+	return request
+}
+
+// taker takes every start.
+type taker struct {
+	mgrpc.Agent
+	name string // its own, in its offers
+	wait int64  // to the first token, in its offers, ms
+	told string // the outcome of each cancel
+}
+
+func (a taker) Probe(context.Context, *mgrpc.ProbeRequest) (*mgrpc.Offer, error) {
+	return &mgrpc.Offer{
+		Agent: a.name,
+		Wait:  a.wait,
+	}, nil
+}
+
+func (taker) Start(_ context.Context, in *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
+	return &mgrpc.StartReply{Generation: in.GetAttempt()}, nil
+}
+
+func (a taker) Cancel(context.Context, *mgrpc.CancelRequest) (*mgrpc.CancelReply, error) {
+	return &mgrpc.CancelReply{Outcome: a.told}, nil
+}
+
+// host is an agent that answers each read of frames with one frame.
+func host(agent mgrpc.Agent, frame *mgrpc.Frame) http.Handler {
+	router := chi.NewRouter()
+	router.Mount(mgrpc.AgentPathPrefix, mgrpc.NewAgentServer(agent))
+	router.Get("/frames/{generation}", func(w http.ResponseWriter, r *http.Request) {
+		frame.Generation = chi.URLParam(r, "generation")
+		_ = mglink.WriteFrame(w, frame)
+	})
+	return router
+}
+
+var errReset = errors.New("connection reset")
+
+// hosts answers requests by their host.
+type hosts map[string]http.Handler
+
+// RoundTrip serves a request in this goroutine, without the context of the
+// entry's own router.
+func (h hosts) RoundTrip(r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	h[r.URL.Host].ServeHTTP(recorder, r.WithContext(context.Background()))
+	return recorder.Result(), nil
+}
+
+// silent is hosts of which one answers nothing but probes.
+type silent struct {
+	hosts
+	host string
+}
+
+// RoundTrip breaks the connection of a request to the silent host.
+func (s silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Host == s.host && !strings.HasSuffix(r.URL.Path, "Probe") {
+		return nil, errReset
+	}
+	return s.hosts.RoundTrip(r)
+}
+
+// entryOver returns an entry that reaches agent-1 and agent-2, beside two
+// engines, by network.
+func entryOver(network http.RoundTripper) *mgentry.Entry {
+	return entryBy(table, "", network)
+}
+
+// entryBy returns an entry with a table whose agents run a plain service, or
+// have engines when it is empty.
+func entryBy(text, service string, network http.RoundTripper) *mgentry.Entry {
+	parsed, err := mgtable.Parse([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	vms := []mgplatform.VM{agentVM("agent-1", "engine-1"), agentVM("agent-2", "engine-2")}
+	for i := range vms {
+		if service != "" {
+			vms[i].Models = nil
+			vms[i].Services = []string{service}
+		}
+	}
+	members := mgmember.New("entry")
+	members.List(0, mgplatform.List{
+		Version: 1,
+		VMs:     vms,
+	})
+	spec := entrySpec(parsed, members)
+	spec.Calls = network
+	spec.Frames = network
+	return mgentry.New(spec, "epoch")
+}
+
+func agentVM(name, upstream string) mgplatform.VM {
+	return mgplatform.VM{
+		Name:     name,
+		Kind:     mgplatform.AgentKind,
+		Addr:     name,
+		Zone:     "a",
+		Region:   "south",
+		Upstream: upstream,
+		Models:   []string{"tank-70b"},
+		State:    mgplatform.Live,
+	}
+}
