mgnode, cmd: one start and stop for both processes

RunEntry and RunAgent each started the node, waited for the stop and drained, and the two commands each loaded settings, opened a node and took the signals. Node.run and runProcess do it once; openEntry and openAgent say what differs. No change of behaviour: the order of the steps is as before.

go test -race ./cmd/marjoramgauge ./internal/process/mgdemo: ok; go test ./internal/process/mgfleet (separate processes, without -race): ok.

--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -32,6 +33,21 @@
 // the usual 100 (mgtable's BenchmarkFootprint); 25 brings little more.
 const collectAt = 50
 
+// runProcess reads settings from a file and runs a process with them until it
+// is told to stop. Process is the part of settings that all processes have.
+func runProcess(file string, settings any, process *mgsettings.Process, log io.Writer, run func(stop, hurry context.Context, node *mgnode.Node) error) error {
+	if err := mgsettings.Load(file, settings); err != nil {
+		return err
+	}
+	node, err := mgnode.Open(*process, log)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectAt)
+	stop, hurry := signals()
+	return run(stop, hurry, node)
+}
+
 type entryCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the entry, TOML"`
 	to       streams
@@ -40,16 +56,9 @@
 // Execute runs an entry until it is told to stop.
 func (c *entryCommand) Execute([]string) error {
 	var settings mgsettings.Entry
-	if err := mgsettings.Load(c.Settings, &settings); err != nil {
-		return err
-	}
-	node, err := mgnode.Open(settings.Process, c.to.err)
-	if err != nil {
-		return err
-	}
-	debug.SetGCPercent(collectAt)
-	stop, hurry := signals()
-	return mgnode.RunEntry(stop, hurry, settings, node)
+	return runProcess(c.Settings, &settings, &settings.Process, c.to.err, func(stop, hurry context.Context, node *mgnode.Node) error {
+		return mgnode.RunEntry(stop, hurry, settings, node)
+	})
 }
 
 type agentCommand struct {
@@ -60,14 +69,7 @@
 // Execute runs an agent until it is told to stop.
 func (c *agentCommand) Execute([]string) error {
 	var settings mgsettings.Agent
-	if err := mgsettings.Load(c.Settings, &settings); err != nil {
-		return err
-	}
-	node, err := mgnode.Open(settings.Process, c.to.err)
-	if err != nil {
-		return err
-	}
-	debug.SetGCPercent(collectAt)
-	stop, hurry := signals()
-	return mgnode.RunAgent(stop, hurry, settings, node)
+	return runProcess(c.Settings, &settings, &settings.Process, c.to.err, func(stop, hurry context.Context, node *mgnode.Node) error {
+		return mgnode.RunAgent(stop, hurry, settings, node)
+	})
 }
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -16,12 +16,12 @@
 // RunAgent runs an agent until stop ends, then drains it; hurry cuts the drain
 // short.
 func RunAgent(stop, hurry context.Context, settings mgsettings.Agent, n *Node) error {
-	ctx, cancel := context.WithCancel(n.killed)
-	defer n.Wait()
-	defer cancel()
-	if err := n.Start(ctx, stop); err != nil {
-		return err
-	}
+	return n.run(stop, hurry, func(ctx context.Context) (Stop, error) { return n.openAgent(ctx, settings) })
+}
+
+// openAgent begins to take work for the upstream, and returns how that is
+// stopped.
+func (n *Node) openAgent(ctx context.Context, settings mgsettings.Agent) (Stop, error) {
 	agent, err := mgagent.New(mgagent.Spec{
 		Settings:    settings,
 		Incarnation: n.incarnation,
@@ -38,23 +38,16 @@
 		Started:     mgclock.UnixMillis(),
 	})
 	if err != nil {
-		return err
+		return Stop{}, err
 	}
 	n.admin.Source("agent", func() any { return agent.State() })
 	n.Role(agent.Routes())
 	n.servers.Go(func() { agent.Run(ctx) })
-	n.Serving()
-	select {
-	case <-n.killed.Done():
-		return nil
-	case <-stop.Done():
-	}
 	// An entry learns of a leaving agent from its first refusal and goes
 	// elsewhere, so that no notice is needed.
 	stopping := n.Stop(agent.Leave, agent.Busy)
 	stopping.Notice = 0
-	stopping.Run(hurry)
-	return nil
+	return stopping, nil
 }
 
 // planner works the placement out anew when the table or the members change.
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -17,21 +17,34 @@
 // RunEntry runs an entry until stop ends, then drains it; hurry cuts the drain
 // short.
 func RunEntry(stop, hurry context.Context, settings mgsettings.Entry, n *Node) error {
-	ctx, cancel := context.WithCancel(n.killed)
-	defer n.Wait()
-	defer cancel()
-	if err := n.Start(ctx, stop); err != nil {
-		return err
-	}
+	return n.run(stop, hurry, func(ctx context.Context) (Stop, error) { return n.openEntry(ctx, settings) })
+}
+
+// openEntry begins to serve callers, and returns how that is stopped.
+func (n *Node) openEntry(ctx context.Context, settings mgsettings.Entry) (Stop, error) {
 	public, err := listenPublic(settings)
 	if err != nil {
-		return err
+		return Stop{}, err
 	}
 	shares := mgshare.NewLoop(n.sharesSpec(settings.Fresh))
 	n.shares.Store(shares)
 	n.pause.On(func(mgclock.Millis) { shares.Drop() })
 	n.servers.Go(func() { shares.Run(ctx) })
-	entry := mgentry.New(mgentry.Spec{
+	entry := mgentry.New(n.entrySpec(settings, shares), n.incarnation)
+	n.admin.Source("entry", func() any { return entry.State() })
+	n.admin.Source("shares", func() any { return shares.Status() })
+	n.Serve(ctx, ServerSpec{
+		Name:     "callers",
+		Listener: public,
+		Handler:  entry.Routes(),
+		Head:     int(settings.Head),
+		Slow:     mgclock.Millis(settings.Slow),
+	})
+	return n.Stop(entry.Leave, entry.Busy), nil
+}
+
+func (n *Node) entrySpec(settings mgsettings.Entry, shares *mgshare.Loop) mgentry.Spec {
+	return mgentry.Spec{
 		Settings: settings,
 		Clock:    n.clock,
 		Log:      n.log,
@@ -52,24 +65,7 @@
 		},
 		Frames: n.guard.Transport(true),
 		Base:   n.guard.Base,
-	}, n.incarnation)
-	n.admin.Source("entry", func() any { return entry.State() })
-	n.admin.Source("shares", func() any { return shares.Status() })
-	n.Serve(ctx, ServerSpec{
-		Name:     "callers",
-		Listener: public,
-		Handler:  entry.Routes(),
-		Head:     int(settings.Head),
-		Slow:     mgclock.Millis(settings.Slow),
-	})
-	n.Serving()
-	select {
-	case <-n.killed.Done():
-		return nil
-	case <-stop.Done():
 	}
-	n.Stop(entry.Leave, entry.Busy).Run(hurry)
-	return nil
 }
 
 // listenPublic opens the callers' listener, with TLS where it is set.
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -156,6 +156,29 @@
 	n.members.Heard(n.clock.Now(), name, incarnation, leaving)
 }
 
+// run starts the node, opens its role, and waits for stop or Kill. After stop it
+// drains as open said; hurry cuts the drain short.
+func (n *Node) run(stop, hurry context.Context, open func(ctx context.Context) (Stop, error)) error {
+	ctx, cancel := context.WithCancel(n.killed)
+	defer n.Wait()
+	defer cancel()
+	if err := n.Start(ctx, stop); err != nil {
+		return err
+	}
+	stopping, err := open(ctx)
+	if err != nil {
+		return err
+	}
+	n.Serving()
+	select {
+	case <-n.killed.Done():
+		return nil
+	case <-stop.Done():
+	}
+	stopping.Run(hurry)
+	return nil
+}
+
 // Start opens the listeners for operators and peers, finds the newest table and
 // waits until it is in force, or stop ends.
 func (n *Node) Start(ctx, stop context.Context) error {
