mgentry, mgrouting, mgshare and others: units of fields, plainer words

Fields of caps, demands, answers and offers lacked their unit. honest said nothing of what it does: withDoubt. Three comments used images (an upstream drowns, a zone is a trap) where the field says overloaded. Comments and one private name only.

go test -race ./internal/process/mgentry ./internal/request/... ./internal/version/mgshare: ok.

--- a/internal/process/mgentry/caps.go
+++ b/internal/process/mgentry/caps.go
@@ -37,8 +37,8 @@
 // capped is an account's count in this entry.
 type capped struct {
 	cap   mgcap.Cap
-	guess float64
-	used  mgclock.Millis
+	guess float64        // the next answer's expected length in tokens
+	used  mgclock.Millis // when a stream was last taken or given back
 }
 
 // take takes a stream and its expected tokens under an account's caps. The
--- a/internal/process/mgentry/form.go
+++ b/internal/process/mgentry/form.go
@@ -16,8 +16,8 @@
 	model   string
 	chat    bool
 	usage   bool
-	prompt  int
-	created int64
+	prompt  int   // tokens
+	created int64 // Unix time in seconds
 	answer  string
 	head    []byte // what stands before a token's text in each event
 	out     []byte
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -45,9 +45,9 @@
 	service *mgtable.Service
 	model   string
 	prompt  string
-	tokens  int
-	prefix  []uint64
-	max     int
+	tokens  int      // of the prompt, by estimate
+	prefix  []uint64 // the hashes of its blocks
+	max     int      // tokens of output at most
 	stream  bool
 	usage   bool
 	chat    bool
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -186,7 +186,7 @@
 // caller at once what the agent attests.
 func (r *reading) overdue(ctx context.Context) *mgproblem.Problem {
 	r.stream.Close()
-	return r.honest(late(r.entry.abandon(ctx, r.attempt)))
+	return r.withDoubt(late(r.entry.abandon(ctx, r.attempt)))
 }
 
 func (r *reading) note(frame *mgrpc.Frame) {
@@ -195,10 +195,10 @@
 	r.notRun = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
 }
 
-// honest returns what the caller is told. What is attested of the last attempt
-// says nothing of those before: an engine may have worked on one until it died,
-// and "not run" would not be true of the request.
-func (r *reading) honest(problem *mgproblem.Problem) *mgproblem.Problem {
+// withDoubt returns a problem as the caller is told it. What is attested of the
+// last attempt says nothing of those before: an engine may have worked on one
+// until it died, and "not run" would not be true of the request.
+func (r *reading) withDoubt(problem *mgproblem.Problem) *mgproblem.Problem {
 	if problem == nil || !r.doubt || problem.Outcome() != mgproblem.NotRun {
 		return problem
 	}
@@ -213,15 +213,15 @@
 	}
 	r.doubt = r.doubt || !r.notRun
 	// An engine that dies leaves many requests behind at once. Without a budget
-	// all of them go to the engines that are left, which may drown next.
+	// all of them go to the engines that are left, which may be overloaded next.
 	if !r.entry.budgets.Of(r.job.service.Name()).Spend() {
-		return r.honest(crowded())
+		return r.withDoubt(crowded())
 	}
 	r.avoid[r.attempt.agent.Name()] = true
 	r.attempt.ended()
 	made, problem := r.entry.begin(ctx, r.job, r.avoid)
 	if problem != nil {
-		return r.honest(problem)
+		return r.withDoubt(problem)
 	}
 	r.entry.spec.Metrics.Counter("elsewhere").Inc(1)
 	mglog.Debug(r.entry.spec.Log).Info("generation started elsewhere",
--- a/internal/request/mgadmission/gate.go
+++ b/internal/request/mgadmission/gate.go
@@ -43,10 +43,10 @@
 // A Share is one answer's part of the memory. The zero Share holds nothing.
 type Share struct {
 	outlook  outlook
-	prompt   int
-	produced int
+	prompt   int // tokens
+	produced int // tokens
 	weighed  int // produced when outlook was computed
-	max      int
+	max      int // tokens that it may produce at most
 	running  bool
 }
 
@@ -58,9 +58,9 @@
 type Gate struct {
 	spec     Spec
 	outlook  outlook
-	used     int64
+	used     int64 // tokens of memory that the answers let in hold
 	reserved int64
-	running  int
+	running  int            // answers
 	reports  [reports]int64 // of memory that the engine holds beyond used
 	report   int
 }
--- a/internal/request/mgcap/cap.go
+++ b/internal/request/mgcap/cap.go
@@ -29,7 +29,7 @@
 	lease   Lease
 	level   float64 // tokens that may be taken
 	at      mgclock.Millis
-	streams int
+	streams int // that run
 }
 
 // Renew replaces the lease. What the old one has brought stays, as far as the
--- a/internal/request/mgoperation/ledger.go
+++ b/internal/request/mgoperation/ledger.go
@@ -62,7 +62,7 @@
 	records map[string]*record
 	expiry  expiryHeap
 	bodies  []*record // finished, oldest first, with their bodies
-	bytes   int
+	bytes   int       // of those bodies
 }
 
 type record struct {
@@ -70,7 +70,7 @@
 	stamp      mgclock.Millis
 	deadline   mgclock.Millis
 	expires    mgclock.Millis // forgotten after it, once ended
-	digest     uint64
+	digest     uint64         // of the request: a repetition has the same
 	generation string
 	state      State
 	result     Result
--- a/internal/request/mgrouting/doc.go
+++ b/internal/request/mgrouting/doc.go
@@ -6,9 +6,9 @@
 // Prompts that share a prefix are cheap where the prefix is cached and dear
 // elsewhere; a few prefixes take most of the load; and many entries decide at
 // the same time on numbers that lag. Without affinity each upstream computes
-// each prefix; with affinity alone the upstream of a popular prefix drowns; and
-// when all entries send to the upstream that looked idlest a moment ago, it is
-// the busiest a moment later, and then the next one is.
+// each prefix; with affinity alone the upstream of a popular prefix is
+// overloaded; and when all entries send to the upstream that looked idlest a
+// moment ago, it is the busiest a moment later, and then the next one is.
 //
 // # Candidates
 //
@@ -18,7 +18,7 @@
 // has more than Spread times the average of this entry's requests in flight is
 // passed over (consistent hashing with bounded loads, Mirrokni, Thorup and
 // Zadimoghaddam 2018). The others are random, in the zone first; the last one
-// comes from the whole region, so that a crowded zone isn't a trap.
+// comes from the whole region, so that a request can leave a crowded zone.
 //
 // # Choice
 //
--- a/internal/request/mgscheduler/spec.go
+++ b/internal/request/mgscheduler/spec.go
@@ -143,10 +143,10 @@
 
 // An Offer tells an entry what a request would meet here.
 type Offer struct {
-	Wait     mgclock.Millis // expected until the first token
-	Rest     mgclock.Millis // expected from the first token to the last
-	Headroom int64          // free tokens of memory
-	Running  int
-	Queued   int
+	Wait     mgclock.Millis     // expected until the first token
+	Rest     mgclock.Millis     // expected from the first token to the last
+	Headroom int64              // free tokens of memory
+	Running  int                // requests
+	Queued   int                // requests
 	Refused  *mgproblem.Problem // nil when it would be taken
 }
--- a/internal/version/mgshare/home.go
+++ b/internal/version/mgshare/home.go
@@ -25,21 +25,21 @@
 
 // Caps are an account's caps in the table; 0 stands for none.
 type Caps struct {
-	Rate    float64
-	Streams int
+	Rate    float64 // tokens/s
+	Streams int     // at once
 }
 
 // Demand is what an entry's callers asked for lately.
 type Demand struct {
-	Rate    float64
-	Streams int // wanted, those that run included
-	Running int
+	Rate    float64 // tokens/s
+	Streams int     // wanted, those that run included
+	Running int     // streams
 }
 
 // Slice is a part of an account's caps until a time.
 type Slice struct {
-	Rate    float64
-	Streams int
+	Rate    float64 // tokens/s
+	Streams int     // at once
 	End     mgclock.Millis
 }
 
