mgentry: a fault in the tests is one step

A fault of the service or of a stream was a literal of several fields on one line, and a fault after a time a goroutine spelt out; strike, slow, breakOff and after name them. The same faults at the same times.

--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -308,6 +308,38 @@
 	return nil
 }
 
+// after calls what later, while the story goes on.
+func (r *rig) after(span mgclock.Millis, what func()) {
+	go func() {
+		r.clock.Sleep(r.ctx, span)
+		what()
+	}()
+}
+
+// strike sets a fault that the next calls of the service meet.
+func (r *rig) strike(kind string, calls int) {
+	r.books.Set(mgstandin.Fault{
+		Kind:  kind,
+		Times: calls,
+	})
+}
+
+// slow makes the service's calls take longer.
+func (r *rig) slow(delay mgclock.Millis) {
+	r.books.Set(mgstandin.Fault{
+		Kind:  mgstandin.Slow,
+		Delay: delay,
+	})
+}
+
+// breakOff sets a fault of engine-1's streams after some tokens.
+func (r *rig) breakOff(kind string, tokens uint64) {
+	r.engines["engine-1"].Set(mgstandin.Fault{
+		Kind:  kind,
+		After: tokens,
+	})
+}
+
 // A caller reads one answer over one connection after another, and keeps what
 // a person would see.
 type caller struct {
--- a/internal/process/mgentry/session_test.go
+++ b/internal/process/mgentry/session_test.go
@@ -203,10 +203,7 @@
 			engines: 2,
 			play: func(r *rig, c *caller) {
 				c.padding = 2000
-				go func() {
-					r.clock.Sleep(r.ctx, 5)
-					r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die})
-				}()
+				r.after(5, func() { r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die}) })
 				c.ask("entry-1", 20, true)
 			},
 		},
@@ -222,10 +219,7 @@
 			story:   "the engine is killed under whole delivery",
 			engines: 2,
 			play: func(r *rig, c *caller) {
-				go func() {
-					r.clock.Sleep(r.ctx, 300)
-					r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die})
-				}()
+				r.after(300, func() { r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die}) })
 				c.ask("entry-1", 100, false)
 				c.seen = append(c.seen, c.wholeText())
 			},
@@ -235,10 +229,7 @@
 			engines: 1,
 			play: func(r *rig, c *caller) {
 				c.padding = 2000
-				go func() {
-					r.clock.Sleep(r.ctx, 5)
-					r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die})
-				}()
+				r.after(5, func() { r.busy().Set(mgstandin.Fault{Kind: mgstandin.Die}) })
 				c.ask("entry-1", 20, true)
 			},
 		},
@@ -247,7 +238,7 @@
 			engines: 1,
 			stall:   mgclock.Second,
 			play: func(r *rig, c *caller) {
-				r.engines["engine-1"].Set(mgstandin.Fault{Kind: mgstandin.Cut, After: 7})
+				r.breakOff(mgstandin.Cut, 7)
 				c.ask("entry-1", 100, true)
 			},
 		},
@@ -256,7 +247,7 @@
 			engines: 1,
 			stall:   4 * mgclock.Second,
 			play: func(r *rig, c *caller) {
-				r.engines["engine-1"].Set(mgstandin.Fault{Kind: mgstandin.Stall, After: 7})
+				r.breakOff(mgstandin.Stall, 7)
 				c.ask("entry-1", 100, true)
 			},
 		},
@@ -289,10 +280,7 @@
 				c.at(5, func() {
 					e := r.busy()
 					e.Set(mgstandin.Fault{Kind: mgstandin.Leave})
-					go func() {
-						r.clock.Sleep(r.ctx, mgclock.Second)
-						e.Set(mgstandin.Fault{Kind: mgstandin.Die})
-					}()
+					r.after(mgclock.Second, func() { e.Set(mgstandin.Fault{Kind: mgstandin.Die}) })
 				})
 				c.ask("entry-1", 1000, true)
 			},
--- a/internal/process/mgentry/write_test.go
+++ b/internal/process/mgentry/write_test.go
@@ -81,7 +81,7 @@
 			story: "the service runs it and its answer is lost",
 			play: func(r *rig, c *caller) []string {
 				id := c.mint("entry-1")
-				r.books.Set(mgstandin.Fault{Kind: mgstandin.Lost, Times: 1})
+				r.strike(mgstandin.Lost, 1)
 				return []string{c.write("entry-1", id), c.write("entry-2", id)}
 			},
 			told: "[unconfirmed/unknown unconfirmed/unknown]",
@@ -91,7 +91,7 @@
 			story: "the service is silent after the body was sent",
 			play: func(r *rig, c *caller) []string {
 				id := c.mint("entry-1")
-				r.books.Set(mgstandin.Fault{Kind: mgstandin.Hang, Times: 1})
+				r.strike(mgstandin.Hang, 1)
 				return []string{c.write("entry-1", id), c.write("entry-1", id)}
 			},
 			told: "[unconfirmed/unknown unconfirmed/unknown]",
@@ -101,7 +101,7 @@
 			story: "the service breaks off before it read the body",
 			play: func(r *rig, c *caller) []string {
 				id := c.mint("entry-1")
-				r.books.Set(mgstandin.Fault{Kind: mgstandin.Early, Times: 1})
+				r.strike(mgstandin.Early, 1)
 				return []string{c.write("entry-1", id), c.write("entry-1", id)}
 			},
 			told: "[unconfirmed/unknown unconfirmed/unknown]",
@@ -142,11 +142,8 @@
 			story: "the entry is killed while it runs",
 			play: func(r *rig, c *caller) []string {
 				id := c.mint("entry-1")
-				r.books.Set(mgstandin.Fault{Kind: mgstandin.Slow, Delay: mgclock.Second})
-				go func() {
-					r.clock.Sleep(r.ctx, 100)
-					r.kill("entry-1")
-				}()
+				r.slow(mgclock.Second)
+				r.after(100, func() { r.kill("entry-1") })
 				return []string{c.write("entry-1", id), c.write("entry-2", id)}
 			},
 			told: "[no response done]",
@@ -187,11 +184,8 @@
 			story: "the connection goes silent after the call was sent",
 			play: func(r *rig, c *caller) []string {
 				id := c.mint("entry-1")
-				r.books.Set(mgstandin.Fault{Kind: mgstandin.Slow, Delay: mgclock.Second})
-				go func() {
-					r.clock.Sleep(r.ctx, 100)
-					r.Silence("agent-books")
-				}()
+				r.slow(mgclock.Second)
+				r.after(100, func() { r.Silence("agent-books") })
 				return []string{c.write("entry-1", id)}
 			},
 			told: "[done]",
@@ -219,7 +213,7 @@
 		{
 			story: "no key, and the answer is lost",
 			play: func(r *rig, c *caller) []string {
-				r.books.Set(mgstandin.Fault{Kind: mgstandin.Lost, Times: 1})
+				r.strike(mgstandin.Lost, 1)
 				told := c.write("entry-1", "")
 				return []string{told, fmt.Sprint(strings.Contains(c.remedy, "mint an operation first"))}
 			},
@@ -333,10 +327,10 @@
 func storm(r *rig, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(7, 7))
 	faults := []func(){
-		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Lost, Times: 3}) },
-		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Hang, Times: 2}) },
-		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Early, Times: 3}) },
-		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Slow, Delay: 300}) },
+		func() { r.strike(mgstandin.Lost, 3) },
+		func() { r.strike(mgstandin.Hang, 2) },
+		func() { r.strike(mgstandin.Early, 3) },
+		func() { r.slow(300) },
 		func() { r.books.Set(mgstandin.Fault{Kind: mgstandin.Heal}) },
 		func() { r.Silence("agent-books") },
 		func() { r.Silence("books") },
