mgmember, mgconfig, mgevent, mgentry, mgdemo: what bare fields mean

Counters and times of these structs said neither what they count nor from when. Comments only.

go test -race of all packages but mgfleet: ok.

--- a/internal/process/mgdemo/play.go
+++ b/internal/process/mgdemo/play.go
@@ -17,11 +17,11 @@
 type kind struct {
 	name    string
 	account string
-	write   bool // a plain service's call that may not be repeated
-	plain   bool // a plain service's call
-	count   int
-	every   mgclock.Millis // interval of the arrivals
-	tokens  func(i int) int
+	write   bool            // a plain service's call that may not be repeated
+	plain   bool            // a plain service's call
+	count   int             // requests
+	every   mgclock.Millis  // interval of the arrivals
+	tokens  func(i int) int // the length of the i-th answer
 }
 
 // load is what Play sends: long reports and dossiers that hold the engines for
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -36,7 +36,7 @@
 	caller
 	service *mgtable.Service
 	request *mgrpc.InvokeRequest
-	due     mgclock.Millis
+	due     mgclock.Millis // when it is given up
 }
 
 // plain returns the plain service that the path names.
@@ -100,7 +100,7 @@
 type host struct {
 	agent *mgmember.Member
 	fleet *fleet
-	place int
+	place int // its number in fleet
 }
 
 // hosts returns agents whose upstreams run a service, the one with the fewest
--- a/internal/process/mgevent/bus.go
+++ b/internal/process/mgevent/bus.go
@@ -34,9 +34,9 @@
 
 	mu       sync.Mutex
 	handlers map[Kind][]func(Event)
-	queue    []Event
-	seq      uint64
-	wake     chan struct{}
+	queue    []Event       // waiting, oldest first
+	seq      uint64        // of the last event that was published
+	wake     chan struct{} // holds one signal when queue has grown
 	trace    []Trace
 }
 
--- a/internal/process/mgmember/members.go
+++ b/internal/process/mgmember/members.go
@@ -30,12 +30,12 @@
 
 // evidence is what was seen of one member directly.
 type evidence struct {
-	incarnation string
-	heard       mgclock.Millis
+	incarnation string         // the newest that was heard
+	heard       mgclock.Millis // when it last answered or spoke
 	everHeard   bool
 	left        mgclock.Millis // when it said that it leaves
 	leaving     bool
-	failures    int
+	failures    int            // in a row
 	until       mgclock.Millis // end of the suspicion
 	suspect     bool
 }
--- a/internal/process/mgmember/view.go
+++ b/internal/process/mgmember/view.go
@@ -9,15 +9,15 @@
 // A View is a picture of the members. It never changes; the zero View is empty.
 // Callers don't change the slices that it returns.
 type View struct {
-	version   uint64
+	version   uint64 // of the list
 	all       []*Member
-	byName    map[string]int
+	byName    map[string]int       // place in all
 	upstreams map[string][]*Member // by model
 	hosts     map[string][]*Member // by service
 	agents    map[string]*Member   // by upstream
 	entries   map[string][]*Member // by region
-	zones     map[string][]*Member
-	peers     []*Member
+	zones     map[string][]*Member // by availability zone
+	peers     []*Member            // all but this process
 }
 
 // newView makes a view of members, without self among the peers.
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -68,12 +68,12 @@
 // source is a key of the platform that is kept up to date.
 type source struct {
 	key      string
-	busy     bool
-	next     mgclock.Millis
-	failures int
-	rounds   int
-	version  uint64 // the platform's, not a table's
-	answered bool
+	busy     bool           // a read is under way
+	next     mgclock.Millis // when to read again
+	failures int            // in a row
+	rounds   int            // reads begun
+	version  uint64         // the platform's, not a table's
+	answered bool           // the platform has answered once
 }
 
 // never is a time that doesn't come.
--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -26,13 +26,13 @@
 	id       int // tells the answers to its fetches from those to an earlier pull
 	mark     mark
 	manifest mgtable.Manifest
-	text     []byte // of the manifest, nil until fetched
-	pages    map[string]*mgtable.Page
+	text     []byte                   // of the manifest, nil until fetched
+	pages    map[string]*mgtable.Page // by digest
 	sources  []peer
-	at       int // the next source
-	rounds   int
-	busy     bool
-	next     mgclock.Millis
+	at       int            // the next source
+	rounds   int            // over all sources since the last progress
+	busy     bool           // a fetch is under way
+	next     mgclock.Millis // when to fetch again
 }
 
 // learn takes that a peer, or nobody in particular, has a version.
