mgagent: the test of a doubtful start is a table and a play

TestStartDoubt was longer than a screen; cancelledAfter is its play. The cases and checks are the same.

--- a/internal/process/mgagent/start_test.go
+++ b/internal/process/mgagent/start_test.go
@@ -45,40 +45,45 @@
 	Convey("An attempt whose start at the engine is", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				answers := c.answers
-				agent, err := newAgent(table, mgengine.Seams{
-					Start: func(context.Context, mgengine.StartSpec) error {
-						answer := answers[0]
-						answers = answers[1:]
-						return answer
-					},
-				}, func(spec *mgagent.Spec) { spec.Settings.Queue = 8 })
-				So(err, ShouldBeNil)
-				ctx, cancel, done := runAgent(agent)
-				reply, err := agent.Start(ctx, &mgrpc.StartRequest{
-					Attempt:     "a",
-					Incarnation: "i1",
-					Account:     "tankline",
-					Service:     "report",
-					Model:       "tank-70b",
-					Prompt:      "a report",
-					Max:         8,
-					Budget:      10000,
-				})
-				So(err, ShouldBeNil)
-				So(reply.GetFault(), ShouldBeNil)
-				for clock := (mgclock.Clock{}); agent.State().Broken == 0; {
-					So(clock.Sleep(ctx, 1), ShouldBeTrue)
-				}
-				told, err := agent.Cancel(ctx, &mgrpc.CancelRequest{
-					Attempt:     "a",
-					Incarnation: "i1",
-				})
-				So(err, ShouldBeNil)
-				So(told.GetOutcome(), ShouldEqual, string(c.outcome))
-				cancel()
-				<-done
+				So(cancelledAfter(c.answers), ShouldEqual, string(c.outcome))
 			})
 		}
 	})
 }
+
+// cancelledAfter plays an attempt whose starts at the engine get answers, one
+// after another, and returns the outcome that its cancel is told.
+func cancelledAfter(answers []error) string {
+	agent, err := newAgent(table, mgengine.Seams{
+		Start: func(context.Context, mgengine.StartSpec) error {
+			answer := answers[0]
+			answers = answers[1:]
+			return answer
+		},
+	}, func(spec *mgagent.Spec) { spec.Settings.Queue = 8 })
+	So(err, ShouldBeNil)
+	ctx, cancel, done := runAgent(agent)
+	reply, err := agent.Start(ctx, &mgrpc.StartRequest{
+		Attempt:     "a",
+		Incarnation: "i1",
+		Account:     "tankline",
+		Service:     "report",
+		Model:       "tank-70b",
+		Prompt:      "a report",
+		Max:         8,
+		Budget:      10000,
+	})
+	So(err, ShouldBeNil)
+	So(reply.GetFault(), ShouldBeNil)
+	for clock := (mgclock.Clock{}); agent.State().Broken == 0; {
+		So(clock.Sleep(ctx, 1), ShouldBeTrue)
+	}
+	told, err := agent.Cancel(ctx, &mgrpc.CancelRequest{
+		Attempt:     "a",
+		Incarnation: "i1",
+	})
+	So(err, ShouldBeNil)
+	cancel()
+	<-done
+	return told.GetOutcome()
+}
