--- a/internal/process/mgentry/hedge.go
+++ b/internal/process/mgentry/hedge.go
@@ -33,9 +33,9 @@
 func (t tried) good() bool { return t.err == nil && t.reply.GetFault() == nil }
 
 // hedged makes a call that may run twice at one host and, when it takes longer
-// than 95 of 100 lookups of its service did, at a second one as well: a gauger
-// at a tank doesn't wait for the one slow upstream (Dean and Barroso 2013). The
-// first good reply counts.
+// than 95 of 100 lookups of its service did, at a second one as well, so that one
+// slow upstream doesn't delay the caller (Dean and Barroso 2013). The first good
+// reply counts.
 func (e *Entry) hedged(ctx context.Context, call *call, first host, second []host) tried {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/process/mgmember/pause.go
+++ b/internal/process/mgmember/pause.go
@@ -19,10 +19,9 @@
 )
 
 // A Pause notices that the process didn't run for a while. A process that was
-// stopped wakes up in the middle of an instruction and still believes what was
-// true before: that its lease is valid, its offer stands, its order is the
-// newest. Check compares clocks before such a belief is acted upon, and the
-// callbacks drop it. The zero Pause reads the system's clocks.
+// stopped goes on in the middle of an instruction with state that is out of
+// date: an expired lease, an old offer, an order that is no longer the newest.
+// Check compares clocks before such state is used, and the callbacks drop it. The zero Pause reads the system's clocks.
 type Pause struct {
 	clock mgclock.Clock
 	wall  func() mgclock.Millis
--- a/internal/request/mgretry/doc.go
+++ b/internal/request/mgretry/doc.go
@@ -6,8 +6,8 @@
 // An upstream fails and every request is tried again, several times, by every
 // process on the way: the load multiplies just when there is least to carry it,
 // and after the outage all callers come back in the same moment and cause the
-// next one. A write that was tried again although it had run books two barrels
-// where one moved.
+// next one. A write that isn't idempotent runs twice when it is tried again
+// although it had run.
 //
 // # Decisions
 //
--- a/internal/standin/mgstandin/stream.go
+++ b/internal/standin/mgstandin/stream.go
@@ -193,8 +193,8 @@
 }
 
 // strike breaks or silences a stream, the first of its generation. Streams
-// that open later work, as when something between the ends has lost track of
-// one connection.
+// that open later work, as when a middlebox has dropped its entry for one
+// connection.
 func (e *Engine) strike(r *http.Request, id, kind string) {
 	e.mu.Lock()
 	g := e.generations[id]
--- a/pkg/mgclient/session.go
+++ b/pkg/mgclient/session.go
@@ -23,8 +23,9 @@
 	named  bool // a token or a resume has settled the answer's name
 }
 
-// errSilent is the cause of a connection given up for its silence. The other
-// end may have lost track of it, so that it would never break by itself.
+// errSilent is the cause of a connection given up for its silence. A
+// middlebox may have dropped its entry for it, so that it would never break by
+// itself.
 var errSilent = errors.New("no sign of life on the connection: it was given up")
 
 // errCut is the cause of a connection that ended before the answer did.
