mgoperation, mgfence, mgnode, mgnetwork, cmd: one step a line

Several assignments stood on one line; a signature was 158 columns wide. No change of behaviour.

go test -race ./internal/request/mgoperation ./internal/process/mgfence ./internal/standin/... ./internal/process/mgdemo ./internal/process/mgentry ./cmd/...: ok.

--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -35,7 +35,10 @@
 
 // runProcess reads settings from a file and runs a process with them until it
 // is told to stop. Process is the part of settings that all processes have.
-func runProcess(file string, settings any, process *mgsettings.Process, log io.Writer, run func(stop, hurry context.Context, node *mgnode.Node) error) error {
+func runProcess(
+	file string, settings any, process *mgsettings.Process, log io.Writer,
+	run func(stop, hurry context.Context, node *mgnode.Node) error,
+) error {
 	if err := mgsettings.Load(file, settings); err != nil {
 		return err
 	}
--- a/internal/process/mgfence/fence.go
+++ b/internal/process/mgfence/fence.go
@@ -108,7 +108,8 @@
 	g.look(now)
 	until := asked + g.spec.withDefaults().Lease
 	if until > now && (!g.held || until > g.lease) {
-		g.held, g.lease = true, until
+		g.held = true
+		g.lease = until
 	}
 }
 
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -62,7 +62,8 @@
 func (p *planner) plan() *mgplacement.Plan {
 	table, view := p.node.Table(), p.node.members.View()
 	if p.made == nil || p.table != table || p.view != view {
-		p.table, p.view = table, view
+		p.table = table
+		p.view = view
 		p.made = mgplacement.Assign(table, view)
 	}
 	return p.made
--- a/internal/request/mgoperation/ledger.go
+++ b/internal/request/mgoperation/ledger.go
@@ -114,9 +114,11 @@
 	}
 	switch {
 	case r.state == Tombstone:
-		v.action, v.problem = Refuse, problemTombstone()
+		v.action = Refuse
+		v.problem = problemTombstone()
 	case r.digest != start.Digest:
-		v.action, v.problem = Refuse, problemDigest()
+		v.action = Refuse
+		v.problem = problemDigest()
 	}
 	return v
 }
--- a/internal/standin/mgnetwork/network.go
+++ b/internal/standin/mgnetwork/network.go
@@ -101,7 +101,9 @@
 func (n *Network) Close() {
 	n.mu.Lock()
 	hosts, conns, cuts := n.hosts, n.conns, n.cuts
-	n.hosts, n.conns, n.cuts = nil, nil, nil
+	n.hosts = nil
+	n.conns = nil
+	n.cuts = nil
 	n.mu.Unlock()
 	for _, healed := range cuts {
 		close(healed)
