--- a/internal/process/mgagent/orders_test.go
+++ b/internal/process/mgagent/orders_test.go
@@ -16,9 +16,6 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -179,10 +176,7 @@
 }
 
 func orderAgent(engine *ordered, log logr.Logger, checks string, ours bool) (*mgagent.Agent, error) {
-	parsed, err := mgtable.Parse([]byte(strings.Replace(table, `orders = "checked"`, `orders = "`+checks+`"`, 1)))
-	if err != nil {
-		return nil, err
-	}
+	text := strings.Replace(table, `orders = "checked"`, `orders = "`+checks+`"`, 1)
 	members := mgmember.New("agent-1")
 	members.List(0, mgplatform.List{
 		Version: 1,
@@ -195,25 +189,13 @@
 			State:    mgplatform.Live,
 		}},
 	})
-	return mgagent.New(mgagent.Spec{
-		Settings: mgsettings.Agent{
-			Upstream: "engine-1",
-			Policy:   "ours",
-		},
-		Incarnation: "i1",
-		Log:         log,
-		Metrics:     mgmetric.New(),
-		Seal:        &mgseal.Signer{},
-		Engine: mgengine.NewClient(mgengine.Seams{
-			Load:   engine.load,
-			Events: func(context.Context, uint64) ([]mgengine.Event, error) { return nil, nil },
-			List:   func(context.Context) ([]mgengine.Generation, error) { return nil, nil },
-			Order:  engine.order,
-		}),
-		Table:   func() *mgtable.Table { return parsed },
-		Seen:    func(uint64, string) {},
-		Plan:    func() *mgplacement.Plan { return mgplacement.Assign(parsed, members.View()) },
-		Ours:    func() (mgclock.Millis, bool) { return engine.clock.Now(), ours && !engine.lost.Load() },
-		Started: mgclock.UnixMillis(),
+	seams := quiet()
+	seams.Load = engine.load
+	seams.Order = engine.order
+	return newAgent(text, seams, func(spec *mgagent.Spec) {
+		spec.Plan = func() *mgplacement.Plan { return mgplacement.Assign(spec.Table(), members.View()) }
+		spec.Ours = func() (mgclock.Millis, bool) { return engine.clock.Now(), ours && !engine.lost.Load() }
+		spec.Log = log
+		spec.Started = mgclock.UnixMillis()
 	})
 }
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -173,17 +173,11 @@
 }
 
 func (r *rig) row(name, upstream string, models, services []string) {
-	r.list.VMs = append(r.list.VMs, mgplatform.VM{
-		Name:     name,
-		Kind:     mgplatform.AgentKind,
-		Addr:     name + ":80",
-		Zone:     "a",
-		Region:   "south",
-		Upstream: upstream,
-		Models:   models,
-		Services: services,
-		State:    "live",
-	})
+	vm := agentVM(name, upstream)
+	vm.Addr = name + ":80"
+	vm.Models = models
+	vm.Services = services
+	r.list.VMs = append(r.list.VMs, vm)
 }
 
 // agent starts an agent, in place of the one that had its name.
@@ -241,35 +235,21 @@
 	r.kill(name)
 	members := mgmember.New(name)
 	members.List(r.clock.Now(), r.list)
-	e := mgentry.New(mgentry.Spec{
-		Settings: mgsettings.Entry{
-			Process: mgsettings.Process{
-				Name:   name,
-				Zone:   "a",
-				Region: "south",
-				Beat:   int64(beat),
-			},
-			Body:  1 << 20,
-			Slow:  10000,
-			Probe: 200,
-			Call:  int64(callWait),
-		},
-		Log:     logr.Discard(),
-		Metrics: mgmetric.New(),
-		Seal:    &r.seal,
-		Table:   func() *mgtable.Table { return r.table },
-		Seen:    func(uint64, string) {},
-		View:    members.View,
-		Failed:  func(agent string) { members.Failed(r.clock.Now(), agent) },
-		Heard:   func(agent, life string, leaving bool) { members.Heard(r.clock.Now(), agent, life, leaving) },
-		Calls: &mglink.Guard{
-			Pooled:   r.Transport(name, false),
-			Again:    r.Transport(name, true),
-			Interval: beat,
-		},
-		Frames: r.Transport(name, true),
-		Base:   func(address string) string { return "http://" + address },
-	}, r.life())
+	spec := entrySpec(r.table, members)
+	spec.Settings.Name = name
+	spec.Settings.Slow = 10000
+	spec.Settings.Probe = 200
+	spec.Settings.Call = int64(callWait)
+	spec.Seal = &r.seal
+	spec.Failed = func(agent string) { members.Failed(r.clock.Now(), agent) }
+	spec.Heard = func(agent, life string, leaving bool) { members.Heard(r.clock.Now(), agent, life, leaving) }
+	spec.Calls = &mglink.Guard{
+		Pooled:   r.Transport(name, false),
+		Again:    r.Transport(name, true),
+		Interval: beat,
+	}
+	spec.Frames = r.Transport(name, true)
+	e := mgentry.New(spec, r.life())
 	r.mu.Lock()
 	r.entries[name] = e
 	r.mu.Unlock()
@@ -335,12 +315,41 @@
 		Kind:  mgstandin.Leave,
 		Delay: notice,
 	})
+	r.after(notice, func() { e.Set(mgstandin.Fault{Kind: mgstandin.Die}) })
+}
+
+// after calls what later, while the story goes on.
+func (r *rig) after(span mgclock.Millis, what func()) {
 	go func() {
-		r.clock.Sleep(r.ctx, notice)
-		e.Set(mgstandin.Fault{Kind: mgstandin.Die})
+		r.clock.Sleep(r.ctx, span)
+		what()
 	}()
 }
 
+// strike sets a fault that the next calls of the service meet.
+func (r *rig) strike(kind string, calls int) {
+	r.books.Set(mgstandin.Fault{
+		Kind:  kind,
+		Times: calls,
+	})
+}
+
+// slow makes the service's calls take longer.
+func (r *rig) slow(delay mgclock.Millis) {
+	r.books.Set(mgstandin.Fault{
+		Kind:  mgstandin.Slow,
+		Delay: delay,
+	})
+}
+
+// breakOff sets a fault of engine-1's streams after some tokens.
+func (r *rig) breakOff(kind string, tokens uint64) {
+	r.engines["engine-1"].Set(mgstandin.Fault{
+		Kind:  kind,
+		After: tokens,
+	})
+}
+
 // A caller reads one answer over one connection after another, and keeps what
 // a person would see.
 type caller struct {
