--- a/internal/process/mgagent/orders.go
+++ b/internal/process/mgagent/orders.go
@@ -83,9 +83,7 @@
 	if a.orders.refused.Swap(false) {
 		a.orders.pacer.Refused(now)
 	}
-	if model := a.orders.holding(now, *held, plan.Model(a.spec.Settings.Upstream)); model != "" {
-		a.orders.pacer.Loaded(now, model)
-	}
+	a.orders.pacer.Loaded(now, a.orders.holding(now, *held, plan.Model(a.spec.Settings.Upstream)))
 	if model := a.orders.pacer.Due(now); model != "" {
 		a.loadModel(ctx, table.Version(), model)
 	}
--- a/internal/process/mgagent/orders_test.go
+++ b/internal/process/mgagent/orders_test.go
@@ -30,11 +30,16 @@
 	lost   atomic.Bool // another agent is the engine's own by now
 	orders []mgengine.OrderSpec
 	times  []mgclock.Millis
+	ends   mgclock.Millis // when it restarts without its models, 0 for never
 }
 
 func (o *ordered) load(context.Context) (mgengine.Load, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.ends != 0 && o.clock.Now() >= o.ends {
+		o.held = nil
+		o.ends = 0
+	}
 	return mgengine.Load{Models: o.held}, nil
 }
 
@@ -64,6 +69,7 @@
 		ours   bool
 		leaves bool
 		paused bool // between the decision on an order and its sending
+		ends   mgclock.Millis
 		orders int
 		first  mgclock.Millis // no order before it
 	}{
@@ -108,6 +114,15 @@
 			ours:   true,
 			orders: 2,
 		},
+		{
+			name:   "the engine restarts without its model and gets it again",
+			checks: mgtable.Checked,
+			held:   []string{"tank-70b"},
+			ours:   true,
+			ends:   mgclock.Minute,
+			orders: 1,
+			first:  mgclock.Minute,
+		},
 		{
 			name:   "the process is held before it sends, and is replaced meanwhile",
 			checks: mgtable.Ignored,
@@ -139,6 +154,9 @@
 						agent.Leave()
 					}
 					start := engine.clock.Now()
+					if c.ends > 0 {
+						engine.ends = start + c.ends
+					}
 					agent.Run(ctx)
 					if held != c.paused {
 						t.Errorf("an order was held before it left: %v", held)
--- a/internal/version/mgplacement/pacer.go
+++ b/internal/version/mgplacement/pacer.go
@@ -53,12 +53,18 @@
 	}
 }
 
-// Loaded notes which model the engine holds, "" for none.
+// Loaded notes which model the engine holds, "" for none. It may be called as
+// often as the engine is looked at. An engine that has lost its model, as one
+// that restarted, loads again within coldSpan: others may have restarted with it.
 func (p *Pacer) Loaded(now mgclock.Millis, model string) {
-	if model != p.loaded {
-		p.dwells = model != "" && model == p.due
-		p.kept = now + dwellSpan
+	if model == p.loaded {
+		return
+	}
+	if model == "" {
+		p.at = max(p.at, now+p.jitter(coldSpan))
 	}
+	p.dwells = model != "" && model == p.due
+	p.kept = now + dwellSpan
 	p.loaded = model
 	p.tries = 0
 }
