mgagent, mgentry, mgrpc: an agent behind its caller's version catches up first

Change: requests name their entry; a start waits up to 300 ms for the version and is refused with behind, not run, when it doesn't come. Figures: TestBehind: without the wait a start was taken by the older table, with it it is refused or goes by the newer one.

--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -38,6 +38,9 @@
 	Table func() *mgtable.Table
 	// Seen tells that another process goes by a version.
 	Seen func(version uint64, from string)
+	// Await returns once a version is in force here, or an error when ctx ends
+	// before. Without it the agent goes by what it has.
+	Await func(ctx context.Context, version uint64) error
 	// Plan returns which engine holds which model. Without it the agent gives
 	// no orders and takes its engine to have every model.
 	Plan func() *mgplacement.Plan
--- /dev/null
+++ b/internal/process/mgagent/behind_test.go
@@ -0,0 +1,86 @@
+package mgagent_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// An operator raises an account's weight; an entry goes by it at once, and an
+// agent that has not heard of it queues the account's request by the old one.
+// The agent learns of the version from the request, and from whom to fetch it:
+// it decides by the new table, or refuses.
+func TestBehind(t *testing.T) {
+	cases := []struct {
+		name  string
+		comes mgclock.Millis // when the newer table is in force here
+		told  string
+	}{
+		{
+			name:  "the newer table is there in time",
+			comes: 50,
+			told:  "",
+		},
+		{
+			name:  "it is not",
+			comes: 5000,
+			told:  "behind/notrun",
+		},
+	}
+	Convey("An agent behind its caller", t, func() {
+		newer, err := mgtable.Parse([]byte(strings.Replace(table, "version = 1", "version = 2", 1)))
+		So(err, ShouldBeNil)
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var told, asked string
+				synctest.Test(t, func(t *testing.T) {
+					agent, err := newAgent(table, quiet(), func(spec *mgagent.Spec) {
+						var now atomic.Pointer[mgtable.Table]
+						now.Store(spec.Table())
+						spec.Table = now.Load
+						spec.Seen = func(_ uint64, from string) { asked = from }
+						spec.Await = func(ctx context.Context, _ uint64) error {
+							if !spec.Clock.Sleep(ctx, c.comes) {
+								return ctx.Err()
+							}
+							now.Store(newer)
+							return nil
+						}
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					reply, err := agent.Start(t.Context(), &mgrpc.StartRequest{
+						Attempt:     "a",
+						Incarnation: "i1",
+						Account:     "tankline",
+						Service:     "report",
+						Model:       "tank-70b",
+						Prompt:      "shift report",
+						Version:     2,
+						Entry:       "entry-1",
+						Budget:      30_000,
+						Stamp:       int64(mgclock.Clock{}.Now()),
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if f := reply.GetFault(); f != nil {
+						told = f.GetKind() + "/" + f.GetOutcome()
+					}
+				})
+				So(told, ShouldEqual, c.told)
+				So(asked, ShouldEqual, "entry-1")
+			})
+		}
+	})
+}
--- a/internal/process/mgagent/invoke.go
+++ b/internal/process/mgagent/invoke.go
@@ -14,7 +14,7 @@
 
 // Mint names an operation that only this incarnation may run.
 func (a *Agent) Mint(_ context.Context, in *mgrpc.MintRequest) (*mgrpc.MintReply, error) {
-	a.spec.Seen(in.GetVersion(), "")
+	a.spec.Seen(in.GetVersion(), in.GetEntry())
 	reply := &mgrpc.MintReply{
 		Incarnation: a.spec.Incarnation,
 	}
@@ -33,7 +33,7 @@
 // Invoke makes one call of a plain service: once for an operation, however
 // often it is asked for.
 func (a *Agent) Invoke(ctx context.Context, in *mgrpc.InvokeRequest) (*mgrpc.InvokeReply, error) {
-	a.spec.Seen(in.GetVersion(), "")
+	a.spec.Seen(in.GetVersion(), in.GetEntry())
 	a.calls.Add(1)
 	defer a.calls.Add(-1)
 	var result mgoperation.Result
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -16,7 +16,7 @@
 // Probe answers what the upstream could do for a request now. It reserves
 // nothing: what holds is Start's answer.
 func (a *Agent) Probe(_ context.Context, in *mgrpc.ProbeRequest) (*mgrpc.Offer, error) {
-	a.spec.Seen(in.GetVersion(), "")
+	a.spec.Seen(in.GetVersion(), in.GetEntry())
 	now := a.spec.Clock.Now()
 	offer := &mgrpc.Offer{
 		Agent:       a.spec.Settings.Name,
@@ -79,12 +79,12 @@
 }
 
 // Start queues an attempt, or joins the one that has begun by its id.
-func (a *Agent) Start(_ context.Context, in *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
-	a.spec.Seen(in.GetVersion(), "")
+func (a *Agent) Start(ctx context.Context, in *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
+	a.spec.Seen(in.GetVersion(), in.GetEntry())
 	reply := &mgrpc.StartReply{
 		Incarnation: a.spec.Incarnation,
 	}
-	generation, problem := a.start(in)
+	generation, problem := a.start(ctx, in)
 	if problem != nil {
 		a.spec.Metrics.Counter("refused").Inc(1)
 		reply.Fault = fault(problem)
@@ -94,7 +94,7 @@
 	return reply, nil
 }
 
-func (a *Agent) start(in *mgrpc.StartRequest) (string, *mgproblem.Problem) {
+func (a *Agent) start(ctx context.Context, in *mgrpc.StartRequest) (string, *mgproblem.Problem) {
 	now := a.spec.Clock.Now()
 	if in.GetIncarnation() != a.spec.Incarnation {
 		return "", mgproblem.New(mgproblem.Incarnation, mgproblem.Unknown,
@@ -113,7 +113,7 @@
 	case mgoperation.Refuse:
 		return "", verdict.Problem()
 	}
-	if problem := a.admit(in, now, deadline); problem != nil {
+	if problem := a.admit(ctx, in, deadline); problem != nil {
 		a.attempts.Cancel(in.GetAttempt(), mgclock.Millis(in.GetStamp()), now)
 		return "", problem
 	}
@@ -123,7 +123,10 @@
 // admit takes an attempt that has begun in the ledger. It comes after the
 // ledger, which knows whether another copy of the start was taken before, and
 // keeps a copy that comes later from making a refusal's "not run" false.
-func (a *Agent) admit(in *mgrpc.StartRequest, now, deadline mgclock.Millis) *mgproblem.Problem {
+func (a *Agent) admit(ctx context.Context, in *mgrpc.StartRequest, deadline mgclock.Millis) *mgproblem.Problem {
+	if problem := a.catchUp(ctx, in.GetVersion()); problem != nil {
+		return problem
+	}
 	table := a.spec.Table()
 	if table == nil {
 		return mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
@@ -136,7 +139,28 @@
 		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 			"the engine has not loaded the model", "try another upstream").WithRetry(mgclock.Second)
 	}
-	return a.enqueue(table, in, now, deadline)
+	return a.enqueue(table, in, a.spec.Clock.Now(), deadline)
+}
+
+// catchUpWait bounds the wait for a newer version: a page from the caller takes
+// some tens of milliseconds.
+const catchUpWait = 300 * mgclock.Millis(1)
+
+// catchUp waits until this agent goes by the caller's version. An agent that
+// decided by an older one would use an account's old weight, or refuse a service
+// that is in force at the entry.
+func (a *Agent) catchUp(ctx context.Context, version uint64) *mgproblem.Problem {
+	table := a.spec.Table()
+	if a.spec.Await == nil || table != nil && table.Version() >= version {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpWait.Duration())
+	defer cancel()
+	if err := a.spec.Await(ctx, version); err != nil {
+		return mgproblem.New(mgproblem.Behind, mgproblem.NotRun,
+			"the agent has an older configuration", "try another upstream").WithRetry(catchUpWait).WithCause(err)
+	}
+	return nil
 }
 
 // unreachable refuses work while the engine can't be reached. An agent whose
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -162,6 +162,7 @@
 		Prefix:  j.prefix,
 		Prompt:  uint32(j.tokens),
 		Version: j.table.Version(),
+		Entry:   e.spec.Settings.Name,
 		Budget:  int64(j.due - e.spec.Clock.Now()),
 	}
 	for _, candidate := range candidates {
@@ -233,6 +234,7 @@
 		Max:         uint32(j.max),
 		Budget:      int64(budget),
 		Version:     j.table.Version(),
+		Entry:       e.spec.Settings.Name,
 		Whole:       !j.stream,
 		Prefix:      j.prefix,
 		Stamp:       chosen.offer.GetStamp(),
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -93,6 +93,7 @@
 		Account: c.account.Name(),
 		Service: service,
 		Version: c.table.Version(),
+		Entry:   e.spec.Settings.Name,
 	})
 }
 
@@ -171,6 +172,7 @@
 			Mime:    r.Header.Get("Content-Type"),
 			Body:    data,
 			Version: c.table.Version(),
+			Entry:   e.spec.Settings.Name,
 		},
 	}
 	reply, problem := e.invoke(r.Context(), call, promise, operation, r.Header.Get(keyHeader))
