mgentry: the wait for the first token as a metric

Cause: operators saw counts only, and mgmetric's histogram had no caller. Change: first, in ms, for streamed answers.

--- a/internal/process/mgentry/deliver.go
+++ b/internal/process/mgentry/deliver.go
@@ -104,6 +104,7 @@
 		return false, nil
 	}
 	if len(t.decision.Tokens()) > 0 {
+		e.firstToken(form)
 		if err := out.write(form.tokens(t)); err != nil {
 			return true, err
 		}
@@ -149,6 +150,14 @@
 	}
 }
 
+// firstToken notes how long a streaming caller waited for its first token.
+func (e *Entry) firstToken(form *form) {
+	if form.waits {
+		form.waits = false
+		e.spec.Metrics.Histogram("first").Update(int64(e.spec.Clock.Now() - form.came))
+	}
+}
+
 // answered notes a whole answer, which earns its service a part of a retry.
 func (e *Entry) answered(form *form) {
 	e.spec.Metrics.Counter("answers").Inc(1)
--- a/internal/process/mgentry/form.go
+++ b/internal/process/mgentry/form.go
@@ -18,6 +18,8 @@
 	usage   bool
 	prompt  int   // tokens
 	created int64 // Unix time in seconds
+	came    mgclock.Millis
+	waits   bool // for its first token, which is measured from came
 	answer  string
 	head    []byte // what stands before a token's text in each event
 	out     []byte
@@ -34,6 +36,8 @@
 		usage:   j.usage,
 		prompt:  j.tokens,
 		created: mgclock.Unix(),
+		came:    j.came,
+		waits:   true,
 	}
 }
 
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -51,7 +51,8 @@
 	stream  bool
 	usage   bool
 	chat    bool
-	resumes bool           // the caller comes back after a lost connection
+	resumes bool // the caller comes back after a lost connection
+	came    mgclock.Millis
 	due     mgclock.Millis // when the first token is due
 }
 
@@ -100,7 +101,8 @@
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	j.due = e.spec.Clock.Now() + wait
+	j.came = e.spec.Clock.Now()
+	j.due = j.came + wait
 	return j, nil
 }
 
