mgagent, mgentry, mgsettings: a refusal says why; offers from another region count

Cause: a caller read 'an agent refused' whatever the agent's reason; 50 ms for offers is less than a round trip to another region. Change: faults carry their detail; probe is 200 ms by default.

--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -196,6 +196,7 @@
 func fault(p *mgproblem.Problem) *mgrpc.Fault {
 	return &mgrpc.Fault{
 		Kind:    string(p.Kind()),
+		Detail:  p.Detail(),
 		Remedy:  p.Remedy(),
 		Outcome: string(p.Outcome()),
 		Retry:   int64(p.Retry()),
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -291,5 +291,5 @@
 
 func problemOf(f *mgrpc.Fault) *mgproblem.Problem {
 	return mgproblem.New(mgproblem.Kind(f.GetKind()), mgproblem.Outcome(f.GetOutcome()),
-		"an agent refused", f.GetRemedy()).WithRetry(mgclock.Millis(f.GetRetry()))
+		f.GetDetail(), f.GetRemedy()).WithRetry(mgclock.Millis(f.GetRetry()))
 }
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -33,7 +33,7 @@
 	Body   int64  `toml:"body" default:"1048576" min:"1024" max:"67108864" unit:"bytes" help:"largest request body"`
 	Head   int64  `toml:"head" default:"32768" min:"4096" max:"1048576" unit:"bytes" help:"largest request header"`
 	Slow   int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends its request or takes what is written"`
-	Probe  int64  `toml:"probe" default:"50" min:"1" max:"5000" unit:"ms" help:"longest wait for offers"`
+	Probe  int64  `toml:"probe" default:"200" min:"1" max:"5000" unit:"ms" help:"longest wait for offers; two good ones end it, so that it is felt only where agents do not answer; a round trip to another region and some room"`
 	Call   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
 	Fresh  bool   `toml:"fresh" help:"no process ran under this name lately, so that caps are leased from the start; for demos and tests"`
 	Public TLS    `toml:"public" help:"certificate towards callers; empty: plain HTTP behind the platform's balancer"`
