mgengine, mgagent: a refused request doesn't take its engine from the others

Cause: read again as a newcomer: the agent took any failed start for an engine that can't be reached, also a refusal of that one request, and refused all work until the next load report. One account's faulty requests could take out one engine after another. Change: mgengine.Refused tells an engine's own refusal apart; the agent goes on after it.

--- a/internal/connection/mgengine/errors.go
+++ b/internal/connection/mgengine/errors.go
@@ -22,6 +22,7 @@
 	call   string
 	detail string
 	cause  error
+	word   bool // the engine itself answered
 }
 
 // Kind returns what is certain.
@@ -84,6 +85,22 @@
 	}
 }
 
+// NewRefusal returns the failure of a call that the engine itself refused, for
+// clients of other protocols.
+func NewRefusal(call string, cause error) *Failure {
+	failure := NewFailure(NotStarted, call, "", cause)
+	failure.word = true
+	return failure
+}
+
+// Refused reports whether err is an engine's own refusal. Such an engine is
+// there, and other requests may fare better; NotStarted alone may mean that it
+// can't be reached.
+func Refused(err error) bool {
+	var failure *Failure
+	return errors.As(err, &failure) && failure.word
+}
+
 // NewFenceError returns a refusal of an old fencing number, for clients of
 // other protocols.
 func NewFenceError(sent, newest uint64) *FenceError {
--- a/internal/connection/mgengine/http.go
+++ b/internal/connection/mgengine/http.go
@@ -162,7 +162,7 @@
 	case response.StatusCode == http.StatusRequestTimeout:
 		kind = Unknown
 	case response.StatusCode >= 400 && response.StatusCode < 500:
-		kind = NotStarted
+		return NewRefusal(call, refused)
 	}
 	return NewFailure(kind, call, "", refused)
 }
--- /dev/null
+++ b/internal/connection/mgengine/refused_test.go
@@ -0,0 +1,29 @@
+package mgengine_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+)
+
+// An engine that refuses one request and one that can't be reached both leave it
+// certain that nothing runs. Only the first may be given other requests.
+func TestRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, `{"kind":"invalid","detail":"the prompt is too long"}`, http.StatusBadRequest)
+	}))
+	Convey("A start", t, func() {
+		refused := mgengine.NewHTTP(server.URL, nil).Start(context.Background(), mgengine.StartSpec{ID: "a"})
+		So(mgengine.KindOf(refused), ShouldEqual, mgengine.NotStarted)
+		So(mgengine.Refused(refused), ShouldBeTrue)
+		server.Close()
+		gone := mgengine.NewHTTP(server.URL, nil).Start(context.Background(), mgengine.StartSpec{ID: "a"})
+		So(mgengine.KindOf(gone), ShouldEqual, mgengine.NotStarted)
+		So(mgengine.Refused(gone), ShouldBeFalse)
+	})
+}
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -111,7 +111,10 @@
 			return nil
 		}
 		if mgengine.KindOf(err) == mgengine.NotStarted {
-			a.sick.Store(true) // until the next load report
+			// Until the next load report. A refusal of the engine's own is about
+			// this request: without the difference one account's faulty requests
+			// take the engines from all others.
+			a.sick.Store(!mgengine.Refused(err) || a.sick.Load())
 			if doubt {
 				// A refusal speaks for this try alone. The one before was sent and
 				// not answered, so that the engine may have run it until it died.
