mgentry: callers that hang up make no agent suspect

Cause: read again as a newcomer: each call to an agent that ended with its caller's connection counted as an agent that did not answer; two in a row make a member suspect, and an entry could turn everybody away. Change: a failure counts only while the request's own context stands.

--- a/internal/process/mgentry/agents.go
+++ b/internal/process/mgentry/agents.go
@@ -1,6 +1,7 @@
 package mgentry
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
@@ -69,6 +70,15 @@
 	return found.(mgrpc.Agent)
 }
 
+// failed notes an agent that did not answer. When the request's own context has
+// ended it is the caller who is gone: callers that hang up would else have this
+// entry suspect one good agent after another.
+func (e *Entry) failed(request context.Context, agent *mgmember.Member) {
+	if request.Err() == nil {
+		e.spec.Failed(agent.Name())
+	}
+}
+
 // byUpstream returns the agent that gives an upstream its work now.
 func (e *Entry) byUpstream(upstream string) (*mgmember.Member, bool) {
 	return e.spec.View().Agent(upstream)
--- a/internal/process/mgentry/answers.go
+++ b/internal/process/mgentry/answers.go
@@ -40,7 +40,7 @@
 		attempt:  made,
 		giveBack: func(int) {}, // its start was charged
 	}
-	reading.open()
+	reading.open(r.Context())
 	form := &form{
 		entry:     e,
 		account:   c.account.Name(),
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -42,7 +42,7 @@
 		doubt:    made.doubt,
 		avoid:    map[string]bool{},
 	}
-	reading.open()
+	reading.open(r.Context())
 	e.announce(w, c.account.Name(), made)
 	form := e.form(j)
 	if j.stream {
--- /dev/null
+++ b/internal/process/mgentry/hangup_test.go
@@ -0,0 +1,51 @@
+package mgentry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// hung answers no request; it ends with the request's context.
+type hung struct {
+	called func()
+}
+
+// RoundTrip waits for the end of the request.
+func (h hung) RoundTrip(r *http.Request) (*http.Response, error) {
+	h.called()
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// Field tablets lose their network and hang up, a few in a row, and everybody's
+// reports are turned away for a while: the entry took each call that ended with
+// its caller for an agent that didn't answer, and suspected them all.
+func TestHangUp(t *testing.T) {
+	Convey("A caller that hangs up makes no agent suspect", t, func() {
+		parsed, err := mgtable.Parse([]byte(table))
+		So(err, ShouldBeNil)
+		members := mgmember.New("entry")
+		members.List(0, mgplatform.List{
+			Version: 1,
+			VMs:     []mgplatform.VM{agentVM("agent-1", "engine-1"), agentVM("agent-2", "engine-2")},
+		})
+		var failed atomic.Int64
+		ctx, hangUp := context.WithCancel(context.Background())
+		spec := entrySpec(parsed, members)
+		spec.Failed = func(string) { failed.Add(1) }
+		spec.Calls = hung{called: hangUp}
+		request := tankline(http.MethodPost, "/v1/chat/completions", `{"model":"report","messages":[{"role":"user","content":"len=1"}]}`)
+		mgentry.New(spec, "epoch").Routes().ServeHTTP(httptest.NewRecorder(), request.WithContext(ctx))
+		So(failed.Load(), ShouldEqual, 0)
+	})
+}
--- a/internal/process/mgentry/hedge.go
+++ b/internal/process/mgentry/hedge.go
@@ -76,8 +76,8 @@
 	go func() {
 		defer ended()
 		reply, err := e.invokeAt(ctx, call, host.agent)
-		if err != nil && ctx.Err() == nil {
-			e.spec.Failed(host.agent.Name())
+		if err != nil {
+			e.failed(ctx, host.agent)
 		}
 		answers <- tried{
 			host:  host,
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,13 +42,20 @@
 	doubt    bool // an attempt before this one may have run
 }
 
+// errUnreached is why there are no frames: the agent did not answer.
+var errUnreached = errors.New("entry: an agent did not answer: it is asked again on a new connection")
+
 // open connects to the attempt's generation.
-func (r *reading) open() {
+func (r *reading) open(request context.Context) {
 	r.number = r.receiver.Begin(r.attempt.generation)
 	made := r.attempt
 	r.stream = mglink.NewStream(mglink.StreamSpec{
 		Open: func(ctx context.Context, from uint64) (io.ReadCloser, error) {
-			return r.entry.openFrames(ctx, made, from)
+			body, err := r.entry.openFrames(ctx, made, from)
+			if errors.Is(err, errUnreached) {
+				r.entry.failed(request, made.agent)
+			}
+			return body, err
 		},
 		Clock:    r.entry.spec.Clock,
 		Interval: mgclock.Millis(r.entry.spec.Settings.Beat),
@@ -77,8 +85,7 @@
 	}
 	response, err := e.frames.Do(request)
 	if err != nil {
-		e.spec.Failed(agent.Name())
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errUnreached, err)
 	}
 	if response.StatusCode == http.StatusOK {
 		return response.Body, nil
@@ -231,7 +238,7 @@
 	r.attempt = made
 	r.doubt = r.doubt || made.doubt
 	r.tokens = 0
-	r.open()
+	r.open(ctx)
 	return nil
 }
 
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -151,11 +151,11 @@
 
 // probe asks the candidates in parallel and returns the good offers, and what
 // the caller is told when there is none.
-func (e *Entry) probe(ctx context.Context, j *job, fleet *fleet, candidates []probed) ([]probed, *mgproblem.Problem) {
-	ctx, cancel := context.WithTimeout(ctx, mgclock.Millis(e.spec.Settings.Probe).Duration())
+func (e *Entry) probe(request context.Context, j *job, fleet *fleet, candidates []probed) ([]probed, *mgproblem.Problem) {
+	ctx, cancel := context.WithTimeout(request, mgclock.Millis(e.spec.Settings.Probe).Duration())
 	defer cancel()
 	answers := make(chan probed, len(candidates))
-	request := &mgrpc.ProbeRequest{
+	question := &mgrpc.ProbeRequest{
 		Account: j.account.Name(),
 		Service: j.service.Name(),
 		Model:   j.model,
@@ -167,24 +167,24 @@
 	}
 	for _, candidate := range candidates {
 		go func() {
-			candidate.offer, candidate.err = e.client(candidate.agent).Probe(ctx, request)
+			candidate.offer, candidate.err = e.client(candidate.agent).Probe(ctx, question)
 			answers <- candidate
 		}()
 	}
-	return e.gather(answers, len(candidates), fleet)
+	return e.gather(request, answers, len(candidates), fleet)
 }
 
 // enough is the number of good offers after which the entry doesn't wait for
 // the slowest agent's: one slow agent must not delay every request.
 const enough = 2
 
-func (e *Entry) gather(answers <-chan probed, count int, fleet *fleet) ([]probed, *mgproblem.Problem) {
+func (e *Entry) gather(request context.Context, answers <-chan probed, count int, fleet *fleet) ([]probed, *mgproblem.Problem) {
 	var good []probed
 	problem := crowded()
 	for range count {
 		answer := <-answers
 		if answer.err != nil {
-			e.spec.Failed(answer.agent.Name())
+			e.failed(request, answer.agent)
 			continue
 		}
 		offer := answer.offer
@@ -241,7 +241,7 @@
 	})
 	if err != nil {
 		made.ended()
-		e.spec.Failed(chosen.agent.Name())
+		e.failed(ctx, chosen.agent)
 		go e.abandon(context.WithoutCancel(ctx), made)
 		return made, mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 			"the agent did not answer", "send the request again").WithCause(err)
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -76,7 +76,7 @@
 	for _, host := range e.hosts(service) {
 		reply, err := e.mintOnce(ctx, host.agent, c, service)
 		if err != nil {
-			e.spec.Failed(host.agent.Name())
+			e.failed(ctx, host.agent)
 			continue
 		}
 		if reply.GetFault() == nil {
@@ -233,7 +233,7 @@
 			if err == nil {
 				return reply, replyProblem(reply)
 			}
-			e.spec.Failed(agent.Name())
+			e.failed(ctx, agent)
 		}
 		e.spec.Clock.Sleep(ctx, repeatPause)
 	}
