mgentry: requests that were turned away don't shorten an account's mean answer

Cause: read again: an account's expected length took a 0 for each request that no upstream took. Change: only answers with tokens count.

--- a/internal/process/mgentry/caps.go
+++ b/internal/process/mgentry/caps.go
@@ -118,7 +118,10 @@
 	}
 	a.used = now
 	a.cap.End(now, charged, tokens)
-	a.guess += guessWeight * (tokens - a.guess)
+	if tokens > 0 {
+		// A request that was turned away says nothing of the length of answers.
+		a.guess += guessWeight * (tokens - a.guess)
+	}
 	return a.cap.Streams()
 }
 
