--- a/cmd/marjoramgauge/check.go
+++ b/cmd/marjoramgauge/check.go
@@ -87,8 +87,13 @@
 	for _, change := range changes {
 		fmt.Fprintln(c.to.out, change.String())
 	}
-	if len(changes) == 0 {
+	switch {
+	case len(changes) == 0:
 		fmt.Fprintln(c.to.out, "no change")
+	case newer.Version() <= older.Version():
+		// Two tables under one version are settled by their digests, alike
+		// everywhere: the edit may be the one that isn't taken.
+		fmt.Fprintf(c.to.out, "version is still %d: raise it above %d, or the edit may not come into force\n", newer.Version(), older.Version())
 	}
 	return nil
 }
--- a/cmd/marjoramgauge/main_test.go
+++ b/cmd/marjoramgauge/main_test.go
@@ -102,6 +102,27 @@
 	})
 }
 
+// An operator edits a weight, forgets to raise the version, and the fleet goes on
+// by the old weight without a word: two tables under one version are settled by
+// their digests.
+func TestVersionNotRaised(t *testing.T) {
+	Convey("A diff tells of a version that was not raised", t, func() {
+		const table = "../../examples/local/table.toml"
+		data, err := os.ReadFile(table)
+		So(err, ShouldBeNil)
+		edited := filepath.Join(t.TempDir(), "edited.toml")
+		text := strings.Replace(string(data), "weight = 4", "weight = 5", 1)
+		So(os.WriteFile(edited, []byte(text), 0o600), ShouldBeNil)
+		out, _ := output("table", "diff", table, edited)
+		So(out, ShouldContainSubstring, "weight from 4 to 5")
+		So(out, ShouldContainSubstring, "raise it above 1")
+		text = strings.Replace(text, "version = 1", "version = 2", 1)
+		So(os.WriteFile(edited, []byte(text), 0o600), ShouldBeNil)
+		out, _ = output("table", "diff", table, edited)
+		So(out, ShouldNotContainSubstring, "raise")
+	})
+}
+
 // An operator sends the table through a spreadsheet and back; an edit of one
 // weight must be all that changes.
 func TestSpreadsheet(t *testing.T) {
