mgconfig: an edit whose version was not raised is refused with its remedy

Change: a watcher that reads such a manifest refuses it: dump, log and metric of refusals show it. The order of versions is as it was.

--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -86,6 +86,12 @@
 		m.refused.add(0, digest, err)
 		return
 	}
+	if current := m.Current(); k.version == current.Version() && current.mark().above(k) {
+		// An edit whose version was not raised: the order of versions keeps the
+		// one in force everywhere, and without a word nobody would know why.
+		m.refused.add(k.version, digest, errTwice)
+		return
+	}
 	m.learn(now, k, peer{})
 	if m.pull == nil || m.pull.mark != k || m.pull.text != nil {
 		return
--- a/internal/version/mgconfig/refused.go
+++ b/internal/version/mgconfig/refused.go
@@ -1,5 +1,10 @@
 package mgconfig
 
+import "errors"
+
+// errTwice refuses another table under the version in force.
+var errTwice = errors.New("mgconfig: another table was published under the version in force: raise the table's version and publish it again")
+
 // refused remembers faulty values, so that they are not fetched again.
 type refused struct {
 	version uint64
