mgnode: a refused version as a metric

Cause: a refused table showed in dump and log, not in a metric. Change: the gauge rejected. Figures: separate processes, a table of the version in force published with another weight: the watcher that read it shows rejected 1, the fault in its dump and a line in its log; processes that don't read the platform themselves don't.

--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -212,10 +212,11 @@
 	return nil
 }
 
-// tick lets suspicions run out.
+// tick lets suspicions run out, and shows a table that was refused.
 func (n *Node) tick(ctx context.Context) {
 	for n.clock.Sleep(ctx, mgclock.Second) {
 		n.members.Tick(n.clock.Now())
+		n.metrics.Gauge("rejected").Update(int64(n.loop.Status().Refused))
 	}
 }
 
