--- a/internal/process/mgagent/drain_test.go
+++ b/internal/process/mgagent/drain_test.go
@@ -72,7 +72,7 @@
 // follow reads a generation to its end.
 func follow(agent *mgagent.Agent, id string) ending {
 	recorder := httptest.NewRecorder()
-	request := httptest.NewRequest(http.MethodGet, mgagent.FramesPath+id+"?from=1", nil)
+	request := httptest.NewRequest(http.MethodGet, mgrpc.FramesPath+id+"?from=1", nil)
 	agent.Routes().ServeHTTP(recorder, request)
 	seen := ending{
 		at: mgclock.Clock{}.Now(),
--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -12,15 +12,11 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
-// FramesPath is where a generation's frames are read; its last part is the
-// generation and the query's from is the first token that is wanted.
-const FramesPath = "/frames/"
-
 // Routes returns the handler of the agent's calls and frames for entries.
 func (a *Agent) Routes() http.Handler {
 	router := chi.NewRouter()
 	router.Mount(mgrpc.AgentPathPrefix, mglink.Alive(mgrpc.NewAgentServer(a), a.spec.Clock, mgclock.Millis(a.spec.Settings.Beat)))
-	router.Get(FramesPath+"{generation}", a.frames)
+	router.Get(mgrpc.FramesPath+"{generation}", a.frames)
 	return router
 }
 
--- a/internal/process/mgagent/frames_test.go
+++ b/internal/process/mgagent/frames_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 )
 
@@ -70,7 +71,7 @@
 
 // readAll returns how many tokens of the generation come, in order, to its end.
 func readAll(base string) int {
-	response, err := http.Get(base + mgagent.FramesPath + "long?from=1")
+	response, err := http.Get(base + mgrpc.FramesPath + "long?from=1")
 	So(err, ShouldBeNil)
 	defer response.Body.Close()
 	in := bufio.NewReader(response.Body)
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -78,7 +78,7 @@
 	if now, ok := e.byUpstream(agent.Upstream()); ok {
 		agent = now
 	}
-	url := e.spec.Base(agent.PeerAddr()) + framesPath + made.generation + "?from=" + strconv.FormatUint(from, 10)
+	url := e.spec.Base(agent.PeerAddr()) + mgrpc.FramesPath + made.generation + "?from=" + strconv.FormatUint(from, 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -94,9 +94,6 @@
 	return nil, readProblem(response)
 }
 
-// framesPath is the agent's path of frames.
-const framesPath = "/frames/"
-
 func readProblem(response *http.Response) error {
 	data, err := io.ReadAll(io.LimitReader(response.Body, problemBody))
 	if err != nil {
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -1,15 +1,11 @@
 package mgentry_test
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,7 +23,6 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgnetwork"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
@@ -349,104 +344,3 @@
 		After: tokens,
 	})
 }
-
-// A caller reads one answer over one connection after another, and keeps what
-// a person would see.
-type caller struct {
-	rig     *rig
-	account string
-	answer  string // its name
-	last    string // the last event's id
-	tokens  int
-	text    strings.Builder
-	seen    []string // statuses, and events other than tokens
-	stall   mgclock.Millis
-	heard   mgclock.Millis
-	each    func(tokens int)
-	remedy  string // of the last write's problem
-	padding int    // words before the prompt, which take the engine time
-}
-
-func (r *rig) caller() *caller {
-	return &caller{
-		rig:     r,
-		account: "tankline",
-	}
-}
-
-func (c *caller) do(entry, method, path, body string, header map[string]string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(c.rig.ctx, method, "http://"+entry+path, strings.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set("Authorization", "Bearer sample-"+c.account)
-	for key, value := range header {
-		request.Header.Set(key, value)
-	}
-	client := http.Client{
-		Transport: c.rig.Transport("caller", true),
-	}
-	return client.Do(request)
-}
-
-// ask asks for an answer of a length, and reads it as far as it comes.
-func (c *caller) ask(entry string, length int, stream bool) {
-	body := fmt.Sprintf(`{"model":"report","stream":%t,"messages":[{"role":"user","content":"%sshift report len=%d"}]}`, stream, strings.Repeat("level ", c.padding), length)
-	response, err := c.do(entry, http.MethodPost, "/v1/chat/completions", body, map[string]string{
-		"Resume": "yes",
-	})
-	c.read(response, err)
-}
-
-// resume goes on through an entry with the last event that came.
-func (c *caller) resume(entry string) {
-	header := map[string]string{}
-	if c.last != "" {
-		header["Last-Event-ID"] = c.last
-	}
-	response, err := c.do(entry, http.MethodGet, "/v1/answers/"+c.answer, "", header)
-	c.read(response, err)
-}
-
-func (c *caller) read(response *http.Response, err error) {
-	if err != nil {
-		c.seen = append(c.seen, "no response")
-		return
-	}
-	defer response.Body.Close()
-	c.seen = append(c.seen, fmt.Sprint(response.StatusCode))
-	if response.Header.Get("Content-Type") != "text/event-stream" {
-		body, _ := io.ReadAll(response.Body)
-		c.seen = append(c.seen, string(bytes.TrimSpace(body)))
-		return
-	}
-	c.heard = c.rig.clock.Now()
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		c.line(lines.Text())
-	}
-	if lines.Err() != nil {
-		c.seen = append(c.seen, "cut")
-	}
-}
-
-func (c *caller) line(line string) {
-	switch {
-	case strings.HasPrefix(line, "id: "):
-		c.last = strings.TrimPrefix(line, "id: ")
-		c.answer, _, _ = mganswer.ParseEventID(c.last)
-	case strings.HasPrefix(line, "data: "):
-		c.data(strings.TrimPrefix(line, "data: "))
-	case strings.HasPrefix(line, "event: "):
-		c.seen = append(c.seen, line)
-	}
-}
-
-// generation returns the generation that the answer's name tells.
-func (c *caller) generation() string {
-	name, err := mganswer.NewSigner(&c.rig.seal).Open(c.account, c.answer)
-	if err != nil {
-		return "none"
-	}
-	return name.Generation()
-}
--- /dev/null
+++ b/internal/standin/mgstandin/rig_test.go
@@ -0,0 +1,108 @@
+package mgstandin_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// golden compares a session with its file under testdata/.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	So(got, ShouldEqual, string(want))
+}
+
+// serve serves h until the test's end.
+func serve(h http.Handler) string {
+	s, err := mgstandin.Listen("127.0.0.1:0", h)
+	So(err, ShouldBeNil)
+	Reset(func() { So(s.Close(), ShouldBeNil) })
+	return s.URL()
+}
+
+// bounded returns a context for a whole case.
+func bounded() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	Reset(cancel)
+	return ctx
+}
+
+// runEngine runs an engine a hundred times as fast as the described one.
+func runEngine(ctx context.Context, spec mgstandin.EngineSpec) (*mgstandin.Engine, mgengine.Client) {
+	spec.Model.Speed = 100
+	e := mgstandin.NewEngine(spec, mgclock.Clock{})
+	return e, step(ctx, e)
+}
+
+// step lets an engine run until the end of the test.
+func step(ctx context.Context, e *mgstandin.Engine) mgengine.Client {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Run(ctx)
+	}()
+	Reset(func() {
+		cancel()
+		<-done
+	})
+	return mgengine.NewHTTP(serve(e.Handler()), nil)
+}
+
+// begin starts a generation of a length.
+func begin(ctx context.Context, c mgengine.Client, id string, length int) error {
+	return c.Start(ctx, ofLength(id, length))
+}
+
+// ofLength describes a generation of a length.
+func ofLength(id string, length int) mgengine.StartSpec {
+	return mgengine.StartSpec{
+		ID:     id,
+		Prompt: fmt.Sprintf("shift report len=%d", length),
+		Max:    1 << 29,
+	}
+}
+
+// read reads a stream's tokens from seq on, until it ends or breaks.
+func read(ctx context.Context, c mgengine.Client, id string, seq uint64) (string, mgengine.Token, error) {
+	s, err := c.Stream(ctx, id, seq)
+	if err != nil {
+		return "", mgengine.Token{}, err
+	}
+	defer s.Close()
+	var text strings.Builder
+	for {
+		t, err := s.Next(ctx)
+		if err != nil || t.End != "" {
+			return text.String(), t, err
+		}
+		if t.Heartbeat() {
+			continue
+		}
+		if t.Seq != seq {
+			return text.String(), t, fmt.Errorf("token %d came in place of %d", t.Seq, seq)
+		}
+		seq++
+		text.WriteString(t.Text)
+	}
+}
--- a/pkg/mgclient/client_test.go
+++ b/pkg/mgclient/client_test.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -26,134 +21,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// A step is what the fake entries do with one request.
-type step func(w http.ResponseWriter, r *http.Request)
-
-// entries are two fake entries that follow one script.
-type entries struct {
-	mu    sync.Mutex
-	steps []step
-	asked []string // method, path, Last-Event-ID and Idempotency-Key of each request
-	bases []string
-}
-
-func newEntries(steps ...step) *entries {
-	e := &entries{
-		steps: steps,
-	}
-	for range 2 {
-		s := httptest.NewServer(http.HandlerFunc(e.serve))
-		Reset(s.Close)
-		e.bases = append(e.bases, s.URL)
-	}
-	return e
-}
-
-func (e *entries) serve(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	e.mu.Lock()
-	n := len(e.asked)
-	e.asked = append(e.asked, r.Method+" "+r.URL.Path+" "+r.Header.Get("Last-Event-ID")+r.Header.Get("Idempotency-Key"))
-	e.mu.Unlock()
-	if n >= len(e.steps) {
-		http.Error(w, "the script is over", http.StatusTeapot)
-		return
-	}
-	e.steps[n](w, r)
-}
-
-// heard returns what the requests were.
-func (e *entries) heard() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Clone(e.asked)
-}
-
-// client returns a caller of the two entries.
-func (e *entries) client(silence mgclock.Millis) *mgclient.Client {
-	return mgclient.New(mgclient.Spec{
-		Bases:   e.bases,
-		Key:     "key",
-		Silence: silence,
-		Tries:   4,
-		Jitter:  func() float64 { return 0 },
-	})
-}
-
-// tokens sends tokens of an answer and leaves the connection open.
-func tokens(w io.Writer, answer string, seqs ...int) {
-	for _, seq := range seqs {
-		_, _ = fmt.Fprintf(w, "id: %s.%d\ndata: {\"choices\":[{\"delta\":{\"content\":\"%d,\"},\"finish_reason\":null}]}\n\n", answer, seq, seq)
-	}
-}
-
-// part sends tokens and cuts the connection.
-func part(answer string, seqs ...int) step {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		tokens(w, answer, seqs...)
-	}
-}
-
-// rest sends tokens and the answer's end.
-func rest(answer string, seqs ...int) step {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		tokens(w, answer, seqs...)
-		_, _ = fmt.Fprintf(w, ": hb\n\nid: %s.4\ndata: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", answer)
-	}
-}
-
-// silent sends tokens and then nothing more.
-func silent(answer string, seqs ...int) step {
-	return func(w http.ResponseWriter, r *http.Request) {
-		tokens(w, answer, seqs...)
-		_ = http.NewResponseController(w).Flush()
-		<-r.Context().Done()
-	}
-}
-
-// early tells the answer's name ahead of the response.
-func early(then step) step {
-	return func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Answer", "a")
-		w.WriteHeader(http.StatusEarlyHints)
-		w.Header().Del("Answer")
-		then(w, r)
-	}
-}
-
-// moved tells the name of the generation that the answer started over with.
-func moved(answer string, then step) step {
-	return func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Answer", answer)
-		w.WriteHeader(http.StatusEarlyHints)
-		then(w, r)
-	}
-}
-
-// lost breaks the connection without a reply.
-func lost(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-
-// refuse answers with a problem that is attested not run.
-func refuse(kind mgproblem.Kind) step {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		mgproblem.Write(w, mgproblem.New(kind, mgproblem.NotRun, "a test", "none"))
-	}
-}
-
-// fail sends tokens and a problem in the stream.
-func fail(kind mgproblem.Kind, outcome mgproblem.Outcome, seqs ...int) step {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		tokens(w, "a", seqs...)
-		data, _ := json.Marshal(mgproblem.New(kind, outcome, "a test", "none"))
-		_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
-	}
-}
-
-const (
-	post   = "POST /v1/chat/completions "
-	resume = "GET /v1/answers/a a."
-)
-
 // A gauger reads a shift report as it is written. The entry or the link to it
 // fails somewhere on the way, once or twice. The gauger must read each token
 // once and in order, or be told that the report isn't whole; and a report that
