mgtable: routes of host and path prefix to weighted services

A deployment sends requests by host and path, and the table knew only services by name. A route says host, prefix, services with weights, kind (stream, safe, never), attempts, timeout, goal, gap, priority; it travels in the base page, TOML and CSV like every other row. Build makes a table out of another format under the same checks.

The longest prefix is found by one look per slash of the path, so that 350 routes cost what 8 do.

--- /dev/null
+++ b/pkg/mgtable/build.go
@@ -0,0 +1,170 @@
+package mgtable
+
+import "strconv"
+
+// Spec is a table as a program makes it, out of another format. Build checks it
+// as it checks what operators write.
+type Spec struct {
+	Version  uint64
+	Accounts []AccountSpec
+	Services []ServiceSpec
+	Models   []ModelSpec
+	Routes   []RouteSpec
+}
+
+// AccountSpec is a client account.
+type AccountSpec struct {
+	Name string
+	Keys []Digest
+}
+
+// ServiceSpec is a service. Model is empty for a plain one.
+type ServiceSpec struct {
+	Name  string
+	Model string
+}
+
+// ModelSpec is a model; Context and Max are in tokens.
+type ModelSpec struct {
+	Name    string
+	Context int64
+	Max     int64
+}
+
+// RouteSpec is a route; see the accessors of Route. Times are in ms.
+type RouteSpec struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Kind     string
+	Services []ShareSpec
+	Attempts int64
+	Timeout  int64
+	Goal     int64
+	Gap      int64
+	Priority int64
+	Resumes  bool
+	Public   bool
+	Sticky   bool
+}
+
+// ShareSpec is a service's part of a route.
+type ShareSpec struct {
+	Service string
+	Weight  int64
+}
+
+// Build makes a table. The error is a *Faults with all faults.
+func Build(spec Spec) (*Table, error) {
+	var faults Faults
+	return assemble(collect(spec.Version, spec.records(), &faults), &faults)
+}
+
+func (s Spec) records() []record {
+	var list []record
+	for _, m := range s.Models {
+		list = append(list, record{
+			kind: modelRow,
+			cells: cells{}.text("name", m.Name).
+				count("context", m.Context).
+				count("max", m.Max),
+		})
+	}
+	for _, v := range s.Services {
+		list = append(list, v.record())
+	}
+	for _, r := range s.Routes {
+		list = append(list, r.record())
+	}
+	for _, a := range s.Accounts {
+		list = append(list, a.record())
+	}
+	return list
+}
+
+func (s ServiceSpec) record() record {
+	row := record{
+		kind:  serviceRow,
+		cells: cells{}.text("name", s.Name),
+	}
+	if s.Model == "" {
+		row.cells = cells(row.cells).text("kind", Plain)
+		return row
+	}
+	row.cells = cells(row.cells).text("kind", Generation).text("model", s.Model)
+	return row
+}
+
+func (a AccountSpec) record() record {
+	keys := make([]string, 0, len(a.Keys))
+	for _, key := range a.Keys {
+		keys = append(keys, key.String())
+	}
+	return record{
+		kind:  accountRow,
+		cells: cells{}.text("name", a.Name).list("keys", keys),
+	}
+}
+
+func (r RouteSpec) record() record {
+	shares := make([]string, 0, len(r.Services))
+	for _, share := range r.Services {
+		shares = append(shares, share.Service+"="+strconv.FormatInt(share.Weight, 10))
+	}
+	return record{
+		kind: routeRow,
+		cells: cells{}.text("name", r.Name).
+			text("host", r.Host).
+			text("prefix", r.Prefix).
+			text("kind", r.Kind).
+			list("services", shares).
+			count("attempts", r.Attempts).
+			count("timeout", r.Timeout).
+			count("goal", r.Goal).
+			count("gap", r.Gap).
+			count("priority", r.Priority).
+			text("resume", yes(r.Resumes)).
+			text("public", yes(r.Public)).
+			text("sticky", yes(r.Sticky)),
+	}
+}
+
+func yes(is bool) string {
+	if is {
+		return Yes
+	}
+	return No
+}
+
+// cells collects the columns of a record.
+type cells []entry
+
+func (c cells) text(name, content string) cells {
+	return append(c, entry{
+		name: name,
+		value: value{
+			form: text,
+			text: content,
+		},
+	})
+}
+
+func (c cells) count(name string, n int64) cells {
+	return append(c, entry{
+		name: name,
+		value: value{
+			form: number,
+			text: strconv.FormatInt(n, 10),
+		},
+	})
+}
+
+func (c cells) list(name string, items []string) cells {
+	return append(c, entry{
+		name: name,
+		value: value{
+			form:  list,
+			items: items,
+		},
+	})
+}
--- a/pkg/mgtable/check.go
+++ b/pkg/mgtable/check.go
@@ -20,6 +20,9 @@
 	for _, u := range t.rows.upstreams {
 		unique(c, t.upstreams, u.name, u, upstreamRow, u.line)
 	}
+	for _, r := range t.rows.routes {
+		unique(c, t.routes, r.name, r, routeRow, r.line)
+	}
 	for _, a := range t.rows.accounts {
 		unique(c, t.accounts, a.name, a, accountRow, a.line)
 		c.keys(a)
@@ -70,6 +73,9 @@
 	for _, u := range t.rows.upstreams {
 		c.upstream(u)
 	}
+	for _, r := range t.rows.routes {
+		c.route(r)
+	}
 	for _, a := range t.rows.accounts {
 		c.account(a)
 	}
--- a/pkg/mgtable/columns.go
+++ b/pkg/mgtable/columns.go
@@ -6,6 +6,7 @@
 	serviceRow  = "service"
 	modelRow    = "model"
 	upstreamRow = "upstream"
+	routeRow    = "route"
 )
 
 var accountColumns = []column[Account]{
--- a/pkg/mgtable/csv.go
+++ b/pkg/mgtable/csv.go
@@ -23,6 +23,7 @@
 		columnNames(serviceColumns),
 		columnNames(modelColumns),
 		columnNames(upstreamColumns),
+		columnNames(routeColumns),
 	} {
 		for _, name := range strings.Split(list, ", ") {
 			if !contains(names, name) {
@@ -48,6 +49,7 @@
 	lines = append(lines, csvLines(modelRow, modelColumns, t.rows.models)...)
 	lines = append(lines, csvLines(serviceRow, serviceColumns, t.rows.services)...)
 	lines = append(lines, csvLines(upstreamRow, upstreamColumns, t.rows.upstreams)...)
+	lines = append(lines, csvLines(routeRow, routeColumns, t.rows.routes)...)
 	lines = append(lines, csvLines(accountRow, accountColumns, t.rows.accounts)...)
 	// Writing to a buffer fails only when memory does.
 	_ = w.WriteAll(lines)
--- a/pkg/mgtable/diff.go
+++ b/pkg/mgtable/diff.go
@@ -12,7 +12,7 @@
 	text string
 }
 
-// Row returns the kind of row: account, service, model or upstream.
+// Row returns the kind of row: account, service, model, upstream or route.
 func (c Change) Row() string { return c.row }
 
 // Name returns the row's name.
@@ -32,6 +32,7 @@
 	changes = append(changes, diffRows(serviceRow, serviceColumns, older.services, newer.services)...)
 	changes = append(changes, diffRows(modelRow, modelColumns, older.models, newer.models)...)
 	changes = append(changes, diffRows(upstreamRow, upstreamColumns, older.upstreams, newer.upstreams)...)
+	changes = append(changes, diffRows(routeRow, routeColumns, older.routes, newer.routes)...)
 	return changes
 }
 
--- a/pkg/mgtable/page.go
+++ b/pkg/mgtable/page.go
@@ -68,6 +68,7 @@
 		services:  t.rows.services,
 		models:    t.rows.models,
 		upstreams: t.rows.upstreams,
+		routes:    t.rows.routes,
 	})
 	if len(base) > limit {
 		return Manifest{}, nil, fmt.Errorf("base rows take %d of %d bytes: %w", len(base), limit, errPageLarge)
@@ -129,6 +130,7 @@
 		set.services = append(set.services, p.rows.services...)
 		set.models = append(set.models, p.rows.models...)
 		set.upstreams = append(set.upstreams, p.rows.upstreams...)
+		set.routes = append(set.routes, p.rows.routes...)
 	}
 	return assemble(set, &Faults{})
 }
--- /dev/null
+++ b/pkg/mgtable/route.go
@@ -0,0 +1,284 @@
+package mgtable
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Stream is the kind of routes whose answers are streams of events. The other
+// kinds, Safe and Never, say whether a call may run more than once.
+const Stream = "stream"
+
+// Yes and No are the values of columns that are true or false.
+const (
+	Yes = "yes"
+	No  = "no"
+)
+
+// A Route sends requests of one host whose paths begin with a prefix to
+// services, unchanged.
+type Route struct {
+	name     string
+	host     string
+	prefix   string
+	kind     string
+	services []Share
+	attempts int64
+	timeout  int64
+	goal     int64
+	gap      int64
+	priority int64
+	resume   string
+	public   string
+	sticky   string
+	line     int
+}
+
+// A Share is a service's part of a route.
+type Share struct {
+	service string
+	weight  int64
+}
+
+// Service returns the service's name.
+func (s Share) Service() string { return s.service }
+
+// Weight returns the service's weight relative to the route's others.
+func (s Share) Weight() int { return int(s.weight) }
+
+// Name returns the route's name.
+func (r *Route) Name() string { return r.name }
+
+// Host returns the host that requests name.
+func (r *Route) Host() string { return r.host }
+
+// Prefix returns what paths begin with; it begins and ends with a slash.
+func (r *Route) Prefix() string { return r.prefix }
+
+// Kind returns Stream, Safe or Never.
+func (r *Route) Kind() string { return r.kind }
+
+// Services returns the services and their weights. Callers don't change it.
+func (r *Route) Services() []Share { return r.services }
+
+// Attempts returns the most upstreams that one request may be sent to.
+func (r *Route) Attempts() int { return int(r.attempts) }
+
+// Timeout returns the longest time a request may take in all.
+func (r *Route) Timeout() mgclock.Millis { return mgclock.Millis(r.timeout) }
+
+// Goal returns the time to the reply, or to a stream's first event, that
+// callers expect, or 0 when none is given.
+func (r *Route) Goal() mgclock.Millis { return mgclock.Millis(r.goal) }
+
+// Gap returns the longest pause between events that callers expect, or 0.
+func (r *Route) Gap() mgclock.Millis { return mgclock.Millis(r.gap) }
+
+// Priority returns the priority from 0 to 9; more goes first.
+func (r *Route) Priority() int { return int(r.priority) }
+
+// Resumes reports whether a stream may go on in another run, after the last
+// event that was delivered.
+func (r *Route) Resumes() bool { return r.resume == Yes }
+
+// Public reports whether callers need no key.
+func (r *Route) Public() bool { return r.public == Yes }
+
+// Sticky reports whether requests name the parts of their prompts.
+func (r *Route) Sticky() bool { return r.sticky == Yes }
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.kind == Safe || r.kind == Stream && r.Resumes()
+}
+
+// Pick returns the service for a number drawn evenly from all 64-bit numbers,
+// by the services' weights.
+func (r *Route) Pick(drawn uint64) string {
+	total := uint64(0)
+	for _, share := range r.services {
+		total += uint64(share.weight)
+	}
+	if total == 0 {
+		return r.services[0].service
+	}
+	at := drawn % total
+	for _, share := range r.services {
+		if at < uint64(share.weight) {
+			return share.service
+		}
+		at -= uint64(share.weight)
+	}
+	return r.services[len(r.services)-1].service
+}
+
+// Route returns the route of a host and a path as it was sent: the one with
+// the longest prefix that begins the path, or nil. A path is looked up once for
+// each of its slashes, so that the number of routes doesn't matter.
+func (t *Table) Route(host, path string) *Route {
+	prefixes := t.hosts[strings.ToLower(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if route := prefixes[path[:slash+1]]; route != nil {
+			return route
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Routed reports whether the table has any routes.
+func (t *Table) Routed() bool { return len(t.hosts) > 0 }
+
+var routeColumns = []column[Route]{
+	nameColumn("name", func(r *Route) *string { return &r.name }),
+	nameColumn("host", func(r *Route) *string { return &r.host }),
+	prefixColumn("prefix", func(r *Route) *string { return &r.prefix }),
+	choiceColumn("kind", []string{Stream, Safe, Never}, func(r *Route) *string { return &r.kind }),
+	sharesColumn("services", func(r *Route) *[]Share { return &r.services }),
+	countColumn("attempts", maxBatch, func(r *Route) *int64 { return &r.attempts }),
+	countColumn("timeout", maxDeadline, func(r *Route) *int64 { return &r.timeout }),
+	countColumn("goal", maxDeadline, func(r *Route) *int64 { return &r.goal }),
+	countColumn("gap", maxDeadline, func(r *Route) *int64 { return &r.gap }),
+	countColumn("priority", maxPriority, func(r *Route) *int64 { return &r.priority }),
+	choiceColumn("resume", []string{Yes, No}, func(r *Route) *string { return &r.resume }),
+	choiceColumn("public", []string{Yes, No}, func(r *Route) *string { return &r.public }),
+	choiceColumn("sticky", []string{Yes, No}, func(r *Route) *string { return &r.sticky }),
+}
+
+// setRouteDefaults fills the columns that were left out. A route that doesn't
+// say whether its calls may be repeated is taken as one whose may not.
+func setRouteDefaults(r *Route) {
+	if r.kind == "" {
+		r.kind = Never
+	}
+	if r.attempts == 0 {
+		r.attempts = 1
+	}
+	if r.timeout == 0 {
+		r.timeout = defaultDeadline
+	}
+}
+
+// prefixColumn holds a path that begins and ends with a slash.
+func prefixColumn[R any](name string, field func(*R) *string) column[R] {
+	const remedy = "write a path of visible ASCII that begins and ends with a slash"
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			if v.form != text && v.form != cell {
+				return complain(remedy, "not a string")
+			}
+			p := v.text
+			if len(p) > maxPrefix || !strings.HasPrefix(p, "/") || !strings.HasSuffix(p, "/") || strings.ContainsFunc(p, unsafePath) {
+				return complain(remedy, "%q is not a prefix", clip(p))
+			}
+			*field(r) = p
+			return nil
+		},
+		get: func(r *R) value { return textValue(*field(r)) },
+	}
+}
+
+// maxPrefix bounds a route's prefix in bytes.
+const maxPrefix = 256
+
+// unsafePath reports whether a character can't stand in a path, or would need
+// an escape in the canonical form.
+func unsafePath(c rune) bool {
+	return c <= ' ' || c > '~' || strings.ContainsRune(`"\?#`, c)
+}
+
+// sharesColumn holds a list of services with weights, such as "ledger=90". A
+// weight that is left out is 1.
+func sharesColumn[R any](name string, field func(*R) *[]Share) column[R] {
+	return column[R]{
+		name: name,
+		set: func(r *R, v value) *complaint {
+			items, c := listItems(v)
+			if c != nil {
+				return c
+			}
+			shares := make([]Share, 0, len(items))
+			for _, item := range items {
+				share, c := parseShare(item)
+				if c != nil {
+					return c
+				}
+				shares = append(shares, share)
+			}
+			*field(r) = shares
+			return nil
+		},
+		get: func(r *R) value {
+			items := make([]string, 0, len(*field(r)))
+			for _, s := range *field(r) {
+				items = append(items, s.service+"="+strconv.FormatInt(s.weight, 10))
+			}
+			return listValue(items)
+		},
+	}
+}
+
+func parseShare(item string) (Share, *complaint) {
+	service, weight, weighted := strings.Cut(item, "=")
+	if c := checkName(service); c != nil {
+		return Share{}, c
+	}
+	share := Share{
+		service: service,
+		weight:  1,
+	}
+	if !weighted {
+		return share, nil
+	}
+	n, err := strconv.ParseInt(weight, 10, 64)
+	if err != nil || n < 0 || n > maxWeight {
+		return Share{}, complain("write service=weight with a weight from 0 to 1000000", "%q is not a share", clip(item))
+	}
+	share.weight = n
+	return share, nil
+}
+
+// route checks what a route refers to.
+func (c checker) route(r *Route) {
+	if r.host == "" {
+		c.empty(routeRow, r.name, "host", r.line)
+	}
+	if r.prefix == "" {
+		c.empty(routeRow, r.name, "prefix", r.line)
+	}
+	if len(r.services) == 0 {
+		c.empty(routeRow, r.name, "services", r.line)
+	}
+	for _, share := range r.services {
+		if c.table.services[share.service] == nil {
+			c.unknown(routeRow, r.name, "services", r.line, serviceRow, share.service)
+		}
+	}
+	c.place(r)
+}
+
+// place files a route under its host and prefix.
+func (c checker) place(r *Route) {
+	host := strings.ToLower(r.host)
+	prefixes := c.table.hosts[host]
+	if prefixes == nil {
+		prefixes = map[string]*Route{}
+		c.table.hosts[host] = prefixes
+	}
+	if other := prefixes[r.prefix]; other != nil {
+		c.add(routeRow, r.name, "prefix", r.line,
+			"route "+other.name+" has this host and prefix", "give each route a prefix of its own")
+		return
+	}
+	prefixes[r.prefix] = r
+}
--- a/pkg/mgtable/rows.go
+++ b/pkg/mgtable/rows.go
@@ -36,6 +36,7 @@
 	services  []*Service
 	models    []*Model
 	upstreams []*Upstream
+	routes    []*Route
 }
 
 // collect makes rows of records.
@@ -66,12 +67,17 @@
 			u.line = r.line
 			setUpstreamDefaults(u)
 			set.upstreams = append(set.upstreams, u)
+		case routeRow:
+			row := fill(r, routeColumns, faults)
+			row.line = r.line
+			setRouteDefaults(row)
+			set.routes = append(set.routes, row)
 		default:
 			faults.add(Fault{
 				line:   r.line,
 				row:    clip(r.kind),
 				text:   "unknown kind of row",
-				remedy: "use account, service, model or upstream",
+				remedy: "use account, service, model, upstream or route",
 			})
 		}
 	}
@@ -143,6 +149,7 @@
 	sort.Slice(s.services, func(i, j int) bool { return s.services[i].name < s.services[j].name })
 	sort.Slice(s.models, func(i, j int) bool { return s.models[i].name < s.models[j].name })
 	sort.Slice(s.upstreams, func(i, j int) bool { return s.upstreams[i].name < s.upstreams[j].name })
+	sort.Slice(s.routes, func(i, j int) bool { return s.routes[i].name < s.routes[j].name })
 }
 
 // interner keeps one copy of each list of names that many accounts share.
--- a/pkg/mgtable/table.go
+++ b/pkg/mgtable/table.go
@@ -13,6 +13,8 @@
 	services  map[string]*Service
 	models    map[string]*Model
 	upstreams map[string]*Upstream
+	routes    map[string]*Route
+	hosts     map[string]map[string]*Route // by host and prefix
 }
 
 // Parse reads a table from TOML. The error is a *Faults with all faults.
@@ -40,6 +42,8 @@
 		services:  make(map[string]*Service, len(set.services)),
 		models:    make(map[string]*Model, len(set.models)),
 		upstreams: make(map[string]*Upstream, len(set.upstreams)),
+		routes:    make(map[string]*Route, len(set.routes)),
+		hosts:     make(map[string]map[string]*Route),
 	}
 	c := checker{
 		table:  t,
@@ -85,6 +89,9 @@
 // Models goes through the models by name.
 func (t *Table) Models() iter.Seq[*Model] { return each(t.rows.models) }
 
+// Routes goes through the routes by name.
+func (t *Table) Routes() iter.Seq[*Route] { return each(t.rows.routes) }
+
 // Upstreams goes through the upstreams by name.
 func (t *Table) Upstreams() iter.Seq[*Upstream] { return each(t.rows.upstreams) }
 
--- a/pkg/mgtable/toml.go
+++ b/pkg/mgtable/toml.go
@@ -239,6 +239,7 @@
 	writeRows(&b, modelRow, modelColumns, set.models)
 	writeRows(&b, serviceRow, serviceColumns, set.services)
 	writeRows(&b, upstreamRow, upstreamColumns, set.upstreams)
+	writeRows(&b, routeRow, routeColumns, set.routes)
 	writeRows(&b, accountRow, accountColumns, set.accounts)
 	return b.Bytes()
 }
