mgmember, mgconfig, mgretry, mgdial, mgpeer: upstreams without an agent, peers known by their word

A platform may list the upstreams alone and no process of the system. An upstream without an agent is nobody's peer; a process that the list doesn't name is known by its own summary while it is heard, and watches the platform itself. A budget of retries can be bounded below its usual 64 where entries share what a service allows.

--- a/internal/connection/mgdial/dial.go
+++ b/internal/connection/mgdial/dial.go
@@ -16,6 +16,19 @@
 // one second, only where the caller's own deadline allows it.
 const connect = 1500 * time.Millisecond
 
+// near bounds the opening of a connection within a region, where a round trip
+// takes a few ms: an upstream that doesn't answer by then is given up while the
+// shortest deadlines still allow another.
+const near = 250 * time.Millisecond
+
+// Near opens a connection within a region.
+func Near(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: near,
+	}
+	return dialer.DialContext(ctx, network, addr)
+}
+
 // headerBytes bounds the header of a response.
 const headerBytes = 64 << 10
 
--- a/internal/connection/mgpeer/peer.go
+++ b/internal/connection/mgpeer/peer.go
@@ -50,6 +50,7 @@
 // A Guard admits only the system's own processes. The zero Guard admits
 // nobody.
 type Guard struct {
+	open     bool // the network itself admits nobody else
 	secret   string
 	digests  [][sha256.Size]byte
 	identity *tls.Config
@@ -74,6 +75,12 @@
 	return guard, nil
 }
 
+// Unkeyed returns a guard that asks for no key, for networks on which only the
+// system's own processes reach the listener for peers.
+func Unkeyed() *Guard {
+	return &Guard{open: true}
+}
+
 // loadTLS returns the mutual TLS configuration, or nil when none is set.
 func loadTLS(files mgsettings.TLS) (*tls.Config, error) {
 	if files.Cert == "" && files.Key == "" && files.CA == "" {
@@ -103,7 +110,7 @@
 // Require passes on only requests that carry a shared key.
 func (g *Guard) Require(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !g.known(r.Header.Get("Authorization")) {
+		if !g.open && !g.known(r.Header.Get("Authorization")) {
 			mgproblem.Write(w, mgproblem.New(mgproblem.Stranger, mgproblem.NotRun,
 				"this listener is for the system's own processes", "give all processes the same secret in their settings"))
 			return
--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -19,6 +19,9 @@
 const (
 	EntryKind = "entry"
 	AgentKind = "agent"
+	// UpstreamKind is an upstream that entries reach directly. No process of
+	// the system runs there, so that it is nobody's peer.
+	UpstreamKind = "upstream"
 )
 
 // The states of VMs.
--- a/internal/process/mgmember/member.go
+++ b/internal/process/mgmember/member.go
@@ -20,12 +20,15 @@
 // Name returns the name of the VM that the process runs on.
 func (m *Member) Name() string { return m.vm.Name }
 
-// Kind returns mgplatform.EntryKind or mgplatform.AgentKind.
+// Kind returns mgplatform.EntryKind, AgentKind or UpstreamKind.
 func (m *Member) Kind() string { return m.vm.Kind }
 
 // Addr returns where callers reach an entry and entries an agent.
 func (m *Member) Addr() string { return m.vm.Addr }
 
+// Peer reports whether a process of the system runs there.
+func (m *Member) Peer() bool { return m.vm.Kind != mgplatform.UpstreamKind }
+
 // PeerAddr returns where other processes reach it.
 func (m *Member) PeerAddr() string { return m.vm.PeerAddr() }
 
--- a/internal/process/mgmember/members.go
+++ b/internal/process/mgmember/members.go
@@ -121,6 +121,27 @@
 	m.stale = m.stale || before.incarnation != e.incarnation
 }
 
+// Introduce makes known a process that the list doesn't name, by its own word:
+// a platform may list the upstreams alone. It stays known while it is heard.
+func (m *Members) Introduce(now mgclock.Millis, vm mgplatform.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if vm.Name == "" || vm.Name == m.self {
+		return
+	}
+	if _, known := m.known[vm.Name]; known {
+		return
+	}
+	if m.known == nil {
+		m.known = make(map[string]mgplatform.VM)
+	}
+	m.known[vm.Name] = vm
+	e := m.of(vm.Name)
+	e.heard = now
+	e.everHeard = true
+	m.rebuild(now)
+}
+
 // Answered takes a call to a member that brought an answer, but no word of itself.
 // Without it two failures that lie hours apart would count as two in a row.
 func (m *Members) Answered(now mgclock.Millis, name string) {
--- a/internal/process/mgmember/view.go
+++ b/internal/process/mgmember/view.go
@@ -49,7 +49,7 @@
 
 func (v *View) add(m *Member, self bool) {
 	v.zones[m.Zone()] = append(v.zones[m.Zone()], m)
-	if !self {
+	if !self && m.Peer() {
 		v.peers = append(v.peers, m)
 	}
 	if m.Kind() == mgplatform.EntryKind {
--- a/internal/request/mgretry/budget.go
+++ b/internal/request/mgretry/budget.go
@@ -22,6 +22,19 @@
 // A Budget bounds retries by a share of successes. The zero Budget is full.
 type Budget struct {
 	spent atomic.Int64 // in thousandths of a retry
+	limit atomic.Int64 // whole retries, 0 for Limit
+}
+
+// Bound sets the most retries that the budget holds, where several processes
+// share what one service allows.
+func (b *Budget) Bound(limit int) { b.limit.Store(int64(limit)) }
+
+// most returns the most retries that the budget holds.
+func (b *Budget) most() int64 {
+	if limit := b.limit.Load(); limit > 0 {
+		return limit
+	}
+	return Limit
 }
 
 // Earn adds the share of a retry that a success brings.
@@ -40,7 +53,7 @@
 func (b *Budget) Spend() bool {
 	for {
 		spent := b.spent.Load()
-		if spent+milli > Limit*milli {
+		if spent+milli > b.most()*milli {
 			return false
 		}
 		if b.spent.CompareAndSwap(spent, spent+milli) {
@@ -50,4 +63,4 @@
 }
 
 // Left returns the number of whole retries left.
-func (b *Budget) Left() int { return int(Limit - (b.spent.Load()+milli-1)/milli) }
+func (b *Budget) Left() int { return int(b.most() - (b.spent.Load()+milli-1)/milli) }
--- a/internal/request/mgretry/budgets.go
+++ b/internal/request/mgretry/budgets.go
@@ -12,6 +12,20 @@
 type Budgets struct {
 	mu  sync.Mutex
 	all atomic.Pointer[map[string]*Budget]
+
+	limit int // of each budget, 0 for Limit
+}
+
+// Bound sets the most retries that each budget holds; see Budget.Bound.
+func (s *Budgets) Bound(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+	if all := s.all.Load(); all != nil {
+		for _, b := range *all {
+			b.Bound(limit)
+		}
+	}
 }
 
 // Of returns the budget of a service, which begins full.
@@ -35,6 +49,7 @@
 		next = maps.Clone(*all)
 	}
 	b := new(Budget)
+	b.Bound(s.limit)
 	next[service] = b
 	s.all.Store(&next)
 	return b
--- a/internal/version/mgconfig/join.go
+++ b/internal/version/mgconfig/join.go
@@ -101,7 +101,7 @@
 func (m *Machine) others() int {
 	count := 0
 	for _, member := range m.members.View().All() {
-		if member.Name() != m.spec.Name && member.Listed() && !member.Leaving() {
+		if member.Peer() && member.Name() != m.spec.Name && member.Listed() && !member.Leaving() {
 			count++
 		}
 	}
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -121,8 +121,15 @@
 // Suspects are passed over, so that the next in the ranking takes over from
 // watchers that died before the list shows it.
 func (m *Machine) watching() bool {
+	if _, listed := m.members.View().Member(m.spec.Name); !listed {
+		// No list says who else could watch for this process.
+		return true
+	}
 	var able []*mgmember.Member
 	for _, member := range m.members.View().Zone(m.spec.Zone) {
+		if !member.Peer() {
+			continue
+		}
 		self := member.Name() == m.spec.Name
 		if self || !member.Suspect() && !member.Leaving() {
 			able = append(able, member)
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -123,6 +123,13 @@
 		return nil
 	}
 	m.members.Heard(now, s.GetName(), s.GetIncarnation(), s.GetLeaving())
+	if s.GetAddr() != "" {
+		m.members.Introduce(now, mgplatform.VM{
+			Name: s.GetName(),
+			Kind: mgplatform.EntryKind,
+			Addr: s.GetAddr(),
+		})
+	}
 	from := peer{
 		name: s.GetName(),
 		addr: s.GetAddr(),
