mgrelay, mgentry, mgnode: requests passed through by routes, bytes unchanged

The entry's second form of callers: method, path, query and body unchanged to an upstream that is reached directly, through the entry's own authentication, routing, retry budgets and drain. A connection for each send, so that late or extra bytes have no other request to reach; an answer is delivered only with its signature and the request's id; a request that may not be repeated goes on only after the upstream's word that it did not run, or when no connection was made; a status that promises "not run" without that word becomes 502.

Tests with plays of upstreams on loopback; seen red first: a host's own 503 without its word was passed on as a promise.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
@@ -49,6 +50,11 @@
 	// its own.
 	Calls  http.RoundTripper
 	Frames http.RoundTripper
+	// Relay passes the requests through that the table's routes name. Without
+	// it the table's routes have no effect.
+	Relay *mgrelay.Spec
+	// Answered tells of an upstream that a relayed request reached.
+	Answered func(name string)
 	// Base returns the URL of an agent's address.
 	Base func(address string) string
 }
@@ -61,6 +67,7 @@
 	frames  *http.Client
 	known   atomic.Pointer[fleet]
 	budgets mgretry.Budgets
+	relay   *mgrelay.Relay // nil without Spec.Relay
 	hedges  hedges
 	caps    caps
 	busy    atomic.Int64
@@ -73,12 +80,14 @@
 
 // New returns an entry; epoch is unique to this life of the process.
 func New(spec Spec, epoch string) *Entry {
-	return &Entry{
+	e := &Entry{
 		spec:   spec,
 		signer: mganswer.NewSigner(spec.Seal),
 		frames: &http.Client{Transport: spec.Frames},
 		epoch:  epoch,
 	}
+	e.openRelay()
+	return e
 }
 
 // Leave makes the entry refuse new requests; those in progress go on.
@@ -92,6 +101,7 @@
 	router := chi.NewRouter()
 	router.Use(e.count)
 	router.Use(e.bound)
+	router.Use(e.routed)
 	router.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		mgproblem.Write(w, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
 			"no such path", "see the list of paths in docs/OPERATIONS.md"))
@@ -150,12 +160,9 @@
 				"no configuration is in force yet", "try another entry").WithRetry(mgclock.Second))
 			return
 		}
-		key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		account := table.ByKey(key)
+		account := accountOf(table, r)
 		if account == nil {
-			e.spec.Metrics.Counter("strangers").Inc(1)
-			mgproblem.Write(w, mgproblem.New(mgproblem.Stranger, mgproblem.NotRun,
-				"no client account has this key", "send Authorization: Bearer and a key of the table"))
+			e.stranger(w)
 			return
 		}
 		next(w, r, caller{
@@ -165,6 +172,19 @@
 	}
 }
 
+// accountOf returns the account whose key a request carries, or nil.
+func accountOf(table *mgtable.Table, r *http.Request) *mgtable.Account {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return table.ByKey(key)
+}
+
+// stranger refuses a caller without a key of the table.
+func (e *Entry) stranger(w http.ResponseWriter) {
+	e.spec.Metrics.Counter("strangers").Inc(1)
+	mgproblem.Write(w, mgproblem.New(mgproblem.Stranger, mgproblem.NotRun,
+		"no client account has this key", "send Authorization: Bearer and a key of the table"))
+}
+
 // random returns a source of random numbers for one request. Requests run on
 // many goroutines and a shared source would need a lock.
 func (e *Entry) random() *rand.Rand {
--- /dev/null
+++ b/internal/process/mgentry/relay.go
@@ -0,0 +1,92 @@
+package mgentry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// openRelay makes the relay out of what the entry already has: one set of retry
+// budgets and one count of what is in flight, whatever form a request has.
+func (e *Entry) openRelay() {
+	if e.spec.Relay == nil {
+		return
+	}
+	spec := *e.spec.Relay
+	spec.Clock = e.spec.Clock
+	spec.Log = e.spec.Log
+	spec.Metrics = e.spec.Metrics
+	spec.Budgets = &e.budgets
+	spec.Hosts = e.upstreams
+	spec.Failed = e.spec.Failed
+	spec.Answered = e.spec.Answered
+	e.relay = mgrelay.New(spec)
+}
+
+// BoundRetries sets the most retries of each service that this entry holds,
+// where the entries share what a service allows.
+func (e *Entry) BoundRetries(limit int) { e.budgets.Bound(limit) }
+
+// upstreams returns the upstreams that run a service and are reached directly,
+// the best first.
+func (e *Entry) upstreams(service string) []mgrelay.Host {
+	var list []mgrelay.Host
+	for _, found := range e.hosts(service) {
+		if found.agent.Peer() {
+			continue
+		}
+		list = append(list, relayHost(found))
+	}
+	return list
+}
+
+func relayHost(found host) mgrelay.Host {
+	h := mgrelay.Host{
+		Name: found.agent.Upstream(),
+		Addr: found.agent.Addr(),
+		Zone: found.agent.Zone(),
+	}
+	if found.place != none {
+		h.Fleet = found.fleet.routes
+		h.Place = found.place
+	}
+	return h
+}
+
+// routed passes requests through that the table's routes name; others are
+// requests of the entry's own interface.
+func (e *Entry) routed(next http.Handler) http.Handler {
+	if e.relay == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		table := e.spec.Table()
+		if table == nil {
+			mgproblem.Write(w, mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+				"no configuration is in force yet", "try another entry").WithRetry(mgclock.Second))
+			return
+		}
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		if !strings.HasPrefix(path, "/") {
+			path = r.URL.EscapedPath()
+		}
+		route := table.Route(r.Host, path)
+		if route == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		account := accountOf(table, r)
+		if account == nil && !route.Public() {
+			e.stranger(w)
+			return
+		}
+		e.relay.Serve(w, r, mgrelay.Call{
+			Table:   table,
+			Route:   route,
+			Account: account,
+		})
+	})
+}
--- a/internal/process/mglog/log.go
+++ b/internal/process/mglog/log.go
@@ -19,6 +19,8 @@
 	Zone     = "zone"
 	Process  = "process"
 	Kind     = "kind"
+	Request  = "request"
+	Route    = "route"
 )
 
 // debugLevel is the verbosity that logr maps to slog's debug level.
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -63,8 +65,21 @@
 			Clock:    n.clock,
 			Interval: mgclock.Millis(settings.Beat),
 		},
-		Frames: n.guard.Transport(true),
-		Base:   n.guard.Base,
+		Frames:   n.guard.Transport(true),
+		Base:     n.guard.Base,
+		Relay:    n.relaySpec(),
+		Answered: n.answered,
+	}
+}
+
+// relaySpec returns how requests are passed through, or nil when none are.
+func (n *Node) relaySpec() *mgrelay.Spec {
+	if n.form == nil {
+		return nil
+	}
+	return &mgrelay.Spec{
+		Form:   *n.form,
+		Client: mgdial.NewClientWith(mgdial.Near),
 	}
 }
 
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -14,12 +15,15 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgevent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
@@ -40,6 +44,8 @@
 	calls       http.RoundTripper // between processes, over pooled connections
 	seal        *mgseal.Signer
 	members     *mgmember.Members
+	platform    mgplatform.Client
+	form        *mgrelay.Form // nil passes no requests through
 	loop        *mgconfig.Loop
 	pause       *mgmember.Pause
 	bus         *mgevent.Bus
@@ -53,21 +59,39 @@
 	kill        context.CancelFunc
 }
 
+// Spec is what a node is made of.
+type Spec struct {
+	Settings mgsettings.Process
+	Log      io.Writer
+	// Platform reads the table and the list of VMs. Nil stands for the service
+	// at Settings.Platform.
+	Platform *mgplatform.Client
+	// Unkeyed says that the network lets only the system's own processes reach
+	// Settings.Peer, so that they share no key. Names of answers are then sealed
+	// by a key of this process alone.
+	Unkeyed bool
+	// Relay is the form of the requests that the table's routes pass through.
+	// Nil passes none.
+	Relay *mgrelay.Form
+}
+
 // Open makes a node that logs to w.
 func Open(settings mgsettings.Process, w io.Writer) (*Node, error) {
-	guard, err := mgpeer.New(settings)
-	if err != nil {
-		return nil, err
-	}
-	seal, err := mgseal.New(mgseal.Spec{
-		Current:  []byte(settings.Secret),
-		Previous: []byte(settings.Previous),
+	return New(Spec{
+		Settings: settings,
+		Log:      w,
 	})
+}
+
+// New makes a node.
+func New(spec Spec) (*Node, error) {
+	settings := spec.Settings
+	guard, seal, err := keys(spec)
 	if err != nil {
 		return nil, err
 	}
 	incarnation := incarnation()
-	log := mglog.New(w, settings.Log).WithValues(mglog.Process, settings.Name, mglog.Zone, settings.Zone)
+	log := mglog.New(spec.Log, settings.Log).WithValues(mglog.Process, settings.Name, mglog.Zone, settings.Zone)
 	n := &Node{
 		settings:    settings,
 		incarnation: incarnation,
@@ -77,6 +101,8 @@
 		guard:       guard,
 		seal:        seal,
 		members:     mgmember.New(settings.Name),
+		platform:    spec.platform(),
+		form:        spec.Relay,
 	}
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
@@ -90,6 +116,36 @@
 	return n, nil
 }
 
+// keys returns what secures the calls between processes and what seals names.
+func keys(spec Spec) (*mgpeer.Guard, *mgseal.Signer, error) {
+	settings := spec.Settings
+	if spec.Unkeyed {
+		own := make([]byte, ownKey)
+		_, _ = rand.Read(own) // never fails, by its documentation
+		seal, err := mgseal.New(mgseal.Spec{Current: own})
+		return mgpeer.Unkeyed(), seal, err
+	}
+	guard, err := mgpeer.New(settings)
+	if err != nil {
+		return nil, nil, err
+	}
+	seal, err := mgseal.New(mgseal.Spec{
+		Current:  []byte(settings.Secret),
+		Previous: []byte(settings.Previous),
+	})
+	return guard, seal, err
+}
+
+// ownKey is the length of a process's own key in bytes, that of a SHA-256.
+const ownKey = 32
+
+func (s Spec) platform() mgplatform.Client {
+	if s.Platform != nil {
+		return *s.Platform
+	}
+	return mgplatform.NewHTTP(s.Settings.Platform, mgdial.NewClient())
+}
+
 // incarnation names a life of a process. The time makes names of one VM sort
 // by age; the random part tells two lives of one second apart.
 func incarnation() string {
@@ -152,6 +208,8 @@
 // failed and heard take direct evidence of another process.
 func (n *Node) failed(name string) { n.members.Failed(n.clock.Now(), name) }
 
+func (n *Node) answered(name string) { n.members.Answered(n.clock.Now(), name) }
+
 func (n *Node) heard(name, incarnation string, leaving bool) {
 	n.members.Heard(n.clock.Now(), name, incarnation, leaving)
 }
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -7,8 +7,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/twitchtv/twirp"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
@@ -30,7 +28,7 @@
 		},
 		Clock:    n.clock,
 		Members:  n.members,
-		Platform: mgplatform.NewHTTP(n.settings.Platform, mgdial.NewClient()),
+		Platform: n.platform,
 		Log:      n.log,
 		Adopted:  n.adopted,
 		Exchange: func(ctx context.Context, addr string, s *mgrpc.Summary) (*mgrpc.Summary, error) {
--- /dev/null
+++ b/internal/process/mgrelay/attempt.go
@@ -0,0 +1,211 @@
+package mgrelay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// ending is how an attempt ended.
+type ending int
+
+const (
+	delivered ending = iota // the caller has its answer, or was cut off from it
+	unreached               // no connection, so nothing was sent
+	refused                 // the upstream said that it did not run
+	failed                  // it may have run, and there is no answer to deliver
+)
+
+// maxKept bounds an answer that is read whole before it is delivered, in bytes.
+// Whole answers can be asked for again when they break off.
+const maxKept = 256 << 10
+
+// attempt sends a request to one upstream and delivers its answer.
+func (y *Relay) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, host Host) ending {
+	x.tried[host.Name] = true
+	x.last = host.Name
+	host.started()
+	defer host.ended()
+	// A hang-up of the connection to the upstream tells it to stop.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, err := mgdial.Do(y.spec.Client, y.request(ctx, x, host))
+	if err != nil {
+		return y.broken(ctx, x, host, err)
+	}
+	defer response.Body.Close()
+	y.spec.Answered(host.Name)
+	x.attempts++
+	if y.isRefusal(response) {
+		return y.keepRefusal(x, response)
+	}
+	x.ran = true
+	if problem := y.garbled(x, response); problem != nil {
+		x.problem = problem
+		y.spec.Metrics.Counter("relay.garbled").Inc(1)
+		return failed
+	}
+	if promises(response.StatusCode) {
+		// Passed on, the status would say "not run", which the upstream didn't.
+		x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+			"the upstream failed with a status that promises what it didn't say", "send the request again if it may run twice")
+		return failed
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		x.failure = keep(response)
+		return failed
+	}
+	y.spec.Budgets.Of(x.service).Earn(mgretry.Ratio)
+	if x.call.Route.Kind() == mgtable.Stream && response.StatusCode < http.StatusMultipleChoices {
+		return y.stream(w, x, response)
+	}
+	return y.whole(w, x, response)
+}
+
+// request makes the request for an upstream.
+func (y *Relay) request(ctx context.Context, x *exchange, host Host) *http.Request {
+	header := x.header.Clone()
+	form := &y.spec.Form
+	if form.Upstream != "" {
+		header.Set(form.Upstream, host.Name)
+	}
+	if form.Deadline != "" {
+		left := max(x.left(y.spec.Clock.Now()), 1)
+		header.Set(form.Deadline, strconv.FormatInt(int64(left), 10))
+	}
+	request := &http.Request{
+		Method: x.method,
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   host.Addr,
+			Opaque: x.target,
+		},
+		Host:          x.host,
+		Header:        header,
+		ContentLength: int64(len(x.body)),
+	}
+	if len(x.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(x.body))
+	}
+	return request.WithContext(ctx)
+}
+
+// broken classes an attempt that brought no answer.
+func (y *Relay) broken(ctx context.Context, x *exchange, host Host, err error) ending {
+	var failure *mgdial.Failure
+	unsent := errors.As(err, &failure) && !failure.Sent()
+	if ctx.Err() == nil {
+		y.spec.Failed(host.Name)
+	}
+	x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+		"the upstream gave no answer", "send the request again if it may run twice").WithCause(err)
+	if unsent {
+		x.dials++
+		return unreached
+	}
+	x.attempts++
+	x.ran = true
+	return failed
+}
+
+// isRefusal reports whether an answer says that the request did not run.
+func (y *Relay) isRefusal(response *http.Response) bool {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(y.spec.Form.Refused) != ""
+}
+
+// keepRefusal keeps what a refusing upstream said, for the caller.
+func (y *Relay) keepRefusal(x *exchange, response *http.Response) ending {
+	x.refusal = keep(response)
+	y.spec.Metrics.Counter("relay.refused").Inc(1)
+	return refused
+}
+
+// keep reads a failure's answer whole, or returns nil when it breaks off.
+func keep(response *http.Response) *answer {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxKept))
+	if err != nil {
+		return nil
+	}
+	return &answer{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   body,
+	}
+}
+
+// garbled returns what is wrong with an answer that can't be the upstream's own
+// to this request: an earlier request's answer that came late, or bytes of
+// something else at its address.
+func (y *Relay) garbled(x *exchange, response *http.Response) *mgproblem.Problem {
+	form := &y.spec.Form
+	why := ""
+	echo := response.Header.Get(form.ID)
+	success := response.StatusCode < http.StatusMultipleChoices
+	switch {
+	case echo != x.id && (success || echo != ""):
+		why = "the answer names another request"
+	case success && form.Signature != "" && response.Header.Get(form.Signature) == "":
+		why = "the answer has no signature"
+	case response.Header.Get("Content-Encoding") != "":
+		why = "the answer is encoded, which nobody asked for"
+	default:
+		return nil
+	}
+	return mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown, why, "send the request again if it may run twice")
+}
+
+// whole delivers an answer that is no stream.
+func (y *Relay) whole(w http.ResponseWriter, x *exchange, response *http.Response) ending {
+	kept, err := io.ReadAll(io.LimitReader(response.Body, maxKept))
+	if err != nil {
+		x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+			"the answer broke off", "send the request again if it may run twice").WithCause(err)
+		return failed
+	}
+	if y.spec.Clock.Now() > x.began+x.limit+writeSlack {
+		y.spec.Metrics.Counter("relay.late").Inc(1)
+	}
+	header := w.Header()
+	copyHeader(header, response.Header)
+	if len(kept) < maxKept && x.method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(kept)))
+	}
+	w.WriteHeader(response.StatusCode)
+	_, err = w.Write(kept)
+	if err == nil && len(kept) == maxKept {
+		_, err = io.Copy(w, response.Body)
+	}
+	if err != nil {
+		y.abort(x, err)
+	}
+	x.freeWrites()
+	y.done(x, response.StatusCode)
+	return delivered
+}
+
+// copyHeader copies an answer's headers. A missing Content-Type stays missing:
+// the library would otherwise guess one.
+func copyHeader(to, from http.Header) {
+	for name, values := range endToEnd(from) {
+		to[name] = values
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		to["Content-Type"] = nil
+	}
+}
+
+// waited returns how long a request has taken so far.
+func (y *Relay) waited(x *exchange) mgclock.Millis { return y.spec.Clock.Now() - x.began }
--- /dev/null
+++ b/internal/process/mgrelay/exchange.go
@@ -0,0 +1,127 @@
+package mgrelay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// exchange is one caller's request and what has become of it.
+type exchange struct {
+	call    Call
+	id      string
+	service string
+	method  string
+	target  string // path and query as the caller sent them
+	host    string
+	header  http.Header
+	body    []byte
+	began   mgclock.Millis
+	limit   mgclock.Millis // from began, the shorter of deadline and timeout
+	control *http.ResponseController
+
+	tried    map[string]bool
+	attempts int // sends that may have reached an upstream
+	dials    int // upstreams that could not be reached
+	last     string
+	refusal  *answer // the last upstream's word that it did not run
+	failure  *answer // the last upstream's answer that it failed
+	ran      bool    // an attempt may have run
+	problem  *mgproblem.Problem
+}
+
+// answer is an upstream's answer that was read whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// writeSlack is how much longer than its limit a request's answer may take to
+// be written before a caller that doesn't read is cut off.
+const writeSlack = mgclock.Second
+
+// read takes a request in. The whole body is read first: it can then be sent
+// to a second upstream, and an upstream that answers before it has read all of
+// a body never gets other bytes in its place.
+func (y *Relay) read(w http.ResponseWriter, r *http.Request, call Call, began mgclock.Millis) (*exchange, *mgproblem.Problem) {
+	x := &exchange{
+		call:    call,
+		id:      r.Header.Get(y.spec.Form.ID),
+		method:  r.Method,
+		target:  targetOf(r),
+		host:    r.Host,
+		began:   began,
+		limit:   call.Route.Timeout(),
+		tried:   map[string]bool{},
+		control: http.NewResponseController(w),
+	}
+	x.service = serviceOf(call.Route, x.id)
+	if text := r.Header.Get(y.spec.Form.Deadline); text != "" {
+		deadline, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || deadline < 0 {
+			return x, mgproblem.New(mgproblem.Invalid, mgproblem.NotRun,
+				"the deadline is not a whole number of ms", "send whole ms, or leave it out")
+		}
+		x.limit = min(x.limit, mgclock.Millis(deadline))
+	}
+	_ = x.control.SetReadDeadline(mgclock.Deadline(x.limit)) // a recorder has no deadlines
+	body, err := io.ReadAll(r.Body)
+	_ = x.control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return x, unreadable(err)
+	}
+	x.body = body
+	x.header = y.spec.Form.forward(r.Header)
+	if call.Account != nil {
+		x.header.Set(y.spec.Form.Account, call.Account.Name())
+	}
+	return x, nil
+}
+
+// unreadable tells why a body could not be read.
+func unreadable(err error) *mgproblem.Problem {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return mgproblem.New(mgproblem.Large, mgproblem.NotRun, "the body is too large", "send less").WithCause(err)
+	}
+	return mgproblem.New(mgproblem.Invalid, mgproblem.NotRun,
+		"the body ended early", "send it whole, in the time of the deadline").WithCause(err)
+}
+
+// targetOf returns the path and query of a request as they were sent.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// left returns how long the caller still waits.
+func (x *exchange) left(now mgclock.Millis) mgclock.Millis { return x.began + x.limit - now }
+
+// guardWrites bounds the time in which the caller takes the answer. A caller
+// that stops reading would keep its answer's memory for good.
+func (x *exchange) guardWrites(http.ResponseWriter) {
+	_ = x.control.SetWriteDeadline(mgclock.Deadline(x.limit + writeSlack))
+}
+
+// freeWrites ends the bound, for the next request on the connection.
+func (x *exchange) freeWrites() { _ = x.control.SetWriteDeadline(time.Time{}) }
+
+// listed returns the names in a comma-separated header line.
+func listed(line string) []string {
+	var names []string
+	for _, name := range strings.Split(line, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/process/mgrelay/form.go
@@ -0,0 +1,78 @@
+package mgrelay
+
+import "net/http"
+
+// A Form names the headers of a deployment. A name that is empty isn't used.
+type Form struct {
+	ID        string // the request's id, which upstreams echo
+	Deadline  string // how long the caller still waits, ms
+	Account   string // the account that an upstream is told
+	Upstream  string // the upstream that is meant; another one refuses
+	Refused   string // of answers: the upstream did not run the request
+	Signature string // of answers: the upstream made this answer
+	Event     string // the last event that a caller, or the system, has
+	Private   []string
+	// Fractions says that callers read fractions of a second in Retry-After.
+	Fractions bool
+}
+
+// Own returns the form of the product's own interface.
+func Own() Form {
+	return Form{
+		ID:        "Request-Id",
+		Deadline:  "Deadline",
+		Account:   "Account",
+		Upstream:  "Upstream",
+		Refused:   "Refused",
+		Signature: "Signature",
+		Event:     "Last-Event-Id",
+	}
+}
+
+// hopHeaders concern one connection only (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection",
+	"Expect",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// forward returns the headers of a caller's request that go on. The key never
+// does, and what the system sets is dropped: a caller could otherwise speak in
+// another account's name or use memory that the system reserved.
+func (f *Form) forward(from http.Header) http.Header {
+	to := endToEnd(from)
+	to.Del("Authorization")
+	to.Del("Content-Length")
+	for _, name := range []string{f.Account, f.Upstream, f.Deadline} {
+		to.Del(name)
+	}
+	for _, name := range f.Private {
+		to.Del(name)
+	}
+	if _, ok := to["User-Agent"]; !ok {
+		// Without a value of ours the library adds its own name.
+		to["User-Agent"] = nil
+	}
+	return to
+}
+
+// endToEnd copies the headers that don't concern one connection only.
+func endToEnd(from http.Header) http.Header {
+	to := from.Clone()
+	for _, line := range from["Connection"] {
+		for _, name := range listed(line) {
+			to.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+	return to
+}
--- /dev/null
+++ b/internal/process/mgrelay/refuse.go
@@ -0,0 +1,132 @@
+package mgrelay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// giveUp answers a request that no upstream will be asked about any more.
+func (y *Relay) giveUp(w http.ResponseWriter, x *exchange) {
+	switch {
+	case x.failure != nil:
+		y.pass(w, x, x.failure)
+	case x.ran:
+		y.refuse(w, x, mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+			"no upstream brought an answer", "send the request again if it may run twice").WithCause(x.cause()))
+	case x.refusal != nil:
+		y.pass(w, x, x.refusal)
+	default:
+		y.refuse(w, x, crowded().WithCause(x.cause()))
+	}
+}
+
+// expire answers a request whose time is over or whose caller has left.
+func (y *Relay) expire(ctx context.Context, w http.ResponseWriter, x *exchange) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		y.spec.Metrics.Counter("relay.left").Inc(1)
+		y.log(x, "the caller left", 0)
+		panic(http.ErrAbortHandler)
+	case x.ran:
+		y.refuse(w, x, mgproblem.New(mgproblem.Late, mgproblem.Unknown,
+			"the time for the request is over", "ask for more time").WithCause(x.cause()))
+	default:
+		y.refuse(w, x, crowded().WithCause(x.cause()))
+	}
+}
+
+// pass passes on an upstream's own refusal or failure, with the time to come
+// back where a refusal gives none.
+func (y *Relay) pass(w http.ResponseWriter, x *exchange, kept *answer) {
+	copyHeader(w.Header(), kept.header)
+	if promises(kept.status) && w.Header().Get("Retry-After") == "" {
+		y.setRetry(w, comeBack)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(kept.body)))
+	w.WriteHeader(kept.status)
+	_, _ = w.Write(kept.body) // a caller that left needs no refusal
+	x.freeWrites()
+	y.spec.Metrics.Counter("relay.passed." + strconv.Itoa(kept.status)).Inc(1)
+	y.log(x, "the upstream's refusal or failure was passed on", kept.status)
+}
+
+// promises reports whether callers take a status for the word that their
+// request did not run, and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// refuse answers with a problem of the system's own.
+func (y *Relay) refuse(w http.ResponseWriter, x *exchange, problem *mgproblem.Problem) {
+	if problem.Retry() > 0 {
+		y.setRetry(w, problem.Retry())
+		problem = problem.WithRetry(0)
+	}
+	mgproblem.Write(w, problem)
+	x.freeWrites()
+	y.spec.Metrics.Counter("relay.failed." + string(problem.Kind())).Inc(1)
+	y.spec.Log.Info("a request failed",
+		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
+		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last, mglog.Kind, string(problem.Kind()),
+		"status", problem.Status(), "attempts", x.attempts, "dials", x.dials, "ran", x.ran,
+		"ms", int64(y.waited(x)), "why", problem.Error())
+}
+
+// setRetry tells the caller when to come back.
+func (y *Relay) setRetry(w http.ResponseWriter, span mgclock.Millis) {
+	if y.spec.Form.Fractions {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(span)/float64(mgclock.Second), 'f', 3, 64))
+		return
+	}
+	seconds := (span + mgclock.Second - 1) / mgclock.Second
+	w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+}
+
+// abort breaks the caller's connection, so that what it has of the answer can't
+// look whole.
+func (y *Relay) abort(x *exchange, cause error) {
+	y.spec.Metrics.Counter("relay.cut").Inc(1)
+	y.spec.Log.Info("an answer was cut",
+		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
+		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last,
+		"attempts", x.attempts, "ms", int64(y.waited(x)), "why", cause.Error())
+	panic(http.ErrAbortHandler)
+}
+
+// done notes an answer that was delivered.
+func (y *Relay) done(x *exchange, status int) {
+	y.spec.Metrics.Counter("relay.answers").Inc(1)
+	y.spec.Metrics.Histogram("relay.ms").Update(int64(y.waited(x)))
+	if status >= http.StatusBadRequest {
+		y.log(x, "the upstream answered with a failure", status)
+		return
+	}
+	if x.attempts > 1 || x.dials > 0 {
+		y.log(x, "answered after another attempt", status)
+	}
+}
+
+func (y *Relay) log(x *exchange, what string, status int) {
+	y.spec.Log.Info(what,
+		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
+		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last,
+		"status", status, "attempts", x.attempts, "dials", x.dials, "ms", int64(y.waited(x)))
+}
+
+// cause returns what the last attempt failed of.
+func (x *exchange) cause() error {
+	if x.problem == nil {
+		return nil
+	}
+	return x.problem
+}
--- /dev/null
+++ b/internal/process/mgrelay/relay.go
@@ -0,0 +1,140 @@
+package mgrelay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// Spec is what a relay is made of.
+type Spec struct {
+	Form    Form
+	Clock   mgclock.Clock
+	Log     logr.Logger
+	Metrics *mgmetric.Set
+	Budgets *mgretry.Budgets
+	// Client sends to upstreams; see mgdial.NewClientWith.
+	Client *http.Client
+	// Hosts returns the upstreams that run a service, the best first.
+	Hosts func(service string) []Host
+	// Failed tells of an upstream that could not be reached, Answered of one
+	// that answered.
+	Failed   func(upstream string)
+	Answered func(upstream string)
+}
+
+// A Relay passes requests through. Make one with New.
+type Relay struct {
+	spec Spec
+}
+
+// New returns a relay.
+func New(spec Spec) *Relay {
+	return &Relay{
+		spec: spec,
+	}
+}
+
+// Call is a request that was found to be allowed.
+type Call struct {
+	Table   *mgtable.Table
+	Route   *mgtable.Route
+	Account *mgtable.Account // nil where the route needs none
+}
+
+// maxDials bounds the upstreams that a request tries to connect to. Nothing
+// was sent to those that could not be reached, so they are no attempts; three
+// in a row are likelier this process's own links than theirs.
+const maxDials = 3
+
+// Serve answers a request.
+func (y *Relay) Serve(w http.ResponseWriter, r *http.Request, call Call) {
+	began := y.spec.Clock.Now()
+	x, problem := y.read(w, r, call, began)
+	if problem != nil {
+		y.refuse(w, x, problem)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), x.limit.Duration())
+	defer cancel()
+	x.guardWrites(w)
+	y.serve(ctx, w, x)
+}
+
+// serve sends a request until an answer can be delivered.
+func (y *Relay) serve(ctx context.Context, w http.ResponseWriter, x *exchange) {
+	for {
+		host, ok := y.next(x)
+		if !ok {
+			y.giveUp(w, x)
+			return
+		}
+		end := y.attempt(ctx, w, x, host)
+		if end == delivered {
+			return
+		}
+		if ctx.Err() != nil {
+			y.expire(ctx, w, x)
+			return
+		}
+		if !y.again(x, end) {
+			y.giveUp(w, x)
+			return
+		}
+	}
+}
+
+// next returns the best upstream that was not tried.
+func (y *Relay) next(x *exchange) (Host, bool) {
+	for _, host := range y.spec.Hosts(x.service) {
+		if !x.tried[host.Name] {
+			return host, true
+		}
+	}
+	return Host{}, false
+}
+
+// again reports whether a request may go to another upstream after an attempt
+// that ended so.
+func (y *Relay) again(x *exchange, end ending) bool {
+	switch end {
+	case unreached:
+		return x.dials < maxDials
+	case failed:
+		if !x.call.Route.Repeatable() {
+			return false
+		}
+	}
+	if x.attempts >= x.call.Route.Attempts() {
+		return false
+	}
+	if !y.spec.Budgets.Of(x.service).Spend() {
+		y.spec.Metrics.Counter("relay.unaffordable").Inc(1)
+		return false
+	}
+	return true
+}
+
+// serviceOf picks the service by the request's id, so that the parts of a split
+// route are what the operator said and a log line can be checked.
+func serviceOf(route *mgtable.Route, id string) string {
+	return route.Pick(xxhash.Sum64String(id))
+}
+
+// crowded is told when no upstream can take a request now.
+func crowded() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+		"no upstream can take the request now", "send it again after the time given").WithRetry(comeBack)
+}
+
+// comeBack is how long a caller that was turned away should wait: long enough
+// for another entry's view to be newer, short against the deadline of a lookup.
+const comeBack = 100 * mgclock.Millis(1)
--- /dev/null
+++ b/internal/process/mgrelay/rig_test.go
@@ -0,0 +1,223 @@
+package mgrelay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+const plan = `version = 7
+
+[[service]]
+name = "ledger"
+kind = "plain"
+
+[[route]]
+name = "book"
+host = "tanks.example"
+prefix = "/book/"
+kind = "never"
+services = ["ledger"]
+attempts = 2
+timeout = 5000
+
+[[route]]
+name = "look"
+host = "tanks.example"
+prefix = "/look/"
+kind = "safe"
+services = ["ledger"]
+attempts = 2
+timeout = 5000
+
+[[route]]
+name = "once"
+host = "tanks.example"
+prefix = "/once/"
+kind = "never"
+services = ["ledger"]
+timeout = 5000
+
+[[route]]
+name = "write"
+host = "tanks.example"
+prefix = "/write/"
+kind = "stream"
+services = ["ledger"]
+timeout = 5000
+
+[[account]]
+name = "tankline"
+`
+
+// seen is a request as an upstream got it.
+type seen struct {
+	method string
+	target string
+	body   string
+	header http.Header
+}
+
+// rig is a relay before upstreams on loopback, each with its own answers.
+type rig struct {
+	base  string
+	mu    sync.Mutex
+	seen  []seen
+	hosts []mgrelay.Host
+}
+
+// play answers one request at an upstream.
+type play func(w http.ResponseWriter, r *http.Request)
+
+// open starts the relay before upstreams named a, b and so on, in the order in
+// which they are tried.
+func open(t *testing.T, plays ...play) *rig {
+	t.Helper()
+	table, err := mgtable.Parse([]byte(plan))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &rig{}
+	for i, answer := range plays {
+		g.upstream(t, string(rune('a'+i)), answer)
+	}
+	relay := mgrelay.New(mgrelay.Spec{
+		Form:     mgrelay.Own(),
+		Log:      logr.Discard(),
+		Metrics:  mgmetric.New(),
+		Budgets:  &mgretry.Budgets{},
+		Client:   mgdial.NewClientWith(mgdial.Near),
+		Hosts:    func(string) []mgrelay.Host { return g.hosts },
+		Failed:   func(string) {},
+		Answered: func(string) {},
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		relay.Serve(w, r, mgrelay.Call{
+			Table:   table,
+			Route:   table.Route("tanks.example", path),
+			Account: table.Account("tankline"),
+		})
+	}))
+	t.Cleanup(server.Close)
+	g.base = server.Listener.Addr().String()
+	return g
+}
+
+func (g *rig) upstream(t *testing.T, name string, answer play) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		g.mu.Lock()
+		g.seen = append(g.seen, seen{
+			method: r.Method,
+			target: r.RequestURI,
+			body:   string(body),
+			header: r.Header.Clone(),
+		})
+		g.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Signature", "signed by "+name)
+		answer(w, r)
+	}))
+	t.Cleanup(server.Close)
+	g.hosts = append(g.hosts, mgrelay.Host{
+		Name: name,
+		Addr: server.Listener.Addr().String(),
+	})
+}
+
+// runs returns what the upstreams got.
+func (g *rig) runs() []seen {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]seen(nil), g.seen...)
+}
+
+// reply is what a caller got; cut says that it broke off.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	cut    bool
+}
+
+// ask sends a request and reads the answer to its end.
+func (g *rig) ask(ctx context.Context, method, target, body string, header http.Header) reply {
+	conn, err := net.Dial("tcp", g.base)
+	if err != nil {
+		return reply{cut: true}
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	request, _ := http.NewRequest(method, "http://tanks.example/", strings.NewReader(body))
+	request.URL.Opaque = target
+	request.Header = http.Header{
+		"Request-Id":    {"request-1"},
+		"Authorization": {"Bearer sample-tankline"},
+		"User-Agent":    {""}, // sends none
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if request.Write(conn) != nil {
+		return reply{cut: true}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return reply{cut: true}
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	return reply{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   string(got),
+		cut:    err != nil,
+	}
+}
+
+// say returns an answer with a text.
+func say(text string) play {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// decline says that the request did not run.
+func decline(status int) play {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Refused", "1")
+		w.WriteHeader(status)
+	}
+}
+
+// fail answers with a failure of the upstream's own.
+func fail(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+// hangUp closes the connection without an answer.
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// raw writes bytes of its own to the connection and closes it.
+func raw(text string) play {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/process/mgrelay/stream.go
@@ -0,0 +1,92 @@
+package mgrelay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// maxEvent bounds one event of a stream in bytes.
+const maxEvent = 1 << 20
+
+// eventEnd separates the events of a stream (HTML Living Standard, 9.2).
+var eventEnd = []byte("\n\n")
+
+var errEventLarge = errors.New("an event exceeds 1 MiB: raise the bound or send smaller events")
+
+// stream delivers events as they come. Only whole events go on: an upstream
+// that stops in the middle of one must not leave half of it with the caller.
+func (y *Relay) stream(w http.ResponseWriter, x *exchange, response *http.Response) ending {
+	events := eventReader{
+		from: response.Body,
+	}
+	first, err := events.next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+			"the stream broke off before its first event", "send the request again if it may run twice").WithCause(err)
+		return failed
+	}
+	copyHeader(w.Header(), response.Header)
+	w.Header().Del("Content-Length")
+	w.WriteHeader(response.StatusCode)
+	y.spec.Metrics.Histogram("relay.first").Update(int64(y.waited(x)))
+	for err == nil {
+		if err = y.deliver(w, x, first); err != nil {
+			y.abort(x, err)
+		}
+		first, err = events.next()
+	}
+	if !errors.Is(err, io.EOF) {
+		y.abort(x, err)
+	}
+	if len(first) > 0 {
+		// The end of a stream need not be followed by an empty line.
+		if err := y.deliver(w, x, first); err != nil {
+			y.abort(x, err)
+		}
+	}
+	x.freeWrites()
+	y.done(x, response.StatusCode)
+	return delivered
+}
+
+// deliver writes one event.
+func (y *Relay) deliver(w http.ResponseWriter, x *exchange, event []byte) error {
+	if _, err := w.Write(event); err != nil {
+		return err
+	}
+	return x.control.Flush()
+}
+
+// eventReader splits a stream into events.
+type eventReader struct {
+	from  io.Reader
+	kept  []byte // read and not yet returned
+	taken int    // bytes of kept that were returned
+	chunk [4096]byte
+}
+
+// next returns the next whole events with what ends them: as many as have
+// arrived. At the end it returns what is left, with io.EOF.
+func (e *eventReader) next() ([]byte, error) {
+	e.kept = append(e.kept[:0], e.kept[e.taken:]...)
+	e.taken = 0
+	for {
+		if end := bytes.LastIndex(e.kept, eventEnd); end >= 0 {
+			e.taken = end + len(eventEnd)
+			return e.kept[:e.taken], nil
+		}
+		if len(e.kept) > maxEvent {
+			return nil, errEventLarge
+		}
+		n, err := e.from.Read(e.chunk[:])
+		e.kept = append(e.kept, e.chunk[:n]...)
+		if err != nil && n == 0 {
+			e.taken = len(e.kept)
+			return e.kept, err
+		}
+	}
+}
