mgconfig, mgdial: a list of VMs reaches a member whose watch hangs

The other entries had the departure and told it, but it took a list from peers once in five seconds at most, a bound meant for 1,260 rows.

Change: the bound grows with the list's rows (4 ms each, the same five seconds at 1,260); connections within a region have keep-alives; waits of watches and the backoff after failed reads are settings.

Ruled out: a slow watch by load (the entry answered lookups in time meanwhile).

--- a/internal/connection/mgdial/dial.go
+++ b/internal/connection/mgdial/dial.go
@@ -21,14 +21,27 @@
 // shortest deadlines still allow another.
 const near = 250 * time.Millisecond
 
-// Near opens a connection within a region.
-func Near(ctx context.Context, network, addr string) (net.Conn, error) {
+// Near opens a connection within a region. Its other end is asked for a sign of
+// life by the kernel after silence (net.KeepAliveConfig): a connection that a
+// partition or a lost entry of a middlebox has cut falls silent without a reset,
+// and whoever waits on it would wait for its whole timeout.
+func Near(silence time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: near,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     silence / (keepAlives + 1),
+			Interval: silence / (keepAlives + 1),
+			Count:    keepAlives,
+		},
 	}
-	return dialer.DialContext(ctx, network, addr)
+	return dialer.DialContext
 }
 
+// keepAlives is the number of unanswered signs of life that end a connection:
+// one may be lost.
+const keepAlives = 2
+
 // headerBytes bounds the header of a response.
 const headerBytes = 64 << 10
 
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
@@ -72,6 +73,11 @@
 	}
 }
 
+// upstreamSilence ends a connection to an upstream whose kernel has given no
+// sign of life for so long. Callers leave a stream after seven seconds without
+// an event, and a partition that heals before costs them a pause only.
+const upstreamSilence = 6 * time.Second
+
 // relaySpec returns how requests are passed through, or nil when none are.
 func (n *Node) relaySpec() *mgrelay.Spec {
 	if n.form == nil {
@@ -79,7 +85,7 @@
 	}
 	return &mgrelay.Spec{
 		Form:   *n.form,
-		Client: mgdial.NewClientWith(mgdial.Near),
+		Client: mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
 	}
 }
 
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -205,6 +205,9 @@
 // Seen tells that another process goes by a version.
 func (n *Node) Seen(version uint64, from string) { n.loop.Seen(version, from) }
 
+// Reseed replaces the addresses of peers to ask while no other is known.
+func (n *Node) Reseed(seeds []string) { n.loop.Reseed(seeds) }
+
 // failed and heard take direct evidence of another process.
 func (n *Node) failed(name string) { n.members.Failed(n.clock.Now(), name) }
 
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -100,7 +101,7 @@
 		Log:      logr.Discard(),
 		Metrics:  mgmetric.New(),
 		Budgets:  &mgretry.Budgets{},
-		Client:   mgdial.NewClientWith(mgdial.Near),
+		Client:   mgdial.NewClientWith(mgdial.Near(time.Minute)),
 		Hosts:    func(string) []mgrelay.Host { return g.hosts },
 		Failed:   func(string) {},
 		Answered: func(string) {},
--- a/internal/version/mgconfig/action.go
+++ b/internal/version/mgconfig/action.go
@@ -28,6 +28,7 @@
 	key     string
 	after   uint64
 	wait    mgclock.Millis
+	answer  mgclock.Millis // longest time for the answer, beyond wait
 }
 
 // Kind returns what to do.
--- /dev/null
+++ b/internal/version/mgconfig/departure_test.go
@@ -0,0 +1,123 @@
+package mgconfig
+
+import (
+	"encoding/json"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// alone returns a machine on a platform that lists one upstream and no process,
+// and its members.
+func alone() (*Machine, *mgmember.Members) {
+	members := mgmember.New("entry-1")
+	m := NewMachine(0, MachineSpec{
+		Name: "entry-1",
+		Zone: "a",
+	}, members)
+	m.vms.done(0, ResultSpec{Value: mgplatform.NewValue(5, nil)}, m)
+	m.takeList(0, upstreamList(5, mgplatform.Live))
+	return m, members
+}
+
+func upstreamList(version uint64, state string) []byte {
+	data, _ := json.Marshal(mgplatform.List{
+		Version: version,
+		VMs: []mgplatform.VM{
+			{
+				Name:     "engine-1",
+				Kind:     mgplatform.UpstreamKind,
+				Upstream: "engine-1",
+				Zone:     "a",
+				Services: []string{"reports"},
+				State:    state,
+			},
+		},
+	})
+	return data
+}
+
+// A report is cut: it was sent to an engine two seconds after the engine had
+// said that it leaves. The entry's watch hung on a connection that a partition
+// had cut, the other entries knew, and the entry had fetched their list less
+// than five seconds before.
+func TestDepartureFromPeers(t *testing.T) {
+	Convey("A list that peers have is fetched while the own watch hangs", t, func() {
+		m, members := alone()
+		So(m.readPlatform(sec), ShouldNotBeEmpty) // the watch that never ends
+		fetches := 0
+		for at := sec; at < 3*sec; at += 200 {
+			for _, action := range m.take(at, &mgrpc.Summary{
+				Name:        "entry-2",
+				Incarnation: "life",
+				Addr:        "10.0.0.2:1",
+				List:        5 + uint64(at),
+			}) {
+				if action.Kind() != Fetch {
+					continue
+				}
+				fetches++
+				m.Done(at, ResultSpec{
+					Action: action,
+					List:   upstreamList(5+uint64(at), mgplatform.Leaving),
+				})
+			}
+		}
+		So(fetches, ShouldEqual, 10)
+		So(members.View().Hosts("reports"), ShouldBeEmpty)
+	})
+}
+
+// Requests reach no entry for half a minute after a start: the platform lists
+// upstreams only, each entry took another process for the watcher, and waited
+// for the poll.
+func TestUnlistedWatches(t *testing.T) {
+	Convey("A process that the list doesn't name", t, func() {
+		m, members := alone()
+		Convey("watches the platform itself", func() {
+			So(m.watching(), ShouldBeTrue)
+		})
+		Convey("is ready without peers, as upstreams are none", func() {
+			So(m.others(), ShouldEqual, 0)
+		})
+		Convey("knows another by its own word, and tells it what is new", func() {
+			m.take(sec, &mgrpc.Summary{
+				Name:        "entry-2",
+				Incarnation: "life",
+				Addr:        "10.0.0.2:1",
+			})
+			peers := members.View().Peers()
+			So(len(peers), ShouldEqual, 1)
+			So(peers[0].PeerAddr(), ShouldEqual, "10.0.0.2:1")
+			Convey("until it has not been heard for a while", func() {
+				members.Tick(sec + mgclock.Minute)
+				So(members.View().Peers(), ShouldBeEmpty)
+			})
+		})
+	})
+}
+
+// An operator of a platform that loses answers sets short waits; without them
+// a lost answer hides a change for twenty-five seconds.
+func TestWatchSettings(t *testing.T) {
+	Convey("Waits follow the settings", t, func() {
+		m, _ := alone()
+		m.spec.Watch = 2 * sec
+		m.spec.Answer = 500
+		for _, action := range m.readPlatform(sec) {
+			if action.Kind() == Watch {
+				So(timeout(action), ShouldEqual, 2500)
+			}
+		}
+		m.spec.Backoff = sec
+		for n := range 20 {
+			m.vms.done(mgclock.Millis(n)*sec, ResultSpec{Err: mgplatform.ErrDown}, m)
+			So(m.vms.next, ShouldBeLessThanOrEqualTo, mgclock.Millis(n)*sec+1500)
+		}
+	})
+}
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -15,7 +15,7 @@
 )
 
 // Timeouts of actions. A peer answers an exchange from memory; a fetch may carry
-// a megabyte.
+// a megabyte. readTimeout is the default of MachineSpec.Answer.
 const (
 	exchangeTimeout = mgclock.Second
 	fetchTimeout    = 5 * mgclock.Second
@@ -167,6 +167,14 @@
 	}
 }
 
+// Reseed replaces the addresses of peers to ask while no other is known.
+func (l *Loop) Reseed(seeds []string) {
+	l.act(func(m *Machine, _ mgclock.Millis) []Action {
+		m.spec.Seeds = seeds
+		return nil
+	})
+}
+
 // Leave tells a few peers that this process leaves, and all that ask later.
 func (l *Loop) Leave() { l.act((*Machine).Leave) }
 
@@ -254,6 +262,6 @@
 	case Fetch:
 		return fetchTimeout
 	default:
-		return action.wait + readTimeout
+		return action.wait + or(action.answer, readTimeout)
 	}
 }
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -22,6 +22,13 @@
 	// as when the platform is down at the start.
 	Seeds []string
 
+	// Watch is the longest wait of one watch, Answer the longest time for the
+	// platform's answer beyond it and Backoff the longest pause after failed
+	// reads; 0 stands for the defaults.
+	Watch   mgclock.Millis
+	Answer  mgclock.Millis
+	Backoff mgclock.Millis
+
 	// Spread is the span over which first reads are spread. In a mass restart
 	// all processes make their first reads within it.
 	Spread mgclock.Millis
@@ -77,6 +84,14 @@
 	return m
 }
 
+// or returns span, or standard where span is 0.
+func or(span, standard mgclock.Millis) mgclock.Millis {
+	if span > 0 {
+		return span
+	}
+	return standard
+}
+
 // Current returns the snapshot in force, or nil. It takes no lock.
 func (m *Machine) Current() *Snapshot { return m.current.Load() }
 
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -16,8 +16,8 @@
 	// watchers is the number of members that watch the platform in each zone.
 	// With three a zone keeps a watcher while one is replaced and one has died.
 	watchers = 3
-	// watchWait is how long a watch waits. The platform counts it as one read,
-	// and a stale answer can hide for no longer.
+	// watchWait is how long a watch waits by default. The platform counts it as
+	// one read, and a stale answer can hide for no longer.
 	watchWait = 20 * mgclock.Second
 	// watchPause is the shortest interval between two watches of a key, against
 	// a platform that answers at once over and over.
@@ -30,8 +30,8 @@
 	// polls together make two reads a second at any size.
 	pollPerMember = 500 * mgclock.Millis(1)
 	pollMin       = 30 * mgclock.Second
-	// backoffMin and backoffMax bound the pause after a failed read. Half a
-	// minute is the longest that a change waits once the platform is back.
+	// backoffMin and backoffMax bound the pause after a failed read by default.
+	// Half a minute is the longest that a change waits once the platform is back.
 	backoffMin = mgclock.Second
 	backoffMax = 30 * mgclock.Second
 )
@@ -105,15 +105,17 @@
 	s.rounds++
 	if s.version == 0 || !m.watching() || s.rounds%plainEvery == 0 {
 		return Action{
-			kind: Read,
-			key:  s.key,
+			kind:   Read,
+			key:    s.key,
+			answer: m.spec.Answer,
 		}
 	}
 	return Action{
-		kind:  Watch,
-		key:   s.key,
-		after: s.version,
-		wait:  watchWait,
+		kind:   Watch,
+		key:    s.key,
+		after:  s.version,
+		wait:   or(m.spec.Watch, watchWait),
+		answer: m.spec.Answer,
 	}
 }
 
@@ -193,7 +195,7 @@
 	unchanged := errors.Is(result.Err, mgplatform.ErrUnchanged)
 	if result.Err != nil && !unchanged {
 		s.failures++
-		s.next = now + backoffMin/2 + m.jitter(min(backoffMax, backoffMin<<min(s.failures, 5)))
+		s.next = now + backoffMin/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), backoffMin<<min(s.failures, 5)))
 		if m.join.ready && !m.watching() {
 			// A poll that failed waits for its turn again. Otherwise every
 			// member would be retrying after an hour's outage.
--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -220,7 +220,7 @@
 	}
 	if result.Action.fetch.GetList() {
 		m.listPull.busy = false
-		m.listPull.next = now + listPullSpan
+		m.listPull.next = now + m.listPullSpan()
 		if result.Err == nil && m.takeList(now, result.List) {
 			return m.push(now)
 		}
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -151,10 +151,18 @@
 	next mgclock.Millis
 }
 
-// listPullSpan is the shortest interval of fetches of the list. While VMs are
-// replaced by the hundred the list changes every few seconds, and a member that
-// took each change of 1,260 rows would spend its budget on them.
-const listPullSpan = 5 * mgclock.Second
+// listPullRow makes the shortest interval of fetches of the list grow with its
+// rows. While VMs are replaced by the hundred the list changes every few
+// seconds, and a member that took each change of 1,260 rows would spend its
+// budget on them: it takes one in five seconds. A list of 15 rows is taken at
+// once, so that a member that the platform doesn't answer learns from its peers
+// of an upstream that leaves within the two seconds that it may be given.
+const listPullRow = 4 * mgclock.Millis(1)
+
+// listPullSpan returns the shortest interval of fetches of the list.
+func (m *Machine) listPullSpan() mgclock.Millis {
+	return listPullRow * mgclock.Millis(len(m.members.View().All()))
+}
 
 func (m *Machine) fetchList(now mgclock.Millis, from peer) []Action {
 	if m.listPull.busy || now < m.listPull.next || from.addr == "" {
