--- /dev/null
+++ b/internal/process/mglog/queue.go
@@ -0,0 +1,63 @@
+package mglog
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// queueLines is how many lines wait for a slow reader of the log: with 400
+// bytes a line about 400 kB, and half a second of a burst of 2,000 lines a
+// second.
+const queueLines = 1024
+
+// A Queue passes lines on to a writer in the background. A reader of the log
+// that doesn't keep up would otherwise hold up every request that logs: once
+// the queue is full, lines are dropped and counted, and the count is logged when
+// there is room again.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+// NewQueue returns a queue before a writer.
+func NewQueue(to io.Writer) *Queue {
+	q := &Queue{
+		lines: make(chan []byte, queueLines),
+		done:  make(chan struct{}),
+	}
+	go q.run(to)
+	return q
+}
+
+// Write takes one line. It never blocks and never fails.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped since they were last told of.
+func (q *Queue) Dropped() int64 { return q.dropped.Load() }
+
+// Close writes what waits and ends the queue. Nothing may be written after it.
+func (q *Queue) Close() error {
+	close(q.lines)
+	<-q.done
+	return nil
+}
+
+func (q *Queue) run(to io.Writer) {
+	defer close(q.done)
+	for line := range q.lines {
+		// A log that can't be written has nobody to be told.
+		_, _ = to.Write(line)
+		if dropped := q.dropped.Swap(0); dropped > 0 {
+			fmt.Fprintf(to, `{"level":"WARN","msg":"log lines were dropped","dropped":%d}`+"\n", dropped)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/mglog/queue_test.go
@@ -0,0 +1,45 @@
+package mglog_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+)
+
+// blocked is a reader of the log that stands still until it is let go.
+type blocked struct {
+	free chan struct{}
+	got  bytes.Buffer
+}
+
+func (b *blocked) Write(line []byte) (int, error) {
+	<-b.free
+	return b.got.Write(line)
+}
+
+// The collector of the logs stands still. Every request that logs a line waits
+// for it, and callers see answers come to a halt for a reason that is not the
+// system's work.
+func TestBlockedLog(t *testing.T) {
+	Convey("A log that nobody reads holds up nobody", t, func() {
+		reader := &blocked{free: make(chan struct{})}
+		queue := mglog.NewQueue(reader)
+		log := mglog.New(queue, "info")
+		for n := range 5000 {
+			log.Info("a request failed", "n", n)
+		}
+		dropped := queue.Dropped()
+		So(dropped, ShouldBeGreaterThan, 3000)
+		Convey("and says what it lost", func() {
+			close(reader.free)
+			So(queue.Close(), ShouldBeNil)
+			text := reader.got.String()
+			So(text, ShouldContainSubstring, `"msg":"log lines were dropped"`)
+			So(strings.Count(text, "a request failed")+int(dropped), ShouldEqual, 5000)
+		})
+	})
+}
