mgconfig, mgmember, mgrpc: processes that the list lacks know of each other

Where the platform lists upstreams alone, two entries met only through a seed that both had asked, and never knew of each other. A summary names up to eight processes that were heard directly in the last ten seconds; who is named counts as heard ten seconds ago, so that what others say of a dead one can't keep it known. Members.Changed lets a process act on a new view at once. On a platform that lists every process summaries carry nothing more than before.

--- a/internal/process/mgmember/member.go
+++ b/internal/process/mgmember/member.go
@@ -61,6 +61,16 @@
 // Listed reports whether it is on the list of VMs.
 func (m *Member) Listed() bool { return m.listed }
 
+// Self returns this process as a member, to rank it among others.
+func Self(name, zone string) *Member {
+	return &Member{
+		vm: mgplatform.VM{
+			Name: name,
+			Zone: zone,
+		},
+	}
+}
+
 // Rank returns the first count members in rendezvous order for a key. Removing
 // a member moves only the keys for which it was among them.
 func Rank(key string, members []*Member, count int) []*Member {
--- a/internal/process/mgmember/members.go
+++ b/internal/process/mgmember/members.go
@@ -50,7 +50,8 @@
 	list     mgplatform.List
 	known    map[string]mgplatform.VM // the last listed row of each member
 	evidence map[string]*evidence
-	stale    bool // the view lacks an incarnation until the next Tick
+	stale    bool          // the view lacks an incarnation until the next Tick
+	changed  chan struct{} // closed when the view is replaced
 }
 
 // New returns the members as the process named self sees them.
@@ -71,6 +72,17 @@
 	return &View{}
 }
 
+// Changed returns a channel that is closed when the view is next replaced. Ask
+// for it before View, so that no change is missed.
+func (m *Members) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
 // List takes a list of VMs and reports whether it was newer than the last.
 func (m *Members) List(now mgclock.Millis, list mgplatform.List) bool {
 	m.mu.Lock()
@@ -121,9 +133,10 @@
 	m.stale = m.stale || before.incarnation != e.incarnation
 }
 
-// Introduce makes known a process that the list doesn't name, by its own word:
-// a platform may list the upstreams alone. It stays known while it is heard.
-func (m *Members) Introduce(now mgclock.Millis, vm mgplatform.VM) {
+// Introduce makes known a process that the list doesn't name, by its own word or
+// another's: a platform may list the upstreams alone. It counts as heard at a
+// time, and stays known while it is heard.
+func (m *Members) Introduce(heard mgclock.Millis, vm mgplatform.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if vm.Name == "" || vm.Name == m.self {
@@ -137,9 +150,9 @@
 	}
 	m.known[vm.Name] = vm
 	e := m.of(vm.Name)
-	e.heard = now
+	e.heard = max(e.heard, heard)
 	e.everHeard = true
-	m.rebuild(now)
+	m.rebuild(heard)
 }
 
 // Answered takes a call to a member that brought an answer, but no word of itself.
@@ -265,6 +278,10 @@
 		all = append(all, m.member(vm, false))
 	}
 	m.view.Store(newView(m.list.Version, m.self, all))
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
 }
 
 // member joins a row of the list and the evidence.
--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -121,3 +121,45 @@
 		}
 	})
 }
+
+// Two entries know only the same seed. Each takes itself for the one that gives
+// turns, their copies share a link, and the callers of both see a pause.
+func TestKnownToEachOther(t *testing.T) {
+	Convey("A summary names those that were heard lately", t, func() {
+		m, members := alone()
+		hear := func(at mgclock.Millis, name string, known ...*mgrpc.Known) *mgrpc.Summary {
+			reply, _ := m.Heard(at, &mgrpc.Summary{
+				Name:        name,
+				Incarnation: "life",
+				Addr:        name + ":1",
+				Zone:        "b",
+				Known:       known,
+			})
+			return reply
+		}
+		hear(sec, "entry-2")
+		reply := hear(2*sec, "entry-3")
+		So(len(reply.GetKnown()), ShouldEqual, 1)
+		So(reply.GetKnown()[0].GetName(), ShouldEqual, "entry-2")
+		So(reply.GetKnown()[0].GetZone(), ShouldEqual, "b")
+		Convey("and who is named becomes known, by another's word only", func() {
+			reply := hear(3*sec, "entry-3", &mgrpc.Known{
+				Name: "entry-4",
+				Addr: "entry-4:1",
+			})
+			_, ok := members.View().Member("entry-4")
+			So(ok, ShouldBeTrue)
+			for _, k := range reply.GetKnown() {
+				So(k.GetName(), ShouldNotEqual, "entry-4")
+			}
+		})
+		Convey("and a dead one is forgotten though others had named it", func() {
+			for at := 3 * sec; at < 60*sec; at += 2 * sec {
+				hear(at, "entry-3")
+				members.Tick(at)
+			}
+			_, ok := members.View().Member("entry-2")
+			So(ok, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -14,6 +14,7 @@
 type MachineSpec struct {
 	Name        string
 	Zone        string
+	Region      string
 	Incarnation string
 	Addr        string // where peers reach this process
 	Seed        uint64 // of the jitter and the choice of peers
@@ -42,7 +43,8 @@
 	rng     *rand.Rand
 	current atomic.Pointer[Snapshot]
 
-	list     []byte // the text of the list of VMs in use
+	now      mgclock.Millis // of the last call
+	list     []byte         // the text of the list of VMs in use
 	leaving  bool
 	exchange mgclock.Millis // next exchange
 	tick     mgclock.Millis // next tick of the members
@@ -97,12 +99,14 @@
 
 // Leave makes the machine tell its peers that the process leaves.
 func (m *Machine) Leave(now mgclock.Millis) []Action {
+	m.now = now
 	m.leaving = true
 	return m.push(now)
 }
 
 // Tick does what is due.
 func (m *Machine) Tick(now mgclock.Millis) []Action {
+	m.now = now
 	var actions []Action
 	if now >= m.tick {
 		m.tick = now + tickSpan
@@ -130,6 +134,7 @@
 
 // Done takes the result of an action.
 func (m *Machine) Done(now mgclock.Millis, result ResultSpec) []Action {
+	m.now = now
 	switch result.Action.kind {
 	case Exchange:
 		return m.exchanged(now, result)
@@ -159,5 +164,8 @@
 		List:        m.members.View().Version(),
 		Leaving:     m.leaving,
 		Addr:        m.spec.Addr,
+		Zone:        m.spec.Zone,
+		Region:      m.spec.Region,
+		Known:       m.known(),
 	}
 }
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -92,12 +92,14 @@
 
 // Heard takes a peer's summary and returns the own one as it was before.
 func (m *Machine) Heard(now mgclock.Millis, s *mgrpc.Summary) (*mgrpc.Summary, []Action) {
+	m.now = now
 	reply := m.summary()
 	return reply, m.take(now, s)
 }
 
 // Seen takes a version number that came with another call.
 func (m *Machine) Seen(now mgclock.Millis, version uint64, from string) []Action {
+	m.now = now
 	if version <= m.Current().Version() || m.pull != nil && m.pull.mark.version >= version {
 		return nil
 	}
@@ -123,13 +125,7 @@
 		return nil
 	}
 	m.members.Heard(now, s.GetName(), s.GetIncarnation(), s.GetLeaving())
-	if s.GetAddr() != "" {
-		m.members.Introduce(now, mgplatform.VM{
-			Name: s.GetName(),
-			Kind: mgplatform.EntryKind,
-			Addr: s.GetAddr(),
-		})
-	}
+	m.meet(now, s)
 	from := peer{
 		name: s.GetName(),
 		addr: s.GetAddr(),
@@ -151,6 +147,69 @@
 	next mgclock.Millis
 }
 
+// knownLimit is how many other processes a summary names. With eight, two
+// processes that know only the same seed know of each other after one exchange
+// with it in a fleet of nine, and after a few in one of hundreds.
+const knownLimit = 8
+
+// knownSpan is how lately a process was heard that a summary names: what others
+// say of a dead one must not keep it known.
+const knownSpan = 10 * mgclock.Second
+
+// known returns processes that the list doesn't name and that were heard lately.
+// On a platform that lists all of them there are none.
+func (m *Machine) known() []*mgrpc.Known {
+	var known []*mgrpc.Known
+	peers := m.members.View().Peers()
+	if len(peers) == 0 {
+		return nil
+	}
+	first := m.rng.IntN(len(peers))
+	for i := range peers {
+		peer := peers[(first+i)%len(peers)]
+		if peer.Listed() || !m.members.Recent(m.now, peer.Name(), knownSpan) {
+			continue
+		}
+		known = append(known, &mgrpc.Known{
+			Name:   peer.Name(),
+			Addr:   peer.PeerAddr(),
+			Zone:   peer.Zone(),
+			Region: peer.Region(),
+		})
+		if len(known) == knownLimit {
+			break
+		}
+	}
+	return known
+}
+
+// meet makes the sender of a summary known, and those it names.
+func (m *Machine) meet(now mgclock.Millis, s *mgrpc.Summary) {
+	m.introduce(now, &mgrpc.Known{
+		Name:   s.GetName(),
+		Addr:   s.GetAddr(),
+		Zone:   s.GetZone(),
+		Region: s.GetRegion(),
+	})
+	for _, k := range s.GetKnown() {
+		m.introduce(now-knownSpan, k)
+	}
+}
+
+// introduce makes a process known that was heard at a time.
+func (m *Machine) introduce(heard mgclock.Millis, k *mgrpc.Known) {
+	if k.GetAddr() == "" {
+		return
+	}
+	m.members.Introduce(heard, mgplatform.VM{
+		Name:   k.GetName(),
+		Kind:   mgplatform.EntryKind,
+		Addr:   k.GetAddr(),
+		Zone:   k.GetZone(),
+		Region: k.GetRegion(),
+	})
+}
+
 // listPullRow makes the shortest interval of fetches of the list grow with its
 // rows. While VMs are replaced by the hundred the list changes every few
 // seconds, and a member that took each change of 1,260 rows would spend its
