mgrelay, mgnode, mgentry, platform: generations move when their engine leaves

Change: a relay knows its runs by upstream; when one leaves, each run is copied, stopped and sent on, one after another by turns that one entry of the region gives (mgmigration). What comes from a later upstream is held against the ids that the caller has: repeated events are dropped, a gap ends the stream. A stream that may be resumed goes on without a copy too, within its attempts.

Failed try: each generation keeps a copy at another engine and goes on from it (the engines' backups).

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -55,6 +55,8 @@
 	Relay *mgrelay.Spec
 	// Answered tells of an upstream that a relayed request reached.
 	Answered func(name string)
+	// Changed returns a channel that is closed when View is next replaced.
+	Changed func() <-chan struct{}
 	// Base returns the URL of an agent's address.
 	Base func(address string) string
 }
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -1,7 +1,9 @@
 package mgentry
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
@@ -23,9 +25,25 @@
 	spec.Hosts = e.upstreams
 	spec.Failed = e.spec.Failed
 	spec.Answered = e.spec.Answered
+	spec.Leaving = e.leavingUpstream
+	spec.Changed = e.spec.Changed
+	spec.Every = e.every
 	e.relay = mgrelay.New(spec)
 }
 
+// Run moves generations away from upstreams that leave, until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	if e.relay != nil {
+		e.relay.Run(ctx)
+	}
+}
+
+// leavingUpstream reports whether an upstream leaves or is gone from the list.
+func (e *Entry) leavingUpstream(name string) bool {
+	member, ok := e.spec.View().Agent(name)
+	return !ok || member.Leaving() || !member.Listed()
+}
+
 // BoundRetries sets the most retries of each service that this entry holds,
 // where the entries share what a service allows.
 func (e *Entry) BoundRetries(limit int) { e.budgets.Bound(limit) }
@@ -43,6 +61,24 @@
 	return list
 }
 
+// every returns all upstreams that run a service, are reached directly and
+// stay.
+func (e *Entry) every(service string) []mgrelay.Host {
+	fleet := e.fleet()
+	var list []mgrelay.Host
+	for place, member := range fleet.members {
+		if member.Peer() || member.Leaving() || !member.Listed() || !slices.Contains(member.Services(), service) {
+			continue
+		}
+		list = append(list, relayHost(host{
+			agent: member,
+			fleet: fleet,
+			place: place,
+		}))
+	}
+	return list
+}
+
 func relayHost(found host) mgrelay.Host {
 	h := mgrelay.Host{
 		Name: found.agent.Upstream(),
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -36,6 +36,7 @@
 	entry := mgentry.New(n.entrySpec(settings, shares), n.incarnation)
 	n.admin.Source("entry", func() any { return entry.State() })
 	n.admin.Source("shares", func() any { return shares.Status() })
+	n.servers.Go(func() { entry.Run(ctx) })
 	n.Serve(ctx, ServerSpec{
 		Name:     "callers",
 		Listener: public,
@@ -70,6 +71,7 @@
 		Base:     n.guard.Base,
 		Relay:    n.relaySpec(),
 		Answered: n.answered,
+		Changed:  n.members.Changed,
 	}
 }
 
@@ -84,8 +86,11 @@
 		return nil
 	}
 	return &mgrelay.Spec{
-		Form:   *n.form,
-		Client: mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
+		Form:    *n.form,
+		Move:    n.move,
+		Turn:    n.turn,
+		EndTurn: n.endTurn,
+		Client:  mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
 	}
 }
 
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -25,6 +25,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
@@ -46,6 +47,8 @@
 	members     *mgmember.Members
 	platform    mgplatform.Client
 	form        *mgrelay.Form // nil passes no requests through
+	turns       mgmigration.Turns
+	move        func(context.Context, mgrelay.Host, mgrelay.Order) mgmigration.Reply
 	loop        *mgconfig.Loop
 	pause       *mgmember.Pause
 	bus         *mgevent.Bus
@@ -73,6 +76,8 @@
 	// Relay is the form of the requests that the table's routes pass through.
 	// Nil passes none.
 	Relay *mgrelay.Form
+	// Move makes a call to the source of a move. Nil moves nothing.
+	Move func(ctx context.Context, source mgrelay.Host, order mgrelay.Order) mgmigration.Reply
 }
 
 // Open makes a node that logs to w.
@@ -103,6 +108,7 @@
 		members:     mgmember.New(settings.Name),
 		platform:    spec.platform(),
 		form:        spec.Relay,
+		move:        spec.Move,
 	}
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -20,6 +20,7 @@
 		Machine: mgconfig.MachineSpec{
 			Name:        n.settings.Name,
 			Zone:        n.settings.Zone,
+			Region:      n.settings.Region,
 			Incarnation: n.incarnation,
 			Addr:        n.settings.Peer,
 			Seed:        seed(n.incarnation),
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -24,6 +24,7 @@
 	unreached               // no connection, so nothing was sent
 	refused                 // the upstream said that it did not run
 	failed                  // it may have run, and there is no answer to deliver
+	severed                 // a stream broke off
 )
 
 // maxKept bounds an answer that is read whole before it is delivered, in bytes.
@@ -39,7 +40,9 @@
 	// A hang-up of the connection to the upstream tells it to stop.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, err := mgdial.Do(y.spec.Client, y.request(ctx, x, host))
+	request := y.request(ctx, x, host)
+	y.resume(x, request)
+	response, err := mgdial.Do(y.spec.Client, request)
 	if err != nil {
 		return y.broken(ctx, x, host, err)
 	}
@@ -61,13 +64,18 @@
 			"the upstream failed with a status that promises what it didn't say", "send the request again if it may run twice")
 		return failed
 	}
+	if x.begun && response.StatusCode >= http.StatusMultipleChoices {
+		x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+			"the generation does not go on there", "send the request again if it may run twice")
+		return failed
+	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		x.failure = keep(response)
 		return failed
 	}
 	y.spec.Budgets.Of(x.service).Earn(mgretry.Ratio)
 	if x.call.Route.Kind() == mgtable.Stream && response.StatusCode < http.StatusMultipleChoices {
-		return y.stream(w, x, response)
+		return y.stream(ctx, w, x, host, response)
 	}
 	return y.whole(w, x, response)
 }
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -33,9 +33,20 @@
 	refusal  *answer // the last upstream's word that it did not run
 	failure  *answer // the last upstream's answer that it failed
 	ran      bool    // an attempt may have run
+	begun    bool    // the caller has a stream's header
+	order    order   // of the events that the caller has
+	resumed  bool    // the generation goes on after these
+	from     place   // what the next attempt goes on from, or nothing
+	places   []place // where else the generation can go on
 	problem  *mgproblem.Problem
 }
 
+// place is where a generation can go on, and the copy that it goes on from.
+type place struct {
+	host Host
+	copy string // address/name
+}
+
 // answer is an upstream's answer that was read whole.
 type answer struct {
 	status int
--- a/internal/process/mgrelay/form.go
+++ b/internal/process/mgrelay/form.go
@@ -11,6 +11,7 @@
 	Refused   string // of answers: the upstream did not run the request
 	Signature string // of answers: the upstream made this answer
 	Event     string // the last event that a caller, or the system, has
+	Copy      string // the copy that a generation goes on from, address/name
 	Private   []string
 	// Fractions says that callers read fractions of a second in Retry-After.
 	Fractions bool
@@ -26,6 +27,7 @@
 		Refused:   "Refused",
 		Signature: "Signature",
 		Event:     "Last-Event-Id",
+		Copy:      "Copy",
 	}
 }
 
@@ -50,7 +52,7 @@
 	to := endToEnd(from)
 	to.Del("Authorization")
 	to.Del("Content-Length")
-	for _, name := range []string{f.Account, f.Upstream, f.Deadline} {
+	for _, name := range []string{f.Account, f.Upstream, f.Deadline, f.Copy} {
 		to.Del(name)
 	}
 	for _, name := range f.Private {
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -13,6 +13,14 @@
 	Place int
 }
 
+// flights returns this process's requests in flight there.
+func (h *Host) flights() int {
+	if h.Fleet == nil {
+		return 0
+	}
+	return h.Fleet.Flights(h.Place)
+}
+
 func (h *Host) started() {
 	if h.Fleet != nil {
 		h.Fleet.Started(h.Place)
--- /dev/null
+++ b/internal/process/mgrelay/mover.go
@@ -0,0 +1,165 @@
+package mgrelay
+
+import (
+	"context"
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Run moves generations away from upstreams that leave, until ctx ends.
+func (y *Relay) Run(ctx context.Context) {
+	if y.spec.Move == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		changed := y.spec.Changed()
+		late := y.runs.late()
+		for _, name := range y.runs.busy() {
+			if y.spec.Leaving(name) {
+				y.runs.mover(name, true)
+				go y.evacuate(ctx, name)
+			}
+		}
+		select {
+		case <-changed:
+		case <-late:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// lateSpan is how long a mover looks for runs that begin on an upstream whose
+// leaving was known too late to send them elsewhere.
+const lateSpan = 3 * mgclock.Second
+
+// evacuate moves the runs of one upstream, one after another: they share its
+// link.
+func (y *Relay) evacuate(ctx context.Context, name string) {
+	defer y.runs.mover(name, false)
+	until := y.spec.Clock.Now() + lateSpan
+	for ctx.Err() == nil && y.spec.Clock.Now() < until {
+		if r := y.runs.claim(name); r != nil {
+			y.moveRun(r)
+			continue
+		}
+		if !y.runs.any(name) && !y.spec.Leaving(name) {
+			return
+		}
+		y.spec.Clock.Sleep(ctx, mgmigration.RetrySpan)
+	}
+}
+
+// moveRun moves one run.
+func (y *Relay) moveRun(r *run) {
+	defer close(r.ended)
+	if service := r.x.call.Table.Service(r.x.service); service == nil || !service.Move() {
+		return
+	}
+	var move mgmigration.Move
+	began := y.spec.Clock.Now()
+	tried := map[string]bool{}
+	to, ok := y.destination(r, tried)
+	granted := y.spec.Clock.Now()
+	defer y.endTurn(r)
+	for ok && r.ctx.Err() == nil {
+		step := move.Step()
+		if step == mgmigration.Done {
+			break
+		}
+		if step == mgmigration.Wait {
+			y.spec.Clock.Sleep(r.ctx, mgmigration.RetrySpan)
+			move.Waited()
+			continue
+		}
+		reply := y.spec.Move(r.ctx, r.host, Order{
+			Run:  r.x.id,
+			To:   to.Addr,
+			Last: step == mgmigration.Stop,
+		})
+		move.Take(reply)
+		if move.Step() == mgmigration.Copy && reply.Outcome == mgmigration.NoRoom {
+			tried[to.Name] = true
+			to, ok = y.destination(r, tried)
+		}
+	}
+	r.places = placesOf(&move, r.host, to)
+	y.spec.Metrics.Counter("relay.moves").Inc(1)
+	y.spec.Metrics.Histogram("relay.move.ms").Update(int64(y.spec.Clock.Now() - began))
+	y.spec.Log.Info("a generation was moved",
+		mglog.Request, r.x.id, mglog.Upstream, r.host.Name, "to", to.Name, "found", ok,
+		"stopped", move.Stopped(), "places", len(r.places), "ms", int64(y.spec.Clock.Now()-began),
+		"waited", int64(granted-began))
+}
+
+// placesOf returns where a run can go on after its move, the best first.
+func placesOf(move *mgmigration.Move, source, to Host) []place {
+	var places []place
+	for _, at := range move.Places() {
+		host := to
+		if at == mgmigration.AtSource {
+			host = source
+		}
+		places = append(places, place{
+			host: host,
+			copy: source.Addr + "/" + move.Handle(),
+		})
+	}
+	return places
+}
+
+// destination returns where a run should go, once it is its turn.
+func (y *Relay) destination(r *run, tried map[string]bool) (Host, bool) {
+	places := y.destinations(r, tried)
+	if len(places) == 0 {
+		return Host{}, false
+	}
+	if y.spec.Turn == nil {
+		return places[0], true
+	}
+	ask := mgmigration.Ask{
+		Source: r.host.Name,
+		Run:    r.x.id,
+		Age:    y.spec.Clock.Now() - r.began,
+	}
+	for _, place := range places {
+		ask.Places = append(ask.Places, place.Name)
+	}
+	name, _ := y.spec.Turn(r.ctx, r.x.service, ask)
+	for _, place := range places {
+		if place.Name == name {
+			return place, true
+		}
+	}
+	return places[0], true
+}
+
+func (y *Relay) endTurn(r *run) {
+	if y.spec.EndTurn != nil {
+		y.spec.EndTurn(r.x.service, r.host.Name, r.x.id)
+	}
+}
+
+// destinations returns the upstreams of a run's service that stay, those with
+// the fewest runs of this relay first. Where there are any in the source's zone
+// these are all: a copy between zones takes twice as long.
+func (y *Relay) destinations(r *run, tried map[string]bool) []Host {
+	var near, far []Host
+	for _, host := range y.spec.Every(r.x.service) {
+		switch {
+		case host.Name == r.host.Name || tried[host.Name]:
+		case host.Zone == r.host.Zone:
+			near = append(near, host)
+		default:
+			far = append(far, host)
+		}
+	}
+	places := near
+	if len(places) == 0 {
+		places = far
+	}
+	slices.SortStableFunc(places, func(a, b Host) int { return a.flights() - b.flights() })
+	return places
+}
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -14,6 +14,8 @@
 // giveUp answers a request that no upstream will be asked about any more.
 func (y *Relay) giveUp(w http.ResponseWriter, x *exchange) {
 	switch {
+	case x.begun:
+		y.abort(x, x.cause())
 	case x.failure != nil:
 		y.pass(w, x, x.failure)
 	case x.ran:
@@ -33,6 +35,8 @@
 		y.spec.Metrics.Counter("relay.left").Inc(1)
 		y.log(x, "the caller left", 0)
 		panic(http.ErrAbortHandler)
+	case x.begun:
+		y.abort(x, x.cause())
 	case x.ran:
 		y.refuse(w, x, mgproblem.New(mgproblem.Late, mgproblem.Unknown,
 			"the time for the request is over", "ask for more time").WithCause(x.cause()))
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -29,11 +30,32 @@
 	// that answered.
 	Failed   func(upstream string)
 	Answered func(upstream string)
+	// Leaving reports whether an upstream leaves or is gone, and Changed returns
+	// a channel that is closed when that may have changed.
+	Leaving func(upstream string) bool
+	Changed func() <-chan struct{}
+	// Every returns all upstreams that run a service and stay, in no order.
+	Every func(service string) []Host
+	// Turn asks for a turn at moving a run of a service, and EndTurn gives it
+	// back; see mgmigration.Turns. Without Turn there are no turns. It returns
+	// false where nobody could be asked.
+	Turn    func(ctx context.Context, service string, ask mgmigration.Ask) (place string, ok bool)
+	EndTurn func(service, source, run string)
+	// Move makes a call to a source of a move. Without it nothing is moved.
+	Move func(ctx context.Context, source Host, order Order) mgmigration.Reply
+}
+
+// Order is a call to the source of a move.
+type Order struct {
+	Run  string // the request's id
+	To   string // the destination's address
+	Last bool   // stop the run first
 }
 
 // A Relay passes requests through. Make one with New.
 type Relay struct {
 	spec Spec
+	runs runs
 }
 
 // New returns a relay.
@@ -85,6 +107,9 @@
 			y.expire(ctx, w, x)
 			return
 		}
+		if y.carryOn(x) {
+			continue
+		}
 		if !y.again(x, end) {
 			y.giveUp(w, x)
 			return
@@ -92,8 +117,12 @@
 	}
 }
 
-// next returns the best upstream that was not tried.
+// next returns the upstream that has a copy to go on from, or the best that was
+// not tried.
 func (y *Relay) next(x *exchange) (Host, bool) {
+	if x.from.copy != "" {
+		return x.from.host, true
+	}
 	for _, host := range y.spec.Hosts(x.service) {
 		if !x.tried[host.Name] {
 			return host, true
@@ -105,13 +134,11 @@
 // again reports whether a request may go to another upstream after an attempt
 // that ended so.
 func (y *Relay) again(x *exchange, end ending) bool {
-	switch end {
-	case unreached:
+	if x.ran && !x.call.Route.Repeatable() {
+		return false
+	}
+	if end == unreached {
 		return x.dials < maxDials
-	case failed:
-		if !x.call.Route.Repeatable() {
-			return false
-		}
 	}
 	if x.attempts >= x.call.Route.Attempts() {
 		return false
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -26,6 +26,7 @@
 [[service]]
 name = "ledger"
 kind = "plain"
+move = "yes"
 
 [[route]]
 name = "book"
@@ -61,6 +62,16 @@
 services = ["ledger"]
 timeout = 5000
 
+[[route]]
+name = "note"
+host = "tanks.example"
+prefix = "/note/"
+kind = "stream"
+resume = "yes"
+services = ["ledger"]
+attempts = 2
+timeout = 5000
+
 [[account]]
 name = "tankline"
 `
@@ -75,6 +86,8 @@
 
 // rig is a relay before upstreams on loopback, each with its own answers.
 type rig struct {
+	t     *testing.T
+	table *mgtable.Table
 	base  string
 	mu    sync.Mutex
 	seen  []seen
@@ -92,11 +105,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &rig{}
+	g := &rig{
+		t:     t,
+		table: table,
+	}
 	for i, answer := range plays {
 		g.upstream(t, string(rune('a'+i)), answer)
 	}
-	relay := mgrelay.New(mgrelay.Spec{
+	g.with(func(*mgrelay.Spec) {})
+	return g
+}
+
+// with opens the relay anew with some of its spec changed.
+func (g *rig) with(change func(*mgrelay.Spec)) {
+	spec := mgrelay.Spec{
 		Form:     mgrelay.Own(),
 		Log:      logr.Discard(),
 		Metrics:  mgmetric.New(),
@@ -105,18 +127,22 @@
 		Hosts:    func(string) []mgrelay.Host { return g.hosts },
 		Failed:   func(string) {},
 		Answered: func(string) {},
-	})
+	}
+	change(&spec)
+	relay := mgrelay.New(spec)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.t.Cleanup(cancel)
+	go relay.Run(ctx)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		path, _, _ := strings.Cut(r.RequestURI, "?")
 		relay.Serve(w, r, mgrelay.Call{
-			Table:   table,
-			Route:   table.Route("tanks.example", path),
-			Account: table.Account("tankline"),
+			Table:   g.table,
+			Route:   g.table.Route("tanks.example", path),
+			Account: g.table.Account("tankline"),
 		})
 	}))
-	t.Cleanup(server.Close)
+	g.t.Cleanup(server.Close)
 	g.base = server.Listener.Addr().String()
-	return g
 }
 
 func (g *rig) upstream(t *testing.T, name string, answer play) {
--- /dev/null
+++ b/internal/process/mgrelay/run.go
@@ -0,0 +1,147 @@
+package mgrelay
+
+import (
+	"context"
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// run is a generation that runs at an upstream for a caller of this relay.
+type run struct {
+	ctx   context.Context // ends with the attempt
+	x     *exchange
+	host  Host
+	began mgclock.Millis
+
+	claimed bool          // a mover is at work on it; guarded by runs.mu
+	ended   chan struct{} // closed when the mover is done with it
+	places  []place       // where the mover let it go on; read after ended
+	all     *runs
+}
+
+// runs are the generations that run now, by upstream. The zero runs is empty.
+type runs struct {
+	mu     sync.Mutex
+	at     map[string]map[*run]bool
+	moving map[string]bool // upstreams with a mover
+	added  chan struct{}   // closed when a run is added
+}
+
+// late returns a channel that is closed when a run is next added: one may begin
+// at an upstream that was found to leave while it was sent there.
+func (s *runs) late() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.added == nil {
+		s.added = make(chan struct{})
+	}
+	return s.added
+}
+
+func (s *runs) add(ctx context.Context, x *exchange, host Host) *run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &run{
+		ctx:   ctx,
+		x:     x,
+		host:  host,
+		began: x.began,
+		ended: make(chan struct{}),
+		all:   s,
+	}
+	if s.at == nil {
+		s.at = map[string]map[*run]bool{}
+		s.moving = map[string]bool{}
+	}
+	if s.at[host.Name] == nil {
+		s.at[host.Name] = map[*run]bool{}
+	}
+	s.at[host.Name][r] = true
+	if s.added != nil {
+		close(s.added)
+		s.added = nil
+	}
+	return r
+}
+
+func (s *runs) remove(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.at[r.host.Name], r)
+	if len(s.at[r.host.Name]) == 0 {
+		delete(s.at, r.host.Name)
+	}
+}
+
+// busy returns the upstreams with runs and without a mover.
+func (s *runs) busy() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.at {
+		if !s.moving[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// mover notes that an upstream has a mover, or has none any more.
+func (s *runs) mover(name string, there bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if there {
+		s.moving[name] = true
+		return
+	}
+	delete(s.moving, name)
+}
+
+// claim returns the run of an upstream to move next, the longest-lived first,
+// or nil. What has run long has the most to lose.
+func (s *runs) claim(name string) *run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first *run
+	for r := range s.at[name] {
+		if !r.claimed && (first == nil || r.began < first.began) {
+			first = r
+		}
+	}
+	if first != nil {
+		first.claimed = true
+	}
+	return first
+}
+
+// any reports whether an upstream has runs.
+func (s *runs) any(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.at[name]) > 0
+}
+
+// verdictWait bounds how long a stream that ended waits for what its mover
+// learns of it: a call to the source that is on its way. The caller sees it as
+// a pause, and a stream that pauses for longer is late in any case.
+const verdictWait = mgclock.Second
+
+// outcome returns where a generation whose stream has ended can go on.
+func (r *run) outcome(clock mgclock.Clock) []place {
+	r.all.mu.Lock()
+	claimed := r.claimed
+	r.claimed = true // no mover may begin with it any more
+	r.all.mu.Unlock()
+	if !claimed {
+		return nil
+	}
+	select {
+	case <-r.ended:
+		return r.places
+	case <-clock.After(verdictWait):
+		return nil
+	case <-r.ctx.Done():
+		return nil
+	}
+}
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -19,20 +20,17 @@
 
 // stream delivers events as they come. Only whole events go on: an upstream
 // that stops in the middle of one must not leave half of it with the caller.
-func (y *Relay) stream(w http.ResponseWriter, x *exchange, response *http.Response) ending {
+func (y *Relay) stream(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) ending {
+	run := y.runs.add(ctx, x, host)
+	defer y.runs.remove(run)
 	events := eventReader{
 		from: response.Body,
 	}
 	first, err := events.next()
 	if err != nil && !errors.Is(err, io.EOF) {
-		x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
-			"the stream broke off before its first event", "send the request again if it may run twice").WithCause(err)
-		return failed
+		return y.severed(x, run, err)
 	}
-	copyHeader(w.Header(), response.Header)
-	w.Header().Del("Content-Length")
-	w.WriteHeader(response.StatusCode)
-	y.spec.Metrics.Histogram("relay.first").Update(int64(y.waited(x)))
+	y.begin(w, x, response)
 	for err == nil {
 		if err = y.deliver(w, x, first); err != nil {
 			y.abort(x, err)
@@ -40,7 +38,7 @@
 		first, err = events.next()
 	}
 	if !errors.Is(err, io.EOF) {
-		y.abort(x, err)
+		return y.severed(x, run, err)
 	}
 	if len(first) > 0 {
 		// The end of a stream need not be followed by an empty line.
@@ -53,9 +51,42 @@
 	return delivered
 }
 
-// deliver writes one event.
-func (y *Relay) deliver(w http.ResponseWriter, x *exchange, event []byte) error {
-	if _, err := w.Write(event); err != nil {
+// begin writes a stream's header, once: a generation that goes on elsewhere
+// keeps the header and signature of its first upstream.
+func (y *Relay) begin(w http.ResponseWriter, x *exchange, response *http.Response) {
+	if x.begun {
+		return
+	}
+	x.begun = true
+	copyHeader(w.Header(), response.Header)
+	w.Header().Del("Content-Length")
+	w.WriteHeader(response.StatusCode)
+	y.spec.Metrics.Histogram("relay.first").Update(int64(y.waited(x)))
+}
+
+// severed notes a stream that broke off, and where the generation can go on.
+func (y *Relay) severed(x *exchange, run *run, cause error) ending {
+	x.places = append(run.outcome(y.spec.Clock), x.places...)
+	x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		"the stream broke off", "send the request again if it may run twice").WithCause(cause)
+	return severed
+}
+
+// deliver writes events.
+func (y *Relay) deliver(w http.ResponseWriter, x *exchange, events []byte) error {
+	if x.resumed {
+		lacking, err := x.order.resume(events)
+		if err != nil {
+			return err
+		}
+		events = lacking
+	} else {
+		x.order.deliver(events)
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	if _, err := w.Write(events); err != nil {
 		return err
 	}
 	return x.control.Flush()
--- a/pkg/mgtable/build.go
+++ b/pkg/mgtable/build.go
@@ -22,6 +22,7 @@
 type ServiceSpec struct {
 	Name  string
 	Model string
+	Move  bool
 }
 
 // ModelSpec is a model; Context and Max are in tokens.
@@ -91,7 +92,9 @@
 		row.cells = cells(row.cells).text("kind", Plain)
 		return row
 	}
-	row.cells = cells(row.cells).text("kind", Generation).text("model", s.Model)
+	row.cells = cells(row.cells).text("kind", Generation).
+		text("model", s.Model).
+		text("move", yes(s.Move))
 	return row
 }
 
--- a/pkg/mgtable/row.go
+++ b/pkg/mgtable/row.go
@@ -96,6 +96,7 @@
 	max      int64
 	repeat   string
 	hedge    float64
+	move     string
 	paths    []string
 	line     int
 }
@@ -127,6 +128,9 @@
 // Hedge returns the share of calls that may be sent twice, from 0 to 1.
 func (s *Service) Hedge() float64 { return s.hedge }
 
+// Move reports whether the service's engines hand running generations over.
+func (s *Service) Move() bool { return s.move == Yes }
+
 // Paths returns the upstreams that serve a plain service; none listed means
 // all that name the service. Callers don't change it.
 func (s *Service) Paths() []string { return s.paths }
