mgconfig: one process of a region watches the list quickly for the others

Cause: an engine's notice was seen 250 ms late on average, of 1.5 to 2.1 s, as each entry watched the list twice a second; watching it more often costs each call. Change: the first by rendezvous among the known processes of a region watches every 60 ms and tells the others, who watch once a second in case it died.

--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -163,3 +163,46 @@
 		})
 	})
 }
+
+// Every entry of a region watches the list as often as the one that needs its
+// changes at once, and the platform counts each call; or none does, and an
+// engine's notice of two seconds is half over when it is seen.
+func TestQuickWatcher(t *testing.T) {
+	Convey("Of the processes of a region one watches quickly", t, func() {
+		names := []string{"entry-1", "entry-2", "entry-3"}
+		leaders := 0
+		for _, name := range names {
+			members := mgmember.New(name)
+			m := NewMachine(0, MachineSpec{
+				Name:   name,
+				Region: "south",
+				Quick:  60,
+			}, members)
+			m.takeList(0, upstreamList(5, mgplatform.Live))
+			for _, other := range names {
+				if other == name {
+					continue
+				}
+				members.Introduce(0, mgplatform.VM{
+					Name:   other,
+					Kind:   mgplatform.EntryKind,
+					Addr:   other,
+					Region: "south",
+				})
+			}
+			span := m.after(0, &m.vms)
+			if span == 60 {
+				leaders++
+			} else {
+				So(span, ShouldEqual, slowPause)
+			}
+			So(m.after(0, &m.manifest), ShouldEqual, watchPause)
+		}
+		So(leaders, ShouldEqual, 1)
+	})
+	Convey("A process that knows no other watches quickly", t, func() {
+		m, _ := alone()
+		m.spec.Quick = 60
+		So(m.after(0, &m.vms), ShouldEqual, 60)
+	})
+}
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -23,6 +23,11 @@
 	// as when the platform is down at the start.
 	Seeds []string
 
+	// Quick is the shortest interval between two watches of the list by the one
+	// process that watches it for its region, where changes must be known within
+	// tens of ms; the others watch once a second. 0: all watch alike.
+	Quick mgclock.Millis
+
 	// Watch is the longest wait of one watch, Answer the longest time for the
 	// platform's answer beyond it and Backoff the longest pause after failed
 	// reads; 0 stands for the defaults.
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -22,6 +22,10 @@
 	// watchPause is the shortest interval between two watches of a key, against
 	// a platform that answers at once over and over.
 	watchPause = 500 * mgclock.Millis(1)
+	// slowPause is the interval between watches of the list by those that
+	// another watches for. Should it die, its peers see a change within this
+	// span and what is left of the two seconds that a change may take is theirs.
+	slowPause = mgclock.Second
 	// plainEvery makes every so manieth watch a plain read. A platform that was
 	// set up anew counts its versions from 1, and a watch for more than the old
 	// count would never see a change.
@@ -145,6 +149,19 @@
 	return false
 }
 
+// leads reports whether this process watches the list of VMs for all others of
+// its region that it knows, and tells them at once.
+func (m *Machine) leads() bool {
+	self := mgmember.Self(m.spec.Name, m.spec.Zone)
+	able := []*mgmember.Member{self}
+	for _, peer := range m.members.View().Peers() {
+		if peer.Region() == m.spec.Region && !peer.Suspect() && !peer.Leaving() {
+			able = append(able, peer)
+		}
+	}
+	return mgmember.Rank("list", able, 1)[0] == self
+}
+
 // answered takes the answer to a read or a watch.
 func (m *Machine) answered(now mgclock.Millis, result ResultSpec) []Action {
 	switch result.Action.key {
@@ -215,7 +232,13 @@
 
 // after returns when a source is read next after now.
 func (m *Machine) after(now mgclock.Millis, s *source) mgclock.Millis {
-	if m.watching() {
+	switch {
+	case !m.watching():
+	case s == &m.vms && m.spec.Quick > 0 && m.leads():
+		return now + m.spec.Quick
+	case s == &m.vms && m.spec.Quick > 0:
+		return now + slowPause
+	default:
 		return now + watchPause
 	}
 	span := max(pollMin, pollPerMember*mgclock.Millis(len(m.members.View().All())))
