mgmigration, mgrelay, mgtable: runs are moved in the order of what they lose

Cause: turns went to the oldest run first, and short notes that would have ended by themselves took turns before reports of seconds. A service says how many tokens an event holds.

--- a/internal/process/mgnode/turn.go
+++ b/internal/process/mgnode/turn.go
@@ -54,7 +54,7 @@
 	reply, err := n.peer(home.PeerAddr()).Turn(ctx, &mgrpc.TurnRequest{
 		Source: ask.Source,
 		Run:    ask.Run,
-		Age:    int64(ask.Age),
+		Worth:  ask.Worth,
 		Places: ask.Places,
 	})
 	if err != nil {
@@ -123,7 +123,7 @@
 	place := p.node.holdTurn(ctx, mgmigration.Ask{
 		Source: r.GetSource(),
 		Run:    r.GetRun(),
-		Age:    mgclock.Millis(r.GetAge()),
+		Worth:  r.GetWorth(),
 		Places: r.GetPlaces(),
 	})
 	return &mgrpc.TurnReply{
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -21,6 +21,7 @@
 	target  string // path and query as the caller sent them
 	host    string
 	header  http.Header
+	size    size
 	body    []byte
 	began   mgclock.Millis
 	limit   mgclock.Millis // from began, the shorter of deadline and timeout
@@ -74,6 +75,7 @@
 		control: http.NewResponseController(w),
 	}
 	x.service = serviceOf(call.Route, x.id)
+	x.size = y.spec.Form.sizeOf(r.Header)
 	if text := r.Header.Get(y.spec.Form.Deadline); text != "" {
 		deadline, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || deadline < 0 {
--- a/internal/process/mgrelay/form.go
+++ b/internal/process/mgrelay/form.go
@@ -1,6 +1,10 @@
 package mgrelay
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
 
 // A Form names the headers of a deployment. A name that is empty isn't used.
 type Form struct {
@@ -10,6 +14,8 @@
 	Upstream  string // the upstream that is meant; another one refuses
 	Refused   string // of answers: the upstream did not run the request
 	Signature string // of answers: the upstream made this answer
+	Tokens    string // "prompt,most": tokens of the prompt, and most of the output
+	Hint      string // the caller's estimate of the output's tokens
 	Event     string // the last event that a caller, or the system, has
 	Copy      string // the copy that a generation goes on from, address/name
 	Private   []string
@@ -26,11 +32,41 @@
 		Upstream:  "Upstream",
 		Refused:   "Refused",
 		Signature: "Signature",
+		Tokens:    "Tokens",
+		Hint:      "Hint",
 		Event:     "Last-Event-Id",
 		Copy:      "Copy",
 	}
 }
 
+// size is how large a generation is, in tokens.
+type size struct {
+	prompt int
+	output int // expected
+}
+
+// unhinted is the part of the most that a generation may make that it is
+// expected to make when its caller gives no estimate.
+const unhinted = 0.5
+
+// sizeOf reads a generation's size. What can't be read counts as unknown: the
+// size decides on order and place only.
+func (f *Form) sizeOf(header http.Header) size {
+	prompt, most, _ := strings.Cut(header.Get(f.Tokens), ",")
+	var s size
+	s.prompt, _ = strconv.Atoi(prompt)
+	limit, _ := strconv.Atoi(most)
+	hint, err := strconv.ParseFloat(header.Get(f.Hint), 64)
+	if err != nil {
+		hint = unhinted * float64(limit)
+	}
+	s.output = int(hint)
+	if limit > 0 {
+		s.output = min(s.output, limit)
+	}
+	return s
+}
+
 // hopHeaders concern one connection only (RFC 9110, 7.6.1).
 var hopHeaders = []string{
 	"Connection",
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -41,7 +41,7 @@
 	defer y.runs.mover(name, false)
 	until := y.spec.Clock.Now() + lateSpan
 	for ctx.Err() == nil && y.spec.Clock.Now() < until {
-		if r := y.runs.claim(name); r != nil {
+		if r := y.runs.claim(y.spec.Clock.Now(), name); r != nil {
 			y.moveRun(r)
 			continue
 		}
@@ -122,7 +122,7 @@
 	ask := mgmigration.Ask{
 		Source: r.host.Name,
 		Run:    r.x.id,
-		Age:    y.spec.Clock.Now() - r.began,
+		Worth:  r.state(y.spec.Clock.Now()).Worth(),
 	}
 	for _, place := range places {
 		ask.Places = append(ask.Places, place.Name)
--- a/internal/process/mgrelay/run.go
+++ b/internal/process/mgrelay/run.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -12,7 +14,8 @@
 	ctx   context.Context // ends with the attempt
 	x     *exchange
 	host  Host
-	began mgclock.Millis
+	first atomic.Int64 // time of the first event, ms of the relay's clock
+	made  atomic.Int64 // events delivered
 
 	claimed bool          // a mover is at work on it; guarded by runs.mu
 	ended   chan struct{} // closed when the mover is done with it
@@ -46,7 +49,6 @@
 		ctx:   ctx,
 		x:     x,
 		host:  host,
-		began: x.began,
 		ended: make(chan struct{}),
 		all:   s,
 	}
@@ -98,15 +100,19 @@
 	delete(s.moving, name)
 }
 
-// claim returns the run of an upstream to move next, the longest-lived first,
-// or nil. What has run long has the most to lose.
-func (s *runs) claim(name string) *run {
+// claim returns the run of an upstream to move next, the one that gains most by
+// it first, or nil.
+func (s *runs) claim(now mgclock.Millis, name string) *run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var first *run
+	most := 0.0
 	for r := range s.at[name] {
-		if !r.claimed && (first == nil || r.began < first.began) {
-			first = r
+		if r.claimed {
+			continue
+		}
+		if worth := r.state(now).Worth(); first == nil || worth > most {
+			first, most = r, worth
 		}
 	}
 	if first != nil {
@@ -115,6 +121,30 @@
 	return first
 }
 
+// note counts events that were delivered.
+func (r *run) note(now mgclock.Millis, events int64) {
+	r.first.CompareAndSwap(0, int64(now))
+	r.made.Add(events)
+}
+
+// state returns what is known of the run.
+func (r *run) state(now mgclock.Millis) mgmigration.Run {
+	stride := 1
+	if service := r.x.call.Table.Service(r.x.service); service != nil {
+		stride = service.Stride()
+	}
+	state := mgmigration.Run{
+		Prompt:  r.x.size.prompt,
+		Output:  r.x.size.output,
+		Made:    stride * int(r.made.Load()),
+		Resumes: r.x.call.Route.Resumes(),
+	}
+	if first := r.first.Load(); first > 0 {
+		state.Running = now - mgclock.Millis(first)
+	}
+	return state
+}
+
 // any reports whether an upstream has runs.
 func (s *runs) any(name string) bool {
 	s.mu.Lock()
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -35,6 +35,7 @@
 		if err = y.deliver(w, x, first); err != nil {
 			y.abort(x, err)
 		}
+		run.note(y.spec.Clock.Now(), int64(bytes.Count(first, eventEnd)))
 		first, err = events.next()
 	}
 	if !errors.Is(err, io.EOF) {
--- a/internal/request/mgmigration/turns.go
+++ b/internal/request/mgmigration/turns.go
@@ -23,8 +23,8 @@
 type Ask struct {
 	Source string
 	Run    string
-	Age    mgclock.Millis // how long it has run
-	Places []string       // where it may go, the best first
+	Worth  float64  // of moving it now, see Run.Worth
+	Places []string // where it may go, the best first
 }
 
 // Turns gives the runs of each source their turns, one at a time, and tells
@@ -53,7 +53,7 @@
 }
 
 type waiter struct {
-	age   mgclock.Millis
+	worth float64
 	until mgclock.Millis
 }
 
@@ -63,7 +63,7 @@
 	defer t.mu.Unlock()
 	s := t.source(a.Source)
 	s.waiting[a.Run] = waiter{
-		age:   a.Age,
+		worth: a.Worth,
 		until: now + askSpan,
 	}
 	if s.holder != "" && s.holder != a.Run && now < s.until {
@@ -117,16 +117,16 @@
 	return s
 }
 
-// first returns the waiting run that has run longest: it has the most to lose.
+// first returns the waiting run that gains most by its move.
 func (s *turn) first(now mgclock.Millis) string {
-	first, age := "", mgclock.Millis(-1)
+	first, worth := "", -1.0
 	for run, w := range s.waiting {
 		if now > w.until {
 			delete(s.waiting, run)
 			continue
 		}
-		if w.age > age || w.age == age && run < first {
-			first, age = run, w.age
+		if w.worth > worth || w.worth == worth && run < first {
+			first, worth = run, w.worth
 		}
 	}
 	return first
--- a/internal/request/mgmigration/turns_test.go
+++ b/internal/request/mgmigration/turns_test.go
@@ -9,11 +9,11 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-func ask(source, run string, age mgclock.Millis, places ...string) Ask {
+func ask(source, run string, worth float64, places ...string) Ask {
 	return Ask{
 		Source: source,
 		Run:    run,
-		Age:    age,
+		Worth:  worth,
 		Places: places,
 	}
 }
@@ -39,13 +39,13 @@
 			So(ok, ShouldBeTrue)
 			So(place, ShouldEqual, "e")
 		})
-		Convey("go by age: the longest-lived has the most to lose", func() {
-			turns.Ask(1, ask("s", "young", 20, "d"))
-			turns.Ask(1, ask("s", "old", 9000, "d"))
+		Convey("go by what they lose", func() {
+			turns.Ask(1, ask("s", "small", 20, "d"))
+			turns.Ask(1, ask("s", "large", 9000, "d"))
 			turns.End("s", "one")
-			_, ok := turns.Ask(2, ask("s", "young", 20, "d"))
+			_, ok := turns.Ask(2, ask("s", "small", 20, "d"))
 			So(ok, ShouldBeFalse)
-			_, ok = turns.Ask(2, ask("s", "old", 9000, "d"))
+			_, ok = turns.Ask(2, ask("s", "large", 9000, "d"))
 			So(ok, ShouldBeTrue)
 		})
 		Convey("are not held up by a holder that died", func() {
@@ -53,7 +53,7 @@
 			So(ok, ShouldBeTrue)
 		})
 		Convey("are not held up by one that asked and died", func() {
-			turns.Ask(1, ask("s", "old", 9000, "d"))
+			turns.Ask(1, ask("s", "large", 9000, "d"))
 			turns.End("s", "one")
 			_, ok := turns.Ask(askSpan+2, ask("s", "two", 500, "d"))
 			So(ok, ShouldBeTrue)
--- a/pkg/mgtable/build.go
+++ b/pkg/mgtable/build.go
@@ -20,9 +20,10 @@
 
 // ServiceSpec is a service. Model is empty for a plain one.
 type ServiceSpec struct {
-	Name  string
-	Model string
-	Move  bool
+	Name   string
+	Model  string
+	Move   bool
+	Stride int64 // tokens of one event, 0 for 1
 }
 
 // ModelSpec is a model; Context and Max are in tokens.
@@ -94,7 +95,8 @@
 	}
 	row.cells = cells(row.cells).text("kind", Generation).
 		text("model", s.Model).
-		text("move", yes(s.Move))
+		text("move", yes(s.Move)).
+		count("stride", s.Stride)
 	return row
 }
 
--- a/pkg/mgtable/row.go
+++ b/pkg/mgtable/row.go
@@ -97,6 +97,7 @@
 	repeat   string
 	hedge    float64
 	move     string
+	stride   int64
 	paths    []string
 	line     int
 }
@@ -131,6 +132,9 @@
 // Move reports whether the service's engines hand running generations over.
 func (s *Service) Move() bool { return s.move == Yes }
 
+// Stride returns the tokens that one event of a stream holds.
+func (s *Service) Stride() int { return max(int(s.stride), 1) }
+
 // Paths returns the upstreams that serve a plain service; none listed means
 // all that name the service. Callers don't change it.
 func (s *Service) Paths() []string { return s.paths }
