--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
@@ -55,6 +56,12 @@
 	Relay *mgrelay.Spec
 	// Answered tells of an upstream that a relayed request reached.
 	Answered func(name string)
+	// Others returns what the other entries have sent to upstreams, or nil.
+	Others func() map[string]mgload.Row
+	// Stale reports whether the list of VMs may lack what has changed, and Left
+	// is told of an upstream that says itself that it leaves.
+	Stale func() bool
+	Left  func(name string)
 	// Changed returns a channel that is closed when View is next replaced.
 	Changed func() <-chan struct{}
 	// Base returns the URL of an agent's address.
@@ -70,6 +77,7 @@
 	known   atomic.Pointer[fleet]
 	budgets mgretry.Budgets
 	relay   *mgrelay.Relay // nil without Spec.Relay
+	load    mgload.Count   // of relayed requests
 	hedges  hedges
 	caps    caps
 	busy    atomic.Int64
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -22,12 +23,16 @@
 	spec.Log = e.spec.Log
 	spec.Metrics = e.spec.Metrics
 	spec.Budgets = &e.budgets
-	spec.Hosts = e.upstreams
+	spec.Load = &e.load
+	spec.Others = e.spec.Others
+	spec.Zone = e.spec.Settings.Zone
 	spec.Failed = e.spec.Failed
 	spec.Answered = e.spec.Answered
 	spec.Leaving = e.leavingUpstream
 	spec.Changed = e.spec.Changed
 	spec.Every = e.every
+	spec.Stale = e.spec.Stale
+	spec.Left = e.spec.Left
 	e.relay = mgrelay.New(spec)
 }
 
@@ -44,54 +49,32 @@
 	return !ok || member.Leaving() || !member.Listed()
 }
 
+// Load returns the count of what was relayed to each upstream.
+func (e *Entry) Load() *mgload.Count { return &e.load }
+
 // BoundRetries sets the most retries of each service that this entry holds,
 // where the entries share what a service allows.
 func (e *Entry) BoundRetries(limit int) { e.budgets.Bound(limit) }
 
-// upstreams returns the upstreams that run a service and are reached directly,
-// the best first.
-func (e *Entry) upstreams(service string) []mgrelay.Host {
-	var list []mgrelay.Host
-	for _, found := range e.hosts(service) {
-		if found.agent.Peer() {
-			continue
-		}
-		list = append(list, relayHost(found))
-	}
-	return list
-}
-
 // every returns all upstreams that run a service, are reached directly and
 // stay.
 func (e *Entry) every(service string) []mgrelay.Host {
 	fleet := e.fleet()
 	var list []mgrelay.Host
-	for place, member := range fleet.members {
+	for _, member := range fleet.members {
 		if member.Peer() || member.Leaving() || !member.Listed() || !slices.Contains(member.Services(), service) {
 			continue
 		}
-		list = append(list, relayHost(host{
-			agent: member,
-			fleet: fleet,
-			place: place,
-		}))
+		list = append(list, mgrelay.Host{
+			Name:    member.Upstream(),
+			Addr:    member.Addr(),
+			Zone:    member.Zone(),
+			Suspect: member.Suspect(),
+		})
 	}
 	return list
 }
 
-func relayHost(found host) mgrelay.Host {
-	h := mgrelay.Host{
-		Name: found.agent.Upstream(),
-		Addr: found.agent.Addr(),
-		Zone: found.agent.Zone(),
-	}
-	if found.place != none {
-		h.Fleet = found.fleet.routes
-		h.Place = found.place
-	}
-	return h
-}
-
 // routed passes requests through that the table's routes name; others are
 // requests of the entry's own interface.
 func (e *Entry) routed(next http.Handler) http.Handler {
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -37,6 +37,9 @@
 	n.admin.Source("entry", func() any { return entry.State() })
 	n.admin.Source("shares", func() any { return shares.Status() })
 	n.servers.Go(func() { entry.Run(ctx) })
+	if n.form != nil {
+		n.servers.Go(func() { n.tellLoads(ctx, entry.Load()) })
+	}
 	n.Serve(ctx, ServerSpec{
 		Name:     "callers",
 		Listener: public,
@@ -72,6 +75,9 @@
 		Relay:    n.relaySpec(),
 		Answered: n.answered,
 		Changed:  n.members.Changed,
+		Others:   n.Others,
+		Stale:    n.loop.Stale,
+		Left:     n.left,
 	}
 }
 
@@ -88,6 +94,7 @@
 	return &mgrelay.Spec{
 		Form:    *n.form,
 		Move:    n.move,
+		Probe:   n.probe,
 		Turn:    n.turn,
 		EndTurn: n.endTurn,
 		Client:  mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
--- /dev/null
+++ b/internal/process/mgnode/load.go
@@ -0,0 +1,98 @@
+package mgnode
+
+import (
+	"context"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// tellSpan is the interval at which an entry tells the hub what it has sent,
+	// in which a dozen entries place a few generations.
+	tellSpan = 200 * mgclock.Millis(1)
+	// tellWait bounds the hub's answer.
+	tellWait = 150 * mgclock.Millis(1)
+	// othersLife is how long what the hub said of the others is used.
+	othersLife = 1500 * mgclock.Millis(1)
+)
+
+// others is what the other entries have sent, as the hub last said.
+type others struct {
+	rows map[string]mgload.Row
+	at   mgclock.Millis
+}
+
+// Others returns what the other entries have sent to upstreams, or nil where
+// that isn't known. Callers don't change it.
+func (n *Node) Others() map[string]mgload.Row {
+	known := n.others.Load()
+	if known == nil || n.clock.Now() >= known.at+othersLife {
+		return nil
+	}
+	return known.rows
+}
+
+// tellLoads tells the hub what was sent from here, until ctx ends.
+func (n *Node) tellLoads(ctx context.Context, count *mgload.Count) {
+	for n.clock.Sleep(ctx, tellSpan) {
+		hub := n.first("loads")
+		now := n.clock.Now()
+		if hub == nil {
+			n.others.Store(&others{
+				rows: n.hub.Tell(now, n.settings.Name, count.Rows()),
+				at:   now,
+			})
+			continue
+		}
+		askCtx, cancel := context.WithTimeout(ctx, tellWait.Duration())
+		reply, err := n.peer(hub.PeerAddr()).Loads(askCtx, loadRows(n.settings.Name, count.Rows()))
+		cancel()
+		if err != nil {
+			// The own count stands in meanwhile; after a second failure in a row
+			// the hub is suspected and another takes its place.
+			n.failed(hub.Name())
+			n.metrics.Counter("loads.unanswered").Inc(1)
+			continue
+		}
+		n.answered(hub.Name())
+		n.others.Store(&others{
+			rows: rowsOf(reply),
+			at:   now,
+		})
+	}
+}
+
+func loadRows(entry string, rows map[string]mgload.Row) *mgrpc.LoadRows {
+	all := &mgrpc.LoadRows{
+		Entry: entry,
+	}
+	for upstream, row := range rows {
+		all.Rows = append(all.Rows, &mgrpc.LoadRow{
+			Upstream: upstream,
+			Runs:     int32(row.Runs),
+			Pending:  int32(row.Pending),
+			Memory:   int32(row.Memory),
+		})
+	}
+	return all
+}
+
+func rowsOf(all *mgrpc.LoadRows) map[string]mgload.Row {
+	rows := make(map[string]mgload.Row, len(all.GetRows()))
+	for _, row := range all.GetRows() {
+		rows[row.GetUpstream()] = mgload.Row{
+			Runs:    int(row.GetRuns()),
+			Pending: int(row.GetPending()),
+			Memory:  int(row.GetMemory()),
+		}
+	}
+	return rows
+}
+
+// Loads answers an entry that takes this one for the hub.
+func (p peerServer) Loads(_ context.Context, r *mgrpc.LoadRows) (*mgrpc.LoadRows, error) {
+	sum := p.node.hub.Tell(p.node.clock.Now(), r.GetEntry(), rowsOf(r))
+	return loadRows(p.node.settings.Name, sum), nil
+}
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -25,6 +25,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
@@ -47,7 +48,10 @@
 	members     *mgmember.Members
 	platform    mgplatform.Client
 	form        *mgrelay.Form // nil passes no requests through
+	probe       func(context.Context, mgrelay.Host) (bool, error)
 	turns       mgmigration.Turns
+	hub         mgload.Hub
+	others      atomic.Pointer[others]
 	move        func(context.Context, mgrelay.Host, mgrelay.Order) mgmigration.Reply
 	loop        *mgconfig.Loop
 	pause       *mgmember.Pause
@@ -76,6 +80,8 @@
 	// Relay is the form of the requests that the table's routes pass through.
 	// Nil passes none.
 	Relay *mgrelay.Form
+	// Probe asks an upstream whether it leaves. Nil asks none.
+	Probe func(ctx context.Context, upstream mgrelay.Host) (leaving bool, err error)
 	// Move makes a call to the source of a move. Nil moves nothing.
 	Move func(ctx context.Context, source mgrelay.Host, order mgrelay.Order) mgmigration.Reply
 }
@@ -109,6 +115,7 @@
 		platform:    spec.platform(),
 		form:        spec.Relay,
 		move:        spec.Move,
+		probe:       spec.Probe,
 	}
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
@@ -219,6 +226,9 @@
 
 func (n *Node) answered(name string) { n.members.Answered(n.clock.Now(), name) }
 
+// left takes an upstream's own word that it leaves.
+func (n *Node) left(name string) { n.members.Heard(n.clock.Now(), name, "", true) }
+
 func (n *Node) heard(name, incarnation string, leaving bool) {
 	n.members.Heard(n.clock.Now(), name, incarnation, leaving)
 }
--- a/internal/process/mgnode/turn.go
+++ b/internal/process/mgnode/turn.go
@@ -51,11 +51,18 @@
 func (n *Node) askTurn(ctx context.Context, home *mgmember.Member, ask mgmigration.Ask) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, turnWait.Duration())
 	defer cancel()
+	var names []string
+	var costs []float64
+	for _, spot := range ask.Places {
+		names = append(names, spot.Name)
+		costs = append(costs, spot.Cost)
+	}
 	reply, err := n.peer(home.PeerAddr()).Turn(ctx, &mgrpc.TurnRequest{
 		Source: ask.Source,
 		Run:    ask.Run,
 		Worth:  ask.Worth,
-		Places: ask.Places,
+		Places: names,
+		Costs:  costs,
 	})
 	if err != nil {
 		return "", err
@@ -85,15 +92,19 @@
 // turnHome returns the entry that gives the turns of a service, or nil where it
 // is this one. Entries that know different others may choose differently; their
 // moves then share a link, which costs time and nothing else.
-func (n *Node) turnHome(service string) *mgmember.Member {
+func (n *Node) turnHome(service string) *mgmember.Member { return n.first("turns " + service) }
+
+// first returns the first by rendezvous of the processes of this region that are
+// known here and well, or nil where it is this one.
+func (n *Node) first(key string) *mgmember.Member {
 	self := mgmember.Self(n.settings.Name, n.settings.Zone)
 	able := []*mgmember.Member{self}
 	for _, peer := range n.members.View().Peers() {
-		if !peer.Leaving() && !peer.Suspect() {
+		if peer.Region() == n.settings.Region && !peer.Leaving() && !peer.Suspect() {
 			able = append(able, peer)
 		}
 	}
-	first := mgmember.Rank("turns "+service, able, 1)
+	first := mgmember.Rank(key, able, 1)
 	if first[0] == self {
 		return nil
 	}
@@ -120,11 +131,19 @@
 		p.node.turns.End(r.GetSource(), r.GetRun())
 		return &mgrpc.TurnReply{}, nil
 	}
+	var spots []mgmigration.Spot
+	for i, name := range r.GetPlaces() {
+		spot := mgmigration.Spot{Name: name}
+		if i < len(r.GetCosts()) {
+			spot.Cost = r.GetCosts()[i]
+		}
+		spots = append(spots, spot)
+	}
 	place := p.node.holdTurn(ctx, mgmigration.Ask{
 		Source: r.GetSource(),
 		Run:    r.GetRun(),
 		Worth:  r.GetWorth(),
-		Places: r.GetPlaces(),
+		Places: spots,
 	})
 	return &mgrpc.TurnReply{
 		Place: place,
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -35,8 +36,7 @@
 func (y *Relay) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, host Host) ending {
 	x.tried[host.Name] = true
 	x.last = host.Name
-	host.started()
-	defer host.ended()
+	defer y.carry(x, host)()
 	// A hang-up of the connection to the upstream tells it to stop.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -80,6 +80,33 @@
 	return y.whole(w, x, response)
 }
 
+// carry counts a request at an upstream, and returns what ends that.
+func (y *Relay) carry(x *exchange, host Host) (end func()) {
+	row := mgload.Row{
+		Runs:   1,
+		Memory: x.size.prompt + x.size.output,
+	}
+	x.pending = 0
+	if x.from.copy == "" {
+		x.pending = x.size.prompt
+	}
+	row.Pending = x.pending
+	y.spec.Load.Add(host.Name, row)
+	return func() {
+		y.spec.Load.Add(host.Name, mgload.Row{
+			Runs:    -1,
+			Pending: -x.pending,
+			Memory:  -row.Memory,
+		})
+	}
+}
+
+// begunAt counts a request's prompt as read at its first answer.
+func (y *Relay) begunAt(x *exchange, host Host) {
+	y.spec.Load.Add(host.Name, mgload.Row{Pending: -x.pending})
+	x.pending = 0
+}
+
 // request makes the request for an upstream.
 func (y *Relay) request(ctx context.Context, x *exchange, host Host) *http.Request {
 	header := x.header.Clone()
--- a/internal/process/mgrelay/move_test.go
+++ b/internal/process/mgrelay/move_test.go
@@ -116,7 +116,12 @@
 		defer s.mu.Unlock()
 		return s.changed
 	}
-	spec.Every = func(string) []mgrelay.Host { return s.rig.hosts[1:] }
+	spec.Every = func(string) []mgrelay.Host {
+		if spec.Leaving("a") {
+			return s.rig.hosts[1:]
+		}
+		return s.rig.hosts
+	}
 	spec.Move = func(_ context.Context, _ mgrelay.Host, order mgrelay.Order) mgmigration.Reply {
 		s.mu.Lock()
 		s.orders = append(s.orders, order)
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -14,6 +14,7 @@
 	if y.spec.Move == nil {
 		return
 	}
+	go y.ask(ctx)
 	for ctx.Err() == nil {
 		changed := y.spec.Changed()
 		late := y.runs.late()
@@ -110,30 +111,35 @@
 	return places
 }
 
-// destination returns where a run should go, once it is its turn.
+// destination returns where a run should go, once it is its turn: an upstream of
+// its service that stays.
 func (y *Relay) destination(r *run, tried map[string]bool) (Host, bool) {
-	places := y.destinations(r, tried)
-	if len(places) == 0 {
-		return Host{}, false
-	}
-	if y.spec.Turn == nil {
-		return places[0], true
-	}
 	ask := mgmigration.Ask{
 		Source: r.host.Name,
 		Run:    r.x.id,
 		Worth:  r.state(y.spec.Clock.Now()).Worth(),
 	}
-	for _, place := range places {
-		ask.Places = append(ask.Places, place.Name)
+	hosts := map[string]Host{}
+	for _, spot := range y.spots(r.x, mgload.Query{Zone: r.host.Zone, Copy: true}) {
+		if spot.host.Name == r.host.Name || tried[spot.host.Name] {
+			continue
+		}
+		hosts[spot.host.Name] = spot.host
+		ask.Places = append(ask.Places, mgmigration.Spot{
+			Name: spot.host.Name,
+			Cost: spot.cost,
+		})
+	}
+	if len(ask.Places) == 0 {
+		return Host{}, false
 	}
-	name, _ := y.spec.Turn(r.ctx, r.x.service, ask)
-	for _, place := range places {
-		if place.Name == name {
-			return place, true
+	if y.spec.Turn != nil {
+		if name, ok := y.spec.Turn(r.ctx, r.x.service, ask); ok {
+			host, known := hosts[name]
+			return host, known
 		}
 	}
-	return places[0], true
+	return hosts[ask.Places[0].Name], true
 }
 
 func (y *Relay) endTurn(r *run) {
@@ -141,25 +147,3 @@
 		y.spec.EndTurn(r.x.service, r.host.Name, r.x.id)
 	}
 }
-
-// destinations returns the upstreams of a run's service that stay, those with
-// the fewest runs of this relay first. Where there are any in the source's zone
-// these are all: a copy between zones takes twice as long.
-func (y *Relay) destinations(r *run, tried map[string]bool) []Host {
-	var near, far []Host
-	for _, host := range y.spec.Every(r.x.service) {
-		switch {
-		case host.Name == r.host.Name || tried[host.Name]:
-		case host.Zone == r.host.Zone:
-			near = append(near, host)
-		default:
-			far = append(far, host)
-		}
-	}
-	places := near
-	if len(places) == 0 {
-		places = far
-	}
-	slices.SortStableFunc(places, func(a, b Host) int { return a.flights() - b.flights() })
-	return places
-}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -24,8 +25,13 @@
 	Budgets *mgretry.Budgets
 	// Client sends to upstreams; see mgdial.NewClientWith.
 	Client *http.Client
-	// Hosts returns the upstreams that run a service, the best first.
-	Hosts func(service string) []Host
+	// Every returns all upstreams that run a service and stay, in any order.
+	Every func(service string) []Host
+	// Load counts what is sent to each upstream, and Others returns what other
+	// entries have sent, or nil. Zone is this entry's.
+	Load   *mgload.Count
+	Others func() map[string]mgload.Row
+	Zone   string
 	// Failed tells of an upstream that could not be reached, Answered of one
 	// that answered.
 	Failed   func(upstream string)
@@ -34,13 +40,17 @@
 	// a channel that is closed when that may have changed.
 	Leaving func(upstream string) bool
 	Changed func() <-chan struct{}
-	// Every returns all upstreams that run a service and stay, in no order.
-	Every func(service string) []Host
 	// Turn asks for a turn at moving a run of a service, and EndTurn gives it
 	// back; see mgmigration.Turns. Without Turn there are no turns. It returns
 	// false where nobody could be asked.
 	Turn    func(ctx context.Context, service string, ask mgmigration.Ask) (place string, ok bool)
 	EndTurn func(service, source, run string)
+	// Stale reports whether the list of upstreams may lack what has changed.
+	// Upstreams with runs are then asked by Probe whether they leave, and Left
+	// is told of those that do. Without Probe none are asked.
+	Stale func() bool
+	Probe func(ctx context.Context, upstream Host) (leaving bool, err error)
+	Left  func(upstream string)
 	// Move makes a call to a source of a move. Without it nothing is moved.
 	Move func(ctx context.Context, source Host, order Order) mgmigration.Reply
 }
@@ -123,9 +133,9 @@
 	if x.from.copy != "" {
 		return x.from.host, true
 	}
-	for _, host := range y.spec.Hosts(x.service) {
-		if !x.tried[host.Name] {
-			return host, true
+	for _, spot := range y.spots(x, mgload.Query{Zone: y.spec.Zone}) {
+		if !x.tried[spot.host.Name] {
+			return spot.host, true
 		}
 	}
 	return Host{}, false
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
@@ -116,6 +117,15 @@
 	return g
 }
 
+// crowded has each upstream look more loaded than the one before it.
+func (g *rig) crowded() map[string]mgload.Row {
+	rows := map[string]mgload.Row{}
+	for i, host := range g.hosts {
+		rows[host.Name] = mgload.Row{Runs: i}
+	}
+	return rows
+}
+
 // with opens the relay anew with some of its spec changed.
 func (g *rig) with(change func(*mgrelay.Spec)) {
 	spec := mgrelay.Spec{
@@ -124,7 +134,9 @@
 		Metrics:  mgmetric.New(),
 		Budgets:  &mgretry.Budgets{},
 		Client:   mgdial.NewClientWith(mgdial.Near(time.Minute)),
-		Hosts:    func(string) []mgrelay.Host { return g.hosts },
+		Every:    func(string) []mgrelay.Host { return g.hosts },
+		Load:     &mgload.Count{},
+		Others:   g.crowded,
 		Failed:   func(string) {},
 		Answered: func(string) {},
 	}
--- a/internal/process/mgrelay/run.go
+++ b/internal/process/mgrelay/run.go
@@ -89,6 +89,23 @@
 	return names
 }
 
+// hosts returns the upstreams with runs and without a mover.
+func (s *runs) hosts() []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hosts []Host
+	for name, at := range s.at {
+		if s.moving[name] {
+			continue
+		}
+		for r := range at {
+			hosts = append(hosts, r.host)
+			break
+		}
+	}
+	return hosts
+}
+
 // mover notes that an upstream has a mover, or has none any more.
 func (s *runs) mover(name string, there bool) {
 	s.mu.Lock()
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -30,6 +30,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		return y.severed(x, run, err)
 	}
+	y.begunAt(x, host)
 	y.begin(w, x, response)
 	for err == nil {
 		if err = y.deliver(w, x, first); err != nil {
--- /dev/null
+++ b/internal/request/mgload/load.go
@@ -0,0 +1,148 @@
+package mgload
+
+import (
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A Row is what was sent to an upstream and has not ended.
+type Row struct {
+	Runs    int // requests
+	Pending int // prompt tokens without a first event
+	Memory  int // tokens of prompts and expected outputs
+}
+
+// Add returns the sum of two rows.
+func (r Row) Add(o Row) Row {
+	return Row{
+		Runs:    r.Runs + o.Runs,
+		Pending: r.Pending + o.Pending,
+		Memory:  r.Memory + o.Memory,
+	}
+}
+
+const (
+	// readRate is the prompt tokens that an engine reads in a ms, and the time
+	// that a request waits for the prompts before its own.
+	readRate = 14.0
+	// runCost is the cost of each run, in ms: it makes each step 0.12 ms longer,
+	// 110 ms for a generation of 900 tokens.
+	runCost = 110.0
+	// lackCost is the cost of each token of memory that is lacking, in ms. What
+	// lacks is preempted and read again, and holds up all that run there.
+	lackCost = 2.0 / readRate
+	// farCost is the cost of another availability zone in ms: a round trip, and
+	// for a copy of 3,500 tokens as much time again as within the zone.
+	farCost = 1.0
+	// farCopyCost is that of a copy.
+	farCopyCost = 190.0
+)
+
+// A Query says what a request needs.
+type Query struct {
+	Zone     string // of the entry, or of the source of a copy
+	Memory   int    // tokens of the prompt and the expected output
+	Capacity int    // tokens of an upstream's memory, 0 for no bound
+	Copy     bool   // the request brings its memory along
+}
+
+// Cost returns the cost in ms of a request at an upstream in a zone that has
+// the load of r.
+func Cost(r Row, zone string, q Query) float64 {
+	cost := float64(r.Pending)/readRate + runCost*float64(r.Runs)
+	if lack := r.Memory + q.Memory - q.Capacity; q.Capacity > 0 && lack > 0 {
+		cost += lackCost * float64(lack)
+	}
+	switch {
+	case zone == q.Zone:
+	case q.Copy:
+		cost += farCopyCost
+	default:
+		cost += farCost
+	}
+	return cost
+}
+
+// A Count is what one entry has sent. The zero Count is empty and ready for use
+// by several goroutines.
+type Count struct {
+	mu   sync.Mutex
+	rows map[string]Row
+}
+
+// Add adds to an upstream's row, and takes away what is negative.
+func (c *Count) Add(upstream string, delta Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rows == nil {
+		c.rows = map[string]Row{}
+	}
+	row := c.rows[upstream].Add(delta)
+	if row == (Row{}) {
+		delete(c.rows, upstream)
+		return
+	}
+	c.rows[upstream] = row
+}
+
+// Row returns an upstream's row.
+func (c *Count) Row(upstream string) Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows[upstream]
+}
+
+// Rows returns a copy of all rows.
+func (c *Count) Rows() map[string]Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := make(map[string]Row, len(c.rows))
+	for upstream, row := range c.rows {
+		rows[upstream] = row
+	}
+	return rows
+}
+
+// tellLife is how long a hub counts what an entry told it: five of its messages.
+// An entry that died has no requests any more.
+const tellLife = mgclock.Second
+
+// A Hub adds up what entries tell it. The zero Hub is empty and ready for use by
+// several goroutines.
+type Hub struct {
+	mu   sync.Mutex
+	told map[string]told
+}
+
+type told struct {
+	rows map[string]Row
+	at   mgclock.Millis
+}
+
+// Tell takes an entry's rows and returns the sum of the others'.
+func (h *Hub) Tell(now mgclock.Millis, entry string, rows map[string]Row) map[string]Row {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.told == nil {
+		h.told = map[string]told{}
+	}
+	h.told[entry] = told{
+		rows: rows,
+		at:   now,
+	}
+	sum := map[string]Row{}
+	for name, other := range h.told {
+		if now >= other.at+tellLife {
+			delete(h.told, name)
+			continue
+		}
+		if name == entry {
+			continue
+		}
+		for upstream, row := range other.rows {
+			sum[upstream] = sum[upstream].Add(row)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/request/mgload/load_test.go
@@ -0,0 +1,153 @@
+package mgload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Three of an engine's nine reports are this entry's, and it sends the fourth
+// there, where the prompt waits behind two others and the memory is full.
+func TestCost(t *testing.T) {
+	query := Query{
+		Zone:     "a",
+		Memory:   4000,
+		Capacity: 34000,
+	}
+	cases := []struct {
+		name          string
+		better, worse Row
+		zone, farther string
+	}{
+		{
+			name:   "fewer runs",
+			better: Row{Runs: 2, Memory: 8000},
+			worse:  Row{Runs: 3, Memory: 12000},
+		},
+		{
+			name:   "no prompt before it",
+			better: Row{Runs: 2, Memory: 8000},
+			worse:  Row{Runs: 1, Pending: 3000, Memory: 4000},
+		},
+		{
+			name:   "memory for it",
+			better: Row{Runs: 8, Memory: 28000},
+			worse:  Row{Runs: 5, Memory: 36000},
+		},
+		{
+			name:    "its own zone, all else alike",
+			zone:    "a",
+			farther: "b",
+		},
+	}
+	Convey("A request costs less where there is", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				So(Cost(c.better, c.zone, query), ShouldBeLessThan, Cost(c.worse, c.farther, query))
+			})
+		}
+		Convey("A copy weighs the way between zones by the time it takes", func() {
+			near := Row{Runs: 1}
+			moved := query
+			So(Cost(near, "a", moved), ShouldBeGreaterThan, Cost(Row{}, "b", moved))
+			moved.Copy = true
+			So(Cost(near, "a", moved), ShouldBeLessThan, Cost(Row{}, "b", moved))
+		})
+	})
+}
+
+// The sum counts an entry twice, or one that died an hour ago.
+func TestHub(t *testing.T) {
+	Convey("A hub tells an entry the sum of the others", t, func() {
+		var h Hub
+		rows := func(n int) map[string]Row {
+			return map[string]Row{"engine": {Runs: n}}
+		}
+		So(h.Tell(0, "one", rows(1)), ShouldBeEmpty)
+		So(h.Tell(10, "two", rows(2))["engine"].Runs, ShouldEqual, 1)
+		So(h.Tell(20, "three", rows(4))["engine"].Runs, ShouldEqual, 3)
+		So(h.Tell(30, "one", rows(8))["engine"].Runs, ShouldEqual, 6)
+		Convey("and forgets one that is silent", func() {
+			So(h.Tell(tellLife+25, "one", rows(8)), ShouldBeEmpty)
+		})
+	})
+	Convey("A count ends at nothing", t, func() {
+		var c Count
+		c.Add("engine", Row{Runs: 1, Pending: 3000})
+		c.Add("engine", Row{Pending: -3000})
+		So(c.Row("engine").Runs, ShouldEqual, 1)
+		c.Add("engine", Row{Runs: -1})
+		So(c.Rows(), ShouldBeEmpty)
+	})
+}
+
+// Five entries place reports on twelve engines. By their own counts one engine
+// gets nine while another has none; when it is reclaimed, three of the nine are
+// cut for want of time.
+func TestPlaysEvenly(t *testing.T) {
+	Convey("The most runs at one engine", t, func() {
+		alone, together := play(false), play(true)
+		So(together, ShouldBeLessThan, alone)
+		So(together, ShouldBeLessThanOrEqualTo, 6)
+	})
+}
+
+// play places 500 reports of seven to nine seconds, five a second, and returns
+// the mean over time of the most runs that one engine has.
+func play(told bool) float64 {
+	const entries, engines, step = 5, 12, mgclock.Millis(200)
+	r := rand.New(rand.NewPCG(1, 2))
+	var hub Hub
+	counts := make([]Count, entries)
+	others := make([]map[string]Row, entries)
+	type end struct {
+		at     mgclock.Millis
+		entry  int
+		engine string
+	}
+	var running []end
+	sum, looks := 0, 0
+	for at := mgclock.Millis(0); at < 100*mgclock.Second; at += step {
+		kept := running[:0]
+		for _, e := range running {
+			if e.at > at {
+				kept = append(kept, e)
+				continue
+			}
+			counts[e.entry].Add(e.engine, Row{Runs: -1})
+		}
+		running = kept
+		if told {
+			for i := range counts {
+				others[i] = hub.Tell(at, fmt.Sprint(i), counts[i].Rows())
+			}
+		}
+		entry, best, least := r.IntN(entries), "", 0.0
+		for _, k := range r.Perm(engines) {
+			engine := fmt.Sprint("engine", k)
+			cost := Cost(counts[entry].Row(engine).Add(others[entry][engine]), "", Query{})
+			if best == "" || cost < least {
+				best, least = engine, cost
+			}
+		}
+		counts[entry].Add(best, Row{Runs: 1})
+		running = append(running, end{
+			at:     at + 7000 + mgclock.Millis(r.IntN(2000)),
+			entry:  entry,
+			engine: best,
+		})
+		total := map[string]int{}
+		most := 0
+		for _, e := range running {
+			total[e.engine]++
+			most = max(most, total[e.engine])
+		}
+		sum += most
+		looks++
+	}
+	return float64(sum) / float64(looks)
+}
--- a/internal/request/mgmigration/turns.go
+++ b/internal/request/mgmigration/turns.go
@@ -23,8 +23,15 @@
 type Ask struct {
 	Source string
 	Run    string
-	Worth  float64  // of moving it now, see Run.Worth
-	Places []string // where it may go, the best first
+	Worth  float64 // of moving it now, see Run.Worth
+	Places []Spot  // where it may go
+}
+
+// A Spot is an upstream that a run may go to, and the cost of that in ms; see
+// mgload.Cost.
+type Spot struct {
+	Name string
+	Cost float64
 }
 
 // Turns gives the runs of each source their turns, one at a time, and tells
@@ -132,18 +139,25 @@
 	return first
 }
 
-// choose returns the place that was given least lately and takes no copy of
-// another source now; among equal ones the first.
+const (
+	// givenCost is the cost of each run that a place was given lately, in ms:
+	// that of a run in mgload, which doesn't show there yet.
+	givenCost = 110.0
+	// takingCost is the cost of a place that takes a copy of another source now:
+	// the rest of that copy, which this one would queue behind.
+	takingCost = 150.0
+)
+
+// choose returns the cheapest place; among equal ones the first.
 func (t *Turns) choose(now mgclock.Millis, a Ask) string {
-	best, least := "", 0
-	for _, place := range a.Places {
-		count := t.lately(now, place)
-		if t.taking(now, place, a.Source) {
-			// A copy that queues behind another's at the destination.
-			count += 2
+	best, least := "", 0.0
+	for _, spot := range a.Places {
+		cost := spot.Cost + givenCost*float64(t.lately(now, spot.Name))
+		if t.taking(now, spot.Name, a.Source) {
+			cost += takingCost
 		}
-		if best == "" || count < least {
-			best, least = place, count
+		if best == "" || cost < least {
+			best, least = spot.Name, cost
 		}
 	}
 	return best
--- a/internal/request/mgmigration/turns_test.go
+++ b/internal/request/mgmigration/turns_test.go
@@ -10,11 +10,15 @@
 )
 
 func ask(source, run string, worth float64, places ...string) Ask {
+	var spots []Spot
+	for _, place := range places {
+		spots = append(spots, Spot{Name: place})
+	}
 	return Ask{
 		Source: source,
 		Run:    run,
 		Worth:  worth,
-		Places: places,
+		Places: spots,
 	}
 }
 
@@ -80,6 +84,13 @@
 		}
 		So(got, ShouldResemble, map[string]int{"d": 4, "e": 4, "f": 4})
 	})
+	Convey("A crowded place is given less", t, func() {
+		var turns Turns
+		a := ask("s", "one", 1, "crowded", "free")
+		a.Places[0].Cost = 500
+		place, _ := turns.Ask(0, a)
+		So(place, ShouldEqual, "free")
+	})
 	Convey("A run without a place to go has no turn", t, func() {
 		var turns Turns
 		_, ok := turns.Ask(0, ask("s", "one", 1))
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -78,6 +78,13 @@
 	return l.machine.Ready(l.spec.Clock.Now())
 }
 
+// Stale reports whether the platform gives no word of the list of VMs now.
+func (l *Loop) Stale() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Stale(l.spec.Clock.Now())
+}
+
 // Status returns the state for the dump.
 func (l *Loop) Status() Status {
 	l.mu.Lock()
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -78,6 +78,7 @@
 	rounds   int            // reads begun
 	version  uint64         // the platform's, not a table's
 	answered bool           // the platform has answered once
+	heard    mgclock.Millis // when it last answered
 }
 
 // never is a time that doesn't come.
@@ -205,6 +206,15 @@
 	return nil
 }
 
+// staleSpan is how long the list may be unconfirmed before other evidence is
+// asked for: longer than a watch takes to bring the next heartbeat.
+const staleSpan = 2500 * mgclock.Millis(1)
+
+// Stale reports whether the platform gives no word of the list now.
+func (m *Machine) Stale(now mgclock.Millis) bool {
+	return m.vms.failures > 0 || now >= m.vms.heard+staleSpan
+}
+
 // done notes the end of a read and when the next is due. It reports whether a
 // value came.
 func (s *source) done(now mgclock.Millis, result ResultSpec, m *Machine) bool {
@@ -221,6 +231,7 @@
 		return false
 	}
 	s.failures = 0
+	s.heard = now
 	s.answered = true
 	s.next = m.after(now, s)
 	if unchanged {
