--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -82,10 +82,14 @@
 	Account *mgtable.Account // nil where the route needs none
 }
 
-// maxDials bounds the upstreams that a request tries to connect to. Nothing
-// was sent to those that could not be reached, so they are no attempts; three
-// in a row are likelier this process's own links than theirs.
-const maxDials = 3
+// maxDials bounds the upstreams that a request tries to connect to, and
+// dialPart the part of its time that it spends so. Nothing was sent to those
+// that could not be reached, so they are no attempts. An entry that was cut off
+// for twelve seconds has a list of which half may be gone.
+const (
+	maxDials = 8
+	dialPart = 4
+)
 
 // Serve answers a request.
 func (y *Relay) Serve(w http.ResponseWriter, r *http.Request, call Call) {
@@ -148,7 +152,7 @@
 		return false
 	}
 	if end == unreached {
-		return x.dials < maxDials
+		return x.dials < maxDials && y.waited(x) < x.limit/dialPart
 	}
 	if x.attempts >= x.call.Route.Attempts() {
 		return false
