mgretry, mgnode, mgconfig: retries of all entries stay within what a service allows

Change: an entry holds 0.7 of what is allowed, divided by the entries it knows. A process without a table asks the store again after 100 ms, doubling, and not after a second: after a kill while the store was away entries took 0.5 to 1.3 s from its return.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -10,9 +10,11 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -40,6 +42,9 @@
 	if n.form != nil {
 		n.servers.Go(func() { n.tellLoads(ctx, entry.Load()) })
 	}
+	if settings.Retry > 0 {
+		n.servers.Go(func() { n.boundRetries(ctx, int(settings.Retry), entry.BoundRetries) })
+	}
 	n.Serve(ctx, ServerSpec{
 		Name:     "callers",
 		Listener: public,
@@ -86,6 +91,20 @@
 // an event, and a partition that heals before costs them a pause only.
 const upstreamSilence = 6 * time.Second
 
+// boundRetries keeps this entry's part of the retries that all entries may make,
+// by how many of them are known, until ctx ends.
+func (n *Node) boundRetries(ctx context.Context, allowed int, bound func(limit int)) {
+	for ok := true; ok; ok = n.clock.Sleep(ctx, mgclock.Second) {
+		entries := 1
+		for _, peer := range n.members.View().Peers() {
+			if peer.Kind() == mgplatform.EntryKind {
+				entries++
+			}
+		}
+		bound(mgretry.Share(allowed, entries))
+	}
+}
+
 // relaySpec returns how requests are passed through, or nil when none are.
 func (n *Node) relaySpec() *mgrelay.Spec {
 	if n.form == nil {
--- a/internal/request/mgretry/retry_test.go
+++ b/internal/request/mgretry/retry_test.go
@@ -197,3 +197,28 @@
 		n++
 	}
 }
+
+// An engine fails half of its requests. Five entries hold 64 retries each, a
+// service allows 56 beyond a fifth of its requests, and the retries are what
+// brings the others down.
+func TestShare(t *testing.T) {
+	Convey("Processes hold together what a service allows", t, func() {
+		for _, processes := range []int{1, 2, 5, 24} {
+			So(processes*mgretry.Share(56, processes), ShouldBeLessThanOrEqualTo, 56)
+		}
+		So(mgretry.Share(56, 5), ShouldEqual, 7)
+		So(mgretry.Share(0, 0), ShouldEqual, 1)
+		Convey("and no more, once bounded", func() {
+			var budgets mgretry.Budgets
+			before := budgets.Of("books")
+			budgets.Bound(mgretry.Share(56, 5))
+			for _, b := range []*mgretry.Budget{before, budgets.Of("notes")} {
+				spent := 0
+				for b.Spend() {
+					spent++
+				}
+				So(spent, ShouldEqual, 7)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/request/mgretry/share.go
@@ -0,0 +1,13 @@
+package mgretry
+
+// sharePart is the part of what all processes may retry together that they
+// hold between them. The rest covers that they don't count each other alike
+// while some start and stop.
+const sharePart = 0.7
+
+// Share returns the most retries that one of some processes holds, of those
+// that a service allows all of them together beyond a ratio of its requests.
+// No counter is shared: a process that sees few failures leaves its part unused.
+func Share(allowed, processes int) int {
+	return max(int(sharePart*float64(allowed)/float64(max(processes, 1))), 1)
+}
--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -164,6 +164,27 @@
 	})
 }
 
+// All entries were killed while the store was away for two seconds more. It
+// answers again, and they still wait out the pause of a process that serves.
+func TestFirstRetry(t *testing.T) {
+	Convey("A process without a table asks again soon, and ever more rarely", t, func() {
+		m := NewMachine(0, MachineSpec{
+			Name:    "entry-1",
+			Backoff: sec,
+		}, mgmember.New("entry-1"))
+		at, asked := mgclock.Millis(0), 0
+		for at < 10*sec {
+			m.vms.done(at, ResultSpec{Err: mgplatform.ErrDown}, m)
+			if at < sec {
+				asked++
+			}
+			So(m.vms.next-at, ShouldBeBetweenOrEqual, firstRetry/2, sec+firstRetry)
+			at = m.vms.next
+		}
+		So(asked, ShouldBeGreaterThanOrEqualTo, 4)
+	})
+}
+
 // Every entry of a region watches the list as often as the one that needs its
 // changes at once, and the platform counts each call; or none does, and an
 // engine's notice of two seconds is half over when it is seen.
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -37,7 +37,12 @@
 	// backoffMin and backoffMax bound the pause after a failed read by default.
 	// Half a minute is the longest that a change waits once the platform is back.
 	backoffMin = mgclock.Second
+	// firstRetry is the first pause of a process that has no table yet: it serves
+	// nobody until it has, so that it asks soon, and ever more rarely.
+	firstRetry = 100 * mgclock.Millis(1)
 	backoffMax = 30 * mgclock.Second
+	// maxShift bounds the doublings of a pause; the bounds above end them sooner.
+	maxShift = 10
 )
 
 // Budgets of pages read from the platform. Twenty-one watchers (three in each of
@@ -222,7 +227,11 @@
 	unchanged := errors.Is(result.Err, mgplatform.ErrUnchanged)
 	if result.Err != nil && !unchanged {
 		s.failures++
-		s.next = now + backoffMin/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), backoffMin<<min(s.failures, 5)))
+		if m.Current() == nil {
+			s.next = now + firstRetry/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), firstRetry<<min(s.failures, maxShift)))
+			return false
+		}
+		s.next = now + backoffMin/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), backoffMin<<min(s.failures, maxShift)))
 		if m.join.ready && !m.watching() {
 			// A poll that failed waits for its turn again. Otherwise every
 			// member would be retrying after an hour's outage.
