mgentry, mgrelay, mgnode: a stopping entry takes what ends in time

Change: from the signal on each answer asks for a new connection, and what is not expected to end in time is refused at once, unless more than half of the other entries stop, too.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -56,6 +56,9 @@
 	Relay *mgrelay.Spec
 	// Answered tells of an upstream that a relayed request reached.
 	Answered func(name string)
+	// Elsewhere reports whether a caller that this entry turns away while it
+	// stops likely finds one that stays. Nil stands for yes.
+	Elsewhere func() bool
 	// Others returns what the other entries have sent to upstreams, or nil.
 	Others func() map[string]mgload.Row
 	// Stale reports whether the list of VMs may lack what has changed, and Left
@@ -82,6 +85,7 @@
 	caps    caps
 	busy    atomic.Int64
 	leaving atomic.Bool
+	ends    atomic.Int64  // when a stopping process ends, ms of its clock; 0: it doesn't stop
 	number  atomic.Uint64 // attempts so far
 	epoch   string        // names this process's attempts
 
@@ -100,6 +104,22 @@
 	return e
 }
 
+// Stopping tells that the process ends at a time. Requests that can't end by
+// then are refused from now on, and each answer asks its caller for a new
+// connection, which reaches another entry: callers that keep theirs would all be
+// refused when Leave comes.
+func (e *Entry) Stopping(end mgclock.Millis) { e.ends.Store(int64(end)) }
+
+// left returns how long the process still lives, or false when it doesn't stop,
+// or a caller would fare no better elsewhere.
+func (e *Entry) left() (mgclock.Millis, bool) {
+	end := mgclock.Millis(e.ends.Load())
+	if end == 0 || e.spec.Elsewhere != nil && !e.spec.Elsewhere() {
+		return 0, false
+	}
+	return end - e.spec.Clock.Now(), true
+}
+
 // Leave makes the entry refuse new requests; those in progress go on.
 func (e *Entry) Leave() { e.leaving.Store(true) }
 
@@ -134,16 +154,37 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.busy.Add(1)
 		defer e.busy.Add(-1)
-		if e.leaving.Load() {
+		if e.ends.Load() > 0 {
 			w.Header().Set("Connection", "close")
-			mgproblem.Write(w, mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
-				"this entry is leaving", "send the request again on a new connection").WithRetry(mgclock.Second))
+		}
+		if e.leaving.Load() {
+			e.refuse(w, leaving())
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// leaving is told of a request that a stopping entry doesn't take.
+func leaving() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
+		"this entry is leaving", "send the request again on a new connection").WithRetry(leaveRetry)
+}
+
+// leaveRetry is the pause before a caller turns to another entry: none is
+// needed but for the balancer's way.
+const leaveRetry = 20 * mgclock.Millis(1)
+
+// refuse answers with a problem in the form of the deployment's callers.
+func (e *Entry) refuse(w http.ResponseWriter, problem *mgproblem.Problem) {
+	if e.relay != nil {
+		e.relay.Write(w, problem)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	mgproblem.Write(w, problem)
+}
+
 // bound limits a request's body.
 func (e *Entry) bound(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -25,6 +25,8 @@
 	spec.Budgets = &e.budgets
 	spec.Load = &e.load
 	spec.Others = e.spec.Others
+	spec.Left = e.left
+	spec.Departed = e.spec.Left
 	spec.Zone = e.spec.Settings.Zone
 	spec.Failed = e.spec.Failed
 	spec.Answered = e.spec.Answered
@@ -32,7 +34,6 @@
 	spec.Changed = e.spec.Changed
 	spec.Every = e.every
 	spec.Stale = e.spec.Stale
-	spec.Left = e.spec.Left
 	e.relay = mgrelay.New(spec)
 }
 
@@ -75,6 +76,10 @@
 	return list
 }
 
+// unreadyRetry is the pause before a caller turns to another entry, or to this
+// one that is starting: it takes 50 ms once the platform answers.
+const unreadyRetry = 100 * mgclock.Millis(1)
+
 // routed passes requests through that the table's routes name; others are
 // requests of the entry's own interface.
 func (e *Entry) routed(next http.Handler) http.Handler {
@@ -84,8 +89,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		table := e.spec.Table()
 		if table == nil {
-			mgproblem.Write(w, mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
-				"no configuration is in force yet", "try another entry").WithRetry(mgclock.Second))
+			e.refuse(w, mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+				"no configuration is in force yet", "try another entry").WithRetry(unreadyRetry))
 			return
 		}
 		path, _, _ := strings.Cut(r.RequestURI, "?")
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -52,7 +52,13 @@
 		Head:     int(settings.Head),
 		Slow:     mgclock.Millis(settings.Slow),
 	})
-	return n.Stop(entry.Leave, entry.Busy), nil
+	stop := n.Stop(entry.Leave, entry.Busy)
+	unready := stop.Unready
+	stop.Unready = func() {
+		entry.Stopping(n.clock.Now() + stop.Longest)
+		unready()
+	}
+	return stop, nil
 }
 
 func (n *Node) entrySpec(settings mgsettings.Entry, shares *mgshare.Loop) mgentry.Spec {
@@ -75,14 +81,15 @@
 			Clock:    n.clock,
 			Interval: mgclock.Millis(settings.Beat),
 		},
-		Frames:   n.guard.Transport(true),
-		Base:     n.guard.Base,
-		Relay:    n.relaySpec(),
-		Answered: n.answered,
-		Changed:  n.members.Changed,
-		Others:   n.Others,
-		Stale:    n.loop.Stale,
-		Left:     n.left,
+		Frames:    n.guard.Transport(true),
+		Base:      n.guard.Base,
+		Relay:     n.relaySpec(),
+		Answered:  n.answered,
+		Changed:   n.members.Changed,
+		Others:    n.Others,
+		Elsewhere: n.elsewhere,
+		Stale:     n.loop.Stale,
+		Left:      n.left,
 	}
 }
 
@@ -105,6 +112,23 @@
 	}
 }
 
+// elsewhere reports whether at least half of the other entries stay. Callers
+// that come back reach any of them; where most are stopping, too, an answer that
+// may be cut is worth more than a second refusal.
+func (n *Node) elsewhere() bool {
+	entries, stay := 0, 0
+	for _, peer := range n.members.View().Peers() {
+		if peer.Kind() != mgplatform.EntryKind {
+			continue
+		}
+		entries++
+		if !peer.Leaving() {
+			stay++
+		}
+	}
+	return entries > 0 && 2*stay >= entries
+}
+
 // relaySpec returns how requests are passed through, or nil when none are.
 func (n *Node) relaySpec() *mgrelay.Spec {
 	if n.form == nil {
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -43,5 +43,5 @@
 		return
 	}
 	y.spec.Log.Info("an upstream says that it leaves, which the list doesn't show", mglog.Upstream, host.Name)
-	y.spec.Left(host.Name)
+	y.spec.Departed(host.Name)
 }
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -72,11 +72,7 @@
 
 // refuse answers with a problem of the system's own.
 func (y *Relay) refuse(w http.ResponseWriter, x *exchange, problem *mgproblem.Problem) {
-	if problem.Retry() > 0 {
-		y.setRetry(w, problem.Retry())
-		problem = problem.WithRetry(0)
-	}
-	mgproblem.Write(w, problem)
+	y.Write(w, problem)
 	x.freeWrites()
 	y.spec.Metrics.Counter("relay.failed." + string(problem.Kind())).Inc(1)
 	y.spec.Log.Info("a request failed",
@@ -86,6 +82,16 @@
 		"ms", int64(y.waited(x)), "why", problem.Error())
 }
 
+// Write answers with a problem, with the time to come back in the deployment's
+// form.
+func (y *Relay) Write(w http.ResponseWriter, problem *mgproblem.Problem) {
+	if problem.Retry() > 0 {
+		y.setRetry(w, problem.Retry())
+		problem = problem.WithRetry(0)
+	}
+	mgproblem.Write(w, problem)
+}
+
 // setRetry tells the caller when to come back.
 func (y *Relay) setRetry(w http.ResponseWriter, span mgclock.Millis) {
 	if y.spec.Form.Fractions {
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -46,11 +46,14 @@
 	Turn    func(ctx context.Context, service string, ask mgmigration.Ask) (place string, ok bool)
 	EndTurn func(service, source, run string)
 	// Stale reports whether the list of upstreams may lack what has changed.
-	// Upstreams with runs are then asked by Probe whether they leave, and Left
-	// is told of those that do. Without Probe none are asked.
-	Stale func() bool
-	Probe func(ctx context.Context, upstream Host) (leaving bool, err error)
-	Left  func(upstream string)
+	// Upstreams with runs are then asked by Probe whether they leave, and
+	// Departed is told of those that do. Without Probe none are asked.
+	Stale    func() bool
+	Probe    func(ctx context.Context, upstream Host) (leaving bool, err error)
+	Departed func(upstream string)
+	// Left returns how long this process still lives, or false when it doesn't
+	// stop.
+	Left func() (mgclock.Millis, bool)
 	// Move makes a call to a source of a move. Without it nothing is moved.
 	Move func(ctx context.Context, source Host, order Order) mgmigration.Reply
 }
@@ -99,6 +102,13 @@
 		y.refuse(w, x, problem)
 		return
 	}
+	if y.spec.Left != nil {
+		if left, stopping := y.spec.Left(); stopping && x.expected() > left {
+			y.refuse(w, x, mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
+				"this entry ends before the answer would", "send the request again on a new connection").WithRetry(comeBack))
+			return
+		}
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.limit.Duration())
 	defer cancel()
 	x.guardWrites(w)
--- a/internal/process/mgrelay/relay_test.go
+++ b/internal/process/mgrelay/relay_test.go
@@ -8,6 +8,9 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // A call whose path, query or body changed on the way is another call: the
@@ -321,3 +324,58 @@
 		So(g.runs(), ShouldBeEmpty)
 	})
 }
+
+// An entry that stops within eight seconds takes a report of nine, and cuts it;
+// or it turns away a lookup that it could have answered a hundred times over.
+func TestStopping(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		tokens string
+		left   mgclock.Millis
+		status int
+	}{
+		{
+			name:   "a report that doesn't end in time is refused",
+			path:   "/write/1",
+			tokens: "3000,900",
+			left:   4 * mgclock.Second,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:   "a note that does is taken",
+			path:   "/write/1",
+			tokens: "2000,20",
+			left:   4 * mgclock.Second,
+			status: http.StatusOK,
+		},
+		{
+			name:   "a lookup is taken",
+			path:   "/look/1",
+			left:   4 * mgclock.Second,
+			status: http.StatusOK,
+		},
+		{
+			name:   "a lookup in the last moment is refused",
+			path:   "/look/1",
+			left:   100,
+			status: http.StatusServiceUnavailable,
+		},
+	}
+	Convey("While the entry stops", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := open(t, say("id: 1\n\n"))
+				g.with(func(spec *mgrelay.Spec) {
+					spec.Left = func() (mgclock.Millis, bool) { return c.left, true }
+				})
+				got := g.ask(context.Background(), http.MethodPost, c.path, "x", http.Header{
+					"Tokens": {c.tokens},
+					"Hint":   {strings.TrimPrefix(c.tokens, "3000,")},
+				})
+				So(got.status, ShouldEqual, c.status)
+				So(len(g.runs()) > 0, ShouldEqual, c.status == http.StatusOK)
+			})
+		}
+	})
+}
