mgload, mgrelay: an engine whose pace is far behind the others' gets less

Cause: an engine that turns four times as slow holds a few reports that crawl, looks the least loaded and draws the next. Change: entries measure each upstream's time for a token, or a call, put them together at the hub, and add what a slow one costs a request of its length; after 5 s without a measurement it is tried again.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -59,8 +59,8 @@
 	// Elsewhere reports whether a caller that this entry turns away while it
 	// stops likely finds one that stays. Nil stands for yes.
 	Elsewhere func() bool
-	// Others returns what the other entries have sent to upstreams, or nil.
-	Others func() map[string]mgload.Row
+	// Others returns what the other entries have sent to upstreams.
+	Others func() mgload.Report
 	// Stale reports whether the list of VMs may lack what has changed, and Left
 	// is told of an upstream that says itself that it leaves.
 	Stale func() bool
--- a/internal/process/mgnode/load.go
+++ b/internal/process/mgnode/load.go
@@ -20,18 +20,18 @@
 
 // others is what the other entries have sent, as the hub last said.
 type others struct {
-	rows map[string]mgload.Row
-	at   mgclock.Millis
+	report mgload.Report
+	at     mgclock.Millis
 }
 
-// Others returns what the other entries have sent to upstreams, or nil where
-// that isn't known. Callers don't change it.
-func (n *Node) Others() map[string]mgload.Row {
+// Others returns what the other entries have sent to upstreams, which is empty
+// where that isn't known. Callers don't change it.
+func (n *Node) Others() mgload.Report {
 	known := n.others.Load()
 	if known == nil || n.clock.Now() >= known.at+othersLife {
-		return nil
+		return mgload.Report{}
 	}
-	return known.rows
+	return known.report
 }
 
 // tellLoads tells the hub what was sent from here, until ctx ends.
@@ -39,15 +39,19 @@
 	for n.clock.Sleep(ctx, tellSpan) {
 		hub := n.first("loads")
 		now := n.clock.Now()
+		own := mgload.Report{
+			Rows:  count.Rows(),
+			Paces: count.Paces(now),
+		}
 		if hub == nil {
 			n.others.Store(&others{
-				rows: n.hub.Tell(now, n.settings.Name, count.Rows()),
-				at:   now,
+				report: n.hub.Tell(now, n.settings.Name, own),
+				at:     now,
 			})
 			continue
 		}
 		askCtx, cancel := context.WithTimeout(ctx, tellWait.Duration())
-		reply, err := n.peer(hub.PeerAddr()).Loads(askCtx, loadRows(n.settings.Name, count.Rows()))
+		reply, err := n.peer(hub.PeerAddr()).Loads(askCtx, loadRows(n.settings.Name, own))
 		cancel()
 		if err != nil {
 			// The own count stands in meanwhile; after a second failure in a row
@@ -58,41 +62,57 @@
 		}
 		n.answered(hub.Name())
 		n.others.Store(&others{
-			rows: rowsOf(reply),
-			at:   now,
+			report: reportOf(reply),
+			at:     now,
 		})
 	}
 }
 
-func loadRows(entry string, rows map[string]mgload.Row) *mgrpc.LoadRows {
+func loadRows(entry string, report mgload.Report) *mgrpc.LoadRows {
 	all := &mgrpc.LoadRows{
 		Entry: entry,
 	}
-	for upstream, row := range rows {
+	for upstream, row := range report.Rows {
 		all.Rows = append(all.Rows, &mgrpc.LoadRow{
 			Upstream: upstream,
 			Runs:     int32(row.Runs),
 			Pending:  int32(row.Pending),
 			Memory:   int32(row.Memory),
+			Pace:     report.Paces[upstream],
+		})
+	}
+	for upstream, pace := range report.Paces {
+		if _, told := report.Rows[upstream]; told {
+			continue
+		}
+		all.Rows = append(all.Rows, &mgrpc.LoadRow{
+			Upstream: upstream,
+			Pace:     pace,
 		})
 	}
 	return all
 }
 
-func rowsOf(all *mgrpc.LoadRows) map[string]mgload.Row {
-	rows := make(map[string]mgload.Row, len(all.GetRows()))
+func reportOf(all *mgrpc.LoadRows) mgload.Report {
+	report := mgload.Report{
+		Rows:  make(map[string]mgload.Row, len(all.GetRows())),
+		Paces: make(map[string]float64, len(all.GetRows())),
+	}
 	for _, row := range all.GetRows() {
-		rows[row.GetUpstream()] = mgload.Row{
+		report.Rows[row.GetUpstream()] = mgload.Row{
 			Runs:    int(row.GetRuns()),
 			Pending: int(row.GetPending()),
 			Memory:  int(row.GetMemory()),
 		}
+		if row.GetPace() > 0 {
+			report.Paces[row.GetUpstream()] = row.GetPace()
+		}
 	}
-	return rows
+	return report
 }
 
 // Loads answers an entry that takes this one for the hub.
 func (p peerServer) Loads(_ context.Context, r *mgrpc.LoadRows) (*mgrpc.LoadRows, error) {
-	sum := p.node.hub.Tell(p.node.clock.Now(), r.GetEntry(), rowsOf(r))
-	return loadRows(p.node.settings.Name, sum), nil
+	others := p.node.hub.Tell(p.node.clock.Now(), r.GetEntry(), reportOf(r))
+	return loadRows(p.node.settings.Name, others), nil
 }
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -40,6 +40,7 @@
 	// A hang-up of the connection to the upstream tells it to stop.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.sent = y.spec.Clock.Now()
 	request := y.request(ctx, x, host)
 	y.resume(x, request)
 	response, err := mgdial.Do(y.spec.Client, request)
@@ -213,6 +214,7 @@
 	if y.spec.Clock.Now() > x.began+x.limit+writeSlack {
 		y.spec.Metrics.Counter("relay.late").Inc(1)
 	}
+	y.spec.Load.Paced(y.spec.Clock.Now(), x.last, float64(y.spec.Clock.Now()-x.sent))
 	header := w.Header()
 	copyHeader(header, response.Header)
 	if len(kept) < maxKept && x.method != http.MethodHead {
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -27,7 +27,8 @@
 	limit   mgclock.Millis // from began, the shorter of deadline and timeout
 	control *http.ResponseController
 
-	pending  int // prompt tokens that are counted as not yet read
+	sent     mgclock.Millis // when the last attempt was sent
+	pending  int            // prompt tokens that are counted as not yet read
 	tried    map[string]bool
 	attempts int // sends that may have reached an upstream
 	dials    int // upstreams that could not be reached
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -33,14 +33,25 @@
 			query.Capacity = model.Context()
 		}
 	}
-	var others map[string]mgload.Row
+	var others mgload.Report
 	if y.spec.Others != nil {
 		others = y.spec.Others()
 	}
+	query.Tokens = max(x.size.output, 1)
+	hosts := y.spec.Every(x.service)
+	paces := y.spec.Load.Paces(y.spec.Clock.Now())
+	var known []float64
+	for _, host := range hosts {
+		if pace, ok := mgload.Pace(paces, others.Paces, host.Name); ok {
+			known = append(known, pace)
+		}
+	}
+	slow := mgload.Slow(known)
 	var list []spot
-	for _, host := range y.spec.Every(x.service) {
-		row := y.spec.Load.Row(host.Name).Add(others[host.Name])
-		cost := mgload.Cost(row, host.Zone, query)
+	for _, host := range hosts {
+		row := y.spec.Load.Row(host.Name).Add(others.Rows[host.Name])
+		pace, _ := mgload.Pace(paces, others.Paces, host.Name)
+		cost := mgload.Cost(row, host.Zone, slow(pace), query)
 		if host.Suspect {
 			cost += suspectCost
 		}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -28,9 +28,9 @@
 	// Every returns all upstreams that run a service and stay, in any order.
 	Every func(service string) []Host
 	// Load counts what is sent to each upstream, and Others returns what other
-	// entries have sent, or nil. Zone is this entry's.
+	// entries have sent. Zone is this entry's.
 	Load   *mgload.Count
-	Others func() map[string]mgload.Row
+	Others func() mgload.Report
 	Zone   string
 	// Failed tells of an upstream that could not be reached, Answered of one
 	// that answered.
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -118,12 +118,12 @@
 }
 
 // crowded has each upstream look more loaded than the one before it.
-func (g *rig) crowded() map[string]mgload.Row {
+func (g *rig) crowded() mgload.Report {
 	rows := map[string]mgload.Row{}
 	for i, host := range g.hosts {
 		rows[host.Name] = mgload.Row{Runs: i}
 	}
-	return rows
+	return mgload.Report{Rows: rows}
 }
 
 // with opens the relay anew with some of its spec changed.
--- a/internal/process/mgrelay/run.go
+++ b/internal/process/mgrelay/run.go
@@ -14,8 +14,9 @@
 	ctx   context.Context // ends with the attempt
 	x     *exchange
 	host  Host
-	first atomic.Int64 // time of the first event, ms of the relay's clock
-	made  atomic.Int64 // events delivered
+	first atomic.Int64   // time of the first event, ms of the relay's clock
+	made  atomic.Int64   // events delivered
+	last  mgclock.Millis // when events were delivered last
 
 	claimed bool          // a mover is at work on it; guarded by runs.mu
 	ended   chan struct{} // closed when the mover is done with it
@@ -138,22 +139,33 @@
 	return first
 }
 
-// note counts events that were delivered.
-func (r *run) note(now mgclock.Millis, events int64) {
-	r.first.CompareAndSwap(0, int64(now))
+// note counts events that were delivered, and returns the time that each of
+// their tokens took since the events before, or false for the first.
+func (r *run) note(now mgclock.Millis, events int64) (each float64, ok bool) {
+	since := now - r.last
+	ok = !r.first.CompareAndSwap(0, int64(now)) && events > 0
+	r.last = now
 	r.made.Add(events)
+	if !ok {
+		return 0, false
+	}
+	return float64(since) / float64(events*int64(r.stride())), true
 }
 
-// state returns what is known of the run.
-func (r *run) state(now mgclock.Millis) mgmigration.Run {
-	stride := 1
+// stride returns the tokens of an event.
+func (r *run) stride() int {
 	if service := r.x.call.Table.Service(r.x.service); service != nil {
-		stride = service.Stride()
+		return service.Stride()
 	}
+	return 1
+}
+
+// state returns what is known of the run.
+func (r *run) state(now mgclock.Millis) mgmigration.Run {
 	state := mgmigration.Run{
 		Prompt:  r.x.size.prompt,
 		Output:  r.x.size.output,
-		Made:    stride * int(r.made.Load()),
+		Made:    r.stride() * int(r.made.Load()),
 		Resumes: r.x.call.Route.Resumes(),
 	}
 	if first := r.first.Load(); first > 0 {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -36,7 +36,10 @@
 		if err = y.deliver(w, x, first); err != nil {
 			y.abort(x, err)
 		}
-		run.note(y.spec.Clock.Now(), int64(bytes.Count(first, eventEnd)))
+		now := y.spec.Clock.Now()
+		if each, ok := run.note(now, int64(bytes.Count(first, eventEnd))); ok {
+			y.spec.Load.Paced(now, host.Name, each)
+		}
 		first, err = events.next()
 	}
 	if !errors.Is(err, io.EOF) {
--- a/internal/request/mgload/load.go
+++ b/internal/request/mgload/load.go
@@ -45,12 +45,13 @@
 	Memory   int    // tokens of the prompt and the expected output
 	Capacity int    // tokens of an upstream's memory, 0 for no bound
 	Copy     bool   // the request brings its memory along
+	Tokens   int    // expected tokens of the output, 1 for a call
 }
 
 // Cost returns the cost in ms of a request at an upstream in a zone that has
-// the load of r.
-func Cost(r Row, zone string, q Query) float64 {
-	cost := float64(r.Pending)/readRate + runCost*float64(r.Runs)
+// the load of r, and is slower than others by slow ms for each token; see Slow.
+func Cost(r Row, zone string, slow float64, q Query) float64 {
+	cost := float64(r.Pending)/readRate + runCost*float64(r.Runs) + slow*float64(q.Tokens)
 	if lack := r.Memory + q.Memory - q.Capacity; q.Capacity > 0 && lack > 0 {
 		cost += lackCost * float64(lack)
 	}
@@ -67,8 +68,9 @@
 // A Count is what one entry has sent. The zero Count is empty and ready for use
 // by several goroutines.
 type Count struct {
-	mu   sync.Mutex
-	rows map[string]Row
+	mu    sync.Mutex
+	rows  map[string]Row
+	paces map[string]pace
 }
 
 // Add adds to an upstream's row, and takes away what is negative.
@@ -104,34 +106,46 @@
 	return rows
 }
 
+// A Report is what one entry, or several together, have sent to upstreams and
+// measured of them.
+type Report struct {
+	Rows  map[string]Row
+	Paces map[string]float64 // ms, see Count.Paces
+}
+
 // tellLife is how long a hub counts what an entry told it: five of its messages.
 // An entry that died has no requests any more.
 const tellLife = mgclock.Second
 
-// A Hub adds up what entries tell it. The zero Hub is empty and ready for use by
-// several goroutines.
+// A Hub puts together what entries tell it. The zero Hub is empty and ready for
+// use by several goroutines.
 type Hub struct {
 	mu   sync.Mutex
 	told map[string]told
 }
 
 type told struct {
-	rows map[string]Row
-	at   mgclock.Millis
+	report Report
+	at     mgclock.Millis
 }
 
-// Tell takes an entry's rows and returns the sum of the others'.
-func (h *Hub) Tell(now mgclock.Millis, entry string, rows map[string]Row) map[string]Row {
+// Tell takes an entry's report and returns that of the others: the sum of what
+// they sent, and the mean of the paces that they measured.
+func (h *Hub) Tell(now mgclock.Millis, entry string, report Report) Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.told == nil {
 		h.told = map[string]told{}
 	}
 	h.told[entry] = told{
-		rows: rows,
-		at:   now,
+		report: report,
+		at:     now,
 	}
-	sum := map[string]Row{}
+	others := Report{
+		Rows:  map[string]Row{},
+		Paces: map[string]float64{},
+	}
+	counts := map[string]float64{}
 	for name, other := range h.told {
 		if now >= other.at+tellLife {
 			delete(h.told, name)
@@ -140,9 +154,31 @@
 		if name == entry {
 			continue
 		}
-		for upstream, row := range other.rows {
-			sum[upstream] = sum[upstream].Add(row)
+		for upstream, row := range other.report.Rows {
+			others.Rows[upstream] = others.Rows[upstream].Add(row)
+		}
+		for upstream, pace := range other.report.Paces {
+			others.Paces[upstream] += pace
+			counts[upstream]++
 		}
 	}
-	return sum
+	for upstream, count := range counts {
+		others.Paces[upstream] /= count
+	}
+	return others
+}
+
+// Pace returns an upstream's pace by the own measurement and the others'
+// together, or false when nobody has one.
+func Pace(own, others map[string]float64, upstream string) (float64, bool) {
+	mine, have := own[upstream]
+	theirs, told := others[upstream]
+	switch {
+	case have && told:
+		return (mine + theirs) / 2, true
+	case have:
+		return mine, true
+	default:
+		return theirs, told
+	}
 }
--- a/internal/request/mgload/load_test.go
+++ b/internal/request/mgload/load_test.go
@@ -47,15 +47,15 @@
 	Convey("A request costs less where there is", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				So(Cost(c.better, c.zone, query), ShouldBeLessThan, Cost(c.worse, c.farther, query))
+				So(Cost(c.better, c.zone, 0, query), ShouldBeLessThan, Cost(c.worse, c.farther, 0, query))
 			})
 		}
 		Convey("A copy weighs the way between zones by the time it takes", func() {
 			near := Row{Runs: 1}
 			moved := query
-			So(Cost(near, "a", moved), ShouldBeGreaterThan, Cost(Row{}, "b", moved))
+			So(Cost(near, "a", 0, moved), ShouldBeGreaterThan, Cost(Row{}, "b", 0, moved))
 			moved.Copy = true
-			So(Cost(near, "a", moved), ShouldBeLessThan, Cost(Row{}, "b", moved))
+			So(Cost(near, "a", 0, moved), ShouldBeLessThan, Cost(Row{}, "b", 0, moved))
 		})
 	})
 }
@@ -64,15 +64,27 @@
 func TestHub(t *testing.T) {
 	Convey("A hub tells an entry the sum of the others", t, func() {
 		var h Hub
-		rows := func(n int) map[string]Row {
-			return map[string]Row{"engine": {Runs: n}}
+		rows := func(n int) Report {
+			return Report{
+				Rows:  map[string]Row{"engine": {Runs: n}},
+				Paces: map[string]float64{"engine": float64(n)},
+			}
 		}
-		So(h.Tell(0, "one", rows(1)), ShouldBeEmpty)
-		So(h.Tell(10, "two", rows(2))["engine"].Runs, ShouldEqual, 1)
-		So(h.Tell(20, "three", rows(4))["engine"].Runs, ShouldEqual, 3)
-		So(h.Tell(30, "one", rows(8))["engine"].Runs, ShouldEqual, 6)
+		So(h.Tell(0, "one", rows(1)).Rows, ShouldBeEmpty)
+		So(h.Tell(10, "two", rows(2)).Rows["engine"].Runs, ShouldEqual, 1)
+		So(h.Tell(20, "three", rows(4)).Rows["engine"].Runs, ShouldEqual, 3)
+		told := h.Tell(30, "one", rows(8))
+		So(told.Rows["engine"].Runs, ShouldEqual, 6)
+		So(told.Paces["engine"], ShouldEqual, 3)
 		Convey("and forgets one that is silent", func() {
-			So(h.Tell(tellLife+25, "one", rows(8)), ShouldBeEmpty)
+			So(h.Tell(tellLife+25, "one", rows(8)).Rows, ShouldBeEmpty)
+		})
+		Convey("whose paces count beside the own", func() {
+			pace, ok := Pace(map[string]float64{"engine": 5}, told.Paces, "engine")
+			So(ok, ShouldBeTrue)
+			So(pace, ShouldEqual, 4)
+			_, ok = Pace(nil, told.Paces, "other")
+			So(ok, ShouldBeFalse)
 		})
 	})
 	Convey("A count ends at nothing", t, func() {
@@ -103,7 +115,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	var hub Hub
 	counts := make([]Count, entries)
-	others := make([]map[string]Row, entries)
+	others := make([]Report, entries)
 	type end struct {
 		at     mgclock.Millis
 		entry  int
@@ -123,13 +135,13 @@
 		running = kept
 		if told {
 			for i := range counts {
-				others[i] = hub.Tell(at, fmt.Sprint(i), counts[i].Rows())
+				others[i] = hub.Tell(at, fmt.Sprint(i), Report{Rows: counts[i].Rows()})
 			}
 		}
 		entry, best, least := r.IntN(entries), "", 0.0
 		for _, k := range r.Perm(engines) {
 			engine := fmt.Sprint("engine", k)
-			cost := Cost(counts[entry].Row(engine).Add(others[entry][engine]), "", Query{})
+			cost := Cost(counts[entry].Row(engine).Add(others[entry].Rows[engine]), "", 0, Query{})
 			if best == "" || cost < least {
 				best, least = engine, cost
 			}
--- /dev/null
+++ b/internal/request/mgload/pace_test.go
@@ -0,0 +1,39 @@
+package mgload
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// An engine turns four times as slow. Nothing runs there but the few reports
+// that crawl, so that it looks the least loaded and draws the next ones, whose
+// events come 200 ms apart.
+func TestPace(t *testing.T) {
+	Convey("A pace", t, func() {
+		var c Count
+		for range 50 {
+			c.Paced(0, "a", 8)
+			c.Paced(0, "b", 9)
+			c.Paced(0, "c", 8.5)
+			c.Paced(0, "d", 32)
+		}
+		paces := c.Paces(0)
+		So(paces["d"], ShouldAlmostEqual, 32, 0.1)
+		slow := Slow([]float64{paces["a"], paces["b"], paces["c"], paces["d"]})
+		Convey("that is far above the others' is slow", func() {
+			So(slow(paces["d"]), ShouldBeBetween, 20, 25)
+			So(slow(paces["b"]), ShouldEqual, 0)
+		})
+		Convey("of a moment is not", func() {
+			c.Paced(10, "a", 30)
+			So(slow(c.Paces(10)["a"]), ShouldEqual, 0)
+		})
+		Convey("is forgotten, so that the engine is tried again", func() {
+			So(c.Paces(paceLife), ShouldBeEmpty)
+		})
+		Convey("counts for nothing where few are known", func() {
+			So(Slow([]float64{8, 32})(32), ShouldEqual, 0)
+		})
+	})
+}
