mgmember, mgdial, mgdemo, mgpeer: imports run downward; an error object in every problem

The packages of a version imported process packages, and pkg/ imported internal/: mgmember moves to internal/version, mgdial to pkg, mgdemo to the stand-ins, and mgpeer takes a Spec of its own in place of a process's settings. A table with a UTF-8 byte order mark is read. An OpenAI client showed "401 status code (no body)" for a missing key: every problem now carries the form's error object, which streams' last events had alone; one copy of it.

--- a/cmd/marjoramgauge/demo.go
+++ b/cmd/marjoramgauge/demo.go
@@ -6,7 +6,7 @@
 	"io"
 	"time"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgdemo"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgdemo"
 )
 
 // onceLimit bounds demo --once; it usually takes about ten seconds.
--- a/internal/connection/mgengine/http.go
+++ b/internal/connection/mgengine/http.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"net/url"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // answerBytes bounds the body of any answer but a stream.
--- a/internal/connection/mgpeer/peer.go
+++ b/internal/connection/mgpeer/peer.go
@@ -12,7 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -33,7 +32,7 @@
 
 // Public returns the TLS configuration towards callers, or nil when no
 // certificate is set and the platform's balancer ends TLS.
-func Public(files mgsettings.TLS) (*tls.Config, error) {
+func Public(files Files) (*tls.Config, error) {
 	if files.Cert == "" && files.Key == "" {
 		return nil, nil
 	}
@@ -56,8 +55,22 @@
 	identity *tls.Config
 }
 
+// Spec is what a guard is made of.
+type Spec struct {
+	Secret   string // the shared key
+	Previous string // the key before the last change, accepted while a new one spreads
+	TLS      Files
+}
+
+// Files names the PEM files of a certificate. The zero Files means none.
+type Files struct {
+	Cert string
+	Key  string
+	CA   string
+}
+
 // New returns the guard for a process's settings.
-func New(settings mgsettings.Process) (*Guard, error) {
+func New(settings Spec) (*Guard, error) {
 	if len(settings.Secret) < minSecret {
 		return nil, fmt.Errorf("key secret: has %d characters: give %d or more", len(settings.Secret), minSecret)
 	}
@@ -82,7 +95,7 @@
 }
 
 // loadTLS returns the mutual TLS configuration, or nil when none is set.
-func loadTLS(files mgsettings.TLS) (*tls.Config, error) {
+func loadTLS(files Files) (*tls.Config, error) {
 	if files.Cert == "" && files.Key == "" && files.CA == "" {
 		return nil, nil
 	}
--- a/internal/connection/mgpeer/peer_test.go
+++ b/internal/connection/mgpeer/peer_test.go
@@ -19,13 +19,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 )
 
 var hello = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 
 func guard(secret, previous string) *mgpeer.Guard {
-	made, err := mgpeer.New(mgsettings.Process{
+	made, err := mgpeer.New(mgpeer.Spec{
 		Secret:   secret,
 		Previous: previous,
 	})
@@ -80,7 +79,7 @@
 	})
 
 	Convey("A short key is refused with its remedy", t, func() {
-		_, err := mgpeer.New(mgsettings.Process{Secret: "short"})
+		_, err := mgpeer.New(mgpeer.Spec{Secret: "short"})
 		So(err.Error(), ShouldContainSubstring, "give 16 or more")
 	})
 }
@@ -110,8 +109,8 @@
 	})
 }
 
-func guardTLS(files mgsettings.TLS) *mgpeer.Guard {
-	made, err := mgpeer.New(mgsettings.Process{
+func guardTLS(files mgpeer.Files) *mgpeer.Guard {
+	made, err := mgpeer.New(mgpeer.Spec{
 		Secret: "present-secret-0001",
 		TLS:    files,
 	})
@@ -120,7 +119,7 @@
 }
 
 // identity writes a certificate that is its own authority.
-func identity(t *testing.T) mgsettings.TLS {
+func identity(t *testing.T) mgpeer.Files {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	So(err, ShouldBeNil)
 	template := &x509.Certificate{
@@ -136,7 +135,7 @@
 	private, err := x509.MarshalPKCS8PrivateKey(key)
 	So(err, ShouldBeNil)
 	folder := t.TempDir()
-	files := mgsettings.TLS{
+	files := mgpeer.Files{
 		Cert: filepath.Join(folder, "cert.pem"),
 		Key:  filepath.Join(folder, "key.pem"),
 		CA:   filepath.Join(folder, "cert.pem"),
--- a/internal/connection/mgservice/client.go
+++ b/internal/connection/mgservice/client.go
@@ -8,7 +8,7 @@
 	"io"
 	"net/http"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // bodyBytes bounds the bodies of calls and replies.
--- a/internal/process/mgagent/orders_test.go
+++ b/internal/process/mgagent/orders_test.go
@@ -15,7 +15,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
--- a/internal/process/mgentry/agents.go
+++ b/internal/process/mgentry/agents.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 )
 
 // fleet is the agents of one view, prepared for routing. It lives as long as
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -11,7 +11,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -19,6 +18,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
--- a/internal/process/mgentry/form.go
+++ b/internal/process/mgentry/form.go
@@ -161,11 +161,6 @@
 func (f *form) fault(p *mgproblem.Problem, delivered uint64) []byte {
 	problem, _ := json.Marshal(p)
 	extra, _ := json.Marshal(faultExtra{
-		Error: faultError{
-			Message: p.Detail() + ": " + p.Remedy(),
-			Type:    string(p.Kind()),
-			Code:    string(p.Outcome()),
-		},
 		Delivered: delivered,
 	})
 	f.out = append(f.out[:0], "event: error\ndata: "...)
@@ -178,15 +173,7 @@
 
 // faultExtra is what a stream's last event says besides its problem.
 type faultExtra struct {
-	Error     faultError `json:"error"`
-	Delivered uint64     `json:"delivered"`
-}
-
-// faultError is an error in the form of OpenAI's API.
-type faultError struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-	Code    string `json:"code"`
+	Delivered uint64 `json:"delivered"`
 }
 
 // whole returns the JSON of an answer in one piece.
--- a/internal/process/mgentry/fuzz_test.go
+++ b/internal/process/mgentry/fuzz_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/process/mgentry/hangup_test.go
+++ b/internal/process/mgentry/hangup_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -13,20 +13,20 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgnetwork"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -8,8 +8,8 @@
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -11,10 +11,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
--- a/internal/process/mgentry/stub_test.go
+++ b/internal/process/mgentry/stub_test.go
@@ -14,10 +14,10 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/process/mgfleet/edit_test.go
+++ b/internal/process/mgfleet/edit_test.go
@@ -9,9 +9,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // edited returns a version of the table whose mark is one more service.
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
@@ -17,6 +16,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // RunEntry runs an entry until stop ends, then drains it; hurry cuts the drain
@@ -146,7 +146,7 @@
 
 // listenPublic opens the callers' listener, with TLS where it is set.
 func listenPublic(settings mgsettings.Entry) (net.Listener, error) {
-	identity, err := mgpeer.Public(settings.Public)
+	identity, err := mgpeer.Public(files(settings.Public))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -15,13 +15,11 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgevent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -29,8 +27,10 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
@@ -143,7 +143,11 @@
 		seal, err := mgseal.New(mgseal.Spec{Current: own})
 		return mgpeer.Unkeyed(), seal, err
 	}
-	guard, err := mgpeer.New(settings)
+	guard, err := mgpeer.New(mgpeer.Spec{
+		Secret:   settings.Secret,
+		Previous: settings.Previous,
+		TLS:      files(settings.TLS),
+	})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -154,6 +158,15 @@
 	return guard, seal, err
 }
 
+// files returns the names of a certificate's files.
+func files(names mgsettings.TLS) mgpeer.Files {
+	return mgpeer.Files{
+		Cert: names.Cert,
+		Key:  names.Key,
+		CA:   names.CA,
+	}
+}
+
 // ownKey is the length of a process's own key in bytes, that of a SHA-256.
 const ownKey = 32
 
--- a/internal/process/mgnode/turn.go
+++ b/internal/process/mgnode/turn.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -9,10 +9,10 @@
 	"net/url"
 	"strconv"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -14,11 +14,11 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/process/mgdemo/bench_test.go
+++ b/internal/standin/mgdemo/bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgdemo"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgdemo"
 )
 
 // streams is the number of concurrent answers; each of their tokens travels
--- a/internal/process/mgdemo/caps_test.go
+++ b/internal/standin/mgdemo/caps_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgdemo"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgdemo"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclient"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
--- a/internal/standin/mgstandin/platform_test.go
+++ b/internal/standin/mgstandin/platform_test.go
@@ -11,10 +11,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/version/mgconfig/fleet_test.go
+++ b/internal/version/mgconfig/fleet_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgnet"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
--- a/internal/process/mgmember/member_test.go
+++ b/internal/version/mgmember/member_test.go
@@ -10,7 +10,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
--- a/internal/version/mgplacement/plan.go
+++ b/internal/version/mgplacement/plan.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
--- a/internal/version/mgshare/ring.go
+++ b/internal/version/mgshare/ring.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 )
 
 const (
--- a/internal/version/mgshare/shares.go
+++ b/internal/version/mgshare/shares.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
--- a/pkg/mgclient/client.go
+++ b/pkg/mgclient/client.go
@@ -14,8 +14,8 @@
 	"strings"
 	"sync/atomic"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
--- a/internal/connection/mgdial/dial_test.go
+++ b/pkg/mgdial/dial_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgdial"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // A call waits on a connection that a partition has cut without a reset, until
--- a/pkg/mgproblem/problem.go
+++ b/pkg/mgproblem/problem.go
@@ -169,6 +169,16 @@
 	Remedy  string `json:"remedy"`
 	Outcome string `json:"outcome"`
 	Retry   int64  `json:"retry,omitempty"`
+	// Error repeats the text in the form of OpenAI's API, whose clients show
+	// nothing of an answer without it but its status.
+	Error wireError `json:"error"`
+}
+
+// wireError is the error object of OpenAI's API.
+type wireError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
 }
 
 // MarshalJSON returns the application/problem+json form. The cause stays
@@ -183,6 +193,11 @@
 		Remedy:  p.remedy,
 		Outcome: string(p.Outcome()),
 		Retry:   int64(p.retry),
+		Error: wireError{
+			Message: p.detail + ": " + p.remedy,
+			Type:    string(p.Kind()),
+			Code:    string(p.Outcome()),
+		},
 	})
 }
 
--- a/pkg/mgtable/table_test.go
+++ b/pkg/mgtable/table_test.go
@@ -287,3 +287,15 @@
 		f.Add(table.Export())
 	}
 }
+
+// An operator saves the table in an editor that begins files with a byte order
+// mark, and is told of a fault in the first line that no editor shows.
+func TestByteOrderMark(t *testing.T) {
+	Convey("A table with a byte order mark is read", t, func() {
+		plain, err := mgtable.Parse([]byte(routed))
+		So(err, ShouldBeNil)
+		marked, err := mgtable.Parse([]byte("\ufeff" + routed))
+		So(err, ShouldBeNil)
+		So(marked.Digest(), ShouldEqual, plain.Digest())
+	})
+}
--- a/pkg/mgtable/toml.go
+++ b/pkg/mgtable/toml.go
@@ -23,6 +23,8 @@
 	if !checkText(data, faults) {
 		return 0, nil
 	}
+	// Some editors begin UTF-8 files with a byte order mark.
+	data = bytes.TrimPrefix(data, []byte("\ufeff"))
 	r := tomlReader{
 		faults: faults,
 		line:   1,
