mgconfig, mgrelay, mgnode: a lost answer hides the list for a second, not six

Change: a watch of a list whose changes must be known soon waits 0.6 s and 0.4 s for its answer, is repeated after 0.1 s, doubling, and engines are asked themselves after 1.5 s without a word. The copies of an earlier move are no places to go on from any more once the later run has begun.

--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -13,7 +13,7 @@
 
 // closeWait is how long listeners wait for their last responses once the
 // drain is over.
-const closeWait = mgclock.Second
+const closeWait = 300 * mgclock.Millis(1)
 
 // ServerSpec describes one listener of a process.
 type ServerSpec struct {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -31,6 +31,8 @@
 		return y.severed(x, run, err)
 	}
 	y.begunAt(x, host)
+	// The places of an earlier move are over: its copies were used or are gone.
+	x.places = nil
 	y.begin(w, x, response)
 	for err == nil {
 		if err = y.deliver(w, x, first); err != nil {
--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -164,6 +164,31 @@
 	})
 }
 
+// The store loses a third of its answers and keeps the connections. Every
+// entry's watch hangs for six seconds, and engines that were given notice are
+// reclaimed with all that runs there.
+func TestLostAnswers(t *testing.T) {
+	Convey("A list whose changes must be known soon", t, func() {
+		m, _ := alone()
+		m.spec.Quick = 60
+		m.spec.Watch = 5 * sec
+		m.spec.Answer = sec
+		Convey("is watched for a second at most, answer included", func() {
+			for _, action := range m.readPlatform(sec) {
+				if action.Key() == mgplatform.ListKey {
+					So(timeout(action), ShouldBeLessThanOrEqualTo, sec)
+				}
+			}
+		})
+		Convey("is asked for again at once", func() {
+			m.vms.failures = 0
+			m.vms.done(sec, ResultSpec{Err: mgplatform.ErrDown}, m)
+			So(m.vms.next-sec, ShouldBeLessThanOrEqualTo, 3*firstRetry)
+			So(m.Stale(sec), ShouldBeTrue)
+		})
+	})
+}
+
 // All entries were killed while the store was away for two seconds more. It
 // answers again, and they still wait out the pause of a process that serves.
 func TestFirstRetry(t *testing.T) {
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -26,6 +26,12 @@
 	// another watches for. Should it die, its peers see a change within this
 	// span and what is left of the two seconds that a change may take is theirs.
 	slowPause = mgclock.Second
+	// quickWatch and quickAnswer bound a watch of a list whose changes must be
+	// known soon. Upstreams' heartbeats end each watch within 100 ms or so; one
+	// whose answer was lost must not hide a notice of 1.5 s. A store that is slow
+	// sixtyfold answers in 240 ms.
+	quickWatch  = 600 * mgclock.Millis(1)
+	quickAnswer = 400 * mgclock.Millis(1)
 	// plainEvery makes every so manieth watch a plain read. A platform that was
 	// set up anew counts its versions from 1, and a watch for more than the old
 	// count would never see a change.
@@ -37,8 +43,8 @@
 	// backoffMin and backoffMax bound the pause after a failed read by default.
 	// Half a minute is the longest that a change waits once the platform is back.
 	backoffMin = mgclock.Second
-	// firstRetry is the first pause of a process that has no table yet: it serves
-	// nobody until it has, so that it asks soon, and ever more rarely.
+	// firstRetry is the first pause of a process that has no table yet, or watches
+	// a list whose changes must be known soon: it asks soon, and ever more rarely.
 	firstRetry = 100 * mgclock.Millis(1)
 	backoffMax = 30 * mgclock.Second
 	// maxShift bounds the doublings of a pause; the bounds above end them sooner.
@@ -120,15 +126,23 @@
 			answer: m.spec.Answer,
 		}
 	}
-	return Action{
+	action := Action{
 		kind:   Watch,
 		key:    s.key,
 		after:  s.version,
 		wait:   or(m.spec.Watch, watchWait),
 		answer: m.spec.Answer,
 	}
+	if m.quick(s) {
+		action.wait = min(action.wait, quickWatch)
+		action.answer = min(or(action.answer, readTimeout), quickAnswer)
+	}
+	return action
 }
 
+// quick reports whether a source's changes must be known within tens of ms.
+func (m *Machine) quick(s *source) bool { return s == &m.vms && m.spec.Quick > 0 }
+
 // watching reports whether this process watches the platform for its zone.
 // Suspects are passed over, so that the next in the ranking takes over from
 // watchers that died before the list shows it.
@@ -213,7 +227,7 @@
 
 // staleSpan is how long the list may be unconfirmed before other evidence is
 // asked for: longer than a watch takes to bring the next heartbeat.
-const staleSpan = 2500 * mgclock.Millis(1)
+const staleSpan = 1500 * mgclock.Millis(1)
 
 // Stale reports whether the platform gives no word of the list now.
 func (m *Machine) Stale(now mgclock.Millis) bool {
@@ -227,7 +241,7 @@
 	unchanged := errors.Is(result.Err, mgplatform.ErrUnchanged)
 	if result.Err != nil && !unchanged {
 		s.failures++
-		if m.Current() == nil {
+		if m.Current() == nil || m.quick(s) {
 			s.next = now + firstRetry/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), firstRetry<<min(s.failures, maxShift)))
 			return false
 		}
@@ -254,9 +268,9 @@
 func (m *Machine) after(now mgclock.Millis, s *source) mgclock.Millis {
 	switch {
 	case !m.watching():
-	case s == &m.vms && m.spec.Quick > 0 && m.leads():
+	case m.quick(s) && m.leads():
 		return now + m.spec.Quick
-	case s == &m.vms && m.spec.Quick > 0:
+	case m.quick(s):
 		return now + slowPause
 	default:
 		return now + watchPause
