--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -245,7 +245,7 @@
 func (n *Node) answered(name string) { n.members.Answered(n.clock.Now(), name) }
 
 // left takes an upstream's own word that it leaves.
-func (n *Node) left(name string) { n.members.Heard(n.clock.Now(), name, "", true) }
+func (n *Node) left(name string) { n.loop.Departed(name) }
 
 func (n *Node) heard(name, incarnation string, leaving bool) {
 	n.members.Heard(n.clock.Now(), name, incarnation, leaving)
--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -189,6 +189,35 @@
 	})
 }
 
+// One entry asks an engine and learns that it leaves. The others ask a second
+// later, and what runs there for them is cut.
+func TestDepartedTold(t *testing.T) {
+	Convey("An upstream's own word reaches the peers", t, func() {
+		m, members := alone()
+		m.take(sec, &mgrpc.Summary{
+			Name:        "entry-2",
+			Incarnation: "life",
+			Addr:        "10.0.0.2:1",
+		})
+		actions := m.Departed(sec, "engine-1")
+		So(members.View().Hosts("reports"), ShouldBeEmpty)
+		So(actions, ShouldNotBeEmpty)
+		So(actions[0].Summary().GetDeparted(), ShouldResemble, []string{"engine-1"})
+		So(m.Departed(sec, "engine-1"), ShouldBeEmpty)
+		Convey("who take it", func() {
+			other, known := alone()
+			told := actions[0].Summary()
+			told.Name = "entry-9" // both machines of this test have one name
+			other.take(sec, told)
+			So(known.View().Hosts("reports"), ShouldBeEmpty)
+		})
+		Convey("and is told for a while only", func() {
+			m.now = sec + departedSpan
+			So(m.departures(), ShouldBeEmpty)
+		})
+	})
+}
+
 // All entries were killed while the store was away for two seconds more. It
 // answers again, and they still wait out the pause of a process that serves.
 func TestFirstRetry(t *testing.T) {
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -174,6 +174,11 @@
 	}
 }
 
+// Departed takes an upstream's own word that it leaves, and tells peers.
+func (l *Loop) Departed(upstream string) {
+	l.act(func(m *Machine, now mgclock.Millis) []Action { return m.Departed(now, upstream) })
+}
+
 // Reseed replaces the addresses of peers to ask while no other is known.
 func (l *Loop) Reseed(seeds []string) {
 	l.act(func(m *Machine, _ mgclock.Millis) []Action {
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -57,8 +57,9 @@
 	now      mgclock.Millis // of the last call
 	list     []byte         // the text of the list of VMs in use
 	leaving  bool
-	exchange mgclock.Millis // next exchange
-	tick     mgclock.Millis // next tick of the members
+	departed map[string]mgclock.Millis // upstreams by their own word, and when
+	exchange mgclock.Millis            // next exchange
+	tick     mgclock.Millis            // next tick of the members
 	manifest source
 	vms      source
 	budget   budget
@@ -178,5 +179,6 @@
 		Zone:        m.spec.Zone,
 		Region:      m.spec.Region,
 		Known:       m.known(),
+		Departed:    m.departures(),
 	}
 }
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -126,6 +126,9 @@
 	}
 	m.members.Heard(now, s.GetName(), s.GetIncarnation(), s.GetLeaving())
 	m.meet(now, s)
+	for _, upstream := range s.GetDeparted() {
+		m.members.Heard(now, upstream, "", true)
+	}
 	from := peer{
 		name: s.GetName(),
 		addr: s.GetAddr(),
@@ -183,6 +186,38 @@
 	return known
 }
 
+// departedSpan is how long peers are told of an upstream that said itself that
+// it leaves: longer than a notice and the time until the list shows it.
+const departedSpan = 5 * mgclock.Second
+
+// Departed takes an upstream's own word that it leaves, and tells peers: each
+// would else find out by itself, up to a second later of a notice of two.
+func (m *Machine) Departed(now mgclock.Millis, upstream string) []Action {
+	m.now = now
+	m.members.Heard(now, upstream, "", true)
+	if _, told := m.departed[upstream]; told {
+		return nil
+	}
+	if m.departed == nil {
+		m.departed = make(map[string]mgclock.Millis)
+	}
+	m.departed[upstream] = now
+	return m.push(now)
+}
+
+// departures returns the upstreams that peers are told of.
+func (m *Machine) departures() []string {
+	var names []string
+	for name, at := range m.departed {
+		if m.now >= at+departedSpan {
+			delete(m.departed, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // meet makes the sender of a summary known, and those it names.
 func (m *Machine) meet(now mgclock.Millis, s *mgrpc.Summary) {
 	m.introduce(now, &mgrpc.Known{
