--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -195,6 +195,8 @@
 		return false, "no configuration is in force"
 	case n.members.View().Version() == 0:
 		return false, "no list of VMs"
+	case n.form != nil && !n.members.View().Served():
+		return false, "no upstream is known"
 	case !n.loop.Ready():
 		return false, "asking the peers and the platform for the newest configuration"
 	case !n.serving.Load():
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -24,7 +24,7 @@
 	case x.refusal != nil:
 		y.pass(w, x, x.refusal)
 	default:
-		y.refuse(w, x, crowded().WithCause(x.cause()))
+		y.refuse(w, x, y.crowded(x).WithCause(x.cause()))
 	}
 }
 
@@ -41,7 +41,7 @@
 		y.refuse(w, x, mgproblem.New(mgproblem.Late, mgproblem.Unknown,
 			"the time for the request is over", "ask for more time").WithCause(x.cause()))
 	default:
-		y.refuse(w, x, crowded().WithCause(x.cause()))
+		y.refuse(w, x, y.crowded(x).WithCause(x.cause()))
 	}
 }
 
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -181,11 +181,20 @@
 }
 
 // crowded is told when no upstream can take a request now.
-func crowded() *mgproblem.Problem {
+func (y *Relay) crowded(x *exchange) *mgproblem.Problem {
+	if len(y.spec.Every(x.service)) == 0 {
+		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"no upstream of the service is known now", "send it again after the time given").WithRetry(comeBackNone)
+	}
 	return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 		"no upstream can take the request now", "send it again after the time given").WithRetry(comeBack)
 }
 
+// comeBackNone is how long a caller should wait while no upstream is known:
+// after an outage of the platform they are listed again within two seconds, and
+// most callers come back once.
+const comeBackNone = mgclock.Second
+
 // comeBack is how long a caller that was turned away should wait: long enough
 // for another entry's view to be newer, short against the deadline of a lookup.
 const comeBack = 100 * mgclock.Millis(1)
--- a/internal/process/mgrelay/relay_test.go
+++ b/internal/process/mgrelay/relay_test.go
@@ -167,11 +167,21 @@
 		So(got.body, ShouldEqual, "a")
 	})
 	Convey("Where none can be reached the caller learns that it did not run", t, func() {
-		g := open(t)
+		g := open(t, say("a"))
+		g.hosts[0].Addr = "127.0.0.1:1"
 		got := g.ask(context.Background(), http.MethodPost, "/once/1", "x", nil)
 		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
 		So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
 	})
+	Convey("Where none is known the caller comes back when there may be one", t, func() {
+		// Callers that were told a tenth of a second came back once, too early,
+		// and gave up: the upstreams were listed again 1.5 s later.
+		g := open(t)
+		g.with(func(spec *mgrelay.Spec) { spec.Form.Fractions = true })
+		got := g.ask(context.Background(), http.MethodPost, "/once/1", "x", nil)
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.header.Get("Retry-After"), ShouldEqual, "1.000")
+	})
 }
 
 // A member reads half a dossier, or another member's, and takes it for the
--- a/internal/version/mgmember/view.go
+++ b/internal/version/mgmember/view.go
@@ -108,6 +108,9 @@
 // Hosts returns the agents whose upstreams run a plain service, like Upstreams.
 func (v *View) Hosts(service string) []*Member { return v.hosts[service] }
 
+// Served reports whether any upstream stays.
+func (v *View) Served() bool { return len(v.hosts)+len(v.upstreams) > 0 }
+
 // Agent returns the agent beside an upstream, also when it leaves.
 func (v *View) Agent(upstream string) (*Member, bool) {
 	m, ok := v.agents[upstream]
