mglog, mgrelay: logs say what decisions went by, at a bounded rate

Each line of a request or a move has the version of the list and the age of what other entries told; a move that failed says so with the source's last outcome; one ordinary answer in twenty is logged. 200 lines a second at most, the rest is counted.

--- a/internal/process/mglog/queue.go
+++ b/internal/process/mglog/queue.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+
+	"golang.org/x/time/rate"
 )
 
 // queueLines is how many lines wait for a slow reader of the log: with 400
@@ -11,12 +13,21 @@
 // second.
 const queueLines = 1024
 
+// lineRate and lineBurst bound the lines of a process a second. Days with all
+// kinds of trouble bring 15 at most; a burst of failures at the target's eleven
+// requests a second and entry is bounded by these to 80 kB a second.
+const (
+	lineRate  = 200
+	lineBurst = 400
+)
+
 // A Queue passes lines on to a writer in the background. A reader of the log
 // that doesn't keep up would otherwise hold up every request that logs: once
 // the queue is full, lines are dropped and counted, and the count is logged when
 // there is room again.
 type Queue struct {
 	lines   chan []byte
+	limit   *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
 }
@@ -25,6 +36,7 @@
 func NewQueue(to io.Writer) *Queue {
 	q := &Queue{
 		lines: make(chan []byte, queueLines),
+		limit: rate.NewLimiter(lineRate, lineBurst),
 		done:  make(chan struct{}),
 	}
 	go q.run(to)
@@ -33,6 +45,10 @@
 
 // Write takes one line. It never blocks and never fails.
 func (q *Queue) Write(line []byte) (int, error) {
+	if !q.limit.Allow() {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -95,8 +95,9 @@
 
 // upstreamSilence ends a connection to an upstream whose kernel has given no
 // sign of life for so long. Callers leave a stream after seven seconds without
-// an event, and a partition that heals before costs them a pause only.
-const upstreamSilence = 6 * time.Second
+// an event, and a partition of five seconds that heals before costs them a pause
+// only: the first bytes came 6.2 s after its begin.
+const upstreamSilence = 8 * time.Second
 
 // boundRetries keeps this entry's part of the retries that all entries may make,
 // by how many of them are known, until ctx ends.
@@ -136,6 +137,7 @@
 	}
 	return &mgrelay.Spec{
 		Form:    *n.form,
+		Basis:   n.basis,
 		Move:    n.move,
 		Probe:   n.probe,
 		Turn:    n.turn,
--- a/internal/process/mgnode/load.go
+++ b/internal/process/mgnode/load.go
@@ -34,6 +34,17 @@
 	return known.report
 }
 
+// basis returns the version of the list and the age of what the hub said, or -1
+// where it said nothing yet.
+func (n *Node) basis() (list uint64, age mgclock.Millis) {
+	list = n.members.View().Version()
+	known := n.others.Load()
+	if known == nil {
+		return list, -1
+	}
+	return list, n.clock.Now() - known.at
+}
+
 // tellLoads tells the hub what was sent from here, until ctx ends.
 func (n *Node) tellLoads(ctx context.Context, count *mgload.Count) {
 	for n.clock.Sleep(ctx, tellSpan) {
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -62,6 +62,7 @@
 	var move mgmigration.Move
 	began := y.spec.Clock.Now()
 	tried := map[string]bool{}
+	var last mgmigration.Reply
 	to, ok := y.destination(r, tried)
 	granted := y.spec.Clock.Now()
 	defer y.endTurn(r)
@@ -81,6 +82,7 @@
 			Last: step == mgmigration.Stop,
 		})
 		move.Take(reply)
+		last = reply
 		if move.Step() == mgmigration.Copy && reply.Outcome == mgmigration.NoRoom {
 			tried[to.Name] = true
 			to, ok = y.destination(r, tried)
@@ -89,10 +91,14 @@
 	r.places = placesOf(&move, r.host, to)
 	y.spec.Metrics.Counter("relay.moves").Inc(1)
 	y.spec.Metrics.Histogram("relay.move.ms").Update(int64(y.spec.Clock.Now() - began))
-	y.spec.Log.Info("a generation was moved",
-		mglog.Request, r.x.id, mglog.Upstream, r.host.Name, "to", to.Name, "found", ok,
-		"stopped", move.Stopped(), "places", len(r.places), "ms", int64(y.spec.Clock.Now()-began),
-		"waited", int64(granted-began))
+	what := "a generation was moved"
+	if len(r.places) == 0 {
+		what = "a generation was not moved"
+	}
+	y.spec.Log.Info(what,
+		append(y.basis(), mglog.Request, r.x.id, mglog.Upstream, r.host.Name, "to", to.Name, "found", ok,
+			"outcome", last.Outcome.String(), "tried", len(tried), "stopped", move.Stopped(), "places", len(r.places), "ms", int64(y.spec.Clock.Now()-began),
+			"waited", int64(granted-began))...)
 }
 
 // placesOf returns where a run can go on after its move, the best first.
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -75,11 +75,11 @@
 	y.Write(w, problem)
 	x.freeWrites()
 	y.spec.Metrics.Counter("relay.failed." + string(problem.Kind())).Inc(1)
-	y.spec.Log.Info("a request failed",
+	y.spec.Log.Info("a request failed", append(y.basis(),
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
 		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last, mglog.Kind, string(problem.Kind()),
 		"status", problem.Status(), "attempts", x.attempts, "dials", x.dials, "ran", x.ran,
-		"ms", int64(y.waited(x)), "why", problem.Error())
+		"ms", int64(y.waited(x)), "why", problem.Error())...)
 }
 
 // Write answers with a problem, with the time to come back in the deployment's
@@ -106,10 +106,10 @@
 // look whole.
 func (y *Relay) abort(x *exchange, cause error) {
 	y.spec.Metrics.Counter("relay.cut").Inc(1)
-	y.spec.Log.Info("an answer was cut",
+	y.spec.Log.Info("an answer was cut", append(y.basis(),
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
 		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last,
-		"attempts", x.attempts, "ms", int64(y.waited(x)), "why", cause.Error())
+		"attempts", x.attempts, "ms", int64(y.waited(x)), "why", cause.Error())...)
 	panic(http.ErrAbortHandler)
 }
 
@@ -123,14 +123,32 @@
 	}
 	if x.attempts > 1 || x.dials > 0 {
 		y.log(x, "answered after another attempt", status)
+		return
+	}
+	if y.count.Add(1)%sampled == 0 {
+		y.log(x, "answered", status)
+	}
+}
+
+// sampled is how many ordinary answers one line of the log stands for. Whatever
+// did not go as usual is logged each time.
+const sampled = 20
+
+// basis returns what the decisions of this moment go by: the version of the list
+// of upstreams and the age of what other entries told of their load.
+func (y *Relay) basis() []any {
+	if y.spec.Basis == nil {
+		return nil
 	}
+	list, age := y.spec.Basis()
+	return []any{"list", list, "loads", int64(age)}
 }
 
 func (y *Relay) log(x *exchange, what string, status int) {
-	y.spec.Log.Info(what,
+	y.spec.Log.Info(what, append(y.basis(),
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
 		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last,
-		"status", status, "attempts", x.attempts, "dials", x.dials, "ms", int64(y.waited(x)))
+		"status", status, "attempts", x.attempts, "dials", x.dials, "ms", int64(y.waited(x)))...)
 }
 
 // cause returns what the last attempt failed of.
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
@@ -51,6 +52,9 @@
 	Stale    func() bool
 	Probe    func(ctx context.Context, upstream Host) (leaving bool, err error)
 	Departed func(upstream string)
+	// Basis returns the version of the list of upstreams, and the age of what
+	// Others returns, for logs. Nil logs neither.
+	Basis func() (list uint64, age mgclock.Millis)
 	// Left returns how long this process still lives, or false when it doesn't
 	// stop.
 	Left func() (mgclock.Millis, bool)
@@ -67,8 +71,9 @@
 
 // A Relay passes requests through. Make one with New.
 type Relay struct {
-	spec Spec
-	runs runs
+	spec  Spec
+	runs  runs
+	count atomic.Uint64 // ordinary answers
 }
 
 // New returns a relay.
--- a/internal/request/mgmigration/move.go
+++ b/internal/request/mgmigration/move.go
@@ -19,6 +19,24 @@
 	Lost
 )
 
+// String returns the outcome in one word, for logs.
+func (o Outcome) String() string {
+	switch o {
+	case Copied:
+		return "copied"
+	case Absent:
+		return "absent"
+	case Busy:
+		return "busy"
+	case NoRoom:
+		return "noroom"
+	case Lost:
+		return "lost"
+	default:
+		return "none"
+	}
+}
+
 // Reply is the source's answer to a call.
 type Reply struct {
 	Outcome Outcome
