--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -42,6 +42,7 @@
 	Models   []string `json:"models,omitempty"`
 	Services []string `json:"services,omitempty"`
 	State    string   `json:"state"`
+	Born     int64    `json:"born,omitempty"` // when it started, where the platform says; rises with each start under its name
 }
 
 // PeerAddr returns the address at which other processes reach the VM.
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -30,7 +29,6 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgshare"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
@@ -67,29 +65,6 @@
 	kill        context.CancelFunc
 }
 
-// Spec is what a node is made of.
-type Spec struct {
-	Settings mgsettings.Process
-	Log      io.Writer
-	// Platform reads the table and the list of VMs. Nil stands for the service
-	// at Settings.Platform.
-	Platform *mgplatform.Client
-	// Known returns a page of the table that the process has read already, or
-	// nil; see mgconfig.MachineSpec.
-	Known func(digest string) *mgtable.Page
-	// Unkeyed says that the network lets only the system's own processes reach
-	// Settings.Peer, so that they share no key. Names of answers are then sealed
-	// by a key of this process alone.
-	Unkeyed bool
-	// Relay is the form of the requests that the table's routes pass through.
-	// Nil passes none.
-	Relay *mgrelay.Form
-	// Probe asks an upstream whether it leaves. Nil asks none.
-	Probe func(ctx context.Context, upstream mgrelay.Host) (leaving bool, err error)
-	// Move makes a call to the source of a move. Nil moves nothing.
-	Move func(ctx context.Context, source mgrelay.Host, order mgrelay.Order) mgmigration.Reply
-}
-
 // Open makes a node that logs to w.
 func Open(settings mgsettings.Process, w io.Writer) (*Node, error) {
 	return New(Spec{
@@ -134,49 +109,6 @@
 	return n, nil
 }
 
-// keys returns what secures the calls between processes and what seals names.
-func keys(spec Spec) (*mgpeer.Guard, *mgseal.Signer, error) {
-	settings := spec.Settings
-	if spec.Unkeyed {
-		own := make([]byte, ownKey)
-		_, _ = rand.Read(own) // never fails, by its documentation
-		seal, err := mgseal.New(mgseal.Spec{Current: own})
-		return mgpeer.Unkeyed(), seal, err
-	}
-	guard, err := mgpeer.New(mgpeer.Spec{
-		Secret:   settings.Secret,
-		Previous: settings.Previous,
-		TLS:      files(settings.TLS),
-	})
-	if err != nil {
-		return nil, nil, err
-	}
-	seal, err := mgseal.New(mgseal.Spec{
-		Current:  []byte(settings.Secret),
-		Previous: []byte(settings.Previous),
-	})
-	return guard, seal, err
-}
-
-// files returns the names of a certificate's files.
-func files(names mgsettings.TLS) mgpeer.Files {
-	return mgpeer.Files{
-		Cert: names.Cert,
-		Key:  names.Key,
-		CA:   names.CA,
-	}
-}
-
-// ownKey is the length of a process's own key in bytes, that of a SHA-256.
-const ownKey = 32
-
-func (s Spec) platform() mgplatform.Client {
-	if s.Platform != nil {
-		return *s.Platform
-	}
-	return mgplatform.NewHTTP(s.Settings.Platform, mgdial.NewClient())
-}
-
 // incarnation names a life of a process. The time makes names of one VM sort
 // by age; the random part tells two lives of one second apart.
 func incarnation() string {
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -123,7 +123,7 @@
 
 // guardWrites bounds the time in which the caller takes the answer. A caller
 // that stops reading would keep its answer's memory for good.
-func (x *exchange) guardWrites(http.ResponseWriter) {
+func (x *exchange) guardWrites() {
 	_ = x.control.SetWriteDeadline(mgclock.Deadline(x.limit + writeSlack))
 }
 
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -59,46 +59,63 @@
 	if service := r.x.call.Table.Service(r.x.service); service == nil || !service.Move() {
 		return
 	}
-	var move mgmigration.Move
 	began := y.spec.Clock.Now()
-	tried := map[string]bool{}
-	var last mgmigration.Reply
-	to, ok := y.destination(r, tried)
-	granted := y.spec.Clock.Now()
+	m := moving{
+		tried: map[string]bool{},
+	}
+	m.to, m.found = y.destination(r, m.tried)
 	defer y.endTurn(r)
-	for ok && r.ctx.Err() == nil {
-		step := move.Step()
-		if step == mgmigration.Done {
-			break
-		}
-		if step == mgmigration.Wait {
+	m.waited = y.spec.Clock.Now() - began
+	y.carryOut(r, &m)
+	r.places = placesOf(&m.move, r.host, m.to)
+	m.took = y.spec.Clock.Now() - began
+	y.tellMove(r, &m)
+}
+
+// moving is a move under way.
+type moving struct {
+	move   mgmigration.Move
+	to     Host
+	found  bool // there is a destination
+	tried  map[string]bool
+	last   mgmigration.Reply
+	waited mgclock.Millis // for the turn
+	took   mgclock.Millis
+}
+
+// carryOut does the move's steps until it is over or the run's stream has ended.
+func (y *Relay) carryOut(r *run, m *moving) {
+	for m.found && r.ctx.Err() == nil && m.move.Step() != mgmigration.Done {
+		if m.move.Step() == mgmigration.Wait {
 			y.spec.Clock.Sleep(r.ctx, mgmigration.RetrySpan)
-			move.Waited()
+			m.move.Waited()
 			continue
 		}
-		reply := y.spec.Move(r.ctx, r.host, Order{
+		m.last = y.spec.Move(r.ctx, r.host, Order{
 			Run:  r.x.id,
-			To:   to.Addr,
-			Last: step == mgmigration.Stop,
+			To:   m.to.Addr,
+			Last: m.move.Step() == mgmigration.Stop,
 		})
-		move.Take(reply)
-		last = reply
-		if move.Step() == mgmigration.Copy && reply.Outcome == mgmigration.NoRoom {
-			tried[to.Name] = true
-			to, ok = y.destination(r, tried)
+		m.move.Take(m.last)
+		if m.move.Step() == mgmigration.Copy && m.last.Outcome == mgmigration.NoRoom {
+			m.tried[m.to.Name] = true
+			m.to, m.found = y.destination(r, m.tried)
 		}
 	}
-	r.places = placesOf(&move, r.host, to)
+}
+
+// tellMove counts and logs a move.
+func (y *Relay) tellMove(r *run, m *moving) {
 	y.spec.Metrics.Counter("relay.moves").Inc(1)
-	y.spec.Metrics.Histogram("relay.move.ms").Update(int64(y.spec.Clock.Now() - began))
+	y.spec.Metrics.Histogram("relay.move.ms").Update(int64(m.took))
 	what := "a generation was moved"
 	if len(r.places) == 0 {
 		what = "a generation was not moved"
 	}
-	y.spec.Log.Info(what,
-		append(y.basis(), mglog.Request, r.x.id, mglog.Upstream, r.host.Name, "to", to.Name, "found", ok,
-			"outcome", last.Outcome.String(), "tried", len(tried), "stopped", move.Stopped(), "places", len(r.places), "ms", int64(y.spec.Clock.Now()-began),
-			"waited", int64(granted-began))...)
+	y.spec.Log.Info(what, append(y.basis(),
+		mglog.Request, r.x.id, mglog.Upstream, r.host.Name, "to", m.to.Name, "found", m.found,
+		"outcome", m.last.Outcome.String(), "tried", len(m.tried), "stopped", m.move.Stopped(),
+		"places", len(r.places), "ms", int64(m.took), "waited", int64(m.waited))...)
 }
 
 // placesOf returns where a run can go on after its move, the best first.
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.limit.Duration())
 	defer cancel()
-	x.guardWrites(w)
+	x.guardWrites()
 	y.serve(ctx, w, x)
 }
 
--- a/internal/version/mgmember/member_test.go
+++ b/internal/version/mgmember/member_test.go
@@ -265,3 +265,32 @@
 		m.Tick(1)
 	}
 }
+
+// An engine says that it leaves, crashes, and starts again under its name. It
+// stands idle for two minutes beside crowded ones, as its word still counts.
+func TestBornAgain(t *testing.T) {
+	Convey("An upstream that started again begins anew", t, func() {
+		m := mgmember.New("entry-1")
+		list := func(version uint64, born int64) mgplatform.List {
+			return mgplatform.List{
+				Version: version,
+				VMs: []mgplatform.VM{
+					{
+						Name:     "engine-1",
+						Kind:     mgplatform.UpstreamKind,
+						Services: []string{"reports"},
+						State:    mgplatform.Live,
+						Born:     born,
+					},
+				},
+			}
+		}
+		m.List(0, list(1, 100))
+		m.Heard(10, "engine-1", "", true)
+		So(m.View().Hosts("reports"), ShouldBeEmpty)
+		m.List(20, list(2, 100))
+		So(m.View().Hosts("reports"), ShouldBeEmpty)
+		m.List(30, list(3, 200))
+		So(len(m.View().Hosts("reports")), ShouldEqual, 1)
+	})
+}
--- a/internal/version/mgmember/members.go
+++ b/internal/version/mgmember/members.go
@@ -95,6 +95,11 @@
 		m.known = make(map[string]mgplatform.VM)
 	}
 	for _, vm := range list.VMs {
+		if vm.Born > m.known[vm.Name].Born {
+			// It has started again: what was seen of its last life, such as its
+			// word that it leaves, would keep work from it for two minutes.
+			delete(m.evidence, vm.Name)
+		}
 		m.known[vm.Name] = vm
 	}
 	m.rebuild(now)
--- a/pkg/mgtable/route.go
+++ b/pkg/mgtable/route.go
@@ -135,9 +135,6 @@
 	return nil
 }
 
-// Routed reports whether the table has any routes.
-func (t *Table) Routed() bool { return len(t.hosts) > 0 }
-
 var routeColumns = []column[Route]{
 	nameColumn("name", func(r *Route) *string { return &r.name }),
 	nameColumn("host", func(r *Route) *string { return &r.host }),
