mgrelay: a moved stream goes on before its turn is given back

Giving the turn back is a call to another entry, up to 250 ms where that one is dead, and the stream waited for it.

--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -55,8 +55,8 @@
 
 // moveRun moves one run.
 func (y *Relay) moveRun(r *run) {
-	defer close(r.ended)
 	if service := r.x.call.Table.Service(r.x.service); service == nil || !service.Move() {
+		close(r.ended)
 		return
 	}
 	began := y.spec.Clock.Now()
@@ -64,11 +64,13 @@
 		tried: map[string]bool{},
 	}
 	m.to, m.found = y.destination(r, m.tried)
-	defer y.endTurn(r)
 	m.waited = y.spec.Clock.Now() - began
 	y.carryOut(r, &m)
 	r.places = placesOf(&m.move, r.host, m.to)
 	m.took = y.spec.Clock.Now() - began
+	// The stream goes on first: giving the turn back may wait for a dead entry.
+	close(r.ended)
+	y.endTurn(r)
 	y.tellMove(r, &m)
 }
 
