mgconfig, mgnode: a peer that falls dark is given up after 0.6 s

Cause, as far as it shows: the entry had heard of the version from the peer that then went dark, its fetch of the pages could wait for 5 s, and its own watch hung. That the peer was dark is in the logs (an exchange timed out); that the fetch hung is inferred, since nothing logged it.

Change: fetches are bounded by a setting, 0.6 s here; the wait for the own watch is 0.25 s in place of 0.4; a peer that gives no answer is logged. TestPeerFallsDark plays it.

--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -30,6 +30,7 @@
 			Quick:       mgclock.Millis(n.settings.Quick),
 			Watch:       mgclock.Millis(n.settings.Watch),
 			Answer:      mgclock.Millis(n.settings.Answer),
+			Fetch:       mgclock.Millis(n.settings.Fetch),
 			Backoff:     mgclock.Millis(n.settings.Backoff),
 		},
 		Clock:    n.clock,
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -19,6 +19,7 @@
 	Quick    int64    `toml:"quick" min:"0" max:"10000" unit:"ms" help:"shortest interval between two watches of the list by the one process that watches it for its region; 0: all watch alike, twice a second"`
 	Watch    int64    `toml:"watch" default:"20000" min:"100" max:"600000" unit:"ms" help:"longest wait of one watch of the platform; a lost answer hides changes for as long"`
 	Answer   int64    `toml:"answer" default:"5000" min:"50" max:"60000" unit:"ms" help:"longest time for the platform's answer to a read, or to a watch beyond its wait"`
+	Fetch    int64    `toml:"fetch" default:"5000" min:"50" max:"60000" unit:"ms" help:"longest time for a peer's answer with pages or the list of VMs; the next peer is asked after it"`
 	Backoff  int64    `toml:"backoff" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest pause after failed reads of the platform; a change waits as long once it is back"`
 	TLS      TLS      `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
 }
--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -1,6 +1,7 @@
 package mgconfig
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 
@@ -189,6 +190,36 @@
 	})
 }
 
+// A new route answers 404 at one entry for three seconds after it was accepted.
+// The entry's watch hung; it had heard of the version from a peer, and the peer
+// lost power before it answered with the pages.
+func TestPeerFallsDark(t *testing.T) {
+	Convey("A version is fetched from another peer while the first is dark", t, func() {
+		m, _ := alone()
+		m.spec.Fetch = 600
+		summary := func(name string) *mgrpc.Summary {
+			return &mgrpc.Summary{
+				Name:        name,
+				Incarnation: "life",
+				Addr:        name + ":1",
+				Version:     14,
+				Digest:      "d",
+			}
+		}
+		first := m.take(sec, summary("dark"))
+		So(len(first), ShouldEqual, 1)
+		So(first[0].Kind(), ShouldEqual, Fetch)
+		So(timeout(first[0]), ShouldEqual, 600)
+		So(m.take(sec, summary("other")), ShouldBeEmpty)
+		second := m.Done(sec+600, ResultSpec{
+			Action: first[0],
+			Err:    context.DeadlineExceeded,
+		})
+		So(len(second), ShouldEqual, 1)
+		So(second[0].Addr(), ShouldEqual, "other:1")
+	})
+}
+
 // One entry asks an engine and learns that it leaves. The others ask a second
 // later, and what runs there for them is cut.
 func TestDepartedTold(t *testing.T) {
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -15,7 +15,8 @@
 )
 
 // Timeouts of actions. A peer answers an exchange from memory; a fetch may carry
-// a megabyte. readTimeout is the default of MachineSpec.Answer.
+// a megabyte. fetchTimeout is the default of MachineSpec.Fetch, readTimeout that
+// of Answer.
 const (
 	exchangeTimeout = mgclock.Second
 	fetchTimeout    = 5 * mgclock.Second
@@ -239,6 +240,10 @@
 func (l *Loop) perform(action Action) {
 	defer l.running.Done()
 	result := l.call(action)
+	if result.Err != nil && action.kind != Read && action.kind != Watch && l.ctx.Err() == nil {
+		l.spec.Log.Info("a peer gave no answer", "peer", action.peer, "address", action.addr,
+			"pages", action.kind == Fetch, "why", result.Err.Error())
+	}
 	l.act(func(m *Machine, now mgclock.Millis) []Action {
 		return m.Done(now, result)
 	})
@@ -272,7 +277,7 @@
 	case Exchange:
 		return exchangeTimeout
 	case Fetch:
-		return fetchTimeout
+		return or(action.answer, fetchTimeout)
 	default:
 		return action.wait + or(action.answer, readTimeout)
 	}
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -41,6 +41,10 @@
 	Answer  mgclock.Millis
 	Backoff mgclock.Millis
 
+	// Fetch is the longest time for a peer's answer to a fetch; 0 stands for the
+	// default.
+	Fetch mgclock.Millis
+
 	// Spread is the span over which first reads are spread. In a mass restart
 	// all processes make their first reads within it.
 	Spread mgclock.Millis
--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -15,7 +15,7 @@
 	// ownWatch is how long a process whose own watch works waits for it before
 	// it asks a peer for a version that the peer has. Both at once cost twice:
 	// 400 routes take 9 ms of a core to read, and 5 ms more to pack and unpack.
-	ownWatch = 400 * mgclock.Millis(1)
+	ownWatch = 250 * mgclock.Millis(1)
 	// budgetSpan is the pause of a watcher whose budget of reads is used up.
 	budgetSpan = mgclock.Second / watcherRate
 	// peerRounds is the number of rounds over peers, about eight seconds, before
@@ -162,10 +162,11 @@
 	m.pull.busy = true
 	m.counts.Fetches++
 	return []Action{{
-		kind: Fetch,
-		pull: m.pull.id,
-		peer: p.name,
-		addr: p.addr,
+		kind:   Fetch,
+		pull:   m.pull.id,
+		peer:   p.name,
+		addr:   p.addr,
+		answer: m.spec.Fetch,
 		fetch: &mgrpc.FetchRequest{
 			Digests: missing,
 		},
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -265,9 +265,10 @@
 	m.listPull.busy = true
 	m.counts.Fetches++
 	return []Action{{
-		kind: Fetch,
-		peer: from.name,
-		addr: from.addr,
+		kind:   Fetch,
+		peer:   from.name,
+		addr:   from.addr,
+		answer: m.spec.Fetch,
 		fetch: &mgrpc.FetchRequest{
 			List: true,
 		},
