--- a/internal/request/mgmigration/play_test.go
+++ b/internal/request/mgmigration/play_test.go
@@ -47,7 +47,6 @@
 	claimed bool
 	stopped mgclock.Millis // when it was stopped, or 0
 	late    bool
-	place   string
 }
 
 // job is a copy on a source's link.
