mglog: the test of a burst goes by a clock of its own, and every drop is told

It also held the number of lines against the time that the test took. Replaced by one as strict: with a clock that stands still exactly the burst and a second's rate pass, and lines written and told as dropped add up to all of them. The queue tells the last drops when it is closed, which it did not.

--- a/internal/process/mglog/queue.go
+++ b/internal/process/mglog/queue.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -30,11 +31,16 @@
 	limit   *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
+	now     func() time.Time
 }
 
 // NewQueue returns a queue before a writer.
-func NewQueue(to io.Writer) *Queue {
+func NewQueue(to io.Writer) *Queue { return newQueue(to, time.Now) }
+
+// newQueue returns a queue whose rate goes by a clock.
+func newQueue(to io.Writer, now func() time.Time) *Queue {
 	q := &Queue{
+		now:   now,
 		lines: make(chan []byte, queueLines),
 		limit: rate.NewLimiter(lineRate, lineBurst),
 		done:  make(chan struct{}),
@@ -45,7 +51,7 @@
 
 // Write takes one line. It never blocks and never fails.
 func (q *Queue) Write(line []byte) (int, error) {
-	if !q.limit.Allow() {
+	if !q.limit.AllowN(q.now(), 1) {
 		q.dropped.Add(1)
 		return len(line), nil
 	}
@@ -72,8 +78,14 @@
 	for line := range q.lines {
 		// A log that can't be written has nobody to be told.
 		_, _ = to.Write(line)
-		if dropped := q.dropped.Swap(0); dropped > 0 {
-			fmt.Fprintf(to, `{"level":"WARN","msg":"log lines were dropped","dropped":%d}`+"\n", dropped)
-		}
+		q.tell(to)
+	}
+	q.tell(to)
+}
+
+// tell writes how many lines were dropped since it was last told.
+func (q *Queue) tell(to io.Writer) {
+	if dropped := q.dropped.Swap(0); dropped > 0 {
+		fmt.Fprintf(to, `{"level":"WARN","msg":"log lines were dropped","dropped":%d}`+"\n", dropped)
 	}
 }
