--- a/internal/request/mgmigration/turns.go
+++ b/internal/request/mgmigration/turns.go
@@ -147,7 +147,7 @@
 	givenCost = 110.0
 	// takingCost is the cost of a place that takes a copy of another source now.
 	// The last copy queues behind it while the run stands still: of 27 pauses
-	// above 180 ms in eight calm days 20 were so. It outweighs a dozen runs.
+	// above 180 ms in eight calm days 19 were so. It outweighs a dozen runs.
 	takingCost = 1500.0
 )
 
