mgbench: scenario reclaim, in virtual time

Moves of generations were measured by a play in mgmigration's tests alone, with a constant step and even engines. The bench now has the scenario: twelve engines with batches, prompts read in chunks and memory, two reclaimed every 3.3 s, placement by mgload over five entries that tell each other five times a second, copies that queue on both links and hold memory, mgmigration's turns and order.

--- a/internal/bench/mgbench/doc.go
+++ b/internal/bench/mgbench/doc.go
@@ -4,7 +4,7 @@
 //
 // It is a driver of the decision packages and of engine models
 // (internal/bench/mgmodel) in one loop. It has no network, no membership and
-// at most eight engines; what a partition or a pause does is tested elsewhere.
+// at most twelve engines; what a partition or a pause does is tested elsewhere.
 //
 // Terms:
 //
@@ -12,6 +12,10 @@
 //     changes on the way.
 //   - policy: what admits, orders, turns away and routes. A gate is a policy's
 //     part beside one engine.
+//   - reclaim: an engine that leaves at short notice and comes back empty, as
+//     spare capacity does. A way is how its generations leave it: the ways play
+//     this scenario over one placement, with the decisions of mgmigration and
+//     mgload, links on which copies queue, and engines that hold memory for them.
 //   - stall: a gap between two tokens of an answer above a named bound. The
 //     stall time is the sum of such gaps.
 //   - goodput: answers complete within their deadline, per second.
--- a/internal/bench/mgbench/meter.go
+++ b/internal/bench/mgbench/meter.go
@@ -20,6 +20,10 @@
 // gets; an output token counts 1. Prompts are computed in parallel.
 const promptShare = 0.1
 
+// pauseBound is the gap that a move may make between two tokens, in ms: above
+// it the reader of a report has waited.
+const pauseBound = 180.0
+
 // microsecond is the histograms' unit in ms.
 const microsecond = 0.001
 
@@ -46,6 +50,8 @@
 	expired  int // requests that the client hung up on
 	late     int // of these, such as nobody had started or turned away
 	lost     int // generations that went with their engine
+	cut      int // of these, such as nobody went on with
+	paused   int // answers that a move made wait, see pauseBound
 	preempts int
 	stall    float64 // ms
 	between  *hdrhistogram.Histogram
@@ -122,6 +128,8 @@
 		record(m.between, now-c.last)
 		record(m.streams(c).between, now-c.last)
 		m.stalled(c, now-c.last)
+		c.paused = c.paused || c.moved && now-c.last > pauseBound
+		c.moved = false
 	} else if c.first == 0 {
 		c.first = now
 		record(m.first, now-c.arrival)
@@ -138,6 +146,9 @@
 }
 
 func (m *meter) finish(now float64, c *call) {
+	if c.paused {
+		m.paused++
+	}
 	if now <= c.deadline {
 		m.inTime++
 		m.streams(c).inTime++
@@ -177,6 +188,13 @@
 	}
 }
 
+// sever counts a generation that went with its engine and ends there.
+func (m *meter) sever(now float64, c *call) {
+	m.lost++
+	m.cut++
+	m.stalled(c, c.gapUntil(now))
+}
+
 func (m *meter) preempt(c *call) {
 	m.preempts++
 	m.streams(c).preempts++
--- a/internal/bench/mgbench/plot.go
+++ b/internal/bench/mgbench/plot.go
@@ -52,6 +52,7 @@
 
 // writePlots writes the plots of a scenario to a directory.
 func writePlots(dir string, s ScenarioSpec, policies []policy, runs []run) error {
+	policies = s.playable(policies)
 	tail := plotTail(s, policies, runs)
 	if err := save(tail, plotWidth, plotHeight, dir, "tail-"+s.Name); err != nil {
 		return err
--- /dev/null
+++ b/internal/bench/mgbench/reclaim.go
@@ -0,0 +1,487 @@
+package mgbench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// way is how generations leave an engine that is reclaimed.
+type way string
+
+// The ways.
+const (
+	wayStay     way = "stay"     // not at all
+	wayOnce     way = "once"     // stopped and copied, all at once
+	waySelf     way = "self"     // each entry for itself, in two steps
+	wayTurns    way = "turns"    // by turns, in two steps
+	wayForeseen way = "foreseen" // by turns, and the leaving is known earlier
+)
+
+// movePolicies returns the ways of moving generations over the same placement
+// and admission, which is that of entries that reach engines directly.
+func movePolicies() []policy {
+	texts := []struct {
+		way  way
+		text string
+	}{
+		{wayStay, "a reclaimed engine's generations are cut"},
+		{wayOnce, "all are stopped and copied at once"},
+		{waySelf, "each entry copies its own one by one, then stops and copies the rest"},
+		{wayTurns, "the same, by turns that one entry gives"},
+		{wayForeseen, "by turns, with a second of notice more"},
+	}
+	var all []policy
+	for _, t := range texts {
+		all = append(all, policy{
+			name:  "move/" + string(t.way),
+			text:  t.text,
+			way:   t.way,
+			build: directBuild,
+		})
+	}
+	return all
+}
+
+// directBuild sets gates that give each call to the engine at once, where it
+// waits in the engine's own line.
+func directBuild(_ ScenarioSpec, us []*upstream, _ uint64) router {
+	for _, u := range us {
+		f := &fifo{
+			upstream: u,
+			fits:     func(*call, int) bool { return true },
+		}
+		u.gate = f.gate()
+	}
+	return leastConnections(us)
+}
+
+const (
+	// resumeSpan is the time from the end of a copy to the first token that
+	// follows it: the ways between entry and engines, and a step, in ms.
+	resumeSpan = 30.0
+	// hubSpan is how often entries tell each other what they sent, in ms.
+	hubSpan = 200.0
+	// foresight is how much earlier the oracle of moves knows of a leaving, in ms.
+	foresight = 1000.0
+)
+
+// moves places calls by what all entries sent, takes engines away and moves
+// their generations.
+type moves struct {
+	driver *driver
+	spec   ReclaimSpec
+	way    way
+	turns  mgmigration.Turns
+	hub    mgload.Hub
+	counts []mgload.Count // by entry
+	others []mgload.Report
+	links  []float64 // by upstream, when its link is free
+	random *rand.Rand
+}
+
+// move is one generation's move.
+type move struct {
+	mgmigration.Move
+	call     *call
+	from, to *upstream
+	entry    int
+	engine   *mgmodel.Engine // at the destination, whose memory is held
+	copied   int             // tokens that the destination has
+	held     int             // of the destination's memory
+}
+
+func newMoves(d *driver, w way, seed uint64) *moves {
+	spec := d.workload.scenario.Reclaim
+	entries := max(spec.Entries, 1)
+	return &moves{
+		driver: d,
+		spec:   spec,
+		way:    w,
+		counts: make([]mgload.Count, entries),
+		others: make([]mgload.Report, entries),
+		links:  make([]float64, len(d.upstreams)),
+		random: rand.New(rand.NewPCG(seed, stream+1)),
+	}
+}
+
+// enter puts reclaims and the entries' messages on the agenda.
+func (m *moves) enter() {
+	span := m.driver.workload.scenario.Span * 1000
+	for at := 0.0; at < span; at += hubSpan {
+		m.driver.agenda.add(at, m.tell)
+	}
+	if m.spec.Every == 0 {
+		return
+	}
+	for at := m.spec.Every * 500; at < span; at += m.spec.Every * 1000 {
+		m.driver.agenda.add(at, m.reclaim)
+	}
+}
+
+// tell exchanges what the entries sent.
+func (m *moves) tell(now float64) {
+	for i := range m.counts {
+		m.others[i] = m.hub.Tell(millis(now), strconv.Itoa(i), mgload.Report{
+			Rows: m.counts[i].Rows(),
+		})
+	}
+}
+
+// reclaim gives some engines notice.
+func (m *moves) reclaim(now float64) {
+	left := m.spec.Engines
+	for _, i := range m.random.Perm(len(m.driver.upstreams)) {
+		u := m.driver.upstreams[i]
+		if left == 0 || u.leaving {
+			continue
+		}
+		left--
+		notice := (m.spec.Notice + m.spec.More*m.random.Float64()) * 1000
+		if m.way == wayForeseen {
+			notice += foresight
+		}
+		m.driver.notice(now, u)
+		m.leave(now, u)
+		m.driver.agenda.add(now+notice, func(at float64) { m.take(at, u) })
+	}
+}
+
+// take takes an engine away; what is left there is cut.
+func (m *moves) take(now float64, u *upstream) {
+	for _, c := range slices.Clone(u.calls) {
+		m.driver.meter.sever(now, c)
+		m.turns.End(name(u), c.sequence.ID)
+		m.driver.drop(now, c)
+		c.state = ended
+	}
+	u.gone = true
+	m.driver.agenda.add(now+m.spec.Away*1000, func(float64) {
+		u.engine = mgmodel.New(m.driver.workload.scenario.Model)
+		u.gone = false
+		u.leaving = false
+	})
+}
+
+func name(u *upstream) string { return strconv.Itoa(u.index) }
+
+func (m *moves) entryOf(c *call) int { return c.index % len(m.counts) }
+
+// carry counts a call at its upstream, or takes it away from there.
+func (m *moves) carry(c *call, sign int) {
+	if m == nil {
+		return
+	}
+	pending := 0
+	if c.produced == 0 {
+		pending = c.sequence.Prompt
+	}
+	m.counts[m.entryOf(c)].Add(name(c.upstream), mgload.Row{
+		Runs:    sign,
+		Pending: sign * pending,
+		Memory:  sign * (c.sequence.Prompt + c.expected()),
+	})
+}
+
+// read counts a call's prompt as read, before its first token.
+func (m *moves) read(c *call) {
+	if m != nil && c.produced == 0 {
+		m.counts[m.entryOf(c)].Add(name(c.upstream), mgload.Row{
+			Pending: -c.sequence.Prompt,
+		})
+	}
+}
+
+// expected returns the output that entries expect, tokens.
+func (c *call) expected() int { return int(c.spec.Output.Median) }
+
+// route sends a call to the cheapest upstream.
+func (m *moves) route(_ mgclock.Millis, c *call) (*upstream, *mgproblem.Problem) {
+	entry := m.entryOf(c)
+	query := m.query(c, m.zone(entry))
+	return least(m.driver.upstreams, func(u *upstream, _ *call) float64 {
+		return m.cost(u, entry, query)
+	})(0, c)
+}
+
+func (m *moves) zone(index int) string { return strconv.Itoa(index % max(m.spec.Zones, 1)) }
+
+func (m *moves) query(c *call, zone string) mgload.Query {
+	return mgload.Query{
+		Zone:     zone,
+		Memory:   c.sequence.Prompt + c.expected(),
+		Capacity: m.driver.upstreams[0].engine.Spec().Memory,
+		Tokens:   c.expected(),
+	}
+}
+
+// cost returns what a request costs at an upstream by what an entry knows.
+func (m *moves) cost(u *upstream, entry int, query mgload.Query) float64 {
+	row := m.counts[entry].Row(name(u)).Add(m.others[entry].Rows[name(u)])
+	return mgload.Cost(row, m.zone(u.index), 0, query)
+}
+
+// leave begins the moves away from an upstream.
+func (m *moves) leave(now float64, u *upstream) {
+	switch m.way {
+	case wayStay:
+	case wayOnce:
+		for _, c := range slices.Clone(u.calls) {
+			if c.produced > 0 {
+				m.stopAtOnce(now, c)
+			}
+		}
+	default:
+		for entry := range m.counts {
+			m.next(now, u, entry)
+		}
+	}
+}
+
+// stopAtOnce stops a generation and copies all of it.
+func (m *moves) stopAtOnce(now float64, c *call) {
+	v := m.newMove(c)
+	if v.to = m.cheapest(v); v.to == nil {
+		return
+	}
+	if !v.hold(c.held()) {
+		return
+	}
+	v.Take(mgmigration.Reply{
+		Outcome: mgmigration.Copied,
+		Handle:  c.sequence.ID,
+	})
+	m.stop(now, v)
+}
+
+func (m *moves) newMove(c *call) *move {
+	c.claimed = true
+	return &move{
+		call:  c,
+		from:  c.upstream,
+		entry: m.entryOf(c),
+	}
+}
+
+// next begins an entry's next move away from u, or looks again later.
+func (m *moves) next(now float64, u *upstream, entry int) {
+	if u.gone || !u.leaving {
+		return
+	}
+	c := m.first(now, u, entry)
+	if c == nil {
+		m.later(now, func(at float64) { m.next(at, u, entry) })
+		return
+	}
+	to := m.place(now, c)
+	if to == nil {
+		m.later(now, func(at float64) { m.next(at, u, entry) })
+		return
+	}
+	v := m.newMove(c)
+	v.to = to
+	m.copy(now, v)
+}
+
+func (m *moves) later(now float64, do func(at float64)) {
+	m.driver.agenda.add(now+float64(mgmigration.RetrySpan), do)
+}
+
+// first returns the generation that an entry moves next.
+func (m *moves) first(now float64, u *upstream, entry int) *call {
+	var chosen *call
+	for _, c := range u.calls {
+		if c.claimed || c.produced == 0 || m.entryOf(c) != entry {
+			continue
+		}
+		if chosen == nil || worth(now, c) > worth(now, chosen) {
+			chosen = c
+		}
+	}
+	return chosen
+}
+
+func worth(now float64, c *call) float64 {
+	return mgmigration.Run{
+		Prompt:  c.sequence.Prompt,
+		Output:  c.expected(),
+		Made:    c.produced,
+		Running: millis(now - c.first),
+	}.Worth()
+}
+
+// place returns where a generation goes, or nil while it is not its turn.
+func (m *moves) place(now float64, c *call) *upstream {
+	if m.way == waySelf {
+		return m.cheapest(&move{
+			call:  c,
+			from:  c.upstream,
+			entry: m.entryOf(c),
+		})
+	}
+	ask := mgmigration.Ask{
+		Source: name(c.upstream),
+		Run:    c.sequence.ID,
+		Worth:  worth(now, c),
+	}
+	query := m.copyQuery(c)
+	for _, u := range m.driver.upstreams {
+		if u.leaving {
+			continue
+		}
+		ask.Places = append(ask.Places, mgmigration.Spot{
+			Name: name(u),
+			Cost: m.cost(u, m.entryOf(c), query),
+			Span: m.span(c.upstream, u, c.held()),
+		})
+	}
+	place, ok := m.turns.Ask(millis(now), ask)
+	if !ok {
+		return nil
+	}
+	index, err := strconv.Atoi(place)
+	if err != nil {
+		panic("mgbench: a place that the driver didn't name: " + place)
+	}
+	return m.driver.upstreams[index]
+}
+
+func (m *moves) copyQuery(c *call) mgload.Query {
+	query := m.query(c, m.zone(c.upstream.index))
+	query.Copy = true
+	return query
+}
+
+// cheapest returns the cheapest destination by what the entry knows.
+func (m *moves) cheapest(v *move) *upstream {
+	query := m.copyQuery(v.call)
+	u, _ := least(m.driver.upstreams, func(u *upstream, _ *call) float64 {
+		return m.cost(u, v.entry, query)
+	})(0, v.call)
+	return u
+}
+
+// span returns the time in ms that a copy of some tokens takes.
+func (m *moves) span(from, to *upstream, tokens int) float64 {
+	span := m.spec.Copy * float64(tokens)
+	if m.zone(from.index) != m.zone(to.index) {
+		return 2 * span
+	}
+	return span
+}
+
+// send copies tokens behind what the links carry already, and goes on at the end.
+func (m *moves) send(now float64, v *move, tokens int, then func(at float64)) {
+	begin := max(now, m.links[v.from.index], m.links[v.to.index])
+	end := begin + m.span(v.from, v.to, tokens)
+	m.links[v.from.index] = end
+	m.links[v.to.index] = end
+	m.driver.agenda.add(end, then)
+}
+
+// here reports whether the move's generation is still at its source.
+func (v *move) here() bool {
+	return v.call.upstream == v.from && (v.call.state == running || v.call.state == moving)
+}
+
+// copy does the first step, while the generation goes on.
+func (m *moves) copy(now float64, v *move) {
+	if !v.hold(v.call.held() + v.call.expected()) {
+		m.fail(now, v)
+		return
+	}
+	v.copied = v.call.held()
+	m.send(now, v, v.copied, func(at float64) {
+		switch {
+		case !v.here():
+			m.end(at, v)
+		case !v.there():
+			m.fail(at, v)
+		default:
+			v.Take(mgmigration.Reply{
+				Outcome: mgmigration.Copied,
+				Handle:  v.call.sequence.ID,
+			})
+			m.stop(at, v)
+		}
+	})
+}
+
+// fail takes that the destination had no room or left, and looks for another.
+func (m *moves) fail(now float64, v *move) {
+	v.call.claimed = false
+	m.giveBack(v)
+	m.later(now, func(at float64) { m.next(at, v.from, v.entry) })
+}
+
+// stop does the second step: the generation stands still until it goes on at
+// the destination.
+func (m *moves) stop(now float64, v *move) {
+	c := v.call
+	c.state = moving
+	v.from.engine.Cancel(c.sequence.ID)
+	m.send(now, v, max(c.held()-v.copied, 0), func(at float64) {
+		if !v.here() || !v.there() {
+			m.end(at, v) // without a destination its memory goes with its source
+			return
+		}
+		m.driver.agenda.add(at+resumeSpan, func(at float64) { m.resume(at, v) })
+	})
+}
+
+// resume goes on at the destination.
+func (m *moves) resume(now float64, v *move) {
+	c := v.call
+	usable := v.here() && v.there()
+	m.end(now, v)
+	if !usable {
+		return
+	}
+	m.driver.detach(c)
+	m.driver.attach(c, v.to)
+	c.state = running
+	c.moved = true
+	c.claimed = false
+	if !v.to.engine.Resume(c.sequence, c.produced, 1) {
+		panic("mgbench: the model refuses " + c.sequence.ID)
+	}
+	m.driver.wake(now, v.to)
+	if v.to.leaving {
+		m.leave(now, v.to)
+	}
+}
+
+// hold takes memory at the destination.
+func (v *move) hold(tokens int) bool {
+	if !v.to.engine.Hold(tokens) {
+		return false
+	}
+	v.engine, v.held = v.to.engine, tokens
+	return true
+}
+
+// there reports whether the destination is still the engine that was chosen.
+func (v *move) there() bool { return !v.to.gone && v.to.engine == v.engine }
+
+// giveBack gives back the memory and the turn that a move holds.
+func (m *moves) giveBack(v *move) {
+	if v.held > 0 {
+		v.engine.Release(v.held)
+		v.held = 0
+	}
+	m.turns.End(name(v.from), v.call.sequence.ID)
+}
+
+// end ends a move and begins the entry's next one.
+func (m *moves) end(now float64, v *move) {
+	m.giveBack(v)
+	if m.way != wayOnce {
+		m.next(now, v.from, v.entry)
+	}
+}
--- a/internal/bench/mgbench/scenario.go
+++ b/internal/bench/mgbench/scenario.go
@@ -27,7 +27,7 @@
 	return []ScenarioSpec{
 		calm(), burst(), heavy(), slow(), long(), small(),
 		saturation("sat10", 1.0), saturation("sat13", 1.3), saturation("sat20", 2.0),
-		shift(), takeover(), loss(),
+		shift(), takeover(), loss(), reclaim(),
 	}
 }
 
@@ -235,3 +235,48 @@
 	}
 	return s
 }
+
+// reclaim has the figures of a deployment of twelve engines whose provider takes
+// a sixth away every 3.3 s at two seconds' notice: four in ten reports meet that.
+func reclaim() ScenarioSpec {
+	s := base("reclaim", "two of twelve engines leave on 1.5 to 2.1 s notice every 3.3 s, and are back 4 s later", 0.5)
+	s.Engines = 12
+	s.Rate = 1.85
+	s.Model = mgmodel.Spec{
+		Memory:  34000,
+		Batch:   32,
+		Base:    7,
+		Each:    0.12,
+		Context: 0.001, // next to nothing: 0 would take the default
+		Prefill: 71,
+	}
+	s.Services = []ServiceSpec{
+		{
+			Name:     "report",
+			Share:    0.42,
+			Prompt:   lognormal(2800, 0.35, 9000),
+			Output:   lognormal(660, 0.84, 2200),
+			Deadline: 39,
+			Prefer:   Whole,
+		},
+		{
+			Name:     "note",
+			Share:    0.58,
+			Prompt:   lognormal(2300, 0.3, 6000),
+			Output:   lognormal(10, 0.4, 60),
+			Deadline: 6,
+			Prefer:   Steady,
+		},
+	}
+	s.Reclaim = ReclaimSpec{
+		Every:   3.3,
+		Engines: 2,
+		Notice:  1.5,
+		More:    0.6,
+		Away:    4,
+		Entries: 5,
+		Zones:   3,
+		Copy:    0.055,
+	}
+	return s
+}
--- a/internal/bench/mgbench/spec.go
+++ b/internal/bench/mgbench/spec.go
@@ -64,6 +64,19 @@
 	Notice  float64 // before they leave, s
 }
 
+// A ReclaimSpec takes engines away again and again and brings them back, as a
+// provider does with spare capacity. The zero value takes none.
+type ReclaimSpec struct {
+	Every   float64 // between reclaims, s
+	Engines int     // at a time
+	Notice  float64 // at least, s
+	More    float64 // of notice at most, drawn evenly, s
+	Away    float64 // until an engine is back, empty, s
+	Entries int     // that hold the streams, each a part of them
+	Zones   int     // that the engines are spread over
+	Copy    float64 // of a token's memory within a zone, ms; twice as much between zones
+}
+
 // A ScenarioSpec describes a scenario.
 type ScenarioSpec struct {
 	Name     string
@@ -78,4 +91,5 @@
 	Burst    BurstSpec
 	Phases   []PhaseSpec
 	Fault    FaultSpec
+	Reclaim  ReclaimSpec
 }
