mgagent: a reclaimed engine's generations go on at another

Cause: on the product's own interface a generation whose engine leaves before it ends was closed with a visible end; only requests passed through by routes moved. TestReclaimed plays the case in which no other engine can take it.

--- a/internal/connection/mgengine/client.go
+++ b/internal/connection/mgengine/client.go
@@ -12,6 +12,7 @@
 	events func(ctx context.Context, after uint64) ([]Event, error)
 	list   func(ctx context.Context) ([]Generation, error)
 	order  func(ctx context.Context, spec OrderSpec) error
+	move   func(ctx context.Context, spec MoveSpec) (Copy, error)
 }
 
 // NewClient returns a client that makes its calls by s.
@@ -24,6 +25,7 @@
 		events: s.Events,
 		list:   s.List,
 		order:  s.Order,
+		move:   s.Move,
 	}
 }
 
@@ -86,6 +88,17 @@
 	return c.order(ctx, spec)
 }
 
+// Move copies a generation to another engine, and returns once the copy is
+// complete. Called again, it copies what is new. A NotStarted failure says that
+// the other engine has no room; the generation then goes on, unless this was the
+// last call.
+func (c Client) Move(ctx context.Context, spec MoveSpec) (Copy, error) {
+	if c.move == nil {
+		return Copy{}, absent("move")
+	}
+	return c.move(ctx, spec)
+}
+
 // absent returns the failure of a call that the client has no way to make.
 func absent(call string) error {
 	return NewFailure(NotStarted, call, "the client has no such call", nil)
--- a/internal/connection/mgengine/http.go
+++ b/internal/connection/mgengine/http.go
@@ -35,6 +35,7 @@
 		Events: p.events,
 		List:   p.list,
 		Order:  p.order,
+		Move:   p.move,
 	})
 }
 
@@ -84,6 +85,12 @@
 	return err
 }
 
+func (p protocol) move(ctx context.Context, spec MoveSpec) (Copy, error) {
+	var made Copy
+	err := p.exchange(ctx, "move", http.MethodPost, "/v1/generations/"+url.PathEscape(spec.ID)+"/move", spec, &made)
+	return made, err
+}
+
 func (p protocol) stream(ctx context.Context, id string, from uint64) (*TokenStream, error) {
 	path := fmt.Sprintf("/v1/generations/%s/stream?from=%d", url.PathEscape(id), from)
 	response, err := p.send(ctx, "stream", http.MethodGet, path, nil)
--- a/internal/connection/mgengine/seams.go
+++ b/internal/connection/mgengine/seams.go
@@ -12,4 +12,5 @@
 	Events func(ctx context.Context, after uint64) ([]Event, error)
 	List   func(ctx context.Context) ([]Generation, error)
 	Order  func(ctx context.Context, spec OrderSpec) error
+	Move   func(ctx context.Context, spec MoveSpec) (Copy, error)
 }
--- a/internal/connection/mgengine/wire.go
+++ b/internal/connection/mgengine/wire.go
@@ -11,6 +11,20 @@
 	Prefix   []uint64 `json:"prefix,omitempty"` // hashes of the prompt's blocks, outermost first
 	Max      int      `json:"max"`              // bound on the output in tokens
 	Priority int      `json:"priority"`         // higher goes first
+	Copy     string   `json:"copy,omitempty"`   // of the same generation, to go on from
+}
+
+// MoveSpec says where a generation is to be copied.
+type MoveSpec struct {
+	ID   string `json:"-"`
+	To   string `json:"to"`   // the other engine's base URL
+	Last bool   `json:"last"` // the generation stops first, and its stream breaks off
+}
+
+// Copy is what another engine holds of a generation.
+type Copy struct {
+	Name string `json:"name"` // to start from, once
+	Made uint64 `json:"made"` // tokens in it
 }
 
 // Token is one step of a stream. Seq counts from 1; a Token with Seq 0 and
--- a/internal/connection/mglink/codec.go
+++ b/internal/connection/mglink/codec.go
@@ -46,10 +46,10 @@
 
 // Heartbeat reports whether f only says that its sender lives.
 func Heartbeat(f *mgrpc.Frame) bool {
-	return len(f.GetText()) == 0 && f.GetEnd() == "" && f.GetFault() == ""
+	return len(f.GetText()) == 0 && !Final(f)
 }
 
 // Final reports whether no frame follows f.
 func Final(f *mgrpc.Frame) bool {
-	return f.GetEnd() != "" || f.GetFault() != ""
+	return f.GetEnd() != "" || f.GetFault() != "" || f.GetMoved() != ""
 }
--- a/internal/process/mgagent/adopt.go
+++ b/internal/process/mgagent/adopt.go
@@ -134,6 +134,7 @@
 	if load.Leaving {
 		a.Leave()
 	}
+	a.beginMoves()
 	events, err := a.spec.Engine.Events(ctx, after)
 	if err != nil {
 		return after
--- a/internal/process/mgagent/agent.go
+++ b/internal/process/mgagent/agent.go
@@ -47,6 +47,9 @@
 	// Ours reports whether this agent is the engine's own as far as the list of
 	// VMs and the peers know, and when that was asked.
 	Ours func() (mgclock.Millis, bool)
+	// Others returns the agents beside other engines that hold a model. Without
+	// it no generation is moved.
+	Others func(model string) []Other
 	// Started is the process's start in Unix ms.
 	Started int64
 }
@@ -64,6 +67,7 @@
 	calls    atomic.Int64
 	leaving  atomic.Bool
 	sick     atomic.Bool // the engine can't be reached
+	moving   atomic.Bool // generations are being moved to other engines
 	running  sync.WaitGroup
 	life     context.Context // of what outlives the call that began it
 	endLife  context.CancelFunc
--- a/internal/process/mgagent/drain_test.go
+++ b/internal/process/mgagent/drain_test.go
@@ -85,6 +85,9 @@
 		}
 		seen.tokens += len(frame.GetText())
 		seen.told = frame.GetEnd()
+		if frame.GetMoved() != "" {
+			seen.told = "moved to " + frame.GetMoved()
+		}
 		if frame.GetFault() != "" {
 			seen.told = frame.GetFault() + "/" + frame.GetOutcome()
 		}
--- a/internal/process/mgagent/frames.go
+++ b/internal/process/mgagent/frames.go
@@ -87,6 +87,10 @@
 	if seen.end != "" {
 		f.Total = seen.total
 	}
+	if seen.next.agent != "" {
+		f.Moved = seen.next.agent
+		f.Incarnation = seen.next.incarnation
+	}
 	if seen.problem != nil {
 		f.Fault = string(seen.problem.Kind())
 		f.Outcome = string(seen.problem.Outcome())
--- a/internal/process/mgagent/generation.go
+++ b/internal/process/mgagent/generation.go
@@ -1,6 +1,7 @@
 package mgagent
 
 import (
+	"context"
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
@@ -15,8 +16,9 @@
 	account string
 	service string
 	spec    mgengine.StartSpec
-	whole   bool // its caller takes nothing but the whole answer
-	had     int  // tokens that a predecessor may have delivered
+	whole   bool     // its caller takes nothing but the whole answer
+	had     int      // tokens that a predecessor may have delivered
+	via     []string // agents that had it before
 
 	mu        sync.Mutex
 	tokens    []string
@@ -28,6 +30,9 @@
 	idle      mgclock.Millis // when the last reader left
 	over      mgclock.Millis // when it ended
 	cancel    func()         // ends the engine's stream, nil while it waits
+	parting   chan struct{}  // while a move of it is under way; closed at its end
+	next      successor      // who goes on with it, once it has moved
+	unmoved   bool           // a move of it has been tried
 }
 
 func newGeneration(id, account, service string, spec mgengine.StartSpec, now mgclock.Millis) *generation {
@@ -41,6 +46,12 @@
 	}
 }
 
+// successor is the agent that goes on with a generation.
+type successor struct {
+	agent       string
+	incarnation string
+}
+
 // view is what a reader sees of a generation at one time.
 type view struct {
 	tokens    []string
@@ -49,11 +60,12 @@
 	preempted uint32
 	total     uint64
 	more      bool // there are more tokens than one frame holds
+	next      successor
 	changed   <-chan struct{}
 }
 
 // over reports whether nothing will follow.
-func (v view) over() bool { return v.end != "" || v.problem != nil }
+func (v view) over() bool { return v.end != "" || v.problem != nil || v.next.agent != "" }
 
 // The bounds of one frame. A reader that begins anew may be behind by a whole
 // answer; in one frame a long one is above what the link takes, and could never
@@ -94,6 +106,7 @@
 	if !seen.more {
 		seen.end = g.end
 		seen.problem = g.problem
+		seen.next = g.next
 	}
 	return seen
 }
@@ -125,7 +138,9 @@
 }
 
 // endedLocked reports whether the generation is over.
-func (g *generation) endedLocked() bool { return g.end != "" || g.problem != nil }
+func (g *generation) endedLocked() bool {
+	return g.end != "" || g.problem != nil || g.next.agent != ""
+}
 
 // finish ends the generation; only the first end counts.
 func (g *generation) finish(end string, problem *mgproblem.Problem, now mgclock.Millis) bool {
@@ -141,6 +156,68 @@
 	return true
 }
 
+// part begins a move, unless the generation is over, has no token yet, or is
+// being moved already.
+func (g *generation) part() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.endedLocked() || g.parting != nil || len(g.tokens) == 0 {
+		return false
+	}
+	g.parting = make(chan struct{})
+	return true
+}
+
+// parted ends a move. With a successor the generation is over here; its readers
+// are told who goes on.
+func (g *generation) parted(next successor, now mgclock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if next.agent != "" && !g.endedLocked() {
+		g.next = next
+		g.over = now
+		g.wakeLocked()
+	}
+	close(g.parting)
+	g.parting = nil
+}
+
+// settle waits for a move that is under way. A stream that broke off may have
+// been stopped by it.
+func (g *generation) settle(ctx context.Context) {
+	g.mu.Lock()
+	parting := g.parting
+	g.mu.Unlock()
+	if parting == nil {
+		return
+	}
+	select {
+	case <-parting:
+	case <-ctx.Done():
+	}
+}
+
+// departing reports whether a move is under way.
+func (g *generation) departing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.parting != nil
+}
+
+// moved reports whether another agent goes on with the generation.
+func (g *generation) moved() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.next.agent != ""
+}
+
+// text returns the tokens so far; they are shared and never change.
+func (g *generation) text() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tokens[:len(g.tokens):len(g.tokens)]
+}
+
 // ended reports whether the generation is over.
 func (g *generation) ended() bool {
 	g.mu.Lock()
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -153,7 +153,13 @@
 	for {
 		before := g.produced()
 		token, err := a.readOnce(ctx, g)
+		if err != nil {
+			g.settle(ctx)
+		}
 		switch {
+		case g.moved():
+			a.free(g, mgproblem.Unknown)
+			return
 		case g.ended():
 			// The cancel may have reached the engine before the start.
 			a.cancelAt(context.WithoutCancel(ctx), g.id)
@@ -249,20 +255,29 @@
 	if problem != nil {
 		outcome = problem.Outcome()
 	}
-	a.attempts.Finish(g.id, mgoperation.Result{Outcome: outcome}, now)
 	g.finish(end, problem, now)
-	a.mu.Lock()
 	if problem == nil {
+		a.mu.Lock()
 		a.scheduler.Finish(now, g.id)
 		a.counts.finished++
-	} else {
-		a.scheduler.Abandon(now, g.id)
-		a.counts.broken++
+		a.mu.Unlock()
 	}
-	a.mu.Unlock()
-	a.poke()
+	a.free(g, outcome)
 	if problem != nil {
+		a.mu.Lock()
+		a.counts.broken++
+		a.mu.Unlock()
 		a.spec.Log.Info("generation ended early", mglog.Attempt, g.id, mglog.Account, g.account,
 			mglog.Service, g.service, mglog.Kind, string(problem.Kind()), "cause", problem.Error())
 	}
 }
+
+// free gives back what a generation that is over here holds.
+func (a *Agent) free(g *generation, outcome mgproblem.Outcome) {
+	now := a.spec.Clock.Now()
+	a.attempts.Finish(g.id, mgoperation.Result{Outcome: outcome}, now)
+	a.mu.Lock()
+	a.scheduler.Abandon(now, g.id)
+	a.mu.Unlock()
+	a.poke()
+}
--- a/internal/process/mgagent/start.go
+++ b/internal/process/mgagent/start.go
@@ -25,6 +25,7 @@
 		Leaving:     a.leaving.Load(),
 		Cached:      uint32(a.prefix.Cached(in.GetPrefix())),
 		Stamp:       int64(now),
+		Engine:      a.spec.Settings.Address,
 	}
 	table := a.spec.Table()
 	if table == nil {
@@ -139,6 +140,9 @@
 		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 			"the engine has not loaded the model", "try another upstream").WithRetry(mgclock.Second)
 	}
+	if in.GetCopy() != "" {
+		return a.takeOver(table, in, a.spec.Clock.Now())
+	}
 	return a.enqueue(table, in, a.spec.Clock.Now(), deadline)
 }
 
@@ -173,10 +177,25 @@
 
 // enqueue gives the attempt to the scheduler.
 func (a *Agent) enqueue(table *mgtable.Table, in *mgrpc.StartRequest, now, deadline mgclock.Millis) *mgproblem.Problem {
-	request := a.request(table, in.GetAttempt(), in.GetAccount(), in.GetService(), in.GetModel())
-	request.Prompt = mgprefix.Tokens(in.GetPrompt())
+	request, g := a.prepare(table, in, now)
 	request.Cached = a.prefix.Cached(in.GetPrefix())
 	request.Deadline = deadline
+	a.mu.Lock()
+	problem := a.scheduler.Submit(now, request)
+	if problem == nil {
+		a.generations[g.id] = g
+	} else {
+		a.counts.refused++
+	}
+	a.mu.Unlock()
+	a.poke()
+	return problem
+}
+
+// prepare describes an attempt to the scheduler and to the engine.
+func (a *Agent) prepare(table *mgtable.Table, in *mgrpc.StartRequest, now mgclock.Millis) (mgscheduler.Request, *generation) {
+	request := a.request(table, in.GetAttempt(), in.GetAccount(), in.GetService(), in.GetModel())
+	request.Prompt = mgprefix.Tokens(in.GetPrompt())
 	if max := int(in.GetMax()); max > 0 {
 		request.Max = max
 	}
@@ -188,19 +207,13 @@
 		Prefix:   in.GetPrefix(),
 		Max:      request.Max,
 		Priority: request.Priority,
+		Copy:     in.GetCopy(),
 	}
 	g := newGeneration(in.GetAttempt(), in.GetAccount(), in.GetService(), spec, now)
 	g.whole = in.GetWhole()
-	a.mu.Lock()
-	problem := a.scheduler.Submit(now, request)
-	if problem == nil {
-		a.generations[g.id] = g
-	} else {
-		a.counts.refused++
-	}
-	a.mu.Unlock()
-	a.poke()
-	return problem
+	g.tokens = in.GetHad()
+	g.via = in.GetVia()
+	return request, g
 }
 
 // Cancel ends an attempt and attests what became of it.
--- a/internal/process/mgentry/leave_test.go
+++ b/internal/process/mgentry/leave_test.go
@@ -77,7 +77,8 @@
 	})
 }
 
-// An engine is reclaimed with four seconds' notice while a long answer comes.
+// An engine is reclaimed with four seconds' notice while a long answer comes, and
+// no other engine can take it over.
 // The caller sees it break off when the engine dies, and nobody knows why; one
 // who wants it whole waits until then for an answer that could have begun
 // elsewhere.
@@ -106,6 +107,7 @@
 				var told bool // while the engine lived
 				var begun map[string]int
 				play(t, 2, func(r *rig) {
+					r.alone.Store(true)
 					var all sync.WaitGroup
 					who := r.caller()
 					all.Go(func() {
@@ -130,6 +132,51 @@
 	})
 }
 
+// An engine is reclaimed with two seconds' notice while ten dossiers stream from
+// it and another. Their callers see them cut in the middle when it dies. Each
+// that would not end in time goes on at the other engine, from the same
+// generation: its text is what one run makes, and no engine began it twice.
+func TestReclaimedMoves(t *testing.T) {
+	Convey("Generations of an engine that is reclaimed go on at another", t, func() {
+		var whole, resumed int
+		var starts map[string]int
+		var stall mgclock.Millis
+		play(t, 2, func(r *rig) {
+			var all sync.WaitGroup
+			callers := ask(r, &all, 10)
+			r.clock.Sleep(r.ctx, mgclock.Second)
+			r.reclaim(2 * mgclock.Second)
+			all.Wait()
+			whole = wholes(callers)
+			for _, c := range callers {
+				stall = max(stall, c.stall)
+			}
+			resumed = r.engines["engine-2"].Counts().Resumed
+			starts = r.starts()
+		})
+		So(whole, ShouldEqual, 10)
+		So(resumed, ShouldBeGreaterThan, 1)
+		So(starts["engine-1"]+starts["engine-2"], ShouldEqual, 10)
+		So(stall, ShouldBeLessThan, mgclock.Second)
+	})
+	Convey("A caller that comes back by the answer's old name finds it where it went", t, func() {
+		var first, second string
+		var resumed int
+		play(t, 2, func(r *rig) {
+			c := r.caller()
+			c.at(100, func() { r.kill("entry-1") })
+			c.ask("entry-1", answerLength, true)
+			r.reclaim(2 * mgclock.Second)
+			r.clock.Sleep(r.ctx, mgclock.Second)
+			c.resume("entry-2")
+			resumed = r.engines["engine-1"].Counts().Resumed + r.engines["engine-2"].Counts().Resumed
+			first, second = mgstandin.Whole(c.generation(), answerLength), c.text.String()
+		})
+		So(second, ShouldEqual, first)
+		So(resumed, ShouldEqual, 1)
+	})
+}
+
 // answerLength outlasts the bound: about five seconds of decoding.
 const answerLength = 400
 
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -157,7 +157,11 @@
 	switch {
 	case err == nil:
 		r.note(frame)
-		return r.receiver.Frame(r.number, frame), nil
+		decision := r.receiver.Frame(r.number, frame)
+		if frame.GetMoved() != "" && !r.receiver.Over() {
+			r.follow(ctx, frame)
+		}
+		return decision, nil
 	case ctx.Err() != nil:
 		return mgdelivery.Decision{}, r.callerGone(ctx)
 	case waitCtx.Err() != nil:
@@ -167,6 +171,31 @@
 	}
 }
 
+// follow reads on from the agent that took the generation over. It is the same
+// generation: the receiver goes on where it is.
+func (r *reading) follow(ctx context.Context, frame *mgrpc.Frame) {
+	agent, known := r.entry.spec.View().Member(frame.GetMoved())
+	if !known {
+		// The list of VMs lags, and the next read finds the agent or nothing.
+		r.entry.spec.Log.Info("a generation moved to an agent that isn't known here", mglog.Attempt, r.attempt.id, "agent", frame.GetMoved())
+		return
+	}
+	r.stream.Close()
+	r.attempt.ended()
+	r.attempt = attempt{
+		id:         r.attempt.id,
+		agent:      agent,
+		generation: r.attempt.generation,
+		doubt:      r.attempt.doubt,
+		ended:      func() {},
+		offer: &mgrpc.Offer{
+			Incarnation: frame.GetIncarnation(),
+		},
+	}
+	r.entry.spec.Metrics.Counter("followed").Inc(1)
+	r.open(ctx)
+}
+
 // untilDue bounds the wait for the first token.
 func (r *reading) untilDue(ctx context.Context) (context.Context, context.CancelFunc) {
 	if r.job == nil || r.receiver.Last() > 0 || r.tokens > 0 {
--- a/internal/process/mgentry/rig_test.go
+++ b/internal/process/mgentry/rig_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -16,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
@@ -102,6 +104,7 @@
 	agents   map[string]*mgagent.Agent
 	entries  map[string]*mgentry.Entry
 	books    *mgstandin.Service
+	alone    atomic.Bool // agents know no others
 	list     mgplatform.List
 	mu       sync.Mutex // guards what follows
 	stops    map[string]func()
@@ -144,6 +147,7 @@
 					Batch:  32,
 				},
 			}, mgclock.Clock{})
+			e.Reach(mgdial.NewClientWith(r.Dial(name)))
 			r.engines[name] = e
 			running.Go(func() { e.Run(ctx) })
 			r.Serve(name, e.Handler())
@@ -187,6 +191,7 @@
 				Beat: int64(beat),
 			},
 			Upstream: upstream,
+			Address:  "http://" + upstream,
 			Grace:    15000,
 			Keep:     60000,
 			Queue:    512,
@@ -200,6 +205,7 @@
 		Service:     mgservice.NewHTTP("http://"+upstream, client),
 		Table:       func() *mgtable.Table { return r.table },
 		Seen:        func(uint64, string) {},
+		Others:      func(string) []mgagent.Other { return r.others(name) },
 	})
 	if err != nil {
 		panic(err)
@@ -225,6 +231,22 @@
 	})
 }
 
+// others returns the agents beside engines but the one of that name.
+func (r *rig) others(name string) []mgagent.Other {
+	var others []mgagent.Other
+	for _, vm := range r.list.VMs {
+		if r.alone.Load() || vm.Name == name || len(vm.Models) == 0 {
+			continue
+		}
+		others = append(others, mgagent.Other{
+			Name:  vm.Name,
+			Zone:  "a",
+			Agent: mgrpc.NewAgentProtobufClient("http://"+vm.Name, &http.Client{Transport: r.Transport(name, false)}),
+		})
+	}
+	return others
+}
+
 // entry starts an entry, in place of the one that had its name.
 func (r *rig) entry(name string) {
 	r.kill(name)
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -36,6 +38,7 @@
 		Await:       n.loop.Await,
 		Plan:        (&planner{node: n}).plan,
 		Ours:        func() (mgclock.Millis, bool) { return n.owns(settings.Upstream) },
+		Others:      n.otherAgents,
 		Started:     mgclock.UnixMillis(),
 	})
 	if err != nil {
@@ -51,6 +54,22 @@
 	return stopping, nil
 }
 
+// otherAgents returns the agents of the region beside engines that hold a model.
+func (n *Node) otherAgents(model string) []mgagent.Other {
+	var others []mgagent.Other
+	for _, member := range n.members.View().Upstreams(model) {
+		if member.Name() == n.settings.Name || member.Region() != n.settings.Region || member.Leaving() {
+			continue
+		}
+		others = append(others, mgagent.Other{
+			Name:  member.Name(),
+			Zone:  member.Zone(),
+			Agent: mgrpc.NewAgentProtobufClient(n.guard.Base(member.PeerAddr()), &http.Client{Transport: n.calls}),
+		})
+	}
+	return others
+}
+
 // planner works the placement out anew when the table or the members change.
 // One goroutine, that of the agent's orders, uses it.
 type planner struct {
--- a/internal/standin/mgstandin/engine.go
+++ b/internal/standin/mgstandin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 
@@ -40,6 +41,8 @@
 	fence       uint64
 	report      lagged
 	cache       cacheLog
+	copies      map[string]*incoming // by the generation's id
+	client      *http.Client         // by which other engines are reached
 	counts      EngineCounts
 }
 
@@ -58,6 +61,7 @@
 	}
 	e.model = mgmodel.New(e.spec.Model)
 	e.generations = make(map[string]*generation)
+	e.copies = make(map[string]*incoming)
 	e.loaded = slices.Clone(e.spec.Serves)
 	e.role = e.spec.Role
 	if e.counts.Generations == nil {
@@ -134,6 +138,7 @@
 func (e *Engine) observe(now mgclock.Millis) {
 	e.report.take(e.load(), now, e.spec.Lag)
 	e.cache.take(e.model, now, e.spec.Late, e.spec.Gap)
+	e.dropCopies(now)
 	for len(e.finished) > 0 && now-e.finished[0].doneAt > e.spec.Keep {
 		delete(e.generations, e.finished[0].spec.ID)
 		e.finished = e.finished[1:]
--- a/internal/standin/mgstandin/generation.go
+++ b/internal/standin/mgstandin/generation.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -23,6 +22,8 @@
 	preempted int
 	doneAt    mgclock.Millis
 	struck    bool          // its stream has met a cut or stall
+	copied    int           // tokens that copiedTo has
+	copiedTo  string        // base URL of another engine
 	changed   chan struct{} // closed and replaced on progress
 }
 
@@ -86,17 +87,13 @@
 	if len(e.loaded) > 0 && !slices.Contains(e.loaded, spec.Model) {
 		return refusal("model", "the model isn't loaded; order it or start elsewhere")
 	}
+	if spec.Copy != "" {
+		return e.goOn(spec)
+	}
 	if spec.Tokens < 1 {
 		spec.Tokens = 1 + len(spec.Prompt)/bytesPerToken
 	}
-	added := e.model.Add(mgmodel.Sequence{
-		ID:       spec.ID,
-		Prompt:   spec.Tokens,
-		Prefix:   spec.Prefix,
-		Output:   Output(spec.Prompt, spec.Max),
-		Priority: spec.Priority,
-	})
-	if !added {
+	if !e.model.Add(sequenceOf(spec)) {
 		return refusal("large", "the prompt doesn't fit the engine's memory; shorten it")
 	}
 	e.generations[spec.ID] = &generation{
--- /dev/null
+++ b/internal/standin/mgstandin/move.go
@@ -0,0 +1,231 @@
+package mgstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgmodel"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
+)
+
+const (
+	// defaultCopy is the time to copy a token's memory, in microseconds: about
+	// that of 60 KB over a link of 10 Gbit/s.
+	defaultCopy = 55
+	// copyKeep is how long an engine keeps a copy that nobody goes on from.
+	copyKeep = 5 * mgclock.Second
+)
+
+// The kinds of a move's refusals.
+const (
+	missingRefusal = "missing" // no such generation, or it has no token yet
+	roomRefusal    = "room"    // the other engine has no room, or can't be reached
+	copyRefusal    = "copy"    // no such copy: it was used, or has run out
+)
+
+// incoming is a copy that this engine holds for a generation of another one.
+type incoming struct {
+	spec mgengine.StartSpec
+	made uint64
+	held int // tokens of memory
+	till mgclock.Millis
+}
+
+// copySpec is what an engine sends to the one that gets a copy.
+type copySpec struct {
+	Spec mgengine.StartSpec `json:"spec"`
+	Made uint64             `json:"made"`
+	Hold int                `json:"hold"` // tokens of memory
+}
+
+// Reach sets the client by which the engine reaches others.
+func (e *Engine) Reach(client *http.Client) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.client = client
+}
+
+// Move copies a generation to another engine.
+func (e *Engine) Move(ctx context.Context, spec mgengine.MoveSpec) (mgengine.Copy, *mgengine.Refusal) {
+	order, tokens, refused := e.beginCopy(spec)
+	if refused != nil {
+		return mgengine.Copy{}, refused
+	}
+	e.clock.Sleep(ctx, mgclock.Millis(tokens*e.copyTime()/1000))
+	if err := e.sendCopy(ctx, spec.To, order); err != nil {
+		return mgengine.Copy{}, refusal(roomRefusal, err.Error())
+	}
+	return mgengine.Copy{
+		Name: order.Spec.ID,
+		Made: order.Made,
+	}, nil
+}
+
+func (e *Engine) copyTime() int {
+	if e.spec.Copy > 0 {
+		return e.spec.Copy
+	}
+	return defaultCopy
+}
+
+// beginCopy returns what is to be copied and how many tokens of it are new. The
+// last copy stops the generation first: what it makes afterwards would be lost.
+func (e *Engine) beginCopy(spec mgengine.MoveSpec) (copySpec, int, *mgengine.Refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prepare()
+	g := e.running(spec.ID)
+	if g == nil || g.produced == 0 {
+		return copySpec{}, 0, refusal(missingRefusal, "no such generation, or nothing of it yet; wait or start it elsewhere")
+	}
+	if g.copiedTo != spec.To {
+		g.copied = 0
+	}
+	all := g.spec.Tokens + int(g.produced)
+	fresh := all - g.copied
+	g.copied, g.copiedTo = all, spec.To
+	if spec.Last {
+		e.model.Cancel(spec.ID)
+		delete(e.generations, spec.ID)
+		g.wake() // its streams find nothing and break off
+		record := e.counts.Generations[spec.ID]
+		record.End = "moved"
+		e.counts.Generations[spec.ID] = record
+	}
+	return copySpec{
+		Spec: g.spec,
+		Made: g.produced,
+		Hold: all,
+	}, fresh, nil
+}
+
+func (e *Engine) sendCopy(ctx context.Context, to string, order copySpec) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("copy: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, to+"/v1/copies", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("copy: the other engine's address: %w", err)
+	}
+	e.mu.Lock()
+	client := e.client
+	e.mu.Unlock()
+	if client == nil {
+		client = mgdial.NewClient()
+	}
+	response, err := mgdial.Do(client, request)
+	if err != nil {
+		return fmt.Errorf("copy: the other engine can't be reached: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("copy: the other engine answers %s", response.Status)
+	}
+	return nil
+}
+
+// Take holds a copy for another engine's generation.
+func (e *Engine) Take(order copySpec) *mgengine.Refusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prepare()
+	now := e.clock.Now()
+	e.dropCopies(now)
+	c := e.copies[order.Spec.ID]
+	if c == nil {
+		c = &incoming{}
+	}
+	if e.faults.Kind == Leave || !e.model.Hold(order.Hold-c.held) {
+		return refusal(roomRefusal, "no room for a copy; send it to another engine")
+	}
+	*c = incoming{
+		spec: order.Spec,
+		made: order.Made,
+		held: order.Hold,
+		till: now + copyKeep,
+	}
+	e.copies[order.Spec.ID] = c
+	return nil
+}
+
+// dropCopies frees the memory of copies that nobody went on from.
+func (e *Engine) dropCopies(now mgclock.Millis) {
+	for name, c := range e.copies {
+		if now >= c.till {
+			e.model.Release(c.held)
+			delete(e.copies, name)
+		}
+	}
+}
+
+// goOn goes on with a generation from the copy that the engine holds. It is
+// called with mu held.
+func (e *Engine) goOn(spec mgengine.StartSpec) *mgengine.Refusal {
+	c := e.copies[spec.Copy]
+	if c == nil {
+		return refusal(copyRefusal, "no such copy; it was used or has run out")
+	}
+	delete(e.copies, spec.Copy)
+	e.model.Release(c.held)
+	if !e.model.Resume(sequenceOf(c.spec), int(c.made), 1) {
+		return refusal(copyRefusal, "the generation doesn't fit")
+	}
+	e.generations[spec.ID] = &generation{
+		spec:     c.spec,
+		produced: c.made,
+		changed:  make(chan struct{}),
+	}
+	e.counts.Resumed++
+	e.wake()
+	return nil
+}
+
+// sequenceOf describes a generation to the model.
+func sequenceOf(spec mgengine.StartSpec) mgmodel.Sequence {
+	return mgmodel.Sequence{
+		ID:       spec.ID,
+		Prompt:   spec.Tokens,
+		Prefix:   spec.Prefix,
+		Output:   Output(spec.Prompt, spec.Max),
+		Priority: spec.Priority,
+	}
+}
+
+func (e *Engine) serveMove(w http.ResponseWriter, r *http.Request) {
+	var spec mgengine.MoveSpec
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, switchBytes)).Decode(&spec); err != nil || spec.To == "" {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "not the JSON of a move")
+		return
+	}
+	spec.ID = chi.URLParam(r, "id")
+	made, refused := e.Move(r.Context(), spec)
+	switch {
+	case refused == nil:
+		writeJSON(w, http.StatusOK, made)
+	case refused.Kind == missingRefusal:
+		writeJSON(w, http.StatusNotFound, refused)
+	default:
+		writeJSON(w, http.StatusConflict, refused)
+	}
+}
+
+func (e *Engine) serveCopy(w http.ResponseWriter, r *http.Request) {
+	var order copySpec
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, startBytes)).Decode(&order); err != nil || order.Spec.ID == "" {
+		writeRefusal(w, http.StatusBadRequest, "invalid", "not the JSON of a copy")
+		return
+	}
+	if refused := e.Take(order); refused != nil {
+		writeJSON(w, http.StatusConflict, refused)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/mgstandin/spec.go
+++ b/internal/standin/mgstandin/spec.go
@@ -17,6 +17,7 @@
 	Gap     int            `toml:"gap" min:"0" max:"1000000" help:"each gap-th cache event is lost; 0 for none"`
 	Keep    mgclock.Millis `toml:"keep" default:"60000" min:"0" max:"3600000" unit:"ms" help:"how long a finished generation can be resumed"`
 	Beat    mgclock.Millis `toml:"beat" default:"1000" min:"0" max:"600000" unit:"ms" help:"interval of heartbeats on a stream"`
+	Copy    int            `toml:"copy" default:"55" min:"0" max:"1000000" unit:"us" help:"time to copy a token's memory to another engine"`
 	Loading mgclock.Millis `toml:"loading" min:"0" max:"600000" unit:"ms" help:"how long a load order takes"`
 }
 
--- a/internal/standin/mgstandin/stream.go
+++ b/internal/standin/mgstandin/stream.go
@@ -35,6 +35,8 @@
 			after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 			writeJSON(w, http.StatusOK, e.Events(after))
 		})
+		r.Post("/v1/generations/{id}/move", e.serveMove)
+		r.Post("/v1/copies", e.serveCopy)
 		r.Post("/v1/orders", e.serveOrder)
 	})
 	return r
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -34,6 +34,7 @@
 	Generations map[string]Record `json:"generations"` // by id
 	Tokens      int               `json:"tokens"`
 	Preempted   int               `json:"preempted"`
+	Resumed     int               `json:"resumed"` // generations that went on from a copy
 	Orders      int               `json:"orders"`  // orders carried out
 	Older       int               `json:"older"`   // of those, orders older than one before
 	Refused     int               `json:"refused"` // orders refused
@@ -43,7 +44,7 @@
 type Record struct {
 	Starts int    `json:"starts"` // how often it began: more than 1 is a double start
 	Tokens int    `json:"tokens"` // produced by its end
-	End    string `json:"end"`    // "stop", "length" or "cancelled"; nothing while it runs or when it was lost
+	End    string `json:"end"`    // "stop", "length", "cancelled" or "moved"; nothing while it runs or when it was lost
 	Prompt string `json:"prompt"` // the beginning of its prompt
 }
 
