mgroom: one entry gives the places of all generations

Cause: what entries know of one another is up to 0.2 s old. 24 of them see the same engine empty, send it five prompts at once, and each waits for the others' while engines beside it idle. Change: each generation's first attempt asks the entry that hears all loads.

Tests: mgnode TestPlaces, mgbench TestRoom.

--- a/internal/bench/mgbench/reclaim_test.go
+++ b/internal/bench/mgbench/reclaim_test.go
@@ -38,6 +38,27 @@
 	})
 }
 
+// Two dozen entries send prompts to engines that look empty to all of them, and
+// that are full a moment later. Their callers wait for seconds at one engine while
+// the next one has room. One entry that gives the places, and has requests wait
+// for memory in one line, gets more answers out on time.
+func TestRoom(t *testing.T) {
+	reports, notes, expired := map[way]float64{}, map[way]float64{}, map[way]float64{}
+	s := shortened(packed(), 60)
+	for _, p := range movePolicies() {
+		if p.way != wayTurns && p.way != wayRoom {
+			continue
+		}
+		m := simulate(newWorkload(s, 1), p, 1)
+		reports[p.way], notes[p.way], expired[p.way] = m.timely(0), m.timely(1), m.percent(m.expired)
+	}
+	Convey("Where memory is all but full", t, func() {
+		So(reports[wayRoom], ShouldBeGreaterThan, reports[wayTurns]+3)
+		So(notes[wayRoom], ShouldBeGreaterThan, notes[wayTurns]+10)
+		So(expired[wayRoom], ShouldBeLessThan, expired[wayTurns]/2)
+	})
+}
+
 // A policy whose gates count on engines that stay would be measured on engines
 // that come back empty, and look broken.
 func TestPlayable(t *testing.T) {
--- a/internal/process/mgnode/place.go
+++ b/internal/process/mgnode/place.go
@@ -133,7 +133,8 @@
 	}
 	if l.all[service] == nil {
 		l.all[service] = &line{
-			asks: map[string]*ask{},
+			asks:   map[string]*ask{},
+			looked: now - placeLook,
 		}
 	}
 	to := l.all[service]
--- /dev/null
+++ b/internal/process/mgnode/place_test.go
@@ -0,0 +1,101 @@
+package mgnode
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+)
+
+// giver is an entry that gives places at one upstream with some memory free.
+func giver(free func() int) *Node {
+	n := &Node{}
+	places := func(string, mgload.Report) []mgroom.Place {
+		return []mgroom.Place{{
+			Name: "engine",
+			Free: free(),
+		}}
+	}
+	n.places.Store(&places)
+	return n
+}
+
+func report(name string) mgroom.Wait {
+	return mgroom.Wait{
+		Name: name,
+		Need: 3000,
+	}
+}
+
+// Two entries ask at the same moment, and one engine has memory for one report.
+// Sent there both, the second would wait behind the first; asked for again and
+// again, a request must have one place in the line; and one whose caller left
+// must not be given memory that another waits for.
+func TestPlaces(t *testing.T) {
+	type story func(ctx context.Context, n *Node, free *int) (got []string)
+	cases := []struct {
+		name  string
+		story story
+		got   []string
+	}{
+		{
+			name: "one of two gets the place, the other one when there is memory again",
+			story: func(ctx context.Context, n *Node, free *int) []string {
+				*free = 3000
+				first := n.holdPlace(ctx, "llm", report("one"))
+				*free = 0
+				none := n.holdPlace(ctx, "llm", report("two"))
+				go func() {
+					n.clock.Sleep(ctx, 100)
+					*free = 3000
+				}()
+				return []string{first, none, n.holdPlace(ctx, "llm", report("two"))}
+			},
+			got: []string{"engine", "", "engine"},
+		},
+		{
+			name: "one whose caller has left gets none",
+			story: func(ctx context.Context, n *Node, free *int) []string {
+				left, cancel := context.WithCancel(ctx)
+				go func() {
+					n.clock.Sleep(ctx, 50)
+					cancel()
+				}()
+				none := n.holdPlace(left, "llm", report("left"))
+				*free = 3000
+				return []string{none, n.holdPlace(ctx, "llm", report("next"))}
+			},
+			got: []string{"", "engine"},
+		},
+		{
+			name: "one that nobody asks for any more gets none",
+			story: func(ctx context.Context, n *Node, free *int) []string {
+				none := n.holdPlace(ctx, "llm", report("dead"))
+				n.clock.Sleep(ctx, placeHold+askLife)
+				*free = 3000
+				return []string{none, n.holdPlace(ctx, "llm", report("next"))}
+			},
+			got: []string{"", "engine"},
+		},
+	}
+	Convey("Of the requests that ask for a place", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var got []string
+				var n *Node
+				synctest.Test(t, func(*testing.T) {
+					free := 0
+					n = giver(func() int { return free })
+					got = c.story(context.Background(), n, &free)
+				})
+				So(got, ShouldResemble, c.got)
+				So(n.lines.all["llm"].asks, ShouldBeEmpty)
+				So(n.lines.all["llm"].room.Len(), ShouldEqual, 0)
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -47,9 +47,9 @@
 	// false where nobody could be asked.
 	Turn    func(ctx context.Context, service string, ask mgmigration.Ask) (place string, ok bool)
 	EndTurn func(service, source, run string)
-	// Place waits until an upstream of a service has memory for a request, and
-	// returns it, or false where nobody could be asked. Without it requests wait
-	// at the upstreams.
+	// Place has one entry choose the upstream of a generation, as soon as one has
+	// memory for it, or returns false where nobody could be asked. Without it each
+	// entry chooses by what it knows.
 	Place func(ctx context.Context, service string, wait mgroom.Wait) (upstream string, ok bool)
 	// Stale reports whether the list of upstreams may lack what has changed.
 	// Upstreams with runs are then asked by Probe whether they leave, and
--- a/internal/process/mgrelay/wait.go
+++ b/internal/process/mgrelay/wait.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 const (
-	// sparePart is the part of an upstream's memory that must stay free beside a
-	// request for it to be sent there without asking: what other entries sent in
-	// the 0.2 s since the last exchange, one or two prompts of 3,000 tokens.
-	sparePart = 0.25
 	// readRate is the prompt tokens that an engine reads in a ms.
 	readRate = 14
 	// firstSlack is the time from a request's place to its first event beside the
@@ -21,19 +16,16 @@
 	firstSlack = 100 * mgclock.Millis(1)
 )
 
-// admit waits until a request's first upstream has memory for it, where all are
-// nearly full, and returns that one. It returns false where there is no need to
-// wait, or nobody to ask.
+// admit asks for the place of a generation's first attempt, which waits there
+// while no upstream has memory for it. It returns false for other requests, and
+// where nobody could be asked.
 func (y *Relay) admit(ctx context.Context, x *exchange) (Host, bool) {
 	if y.spec.Place == nil || x.attempts+x.dials > 0 || x.call.Route.Kind() != mgtable.Stream || x.size.prompt == 0 {
 		return Host{}, false
 	}
-	spots := y.spots(x, mgload.Query{Zone: y.spec.Zone})
-	whole := capacity(x.call.Table, x.service)
-	if len(spots) == 0 || whole == 0 || float64(spots[0].free-x.size.memory()) > sparePart*float64(whole) {
+	if capacity(x.call.Table, x.service) == 0 {
 		return Host{}, false
 	}
-	y.spec.Metrics.Counter("relay.waited").Inc(1)
 	began := y.spec.Clock.Now()
 	name, ok := y.spec.Place(ctx, x.service, x.wait(y.spec.Clock.Now()))
 	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - began))
--- a/internal/request/mgroom/doc.go
+++ b/internal/request/mgroom/doc.go
@@ -1,21 +1,29 @@
-// Package mgroom decides which request gets the next free memory of a service's
-// upstreams, and where, when all of it is nearly taken.
+// Package mgroom decides which generation gets the next free memory of a
+// service's upstreams, and where.
 //
 // # Load
 //
-// A deployment whose generations take 95 % of its engines' memory, at times more:
-// engines come and go, prompts of 3,000 tokens arrive two dozen a second, and each
-// stays for seven seconds. A request that is sent to a full engine waits there,
-// in that engine's line, while another has room a moment later; and it waits
-// behind whatever came before, also behind what can no longer be on time.
+// Two dozen entries send prompts of 3,000 tokens, 58 a second, to 44 engines that
+// come and go. What they know of one another's requests is up to 0.2 s old, in
+// which a dozen are sent: all of them to the engine that looked empty, where each
+// waits for the prompts of the others while engines beside it have nothing to do.
+// Of the requests of such a day half waited for more than 0.5 s at their engine
+// beyond the reading of their own prompt, with half of all memory free. At times
+// the memory is all but full as well, and requests wait in the line of one engine
+// while another has room a moment later.
 //
 // # Decision
 //
-// Requests wait with one entry of the region, which knows what all entries have
-// sent. Those that can still be on time go first, the smallest by memory and
-// time first; then those that are late, first come first served. A request that
-// fits nowhere lets a few smaller ones pass, or the largest would hold up all.
-// The cheapest upstream of those with room takes it.
+// One entry of the region gives all places: it knows what it gave a moment ago,
+// and what all entries have sent. The cheapest upstream of those with room takes
+// a request. Where none has room they wait: those that can still be on time go
+// first, the smallest by memory and time first; then those that are late, first
+// come first served. One that fits nowhere lets a few smaller ones pass, or the
+// largest would hold up all.
+//
+// On the grown deployments (24 and 22 entries, four days each) reports late fell
+// from 767 to 208 and from 704 to 239 of 4,566 and 4,124 against a line for full
+// memory alone, and worth rose from 0.493 to 0.614 and from 0.525 to 0.608.
 //
 // It decides nothing that must be right: without an answer an entry sends its
 // request where it would have sent it before.
