mgroom: a generation that waits too long is given up and told when to come back

Cause: in overload late generations waited for memory until their callers left after four times the goal, and were told nothing. Change: given up after three times the goal, with the time in which the line before it will be through by the pace at which memory was given lately.

--- a/internal/bench/mgbench/reclaim.go
+++ b/internal/bench/mgbench/reclaim.go
@@ -201,6 +201,7 @@
 		Span: millis(read + tokenSpan*float64(c.expected())),
 		Due:  millis(c.arrival + c.spec.Aim*1000 - read),
 		Came: millis(c.arrival),
+		End:  millis(c.deadline),
 	})
 	m.look(now)
 	return true
--- a/internal/process/mgnode/place.go
+++ b/internal/process/mgnode/place.go
@@ -25,34 +25,35 @@
 	askLife = 300 * mgclock.Millis(1)
 )
 
-// place waits until an upstream of a service has memory for a request. It
-// returns false where nobody could be asked, or ctx has ended.
-func (n *Node) place(ctx context.Context, service string, wait mgroom.Wait) (string, bool) {
+// place waits until an upstream of a service has memory for a request, or the
+// request is given up. It returns false where nobody could be asked, or ctx has
+// ended.
+func (n *Node) place(ctx context.Context, service string, wait mgroom.Wait) (mgroom.Grant, bool) {
 	for ctx.Err() == nil {
 		hub := n.first(mgmember.Hub)
-		var place string
+		var grant mgroom.Grant
 		if hub == nil {
-			place = n.holdPlace(ctx, service, wait)
+			grant = n.holdPlace(ctx, service, wait)
 		} else {
 			var err error
-			place, err = n.askPlace(ctx, hub.PeerAddr(), service, wait)
+			grant, err = n.askPlace(ctx, hub.PeerAddr(), service, wait)
 			if err != nil {
 				if ctx.Err() == nil {
 					n.failed(hub.Name())
 					n.log.Info("no place could be asked for, the request is sent without one",
 						"hub", hub.Name(), "request", wait.Name, "why", err.Error())
 				}
-				return "", false
+				return mgroom.Grant{}, false
 			}
 		}
-		if place != "" {
-			return place, true
+		if grant != (mgroom.Grant{}) {
+			return grant, true
 		}
 	}
-	return "", false
+	return mgroom.Grant{}, false
 }
 
-func (n *Node) askPlace(ctx context.Context, hub, service string, wait mgroom.Wait) (string, error) {
+func (n *Node) askPlace(ctx context.Context, hub, service string, wait mgroom.Wait) (mgroom.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeWait.Duration())
 	defer cancel()
 	now := n.clock.Now()
@@ -64,26 +65,32 @@
 		Span:    int64(wait.Span),
 		Left:    int64(wait.Due - now),
 		Waited:  int64(now - wait.Came),
+		Rest:    int64(wait.End - now),
 	})
 	if err != nil {
-		return "", err
+		return mgroom.Grant{}, err
 	}
-	return reply.GetPlace(), nil
+	return mgroom.Grant{
+		Place: reply.GetPlace(),
+		Retry: mgclock.Millis(reply.GetRetry()),
+	}, nil
 }
 
 // Place has an entry's request wait for a place.
 func (p peerServer) Place(ctx context.Context, r *mgrpc.PlaceRequest) (*mgrpc.PlaceReply, error) {
 	now := p.node.clock.Now()
-	place := p.node.holdPlace(ctx, r.GetService(), mgroom.Wait{
+	grant := p.node.holdPlace(ctx, r.GetService(), mgroom.Wait{
 		Name: r.GetRequest(),
 		Need: int(r.GetNeed()),
 		Made: int(r.GetMade()),
 		Span: mgclock.Millis(r.GetSpan()),
 		Due:  now + mgclock.Millis(r.GetLeft()),
 		Came: now - mgclock.Millis(r.GetWaited()),
+		End:  now + mgclock.Millis(r.GetRest()),
 	})
 	return &mgrpc.PlaceReply{
-		Place: place,
+		Place: grant.Place,
+		Retry: int64(grant.Retry),
 	}, nil
 }
 
@@ -104,12 +111,13 @@
 // ask is a request that waits, and what it was given.
 type ask struct {
 	until mgclock.Millis // it is forgotten then unless it is asked for again
-	place string
-	given chan struct{} // closed once place is set
+	grant mgroom.Grant
+	given chan struct{} // closed once grant is set
 }
 
-// holdPlace has a request wait with this entry for a while.
-func (n *Node) holdPlace(ctx context.Context, service string, wait mgroom.Wait) string {
+// holdPlace has a request wait with this entry for a while. It returns the zero
+// Grant while there is none.
+func (n *Node) holdPlace(ctx context.Context, service string, wait mgroom.Wait) mgroom.Grant {
 	own := n.lines.join(n.clock.Now(), service, wait)
 	end := n.clock.After(placeHold)
 	for {
@@ -119,10 +127,10 @@
 			return n.lines.leave(service, wait.Name)
 		case <-n.clock.After(placeLook):
 		case <-end:
-			return ""
+			return mgroom.Grant{}
 		case <-ctx.Done():
 			n.lines.leave(service, wait.Name)
-			return ""
+			return mgroom.Grant{}
 		}
 	}
 }
@@ -153,17 +161,18 @@
 	return own
 }
 
-// leave takes a request out and returns the place that it was given, if any.
-func (l *lines) leave(service, name string) string {
+// leave takes a request out and returns what it was given, if anything.
+func (l *lines) leave(service, name string) mgroom.Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	own := l.all[service].asks[name]
 	if own == nil {
-		return ""
+		return mgroom.Grant{}
 	}
 	delete(l.all[service].asks, name)
 	l.all[service].room.Drop(name)
-	return own.place
+	own.grant.Name = "" // who asked knows it
+	return own.grant
 }
 
 // look gives what can be given now.
@@ -189,7 +198,7 @@
 	others := n.hub.Others(now, n.settings.Name)
 	for _, grant := range to.room.Look(now, (*places)(service, others)) {
 		if own := to.asks[grant.Name]; own != nil {
-			own.place = grant.Place
+			own.grant = grant
 			close(own.given)
 		}
 	}
--- a/internal/process/mgnode/place_test.go
+++ b/internal/process/mgnode/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 
@@ -9,6 +10,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // giver is an entry that gives places at one upstream with some memory free.
@@ -28,6 +30,7 @@
 	return mgroom.Wait{
 		Name: name,
 		Need: 3000,
+		End:  mgclock.Clock{}.Now() + mgclock.Minute,
 	}
 }
 
@@ -46,14 +49,14 @@
 			name: "one of two gets the place, the other one when there is memory again",
 			story: func(ctx context.Context, n *Node, free *int) []string {
 				*free = 3000
-				first := n.holdPlace(ctx, "llm", report("one"))
+				first := n.holdPlace(ctx, "llm", report("one")).Place
 				*free = 0
-				none := n.holdPlace(ctx, "llm", report("two"))
+				none := n.holdPlace(ctx, "llm", report("two")).Place
 				go func() {
 					n.clock.Sleep(ctx, 100)
 					*free = 3000
 				}()
-				return []string{first, none, n.holdPlace(ctx, "llm", report("two"))}
+				return []string{first, none, n.holdPlace(ctx, "llm", report("two")).Place}
 			},
 			got: []string{"engine", "", "engine"},
 		},
@@ -65,22 +68,32 @@
 					n.clock.Sleep(ctx, 50)
 					cancel()
 				}()
-				none := n.holdPlace(left, "llm", report("left"))
+				none := n.holdPlace(left, "llm", report("left")).Place
 				*free = 3000
-				return []string{none, n.holdPlace(ctx, "llm", report("next"))}
+				return []string{none, n.holdPlace(ctx, "llm", report("next")).Place}
 			},
 			got: []string{"", "engine"},
 		},
 		{
 			name: "one that nobody asks for any more gets none",
 			story: func(ctx context.Context, n *Node, free *int) []string {
-				none := n.holdPlace(ctx, "llm", report("dead"))
+				none := n.holdPlace(ctx, "llm", report("dead")).Place
 				n.clock.Sleep(ctx, placeHold+askLife)
 				*free = 3000
-				return []string{none, n.holdPlace(ctx, "llm", report("next"))}
+				return []string{none, n.holdPlace(ctx, "llm", report("next")).Place}
 			},
 			got: []string{"", "engine"},
 		},
+		{
+			name: "one that has waited for too long is told when to come back",
+			story: func(ctx context.Context, n *Node, _ *int) []string {
+				w := report("late")
+				w.End = n.clock.Now() + 50
+				grant := n.holdPlace(ctx, "llm", w)
+				return []string{grant.Place, fmt.Sprint(grant.Retry >= mgclock.Second)}
+			},
+			got: []string{"", "true"},
+		},
 	}
 	Convey("Of the requests that ask for a place", t, func() {
 		for _, c := range cases {
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -23,6 +23,8 @@
 			"no upstream brought an answer", "send the request again if it may run twice").WithCause(x.cause()))
 	case x.refusal != nil:
 		y.pass(w, x, x.refusal)
+	case x.problem != nil && x.problem.Retry() > 0:
+		y.refuse(w, x, x.problem)
 	default:
 		y.refuse(w, x, y.crowded(x).WithCause(x.cause()))
 	}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -48,9 +48,9 @@
 	Turn    func(ctx context.Context, service string, ask mgmigration.Ask) (place string, ok bool)
 	EndTurn func(service, source, run string)
 	// Place has one entry choose the upstream of a generation, as soon as one has
-	// memory for it, or returns false where nobody could be asked. Without it each
-	// entry chooses by what it knows.
-	Place func(ctx context.Context, service string, wait mgroom.Wait) (upstream string, ok bool)
+	// memory for it, or give it up. It returns false where nobody could be asked.
+	// Without it each entry chooses by what it knows.
+	Place func(ctx context.Context, service string, wait mgroom.Wait) (grant mgroom.Grant, ok bool)
 	// Stale reports whether the list of upstreams may lack what has changed.
 	// Upstreams with runs are then asked by Probe whether they leave, and
 	// Departed is told of those that do. Without Probe none are asked.
@@ -129,6 +129,10 @@
 func (y *Relay) serve(ctx context.Context, w http.ResponseWriter, x *exchange) {
 	for {
 		host, ok := y.next(ctx, x)
+		if ctx.Err() != nil {
+			y.expire(ctx, w, x)
+			return
+		}
 		if !ok {
 			y.giveUp(w, x)
 			return
@@ -157,8 +161,8 @@
 	if x.from.copy != "" {
 		return x.from.host, true
 	}
-	if host, ok := y.admit(ctx, x); ok {
-		return host, true
+	if host, settled := y.admit(ctx, x); settled {
+		return host, x.problem == nil
 	}
 	for _, spot := range y.spots(x, mgload.Query{Zone: y.spec.Zone}) {
 		if !x.tried[spot.host.Name] {
--- a/internal/process/mgrelay/wait.go
+++ b/internal/process/mgrelay/wait.go
@@ -5,21 +5,26 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 const (
 	// readRate is the prompt tokens that an engine reads in a ms.
 	readRate = 14
+	// patience is how many times a generation's goal it waits for a place at most:
+	// its caller leaves after four times the goal, and one that is told so before
+	// can come back.
+	patience = 3
 	// firstSlack is the time from a request's place to its first event beside the
 	// reading of its prompt: the ways, a step, and prompts that are read before.
 	firstSlack = 100 * mgclock.Millis(1)
 )
 
 // admit asks for the place of a generation's first attempt, which waits there
-// while no upstream has memory for it. It returns false for other requests, and
-// where nobody could be asked.
-func (y *Relay) admit(ctx context.Context, x *exchange) (Host, bool) {
+// while no upstream has memory for it, or is given up. It returns false for other
+// requests, and where nobody could be asked.
+func (y *Relay) admit(ctx context.Context, x *exchange) (host Host, settled bool) {
 	if y.spec.Place == nil || x.attempts+x.dials > 0 || x.call.Route.Kind() != mgtable.Stream || x.size.prompt == 0 {
 		return Host{}, false
 	}
@@ -27,22 +32,31 @@
 		return Host{}, false
 	}
 	began := y.spec.Clock.Now()
-	name, ok := y.spec.Place(ctx, x.service, x.wait(y.spec.Clock.Now()))
+	grant, ok := y.spec.Place(ctx, x.service, x.wait(y.spec.Clock.Now()))
 	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - began))
 	if !ok {
 		return Host{}, false
 	}
 	for _, host := range y.spec.Every(x.service) {
-		if host.Name == name {
+		if host.Name == grant.Place {
 			return host, true
 		}
 	}
+	if grant.Place == "" {
+		x.problem = mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"no upstream had memory for the generation in time", "send it again after the time given").WithRetry(grant.Retry)
+		return Host{}, true
+	}
 	return Host{}, false
 }
 
 // wait describes a request that waits for a place.
 func (x *exchange) wait(now mgclock.Millis) mgroom.Wait {
 	read := mgclock.Millis(x.size.prompt)/readRate + firstSlack
+	end := x.began + patience*x.call.Route.Goal()
+	if x.call.Route.Goal() == 0 {
+		end = x.began + x.limit
+	}
 	return mgroom.Wait{
 		Name: x.id,
 		Need: x.size.memory(),
@@ -50,5 +64,6 @@
 		Span: read + tokenSpan*mgclock.Millis(x.size.output),
 		Due:  x.began + x.call.Route.Goal() - read,
 		Came: x.began,
+		End:  end,
 	}
 }
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -19,6 +19,11 @@
 	// givenCost is the cost of each request that a place was given lately, in ms:
 	// that of a run in mgload, which doesn't show there yet.
 	givenCost = 110.0
+	// retryMin and retryMax bound the time that a request which is given up is told
+	// to stay away: a request that comes back sooner meets the same line, and
+	// callers stay away for a third of their time at most, 2 s for a note.
+	retryMin = mgclock.Second
+	retryMax = 5 * mgclock.Second
 	// readRate is the prompt tokens that an engine reads in a ms.
 	readRate = 14.0
 )
@@ -31,6 +36,7 @@
 	Span mgclock.Millis // for which it takes them
 	Due  mgclock.Millis // when it must have a place for its answer to begin on time
 	Came mgclock.Millis
+	End  mgclock.Millis // when it is given up unless it has a place
 }
 
 // work returns what the request takes, in tokens times ms.
@@ -44,10 +50,11 @@
 	Free int     // tokens of memory that nothing takes
 }
 
-// A Grant gives a request its place.
+// A Grant gives a request its place, or gives it up.
 type Grant struct {
 	Name  string
-	Place string
+	Place string         // empty where the request is given up
+	Retry mgclock.Millis // after which there may be room for it again, then
 }
 
 // given is a place that was given and may not show in what is seen yet.
@@ -61,6 +68,7 @@
 type Room struct {
 	waits []Wait
 	given map[string][]given // by place
+	pace  pace
 }
 
 // Len returns the number of requests that wait.
@@ -87,22 +95,38 @@
 	slices.SortStableFunc(r.waits, func(a, b Wait) int { return order(now, a, b) })
 	var grants []Grant
 	kept := r.waits[:0]
-	for i, w := range r.waits {
+	for _, w := range r.waits {
 		place := cheapest(places, w)
-		if place == nil || len(kept) > passes {
-			kept = append(kept, r.waits[i])
-			continue
+		switch {
+		case place != nil && len(kept) <= passes:
+			r.give(now, w, place)
+			grants = append(grants, Grant{
+				Name:  w.Name,
+				Place: place.Name,
+			})
+		case now >= w.End:
+			grants = append(grants, Grant{
+				Name:  w.Name,
+				Retry: r.retry(now),
+			})
+		default:
+			kept = append(kept, w)
 		}
-		r.give(now, w, place)
-		grants = append(grants, Grant{
-			Name:  w.Name,
-			Place: place.Name,
-		})
 	}
 	r.waits = kept
 	return grants
 }
 
+// retry returns when what waits now will have its places, by the memory that was
+// given lately.
+func (r *Room) retry(now mgclock.Millis) mgclock.Millis {
+	need := 0
+	for _, w := range r.waits {
+		need += w.Need
+	}
+	return min(max(r.pace.span(now, need), retryMin), retryMax)
+}
+
 // order sorts the requests: those that can be on time before those that can't,
 // the former by size, the latter as they came.
 func order(now mgclock.Millis, a, b Wait) int {
@@ -143,6 +167,7 @@
 	}
 	r.given[place.Name] = append(r.given[place.Name], g)
 	place.take(g)
+	r.pace.count(now, w.Need)
 }
 
 // take counts a request that was given the place.
--- a/internal/request/mgroom/room_test.go
+++ b/internal/request/mgroom/room_test.go
@@ -15,6 +15,7 @@
 		Need: need,
 		Span: 1000,
 		Due:  due,
+		End:  mgclock.Minute,
 	}
 }
 
@@ -122,6 +123,26 @@
 			So(r.Look(seenSpan-1, places()), ShouldBeEmpty)
 			So(granted(r.Look(seenSpan, places())), ShouldEqual, "second at roomy, ")
 		})
+		Convey("is given up in time, and told when the line before it will be through", func() {
+			var r Room
+			for n := range 10 {
+				r.Add(wait(fmt.Sprint("served", n), 3000, 100))
+				r.Look(mgclock.Millis(n)*seenSpan, places())
+			}
+			now := 10 * seenSpan
+			for n := range 20 {
+				r.Add(wait(fmt.Sprint("large", n), 9000, -1))
+			}
+			late := wait("late", 9000, -1)
+			late.End = now
+			r.Add(late)
+			grants := r.Look(now, places())
+			So(len(grants), ShouldEqual, 1)
+			So(grants[0].Name, ShouldEqual, "late")
+			So(grants[0].Place, ShouldBeEmpty)
+			So(grants[0].Retry, ShouldBeBetweenOrEqual, retryMin, retryMax)
+			So(r.Len(), ShouldEqual, 20)
+		})
 		Convey("lets only a few pass", func() {
 			var r Room
 			for n := range passes + 1 {
@@ -132,6 +153,7 @@
 				Need: 10,
 				Came: 1,
 				Due:  -1,
+				End:  mgclock.Minute,
 			})
 			So(r.Look(0, places()), ShouldBeEmpty)
 		})
