mgsoak: a deployment of separate processes under drawn faults, its promises checked

marjoramgauge soak runs entries and agents as processes beside the stand-ins, with links that cut, bar, mute, delay and lose one way, signals that kill, stop and pause, faults of engines, service and platform, edits and a revoked key, by a schedule that a seed draws; it compares what callers got with what the stand-ins remember, writes the schedule for a replay and plots gaps and recoveries. Twelve tests of the checks show that each can fail.

--- a/cmd/marjoramgauge/commands.go
+++ b/cmd/marjoramgauge/commands.go
@@ -21,6 +21,7 @@
 	add(standin, "platform", "the platform's config service and list of VMs", &standinPlatform{to: to})
 	add(root, "call", "send one request and stream its answer", &callCommand{to: to})
 	add(root, "bench", "measure policies against each other in virtual time", &benchCommand{to: to})
+	add(root, "soak", "run a deployment of separate processes under faults and check its promises", &soakCommand{to: to})
 	add(root, "check", "check a settings file or a table", &checkCommand{to: to})
 	table := add(root, "table", "work on the operators' table", &struct{}{})
 	add(table, "diff", "say what an edit changes for whom", &tableDiff{to: to})
--- /dev/null
+++ b/cmd/marjoramgauge/soak.go
@@ -0,0 +1,15 @@
+package main
+
+import "github.com/marjoramgauge/marjoramgauge/internal/soak/mgsoak"
+
+type soakCommand struct {
+	mgsoak.Command
+	to streams
+}
+
+// Execute runs a deployment of separate processes under faults.
+func (c *soakCommand) Execute([]string) error {
+	ctx, cancel := interrupted()
+	defer cancel()
+	return c.Run(ctx, c.to.out)
+}
--- a/internal/process/mgfleet/edit_test.go
+++ b/internal/process/mgfleet/edit_test.go
@@ -170,7 +170,7 @@
 	{
 		name: "made after the links to the platform fell silent is in force all the same",
 		play: func(f *fleet) []string {
-			if f.relays["platform"].silence() == 0 {
+			if f.relays["platform"].Silence() == 0 {
 				return []string{"no link to the platform was struck"}
 			}
 			f.edit(13, "tide")
--- a/internal/process/mgfleet/fleet_test.go
+++ b/internal/process/mgfleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"testing"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/soak/mgproc"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 )
 
@@ -30,7 +31,7 @@
 	processes map[string]*process
 	admins    map[string]string // admin addresses of entries and agents
 	standins  map[string]string // base URLs of the stand-ins
-	relays    map[string]*relay
+	relays    map[string]*mgproc.Link
 	entries   []string // base URLs for callers
 	struck    string   // the agent that the last harm chose
 }
@@ -52,7 +53,7 @@
 		processes: map[string]*process{},
 		admins:    map[string]string{},
 		standins:  map[string]string{},
-		relays:    map[string]*relay{},
+		relays:    map[string]*mgproc.Link{},
 	}
 	f.startStandins()
 	var vms []mgplatform.VM
@@ -86,13 +87,13 @@
 
 // link puts a relay before an address and returns the relay's.
 func (f *fleet) link(name, target string) string {
-	r, err := newRelay(target)
+	r, err := mgproc.NewLink(target)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(r.close)
+	f.t.Cleanup(r.Close)
 	f.relays[name] = r
-	return r.addr()
+	return r.Addr()
 }
 
 func (f *fleet) startStandins() {
@@ -121,7 +122,7 @@
 // common returns the settings that entries and agents share.
 func (f *fleet) common(name, zone, peer, admin string) string {
 	return fmt.Sprintf("name = %q\nzone = %q\nregion = \"south\"\npeer = %q\nadmin = %q\nplatform = %q\nsecret = \"sample-secret-of-a-test\"\nspread = 0\n",
-		name, zone, peer, admin, "http://"+f.relays["platform"].addr())
+		name, zone, peer, admin, "http://"+f.relays["platform"].Addr())
 }
 
 func (f *fleet) startAgent(upstream, zone string) mgplatform.VM {
--- a/internal/process/mgfleet/link_test.go
+++ b/internal/process/mgfleet/link_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/internal/soak/mgproc"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -18,15 +19,15 @@
 func TestLink(t *testing.T) {
 	cases := []struct {
 		name string
-		harm func(r *relay) int
+		harm func(r *mgproc.Link) int
 	}{
 		{
 			name: "cut",
-			harm: func(r *relay) int { return r.cut() },
+			harm: func(r *mgproc.Link) int { return r.Cut() },
 		},
 		{
 			name: "silent for good",
-			harm: func(r *relay) int { return r.silence() },
+			harm: func(r *mgproc.Link) int { return r.Silence() },
 		},
 	}
 	Convey("A report is whole although its link is", t, func() {
@@ -47,10 +48,10 @@
 				s, err := mgstandin.Listen("127.0.0.1:0", e.Handler())
 				So(err, ShouldBeNil)
 				defer s.Close()
-				r, err := newRelay(s.Addr())
+				r, err := mgproc.NewLink(s.Addr())
 				So(err, ShouldBeNil)
-				defer r.close()
-				client := mgengine.NewHTTP("http://"+r.addr(), nil)
+				defer r.Close()
+				client := mgengine.NewHTTP("http://"+r.Addr(), nil)
 				So(client.Start(ctx, mgengine.StartSpec{
 					ID:     "g",
 					Prompt: "len=30",
--- a/internal/process/mgfleet/process_test.go
+++ b/internal/process/mgfleet/process_test.go
@@ -1,20 +1,17 @@
 package mgfleet_test
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/soak/mgproc"
 )
 
 // patience bounds each wait for a condition. A condition that hasn't come by
@@ -39,66 +36,36 @@
 	return binary
 }
 
-// A process is one process of the binary.
+// A process is one process of the binary, which a test starts and harms.
 type process struct {
-	name   string
-	binary string
-	args   []string
-	cmd    *exec.Cmd
-	exited chan struct{}
-	log    *tail
+	*mgproc.Process
 }
 
 // start starts a process; the test's end kills it.
 func start(t *testing.T, binary, name string, args ...string) *process {
 	t.Helper()
-	p := &process{
-		name:   name,
-		binary: binary,
-		args:   args,
-		log:    &tail{},
-	}
-	if err := p.begin(); err != nil {
+	p, err := mgproc.Start(binary, name, args...)
+	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		p.kill()
+		p.Kill()
 		if t.Failed() {
-			t.Logf("%s:\n%s", name, p.log.text())
+			t.Logf("%s:\n%s", name, p.Log())
 		}
 	})
-	return p
-}
-
-func (p *process) begin() error {
-	p.cmd = exec.Command(p.binary, p.args...)
-	p.cmd.Stdout = p.log
-	p.cmd.Stderr = p.log
-	if err := p.cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", p.name, err)
+	return &process{
+		Process: p,
 	}
-	exited := make(chan struct{})
-	p.exited = exited
-	cmd := p.cmd
-	go func() {
-		defer close(exited)
-		_ = cmd.Wait()
-	}()
-	return nil
 }
 
-// kill ends the process at once, as when its VM is taken away.
-func (p *process) kill() {
-	_ = p.cmd.Process.Signal(syscall.SIGKILL)
-	<-p.exited
-}
+func (p *process) kill() { p.Kill() }
 
 // restart starts the process anew: a new VM in its place, which remembers
 // nothing.
 func (p *process) restart(t *testing.T) {
 	t.Helper()
-	p.kill()
-	if err := p.begin(); err != nil {
+	if err := p.Restart(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -106,37 +73,11 @@
 // signal sends a signal, such as SIGSTOP for a pause.
 func (p *process) signal(t *testing.T, s os.Signal) {
 	t.Helper()
-	if err := p.cmd.Process.Signal(s); err != nil {
+	if err := p.Signal(s); err != nil {
 		t.Fatal(err)
 	}
 }
 
-// tail keeps the last lines that a process wrote.
-type tail struct {
-	mu   sync.Mutex
-	data []byte
-}
-
-// tailBytes bounds what is kept of a process's output.
-const tailBytes = 16 << 10
-
-// Write keeps p.
-func (t *tail) Write(p []byte) (int, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.data = append(t.data, p...)
-	if over := len(t.data) - tailBytes; over > 0 {
-		t.data = bytes.Clone(t.data[over:])
-	}
-	return len(p), nil
-}
-
-func (t *tail) text() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return string(t.data)
-}
-
 // until waits for a condition and fails the test when it never comes.
 func until(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -185,37 +126,12 @@
 	}
 }
 
-// The ports of the processes are below those that the kernel gives to outgoing
-// connections: one of these would otherwise take a port while the process that
-// was to have it starts or is replaced.
-const (
-	firstPort = 12000
-	lastPort  = 30000
-)
-
-// nextPort is where the search for a free port goes on. It begins at a place
-// of this test process's own.
-var nextPort = firstPort + os.Getpid()*100%(lastPort-firstPort)
-
 // freePorts returns addresses on which nothing listens now, each once.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	var addrs []string
-	for tries := 0; len(addrs) < n; tries++ {
-		if tries > lastPort-firstPort {
-			t.Fatal("no free ports on loopback")
-		}
-		nextPort++
-		if nextPort > lastPort {
-			nextPort = firstPort
-		}
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		addrs = append(addrs, addr)
+	addrs, err := mgproc.FreeAddrs(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return addrs
 }
--- a/internal/process/mgfleet/session_test.go
+++ b/internal/process/mgfleet/session_test.go
@@ -30,7 +30,7 @@
 	return func(f *fleet) bool {
 		struck := 0
 		for _, link := range links {
-			struck += f.relays[link].cut()
+			struck += f.relays[link].Cut()
 		}
 		return struck > 0
 	}
@@ -41,7 +41,7 @@
 	return func(f *fleet) bool {
 		struck := 0
 		for _, link := range links {
-			struck += f.relays[link].silence()
+			struck += f.relays[link].Silence()
 		}
 		return struck > 0
 	}
@@ -101,7 +101,7 @@
 // another in its place.
 func replace(name string) func(f *fleet) {
 	return func(f *fleet) {
-		<-f.processes[name].exited
+		<-f.processes[name].Exited()
 		f.processes[name].restart(f.t)
 	}
 }
--- /dev/null
+++ b/internal/soak/mgproc/process.go
@@ -0,0 +1,161 @@
+package mgproc
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+)
+
+// A Process is one process of a binary.
+type Process struct {
+	name   string
+	binary string
+	args   []string
+	log    tail
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// Start starts a process.
+func Start(binary, name string, args ...string) (*Process, error) {
+	p := &Process{
+		name:   name,
+		binary: binary,
+		args:   args,
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p, p.begin()
+}
+
+// begin starts the process. It is called with mu held.
+func (p *Process) begin() error {
+	cmd := exec.Command(p.binary, p.args...)
+	cmd.Stdout = &p.log
+	cmd.Stderr = &p.log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited = cmd, exited
+	go func() {
+		defer close(exited)
+		_ = cmd.Wait() // how it ended is the caller's doing
+	}()
+	return nil
+}
+
+// Name returns the process's name.
+func (p *Process) Name() string { return p.name }
+
+// Exited returns a channel that is closed once the process of this moment has
+// ended.
+func (p *Process) Exited() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// Kill ends the process at once, as when its VM is taken away.
+func (p *Process) Kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kill()
+}
+
+func (p *Process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL) // it may have ended
+	<-p.exited
+}
+
+// Restart ends the process, if it hasn't ended, and starts it anew: a new VM in
+// its place, which remembers nothing.
+func (p *Process) Restart() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kill()
+	return p.begin()
+}
+
+// Signal sends a signal, such as SIGSTOP for a pause.
+func (p *Process) Signal(s os.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Signal(s)
+}
+
+// Log returns the last that the process wrote.
+func (p *Process) Log() string { return p.log.text() }
+
+// tail keeps the last lines that a process wrote.
+type tail struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+// tailBytes bounds what is kept of a process's output.
+const tailBytes = 64 << 10
+
+// Write keeps p.
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.data = append(t.data, p...)
+	if over := len(t.data) - tailBytes; over > 0 {
+		t.data = bytes.Clone(t.data[over:])
+	}
+	return len(p), nil
+}
+
+func (t *tail) text() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.data)
+}
+
+// The ports of the processes are below those that the kernel gives to outgoing
+// connections: one of these would otherwise take a port while the process that
+// was to have it starts or is replaced.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// ports is where the search for a free port goes on. It begins at a place of this
+// process's own.
+var ports = struct {
+	sync.Mutex
+	next int
+}{
+	next: firstPort + os.Getpid()*100%(lastPort-firstPort),
+}
+
+// FreeAddrs returns addresses on which nothing listens now, each once.
+func FreeAddrs(n int) ([]string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	var addrs []string
+	for tries := 0; len(addrs) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, fmt.Errorf("ports %d to %d: none is free on loopback: end what listens there", firstPort, lastPort)
+		}
+		ports.next++
+		if ports.next > lastPort {
+			ports.next = firstPort
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		addrs = append(addrs, addr)
+	}
+	return addrs, nil
+}
--- /dev/null
+++ b/internal/soak/mgsoak/deployment.go
@@ -0,0 +1,314 @@
+package mgsoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/soak/mgproc"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A deployment is the processes of a run and the links before them.
+type deployment struct {
+	binary    string
+	folder    string
+	names     cast
+	processes map[string]*mgproc.Process
+	links     map[string]*mgproc.Link
+	standins  map[string]string // base URLs
+	admins    map[string]string // addresses
+	entries   []string          // base URLs for callers, over links
+	peers     map[string]string
+	version   int
+	revoked   bool
+	mark      string
+}
+
+// Bounds of waits, and the interval of looks.
+const (
+	startWait = 30 * time.Second
+	lookEvery = 20 * time.Millisecond
+	askWait   = 2 * time.Second
+)
+
+// newDeployment starts a deployment and returns once its processes are ready.
+func newDeployment(ctx context.Context, binary, folder string, size Size) (*deployment, error) {
+	d := &deployment{
+		binary:    binary,
+		folder:    folder,
+		names:     size.names(),
+		processes: map[string]*mgproc.Process{},
+		links:     map[string]*mgproc.Link{},
+		standins:  map[string]string{},
+		admins:    map[string]string{},
+		peers:     map[string]string{},
+	}
+	for _, step := range []func() error{d.startStandins, d.startSystem, d.publishList, func() error { return d.edit(ctx) }} {
+		if err := step(); err != nil {
+			d.close()
+			return nil, fmt.Errorf("deployment: %w", err)
+		}
+	}
+	for name, admin := range d.admins {
+		if !until(ctx, startWait, func() bool { return status(ctx, "http://"+admin+"/ready") == http.StatusOK }) {
+			text := d.processes[name].Log()
+			d.close()
+			return nil, fmt.Errorf("deployment: %s isn't ready after %v: %s", name, startWait, text)
+		}
+	}
+	return d, nil
+}
+
+// close ends what was started.
+func (d *deployment) close() {
+	for _, p := range d.processes {
+		p.Kill()
+	}
+	for _, l := range d.links {
+		l.Close()
+	}
+}
+
+// start starts a process with a settings file.
+func (d *deployment) start(name, settings string, args ...string) error {
+	file := filepath.Join(d.folder, name+".toml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	p, err := mgproc.Start(d.binary, name, append(args, "--settings", file)...)
+	if err != nil {
+		return err
+	}
+	d.processes[name] = p
+	return nil
+}
+
+// link puts a link before an address and returns its own.
+func (d *deployment) link(name, target string) (string, error) {
+	l, err := mgproc.NewLink(target)
+	if err != nil {
+		return "", fmt.Errorf("link before %s: %w", name, err)
+	}
+	d.links[name] = l
+	return l.Addr(), nil
+}
+
+func (d *deployment) startStandins() error {
+	for _, name := range append(append([]string{}, d.names.engines...), service, platform) {
+		addrs, err := mgproc.FreeAddrs(1)
+		if err != nil {
+			return err
+		}
+		kind, extra := "engine", "lag = 200\nlate = 100\n[model]\nspeed = 3\n"
+		switch name {
+		case service:
+			kind, extra = "service", "name = \"books\"\ndelay = 5\n"
+		case platform:
+			kind, extra = "platform", "lag = 200\n"
+		}
+		if err := d.start(name, fmt.Sprintf("listen = %q\n%s", addrs[0], extra), "standin", kind); err != nil {
+			return err
+		}
+		d.standins[name] = "http://" + addrs[0]
+		if _, err := d.link(name, addrs[0]); err != nil {
+			return err
+		}
+	}
+	for name, base := range d.standins {
+		if !until(context.Background(), startWait, func() bool {
+			return status(context.Background(), base+"/standin/counts") == http.StatusOK
+		}) {
+			return fmt.Errorf("%s serves nothing after %v: %s", name, startWait, d.processes[name].Log())
+		}
+	}
+	return nil
+}
+
+func (d *deployment) startSystem() error {
+	for i, agent := range d.names.agents {
+		upstream := strings.TrimPrefix(agent, "agent-")
+		extra := fmt.Sprintf("upstream = %q\naddress = %q\n", upstream, "http://"+d.links[upstream].Addr())
+		if err := d.startProcess(agent, i, extra, "agent"); err != nil {
+			return err
+		}
+	}
+	for i, entry := range d.names.entries {
+		addrs, err := mgproc.FreeAddrs(1)
+		if err != nil {
+			return err
+		}
+		if err := d.startProcess(entry, i, fmt.Sprintf("listen = %q\nnotice = 300\n", addrs[0]), "entry"); err != nil {
+			return err
+		}
+		addr, err := d.link(entry, addrs[0])
+		if err != nil {
+			return err
+		}
+		d.entries = append(d.entries, "http://"+addr)
+	}
+	return nil
+}
+
+func (d *deployment) startProcess(name string, i int, extra, kind string) error {
+	addrs, err := mgproc.FreeAddrs(2)
+	if err != nil {
+		return err
+	}
+	common := fmt.Sprintf("name = %q\nzone = %q\nregion = \"south\"\npeer = %q\nadmin = %q\nplatform = %q\nsecret = \"sample-secret-of-a-soak\"\nspread = 0\ndrain = 20000\n",
+		name, zone(i), addrs[0], addrs[1], "http://"+d.links[platform].Addr())
+	d.admins[name] = addrs[1]
+	d.peers[name] = addrs[0]
+	if kind == "agent" {
+		if d.peers[name], err = d.link(name, addrs[0]); err != nil {
+			return err
+		}
+	}
+	return d.start(name, common+extra, kind)
+}
+
+func zone(i int) string { return string(rune('a' + i%3)) }
+
+// publishList publishes the list of VMs.
+func (d *deployment) publishList() error {
+	list := mgplatform.List{
+		Version: 1,
+	}
+	for i, agent := range d.names.agents {
+		vm := mgplatform.VM{
+			Name:     agent,
+			Kind:     mgplatform.AgentKind,
+			Addr:     d.peers[agent],
+			Zone:     zone(i),
+			Region:   "south",
+			Upstream: strings.TrimPrefix(agent, "agent-"),
+			State:    mgplatform.Live,
+			Models:   []string{"tank"},
+		}
+		if vm.Upstream == service {
+			vm.Models = nil
+			vm.Services = []string{"ticket"}
+		}
+		list.VMs = append(list.VMs, vm)
+	}
+	for i, entry := range d.names.entries {
+		list.VMs = append(list.VMs, mgplatform.VM{
+			Name:   entry,
+			Kind:   mgplatform.EntryKind,
+			Addr:   d.peers[entry],
+			Peer:   d.peers[entry],
+			Zone:   zone(i),
+			Region: "south",
+			State:  mgplatform.Live,
+		})
+	}
+	data, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	return d.post(platform, "put?key=vms", data)
+}
+
+// post sends a body to a stand-in's switch. The switches are reached without a
+// link: they are the run's own.
+func (d *deployment) post(standin, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startWait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.standins[standin]+"/standin/"+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("%s: %w", standin, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s: %s answers %s", standin, path, response.Status)
+	}
+	return nil
+}
+
+// set turns a stand-in's switch.
+func (d *deployment) set(standin string, fault mgstandin.Fault) error {
+	body, err := json.Marshal(fault)
+	if err != nil {
+		return err
+	}
+	return d.post(standin, "fault", body)
+}
+
+// counts reads a stand-in's counters.
+func (d *deployment) counts(standin string, counts any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startWait)
+	defer cancel()
+	_, body := get(ctx, d.standins[standin]+"/standin/counts", "")
+	if err := json.Unmarshal(body, counts); err != nil {
+		return fmt.Errorf("counters of %s: %w", standin, err)
+	}
+	return nil
+}
+
+// edit publishes the next version of the table. Its mark is a service that no
+// other version has.
+func (d *deployment) edit(context.Context) error {
+	d.version++
+	d.mark = fmt.Sprintf("mark%06d", d.version)
+	return d.post(platform, "table", []byte(tableOf(d.names, d.version, d.mark, d.revoked)))
+}
+
+// get returns the status and body of a URL, or 0 when it can't be reached.
+func get(ctx context.Context, url, key string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := fresh.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, body
+}
+
+// fresh uses a connection for each request.
+var fresh = &http.Client{
+	Transport: &http.Transport{
+		DisableKeepAlives: true,
+	},
+}
+
+func status(ctx context.Context, url string) int {
+	code, _ := get(ctx, url, "")
+	return code
+}
+
+// until waits for a condition, and reports whether it came.
+func until(ctx context.Context, span time.Duration, is func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, span)
+	defer cancel()
+	for !is() {
+		if !(mgclock.Clock{}).Sleep(ctx, mgclock.Millis(lookEvery/time.Millisecond)) {
+			return is()
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/mgsoak/evidence.go
@@ -0,0 +1,202 @@
+package mgsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// A Finding is a promise that was broken.
+type Finding struct {
+	Promise string `json:"promise"`
+	Seen    string `json:"seen"`
+}
+
+// String returns the finding in a line.
+func (f Finding) String() string { return f.Promise + ": " + f.Seen }
+
+func finding(promise, format string, args ...any) Finding {
+	return Finding{
+		Promise: promise,
+		Seen:    fmt.Sprintf(format, args...),
+	}
+}
+
+// The promises, as findings name them.
+const (
+	oneGeneration = "one generation, each token once and in order"
+	startedOnce   = "a generation starts once"
+	ownAnswer     = "each caller has the answer to its own request"
+	trueRefusal   = "not run is true"
+	runOnce       = "a write runs at most once"
+	neverBack     = "a version in force does not go back"
+	inForce       = "a version is in force everywhere in time"
+	revokedKey    = "a key that was taken away opens nothing"
+	nothingCut    = "a planned stop cuts nothing"
+	noCause       = "nothing fails without a fault"
+)
+
+// report is one answer as its caller has it.
+type report struct {
+	prompt string
+	length int
+	text   string
+	tokens int
+	err    error
+	began  mgclock.Millis
+	ended  mgclock.Millis
+}
+
+// ticket is one write as its caller has it.
+type ticket struct {
+	operation string
+	body      []byte
+	reply     []byte
+	status    int
+	err       error
+}
+
+// look is what one entry showed of the table in force.
+type look struct {
+	entry   string
+	life    int // which of its processes
+	version int
+}
+
+// evidence is what callers and upstreams saw of a run.
+type evidence struct {
+	reports     []report
+	tickets     []ticket
+	looks       []look
+	generations map[string]mgstandin.Record
+	runs        map[string]int // of writes, by operation
+}
+
+// merge adds what one engine remembers: a generation that moved is known to two.
+func (e *evidence) merge(counts mgstandin.EngineCounts) {
+	if e.generations == nil {
+		e.generations = map[string]mgstandin.Record{}
+	}
+	for id, record := range counts.Generations {
+		all := e.generations[id]
+		all.Starts += record.Starts
+		if record.Prompt != "" {
+			all.Prompt = record.Prompt
+		}
+		if record.Tokens > all.Tokens {
+			all.Tokens = record.Tokens
+		}
+		e.generations[id] = all
+	}
+}
+
+// check returns the promises that the evidence shows broken.
+func (e *evidence) check() []Finding {
+	var found []Finding
+	for id, record := range e.generations {
+		if record.Starts > 1 {
+			found = append(found, finding(startedOnce, "generation %s was started %d times", id, record.Starts))
+		}
+	}
+	for _, r := range e.reports {
+		found = append(found, e.checkReport(r)...)
+	}
+	for operation, runs := range e.runs {
+		if runs > 1 {
+			found = append(found, finding(runOnce, "operation %s ran %d times", operation, runs))
+		}
+	}
+	for _, t := range e.tickets {
+		found = append(found, e.checkTicket(t)...)
+	}
+	return append(found, e.checkLooks()...)
+}
+
+// own returns the generations of a prompt.
+func (e *evidence) own(prompt string) []string {
+	var ids []string
+	for id, record := range e.generations {
+		if strings.Contains(record.Prompt, prompt) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (e *evidence) checkReport(r report) []Finding {
+	own := e.own(r.prompt)
+	mine := r.tokens == 0 && r.text == ""
+	for _, id := range own {
+		mine = mine || mgstandin.Whole(id, r.tokens) == r.text
+	}
+	var found []Finding
+	if !mine {
+		promise := oneGeneration
+		for id := range e.generations {
+			if mgstandin.Whole(id, r.tokens) == r.text {
+				promise = ownAnswer
+			}
+		}
+		found = append(found, finding(promise, "%s: what came in %d tokens is the beginning of none of its generations %v", r.prompt, r.tokens, own))
+	}
+	if r.err == nil && r.tokens != r.length {
+		found = append(found, finding(oneGeneration, "%s: said to be whole with %d of %d tokens", r.prompt, r.tokens, r.length))
+	}
+	if r.err != nil && mgproblem.From(r.err).Outcome() == mgproblem.NotRun && len(own) > 0 {
+		found = append(found, finding(trueRefusal, "%s: told so, and generation %v began: %v", r.prompt, own, r.err))
+	}
+	return found
+}
+
+func (e *evidence) checkTicket(t ticket) []Finding {
+	runs := e.runs[t.operation]
+	if t.err != nil {
+		if t.operation != "" && runs > 0 && mgproblem.From(t.err).Outcome() == mgproblem.NotRun {
+			return []Finding{finding(trueRefusal, "ticket %q ran: %v", t.body, t.err)}
+		}
+		return nil
+	}
+	if t.status == http.StatusServiceUnavailable {
+		if runs > 0 {
+			return []Finding{finding(trueRefusal, "ticket %q was refused by the service and ran", t.body)}
+		}
+		return nil
+	}
+	var reply mgstandin.ServiceReply
+	if err := json.Unmarshal(t.reply, &reply); err != nil {
+		return []Finding{finding(ownAnswer, "ticket %q: status %d with no reply of the service's: %v", t.body, t.status, err)}
+	}
+	if reply.Digest != mgstandin.Digest(t.body) || reply.Operation != t.operation {
+		return []Finding{finding(ownAnswer, "ticket %q: the reply is another's", t.body)}
+	}
+	if runs == 0 {
+		return []Finding{finding(runOnce, "ticket %q was answered and did not run", t.body)}
+	}
+	return nil
+}
+
+// checkLooks looks for versions that went back in one process.
+func (e *evidence) checkLooks() []Finding {
+	type process struct {
+		entry string
+		life  int
+	}
+	newest := map[process]int{}
+	var found []Finding
+	for _, l := range e.looks {
+		p := process{
+			entry: l.entry,
+			life:  l.life,
+		}
+		if l.version < newest[p] {
+			found = append(found, finding(neverBack, "%s showed version %d after %d", l.entry, l.version, newest[p]))
+		}
+		newest[p] = max(newest[p], l.version)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/soak/mgsoak/evidence_test.go
@@ -0,0 +1,168 @@
+package mgsoak
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// sound is the evidence of a run in which every promise was kept: an answer that
+// is whole, one that was cut and said so, one that was refused, a generation that
+// moved, a write, and looks at two processes of an entry.
+func sound() *evidence {
+	reply, err := json.Marshal(mgstandin.ServiceReply{
+		Operation: "op",
+		Digest:    mgstandin.Digest([]byte("ticket 1")),
+	})
+	if err != nil {
+		panic(err)
+	}
+	e := &evidence{
+		reports: []report{
+			{
+				prompt: "report 1.",
+				length: 9,
+				text:   mgstandin.Whole("g1", 9),
+				tokens: 9,
+			},
+			{
+				prompt: "report 2.",
+				length: 9,
+				text:   mgstandin.Whole("g2", 4),
+				tokens: 4,
+				err:    errors.New("cut"),
+			},
+			{
+				prompt: "report 3.",
+				err:    mgproblem.New(mgproblem.Crowded, mgproblem.NotRun, "full", "wait"),
+			},
+		},
+		tickets: []ticket{{
+			operation: "op",
+			body:      []byte("ticket 1"),
+			reply:     reply,
+			status:    http.StatusOK,
+		}},
+		looks: []look{
+			{
+				entry:   "entry-1",
+				version: 2,
+			},
+			{
+				entry:   "entry-1",
+				life:    1,
+				version: 1,
+			},
+			{
+				entry:   "entry-1",
+				life:    1,
+				version: 2,
+			},
+		},
+		runs: map[string]int{"op": 1},
+	}
+	e.merge(mgstandin.EngineCounts{Generations: map[string]mgstandin.Record{
+		"g1": {Starts: 1, Prompt: "report 1.", End: "moved"},
+		"g2": {Starts: 1, Prompt: "report 2."},
+	}})
+	e.merge(mgstandin.EngineCounts{Generations: map[string]mgstandin.Record{
+		"g1": {Tokens: 9, End: "stop"},
+	}})
+	return e
+}
+
+// A check that can't fail lets each later fault pass unseen. Each case is a system
+// that breaks one promise: what its callers and upstreams would see.
+func TestChecksFail(t *testing.T) {
+	cases := []struct {
+		name    string
+		promise string
+		broken  func(e *evidence)
+	}{
+		{"a token comes twice", oneGeneration, func(e *evidence) {
+			e.reports[0].text = mgstandin.Text("g1", 1) + mgstandin.Whole("g1", 9)
+			e.reports[0].tokens = 10
+			e.reports[0].length = 10
+		}},
+		{"a token is missing", oneGeneration, func(e *evidence) {
+			e.reports[0].text = mgstandin.Whole("g1", 9)[len(mgstandin.Text("g1", 1)):]
+		}},
+		{"two generations are joined", oneGeneration, func(e *evidence) {
+			e.reports[0].text = mgstandin.Whole("g1", 8) + mgstandin.Text("g2", 9)
+		}},
+		{"a part looks whole", oneGeneration, func(e *evidence) { e.reports[1].err = nil }},
+		{"another's answer comes", ownAnswer, func(e *evidence) {
+			e.reports[1].text = mgstandin.Whole("g1", 4)
+		}},
+		{"a generation is started at two engines", startedOnce, func(e *evidence) {
+			e.merge(mgstandin.EngineCounts{Generations: map[string]mgstandin.Record{"g1": {Starts: 1}}})
+		}},
+		{"a refused request has run", trueRefusal, func(e *evidence) {
+			e.generations["g3"] = mgstandin.Record{Starts: 1, Prompt: "report 3."}
+		}},
+		{"a write runs twice", runOnce, func(e *evidence) { e.runs["op"] = 2 }},
+		{"a write is answered and did not run", runOnce, func(e *evidence) { e.runs["op"] = 0 }},
+		{"a refused write has run", trueRefusal, func(e *evidence) {
+			e.tickets[0].err = mgproblem.New(mgproblem.Crowded, mgproblem.NotRun, "full", "wait")
+		}},
+		{"a write gets another's reply", ownAnswer, func(e *evidence) { e.tickets[0].body = []byte("ticket 2") }},
+		{"a table goes back", neverBack, func(e *evidence) {
+			e.looks = append(e.looks, look{
+				entry:   "entry-1",
+				life:    1,
+				version: 1,
+			})
+		}},
+	}
+	Convey("A sound system has no findings", t, func() {
+		So(sound().check(), ShouldBeEmpty)
+	})
+	Convey("A system is found out in which", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				e := sound()
+				c.broken(e)
+				found := e.check()
+				So(found, ShouldNotBeEmpty)
+				So(found[0].Promise, ShouldEqual, c.promise)
+			})
+		}
+	})
+}
+
+// A finding whose seed draws another schedule next time can't be looked into.
+func TestDraw(t *testing.T) {
+	size := Size{
+		Entries: 2,
+		Engines: 3,
+	}
+	Convey("A seed draws one schedule", t, func() {
+		one := Draw(7, size, 60000)
+		So(one, ShouldResemble, Draw(7, size, 60000))
+		So(one, ShouldNotResemble, Draw(8, size, 60000))
+		So(len(one), ShouldBeGreaterThan, 20)
+		revokes := 0
+		for _, f := range one {
+			So(f.At+f.Span, ShouldBeLessThanOrEqualTo, 60000-quietTail)
+			if f.Kind == RevokeKey {
+				revokes++
+			}
+		}
+		So(revokes, ShouldBeLessThanOrEqualTo, 1)
+	})
+	Convey("All kinds come", t, func() {
+		seen := map[Kind]bool{}
+		for seed := range uint64(20) {
+			for _, f := range Draw(seed, size, 60000) {
+				seen[f.Kind] = true
+			}
+		}
+		So(len(seen), ShouldEqual, len(drawn))
+	})
+}
--- /dev/null
+++ b/internal/soak/mgsoak/harm.go
@@ -0,0 +1,153 @@
+package mgsoak
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/soak/mgproc"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// serviceTimes is how many calls of the service one fault strikes.
+	serviceTimes = 6
+	// slowFactor is how many times as slow an engine turns.
+	slowFactor = 8
+	// stopLongest bounds a planned stop; the settings' drain is shorter.
+	stopLongest = 25 * mgclock.Second
+	// linkDelay is how late a delayed link passes each piece on.
+	linkDelay = 150 * mgclock.Millis(1)
+)
+
+// harm does one fault and undoes it after its span.
+func (r *run) harm(ctx context.Context, f Fault) error {
+	switch f.Kind {
+	case KillProcess:
+		return r.restart(f.Target)
+	case StopProcess:
+		return r.stop(ctx, f.Target)
+	case PauseProcess:
+		return r.pause(ctx, f)
+	case CutLink, MuteLink, BarLink, DelayLink, LoseLink:
+		r.harmLink(ctx, f, r.d.links[f.Target])
+		return nil
+	case DieEngine, SlowEngine, LeaveEngine:
+		return r.harmEngine(ctx, f)
+	case HarmService:
+		return r.d.set(service, mgstandin.Fault{
+			Kind:  f.How,
+			Times: serviceTimes,
+		})
+	case HarmPlatform:
+		return r.harmPlatform(ctx, f)
+	case EditTable, RevokeKey:
+		r.editing.Lock()
+		defer r.editing.Unlock()
+		r.d.revoked = r.d.revoked || f.Kind == RevokeKey
+		return r.d.edit(ctx)
+	}
+	return fmt.Errorf("schedule: %q is no kind of fault: use one that mgsoak names", f.Kind)
+}
+
+// wait waits for a span of the run.
+func (r *run) wait(ctx context.Context, span mgclock.Millis) { r.clock.Sleep(ctx, span) }
+
+// restart kills a process and starts it anew.
+func (r *run) restart(name string) error {
+	r.newLife(name)
+	if err := r.d.processes[name].Restart(); err != nil {
+		return err
+	}
+	r.newLife(name)
+	return nil
+}
+
+// stop asks a process to end and starts it anew once it has.
+func (r *run) stop(ctx context.Context, name string) error {
+	p := r.d.processes[name]
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return nil // it has ended by another fault, which starts it anew
+	}
+	select {
+	case <-p.Exited():
+	case <-r.clock.After(stopLongest):
+	case <-ctx.Done():
+	}
+	return r.restart(name)
+}
+
+func (r *run) pause(ctx context.Context, f Fault) error {
+	p := r.d.processes[f.Target]
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return nil // it has ended by another fault
+	}
+	r.wait(ctx, f.Span)
+	_ = p.Signal(syscall.SIGCONT) // it may have been ended meanwhile
+	return nil
+}
+
+func (r *run) harmLink(ctx context.Context, f Fault, l *mgproc.Link) {
+	switch f.Kind {
+	case CutLink:
+		l.Cut()
+	case MuteLink:
+		l.Silence()
+	case BarLink:
+		l.Bar(true)
+		r.wait(ctx, f.Span)
+		l.Bar(false)
+	case DelayLink:
+		l.Delay(linkDelay)
+		r.wait(ctx, f.Span)
+		l.Delay(0)
+	case LoseLink:
+		l.Lose(true)
+		r.wait(ctx, f.Span)
+		l.Lose(false)
+	}
+}
+
+// harmEngine turns a switch of an engine and heals it. Two faults of one engine
+// don't overlap: the second would end with the first.
+func (r *run) harmEngine(ctx context.Context, f Fault) error {
+	r.engines[f.Target].Lock()
+	defer r.engines[f.Target].Unlock()
+	fault := mgstandin.Fault{
+		Kind: mgstandin.Die,
+	}
+	switch f.Kind {
+	case SlowEngine:
+		fault.Kind, fault.Factor = mgstandin.Slow, slowFactor
+	case LeaveEngine:
+		fault.Kind, fault.Delay = mgstandin.Leave, f.Span
+	}
+	if err := r.d.set(f.Target, fault); err != nil {
+		return err
+	}
+	r.wait(ctx, f.Span)
+	if f.Kind == LeaveEngine {
+		if err := r.d.set(f.Target, mgstandin.Fault{Kind: mgstandin.Die}); err != nil {
+			return err
+		}
+		r.wait(ctx, f.Span)
+	}
+	return r.d.set(f.Target, mgstandin.Fault{Kind: mgstandin.Heal})
+}
+
+func (r *run) harmPlatform(ctx context.Context, f Fault) error {
+	r.platform.Lock()
+	defer r.platform.Unlock()
+	if err := r.d.set(platform, mgstandin.Fault{Kind: f.How}); err != nil {
+		return err
+	}
+	r.wait(ctx, f.Span)
+	return r.d.set(platform, mgstandin.Fault{Kind: mgstandin.Heal})
+}
+
+// planned reports whether a fault is one that answers must outlast by themselves.
+func (f Fault) planned() bool {
+	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || f.Kind == EditTable || f.Kind == RevokeKey
+}
--- /dev/null
+++ b/internal/soak/mgsoak/schedule.go
@@ -0,0 +1,174 @@
+package mgsoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Kind is what is done.
+type Kind string
+
+// The kinds of faults.
+const (
+	KillProcess  Kind = "kill"    // and start anew
+	StopProcess  Kind = "stop"    // planned, and start anew
+	PauseProcess Kind = "pause"   // for the span
+	CutLink      Kind = "cut"     // connections break, new ones work
+	BarLink      Kind = "bar"     // nothing passes for the span
+	MuteLink     Kind = "mute"    // connections that stand pass nothing more
+	DelayLink    Kind = "delay"   // each piece is late for the span
+	LoseLink     Kind = "lose"    // one way, for the span
+	DieEngine    Kind = "die"     // all generations are lost; healed after the span
+	SlowEngine   Kind = "slow"    // for the span
+	LeaveEngine  Kind = "leave"   // notice of the span, then gone for as long
+	HarmService  Kind = "service" // the next calls lose their answers, or more
+	HarmPlatform Kind = "platform"
+	EditTable    Kind = "edit"   // a new version
+	RevokeKey    Kind = "revoke" // a version without the second account's key
+)
+
+// A Fault is one step of a schedule.
+type Fault struct {
+	At     mgclock.Millis `json:"at"`
+	Kind   Kind           `json:"kind"`
+	Target string         `json:"target,omitempty"`
+	How    string         `json:"how,omitempty"` // the variant, of a stand-in
+	Span   mgclock.Millis `json:"span,omitempty"`
+}
+
+// String returns the fault in a line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%6d ms %s %s %s %d ms", f.At, f.Kind, f.Target, f.How, f.Span)
+}
+
+// Size says how large a deployment is.
+type Size struct {
+	Entries int `long:"entries" default:"2" description:"entries"`
+	Engines int `long:"engines" default:"3" description:"engines, with an agent each"`
+	Callers int `long:"callers" default:"12" description:"callers at once"`
+}
+
+const (
+	// meanGap is the mean time between two faults in ms: spans are of 0.3 to 3 s,
+	// so that two or three overlap at most times.
+	meanGap = 900.0
+	// quietHead and quietTail are without faults: the load begins and all is well
+	// again at the end, which the checks of what must come by then need.
+	quietHead = mgclock.Second
+	quietTail = 6 * mgclock.Second
+	spanMin   = 300
+	spanMax   = 3000
+	// reserve is how many processes of a kind are not ended at once, so that some
+	// answers come.
+	reserve = 1
+)
+
+// drawn is what a schedule draws from, by weight.
+var drawn = []struct {
+	kind   Kind
+	weight int
+}{
+	{KillProcess, 4},
+	{StopProcess, 3},
+	{PauseProcess, 3},
+	{CutLink, 3},
+	{BarLink, 2},
+	{MuteLink, 2},
+	{DelayLink, 2},
+	{LoseLink, 2},
+	{DieEngine, 2},
+	{SlowEngine, 1},
+	{LeaveEngine, 2},
+	{HarmService, 2},
+	{HarmPlatform, 2},
+	{EditTable, 3},
+	{RevokeKey, 1},
+}
+
+// Draw returns the schedule of a seed for a run of a length.
+func Draw(seed uint64, size Size, length mgclock.Millis) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0x736f616b))
+	var faults []Fault
+	revoked := false
+	for at := quietHead; ; {
+		at += mgclock.Millis(r.ExpFloat64() * meanGap)
+		if at >= length-quietTail {
+			return faults
+		}
+		f := Fault{
+			At:   at,
+			Kind: drawKind(r),
+			Span: mgclock.Millis(spanMin + r.IntN(spanMax-spanMin)),
+		}
+		f.Span = min(f.Span, length-quietTail-at)
+		if f.Kind == RevokeKey && revoked {
+			f.Kind = EditTable
+		}
+		revoked = revoked || f.Kind == RevokeKey
+		f.aim(r, size)
+		faults = append(faults, f)
+	}
+}
+
+func drawKind(r *rand.Rand) Kind {
+	total := 0
+	for _, d := range drawn {
+		total += d.weight
+	}
+	n := r.IntN(total)
+	for _, d := range drawn {
+		if n -= d.weight; n < 0 {
+			return d.kind
+		}
+	}
+	return EditTable
+}
+
+// aim draws the target and the variant.
+func (f *Fault) aim(r *rand.Rand, size Size) {
+	names := size.names()
+	pick := func(from []string) string { return from[r.IntN(len(from))] }
+	switch f.Kind {
+	case KillProcess, StopProcess, PauseProcess:
+		f.Target = pick(slices.Concat(names.entries, names.agents))
+	case CutLink, BarLink, MuteLink, DelayLink, LoseLink:
+		f.Target = pick(slices.Concat(names.entries, names.agents, names.engines, []string{service, platform}))
+	case DieEngine, SlowEngine, LeaveEngine:
+		f.Target = pick(names.engines)
+	case HarmService:
+		f.Target = service
+		f.How = pick([]string{"lost", "early", "refuse", "hang"})
+	case HarmPlatform:
+		f.Target = platform
+		f.How = pick([]string{"down", "stale", "silent"})
+	}
+}
+
+// The names of what stands once.
+const (
+	service  = "books"
+	platform = "platform"
+)
+
+// cast holds the names of a deployment's processes.
+type cast struct {
+	entries, agents, engines []string
+}
+
+func (s Size) names() cast {
+	var c cast
+	for i := range max(s.Entries, reserve+1) {
+		c.entries = append(c.entries, fmt.Sprintf("entry-%d", i+1))
+	}
+	for i := range max(s.Engines, reserve+1) {
+		c.engines = append(c.engines, fmt.Sprintf("engine-%d", i+1))
+		c.agents = append(c.agents, agentOf(c.engines[i]))
+	}
+	c.agents = append(c.agents, agentOf(service))
+	return c
+}
+
+func agentOf(upstream string) string { return "agent-" + upstream }
