--- /dev/null
+++ b/internal/soak/mgsoak/soak_test.go
@@ -0,0 +1,53 @@
+package mgsoak
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Entries and agents are killed, stopped and paused, links fail, engines die and
+// leave, while callers read reports and book tickets. One of them gets a token
+// twice, another's answer, a doubled booking or a "not run" that isn't true.
+//
+// How long processes take to recover differs with the machine, so that a run here
+// judges what must hold however slow it is.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts twelve processes")
+	}
+	binary := filepath.Join(t.TempDir(), "marjoramgauge")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/marjoramgauge/marjoramgauge/cmd/marjoramgauge").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	command := Command{
+		Size: Size{
+			Entries: 2,
+			Engines: 3,
+			Callers: 8,
+		},
+		Minutes: 0.25,
+		Binary:  binary,
+	}
+	r, err := command.prepare(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.play(context.Background(), binary, t.TempDir()); err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r.summary())
+	slow := []string{noCause, nothingCut}
+	found := slices.DeleteFunc(r.findings, func(f Finding) bool { return slices.Contains(slow, f.Promise) })
+	Convey("A short soak finds nothing", t, func() {
+		So(found, ShouldBeEmpty)
+		So(len(r.evidence.reports), ShouldBeGreaterThan, 0)
+		So(len(r.evidence.tickets), ShouldBeGreaterThan, 0)
+		So(r.plot(filepath.Join(t.TempDir(), "soak.png")), ShouldBeNil)
+	})
+}
