mgmember: the strongest VMs are hubs; prompts are read at 7.4 tokens a ms

Cause: the hub's work falls to any entry, also to one of 0.144 of a core and 10 Mbit/s beside others of 0.8 and 200; an entry that lacked the newest list fetched it each 4 ms a row at the most (13 s of 3,300 rows) and watched all heartbeats meanwhile. The pace of reading that placement goes by was the published one, twice the measured. Change: processes tell their power, ranks begin with the strongest; lists are fetched each 1.5 s at the most; 7.4 tokens a ms.

--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -42,7 +42,8 @@
 	Models   []string `json:"models,omitempty"`
 	Services []string `json:"services,omitempty"`
 	State    string   `json:"state"`
-	Born     int64    `json:"born,omitempty"` // when it started, where the platform says; rises with each start under its name
+	Power    int      `json:"power,omitempty"` // of its processor and link, relative to others; 0 where nobody says
+	Born     int64    `json:"born,omitempty"`  // when it started, where the platform says; rises with each start under its name
 }
 
 // PeerAddr returns the address at which other processes reach the VM.
--- a/internal/process/mgnode/load.go
+++ b/internal/process/mgnode/load.go
@@ -6,7 +6,6 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
-	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -50,7 +49,7 @@
 // tellLoads tells the hub what was sent from here, until ctx ends.
 func (n *Node) tellLoads(ctx context.Context, count *mgload.Count) {
 	for n.clock.Sleep(ctx, tellSpan) {
-		hub := n.first(mgmember.Hub)
+		hub := n.hubPeer()
 		now := n.clock.Now()
 		own := mgload.Report{
 			Rows:   count.Rows(),
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -23,6 +23,7 @@
 			Region:      n.settings.Region,
 			Incarnation: n.incarnation,
 			Addr:        n.settings.Peer,
+			Power:       int(n.settings.Power),
 			Seed:        seed(n.incarnation),
 			Seeds:       n.settings.Seeds,
 			Spread:      mgclock.Millis(n.settings.Spread),
--- a/internal/process/mgnode/place.go
+++ b/internal/process/mgnode/place.go
@@ -7,7 +7,6 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
-	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -34,7 +33,7 @@
 // ended.
 func (n *Node) place(ctx context.Context, service string, wait mgroom.Wait) (mgroom.Grant, bool) {
 	for ctx.Err() == nil {
-		hub := n.first(mgmember.Hub)
+		hub := n.hubPeer()
 		var grant mgroom.Grant
 		if hub == nil {
 			grant = n.holdPlace(ctx, service, wait)
--- a/internal/process/mgnode/turn.go
+++ b/internal/process/mgnode/turn.go
@@ -99,13 +99,29 @@
 // first returns the first by rendezvous of the processes of this cell that are
 // known here and well, or nil where it is this one.
 func (n *Node) first(key string) *mgmember.Member {
-	self := mgmember.Self(n.settings.Name, n.settings.Zone)
-	peers, _ := n.members.View().Near(n.settings.Name, n.settings.Region)
-	first := mgmember.Rank(key, append(peers, self), 1)
-	if first[0] == self {
+	peers, self := n.near()
+	return other(mgmember.Rank(key, append(peers, self), 1)[0], self)
+}
+
+// hubPeer returns the process of this cell that works for all, or nil where it is this
+// one.
+func (n *Node) hubPeer() *mgmember.Member {
+	peers, self := n.near()
+	return other(mgmember.RankHub(append(peers, self), 1)[0], self)
+}
+
+// near returns the processes of this cell that are known here and well.
+func (n *Node) near() (peers []*mgmember.Member, self *mgmember.Member) {
+	peers, _ = n.members.View().Near(n.settings.Name, n.settings.Region)
+	return peers, mgmember.Self(n.settings.Name, n.settings.Zone, int(n.settings.Power))
+}
+
+// other returns a member, or nil where it is self.
+func other(m, self *mgmember.Member) *mgmember.Member {
+	if m == self {
 		return nil
 	}
-	return first[0]
+	return m
 }
 
 // holdTurn waits a while for a turn that this entry gives.
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -16,6 +16,7 @@
 	Notice   int64    `toml:"notice" default:"2000" min:"0" max:"600000" unit:"ms" help:"time between the loss of readiness and the first refusal, so that the balancer looks elsewhere"`
 	Beat     int64    `toml:"beat" default:"250" min:"20" max:"10000" unit:"ms" help:"interval of heartbeats on token streams"`
 	Spread   int64    `toml:"spread" default:"4000" min:"0" max:"60000" unit:"ms" help:"span over which a new process puts off its first reads of the platform, so that a restart of all stays within its rate"`
+	Power    int64    `toml:"power" min:"0" max:"1000000" help:"how much this VM bears, relative to others; the strongest of a region work for all"`
 	Quick    int64    `toml:"quick" min:"0" max:"10000" unit:"ms" help:"shortest interval between two watches of the list by the one process that watches it for its region; 0: all watch alike, twice a second"`
 	Watch    int64    `toml:"watch" default:"20000" min:"100" max:"600000" unit:"ms" help:"longest wait of one watch of the platform; a lost answer hides changes for as long"`
 	Answer   int64    `toml:"answer" default:"5000" min:"50" max:"60000" unit:"ms" help:"longest time for the platform's answer to a read, or to a watch beyond its wait"`
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -25,7 +25,7 @@
 	retryMin = mgclock.Second
 	retryMax = 5 * mgclock.Second
 	// readRate is the prompt tokens that an engine reads in a ms.
-	readRate = 14.0
+	readRate = 7.4
 )
 
 // A Wait is a request that waits for a place.
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -18,6 +18,7 @@
 	Region      string
 	Incarnation string
 	Addr        string // where peers reach this process
+	Power       int    // see mgplatform.VM
 	Seed        uint64 // of the jitter and the choice of peers
 
 	// Seeds are addresses of peers to ask while no list of VMs is known, such
@@ -184,6 +185,7 @@
 		Addr:        m.spec.Addr,
 		Zone:        m.spec.Zone,
 		Region:      m.spec.Region,
+		Power:       int64(m.spec.Power),
 		Known:       m.known(),
 		Departed:    m.departures(),
 	}
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -178,6 +178,7 @@
 			Addr:   peer.PeerAddr(),
 			Zone:   peer.Zone(),
 			Region: peer.Region(),
+			Power:  int64(peer.Power()),
 		})
 		if len(known) == knownLimit {
 			break
@@ -225,6 +226,7 @@
 		Addr:   s.GetAddr(),
 		Zone:   s.GetZone(),
 		Region: s.GetRegion(),
+		Power:  s.GetPower(),
 	})
 	for _, k := range s.GetKnown() {
 		m.introduce(now-knownSpan, k)
@@ -242,6 +244,7 @@
 		Addr:   k.GetAddr(),
 		Zone:   k.GetZone(),
 		Region: k.GetRegion(),
+		Power:  int(k.GetPower()),
 	})
 }
 
@@ -253,9 +256,19 @@
 // of an upstream that leaves within the two seconds that it may be given.
 const listPullRow = 4 * mgclock.Millis(1)
 
+// listPullMost bounds that interval where a member that lacks the newest list
+// watches the platform by itself: heartbeats of 3,000 engines are 1.1 MB a second,
+// a list of as many rows 30 KB on the wire (worked out from 450 bytes a heartbeat,
+// one each 1.2 s, and 12,871 bytes for 1,260 rows).
+const listPullMost = 1500 * mgclock.Millis(1)
+
 // listPullSpan returns the shortest interval of fetches of the list.
 func (m *Machine) listPullSpan() mgclock.Millis {
-	return listPullRow * mgclock.Millis(len(m.members.View().All()))
+	span := listPullRow * mgclock.Millis(len(m.members.View().All()))
+	if m.spec.Quick > 0 {
+		return min(span, listPullMost)
+	}
+	return span
 }
 
 func (m *Machine) fetchList(now mgclock.Millis, from peer) []Action {
--- a/internal/version/mgconfig/word.go
+++ b/internal/version/mgconfig/word.go
@@ -64,9 +64,9 @@
 // that are well: the first watches the list of VMs quickly and tells the
 // others.
 func (m *Machine) rank() int {
-	self := mgmember.Self(m.spec.Name, m.spec.Zone)
+	self := mgmember.Self(m.spec.Name, m.spec.Zone, m.spec.Power)
 	peers, _ := m.members.View().Near(m.spec.Name, m.spec.Region)
-	for i, member := range mgmember.Rank(mgmember.Hub, append(peers, self), keepers) {
+	for i, member := range mgmember.RankHub(append(peers, self), keepers) {
 		if member == self {
 			return i
 		}
--- a/internal/version/mgmember/cell.go
+++ b/internal/version/mgmember/cell.go
@@ -45,3 +45,26 @@
 	}
 	return peers, cells
 }
+
+// strongPart is the part of the greatest power from which on a process may be hub.
+const strongPart = 0.7
+
+// RankHub returns the first count processes for the hub's work, of those whose VMs
+// bear the most: the hub hears each engine's heartbeat, and thin VMs have a
+// hundredth of the link and a fifth of the processor of others.
+func RankHub(members []*Member, count int) []*Member {
+	most := 0
+	for _, m := range members {
+		most = max(most, m.Power())
+	}
+	var strong, weak []*Member
+	for _, m := range members {
+		if float64(m.Power()) >= strongPart*float64(most) {
+			strong = append(strong, m)
+		} else {
+			weak = append(weak, m)
+		}
+	}
+	ranked := Rank(Hub, strong, count)
+	return append(ranked, Rank(Hub, weak, count-len(ranked))...)
+}
--- a/internal/version/mgmember/cell_test.go
+++ b/internal/version/mgmember/cell_test.go
@@ -53,3 +53,23 @@
 		})
 	})
 }
+
+// The hub falls to an entry with a link of 10 Mbit/s while others have 200. Engines'
+// heartbeats alone fill its link, and every generation of its cell waits for it.
+func TestRankHub(t *testing.T) {
+	Convey("The hub is one of the strongest", t, func() {
+		var members []*Member
+		for n, power := range []int{100, 800, 144, 700, 300} {
+			members = append(members, Self(fmt.Sprint("entry-", n), "a", power))
+		}
+		ranked := RankHub(members, len(members))
+		So(len(ranked), ShouldEqual, len(members))
+		So(ranked[0].Power(), ShouldBeGreaterThanOrEqualTo, 700)
+		So(ranked[1].Power(), ShouldBeGreaterThanOrEqualTo, 700)
+		So(RankHub(members, 1)[0], ShouldEqual, ranked[0])
+	})
+	Convey("Where nobody says, all are alike", t, func() {
+		members := []*Member{Self("a", "a", 0), Self("b", "a", 0), Self("c", "a", 0)}
+		So(RankHub(members, 3), ShouldResemble, Rank(Hub, members, 3))
+	})
+}
--- a/internal/version/mgmember/member.go
+++ b/internal/version/mgmember/member.go
@@ -58,15 +58,19 @@
 // Suspect reports whether it failed lately.
 func (m *Member) Suspect() bool { return m.suspect }
 
+// Power returns how much its VM bears, relative to others, or 0.
+func (m *Member) Power() int { return m.vm.Power }
+
 // Listed reports whether it is on the list of VMs.
 func (m *Member) Listed() bool { return m.listed }
 
 // Self returns this process as a member, to rank it among others.
-func Self(name, zone string) *Member {
+func Self(name, zone string, power int) *Member {
 	return &Member{
 		vm: mgplatform.VM{
-			Name: name,
-			Zone: zone,
+			Name:  name,
+			Zone:  zone,
+			Power: power,
 		},
 	}
 }
