--- a/internal/process/mgagent/move.go
+++ b/internal/process/mgagent/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
@@ -10,8 +9,6 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // Other is an agent that may take a generation over.
@@ -40,12 +37,6 @@
 	takeSpan = 10 * mgclock.Second
 )
 
-// target is where a generation may go.
-type target struct {
-	other Other
-	offer *mgrpc.Offer
-}
-
 // beginMoves begins to move generations once the engine has said when it is
 // gone. Moves go one after another: they share the engine's link.
 func (a *Agent) beginMoves() {
@@ -228,126 +219,3 @@
 		}
 	}
 }
-
-// targets returns where a generation may go, the one that would begin soonest
-// first, those of this availability zone before others.
-func (a *Agent) targets(ctx context.Context, g *generation) []target {
-	ctx, cancel := context.WithTimeout(ctx, offerWait.Duration())
-	defer cancel()
-	others := a.candidates(g)
-	found := make(chan target, len(others))
-	for _, other := range others {
-		go func() {
-			offer, err := other.Agent.Probe(ctx, &mgrpc.ProbeRequest{
-				Account: g.account,
-				Service: g.service,
-				Model:   g.spec.Model,
-				Prefix:  g.spec.Prefix,
-				Prompt:  uint32(g.spec.Tokens + g.produced()),
-				Budget:  int64(takeSpan),
-			})
-			if err != nil {
-				offer = nil
-			}
-			found <- target{
-				other: other,
-				offer: offer,
-			}
-		}()
-	}
-	var list []target
-	for range others {
-		if t := <-found; t.offer != nil && !t.offer.GetLeaving() && t.offer.GetEngine() != "" {
-			list = append(list, t)
-		}
-	}
-	slices.SortStableFunc(list, func(x, y target) int { return int(a.distance(x) - a.distance(y)) })
-	return list
-}
-
-// candidates returns the agents to ask: some, those of this availability zone
-// first. One that had the generation before has a record of it as finished, and
-// would send its readers back here.
-func (a *Agent) candidates(g *generation) []Other {
-	others := a.spec.Others(g.spec.Model)
-	others = slices.DeleteFunc(others, func(o Other) bool { return slices.Contains(g.via, o.Name) })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	slices.SortStableFunc(others, func(x, y Other) int { return a.apart(x) - a.apart(y) })
-	return others[:min(len(others), moveAsks)]
-}
-
-// apart returns 0 for an agent of this availability zone, 1 for others.
-func (a *Agent) apart(o Other) int {
-	if o.Zone == a.spec.Settings.Zone {
-		return 0
-	}
-	return 1
-}
-
-// farWait is what another availability zone counts for beside an offer's wait:
-// the copy takes twice as long, some 200 ms more.
-const farWait = 200 * mgclock.Millis(1)
-
-func (a *Agent) distance(t target) mgclock.Millis {
-	return mgclock.Millis(t.offer.GetWait()) + farWait*mgclock.Millis(a.apart(t.other))
-}
-
-// handOver has the agent beside the other engine go on with the generation, and
-// returns it, or nobody when it refuses or doesn't answer.
-func (a *Agent) handOver(ctx context.Context, g *generation, to target, handle string) successor {
-	request := &mgrpc.StartRequest{
-		Attempt:     g.id,
-		Incarnation: to.offer.GetIncarnation(),
-		Stamp:       to.offer.GetStamp(),
-		Account:     g.account,
-		Service:     g.service,
-		Model:       g.spec.Model,
-		Prompt:      g.spec.Prompt,
-		Max:         uint32(g.spec.Max),
-		Budget:      int64(takeSpan),
-		Prefix:      g.spec.Prefix,
-		Whole:       g.whole,
-		Copy:        handle,
-		Had:         g.text(),
-		Via:         append(slices.Clone(g.via), a.spec.Settings.Name),
-	}
-	for range takeTries {
-		reply, err := a.takeOnce(ctx, to, request)
-		if err != nil {
-			continue
-		}
-		if fault := reply.GetFault(); fault != nil {
-			a.spec.Log.Info("a generation was not taken over", mglog.Attempt, g.id, "by", to.other.Name, "why", fault.GetDetail())
-			return successor{}
-		}
-		return successor{
-			agent:       to.other.Name,
-			incarnation: to.offer.GetIncarnation(),
-		}
-	}
-	a.spec.Log.Info("a generation was not taken over: no answer", mglog.Attempt, g.id, "by", to.other.Name)
-	return successor{}
-}
-
-func (a *Agent) takeOnce(ctx context.Context, to target, request *mgrpc.StartRequest) (*mgrpc.StartReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, offerWait.Duration())
-	defer cancel()
-	return to.other.Agent.Start(ctx, request)
-}
-
-// takeOver goes on with a generation of another agent's, whose copy this one's
-// engine holds. It counts against memory and batch, and waits in no queue: its
-// caller has its first tokens.
-func (a *Agent) takeOver(table *mgtable.Table, in *mgrpc.StartRequest, now mgclock.Millis) *mgproblem.Problem {
-	if a.leaving.Load() {
-		return mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
-			"the upstream leaves, too", "hand the generation over to another one")
-	}
-	request, g := a.prepare(table, in, now)
-	a.mu.Lock()
-	a.generations[g.id] = g
-	a.scheduler.Resume(now, request, len(g.tokens))
-	a.mu.Unlock()
-	a.running.Go(func() { a.run(a.life, g) })
-	return nil
-}
