--- a/internal/process/mgnode/place.go
+++ b/internal/process/mgnode/place.go
@@ -20,8 +20,8 @@
 	// placeLook is the least interval between two looks for places.
 	placeLook = 10 * mgclock.Millis(1)
 	// placeLife is how long what is seen of the upstreams serves such looks: what
-	// was given meanwhile is counted, and entries tell of the rest each 200 ms. To
-	// sum what 40 entries told of 400 upstreams takes about a ms.
+	// was given meanwhile is counted, and entries tell of the rest each 200 ms. The
+	// sum is some thousand lookups where 40 entries tell of 400 upstreams.
 	placeLife = 40 * mgclock.Millis(1)
 	// askLife is how long a request that was asked for counts as waiting, or a
 	// place that nobody was there to take is kept: its entry asks again at once.
--- a/internal/standin/mgstandin/move.go
+++ b/internal/standin/mgstandin/move.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// defaultCopy is the time to copy a token's memory, in microseconds: about
-	// that of 60 KB over a link of 10 Gbit/s.
+	// defaultCopy is the time to copy a token's memory, in microseconds: that of
+	// 160 KB over a link of 24 Gbit/s.
 	defaultCopy = 55
 	// copyKeep is how long an engine keeps a copy that nobody goes on from.
 	copyKeep = 5 * mgclock.Second
--- a/internal/version/mgconfig/word.go
+++ b/internal/version/mgconfig/word.go
@@ -39,8 +39,8 @@
 
 // Take takes another's word. A newer list is asked for at once. Where it has the same versions, and lately from the
 // platform, the own watches wait for as long as they rest between two. Of 1,875
-// calls to the platform that 24 processes made in 47 s they were two thirds; those
-// that hear no such word watch as before within a second.
+// calls to the platform that 24 processes made in 47 s they were more than half;
+// those that hear no such word watch as before within a second.
 func (m *Machine) Take(now mgclock.Millis, word Word, from string) []Action {
 	m.now = now
 	if word.List > m.members.View().Version() {
--- a/internal/version/mgmember/cell.go
+++ b/internal/version/mgmember/cell.go
@@ -3,9 +3,9 @@
 import "github.com/cespare/xxhash/v2"
 
 // cellSize is the most processes that share one hub, as far as hashing spreads
-// them evenly. A hub sums what each tells it five times a second: with 24 it took
-// under 1 % of a core in the busiest span, with 300 it took 67 %, told 0.7 MB a
-// second, and answers came late.
+// them evenly. A hub sums what each tells it five times a second: with 24 the
+// busiest entry took 0.5 % of a core, with 300 it took 67 % of its processor and
+// moved 0.7 MB a second, and answers came late.
 const cellSize = 40
 
 // Cells returns into how many cells a number of processes divides: a power of two,
@@ -45,7 +45,7 @@
 
 // RankHub returns the first count processes for the hub's work, of those whose VMs
 // bear the most: the hub hears each engine's heartbeat, and thin VMs have a
-// hundredth of the link and a fifth of the processor of others.
+// twentieth of the link and a fifth of the processor of others.
 func RankHub(members []*Member, count int) []*Member {
 	most := 0
 	for _, m := range members {
