--- a/internal/process/mgnode/place_test.go
+++ b/internal/process/mgnode/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -39,7 +40,7 @@
 // again, a request must have one place in the line; and one whose caller left
 // must not be given memory that another waits for.
 func TestPlaces(t *testing.T) {
-	type story func(ctx context.Context, n *Node, free *int) (got []string)
+	type story func(ctx context.Context, n *Node, free *atomic.Int64) (got []string)
 	cases := []struct {
 		name  string
 		story story
@@ -47,14 +48,14 @@
 	}{
 		{
 			name: "one of two gets the place, the other one when there is memory again",
-			story: func(ctx context.Context, n *Node, free *int) []string {
-				*free = 3000
+			story: func(ctx context.Context, n *Node, free *atomic.Int64) []string {
+				free.Store(3000)
 				first := n.holdPlace(ctx, "llm", report("one")).Place
-				*free = 0
+				free.Store(0)
 				none := n.holdPlace(ctx, "llm", report("two")).Place
 				go func() {
 					n.clock.Sleep(ctx, 100)
-					*free = 3000
+					free.Store(3000)
 				}()
 				return []string{first, none, n.holdPlace(ctx, "llm", report("two")).Place}
 			},
@@ -62,31 +63,31 @@
 		},
 		{
 			name: "one whose caller has left gets none",
-			story: func(ctx context.Context, n *Node, free *int) []string {
+			story: func(ctx context.Context, n *Node, free *atomic.Int64) []string {
 				left, cancel := context.WithCancel(ctx)
 				go func() {
 					n.clock.Sleep(ctx, 50)
 					cancel()
 				}()
 				none := n.holdPlace(left, "llm", report("left")).Place
-				*free = 3000
+				free.Store(3000)
 				return []string{none, n.holdPlace(ctx, "llm", report("next")).Place}
 			},
 			got: []string{"", "engine"},
 		},
 		{
 			name: "one that nobody asks for any more gets none",
-			story: func(ctx context.Context, n *Node, free *int) []string {
+			story: func(ctx context.Context, n *Node, free *atomic.Int64) []string {
 				none := n.holdPlace(ctx, "llm", report("dead")).Place
 				n.clock.Sleep(ctx, placeHold+askLife)
-				*free = 3000
+				free.Store(3000)
 				return []string{none, n.holdPlace(ctx, "llm", report("next")).Place}
 			},
 			got: []string{"", "engine"},
 		},
 		{
 			name: "one that has waited for too long is told when to come back",
-			story: func(ctx context.Context, n *Node, _ *int) []string {
+			story: func(ctx context.Context, n *Node, _ *atomic.Int64) []string {
 				w := report("late")
 				w.End = n.clock.Now() + 50
 				grant := n.holdPlace(ctx, "llm", w)
@@ -101,8 +102,8 @@
 				var got []string
 				var n *Node
 				synctest.Test(t, func(*testing.T) {
-					free := 0
-					n = giver(func() int { return free })
+					var free atomic.Int64
+					n = giver(func() int { return int(free.Load()) })
 					got = c.story(context.Background(), n, &free)
 				})
 				So(got, ShouldResemble, c.got)
