mgmember: cells of equal size

Cells by the hash of names differ by a third among 300 entries (37 and some a cell), and full engines bear no such part more. Cells are equal runs of the order of hashes: one that comes or goes moves the borders by one.

--- a/internal/process/mgentry/agents.go
+++ b/internal/process/mgentry/agents.go
@@ -34,8 +34,7 @@
 		return old
 	}
 	made := prepare(view, old)
-	_, cells := view.Near(e.spec.Settings.Name, e.spec.Settings.Region)
-	divide(made.hosts, mgmember.CellOf(e.spec.Settings.Name, cells), cells)
+	divide(made.hosts, view.Cell(e.spec.Settings.Name, e.spec.Settings.Region))
 	e.known.Store(made)
 	return made
 }
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
@@ -85,21 +84,17 @@
 	return list
 }
 
-// cellHosts is the least number of a service's upstreams that a cell has on
-// average for its entries to keep to these. With fewer, hashing gives some cells
-// none and others twice their part.
+// cellHosts is the least number of a service's upstreams that a cell must have for
+// its entries to keep to these: of fewer one that fails is too much.
 const cellHosts = 12
 
 // divide gives this entry's cell its part of each service's upstreams, so that
 // what it knows of them is what all that use them have sent.
-func divide(hosts map[string][]*mgmember.Member, own, cells uint64) {
+func divide(hosts map[string][]*mgmember.Member, cell mgmember.Cell) {
 	for service, all := range hosts {
-		if len(all) < cellHosts*int(cells) {
-			continue
+		if cell.Of > 1 && len(all) >= cellHosts*cell.Of {
+			hosts[service] = mgmember.Part(all, cell.Number, cell.Of)
 		}
-		hosts[service] = slices.DeleteFunc(slices.Clone(all), func(m *mgmember.Member) bool {
-			return mgmember.CellOf(m.Upstream(), cells) != own
-		})
 	}
 }
 
--- a/internal/process/mgnode/turn.go
+++ b/internal/process/mgnode/turn.go
@@ -112,8 +112,8 @@
 
 // near returns the processes of this cell that are known here and well.
 func (n *Node) near() (peers []*mgmember.Member, self *mgmember.Member) {
-	peers, _ = n.members.View().Near(n.settings.Name, n.settings.Region)
-	return peers, mgmember.Self(n.settings.Name, n.settings.Zone, int(n.settings.Power))
+	cell := n.members.View().Cell(n.settings.Name, n.settings.Region)
+	return cell.Peers, mgmember.Self(n.settings.Name, n.settings.Zone, int(n.settings.Power))
 }
 
 // other returns a member, or nil where it is self.
--- a/internal/version/mgconfig/word.go
+++ b/internal/version/mgconfig/word.go
@@ -65,8 +65,8 @@
 // others.
 func (m *Machine) rank() int {
 	self := mgmember.Self(m.spec.Name, m.spec.Zone, m.spec.Power)
-	peers, _ := m.members.View().Near(m.spec.Name, m.spec.Region)
-	for i, member := range mgmember.RankHub(append(peers, self), keepers) {
+	cell := m.members.View().Cell(m.spec.Name, m.spec.Region)
+	for i, member := range mgmember.RankHub(append(cell.Peers, self), keepers) {
 		if member == self {
 			return i
 		}
--- a/internal/version/mgmember/cell.go
+++ b/internal/version/mgmember/cell.go
@@ -1,43 +1,74 @@
 package mgmember
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+)
 
-// cellSize is the most processes that share one hub, as far as hashing spreads
-// them evenly. A hub sums what each tells it five times a second: with 24 the
-// busiest entry took 0.5 % of a core, with 300 it took 67 % of its processor and
-// moved 0.7 MB a second, and answers came late.
+// cellSize is the most processes that share one hub. A hub sums what each tells it
+// five times a second: with 24 the busiest entry took 0.5 % of a core, with 300 it
+// took 67 % of its processor and moved 0.7 MB a second, and answers came late.
 const cellSize = 40
 
 // Cells returns into how many cells a number of processes divides: a power of two,
 // so that processes that count a few more or fewer mostly agree.
-func Cells(processes int) uint64 {
-	cells := uint64(1)
-	for processes > cellSize*int(cells) {
+func Cells(processes int) int {
+	cells := 1
+	for processes > cellSize*cells {
 		cells *= 2
 	}
 	return cells
 }
 
-// CellOf returns the cell of a process or an upstream by its name.
-func CellOf(name string, cells uint64) uint64 {
-	if cells <= 1 {
-		return 0
+// byHash orders members by a hash of their names. Cells are equal runs of this
+// order: who comes or goes moves the borders between them by one, and no cell has
+// more processes, or fewer upstreams, than another. Cells by the hash itself differ
+// by a third among 300 processes, and full engines bear no such part more.
+func byHash(a, b *Member) int {
+	if c := cmp.Compare(a.hash, b.hash); c != 0 {
+		return c
 	}
-	return xxhash.Sum64String(name) % cells
+	return cmp.Compare(a.Name(), b.Name())
 }
 
-// Near returns the other processes of a region that are in one's cell, and the
-// number of cells. All that are known count for that; suspects and those that
-// leave are left out of the result.
-func (v *View) Near(self, region string) (peers []*Member, cells uint64) {
-	cells = Cells(1 + len(v.near[region]))
-	own := CellOf(self, cells)
-	for _, m := range v.near[region] {
-		if m.Name() != self && !m.Leaving() && !m.Suspect() && CellOf(m.Name(), cells) == own {
-			peers = append(peers, m)
+// Part returns a cell's part of some upstreams.
+func Part(all []*Member, cell, cells int) []*Member {
+	sorted := slices.Clone(all)
+	slices.SortFunc(sorted, byHash)
+	return sorted[cell*len(sorted)/cells : (cell+1)*len(sorted)/cells]
+}
+
+// A Cell is the part of a region's processes that share a hub.
+type Cell struct {
+	Peers  []*Member // that are known and well, without this process
+	Number int       // from 0
+	Of     int       // cells in the region
+}
+
+// Cell returns the cell of a process of a region. All that are known make the
+// cells, suspects and those that leave, too.
+func (v *View) Cell(self, region string) Cell {
+	near := v.near[region] // by hash
+	c := Cell{
+		Of: Cells(1 + len(near)),
+	}
+	own := Self(self, "", 0)
+	rank := 0
+	for _, m := range near {
+		if byHash(m, own) < 0 {
+			rank++
+		}
+	}
+	c.Number = rank * c.Of / (1 + len(near))
+	for i, m := range near {
+		if i >= rank {
+			i++ // this process comes before
+		}
+		if !m.Leaving() && !m.Suspect() && i*c.Of/(1+len(near)) == c.Number {
+			c.Peers = append(c.Peers, m)
 		}
 	}
-	return peers, cells
+	return c
 }
 
 // strongPart is the part of the greatest power from which on a process may be hub.
--- a/internal/version/mgmember/cell_test.go
+++ b/internal/version/mgmember/cell_test.go
@@ -10,46 +10,69 @@
 )
 
 // Three hundred entries tell one of them five times a second what they sent. It
-// has no time for its own callers, and none of them gets an answer in time; or
-// two entries count the cells differently and each waits for the other's hub.
+// has no time for its own callers, and none of them gets an answer in time; or a
+// cell has a third more entries than another, and its engines are full while the
+// other's are not.
 func TestCells(t *testing.T) {
 	Convey("A region divides as it grows", t, func() {
-		for processes, cells := range map[int]uint64{1: 1, 24: 1, 40: 1, 41: 2, 100: 4, 120: 4, 300: 8, 360: 16} {
+		for processes, cells := range map[int]int{1: 1, 24: 1, 40: 1, 41: 2, 100: 4, 120: 4, 300: 8, 360: 16} {
 			So(Cells(processes), ShouldEqual, cells)
 		}
 	})
 	Convey("Of 300 processes", t, func() {
 		const count = 300
-		members := func(self string) *Members {
-			m := New(self)
-			for n := range count {
-				m.Introduce(0, mgplatform.VM{
-					Name:   fmt.Sprint("entry-", n),
-					Kind:   mgplatform.EntryKind,
-					Addr:   "a",
-					Region: "south",
-				})
-			}
-			return m
+		name := func(n int) string { return fmt.Sprint("entry-", n) }
+		list := mgplatform.List{
+			Version: 1,
 		}
-		sizes := map[uint64]int{}
 		for n := range count {
-			name := fmt.Sprint("entry-", n)
-			sizes[CellOf(name, Cells(count))]++
+			list.VMs = append(list.VMs, mgplatform.VM{
+				Name:   name(n),
+				Kind:   mgplatform.EntryKind,
+				Addr:   "a",
+				Region: "south",
+				State:  mgplatform.Live,
+			})
+		}
+		views := map[string]*View{}
+		for self := range count {
+			if self%10 != 0 && self > 20 {
+				continue
+			}
+			m := New(name(self))
+			m.List(0, list)
+			views[name(self)] = m.View()
 		}
-		Convey("each cell is of a size that one hub bears", func() {
-			So(len(sizes), ShouldEqual, 8)
-			for _, size := range sizes {
-				So(size, ShouldBeBetween, cellSize/2, cellSize*3/2)
+		Convey("each cell has as many as another, and they know one another", func() {
+			of := map[string]int{}
+			for self, view := range views {
+				c := view.Cell(self, "south")
+				So(c.Of, ShouldEqual, 8)
+				So(len(c.Peers)+1, ShouldBeBetweenOrEqual, count/8, count/8+1)
+				of[self] = c.Number
+			}
+			for self, view := range views {
+				for _, peer := range view.Cell(self, "south").Peers {
+					if number, looked := of[peer.Name()]; looked {
+						So(number, ShouldEqual, of[self])
+					}
+				}
 			}
 		})
-		Convey("those of a cell know one another, and nobody else counts", func() {
-			one, cells := members("entry-1").View().Near("entry-1", "south")
-			So(cells, ShouldEqual, 8)
-			So(len(one)+1, ShouldEqual, sizes[CellOf("entry-1", cells)])
-			for _, peer := range one {
-				So(CellOf(peer.Name(), cells), ShouldEqual, CellOf("entry-1", cells))
+		Convey("each cell has its part of the upstreams, and each upstream one cell", func() {
+			var all []*Member
+			for n := range 3000 {
+				all = append(all, Self(fmt.Sprint("engine-", n), "a", 0))
+			}
+			seen := map[string]bool{}
+			for cell := range 8 {
+				part := Part(all, cell, 8)
+				So(len(part), ShouldEqual, 375)
+				for _, m := range part {
+					seen[m.Name()] = true
+				}
 			}
+			So(len(seen), ShouldEqual, 3000)
 		})
 	})
 }
--- a/internal/version/mgmember/member.go
+++ b/internal/version/mgmember/member.go
@@ -11,6 +11,7 @@
 // A Member is a process as it was seen when a view was made.
 type Member struct {
 	vm          mgplatform.VM
+	hash        uint64 // of the name
 	incarnation string
 	leaving     bool
 	suspect     bool
@@ -67,6 +68,7 @@
 // Self returns this process as a member, to rank it among others.
 func Self(name, zone string, power int) *Member {
 	return &Member{
+		hash: xxhash.Sum64String(name),
 		vm: mgplatform.VM{
 			Name:  name,
 			Zone:  zone,
--- a/internal/version/mgmember/members.go
+++ b/internal/version/mgmember/members.go
@@ -293,6 +293,7 @@
 func (m *Members) member(vm mgplatform.VM, listed bool) *Member {
 	member := &Member{
 		vm:      vm,
+		hash:    xxhash.Sum64String(vm.Name),
 		listed:  listed,
 		leaving: vm.State == mgplatform.Leaving,
 	}
--- a/internal/version/mgmember/view.go
+++ b/internal/version/mgmember/view.go
@@ -1,6 +1,7 @@
 package mgmember
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
@@ -18,7 +19,7 @@
 	entries   map[string][]*Member // by region
 	zones     map[string][]*Member // by availability zone
 	peers     []*Member            // all but this process
-	near      map[string][]*Member // of these, by region, suspects too
+	near      map[string][]*Member // of these, by region, suspects too, in the order of byHash
 }
 
 // newView makes a view of members, without self among the peers.
@@ -46,6 +47,9 @@
 		v.hosts[service] = trusted(list)
 	}
 	v.peers = trusted(v.peers)
+	for _, near := range v.near {
+		slices.SortFunc(near, byHash)
+	}
 	return v
 }
 
