--- a/internal/process/mgagent/move_test.go
+++ b/internal/process/mgagent/move_test.go
@@ -180,8 +180,11 @@
 			asked: "copy, stop, cancel, hand over",
 		},
 		{
-			name:  "the answers to the stop and to the cancel are lost",
-			mover: mover{stop: lost, end: lost},
+			name: "the answers to the stop and to the cancel are lost",
+			mover: mover{
+				stop: lost,
+				end:  lost,
+			},
 			told:  "leaving/unknown",
 			asked: "copy, stop, cancel, cancel",
 		},
