mgload: one reading rate and one cost of a run

The measured reading rate of an engine stood in mgload, mgroom and mgrelay, and the cost of a run in mgload, mgroom and mgmigration. A new measurement would have changed one and left the others. Values are as before.

--- a/internal/process/mgrelay/wait.go
+++ b/internal/process/mgrelay/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -10,8 +11,6 @@
 )
 
 const (
-	// readRate is the prompt tokens that an engine reads in a ms.
-	readRate = 7.4
 	// patience is how many times a generation's goal it waits for a place at most:
 	// its caller leaves after four times the goal, and one that is told so before
 	// can come back.
@@ -52,7 +51,7 @@
 
 // wait describes a request that waits for a place.
 func (x *exchange) wait(now mgclock.Millis) mgroom.Wait {
-	read := mgclock.Millis(float64(x.size.prompt)/readRate) + firstSlack
+	read := mgclock.Millis(float64(x.size.prompt)/mgload.ReadRate) + firstSlack
 	end := x.began + patience*x.call.Route.Goal()
 	if x.call.Route.Goal() == 0 {
 		end = x.began + x.limit
--- a/internal/request/mgload/load.go
+++ b/internal/request/mgload/load.go
@@ -23,18 +23,18 @@
 }
 
 const (
-	// readRate is the prompt tokens that an engine reads in a ms, and the time
+	// ReadRate is the prompt tokens that an engine reads in a ms, and the time
 	// that a request waits for the prompts before its own. Engines publish 14; they
 	// read in turn with steps, and of 77 requests to engines with nothing or little
 	// to do half had their first event 162 ms after what 14 gives for a prompt of
 	// 2,869 tokens in the median.
-	readRate = 7.4
-	// runCost is the cost of each run, in ms: it makes each step 0.12 ms longer,
+	ReadRate = 7.4
+	// RunCost is the cost of each run, in ms: it makes each step 0.12 ms longer,
 	// 110 ms for a generation of 900 tokens.
-	runCost = 110.0
+	RunCost = 110.0
 	// lackCost is the cost of each token of memory that is lacking, in ms. What
 	// lacks is preempted and read again, and holds up all that run there.
-	lackCost = 2.0 / readRate
+	lackCost = 2.0 / ReadRate
 	// fullCost is the cost of a copy to an upstream without room for it, in ms: it
 	// is refused, which outweighs any way between availability zones.
 	fullCost = 1500.0
@@ -65,7 +65,7 @@
 // Cost returns the cost in ms of a request at an upstream.
 func Cost(s State, q Query) float64 {
 	r := s.Row
-	cost := float64(r.Pending)/readRate + runCost*float64(r.Runs) + s.Slow*float64(q.Tokens) + faultCost*s.Faults
+	cost := float64(r.Pending)/ReadRate + RunCost*float64(r.Runs) + s.Slow*float64(q.Tokens) + faultCost*s.Faults
 	if lack := r.Memory + q.Memory - q.Capacity; q.Capacity > 0 && lack > 0 {
 		cost += lackCost * float64(lack)
 		if q.Copy {
--- a/internal/request/mgmigration/turns.go
+++ b/internal/request/mgmigration/turns.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -142,9 +143,6 @@
 }
 
 const (
-	// givenCost is the cost of each run that a place was given lately, in ms:
-	// that of a run in mgload, which doesn't show there yet.
-	givenCost = 110.0
 	// takingCost is the cost of a place that takes a copy of another source now.
 	// The last copy queues behind it while the run stands still: of 27 pauses
 	// above 180 ms in eight calm days 19 were so. It outweighs a dozen runs.
@@ -165,7 +163,7 @@
 	// than 0.6 s, behind copies to other zones of 0.4 s and more.
 	others := float64(len(t.source(a.Source).waiting) - 1)
 	for _, spot := range a.Places {
-		cost := spot.Cost + givenCost*float64(t.lately(now, spot.Name)) + (others+riskCost)*spot.Span
+		cost := spot.Cost + mgload.RunCost*float64(t.lately(now, spot.Name)) + (others+riskCost)*spot.Span
 		if t.taking(now, spot.Name, a.Source) {
 			cost += takingCost
 		}
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -16,16 +17,11 @@
 	// virtual time (bench, scenario packed) none, four and any number gave 56.7,
 	// 55.9 and 57.2 of 100 reports on time, notes 78.0, 76.9 and 77.3.
 	passes = 4
-	// givenCost is the cost of each request that a place was given lately, in ms:
-	// that of a run in mgload, which doesn't show there yet.
-	givenCost = 110.0
 	// retryMin and retryMax bound the time that a request which is given up is told
 	// to stay away: a request that comes back sooner meets the same line, and
 	// callers stay away for a third of their time at most, 2 s for a note.
 	retryMin = mgclock.Second
 	retryMax = 5 * mgclock.Second
-	// readRate is the prompt tokens that an engine reads in a ms.
-	readRate = 7.4
 )
 
 // A Wait is a request that waits for a place.
@@ -183,10 +179,11 @@
 	r.shares.count(now, w.Account, w.Need)
 }
 
-// take counts a request that was given the place.
+// take counts a request that was given the place, which the reports of the place
+// don't show yet.
 func (p *Place) take(g given) {
 	p.Free -= g.need
-	p.Cost += givenCost + float64(g.need)/readRate
+	p.Cost += mgload.RunCost + float64(g.need)/mgload.ReadRate
 }
 
 // countGiven takes what was given lately off the places.
