mgnode: an entry that stops gives no turns and no places

Cause: an entry that stops still counted itself among those that may work for all, while its peers passed it over.

Change: one that stops counts itself only where it is alone.

Ruled out: that the copies were slow by themselves; with one giver the same source's copies took 130 to 340 ms each.

--- a/internal/process/mgnode/turn.go
+++ b/internal/process/mgnode/turn.go
@@ -99,21 +99,29 @@
 // first returns the first by rendezvous of the processes of this cell that are
 // known here and well, or nil where it is this one.
 func (n *Node) first(key string) *mgmember.Member {
-	peers, self := n.near()
-	return other(mgmember.Rank(key, append(peers, self), 1)[0], self)
+	able, self := n.able()
+	return other(mgmember.Rank(key, able, 1)[0], self)
 }
 
 // hubPeer returns the process of this cell that works for all, or nil where it is this
 // one.
 func (n *Node) hubPeer() *mgmember.Member {
-	peers, self := n.near()
-	return other(mgmember.RankHub(append(peers, self), 1)[0], self)
+	able, self := n.able()
+	return other(mgmember.RankHub(able, 1)[0], self)
 }
 
-// near returns the processes of this cell that are known here and well.
-func (n *Node) near() (peers []*mgmember.Member, self *mgmember.Member) {
+// able returns the processes of this cell that may work for all: those that are
+// known here and well, and this one. One that stops does so only where it is
+// alone. Its peers pass it over; were it to go on for itself, two would give the
+// turns of one source, and the copies that share the source's link would all end
+// after it was reclaimed.
+func (n *Node) able() (able []*mgmember.Member, self *mgmember.Member) {
 	cell := n.members.View().Cell(n.settings.Name, n.settings.Region)
-	return cell.Peers, mgmember.Self(n.settings.Name, n.settings.Zone, int(n.settings.Power))
+	self = mgmember.Self(n.settings.Name, n.settings.Zone, int(n.settings.Power))
+	if n.leaving.Load() && len(cell.Peers) > 0 {
+		return cell.Peers, self
+	}
+	return append(cell.Peers, self), self
 }
 
 // other returns a member, or nil where it is self.
