mgconfig: a silent platform is noticed after 0.5 s

Cause: upstreams with runs are asked whether they leave once the list is 1.5 s old. A platform that falls silent, without a refusal, in the second of a notice of 1.7 s hid it: engines were asked 0.5 s before they went, or not at all.

Change: where one process watches quickly the list counts as stale after 0.5 s. TestWord checked that a list of 1,060 ms is fresh; it now checks both sides of the new bound.

Test: TestSilentPlatform, red before.

--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -313,6 +313,19 @@
 	})
 }
 
+// The platform falls silent without a word and an engine gives notice in the same
+// second. Its reports are cut 1.7 s later: the engine would have said so itself, and
+// was asked only once the list was 1.5 s old.
+func TestSilentPlatform(t *testing.T) {
+	Convey("The one that watches quickly asks upstreams once two watches are overdue", t, func() {
+		m, _ := alone()
+		m.spec.Quick = 60
+		m.vms.heard = 1000
+		So(m.Stale(1000+quickStale-1), ShouldBeFalse)
+		So(m.Stale(1000+quickStale), ShouldBeTrue)
+	})
+}
+
 // Two dozen entries each watch the list of VMs and the table, and the platform
 // counts every call; or all but one stop watching, that one is cut off, and a
 // leaving engine's reports are cut because nobody saw its notice.
@@ -326,7 +339,8 @@
 		Convey("rests while another has the platform's word of the same list and table", func() {
 			m.Take(1000, Word{List: list, Age: 60}, "entry-2")
 			So(m.vms.next, ShouldEqual, 940+slowPause)
-			So(m.Stale(2000), ShouldBeFalse)
+			So(m.Stale(940+quickStale-1), ShouldBeFalse)
+			So(m.Stale(940+quickStale), ShouldBeTrue)
 			So(m.manifest.next == 1000+slowPause, ShouldEqual, last)
 		})
 		Convey("watches as before where that one has", func() {
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -228,10 +228,20 @@
 // asked for: longer than a watch takes to bring the next heartbeat.
 const staleSpan = 1500 * mgclock.Millis(1)
 
+// quickStale is the same where one process watches the list quickly: heartbeats of a
+// dozen upstreams end its watches each 100 ms, and it tells the others each 200 ms. A
+// platform that falls silent without a refusal hides a notice of 1.7 s; with 1,500 ms
+// it was seen 0.5 s before the upstream went, or not at all.
+const quickStale = 500 * mgclock.Millis(1)
+
 // Stale reports whether the platform gives no word of the list now.
 func (m *Machine) Stale(now mgclock.Millis) bool {
 	failed := m.vms.failures > 0 && now >= m.confirmed+wordAge
-	return failed || now >= m.vms.heard+staleSpan
+	span := staleSpan
+	if m.quick(&m.vms) {
+		span = quickStale
+	}
+	return failed || now >= m.vms.heard+span
 }
 
 // done notes the end of a read and when the next is due. It reports whether a
