mgrelay: a destination is asked while the list may be stale

Cause: with the platform silent, engines that went stay in the list and look emptiest. A run's memory was sent to one of them for 1.2 s, and three others that waited for the same source's link were cut with it.

Change: before a run is moved its destination is asked for its report, 60 ms at most, while the list is stale. One that gives none is passed over and told as a fault; one that leaves is told to all.

Ruled out: a shorter bound on the copy itself, as the source is busy until its own dial ends.

Test: TestDestinationGone, red before.

--- a/internal/process/mgrelay/move_test.go
+++ b/internal/process/mgrelay/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -298,3 +299,52 @@
 		}
 	})
 }
+
+// The platform is silent, and the engine that looks emptiest went a moment ago. A
+// report's engine gives notice; its memory is sent to the one that is gone for more
+// than a second, and the report is cut with its engine.
+func TestDestinationGone(t *testing.T) {
+	tell := func(probe func(host mgrelay.Host) (bool, error)) (*story, reply) {
+		s := tell(t, func(s *story, order mgrelay.Order) mgmigration.Reply {
+			if order.To == s.rig.hosts[1].Addr {
+				close(s.stop) // the notice is over before the source gives up
+				return mgmigration.Reply{Outcome: mgmigration.NoRoom}
+			}
+			if order.Last {
+				close(s.stop)
+			}
+			return mgmigration.Reply{
+				Outcome: mgmigration.Copied,
+				Handle:  "h",
+			}
+		}, hangUp, goOn)
+		s.rig.with(func(spec *mgrelay.Spec) {
+			s.spec(spec)
+			spec.Stale = func() bool { return true }
+			spec.Departed = func(string) {}
+			spec.Probe = func(_ context.Context, host mgrelay.Host) (bool, error) { return probe(host) }
+		})
+		return s, s.rig.ask(context.Background(), http.MethodPost, "/write/1", "x", nil)
+	}
+	gone := errors.New("no answer")
+	Convey("While the list is stale no run goes to an upstream that", t, func() {
+		for name, probe := range map[string]func(host mgrelay.Host) (bool, error){
+			"gives no report": func(host mgrelay.Host) (bool, error) {
+				if host.Name == "b" {
+					return false, gone
+				}
+				return false, nil
+			},
+			"says that it leaves, too": func(host mgrelay.Host) (bool, error) { return host.Name == "b", nil },
+		} {
+			Convey(name, func() {
+				s, got := tell(probe)
+				So(got.cut, ShouldBeFalse)
+				So(got.body, ShouldEqual, whole())
+				for _, order := range s.orders {
+					So(order.To, ShouldEqual, s.rig.hosts[2].Addr)
+				}
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -155,8 +155,22 @@
 }
 
 // destination returns where a run should go, once it is its turn: an upstream of
-// its service that stays.
+// its service that stays, by its own word where the list may be stale.
 func (y *Relay) destination(r *run, tried map[string]bool) (Host, bool) {
+	for {
+		host, found := y.choose(r, tried)
+		if !found || y.stays(r.ctx, host) {
+			return host, found
+		}
+		if r.ctx.Err() != nil {
+			return Host{}, false
+		}
+		tried[host.Name] = true
+	}
+}
+
+// choose returns the best destination by the list, once it is the run's turn.
+func (y *Relay) choose(r *run, tried map[string]bool) (Host, bool) {
 	ask := mgmigration.Ask{
 		Source: r.host.Name,
 		Run:    r.x.id,
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -14,6 +14,9 @@
 	probeSpan = 250 * mgclock.Millis(1)
 	// probeWait bounds one answer.
 	probeWait = 150 * mgclock.Millis(1)
+	// stayWait bounds the answer of a destination, for which a run waits: an
+	// upstream answers in 3 ms, and one that is gone not at all.
+	stayWait = 60 * mgclock.Millis(1)
 )
 
 // ask asks the upstreams with runs whether they leave, while the list may be
@@ -42,6 +45,39 @@
 		// A lost answer says nothing; the next one comes in probeSpan.
 		return
 	}
+	y.departed(host)
+}
+
+// stays reports whether an upstream can take a run over. While the list may be
+// stale it is asked: one that is gone looks the emptiest of all, and its source
+// tries to reach it for 1.2 s, which is most of a notice, before all others that
+// wait for the source's link.
+func (y *Relay) stays(ctx context.Context, host Host) bool {
+	if y.spec.Probe == nil || !y.spec.Stale() {
+		return true
+	}
+	asked, cancel := context.WithTimeout(ctx, stayWait.Duration())
+	defer cancel()
+	y.spec.Metrics.Counter("relay.probes").Inc(1)
+	leaving, err := y.spec.Probe(asked, host)
+	switch {
+	case ctx.Err() != nil:
+		return false // the run has ended meanwhile, which says nothing of the upstream
+	case err != nil:
+		y.spec.Log.Info("an upstream that the list shows gives no report, no run goes there",
+			mglog.Upstream, host.Name, "why", err.Error())
+		y.spec.Failed(host.Name)
+		y.spec.Load.Fault(y.spec.Clock.Now(), host.Name)
+		return false
+	case leaving:
+		y.departed(host)
+		return false
+	}
+	return true
+}
+
+// departed tells of an upstream that says that it leaves.
+func (y *Relay) departed(host Host) {
 	y.spec.Log.Info("an upstream says that it leaves, which the list doesn't show", mglog.Upstream, host.Name)
 	y.spec.Departed(host.Name)
 }
