mgrelay: runs stay with an engine whose entry ran out while the store was away

Cause: entries run out while the store is away, and those of living engines are back within two seconds of its return.

Change: within 2.5 s of a stale list an upstream that the list lacks, and that has not said that it leaves, is asked before its runs are moved; they stay while it says that it stays. New work goes where it went before, to listed engines.

--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -32,6 +32,7 @@
 	spec.Failed = e.spec.Failed
 	spec.Answered = e.spec.Answered
 	spec.Leaving = e.leavingUpstream
+	spec.Missing = e.missingUpstream
 	spec.Changed = e.spec.Changed
 	spec.Every = e.every
 	spec.Stale = e.spec.Stale
@@ -51,6 +52,13 @@
 	return !ok || member.Leaving() || !member.Listed()
 }
 
+// missingUpstream reports whether the list lacks an upstream that hasn't said that it
+// leaves.
+func (e *Entry) missingUpstream(name string) bool {
+	member, ok := e.spec.View().Agent(name)
+	return !ok || !member.Leaving() && !member.Listed()
+}
+
 // Load returns the count of what was relayed to each upstream.
 func (e *Entry) Load() *mgload.Count { return &e.load }
 
--- a/internal/process/mgrelay/move_test.go
+++ b/internal/process/mgrelay/move_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -348,3 +350,72 @@
 		}
 	})
 }
+
+// The platform comes back without the entries of engines that live, which ran out
+// while it was away. Every report is moved to the three engines that it still lists,
+// where one copy waits for another, and callers see pauses of half a second; two
+// seconds later all entries are back.
+func TestLapsedStays(t *testing.T) {
+	Convey("After the platform was away an upstream that its list lacks", t, func() {
+		for name, c := range map[string]struct {
+			leaves bool
+			moved  bool
+		}{
+			"keeps its runs while it says that it stays": {},
+			"is left at once where it says that it leaves": {
+				leaves: true,
+				moved:  true,
+			},
+		} {
+			Convey(name, func() {
+				var looks atomic.Int64 // at whether the list is stale, which it is once
+				copied := func(s *story, order mgrelay.Order) mgmigration.Reply {
+					if order.Last {
+						close(s.stop)
+					}
+					return mgmigration.Reply{
+						Outcome: mgmigration.Copied,
+						Handle:  "h",
+					}
+				}
+				back := make(chan struct{})
+				var s *story
+				s = tell(t, copied, goOn)
+				source := func(w http.ResponseWriter, r *http.Request) {
+					for n := 1; n <= 3; n++ {
+						_, _ = fmt.Fprint(w, event(n))
+					}
+					_ = http.NewResponseController(w).Flush()
+					<-back // the list was stale until now
+					s.leave()
+					select {
+					case <-s.stop:
+						panic(http.ErrAbortHandler)
+					case <-time.After(time.Second):
+					}
+					for n := 4; n <= 6; n++ {
+						_, _ = fmt.Fprint(w, event(n))
+					}
+				}
+				s.rig = open(t, source, goOn)
+				s.rig.with(func(spec *mgrelay.Spec) {
+					s.spec(spec)
+					spec.Missing = spec.Leaving
+					spec.Departed = func(string) {}
+					spec.Stale = func() bool {
+						look := looks.Add(1)
+						if look == 2 {
+							close(back)
+						}
+						return look == 1
+					}
+					spec.Probe = func(context.Context, mgrelay.Host) (bool, error) { return c.leaves, nil }
+				})
+				got := s.rig.ask(context.Background(), http.MethodPost, "/write/1", "x", nil)
+				So(got.cut, ShouldBeFalse)
+				So(got.body, ShouldEqual, whole())
+				So(len(s.orders) > 0, ShouldEqual, c.moved)
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -18,10 +18,10 @@
 	for ctx.Err() == nil {
 		changed := y.spec.Changed()
 		late := y.runs.late()
-		for _, name := range y.runs.busy() {
-			if y.spec.Leaving(name) {
-				y.runs.mover(name, true)
-				go y.evacuate(ctx, name)
+		for _, host := range y.runs.hosts() {
+			if y.spec.Leaving(host.Name) {
+				y.runs.mover(host.Name, true)
+				go y.evacuate(ctx, host)
 			}
 		}
 		select {
@@ -38,8 +38,12 @@
 
 // evacuate moves the runs of one upstream, one after another: they share its
 // link.
-func (y *Relay) evacuate(ctx context.Context, name string) {
+func (y *Relay) evacuate(ctx context.Context, host Host) {
+	name := host.Name
 	defer y.runs.mover(name, false)
+	if y.returns(ctx, host) {
+		return
+	}
 	until := y.spec.Clock.Now() + lateSpan
 	for ctx.Err() == nil && y.spec.Clock.Now() < until {
 		if r := y.runs.claim(y.spec.Clock.Now(), name); r != nil {
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -17,6 +17,10 @@
 	// stayWait bounds the answer of a destination, for which a run waits: an
 	// upstream answers in 3 ms, and one that is gone not at all.
 	stayWait = 60 * mgclock.Millis(1)
+	// lapseSpan is how long after the list was stale an upstream that it lacks may
+	// have run out there only: the platform says that those that live are back within
+	// two seconds of its return, and a stale list is noticed 0.25 s late.
+	lapseSpan = 2500 * mgclock.Millis(1)
 )
 
 // ask asks the upstreams with runs whether they leave, while the list may be
@@ -30,6 +34,7 @@
 		if !y.spec.Stale() {
 			continue
 		}
+		y.stale.Store(int64(y.spec.Clock.Now()))
 		for _, host := range y.runs.hosts() {
 			go y.probe(ctx, host)
 		}
@@ -48,6 +53,32 @@
 	y.departed(host)
 }
 
+// returns waits while an upstream that the list lacks may have run out there only,
+// and reports whether the list has it again. Entries run out while the platform is
+// away; moved at once, the runs of living engines all went to the few that the list
+// still had, and of 200 reports ten paused for 0.2 to 0.8 s behind one another's
+// copies. One that says that it leaves, or nothing, isn't waited for.
+func (y *Relay) returns(ctx context.Context, host Host) bool {
+	if y.spec.Missing == nil || y.spec.Probe == nil || y.stale.Load() == 0 {
+		return false
+	}
+	for y.spec.Clock.Now() < mgclock.Millis(y.stale.Load())+lapseSpan && y.spec.Missing(host.Name) {
+		if !y.alive(ctx, host) || !y.spec.Clock.Sleep(ctx, probeSpan) {
+			return false
+		}
+	}
+	return !y.spec.Leaving(host.Name)
+}
+
+// alive reports whether an upstream says that it stays.
+func (y *Relay) alive(ctx context.Context, host Host) bool {
+	asked, cancel := context.WithTimeout(ctx, stayWait.Duration())
+	defer cancel()
+	y.spec.Metrics.Counter("relay.probes").Inc(1)
+	leaving, err := y.spec.Probe(asked, host)
+	return err == nil && !leaving
+}
+
 // stays reports whether an upstream can take a run over. While the list may be
 // stale it is asked: one that is gone looks the emptiest of all, and its source
 // tries to reach it for 1.2 s, which is most of a notice, before all others that
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -42,6 +42,9 @@
 	// a channel that is closed when that may have changed.
 	Leaving func(upstream string) bool
 	Changed func() <-chan struct{}
+	// Missing reports whether an upstream is not in the list, which has no word of
+	// its leaving. Nil reports none.
+	Missing func(upstream string) bool
 	// Turn asks for a turn at moving a run of a service, and EndTurn gives it
 	// back; see mgmigration.Turns. Without Turn there are no turns. It returns
 	// false where nobody could be asked.
@@ -79,6 +82,7 @@
 	spec  Spec
 	runs  runs
 	count atomic.Uint64 // ordinary answers
+	stale atomic.Int64  // when the list was stale last, ms of the clock; 0 for never
 }
 
 // New returns a relay.
--- a/internal/process/mgrelay/run.go
+++ b/internal/process/mgrelay/run.go
@@ -77,19 +77,6 @@
 	}
 }
 
-// busy returns the upstreams with runs and without a mover.
-func (s *runs) busy() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var names []string
-	for name := range s.at {
-		if !s.moving[name] {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // hosts returns the upstreams with runs and without a mover.
 func (s *runs) hosts() []Host {
 	s.mu.Lock()
