mgdelivery: frames of its own type

mgdelivery, which decides what a caller is given, imported the wire types of mgrpc, a floor above it. It has its own Frame now, and mgentry reads it off the wire. No change of behaviour; its tests are the same but for the type.

--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -157,7 +157,7 @@
 	switch {
 	case err == nil:
 		r.note(frame)
-		decision := r.receiver.Frame(r.number, frame)
+		decision := r.receiver.Frame(r.number, frameOf(frame))
 		if frame.GetMoved() != "" && !r.receiver.Over() {
 			r.follow(ctx, frame)
 		}
@@ -272,3 +272,15 @@
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the generation can't be continued", "send the request again for a new answer")
 }
+
+// frameOf reads a frame off the wire.
+func frameOf(f *mgrpc.Frame) *mgdelivery.Frame {
+	return &mgdelivery.Frame{
+		Generation: f.GetGeneration(),
+		Seq:        f.GetSeq(),
+		Text:       f.GetText(),
+		End:        f.GetEnd(),
+		Fault:      f.GetFault(),
+		Total:      f.GetTotal(),
+	}
+}
--- /dev/null
+++ b/internal/request/mgdelivery/frame.go
@@ -0,0 +1,12 @@
+package mgdelivery
+
+// A Frame is what an agent sends of a generation at a time. One without text, end
+// and fault is a heartbeat.
+type Frame struct {
+	Generation string   // the one that it belongs to
+	Seq        uint64   // number of its first token, from 1
+	Text       []string // its tokens, in order
+	End        string   // why the generation ended, on its last frame
+	Fault      string   // why the generation can't be continued
+	Total      uint64   // tokens of the whole generation, with End
+}
--- a/internal/request/mgdelivery/model_test.go
+++ b/internal/request/mgdelivery/model_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"testing"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgexplore"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -39,7 +38,7 @@
 // frame is one on its way, with the attempt whose stream it is on.
 type frame struct {
 	attempt int
-	*mgrpc.Frame
+	*Frame
 }
 
 // world is a caller, its receiver, the network and the engines' generations
@@ -145,7 +144,7 @@
 	case 5: // crossed: another generation's next token on this stream
 		w.take(frame{
 			attempt: w.attempt,
-			Frame: &mgrpc.Frame{
+			Frame: &Frame{
 				Generation: "Z",
 				Seq:        w.receiver.Last() + 1,
 				Text:       []string{"Z"},
@@ -154,7 +153,7 @@
 	case 6: // engine killed
 		w.take(frame{
 			attempt: w.attempt,
-			Frame: &mgrpc.Frame{
+			Frame: &Frame{
 				Generation: name(w.engine),
 				Fault:      "interrupted",
 			},
@@ -177,7 +176,7 @@
 		return
 	}
 	w.sent++
-	f := &mgrpc.Frame{
+	f := &Frame{
 		Generation: name(w.engine),
 		Seq:        w.sent,
 		Text:       []string{token(w.engine, w.sent)},
@@ -197,7 +196,7 @@
 func (w *world) end() frame {
 	return frame{
 		attempt: w.attempt,
-		Frame: &mgrpc.Frame{
+		Frame: &Frame{
 			Generation: name(w.engine),
 			End:        "stop",
 			Total:      tokens,
@@ -219,13 +218,13 @@
 // take gives the receiver a frame, tampered with by the broken variant.
 func (w *world) take(f frame) {
 	r := w.receiver
-	in := &mgrpc.Frame{
-		Generation: f.GetGeneration(),
-		Seq:        f.GetSeq(),
-		Text:       f.GetText(),
-		End:        f.GetEnd(),
-		Fault:      f.GetFault(),
-		Total:      f.GetTotal(),
+	in := &Frame{
+		Generation: f.Generation,
+		Seq:        f.Seq,
+		Text:       f.Text,
+		End:        f.End,
+		Fault:      f.Fault,
+		Total:      f.Total,
 	}
 	switch w.broken {
 	case anyGen:
@@ -320,7 +319,7 @@
 	r := w.receiver
 	fmt.Fprint(&b, w.engine, w.sent, w.attempt, w.got, w.told, r.reading, r.begun, r.started, r.generation, r.last, r.refusals, r.over, r.spec)
 	for _, f := range w.flight {
-		fmt.Fprint(&b, "|", f.attempt, f.GetGeneration(), f.GetSeq(), f.GetText(), f.GetEnd())
+		fmt.Fprint(&b, "|", f.attempt, f.Generation, f.Seq, f.Text, f.End)
 	}
 	return b.String()
 }
--- a/internal/request/mgdelivery/receiver.go
+++ b/internal/request/mgdelivery/receiver.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -90,14 +89,14 @@
 func (r *Receiver) Over() bool { return r.over }
 
 // Frame takes a frame that came on an attempt's stream.
-func (r *Receiver) Frame(attempt int, f *mgrpc.Frame) Decision {
+func (r *Receiver) Frame(attempt int, f *Frame) Decision {
 	if r.over || attempt == 0 || attempt != r.reading {
 		// A frame of an earlier attempt was on its way when the answer went
 		// elsewhere. Its tokens are of another run of the model, and mixed in
 		// they would make a text that no generation wrote.
 		return Decision{}
 	}
-	if f.GetGeneration() != r.generation {
+	if f.Generation != r.generation {
 		// A stream that was crossed with another, or an agent that started over.
 		return r.refuse()
 	}
@@ -112,24 +111,24 @@
 }
 
 // broken returns why the generation of f can't be continued, or "".
-func broken(f *mgrpc.Frame) string {
-	if f.GetEnd() == endCancelled {
+func broken(f *Frame) string {
+	if f.End == endCancelled {
 		return "it was cancelled at the engine"
 	}
-	return f.GetFault()
+	return f.Fault
 }
 
 // missing reports whether tokens were lost before f, or before the end that it
 // tells. Taken, the text would lack them, and with the end nobody would see it.
-func (r *Receiver) missing(f *mgrpc.Frame, fresh []string) bool {
-	if len(f.GetText()) > 0 && f.GetSeq() > r.last+1 {
+func (r *Receiver) missing(f *Frame, fresh []string) bool {
+	if len(f.Text) > 0 && f.Seq > r.last+1 {
 		return true
 	}
-	return f.GetEnd() != "" && f.GetTotal() != r.last+uint64(len(fresh))
+	return f.End != "" && f.Total != r.last+uint64(len(fresh))
 }
 
 // take notes the fresh tokens and decides what the caller is given.
-func (r *Receiver) take(f *mgrpc.Frame, fresh []string) Decision {
+func (r *Receiver) take(f *Frame, fresh []string) Decision {
 	if len(fresh) > 0 {
 		r.refusals = 0
 	}
@@ -138,7 +137,7 @@
 		r.kept = append(r.kept, fresh...)
 	}
 	switch {
-	case f.GetEnd() != "":
+	case f.End != "":
 		return r.end(f, fresh)
 	case r.spec.Whole || len(fresh) == 0:
 		return Decision{}
@@ -158,12 +157,12 @@
 
 // fresh returns the tokens of f that were not taken yet. A reopened stream
 // repeats some, and a frame may hold both.
-func (r *Receiver) fresh(f *mgrpc.Frame) []string {
-	text := f.GetText()
-	if len(text) == 0 || f.GetSeq() == 0 {
+func (r *Receiver) fresh(f *Frame) []string {
+	text := f.Text
+	if len(text) == 0 || f.Seq == 0 {
 		return nil
 	}
-	known := r.last + 1 - f.GetSeq()
+	known := r.last + 1 - f.Seq
 	if known >= uint64(len(text)) {
 		return nil
 	}
@@ -171,13 +170,13 @@
 }
 
 // end gives the caller the rest and the end.
-func (r *Receiver) end(f *mgrpc.Frame, fresh []string) Decision {
+func (r *Receiver) end(f *Frame, fresh []string) Decision {
 	r.over = true
 	if r.spec.Whole {
 		fresh = r.kept
 	}
 	d := r.deliver(Finish, fresh)
-	d.end = f.GetEnd()
+	d.end = f.End
 	return d
 }
 
--- a/internal/request/mgdelivery/receiver_test.go
+++ b/internal/request/mgdelivery/receiver_test.go
@@ -6,7 +6,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgdelivery"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -38,8 +37,8 @@
 
 // parse reads a frame: generation, first token's number and one letter a token,
 // and = with the total at the end, as in g1ab=2. ! is a fault, ~ a cancel.
-func parse(word string) *mgrpc.Frame {
-	f := &mgrpc.Frame{
+func parse(word string) *mgdelivery.Frame {
+	f := &mgdelivery.Frame{
 		Generation: word[:1],
 	}
 	tokens, total, ended := strings.Cut(word[1:], "=")
