--- a/internal/process/mgnode/place.go
+++ b/internal/process/mgnode/place.go
@@ -113,6 +113,7 @@
 	looked mgclock.Millis
 	seen   []mgroom.Place // of the upstreams, as of the time summed
 	summed mgclock.Millis
+	told   mgclock.Millis // when a log line told of the line last
 }
 
 // ask is a request that waits, and what it was given.
@@ -206,6 +207,7 @@
 	if now >= to.summed+placeLife {
 		to.summed = now
 		to.seen = (*places)(service, n.hub.Others(now, n.settings.Name))
+		n.tellLine(now, service, to)
 	}
 	for _, grant := range to.room.Look(now, slices.Clone(to.seen)) {
 		if own := to.asks[grant.Name]; own != nil {
--- a/internal/process/mgnode/place_test.go
+++ b/internal/process/mgnode/place_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -16,7 +18,10 @@
 
 // giver is an entry that gives places at one upstream with some memory free.
 func giver(free func() int) *Node {
-	n := &Node{}
+	n := &Node{
+		metrics: mgmetric.New(),
+		log:     logr.Discard(),
+	}
 	places := func(string, mgload.Report) []mgroom.Place {
 		return []mgroom.Place{{
 			Name: "engine",
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -62,10 +62,20 @@
 		}
 	}
 	x.freeWrites()
+	y.tellPace(run)
 	y.done(x, response.StatusCode)
 	return delivered
 }
 
+// tellPace notes the time that a token of a whole stream took, µs. It counts from
+// where its upstream's part began.
+func (y *Relay) tellPace(r *run) {
+	tokens := int64(r.stride()) * r.made.Load()
+	if span := int64(y.spec.Clock.Now()) - r.first.Load(); tokens > 0 && span > 0 {
+		y.spec.Metrics.Histogram("relay.token.us").Update(1000 * span / tokens)
+	}
+}
+
 // begin writes a stream's header, once: a generation that goes on elsewhere
 // keeps the header and signature of its first upstream.
 func (y *Relay) begin(w http.ResponseWriter, x *exchange, response *http.Response) {
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -87,6 +87,27 @@
 // Len returns the number of requests that wait.
 func (r *Room) Len() int { return len(r.waits) }
 
+// A State is how a line stands at a time.
+type State struct {
+	Waiting int
+	Late    int            // of these, those that can't begin on time any more
+	Age     mgclock.Millis // since the oldest of them came
+}
+
+// State returns how the line stands.
+func (r *Room) State(now mgclock.Millis) State {
+	s := State{
+		Waiting: len(r.waits),
+	}
+	for _, w := range r.waits {
+		if now > w.Due {
+			s.Late++
+		}
+		s.Age = max(s.Age, now-w.Came)
+	}
+	return s
+}
+
 // Add has a request wait, unless it does already.
 func (r *Room) Add(w Wait) {
 	if !slices.ContainsFunc(r.waits, func(other Wait) bool { return other.Name == w.Name }) {
--- a/internal/request/mgroom/room_test.go
+++ b/internal/request/mgroom/room_test.go
@@ -143,6 +143,18 @@
 			So(grants[0].Retry, ShouldBeBetweenOrEqual, retryMin, retryMax)
 			So(r.Len(), ShouldEqual, 20)
 		})
+		Convey("is told of: how many wait, how many are late, since when", func() {
+			var r Room
+			r.Add(wait("on time", 9000, 100))
+			late := wait("late", 9000, 40)
+			late.Came = -60
+			r.Add(late)
+			So(r.State(50), ShouldResemble, State{
+				Waiting: 2,
+				Late:    1,
+				Age:     110,
+			})
+		})
 		Convey("lets only a few pass", func() {
 			var r Room
 			for n := range passes + 1 {
