--- a/internal/process/mgrelay/move_test.go
+++ b/internal/process/mgrelay/move_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -378,7 +377,9 @@
 						Handle:  "h",
 					}
 				}
-				back := make(chan struct{})
+				back := make(chan struct{})   // the list is stale no more
+				enough := make(chan struct{}) // the upstream was asked twice since it left the list
+				var asked atomic.Int64
 				var s *story
 				s = tell(t, copied, goOn)
 				source := func(w http.ResponseWriter, r *http.Request) {
@@ -391,7 +392,7 @@
 					select {
 					case <-s.stop:
 						panic(http.ErrAbortHandler)
-					case <-time.After(time.Second):
+					case <-enough:
 					}
 					for n := 4; n <= 6; n++ {
 						_, _ = fmt.Fprint(w, event(n))
@@ -409,7 +410,12 @@
 						}
 						return look == 1
 					}
-					spec.Probe = func(context.Context, mgrelay.Host) (bool, error) { return c.leaves, nil }
+					spec.Probe = func(context.Context, mgrelay.Host) (bool, error) {
+						if spec.Leaving("a") && asked.Add(1) == 2 {
+							close(enough)
+						}
+						return c.leaves, nil
+					}
 				})
 				got := s.rig.ask(context.Background(), http.MethodPost, "/write/1", "x", nil)
 				So(got.cut, ShouldBeFalse)
