--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -42,10 +42,7 @@
 }
 
 func (y *Relay) probe(ctx context.Context, host Host) {
-	ctx, cancel := context.WithTimeout(ctx, probeWait.Duration())
-	defer cancel()
-	y.spec.Metrics.Counter("relay.probes").Inc(1)
-	leaving, err := y.spec.Probe(ctx, host)
+	leaving, err := y.report(ctx, host, probeWait)
 	if err != nil || !leaving {
 		// A lost answer says nothing; the next one comes in probeSpan.
 		return
@@ -72,10 +69,7 @@
 
 // alive reports whether an upstream says that it stays.
 func (y *Relay) alive(ctx context.Context, host Host) bool {
-	asked, cancel := context.WithTimeout(ctx, stayWait.Duration())
-	defer cancel()
-	y.spec.Metrics.Counter("relay.probes").Inc(1)
-	leaving, err := y.spec.Probe(asked, host)
+	leaving, err := y.report(ctx, host, stayWait)
 	return err == nil && !leaving
 }
 
@@ -87,10 +81,7 @@
 	if y.spec.Probe == nil || !y.spec.Stale() {
 		return true
 	}
-	asked, cancel := context.WithTimeout(ctx, stayWait.Duration())
-	defer cancel()
-	y.spec.Metrics.Counter("relay.probes").Inc(1)
-	leaving, err := y.spec.Probe(asked, host)
+	leaving, err := y.report(ctx, host, stayWait)
 	switch {
 	case ctx.Err() != nil:
 		return false // the run has ended meanwhile, which says nothing of the upstream
@@ -107,6 +98,14 @@
 	return true
 }
 
+// report asks an upstream whether it leaves.
+func (y *Relay) report(ctx context.Context, host Host, wait mgclock.Millis) (leaving bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	y.spec.Metrics.Counter("relay.probes").Inc(1)
+	return y.spec.Probe(ctx, host)
+}
+
 // departed tells of an upstream that says that it leaves.
 func (y *Relay) departed(host Host) {
 	y.spec.Log.Info("an upstream says that it leaves, which the list doesn't show", mglog.Upstream, host.Name)
--- a/internal/request/mgroom/doc.go
+++ b/internal/request/mgroom/doc.go
@@ -11,8 +11,8 @@
 // beyond the reading of their own prompt, with half of all memory free. At times
 // the memory is all but full as well, and requests wait in the line of one engine
 // while another has room a moment later. On the heaviest days there is memory and prompts
-// wait for one another at every engine, 1.3 s in the mean, so that all requests begin
-// late where most could have been on time.
+// wait for one another at every engine, for over a second in the mean, so that all
+// requests begin late where most could have been on time.
 //
 // # Decision
 //
