mgroom: a play of callers that come back

Ten engines are asked for twice what they can do for seven seconds of fifteen, and callers come back once. The policy stays as it is, now with its test, TestReturns.

--- /dev/null
+++ b/internal/request/mgroom/return_test.go
@@ -0,0 +1,127 @@
+package mgroom
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// caller is one that asks, is given up, and comes back once.
+type caller struct {
+	back   mgclock.Millis // when it comes back, 0 for never
+	tries  int
+	served bool
+}
+
+// returns plays ten engines that are asked to read twice what they can for some
+// seconds, and a quarter of it afterwards. Callers that are given up come back once,
+// when they are told to, or after a fixed time where one is given. It returns the
+// part of the callers that are served at all, and the refusals for each.
+func returns(fixed mgclock.Millis) (served, refused float64) {
+	const engines, prompt, span, step = 10, 2800, 60 * mgclock.Second, 20 * mgclock.Millis(1)
+	const goal = 1500 * mgclock.Millis(1)
+	capacity := engines * mgload.ReadRate / prompt // requests a ms
+	read := mgclock.Millis(math.Ceil(prompt / mgload.ReadRate))
+	r := rand.New(rand.NewPCG(5, 6))
+	var room Room
+	list := make([]reader, engines)
+	var callers []*caller
+	refusals := 0.0
+	add := func(now mgclock.Millis, index int) {
+		callers[index].tries++
+		room.Add(Wait{
+			Name: fmt.Sprint(index),
+			Need: prompt,
+			Span: read,
+			Came: now,
+			Due:  now + goal - read,
+			End:  now + 3*goal,
+		})
+	}
+	for now := mgclock.Millis(0); now < span; now += step {
+		rate := 2 * capacity
+		if now%(15*mgclock.Second) >= 7*mgclock.Second {
+			rate = 0.25 * capacity
+		}
+		for arrivals := rate * float64(step); r.Float64() < arrivals; arrivals-- {
+			callers = append(callers, &caller{})
+			add(now, len(callers)-1)
+		}
+		for index, c := range callers {
+			if c.back > 0 && now >= c.back {
+				c.back = 0
+				add(now, index)
+			}
+		}
+		var places []Place
+		for i := range list {
+			places = append(places, Place{
+				Name:    fmt.Sprint(i),
+				Cost:    float64(list[i].pending()) / mgload.ReadRate,
+				Free:    100000,
+				Pending: list[i].pending(),
+			})
+		}
+		room.given = nil // what was given shows in the engines here, at once
+		for _, g := range room.Look(now, places) {
+			var index, place int
+			_, _ = fmt.Sscan(g.Name, &index)
+			c := callers[index]
+			if _, err := fmt.Sscan(g.Place, &place); err == nil {
+				if list[place].left == nil {
+					list[place].left = map[string]int{}
+				}
+				list[place].queue = append(list[place].queue, g.Name)
+				list[place].left[g.Name] = prompt
+				c.served = true
+				continue
+			}
+			refusals++
+			if c.tries < 2 {
+				c.back = now + g.Retry
+				if fixed > 0 {
+					c.back = now + fixed
+				}
+			}
+		}
+		for i := range list {
+			list[i].read(step)
+		}
+	}
+	count := 0.0
+	for _, c := range callers {
+		if c.served {
+			count++
+		}
+	}
+	return count / float64(len(callers)), refusals / float64(len(callers))
+}
+
+// Twice as many reviews are asked for as can be begun, for seven seconds of fifteen.
+// Callers that are given up and come back at once meet the same line, are given up
+// again, and have no answer though the engines have nothing to do some seconds later.
+func TestReturns(t *testing.T) {
+	told, refused := returns(0)
+	atOnce, again := returns(100)
+	t.Logf("served: told when to come back %.3f, back at once %.3f; refusals for each %.2f, %.2f", told, atOnce, refused, again)
+	Convey("Callers that are told when the line will be through", t, func() {
+		Convey("are served more often than if they came back at once", func() {
+			So(told, ShouldBeGreaterThan, atOnce+0.02)
+		})
+		Convey("and are refused less often", func() {
+			So(refused, ShouldBeLessThan, 0.8*again)
+		})
+		Convey("no more are served by any fixed time", func() {
+			for _, fixed := range []mgclock.Millis{500, 1000, 2000, 3000, 5000, 8000} {
+				served, _ := returns(fixed)
+				So(served, ShouldBeLessThanOrEqualTo, told+0.005)
+			}
+		})
+	})
+}
