mgbench: calls that are given up in the line

Cause: with the limit of prompts a call can wait in the line until its deadline.

Change: such a call is left to its caller, who hangs up then. Entries were never concerned: they answer a grant without a place with a refusal.

Test: TestRoomGivesUp, red before.

--- a/internal/bench/mgbench/reclaim.go
+++ b/internal/bench/mgbench/reclaim.go
@@ -170,6 +170,9 @@
 		})
 	}
 	for _, g := range m.room.Look(millis(now), places) {
+		if g.Place == "" {
+			continue // given up at its deadline, at which its caller hangs up
+		}
 		c, u := m.driver.named(g.Name), m.named(g.Place)
 		m.driver.agenda.add(now+grantSpan, func(at float64) { m.driver.submit(at, c, u) })
 	}
--- a/internal/bench/mgbench/reclaim_test.go
+++ b/internal/bench/mgbench/reclaim_test.go
@@ -59,6 +59,22 @@
 	})
 }
 
+// Calls that are given up in the line are named without a place. A run of the bench
+// ended there with a stack trace, once a line grew longer than its callers' patience.
+func TestRoomGivesUp(t *testing.T) {
+	Convey("Calls that wait in the line until their deadline are hung up on", t, func() {
+		s := shortened(packed(), 30)
+		s.Rate *= 2
+		for _, p := range movePolicies() {
+			if p.way != wayRoom {
+				continue
+			}
+			m := simulate(newWorkload(s, 1), p, 1)
+			So(m.percent(m.expired), ShouldBeGreaterThan, 1)
+		}
+	})
+}
+
 // A policy whose gates count on engines that stay would be measured on engines
 // that come back empty, and look broken.
 func TestPlayable(t *testing.T) {
