--- a/internal/process/mgrelay/stale_test.go
+++ b/internal/process/mgrelay/stale_test.go
@@ -93,8 +93,7 @@
 				back := make(chan struct{})   // the list is stale no more
 				enough := make(chan struct{}) // the upstream was asked twice since it left the list
 				var asked atomic.Int64
-				var s *story
-				s = tell(t, copied, goOn)
+				s := tell(t, copied, goOn)
 				source := func(w http.ResponseWriter, r *http.Request) {
 					for n := 1; n <= 3; n++ {
 						_, _ = fmt.Fprint(w, event(n))
