mgrelay: runs stay with missing engines only after an outage

It counted each late watch, of a second, as the platform's absence. An engine that is taken from the list in calm leaves, though some never say so, and its runs stayed to be cut.

Change: the platform counts as away after eight looks in a row, two seconds.

--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -17,9 +17,15 @@
 	// stayWait bounds the answer of a destination, for which a run waits: an
 	// upstream answers in 3 ms, and one that is gone not at all.
 	stayWait = 60 * mgclock.Millis(1)
-	// lapseSpan is how long after the list was stale an upstream that it lacks may
-	// have run out there only: the platform says that those that live are back within
-	// two seconds of its return, and a stale list is noticed 0.25 s late.
+	// outageLooks is the looks in a row, probeSpan apart, at which the list is stale
+	// before the platform counts as away: entries run out after three heartbeats, 3.6 s.
+	// A watch that is late by a second says nothing of that kind, and an upstream that
+	// is gone from the list then leaves, though some never say so: kept after each such
+	// watch, 811 reports failed on twenty days of the earlier sites for 791.
+	outageLooks = 8
+	// lapseSpan is how long after an outage an upstream that the list lacks may have
+	// run out there only: the platform says that those that live are back within two
+	// seconds of its return, which is noticed 0.25 s late.
 	lapseSpan = 2500 * mgclock.Millis(1)
 )
 
@@ -30,11 +36,16 @@
 	if y.spec.Probe == nil {
 		return
 	}
+	looks := 0 // in a row at which the list was stale
 	for y.spec.Clock.Sleep(ctx, probeSpan) {
 		if !y.spec.Stale() {
+			looks = 0
 			continue
 		}
-		y.stale.Store(int64(y.spec.Clock.Now()))
+		looks++
+		if looks >= outageLooks {
+			y.outage.Store(int64(y.spec.Clock.Now()))
+		}
 		for _, host := range y.runs.hosts() {
 			go y.probe(ctx, host)
 		}
@@ -56,10 +67,10 @@
 // still had, and of 200 reports ten paused for 0.2 to 0.8 s behind one another's
 // copies. One that says that it leaves, or nothing, isn't waited for.
 func (y *Relay) returns(ctx context.Context, host Host) bool {
-	if y.spec.Missing == nil || y.spec.Probe == nil || y.stale.Load() == 0 {
+	if y.spec.Missing == nil || y.spec.Probe == nil || y.outage.Load() == 0 {
 		return false
 	}
-	for y.spec.Clock.Now() < mgclock.Millis(y.stale.Load())+lapseSpan && y.spec.Missing(host.Name) {
+	for y.spec.Clock.Now() < mgclock.Millis(y.outage.Load())+lapseSpan && y.spec.Missing(host.Name) {
 		if !y.alive(ctx, host) || !y.spec.Clock.Sleep(ctx, probeSpan) {
 			return false
 		}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -82,7 +82,8 @@
 	spec  Spec
 	runs  runs
 	count atomic.Uint64 // ordinary answers
-	stale atomic.Int64  // when the list was stale last, ms of the clock; 0 for never
+	// outage is when the platform was away last, ms of the clock; 0 for never.
+	outage atomic.Int64
 }
 
 // New returns a relay.
