mgrelay: a late watch alone keeps no runs: its test

TestLapsedStays plays it beside the outage; with one look for an outage it is red. A comment names what it measured more plainly. No change of behaviour.

--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -21,7 +21,7 @@
 	// before the platform counts as away: entries run out after three heartbeats, 3.6 s.
 	// A watch that is late by a second says nothing of that kind, and an upstream that
 	// is gone from the list then leaves, though some never say so: kept after each such
-	// watch, 811 reports failed on twenty days of the earlier sites for 791.
+	// watch, 811 reports failed in twenty plays of days with a dozen engines for 791.
 	outageLooks = 8
 	// lapseSpan is how long after an outage an upstream that the list lacks may have
 	// run out there only: the platform says that those that live are back within two
--- a/internal/process/mgrelay/stale_test.go
+++ b/internal/process/mgrelay/stale_test.go
@@ -70,17 +70,25 @@
 func TestLapsedStays(t *testing.T) {
 	Convey("After the platform was away an upstream that its list lacks", t, func() {
 		for name, c := range map[string]struct {
+			looks  int64 // at which the list is stale, a quarter of a second apart
 			leaves bool
 			moved  bool
 		}{
-			"keeps its runs while it says that it stays": {},
+			"keeps its runs while it says that it stays": {
+				looks: 10,
+			},
 			"is left at once where it says that it leaves": {
+				looks:  10,
 				leaves: true,
 				moved:  true,
 			},
+			"is left at once after a watch that was late only": {
+				looks: 1,
+				moved: true,
+			},
 		} {
 			Convey(name, func() {
-				var looks atomic.Int64 // at whether the list is stale, which it is for 2.5 s
+				var looks atomic.Int64 // at whether the list is stale
 				copied := func(s *story, order mgrelay.Order) mgmigration.Reply {
 					if order.Last {
 						close(s.stop)
@@ -117,10 +125,10 @@
 					spec.Departed = func(string) {}
 					spec.Stale = func() bool {
 						look := looks.Add(1)
-						if look == 11 {
+						if look == c.looks+1 {
 							close(back)
 						}
-						return look <= 10
+						return look <= c.looks
 					}
 					spec.Probe = func(context.Context, mgrelay.Host) (bool, error) {
 						if spec.Leaving("a") && asked.Add(1) == 2 {
