--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -63,6 +63,7 @@
 	shares      atomic.Pointer[mgshare.Loop] // of an entry, else nil
 	serving     atomic.Bool                  // the listeners for work are open
 	leaving     atomic.Bool
+	told        readsTold // tick's own
 	servers     sync.WaitGroup
 	killed      context.Context
 	kill        context.CancelFunc
@@ -244,11 +245,11 @@
 	return nil
 }
 
-// tick lets suspicions run out, and shows a table that was refused.
+// tick lets suspicions run out, and shows what the process does to know what is new.
 func (n *Node) tick(ctx context.Context) {
 	for n.clock.Sleep(ctx, mgclock.Second) {
 		n.members.Tick(n.clock.Now())
-		n.metrics.Gauge("rejected").Update(int64(n.loop.Status().Refused))
+		n.tellReads(n.loop.Status())
 	}
 }
 
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -114,7 +114,6 @@
 			continue
 		}
 		s.busy = true
-		m.counts.Reads++
 		actions = append(actions, m.readSource(s))
 	}
 	return actions
@@ -128,12 +127,14 @@
 		every = plainQuick
 	}
 	if s.version == 0 || !m.watching() || s.rounds%every == 0 {
+		m.counts.read(m.plainReason(s))
 		return Action{
 			kind:   Read,
 			key:    s.key,
 			answer: m.spec.Answer,
 		}
 	}
+	m.counts.read(m.watchReason(s))
 	action := Action{
 		kind:   Watch,
 		key:    s.key,
@@ -148,6 +149,26 @@
 	return action
 }
 
+// plainReason returns the count of a plain read.
+func (m *Machine) plainReason(s *source) *int {
+	if s.version == 0 || !m.watching() {
+		return &m.counts.First
+	}
+	return &m.counts.Plain
+}
+
+// watchReason returns the count of a watch.
+func (m *Machine) watchReason(s *source) *int {
+	switch {
+	case s == &m.manifest:
+		return &m.counts.Table
+	case m.quick(s) && m.leads():
+		return &m.counts.Quick
+	default:
+		return &m.counts.Slow
+	}
+}
+
 // quick reports whether a source's changes must be known within tens of ms.
 func (m *Machine) quick(s *source) bool { return s == &m.vms && m.spec.Quick > 0 }
 
@@ -253,6 +274,7 @@
 	unchanged := errors.Is(result.Err, mgplatform.ErrUnchanged)
 	if result.Err != nil && !unchanged {
 		s.failures++
+		m.counts.Failed++
 		if m.Current() == nil || m.quick(s) {
 			s.next = now + firstRetry/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), firstRetry<<min(s.failures, maxShift)))
 			return false
--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -198,7 +198,7 @@
 
 func (m *Machine) readPage(digest string) []Action {
 	m.pull.busy = true
-	m.counts.Reads++
+	m.counts.read(&m.counts.Pages)
 	return []Action{{
 		kind: Read,
 		pull: m.pull.id,
--- a/internal/version/mgconfig/status.go
+++ b/internal/version/mgconfig/status.go
@@ -9,6 +9,21 @@
 	Reads     int `json:"reads"`     // of the platform, watches included
 	Adoptions int `json:"adoptions"`
 	Lists     int `json:"lists"` // lists of VMs adopted
+
+	// Reads by reason, which are those of Reads and no others.
+	First  int `json:"first"`  // of a key without a value yet, or polled
+	Plain  int `json:"plain"`  // in place of each so manieth watch
+	Quick  int `json:"quick"`  // watches of the list for others
+	Slow   int `json:"slow"`   // watches of the list for this process alone
+	Table  int `json:"table"`  // watches for versions of the table
+	Pages  int `json:"pages"`  // of the table
+	Failed int `json:"failed"` // of all reads, those that brought no answer
+}
+
+// read counts a read of the platform and its reason.
+func (c *Counts) read(reason *int) {
+	c.Reads++
+	*reason++
 }
 
 // Status is a machine's state for the dump.
