--- a/internal/request/mgretry/retry_test.go
+++ b/internal/request/mgretry/retry_test.go
@@ -206,7 +206,8 @@
 		for _, processes := range []int{1, 2, 5, 24} {
 			So(processes*mgretry.Share(56, processes), ShouldBeLessThanOrEqualTo, 56)
 		}
-		So(mgretry.Share(56, 5), ShouldEqual, 7)
+		So(mgretry.Share(56, 5), ShouldEqual, 10)
+		So(mgretry.Share(246, 104), ShouldEqual, 2)
 		So(mgretry.Share(0, 0), ShouldEqual, 1)
 		Convey("and no more, once bounded", func() {
 			var budgets mgretry.Budgets
@@ -217,7 +218,7 @@
 				for b.Spend() {
 					spent++
 				}
-				So(spent, ShouldEqual, 7)
+				So(spent, ShouldEqual, 10)
 			}
 		})
 	})
