mgconfig: a hub reads for its cell after 0.8 s without the reader's word

Cause: engines that started together beat together, and the reader's watch takes up to 0.6 s then. A question to the reader that fails has the hub read at once.

--- a/internal/version/mgconfig/listen.go
+++ b/internal/version/mgconfig/listen.go
@@ -18,10 +18,13 @@
 // any other process once a second.
 
 const (
-	// hubHold is how long a hub's question is held while there is nothing new. With
-	// the reader's own watch of about 100 ms it keeps the hub's word younger than
-	// wordAge, also after a second way to the processes of its cell.
+	// hubHold is how long a hub's question is held while there is nothing new: what the
+	// way over the hub adds to the age of the reader's word.
 	hubHold = 150 * mgclock.Millis(1)
+	// hubRest is how old the reader's word is when a hub reads for its cell. Engines
+	// that started together beat together, and the reader's own watch takes up to
+	// quickWatch then; with 500 ms each hub read 1.4 times a second beside the reader.
+	hubRest = quickWatch + 200
 	// cellHold is the same for the other processes, which hear of the hub's life by
 	// their reports of load as well.
 	cellHold = 500 * mgclock.Millis(1)
@@ -71,7 +74,7 @@
 	if now < m.join.began+meetSpan && now >= m.listeners+listenersLife && len(r.view.Able(m.spec.Region)) > 0 {
 		return false
 	}
-	return r.reader == nil || r.hub == nil && now >= m.confirmed+wordAge
+	return r.reader == nil || r.hub == nil && now >= m.confirmed+hubRest
 }
 
 // Asked takes that another process listens at this one, and reports whether that
@@ -162,6 +165,7 @@
 		if m.roles().hub == nil {
 			// Only a hub has no other calls to the reader that would show it dead.
 			m.members.Failed(now, from)
+			m.vms.next = min(m.vms.next, now)
 		}
 		return nil
 	}
@@ -214,7 +218,7 @@
 	switch {
 	case r.reader == nil:
 	case r.hub == nil:
-		m.vms.next = max(m.vms.next, at+wordAge)
+		m.vms.next = max(m.vms.next, at+hubRest)
 	default:
 		m.vms.next = max(m.vms.next, at+slowPause)
 	}
