--- a/internal/process/mgnode/list_test.go
+++ b/internal/process/mgnode/list_test.go
@@ -94,7 +94,7 @@
 
 // A process is told of the others by the one that gathers them, and must not take
 // bytes that are no rows for "none are known".
-func TestSight(t *testing.T) {
+func TestGossip(t *testing.T) {
 	Convey("A process that tells another of itself", t, func() {
 		var version atomic.Uint64
 		version.Store(5)
@@ -102,7 +102,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), mgclock.Minute.Duration())
 		defer cancel()
 		tell := func(name string) []string {
-			known, err := n.sight(ctx, addr, []mgmember.Sighting{{
+			known, err := n.gossip(ctx, addr, []mgmember.Gossip{{
 				Name: name,
 				Addr: name + ":1",
 			}})
@@ -126,10 +126,10 @@
 					_, _ = w.Write([]byte(body))
 				}))
 				defer server.Close()
-				_, err := n.sight(ctx, strings.TrimPrefix(server.URL, "http://"), nil)
+				_, err := n.gossip(ctx, strings.TrimPrefix(server.URL, "http://"), nil)
 				So(err, ShouldNotBeNil)
 				recorder := httptest.NewRecorder()
-				n.serveSightings(recorder, httptest.NewRequest(http.MethodPost, sightPath, strings.NewReader(body)))
+				n.serveGossip(recorder, httptest.NewRequest(http.MethodPost, gossipPath, strings.NewReader(body)))
 				So(recorder.Code, ShouldEqual, http.StatusBadRequest)
 			})
 		}
@@ -138,7 +138,7 @@
 
 func mustPack(t *testing.T) []byte {
 	t.Helper()
-	body, err := packSightings([]mgmember.Sighting{{
+	body, err := packGossip([]mgmember.Gossip{{
 		Name: "entry-2",
 	}})
 	if err != nil {
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -46,7 +46,7 @@
 			return n.peer(addr).Fetch(ctx, r)
 		},
 		Listen: n.listen,
-		Sight:  n.sight,
+		Gossip: n.gossip,
 	}
 }
 
@@ -67,7 +67,7 @@
 	router := chi.NewRouter()
 	router.Mount(mgrpc.PeerPathPrefix, mgrpc.NewPeerServer(peerServer{node: n}))
 	router.Get(listPath, n.serveList)
-	router.Post(sightPath, n.serveSightings)
+	router.Post(gossipPath, n.serveGossip)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		role := n.role.Load()
 		if role == nil {
--- a/internal/version/mgconfig/action.go
+++ b/internal/version/mgconfig/action.go
@@ -17,7 +17,7 @@
 	Read                     // read a value of the platform
 	Watch                    // watch a value of the platform
 	Listen                   // wait at a peer for a newer list of VMs
-	Sight                    // tell a peer of processes that are known, and be told
+	Gossip                   // tell a peer of processes that are known, and be told
 )
 
 // An Action is what a machine wants done. Every action gets one Result.
@@ -32,7 +32,7 @@
 	after   uint64
 	wait    mgclock.Millis
 	answer  mgclock.Millis // longest time for the answer, beyond wait
-	sights  []mgmember.Sighting
+	gossip  []mgmember.Gossip
 }
 
 // Kind returns what to do.
@@ -59,8 +59,8 @@
 // Wait returns how long a watch waits.
 func (a Action) Wait() mgclock.Millis { return a.wait }
 
-// Sights returns what a peer is told of processes.
-func (a Action) Sights() []mgmember.Sighting { return a.sights }
+// Gossip returns what a peer is told of processes.
+func (a Action) Gossip() []mgmember.Gossip { return a.gossip }
 
 // A ResultSpec is what came of an action: Err, or what the kind of action
 // brings.
@@ -71,6 +71,6 @@
 	Values  [][]byte       // of a fetch, decompressed
 	List    []byte         // of a fetch or what was listened for, decompressed
 	Word    Word           // of whom was listened at
-	Sights  []mgmember.Sighting
+	Gossip  []mgmember.Gossip
 	Value   mgplatform.Value // of a read or watch
 }
--- a/internal/version/mgconfig/doc.go
+++ b/internal/version/mgconfig/doc.go
@@ -42,7 +42,7 @@
 //
 // Where changes of the list of VMs must be known at once (MachineSpec.Quick), one
 // process of a region reads it for all, as listen.go says. Where the platform lists no
-// processes, they tell one another of those that they heard, as sight.go says.
+// processes, they tell one another of those that they heard, as gossip.go says.
 //
 // # Terms
 //
--- a/internal/version/mgconfig/fleet_test.go
+++ b/internal/version/mgconfig/fleet_test.go
@@ -223,8 +223,8 @@
 	switch a.Kind() {
 	case Listen:
 		f.listen(n, a, finish)
-	case Sight:
-		f.sight(n, a, finish)
+	case Gossip:
+		f.gossip(n, a, finish)
 	case Exchange, Fetch:
 		f.call(n, a, finish)
 	default:
--- a/internal/version/mgconfig/listen.go
+++ b/internal/version/mgconfig/listen.go
@@ -89,9 +89,9 @@
 	return false
 }
 
-// teacher returns at whom this process listens, and how long a question is held, or
+// to returns at whom this process listens, and how long a question is held, or
 // nil where it listens at nobody.
-func (m *Machine) teacher() (teacher *mgmember.Member, hold mgclock.Millis) {
+func (m *Machine) listensTo() (to *mgmember.Member, hold mgclock.Millis) {
 	r := m.roles()
 	switch {
 	case r.reader == nil:
@@ -135,8 +135,8 @@
 	if m.spec.Quick == 0 || l.busy || now < l.next {
 		return nil
 	}
-	teacher, hold := m.teacher()
-	if teacher == nil {
+	to, hold := m.listensTo()
+	if to == nil {
 		l.once = false
 		l.next = now + listenLook
 		return nil
@@ -145,8 +145,8 @@
 	m.counts.Listens++
 	return []Action{{
 		kind:   Listen,
-		peer:   teacher.Name(),
-		addr:   teacher.PeerAddr(),
+		peer:   to.Name(),
+		addr:   to.PeerAddr(),
 		key:    mgplatform.ListKey,
 		after:  m.members.View().Version(),
 		wait:   hold,
--- a/internal/version/mgconfig/listen_fleet_test.go
+++ b/internal/version/mgconfig/listen_fleet_test.go
@@ -104,17 +104,17 @@
 	})
 }
 
-// sight carries what a member tells another of processes.
-func (f *fleet) sight(n *node, a Action, finish func(ResultSpec)) {
+// gossip carries what a member tells another of processes.
+func (f *fleet) gossip(n *node, a Action, finish func(ResultSpec)) {
 	to := f.byName[a.Addr()]
 	f.net.Send(n.name, to.name, callBytes/2, func() {
 		if f.dead[to.name] {
 			return
 		}
-		sights := to.machine.Sighted(f.net.Now(), a.Sights())
+		told := to.machine.Gossiped(f.net.Now(), a.Gossip())
 		f.net.Send(to.name, n.name, callBytes/2, func() {
 			finish(ResultSpec{
-				Sights: sights,
+				Gossip: told,
 			})
 		})
 	})
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -42,8 +42,8 @@
 	// It is needed where MachineSpec.Quick is set.
 	Listen func(ctx context.Context, addr string, after uint64, wait mgclock.Millis) (Listing, error)
 
-	// Sight tells the peer at an address of processes, and returns what it knows.
-	Sight func(ctx context.Context, addr string, all []mgmember.Sighting) ([]mgmember.Sighting, error)
+	// Gossip tells the peer at an address of processes, and returns what it knows.
+	Gossip func(ctx context.Context, addr string, all []mgmember.Gossip) ([]mgmember.Gossip, error)
 
 	// Adopted is told of each snapshot put in force, in order. It may be nil.
 	// It must not call the loop and return soon: a control event is the right
@@ -202,11 +202,11 @@
 	l.step(func(m *Machine, now mgclock.Millis) []Action { return m.Take(now, word, from) })
 }
 
-// Sighted serves a peer that tells of processes.
-func (l *Loop) Sighted(all []mgmember.Sighting) []mgmember.Sighting {
+// Gossiped serves a peer that tells of processes.
+func (l *Loop) Gossiped(all []mgmember.Gossip) []mgmember.Gossip {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.machine.Sighted(l.spec.Clock.Now(), all)
+	return l.machine.Gossiped(l.spec.Clock.Now(), all)
 }
 
 // Listing returns this process's word, and the list of VMs as soon as it is newer than
@@ -352,8 +352,8 @@
 		if result.Err == nil && listing.Packed != nil {
 			result.List, result.Err = decompress(listing.Packed)
 		}
-	case Sight:
-		result.Sights, result.Err = l.spec.Sight(ctx, action.addr, action.sights)
+	case Gossip:
+		result.Gossip, result.Err = l.spec.Gossip(ctx, action.addr, action.gossip)
 	case Read:
 		result.Value, result.Err = l.spec.Platform.Read(ctx, action.key)
 	case Watch:
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -74,7 +74,7 @@
 	listPull  listPull
 	listening listening
 	listeners mgclock.Millis // when another listened at this process last
-	sighting  sighting
+	gossiping gossiping
 	assigned  roles           // as of the last view; see the method roles
 	asked     map[string]bool // peers with an exchange under way
 	join      join
@@ -102,7 +102,7 @@
 	m.manifest.key = mgplatform.ManifestKey
 	m.vms.key = mgplatform.ListKey
 	m.exchange = now + m.jitter(exchangeSpan)
-	m.sighting.next = now + m.jitter(sightFirst)
+	m.gossiping.next = now + m.jitter(gossipFirst)
 	m.tick = now + tickSpan
 	m.vms.next = now + m.jitter(spec.Spread)
 	m.manifest.next = m.vms.next
@@ -138,7 +138,7 @@
 	}
 	actions = append(actions, m.readPlatform(now)...)
 	actions = append(actions, m.listen(now)...)
-	actions = append(actions, m.tellSightings(now)...)
+	actions = append(actions, m.gossip(now)...)
 	if now >= m.exchange {
 		m.exchange = now + exchangeSpan*3/4 + m.jitter(exchangeSpan/2)
 		actions = append(actions, m.ask(m.choose())...)
@@ -150,7 +150,7 @@
 
 // Wake returns when Tick is due next.
 func (m *Machine) Wake() mgclock.Millis {
-	wake := min(m.tick, m.exchange, m.join.wake(), m.sighting.wake())
+	wake := min(m.tick, m.exchange, m.join.wake(), m.gossiping.wake())
 	wake = min(wake, m.manifest.wake(), m.vms.wake())
 	if m.spec.Quick > 0 {
 		wake = min(wake, m.listening.wake())
@@ -171,8 +171,8 @@
 		return m.fetched(now, result)
 	case Listen:
 		return m.listened(now, result)
-	case Sight:
-		return m.sighted(now, result)
+	case Gossip:
+		return m.gossiped(now, result)
 	default:
 		return m.answered(now, result)
 	}
--- a/internal/version/mgmember/doc.go
+++ b/internal/version/mgmember/doc.go
@@ -26,5 +26,7 @@
 //     infection-style process group membership, DSN (2002).
 //   - N. Hayashibara, X. Défago, R. Yared, T. Katayama, The φ accrual failure
 //     detector, SRDS (2004).
+//   - R. van Renesse, Y. Minsky, M. Hayden, A gossip-style failure detection
+//     service, Middleware (1998).
 //   - M. Nygard, Release It! (2007), on circuit breakers.
 package mgmember
--- a/internal/version/mgmember/sighting.go
+++ b/internal/version/mgmember/gossip.go
@@ -5,11 +5,11 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// A Sighting is a process that the platform's list doesn't name, as one process tells
-// another of it: where it is, and how long ago anyone heard it directly. The age is
-// told on and grows with the time, so that no two processes keep a third alive by each
-// other's word.
-type Sighting struct {
+// A Gossip is what one process tells another of a third that the platform's list
+// doesn't name: where it is, and how long ago anyone heard it directly. The age is told
+// on and grows with the time, so that no two processes keep a third alive by each
+// other's word (gossip-style failure detection).
+type Gossip struct {
 	Name   string         `json:"name"`
 	Addr   string         `json:"addr"` // where other processes reach it
 	Zone   string         `json:"zone"`
@@ -18,19 +18,19 @@
 	Age    mgclock.Millis `json:"age"`
 }
 
-// Sightings returns the processes that are known though the list doesn't name them.
+// Gossip returns what is known of processes that the list doesn't name.
 // On a platform that lists all processes there are none.
-func (m *Members) Sightings(now mgclock.Millis) []Sighting {
+func (m *Members) Gossip(now mgclock.Millis) []Gossip {
 	view := m.View()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var all []Sighting
+	var all []Gossip
 	for _, member := range view.All() {
 		e := m.evidence[member.Name()]
 		if member.Listed() || !member.Peer() || e == nil || !e.everHeard || now >= e.heard+heardLife {
 			continue
 		}
-		all = append(all, Sighting{
+		all = append(all, Gossip{
 			Name:   member.Name(),
 			Addr:   member.PeerAddr(),
 			Zone:   member.Zone(),
@@ -42,23 +42,23 @@
 	return all
 }
 
-// Sighted takes another process's sightings, and reports whether any of them was not
-// known. One rebuild of the view serves all that are new.
-func (m *Members) Sighted(now mgclock.Millis, all []Sighting) bool {
+// TakeGossip takes what another process tells, and reports whether any process in it
+// was not known. One rebuild of the view serves all that are new.
+func (m *Members) TakeGossip(now mgclock.Millis, all []Gossip) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	fresh := false
-	for _, s := range all {
-		if s.Age < 0 || s.Age >= heardLife || s.Addr == "" {
+	for _, g := range all {
+		if g.Age < 0 || g.Age >= heardLife || g.Addr == "" {
 			continue
 		}
-		fresh = m.introduce(now-s.Age, mgplatform.VM{
-			Name:   s.Name,
+		fresh = m.introduce(now-g.Age, mgplatform.VM{
+			Name:   g.Name,
 			Kind:   mgplatform.EntryKind,
-			Addr:   s.Addr,
-			Zone:   s.Zone,
-			Region: s.Region,
-			Power:  s.Power,
+			Addr:   g.Addr,
+			Zone:   g.Zone,
+			Region: g.Region,
+			Power:  g.Power,
 		}) || fresh
 	}
 	if fresh {
