mgwarm, mgtable, mgrelay: cold upstreams get the requests that they bear; requests run at home

Cause: neither what the platform says of cold engines nor where a request may run was read.

Cold: by the list, which shows how much longer and is new only where that rises, and after a failure until the upstream has answered for as long as a start takes, as the list shows no start while the platform is away. Who gives places counts them, half the rate each; without a place a process has turns of a second at drawn times that sum to a quarter of the rate for 360 processes or as many as are known. Health responses are not read for it: none is asked for.

Homes: of route and account, both bind; requests that have some upstreams left out choose by themselves, as who gives places doesn't know of homes. Where there is none at home they are refused at once.

Ruled out: treating all upstreams as cold while the platform is silent, which would hold a service with a low rate to it for the whole outage.

--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -43,6 +43,7 @@
 	Services []string `json:"services,omitempty"`
 	State    string   `json:"state"`
 	Power    int      `json:"power,omitempty"` // of its processor and link, relative to others; 0 where nobody says
+	Cold     int64    `json:"cold,omitempty"`  // ms for which it bears few requests a second yet
 	Born     int64    `json:"born,omitempty"`  // when it started, where the platform says; rises with each start under its name
 }
 
--- a/internal/process/mgentry/agents.go
+++ b/internal/process/mgentry/agents.go
@@ -18,6 +18,8 @@
 	// hosts are the upstreams that this entry reaches directly and that stay, by
 	// service.
 	hosts map[string][]*mgmember.Member
+	// givers is how many processes of the region give places at these, by service.
+	givers map[string]int
 }
 
 // fleet returns the agents of the present view. The first request after a
@@ -34,15 +36,16 @@
 		return old
 	}
 	made := prepare(view, old)
-	divide(made.hosts, view.Cell(e.spec.Settings.Name, e.spec.Settings.Region))
+	made.divide(view.Cell(e.spec.Settings.Name, e.spec.Settings.Region))
 	e.known.Store(made)
 	return made
 }
 
 func prepare(view *mgmember.View, old *fleet) *fleet {
 	made := &fleet{
-		view:  view,
-		hosts: map[string][]*mgmember.Member{},
+		view:   view,
+		hosts:  map[string][]*mgmember.Member{},
+		givers: map[string]int{},
 	}
 	var list []mgrouting.Upstream
 	for _, member := range view.All() {
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -30,6 +30,8 @@
 	spec.Left = e.left
 	spec.Departed = e.spec.Left
 	spec.Zone = e.spec.Settings.Zone
+	spec.Name = e.spec.Settings.Name
+	spec.Processes = func() int { return 1 + len(e.spec.View().Peers()) }
 	spec.Failed = e.spec.Failed
 	spec.Answered = e.spec.Answered
 	spec.Leaving = e.leavingUpstream
@@ -109,29 +111,48 @@
 // every returns all upstreams that run a service, are reached directly and
 // stay.
 func (e *Entry) every(service string) []mgrelay.Host {
-	hosts := e.fleet().hosts[service]
+	fleet := e.fleet()
+	hosts := fleet.hosts[service]
+	now, span := e.spec.Clock.Now(), e.coldSpan(service)
 	list := make([]mgrelay.Host, 0, len(hosts))
 	for _, member := range hosts {
 		list = append(list, mgrelay.Host{
 			Name:    member.Upstream(),
 			Addr:    member.Addr(),
 			Zone:    member.Zone(),
+			Region:  member.Region(),
 			Suspect: member.Suspect(),
+			Cold:    member.Cold(now, span),
+			Givers:  fleet.givers[service],
 		})
 	}
 	return list
 }
 
+// coldSpan returns for how long an upstream of a service is cold after its start.
+func (e *Entry) coldSpan(service string) mgclock.Millis {
+	table := e.spec.Table()
+	if table == nil {
+		return 0
+	}
+	if found := table.Service(service); found != nil {
+		return found.Cold()
+	}
+	return 0
+}
+
 // cellHosts is the least number of a service's upstreams that a cell must have for
 // its entries to keep to these: of fewer one that fails is too much.
 const cellHosts = 12
 
 // divide gives this entry's cell its part of each service's upstreams, so that
 // what it knows of them is what all that use them have sent.
-func divide(hosts map[string][]*mgmember.Member, cell mgmember.Cell) {
-	for service, all := range hosts {
+func (f *fleet) divide(cell mgmember.Cell) {
+	for service, all := range f.hosts {
+		f.givers[service] = cell.Of
 		if cell.Of > 1 && len(all) >= cellHosts*cell.Of {
-			hosts[service] = mgmember.Part(all, cell.Number, cell.Of)
+			f.hosts[service] = mgmember.Part(all, cell.Number, cell.Of)
+			f.givers[service] = 1
 		}
 	}
 }
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -17,6 +17,7 @@
 	call    Call
 	id      string
 	service string
+	homes   homes
 	method  string
 	target  string // path and query as the caller sent them
 	host    string
@@ -30,8 +31,9 @@
 	sent     mgclock.Millis // when the last attempt was sent
 	pending  int            // prompt tokens that are counted as not yet read
 	tried    map[string]bool
-	attempts int // sends that may have reached an upstream
-	dials    int // upstreams that could not be reached
+	attempts int  // sends that may have reached an upstream
+	cold     bool // an upstream was passed over as it is cold
+	dials    int  // upstreams that could not be reached
 	last     string
 	refusal  *answer        // the last upstream's word that it did not run
 	failure  *answer        // the last upstream's answer that it failed
@@ -79,6 +81,7 @@
 		control: http.NewResponseController(w),
 	}
 	x.service = serviceOf(call.Route, x.id)
+	x.homes = homesOf(call)
 	x.size = y.spec.Form.sizeOf(r.Header)
 	if text := r.Header.Get(y.spec.Form.Deadline); text != "" {
 		deadline, err := strconv.ParseInt(text, 10, 64)
--- /dev/null
+++ b/internal/process/mgrelay/home_test.go
@@ -0,0 +1,93 @@
+package mgrelay_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
+)
+
+// A customer's documents may not leave their country. The nearest engine with room is
+// across the border, or the one that is left once another has failed is.
+func TestHomes(t *testing.T) {
+	Convey("A request runs at home only", t, func() {
+		for name, c := range map[string]struct {
+			route   string // homes
+			account string
+			regions []string // of the upstreams a, b and c
+			signed  string   // who answers, or nobody
+		}{
+			"where its route has homes": {
+				route:   `homes = ["south"]`,
+				regions: []string{"north", "south", "south"},
+				signed:  "signed by b",
+			},
+			"where its account has homes": {
+				account: `homes = ["south"]`,
+				regions: []string{"north", "north", "south"},
+				signed:  "signed by c",
+			},
+			"where both have homes, which both bind": {
+				route:   `homes = ["south", "east"]`,
+				account: `homes = ["north", "east"]`,
+				regions: []string{"north", "south", "east"},
+				signed:  "signed by c",
+			},
+			"and is refused at once where no upstream is at home": {
+				route:   `homes = ["south"]`,
+				regions: []string{"north", "north", "east"},
+			},
+			"and is refused at once where its route and its account have no home in common": {
+				route:   `homes = ["south"]`,
+				account: `homes = ["north"]`,
+				regions: []string{"north", "south", "east"},
+			},
+			"anywhere where nothing is said": {
+				regions: []string{"north", "south", "east"},
+				signed:  "signed by a",
+			},
+		} {
+			Convey(name, func() {
+				g := open(t, say("x"), say("x"), say("x"))
+				text := strings.Replace(plan, `prefix = "/once/"`, "prefix = \"/once/\"\n"+c.route, 1)
+				text = strings.Replace(text, `[[account]]`, "[[account]]\n"+c.account, 1)
+				table, err := mgtable.Parse([]byte(text))
+				So(err, ShouldBeNil)
+				g.table = table
+				for i, region := range c.regions {
+					g.hosts[i].Region = region
+				}
+				got := g.ask(context.Background(), http.MethodPost, "/once/1", "x", nil)
+				if c.signed == "" {
+					So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+					So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+					So(g.runs(), ShouldBeEmpty)
+					return
+				}
+				So(got.header.Get("Signature"), ShouldEqual, c.signed)
+				So(len(g.runs()), ShouldEqual, 1)
+			})
+		}
+	})
+	Convey("Who gives places isn't asked where homes leave upstreams out", t, func() {
+		g := open(t, say("x"), say("x"))
+		table, err := mgtable.Parse([]byte(strings.Replace(plan, `prefix = "/write/"`, "prefix = \"/write/\"\nhomes = [\"south\"]", 1)))
+		So(err, ShouldBeNil)
+		g.table = table
+		g.hosts[0].Region = "north"
+		g.hosts[1].Region = "south"
+		g.with(func(spec *mgrelay.Spec) {
+			spec.Place = func(context.Context, string, mgroom.Wait) (mgroom.Grant, bool) {
+				return mgroom.Grant{Place: "a"}, true
+			}
+		})
+		got := g.ask(context.Background(), http.MethodPost, "/write/1", "x", nil)
+		So(got.header.Get("Signature"), ShouldEqual, "signed by b")
+	})
+}
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -6,6 +6,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
@@ -14,7 +15,10 @@
 	Name    string // the upstream's name, which it checks
 	Addr    string // IP and port
 	Zone    string
+	Region  string
 	Suspect bool // it failed lately
+	Cold    bool // it may have started a moment ago
+	Givers  int  // processes that give places at it, 1 at least
 }
 
 // spot is an upstream and what a request costs there.
@@ -25,6 +29,7 @@
 	free int     // tokens of memory that nothing takes, where that is known
 	read int     // prompt tokens that are yet to be read
 	shun bool    // it failed lately, and others are well
+	cold bool    // it bears few requests now; see mgwarm
 }
 
 // shunCost puts upstreams that failed lately behind all others, in ms.
@@ -36,7 +41,7 @@
 	query.Memory = x.size.memory()
 	query.Capacity = capacity(x.call.Table, x.service)
 	query.Tokens = max(x.size.output, 1)
-	list := y.costs(x.service, query, y.others())
+	list := slices.DeleteFunc(y.costs(x.service, query, y.others()), func(s spot) bool { return !x.homes.allow(s.host.Region) })
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b spot) int {
 		switch {
@@ -105,6 +110,8 @@
 			free: query.Capacity - state.Row.Memory,
 			read: state.Row.Pending,
 			shun: host.Suspect || faulty(weights[i]),
+			// Others may have seen it fail, and start anew, where this process didn't.
+			cold: host.Cold || weights[i] > 0,
 		}
 		if spot.shun {
 			spot.cost += shunCost
@@ -126,18 +133,26 @@
 	if len(spots) == 0 {
 		return nil
 	}
+	ramp := 0.0
+	if found := table.Service(service); found != nil {
+		ramp = found.Ramp()
+	}
 	places := make([]mgroom.Place, 0, len(spots))
 	for _, spot := range spots {
 		if spot.shun {
 			continue
 		}
-		places = append(places, mgroom.Place{
+		place := mgroom.Place{
 			Name:    spot.host.Name,
 			Cost:    spot.cost,
 			Slow:    spot.slow,
 			Free:    spot.free,
 			Pending: spot.read,
-		})
+		}
+		if spot.cold && ramp > 0 {
+			place.Ramp = mgwarm.Placed(ramp, spot.host.Givers)
+		}
+		places = append(places, place)
 	}
 	return places
 }
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -34,6 +35,10 @@
 	Load   *mgload.Count
 	Others func() mgload.Report
 	Zone   string
+	// Name is this process's, and Processes returns how many it knows of, itself
+	// included; see mgwarm. Nil bounds nothing.
+	Name      string
+	Processes func() int
 	// Failed tells of an upstream that could not be reached, Answered of one
 	// that answered.
 	Failed   func(upstream string)
@@ -87,6 +92,7 @@
 type Relay struct {
 	spec  Spec
 	runs  runs
+	turns mgwarm.Turns
 	count atomic.Uint64 // ordinary answers
 	// outage is when the platform was away last, ms of the clock; 0 for never.
 	outage atomic.Int64
@@ -176,13 +182,26 @@
 		return host, x.problem == nil
 	}
 	for _, spot := range y.spots(x, mgload.Query{Zone: y.spec.Zone}) {
-		if !x.tried[spot.host.Name] {
+		if x.tried[spot.host.Name] {
+			continue
+		}
+		if !spot.host.Cold || y.warmTurn(x, spot.host) {
 			return spot.host, true
 		}
+		x.cold = true
 	}
 	return Host{}, false
 }
 
+// warmTurn reports whether a request may be sent to a cold upstream without a place.
+func (y *Relay) warmTurn(x *exchange, host Host) bool {
+	service := x.call.Table.Service(x.service)
+	if service == nil || service.Ramp() == 0 || y.spec.Processes == nil {
+		return true
+	}
+	return y.turns.Take(y.spec.Clock.Now(), y.spec.Name, host.Name, service.Ramp(), y.spec.Processes())
+}
+
 // again reports whether a request may go to another upstream after an attempt
 // that ended so.
 func (y *Relay) again(x *exchange, end ending) bool {
@@ -215,7 +234,22 @@
 			"all availability zones with upstreams of the service are cordoned",
 			"send it again after the time given").WithRetry(comeBackClosed)
 	}
-	if len(y.spec.Every(x.service)) == 0 {
+	hosts := y.spec.Every(x.service)
+	if len(hosts) > 0 && x.homes.shut(hosts) {
+		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"no upstream of the service is in a region where the request may run",
+			"send it again after the time given").WithRetry(comeBackClosed)
+	}
+	if x.cold {
+		span := comeBack
+		if service := x.call.Table.Service(x.service); service != nil {
+			span = max(span, service.Cold())
+		}
+		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"the upstreams of the service have just started and bear no more requests now",
+			"send it again after the time given").WithRetry(span)
+	}
+	if len(hosts) == 0 {
 		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 			"no upstream of the service is known now", "send it again after the time given").WithRetry(comeBackNone)
 	}
--- a/internal/process/mgrelay/wait.go
+++ b/internal/process/mgrelay/wait.go
@@ -27,7 +27,9 @@
 	if y.spec.Place == nil || x.attempts+x.dials > 0 || x.call.Route.Kind() != mgtable.Stream || x.size.prompt == 0 {
 		return Host{}, false
 	}
-	if capacity(x.call.Table, x.service) == 0 || len(y.spec.Every(x.service)) == 0 {
+	hosts := y.spec.Every(x.service)
+	if capacity(x.call.Table, x.service) == 0 || len(hosts) == 0 || x.homes.bind(hosts) {
+		// Who gives places doesn't know of homes and would give what can't be used.
 		return Host{}, false
 	}
 	began := y.spec.Clock.Now()
@@ -36,7 +38,7 @@
 	if !ok {
 		return Host{}, false
 	}
-	for _, host := range y.spec.Every(x.service) {
+	for _, host := range y.spec.Every(x.service) { // as it is after the wait
 		if host.Name == grant.Place {
 			return host, true
 		}
--- /dev/null
+++ b/internal/request/mgroom/ramp_test.go
@@ -0,0 +1,109 @@
+package mgroom
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A hall of nineteen engines comes back at once, cold, while the line is full of short
+// notes at ten times the usual load, or two engines are left of all. They look empty,
+// all that waits is given to them within a look or two, and they crash.
+func TestColdZone(t *testing.T) {
+	const (
+		rate  = 25.0
+		bound = 1.5*rate + 5 // in any second, as operators are promised
+		step  = 10 * mgclock.Millis(1)
+		back  = 2 * mgclock.Second
+		warm  = 3 * mgclock.Second
+	)
+	for _, c := range []struct {
+		name  string
+		stay  int // engines that are warm all the while
+		back  int // engines that come back
+		load  int // notes that come in each step
+		serve mgclock.Millis
+	}{
+		{
+			name:  "nineteen beside some that stay",
+			stay:  37,
+			back:  19,
+			load:  8,
+			serve: 5,
+		},
+		{
+			name:  "two are all there is",
+			back:  2,
+			load:  8,
+			serve: 5,
+		},
+		{
+			name:  "one is all there is",
+			back:  1,
+			load:  8,
+			serve: 5,
+		},
+	} {
+		Convey("Cold engines bear their rate where "+c.name, t, func() {
+			var r Room
+			given := map[string][]mgclock.Millis{}
+			atWarm := 0
+			for now := mgclock.Millis(0); now < 5*mgclock.Second; now += step {
+				for n := range c.load {
+					r.Add(Wait{
+						Name: fmt.Sprintf("note-%d-%d", now, n),
+						Need: 200,
+						Came: now,
+						Due:  now + 1000,
+						End:  now + 4500,
+					})
+				}
+				places := []Place{}
+				for i := range c.stay + c.back {
+					place := Place{
+						Name: fmt.Sprint("engine-", i),
+						Free: 20_000, // what they are given ends at once
+					}
+					if i >= c.stay {
+						if now < back {
+							continue
+						}
+						if now < warm {
+							place.Ramp = mgwarm.Placed(rate, 1)
+						}
+					}
+					places = append(places, place)
+				}
+				for _, g := range r.Look(now, places) {
+					if g.Place != "" && now < warm {
+						given[g.Place] = append(given[g.Place], now)
+					}
+					if g.Place != "" && now >= warm {
+						atWarm++
+					}
+				}
+			}
+			most := 0
+			for i := c.stay; i < c.stay+c.back; i++ {
+				times := given[fmt.Sprint("engine-", i)]
+				So(len(times), ShouldBeGreaterThan, 0)
+				for from := range times {
+					second := 0
+					for _, at := range times[from:] {
+						if at < times[from]+mgclock.Second {
+							second++
+						}
+					}
+					most = max(most, second)
+				}
+			}
+			t.Logf("%s: %d in a second at most", c.name, most)
+			So(most, ShouldBeLessThanOrEqualTo, bound)
+			So(atWarm, ShouldBeGreaterThan, c.back*int(rate))
+		})
+	}
+}
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -13,6 +13,8 @@
 	// the upstream: until the entry that got it has told of its request, which it
 	// does five times a second.
 	seenSpan = 250 * mgclock.Millis(1)
+	// rampSpan is the time in which a cold upstream is given Place.Ramp requests.
+	rampSpan = mgclock.Second
 	// passes is how many smaller requests may go before one that fits nowhere. In
 	// virtual time (bench, scenario packed) none, four and any number gave 56.7,
 	// 55.9 and 57.2 of 100 reports on time, notes 78.0, 76.9 and 77.3.
@@ -54,11 +56,18 @@
 	Free int     // tokens of memory that nothing takes
 	// Pending is the prompt tokens that it has to read first.
 	Pending int
+	// Ramp is the most requests that it may be given in a second while it is cold,
+	// and 0 while it isn't.
+	Ramp int
+	gave int // requests that it was given in the last second
 }
 
-// room reports whether a request can be sent there: there is memory for it, and its
-// prompt is read soon.
+// room reports whether a request can be sent there: there is memory for it, its prompt
+// is read soon, and the upstream bears one more where it is cold.
 func (p *Place) room(w Wait) bool {
+	if p.Ramp > 0 && p.gave >= p.Ramp {
+		return false
+	}
 	return p.Free >= w.Need && float64(p.Pending)/mgload.ReadRate <= readLimit
 }
 
@@ -225,6 +234,7 @@
 	}
 	r.given[place.Name] = append(r.given[place.Name], g)
 	place.take(g)
+	place.gave++
 	r.pace.count(now, w.Need)
 	r.shares.count(now, w.Account, w.Need)
 }
@@ -237,10 +247,10 @@
 	p.Cost += mgload.RunCost + float64(g.need)/mgload.ReadRate
 }
 
-// countGiven takes what was given lately off the places.
+// countGiven takes what was given lately off the places, and counts it.
 func (r *Room) countGiven(now mgclock.Millis, places []Place) {
 	for name, list := range r.given {
-		list = slices.DeleteFunc(list, func(g given) bool { return now >= g.at+seenSpan })
+		list = slices.DeleteFunc(list, func(g given) bool { return now >= g.at+rampSpan })
 		if len(list) == 0 {
 			delete(r.given, name)
 			continue
@@ -248,8 +258,12 @@
 		r.given[name] = list
 	}
 	for i := range places {
-		for _, g := range r.given[places[i].Name] {
-			places[i].take(g)
+		list := r.given[places[i].Name]
+		places[i].gave = len(list)
+		for _, g := range list {
+			if now < g.at+seenSpan {
+				places[i].take(g)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/request/mgwarm/warm.go
@@ -0,0 +1,60 @@
+package mgwarm
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// placedPart is the part of the rate that one process gives in places: two that
+	// take themselves for the one that gives them, as after a partition, give the rate
+	// together.
+	placedPart = 0.5
+	// turnPart is the part that all turns together come to.
+	turnPart = 0.25
+	// fewest is the least number of processes that turns are made for. One that has
+	// just started, or is cut off, knows few of the others.
+	fewest = 360
+	// turnSpan is how long a turn lasts.
+	turnSpan = mgclock.Second
+)
+
+// Placed returns how many requests one process may give places for at a cold upstream
+// in a second, where so many processes give places there.
+func Placed(rate float64, givers int) int {
+	return max(int(rate*placedPart)/max(givers, 1), 1)
+}
+
+// Turns are one process's turns at cold upstreams. The zero Turns has used none and is
+// ready for use by several goroutines.
+type Turns struct {
+	mu   sync.Mutex
+	used map[string]int64 // number of the turn, by upstream
+}
+
+// Take reports whether a process may send one request to a cold upstream now, and uses
+// the turn up. Processes is how many it knows of.
+func (t *Turns) Take(now mgclock.Millis, self, upstream string, rate float64, processes int) bool {
+	if rate <= 0 {
+		return false
+	}
+	interval := max(mgclock.Millis(float64(max(processes, fewest))*float64(mgclock.Second)/(rate*turnPart)), 1)
+	start := mgclock.Millis(xxhash.Sum64String(self+"\x00"+upstream) % uint64(interval))
+	number := int64((now + start) / interval)
+	if (now+start)%interval >= turnSpan {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if last, any := t.used[upstream]; any && last == number {
+		return false
+	}
+	if t.used == nil {
+		t.used = map[string]int64{}
+	}
+	t.used[upstream] = number
+	return true
+}
--- a/internal/version/mgmember/cordon_test.go
+++ b/internal/version/mgmember/cordon_test.go
@@ -66,3 +66,56 @@
 		})
 	})
 }
+
+// An engine crashes while the platform is away and starts again cold. No list shows its
+// start, it looks like the emptiest of all, and what is sent there has it crash again.
+func TestCold(t *testing.T) {
+	const span = 1000 * mgclock.Millis(1) // for which engines are cold after a start
+	Convey("An upstream is cold", t, func() {
+		m := New("entry-1")
+		list := func(now mgclock.Millis, version uint64, cold int64) {
+			m.List(now, mgplatform.List{
+				Version: version,
+				VMs: []mgplatform.VM{
+					{
+						Name:     "a",
+						Kind:     mgplatform.UpstreamKind,
+						Upstream: "a",
+						Services: []string{"reports"},
+						State:    mgplatform.Live,
+						Cold:     cold,
+					},
+				},
+			})
+		}
+		cold := func(now mgclock.Millis) bool {
+			member, _ := m.View().Member("a")
+			return member.Cold(now, span)
+		}
+		list(1000, 1, 700)
+		Convey("for as long as the list says", func() {
+			So(cold(1699), ShouldBeTrue)
+			So(cold(1700), ShouldBeFalse)
+			list(5000, 2, 400)
+			So(cold(5399), ShouldBeTrue)
+			So(cold(5400), ShouldBeFalse)
+		})
+		Convey("from its failure until it has answered for as long as a start takes", func() {
+			m.Failed(10_000, "a")
+			So(cold(10_000), ShouldBeFalse) // one lost answer is no sign
+			m.Failed(10_100, "a")
+			So(cold(10_100), ShouldBeTrue)
+			m.Tick(20_000)
+			So(cold(20_000), ShouldBeTrue)
+			m.Answered(20_100, "a")
+			So(cold(20_100+span-1), ShouldBeTrue)
+			So(cold(20_100+span), ShouldBeFalse)
+		})
+		Convey("by the list alone where its service has no such span", func() {
+			m.Failed(10_000, "a")
+			m.Failed(10_100, "a")
+			member, _ := m.View().Member("a")
+			So(member.Cold(10_100, 0), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/version/mgmember/member.go
+++ b/internal/version/mgmember/member.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // A Member is a process as it was seen when a view was made.
@@ -17,6 +18,9 @@
 	suspect     bool
 	listed      bool
 	cordoned    bool
+	cold        mgclock.Millis // until then, by the list
+	lapsed      bool
+	revived     mgclock.Millis // when it last answered after a suspicion
 }
 
 // Name returns the name of the VM that the process runs on.
@@ -66,6 +70,16 @@
 // Listed reports whether it is on the list of VMs.
 func (m *Member) Listed() bool { return m.listed }
 
+// Cold reports whether an upstream is cold, by the list or because it may have started
+// anew: it failed, and has answered for less than a span since, for which upstreams
+// are cold after a start. The list shows no start while the platform is away.
+func (m *Member) Cold(now, span mgclock.Millis) bool {
+	if now < m.cold {
+		return true
+	}
+	return span > 0 && (m.suspect || m.lapsed || m.revived > 0 && now < m.revived+span)
+}
+
 // Cordoned reports whether its availability zone gets no new work. Where a process
 // of the system runs there, that one goes on.
 func (m *Member) Cordoned() bool { return m.cordoned }
--- a/internal/version/mgmember/members.go
+++ b/internal/version/mgmember/members.go
@@ -38,6 +38,8 @@
 	failures    int            // in a row
 	until       mgclock.Millis // end of the suspicion
 	suspect     bool
+	lapsed      bool           // a suspicion ran out, and it hasn't answered since
+	revived     mgclock.Millis // when it last answered after a suspicion
 }
 
 // Members holds the members. The zero Members is empty and ready for use by
@@ -50,6 +52,7 @@
 	list     mgplatform.List
 	known    map[string]mgplatform.VM // the last listed row of each member
 	evidence map[string]*evidence
+	cold     map[string]mgclock.Millis // until when listed upstreams are cold, by name
 	cordons  map[string]mgclock.Millis // cordoned availability zones, and since when that is known
 	stale    bool                      // the view lacks an incarnation until the next Tick
 	changed  chan struct{}             // closed when the view is replaced
@@ -104,6 +107,7 @@
 		m.known[vm.Name] = vm
 	}
 	m.cordon(now, list.Cordoned)
+	m.chill(now, list.VMs)
 	m.rebuild(now)
 	return true
 }
@@ -120,6 +124,16 @@
 	m.cordons = cordons
 }
 
+// chill takes until when upstreams are cold.
+func (m *Members) chill(now mgclock.Millis, vms []mgplatform.VM) {
+	m.cold = make(map[string]mgclock.Millis)
+	for _, vm := range vms {
+		if vm.Cold > 0 {
+			m.cold[vm.Name] = now + mgclock.Millis(vm.Cold)
+		}
+	}
+}
+
 // Heard takes a process's word of itself. The word of an older incarnation is
 // dropped: a late reply must not bring back, or send away, its successor.
 func (m *Members) Heard(now mgclock.Millis, name, incarnation string, leaving bool) {
@@ -172,8 +186,10 @@
 	e.heard = now
 	e.everHeard = true
 	e.failures = 0
-	if e.suspect {
+	if e.suspect || e.lapsed {
 		e.suspect = false
+		e.lapsed = false
+		e.revived = now
 		m.rebuild(now)
 	}
 }
@@ -214,6 +230,7 @@
 	for name, e := range m.evidence {
 		if e.suspect && now >= e.until {
 			e.suspect = false
+			e.lapsed = true
 			changed = true
 		}
 		if e.leaving && now >= e.left+wordLife {
@@ -305,11 +322,14 @@
 		listed:  listed,
 		leaving: vm.State == mgplatform.Leaving,
 	}
+	member.cold = m.cold[vm.Name]
 	_, member.cordoned = m.cordons[vm.Zone]
 	if e := m.evidence[vm.Name]; e != nil {
 		member.incarnation = e.incarnation
 		member.leaving = member.leaving || e.leaving
 		member.suspect = e.suspect
+		member.lapsed = e.lapsed
+		member.revived = e.revived
 	}
 	return member
 }
--- a/pkg/mgtable/build.go
+++ b/pkg/mgtable/build.go
@@ -14,8 +14,9 @@
 
 // AccountSpec is a client account.
 type AccountSpec struct {
-	Name string
-	Keys []Digest
+	Name  string
+	Keys  []Digest
+	Homes []string // regions
 }
 
 // ServiceSpec is a service. Model is empty for a plain one.
@@ -23,8 +24,10 @@
 	Name   string
 	Model  string
 	Move   bool
-	Stride int64 // tokens of one event, 0 for 1
-	Copy   int64 // µs in which a token's memory is copied
+	Stride int64   // tokens of one event, 0 for 1
+	Copy   int64   // µs in which a token's memory is copied
+	Cold   int64   // ms for which an upstream is cold after its start
+	Ramp   float64 // requests a second that a cold one bears, 0 for no bound
 }
 
 // ModelSpec is a model; Context and Max are in tokens.
@@ -49,6 +52,7 @@
 	Resumes  bool
 	Public   bool
 	Sticky   bool
+	Homes    []string // regions
 }
 
 // ShareSpec is a service's part of a route.
@@ -99,8 +103,10 @@
 
 func (s ServiceSpec) record() record {
 	row := record{
-		kind:  serviceRow,
-		cells: cells{}.text("name", s.Name),
+		kind: serviceRow,
+		cells: cells{}.text("name", s.Name).
+			count("cold", s.Cold).
+			number("ramp", s.Ramp),
 	}
 	if s.Model == "" {
 		row.cells = cells(row.cells).text("kind", Plain)
@@ -121,7 +127,7 @@
 	}
 	return record{
 		kind:  accountRow,
-		cells: cells{}.text("name", a.Name).list("keys", keys),
+		cells: cells{}.text("name", a.Name).list("keys", keys).list("homes", a.Homes),
 	}
 }
 
@@ -144,7 +150,8 @@
 			count("priority", r.Priority).
 			text("resume", yes(r.Resumes)).
 			text("public", yes(r.Public)).
-			text("sticky", yes(r.Sticky)),
+			text("sticky", yes(r.Sticky)).
+			list("homes", r.Homes),
 	}
 }
 
@@ -178,6 +185,16 @@
 	})
 }
 
+func (c cells) number(name string, x float64) cells {
+	return append(c, entry{
+		name: name,
+		value: value{
+			form: number,
+			text: strconv.FormatFloat(x, 'f', -1, 64),
+		},
+	})
+}
+
 func (c cells) list(name string, items []string) cells {
 	return append(c, entry{
 		name: name,
--- a/pkg/mgtable/columns.go
+++ b/pkg/mgtable/columns.go
@@ -16,6 +16,7 @@
 	numberColumn("rate", 0, maxRate, false, func(a *Account) *float64 { return &a.rate }),
 	countColumn("streams", maxStreams, func(a *Account) *int64 { return &a.streams }),
 	namesColumn("services", func(a *Account) *[]string { return &a.services }),
+	namesColumn("homes", func(a *Account) *[]string { return &a.homes }),
 }
 
 var serviceColumns = []column[Service]{
@@ -31,6 +32,8 @@
 	choiceColumn("move", []string{Yes, No}, func(s *Service) *string { return &s.move }),
 	countColumn("copy", maxBatch, func(s *Service) *int64 { return &s.copy }),
 	countColumn("stride", maxBatch, func(s *Service) *int64 { return &s.stride }),
+	countColumn("cold", maxDeadline, func(s *Service) *int64 { return &s.cold }),
+	numberColumn("ramp", 0, maxRate, false, func(s *Service) *float64 { return &s.ramp }),
 	namesColumn("paths", func(s *Service) *[]string { return &s.paths }),
 }
 
--- a/pkg/mgtable/route.go
+++ b/pkg/mgtable/route.go
@@ -33,6 +33,7 @@
 	resume   string
 	public   string
 	sticky   string
+	homes    []string
 	line     int
 }
 
@@ -89,6 +90,10 @@
 // Sticky reports whether requests name the parts of their prompts.
 func (r *Route) Sticky() bool { return r.sticky == Yes }
 
+// Homes returns the regions in which the route's requests may run; none listed means
+// all. Callers don't change it.
+func (r *Route) Homes() []string { return r.homes }
+
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.kind == Safe || r.kind == Stream && r.Resumes()
@@ -149,6 +154,7 @@
 	choiceColumn("resume", []string{Yes, No}, func(r *Route) *string { return &r.resume }),
 	choiceColumn("public", []string{Yes, No}, func(r *Route) *string { return &r.public }),
 	choiceColumn("sticky", []string{Yes, No}, func(r *Route) *string { return &r.sticky }),
+	namesColumn("homes", func(r *Route) *[]string { return &r.homes }),
 }
 
 // setRouteDefaults fills the columns that were left out. A route that doesn't
--- a/pkg/mgtable/row.go
+++ b/pkg/mgtable/row.go
@@ -55,6 +55,7 @@
 	rate     float64
 	streams  int64
 	services []string
+	homes    []string
 	line     int
 }
 
@@ -77,6 +78,10 @@
 // Callers don't change it.
 func (a *Account) Services() []string { return a.services }
 
+// Homes returns the regions in which the account's requests may run; none listed means
+// all. Callers don't change it.
+func (a *Account) Homes() []string { return a.homes }
+
 // Allows reports whether the account may use a service.
 func (a *Account) Allows(service string) bool {
 	if len(a.services) == 0 {
@@ -98,6 +103,8 @@
 	hedge    float64
 	move     string
 	stride   int64
+	cold     int64
+	ramp     float64
 	copy     int64
 	paths    []string
 	line     int
@@ -140,6 +147,12 @@
 // Stride returns the tokens that one event of a stream holds.
 func (s *Service) Stride() int { return max(int(s.stride), 1) }
 
+// Cold returns for how long an upstream is cold after its start, or 0 where it isn't.
+func (s *Service) Cold() mgclock.Millis { return mgclock.Millis(s.cold) }
+
+// Ramp returns the requests a second that a cold upstream bears, or 0 for no bound.
+func (s *Service) Ramp() float64 { return s.ramp }
+
 // Paths returns the upstreams that serve a plain service; none listed means
 // all that name the service. Callers don't change it.
 func (s *Service) Paths() []string { return s.paths }
