mgsoak: a zone is cordoned in each run

Its engines must begin nothing once all processes must know, three seconds after the list shows it, unless one stands still or a link is cut.

--- a/internal/soak/mgsoak/deployment.go
+++ b/internal/soak/mgsoak/deployment.go
@@ -30,6 +30,7 @@
 	entries   []string          // base URLs for callers, over links
 	peers     map[string]string
 	version   int
+	list      uint64 // version of the list of VMs
 	revoked   bool
 	mark      string
 }
@@ -53,7 +54,7 @@
 		admins:    map[string]string{},
 		peers:     map[string]string{},
 	}
-	for _, step := range []func() error{d.startStandins, d.startSystem, d.publishList, func() error { return d.edit(ctx) }} {
+	for _, step := range []func() error{d.startStandins, d.startSystem, func() error { return d.publishList() }, func() error { return d.edit(ctx) }} {
 		if err := step(); err != nil {
 			d.close()
 			return nil, fmt.Errorf("deployment: %w", err)
@@ -176,12 +177,17 @@
 	return d.start(name, common+extra, kind)
 }
 
-func zone(i int) string { return string(rune('a' + i%3)) }
+// zones is the number of availability zones.
+const zones = 3
 
-// publishList publishes the list of VMs.
-func (d *deployment) publishList() error {
+func zone(i int) string { return string(rune('a' + i%zones)) }
+
+// publishList publishes the list of VMs with cordoned zones.
+func (d *deployment) publishList(cordoned ...string) error {
+	d.list++
 	list := mgplatform.List{
-		Version: 1,
+		Version:  d.list,
+		Cordoned: cordoned,
 	}
 	for i, agent := range d.names.agents {
 		vm := mgplatform.VM{
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -39,6 +39,7 @@
 	revokedKey    = "a key that was taken away opens nothing"
 	nothingCut    = "a planned stop cuts nothing"
 	noCause       = "nothing fails without a fault"
+	cordonKept    = "a cordoned zone gets no new work"
 )
 
 // report is one answer as its caller has it.
--- a/internal/soak/mgsoak/harm.go
+++ b/internal/soak/mgsoak/harm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -43,6 +44,8 @@
 		})
 	case HarmPlatform:
 		return r.harmPlatform(ctx, f)
+	case CordonZone:
+		return r.cordon(ctx, f)
 	case EditTable, RevokeKey:
 		r.editing.Lock()
 		defer r.editing.Unlock()
@@ -147,7 +150,59 @@
 	return r.d.set(platform, mgstandin.Fault{Kind: mgstandin.Heal})
 }
 
+// cordonWait is the time in which every process must go by a cordon, the lag of the list
+// included.
+const cordonWait = 3 * mgclock.Second
+
+// cordon keeps new work from a zone, and looks whether its engines begin any once all
+// processes must know. The platform doesn't fail meanwhile: it is what tells them.
+func (r *run) cordon(ctx context.Context, f Fault) error {
+	r.platform.Lock()
+	defer r.platform.Unlock()
+	if err := r.d.publishList(f.Target); err != nil {
+		return err
+	}
+	r.wait(ctx, cordonWait)
+	from := r.now()
+	before, err := r.starts(f.Target)
+	if err != nil {
+		return err
+	}
+	r.wait(ctx, f.Span)
+	after, err := r.starts(f.Target)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.cordons = append(r.cordons, cordonLook{
+		zone:  f.Target,
+		begun: after - before,
+		from:  from,
+		end:   r.now(),
+	})
+	r.mu.Unlock()
+	return r.d.publishList()
+}
+
+// starts returns how many generations the engines of a zone have begun.
+func (r *run) starts(of string) (int, error) {
+	total := 0
+	for i, engine := range r.d.names.engines {
+		if zone(i) != of {
+			continue
+		}
+		var counts mgstandin.EngineCounts
+		if err := r.d.counts(engine, &counts); err != nil {
+			return 0, err
+		}
+		for _, record := range counts.Generations {
+			total += record.Starts
+		}
+	}
+	return total, nil
+}
+
 // planned reports whether a fault is one that answers must outlast by themselves.
 func (f Fault) planned() bool {
-	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || f.Kind == EditTable || f.Kind == RevokeKey
+	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || slices.Contains([]Kind{EditTable, RevokeKey, CordonZone}, f.Kind)
 }
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -38,9 +38,17 @@
 	evidence evidence
 	spans    []span
 	gaps     []gap
+	cordons  []cordonLook
 	findings []Finding
 }
 
+// cordonLook is what a zone's engines began while it was cordoned.
+type cordonLook struct {
+	zone      string
+	begun     int // generations
+	from, end mgclock.Millis
+}
+
 // span is the time of a fault, from the run's start.
 type span struct {
 	fault     Fault
@@ -181,9 +189,25 @@
 	r.evidence.runs = counts.Runs
 	r.findings = append(r.findings, r.evidence.check()...)
 	r.findings = append(r.findings, r.causeless()...)
+	r.findings = append(r.findings, r.breached()...)
 	return nil
 }
 
+// breached looks for work that a cordoned zone was given by processes that could know:
+// a process that stands still, or that a link has cut off, goes by what it knew.
+func (r *run) breached() []Finding {
+	var found []Finding
+	for _, c := range r.cordons {
+		excused := slices.ContainsFunc(r.spans, func(s span) bool {
+			return s.fault.hides() && s.from <= c.end && c.from <= s.end+cordonWait
+		})
+		if c.begun > 0 && !excused {
+			found = append(found, finding(cordonKept, "%d generations began in zone %s at %d to %d ms", c.begun, c.zone, c.from, c.end))
+		}
+	}
+	return found
+}
+
 // causeless looks for answers that failed though nothing was harmed, or nothing
 // but what answers must outlast.
 func (r *run) causeless() []Finding {
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -28,6 +28,7 @@
 	HarmPlatform Kind = "platform"
 	EditTable    Kind = "edit"   // a new version
 	RevokeKey    Kind = "revoke" // a version without the second account's key
+	CordonZone   Kind = "cordon" // no new work for a zone, for the span
 )
 
 // A Fault is one step of a schedule.
@@ -39,6 +40,11 @@
 	Span   mgclock.Millis `json:"span,omitempty"`
 }
 
+// hides reports whether a fault may keep a process from knowing what others know.
+func (f Fault) hides() bool {
+	return slices.Contains([]Kind{PauseProcess, CutLink, BarLink, MuteLink, DelayLink, LoseLink}, f.Kind)
+}
+
 // String returns the fault in a line.
 func (f Fault) String() string {
 	return fmt.Sprintf("%6d ms %s %s %s %d ms", f.At, f.Kind, f.Target, f.How, f.Span)
@@ -96,7 +102,7 @@
 	for at := quietHead; ; {
 		at += mgclock.Millis(r.ExpFloat64() * meanGap)
 		if at >= length-quietTail {
-			return faults
+			return append(faults, drawCordon(seed, length))
 		}
 		f := Fault{
 			At:   at,
@@ -113,6 +119,20 @@
 	}
 }
 
+// drawCordon returns the cordon of a schedule. It is drawn by itself, so that the other
+// faults of a seed stay what they were.
+func drawCordon(seed uint64, length mgclock.Millis) Fault {
+	r := rand.New(rand.NewPCG(seed, 0x636f7264))
+	free := length - quietHead - quietTail - cordonWait
+	span := free / 4
+	return Fault{
+		At:     quietHead + mgclock.Millis(r.Int64N(max(int64(free-span), 1))),
+		Kind:   CordonZone,
+		Target: zone(r.IntN(zones)),
+		Span:   span,
+	}
+}
+
 func drawKind(r *rand.Rand) Kind {
 	total := 0
 	for _, d := range drawn {
