mgconfig: a new process asks peers for its first list

Cause: after a loss of all entries each reads the list of engines for itself. 301 entries before 3,000 engines make 18,000 reads of fifty rows each for 6,000 allowed a second; all 300 ended without a list after a second (logs of such a start), and callers were refused meanwhile.

The peers that the settings name read at once, the others ask them every 150 ms and read only later, at drawn times, or as soon as all of these gave no answer. The reader begins as soon as others listen at it, and a hub that has only the reader's word tells it on. Lists are packed once for all that fetch. A read of the list is bounded page by page: sixty pages took longer than a second on a link of 10 Mbit/s.

--- a/internal/version/mgconfig/join.go
+++ b/internal/version/mgconfig/join.go
@@ -1,6 +1,8 @@
 package mgconfig
 
 import (
+	"slices"
+
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -15,6 +17,14 @@
 	joinPlatform = 2 * mgclock.Second
 	// joinSpan is the interval at which a new process asks further peers.
 	joinSpan = 500 * mgclock.Millis(1)
+	// listSpan is the same while it has no list of VMs, which the peers that read it
+	// have after some pages of it.
+	listSpan = 150 * mgclock.Millis(1)
+	// firstListWait and firstListSpan bound when a process that may ask peers for its
+	// first list reads the platform for itself, at a time drawn between: long enough
+	// for a list of some thousand rows to be read and told.
+	firstListWait = 700 * mgclock.Millis(1)
+	firstListSpan = 2 * mgclock.Second
 )
 
 // join is the state of a process that is not ready yet.
@@ -24,12 +34,14 @@
 	peers map[string]bool
 	high  mark // the highest version heard of
 	ready bool
+	dark  map[string]bool // addresses of the settings' peers that gave no answer
 }
 
 func (j *join) begin(now mgclock.Millis) {
 	j.began = now
 	j.next = now
 	j.peers = make(map[string]bool)
+	j.dark = make(map[string]bool)
 }
 
 func (j *join) wake() mgclock.Millis {
@@ -57,10 +69,14 @@
 // askFirst asks peers until the process is ready, in other zones as well: the
 // own one may be cut off.
 func (m *Machine) askFirst(now mgclock.Millis) []Action {
-	if m.Ready(now) || now < m.join.next {
+	listless := m.asksFirst() && m.members.View().Version() == 0
+	if m.Ready(now) && !listless || now < m.join.next {
 		return nil
 	}
 	m.join.next = now + joinSpan
+	if listless {
+		m.join.next = now + listSpan
+	}
 	var actions []Action
 	for range joinPeers {
 		actions = append(actions, m.ask(m.choose())...)
@@ -68,6 +84,35 @@
 	return actions
 }
 
+// asksFirst reports whether this process asks peers for its first list of VMs, and
+// only later the platform. The peers that the settings name read it at once. Where all
+// did, 300 processes that start together before 3,000 upstreams would make 18,000 reads
+// of fifty rows each and be turned away again and again; none would have a list for
+// seconds, and callers would be refused.
+func (m *Machine) asksFirst() bool {
+	return m.spec.Quick > 0 && len(m.spec.Seeds) > 0 && !slices.Contains(m.spec.Seeds, m.spec.Addr)
+}
+
+// restFirst takes that a peer gave a list: just after a start, before it is known who
+// reads for whom, that peer's next ones do in place of an own read, too.
+func (m *Machine) restFirst(now mgclock.Millis) {
+	if m.asksFirst() && now < m.join.began+meetSpan && m.vms.version == 0 {
+		m.vms.next = max(m.vms.next, now+firstListWait+m.jitter(firstListSpan))
+	}
+}
+
+// noteDark takes that a peer gave no answer. Where all peers of the settings are gone,
+// nobody else tells the list.
+func (m *Machine) noteDark(now mgclock.Millis, addr string) {
+	if m.members.View().Version() > 0 || !slices.Contains(m.spec.Seeds, addr) {
+		return
+	}
+	m.join.dark[addr] = true
+	if len(m.join.dark) == len(m.spec.Seeds) {
+		m.vms.next = min(m.vms.next, now+m.jitter(firstRetry))
+	}
+}
+
 // Ready reports whether the process may serve. Once it is ready it stays so.
 func (m *Machine) Ready(now mgclock.Millis) bool {
 	if !m.join.ready && m.joined(now) {
--- a/internal/version/mgconfig/listen.go
+++ b/internal/version/mgconfig/listen.go
@@ -200,6 +200,7 @@
 		return
 	}
 	at := now - word.Age
+	m.vms.told = true
 	m.vms.heard = max(m.vms.heard, at)
 	m.confirmed = max(m.confirmed, at)
 	m.restWatch(at)
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -153,10 +153,27 @@
 
 // Fetch serves a peer's fetch.
 func (l *Loop) Fetch(_ context.Context, r *mgrpc.FetchRequest) (*mgrpc.FetchReply, error) {
-	l.mu.Lock()
-	list := l.machine.List()
-	l.mu.Unlock()
-	return Serve(l.Current(), list, r), nil
+	var packed []byte
+	if r.GetList() {
+		l.mu.Lock()
+		packed = l.packedList()
+		l.mu.Unlock()
+	}
+	return Serve(l.Current(), packed, r), nil
+}
+
+// packedList returns the list of VMs compressed, once for all that ask, or nil before
+// the first. It is called with mu held.
+func (l *Loop) packedList() []byte {
+	version := l.machine.members.View().Version()
+	if version == 0 {
+		return nil
+	}
+	if l.packed.Word.List != version {
+		l.packed.Word.List = version
+		l.packed.Packed = compress(l.machine.List())
+	}
+	return l.packed.Packed
 }
 
 // Seen takes a version number that came with a call from a peer. It costs two
@@ -245,12 +262,7 @@
 	if listing.Word.List <= after {
 		return listing, l.listed
 	}
-	if l.packed.Word.List != listing.Word.List {
-		// Once for all that listen.
-		l.packed.Word.List = listing.Word.List
-		l.packed.Packed = compress(l.machine.List())
-	}
-	listing.Packed = l.packed.Packed
+	listing.Packed = l.packedList()
 	return listing, l.listed
 }
 
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -99,6 +99,7 @@
 		asked:   make(map[string]bool),
 	}
 	m.confirmed = now - wordAge
+	m.listeners = now - listenersLife
 	m.manifest.key = mgplatform.ManifestKey
 	m.vms.key = mgplatform.ListKey
 	m.exchange = now + m.jitter(exchangeSpan)
@@ -106,6 +107,9 @@
 	m.tick = now + tickSpan
 	m.vms.next = now + m.jitter(spec.Spread)
 	m.manifest.next = m.vms.next
+	if m.asksFirst() {
+		m.vms.next = now + firstListWait + m.jitter(firstListSpan)
+	}
 	m.join.begin(now)
 	return m
 }
@@ -151,6 +155,9 @@
 // Wake returns when Tick is due next.
 func (m *Machine) Wake() mgclock.Millis {
 	wake := min(m.tick, m.exchange, m.join.wake(), m.gossiping.wake())
+	if m.asksFirst() && m.members.View().Version() == 0 {
+		wake = min(wake, m.join.next)
+	}
 	wake = min(wake, m.manifest.wake(), m.vms.wake())
 	if m.spec.Quick > 0 {
 		wake = min(wake, m.listening.wake())
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -103,6 +103,7 @@
 	read     mgclock.Millis // when one of them brought an answer last
 	version  uint64         // the platform's, not a table's
 	answered bool           // the platform has answered once
+	told     bool           // another's word of it was fresh once
 	heard    mgclock.Millis // when it last answered
 }
 
@@ -119,6 +120,9 @@
 // readPlatform begins the reads that are due.
 func (m *Machine) readPlatform(now mgclock.Millis) []Action {
 	var actions []Action
+	if m.vms.version == 0 && m.vms.failures == 0 && now < m.listeners+listenersLife && m.leads(now) {
+		m.vms.next = min(m.vms.next, now) // those that listen here wait for it
+	}
 	for _, s := range []*source{&m.vms, &m.manifest} {
 		if s.busy || now < s.next {
 			continue
@@ -138,11 +142,16 @@
 	}
 	if s.version == 0 || !m.watching() || s.rounds%every == 0 || m.rested(s) {
 		m.counts.read(m.plainReason(s))
-		return Action{
+		action := Action{
 			kind:   Read,
 			key:    s.key,
 			answer: m.spec.Answer,
 		}
+		if m.quick(s) {
+			// It may be some dozen calls, each of which is bounded by itself.
+			action.answer = max(action.answer, readTimeout)
+		}
+		return action
 	}
 	m.counts.read(m.watchReason(s))
 	action := Action{
--- a/internal/version/mgconfig/pull.go
+++ b/internal/version/mgconfig/pull.go
@@ -235,6 +235,7 @@
 		m.listPull.busy = false
 		m.listPull.next = now + m.listPullSpan()
 		if result.Err == nil && m.takeList(now, result.List) {
+			m.restFirst(now)
 			return m.pushList(now)
 		}
 		return nil
--- a/internal/version/mgconfig/serve.go
+++ b/internal/version/mgconfig/serve.go
@@ -22,11 +22,11 @@
 // errValue is the error of a value that can't be decompressed.
 var errValue = errors.New("mgconfig: a peer's value is damaged: ask another peer")
 
-// Serve answers a fetch out of a snapshot and the text of the list of VMs.
-func Serve(s *Snapshot, list []byte, request *mgrpc.FetchRequest) *mgrpc.FetchReply {
+// Serve answers a fetch out of a snapshot and the compressed list of VMs.
+func Serve(s *Snapshot, packed []byte, request *mgrpc.FetchRequest) *mgrpc.FetchReply {
 	reply := &mgrpc.FetchReply{}
-	if request.GetList() && list != nil {
-		reply.List = compress(list)
+	if request.GetList() {
+		reply.List = packed
 	}
 	size := 0
 	for _, digest := range request.GetDigests() {
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -122,6 +122,7 @@
 		if result.Action.peer != "" {
 			m.members.Failed(now, result.Action.peer)
 		}
+		m.noteDark(now, result.Action.addr)
 		return nil
 	}
 	m.join.heard(result.Summary)
--- /dev/null
+++ b/internal/version/mgconfig/start_test.go
@@ -0,0 +1,89 @@
+package mgconfig
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// All entries lose their power and come back at once, before ten engines each. Callers
+// are refused for seconds: each entry reads the engines for itself, in sixty pages where
+// there are 3,000, the platform turns most of the reads away and they begin anew.
+func TestStartOfMany(t *testing.T) {
+	const (
+		aim      = 1500 * mgclock.Millis(1) // of the two seconds until callers are served again
+		perEntry = 10
+	)
+	for _, c := range []struct {
+		count int
+		seeds bool // they answer
+	}{
+		{
+			count: 30,
+			seeds: true,
+		},
+		{
+			count: 100,
+			seeds: true,
+		},
+		{
+			count: 300,
+			seeds: true,
+		},
+		{
+			count: 100,
+		},
+	} {
+		Convey(fmt.Sprintf("%d entries that start at once, where seeds answer is %v, have a list soon", c.count, c.seeds), t, func() {
+			f := newListening(uint64(c.count), c.count)
+			f.upstreams = perEntry * c.count
+			f.list(0)
+			if !c.seeds {
+				for _, name := range f.seeds() {
+					f.dead[name] = true
+				}
+			}
+			began := f.net.Now()
+			for i, n := range f.nodes {
+				if !f.dead[n.name] {
+					f.start(i)
+				}
+			}
+			spans := map[string]mgclock.Millis{}
+			for f.net.Now() < began+10*sec {
+				f.net.Run(f.net.Now() + 10)
+				for _, n := range f.nodes {
+					if n.members == nil || f.dead[n.name] {
+						continue
+					}
+					if _, known := spans[n.name]; !known && n.members.View().Version() > 0 && n.machine.Ready(f.net.Now()) {
+						spans[n.name] = f.net.Now() - began
+					}
+				}
+			}
+			var all []mgclock.Millis
+			for _, n := range f.nodes {
+				if f.dead[n.name] {
+					continue
+				}
+				if _, known := spans[n.name]; !known {
+					spans[n.name] = never
+				}
+				all = append(all, spans[n.name])
+			}
+			slices.Sort(all)
+			t.Logf("%d entries, seeds answer %v: a list after %d ms in the median, %d at most; %d reads of the platform",
+				c.count, c.seeds, all[len(all)/2], all[len(all)-1], f.readsFrom(0))
+			if !c.seeds {
+				So(all[len(all)-1], ShouldBeLessThanOrEqualTo, 2*aim)
+				return
+			}
+			So(all[len(all)-1], ShouldBeLessThanOrEqualTo, aim)
+			So(f.platform.peak(0), ShouldBeLessThan, pageRate)
+		})
+	}
+}
--- a/internal/version/mgconfig/word.go
+++ b/internal/version/mgconfig/word.go
@@ -30,7 +30,7 @@
 		Age:   -1,
 		Table: m.Current().Version(),
 	}
-	if m.vms.answered && (m.vms.failures == 0 || now < m.confirmed+wordAge) {
+	if (m.vms.answered || m.vms.told) && (m.vms.failures == 0 || now < m.confirmed+wordAge) {
 		word.Age = now - m.vms.heard
 	}
 	return word
