--- a/internal/connection/mgplatform/client.go
+++ b/internal/connection/mgplatform/client.go
@@ -22,6 +22,9 @@
 var (
 	ErrMissing   = errors.New("platform: no value has this key: publish it")
 	ErrUnchanged = errors.New("platform: the value has not changed: watch again")
+	// ErrLong ends a process's first read of a list of VMs that takes many calls: a peer
+	// may have it already.
+	ErrLong = errors.New("platform: the list of VMs takes many calls: ask a peer for it, then read it again")
 	// ErrCordons ends a watch of the manifest where the platform shows the operator's
 	// cordons beside it: the list of VMs has them.
 	ErrCordons = errors.New("platform: cordons of availability zones have changed: read the list of VMs")
--- a/internal/version/mgconfig/fleet_test.go
+++ b/internal/version/mgconfig/fleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -80,7 +81,8 @@
 	name    string
 	machine *Machine
 	members *mgmember.Members
-	life    int // restarts, so that timers of a former life do nothing
+	asked   bool // the platform was asked for its first list
+	life    int  // restarts, so that timers of a former life do nothing
 	high    mark
 	since   map[uint64]mgclock.Millis // when a version came in force
 	ready   mgclock.Millis
@@ -288,7 +290,18 @@
 		})
 	}
 	if f.upstreams > 0 && a.Kind() == Read && a.Key() == mgplatform.ListKey {
-		f.readPages(n, f.upstreams/pageRows, answer)
+		pages := f.upstreams / pageRows
+		if pages > firstPages && !n.asked && !slices.Contains(f.seeds(), n.name) {
+			n.asked = true
+			f.readPages(n, firstPages, func(_ mgplatform.Value, err error) {
+				if err == nil {
+					err = mgplatform.ErrLong
+				}
+				answer(mgplatform.Value{}, err)
+			})
+			return
+		}
+		f.readPages(n, pages, answer)
 		return
 	}
 	f.net.Send(n.name, "platform", callBytes/2, func() {
@@ -310,6 +323,8 @@
 	// pageRows and pageRate are those of a platform of some hundred entries.
 	pageRows = 50
 	pageRate = 6000
+	// firstPages is how many a process reads before it asks peers.
+	firstPages = 4
 	// pageSpan is the time of one page, ms.
 	pageSpan = 4
 )
--- a/internal/version/mgconfig/join.go
+++ b/internal/version/mgconfig/join.go
@@ -34,6 +34,7 @@
 	peers map[string]bool
 	high  mark // the highest version heard of
 	ready bool
+	long  bool            // the list of VMs takes many calls of the platform
 	dark  map[string]bool // addresses of the settings' peers that gave no answer
 }
 
@@ -69,7 +70,7 @@
 // askFirst asks peers until the process is ready, in other zones as well: the
 // own one may be cut off.
 func (m *Machine) askFirst(now mgclock.Millis) []Action {
-	listless := m.asksFirst() && m.members.View().Version() == 0
+	listless := m.listless()
 	if m.Ready(now) && !listless || now < m.join.next {
 		return nil
 	}
@@ -84,19 +85,24 @@
 	return actions
 }
 
-// asksFirst reports whether this process asks peers for its first list of VMs, and
-// only later the platform. The peers that the settings name read it at once. Where all
-// did, 300 processes that start together before 3,000 upstreams would make 18,000 reads
-// of fifty rows each and be turned away again and again; none would have a list for
-// seconds, and callers would be refused.
-func (m *Machine) asksFirst() bool {
-	return m.spec.Quick > 0 && len(m.spec.Seeds) > 0 && !slices.Contains(m.spec.Seeds, m.spec.Addr)
+// askFor takes that the first read of the list of VMs takes many calls: peers are asked
+// for it, and only later the platform. Where each of 300 processes that start together
+// before 3,000 upstreams read it, they would make 18,000 calls of fifty rows each and be
+// turned away again and again; none would have a list for seconds, and callers would be
+// refused.
+func (m *Machine) askFor(now mgclock.Millis) {
+	m.join.long = true
+	m.join.next = now
+	m.vms.next = now + firstListWait + m.jitter(firstListSpan)
 }
 
+// listless reports whether peers are asked for the first list.
+func (m *Machine) listless() bool { return m.join.long && m.members.View().Version() == 0 }
+
 // restFirst takes that a peer gave a list: just after a start, before it is known who
 // reads for whom, that peer's next ones do in place of an own read, too.
 func (m *Machine) restFirst(now mgclock.Millis) {
-	if m.asksFirst() && now < m.join.began+meetSpan && m.vms.version == 0 {
+	if m.join.long && now < m.join.began+meetSpan && m.vms.version == 0 {
 		m.vms.next = max(m.vms.next, now+firstListWait+m.jitter(firstListSpan))
 	}
 }
@@ -104,7 +110,7 @@
 // noteDark takes that a peer gave no answer. Where all peers of the settings are gone,
 // nobody else tells the list.
 func (m *Machine) noteDark(now mgclock.Millis, addr string) {
-	if m.members.View().Version() > 0 || !slices.Contains(m.spec.Seeds, addr) {
+	if !m.listless() || !slices.Contains(m.spec.Seeds, addr) {
 		return
 	}
 	m.join.dark[addr] = true
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -107,9 +107,6 @@
 	m.tick = now + tickSpan
 	m.vms.next = now + m.jitter(spec.Spread)
 	m.manifest.next = m.vms.next
-	if m.asksFirst() {
-		m.vms.next = now + firstListWait + m.jitter(firstListSpan)
-	}
 	m.join.begin(now)
 	return m
 }
@@ -155,7 +152,7 @@
 // Wake returns when Tick is due next.
 func (m *Machine) Wake() mgclock.Millis {
 	wake := min(m.tick, m.exchange, m.join.wake(), m.gossiping.wake())
-	if m.asksFirst() && m.members.View().Version() == 0 {
+	if m.listless() {
 		wake = min(wake, m.join.next)
 	}
 	wake = min(wake, m.manifest.wake(), m.vms.wake())
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -120,7 +120,7 @@
 // readPlatform begins the reads that are due.
 func (m *Machine) readPlatform(now mgclock.Millis) []Action {
 	var actions []Action
-	if m.vms.version == 0 && m.vms.failures == 0 && now < m.listeners+listenersLife && m.leads(now) {
+	if m.join.long && m.vms.version == 0 && m.vms.failures == 0 && now < m.listeners+listenersLife && m.leads(now) {
 		m.vms.next = min(m.vms.next, now) // those that listen here wait for it
 	}
 	for _, s := range []*source{&m.vms, &m.manifest} {
@@ -235,6 +235,11 @@
 }
 
 func (m *Machine) answeredList(now mgclock.Millis, result ResultSpec) []Action {
+	if errors.Is(result.Err, mgplatform.ErrLong) {
+		m.vms.busy = false
+		m.askFor(now)
+		return m.askFirst(now)
+	}
 	fresh := m.vms.done(now, result, m)
 	before := m.members.View()
 	if !fresh || !m.takeList(now, result.Value.Bytes()) {
