--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -171,9 +171,7 @@
 // noteMisdirected takes that another upstream answers at a host's address: the
 // host is gone, and the list doesn't show it yet. Without this the address,
 // which holds none of our work, looks the least loaded and draws each next
-// request: on a day with 0.3 of the engines replaced so while the store was
-// away 176 tries ended with this refusal. An upstream that refuses under its
-// own name stays.
+// request. An upstream that refuses under its own name stays.
 func (y *Relay) noteMisdirected(host Host, response *http.Response) {
 	instance := response.Header.Get(y.spec.Form.Instance)
 	if response.StatusCode != http.StatusMisdirectedRequest || instance == "" || instance == host.Name {
--- a/internal/process/mgrelay/fit.go
+++ b/internal/process/mgrelay/fit.go
@@ -10,8 +10,8 @@
 	// engines publish it, and an allowance for the others that run and for
 	// prompts that are read beside it. The allowance is an estimate.
 	tokenSpan = 9
-	// firstSpan is the time to a stream's first event, somewhat above the median
-	// of calm days, 0.45 to 0.58 s.
+	// firstSpan is the time to a stream's first event, somewhat above the median where
+	// nothing waits.
 	firstSpan = 600 * mgclock.Millis(1)
 	// plainSpan is that of a plain call where its route gives no goal.
 	plainSpan = 300 * mgclock.Millis(1)
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -20,8 +20,7 @@
 	// outageLooks is the looks in a row, probeSpan apart, at which the list is stale
 	// before the platform counts as away: entries run out after three heartbeats, 3.6 s.
 	// A watch that is late by a second says nothing of that kind, and an upstream that
-	// is gone from the list then leaves, though some never say so: kept after each such
-	// watch, 811 reports failed in twenty plays of days with a dozen engines for 791.
+	// is gone from the list then leaves, though some never say so.
 	outageLooks = 8
 	// lapseSpan is how long after an outage an upstream that the list lacks may have
 	// run out there only: the platform says that those that live are back within two
@@ -63,9 +62,9 @@
 
 // returns waits while an upstream that the list lacks may have run out there only,
 // and reports whether the list has it again. Entries run out while the platform is
-// away; moved at once, the runs of living engines all went to the few that the list
-// still had, and of 200 reports ten paused for 0.2 to 0.8 s behind one another's
-// copies. One that says that it leaves, or nothing, isn't waited for.
+// away; moved at once, the runs of living engines would all go to the few that the list
+// still has, and pause behind one another's copies. One that says that it leaves, or
+// nothing, isn't waited for.
 func (y *Relay) returns(ctx context.Context, host Host) bool {
 	if y.spec.Missing == nil || y.spec.Probe == nil || y.outage.Load() == 0 {
 		return false
--- a/internal/request/mglength/estimator.go
+++ b/internal/request/mglength/estimator.go
@@ -1,14 +1,10 @@
 package mglength
 
 // HalfLife is the number of answers after which what was counted before them
-// weighs half. Trials of 50, 100, 200, 400 and 1600 gave 7.31, 7.44, 7.37, 7.37
-// and 7.40 answers in time a second and 5.7, 7.1, 8.9, 7.6 and 9.3 preemptions
-// per 100 when lengths shift, and no difference elsewhere: it matters little,
-// and 200 leaves enough answers for the tail of a bimodal law.
+// weighs half. It leaves enough answers for the tail of a bimodal law.
 const HalfLife = 200
 
-// Trust is the weight, in answers, of the level above in each bucket. Trials of
-// 1, 2, 4, 8 and 16 differ by no more than seeds do.
+// Trust is the weight, in answers, of the level above in each bucket.
 const Trust = 4
 
 // Classes is the most classes that an Estimator keeps.
--- a/internal/request/mgload/fault.go
+++ b/internal/request/mgload/fault.go
@@ -13,16 +13,14 @@
 	faultLife = 5 * mgclock.Second
 	// wellPart is what an answer leaves of the weight.
 	wellPart = 0.2
-	// faultCost is the cost of each fault, in ms: about that of a run. At 1,500 ms
-	// the requests to four plain upstreams, of which each loses an answer now and
-	// then, went to whichever had lost none last: 1,000 late of 28,335, with this
-	// 497, without any 424.
+	// faultCost is the cost of each fault, in ms: about that of a run. With far more,
+	// the requests to a few plain upstreams, of which each loses an answer now and
+	// then, all go to whichever has lost none last.
 	faultCost = 100.0
 	// faultLimit is the weight from which an upstream gets nothing new while
 	// others are well: two faults within seconds, or of two entries. One that
 	// fails at once has nothing to do, looks the cheapest of all and draws each
-	// next request: on a day on which four of 44 engines reset all for seven
-	// seconds 94 tries ended with an error of the system's own, with this 23.
+	// next request.
 	faultLimit = 1.5
 	// faultNone is the weight below which a fault is forgotten.
 	faultNone = 0.05
--- a/internal/request/mgload/load.go
+++ b/internal/request/mgload/load.go
@@ -25,9 +25,7 @@
 const (
 	// ReadRate is the prompt tokens that an engine reads in a ms, and the time
 	// that a request waits for the prompts before its own. Engines publish 14; they
-	// read in turn with steps, and of 77 requests to engines with nothing or little
-	// to do half had their first event 162 ms after what 14 gives for a prompt of
-	// 2,869 tokens in the median.
+	// read in turn with the steps of what runs.
 	ReadRate = 7.4
 	// RunCost is the cost of each run, in ms: it makes each step 0.12 ms longer,
 	// 110 ms for a generation of 900 tokens.
--- a/internal/request/mgmigration/move.go
+++ b/internal/request/mgmigration/move.go
@@ -70,8 +70,7 @@
 	maxLost = 3
 	// fullRow is how many destinations without room are tried in a row before a
 	// pause. They refuse within milliseconds, and where memory is nearly full some
-	// becomes free ten times a second: of 36 answers that were cut on such a day 24
-	// had given up after three refusals, 20 of them within 30 ms.
+	// becomes free ten times a second.
 	fullRow = 3
 )
 
--- a/internal/request/mgmigration/turns.go
+++ b/internal/request/mgmigration/turns.go
@@ -42,7 +42,6 @@
 //
 // Without turns the copies of several entries share the source's link: all take
 // as long as all together, and each stopped run waits for the others' copies.
-// On a day of 12 engines 21 of 136 reports were late so, and 11 were cut.
 // Without one that knows all the places, entries that see the same numbers send
 // their runs to the same engine.
 //
@@ -144,23 +143,21 @@
 
 const (
 	// takingCost is the cost of a place that takes a copy of another source now.
-	// The last copy queues behind it while the run stands still: of 27 pauses
-	// above 180 ms in eight calm days 19 were so. It outweighs a dozen runs.
+	// The last copy queues behind it while the run stands still, and its caller sees
+	// a pause. It outweighs a dozen runs.
 	takingCost = 1500.0
 	// riskCost is the cost of each ms that the run's own copy takes: the notice
 	// may end before it does. Without it the last run of a source went to another
 	// zone for the sake of one run less there, and was cut in the middle of a copy
-	// twice as long: of 100 requests in virtual time 0.81 were cut, with it 0.42
-	// (bench, scenario reclaim); of 6,764 long answers in 36 days 241 and 211.
+	// twice as long.
 	riskCost = 3.0
 )
 
 // choose returns the cheapest place; among equal ones the first.
 func (t *Turns) choose(now mgclock.Millis, a Ask) string {
 	best, least := "", 0.0
-	// A copy that takes the link for longer holds up all that wait for it. Of
-	// 45 answers that were cut in a move in twelve days 21 had waited for more
-	// than 0.6 s, behind copies to other zones of 0.4 s and more.
+	// A copy that takes the link for longer holds up all that wait for it, until their
+	// source is gone.
 	others := float64(len(t.source(a.Source).waiting) - 1)
 	for _, spot := range a.Places {
 		cost := spot.Cost + mgload.RunCost*float64(t.lately(now, spot.Name)) + (others+riskCost)*spot.Span
--- a/internal/request/mgqueue/queue.go
+++ b/internal/request/mgqueue/queue.go
@@ -12,14 +12,12 @@
 // The defaults of a Spec. DefaultBound holds some ten batches of a large
 // engine, which is longer than any deadline lets a request wait. DefaultBoost
 // is the wait after which an operator takes a lookup for lost, so a report
-// gives way to lookups of the same deadline for that long and no longer; trials
-// of none, 10, 20, 30, 60 and 200 s differ by less than 1 % in answers in time,
-// as most of the order comes from the due times.
+// gives way to lookups of the same deadline for that long and no longer; most of
+// the order comes from the due times.
 //
-// Trials of a DefaultLoan of 0, 500, 1000, 2000, 5000 and 20,000 tokens gave
-// lookups at 1.3 times saturation their first token after 1058, 689, 658, 657,
-// 611 and 592 ms in the median, and an index of fairness under heavy accounts
-// of 0.956, 0.954, 0.942, 0.936, 0.924 and 0.900: beyond 500 it only costs.
+// DefaultLoan is what an account may have ahead of its share, in tokens: without it
+// lookups wait for their account's turn beyond saturation, with much more heavy
+// accounts have more than their share.
 const (
 	DefaultBound = 2048
 	DefaultBoost = 10 * mgclock.Second
--- a/internal/request/mgroom/doc.go
+++ b/internal/request/mgroom/doc.go
@@ -25,10 +25,6 @@
 // large; then those that are late, first come first served. One that fits nowhere lets a few smaller ones pass, or the
 // largest would hold up all.
 //
-// On the grown deployments (24 and 22 entries, four days each) reports late fell
-// from 767 to 208 and from 704 to 239 of 4,566 and 4,124 against a line for full
-// memory alone, and worth rose from 0.493 to 0.614 and from 0.525 to 0.608.
-//
 // It decides nothing that must be right: without an answer an entry sends its
 // request where it would have sent it before.
 package mgroom
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -15,9 +15,7 @@
 	seenSpan = 250 * mgclock.Millis(1)
 	// rampSpan is the time in which a cold upstream is given Place.Ramp requests.
 	rampSpan = mgclock.Second
-	// passes is how many smaller requests may go before one that fits nowhere. In
-	// virtual time (bench, scenario packed) none, four and any number gave 56.7,
-	// 55.9 and 57.2 of 100 reports on time, notes 78.0, 76.9 and 77.3.
+	// passes is how many smaller requests may go before one that fits nowhere.
 	passes = 4
 	// retryMin and retryMax bound the time that a request which is given up is told
 	// to stay away: a request that comes back sooner meets the same line, and
@@ -27,9 +25,7 @@
 	// readLimit is the longest time for the prompts before it that a request is sent
 	// into, ms: one prompt. A request that waits at an upstream has its turn there
 	// whoever else comes; in the line, those that can still be on time go first.
-	// What is seen of an upstream is 200 ms old, so that it doesn't run dry. Ten
-	// days with memory for most: notes late 1,122 without, 809 with 700 ms and 607
-	// with this, of 13,340, reports failed 1,729, 1,606 and 1,514 of 12,004.
+	// What is seen of an upstream is 200 ms old, so that it doesn't run dry.
 	readLimit = 400.0
 )
 
--- a/internal/request/mgroom/share.go
+++ b/internal/request/mgroom/share.go
@@ -3,15 +3,14 @@
 import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 
 const (
-	// overShare is how many times an equal share of the memory that was given
-	// lately an account has to go behind others' requests of its size: with one it would go behind
-	// at each second request, and accounts that ask for little leave their share
-	// to others.
+	// overShare is how many times an equal share of the memory that was given lately
+	// an account has to go behind others' requests of its size: with one it would go
+	// behind at each second request, and accounts that ask for little leave their
+	// share to others.
 	overShare = 2.0
 	// overWeight is how many times as large the requests of such an account count.
 	// A short note of its keeps its place before the reports of others, for which
-	// it leaves little more; behind all of them 224 of 3,415 notes failed on days
-	// with a flood, and 91 without shares.
+	// it leaves little more; behind all of them it would be given up.
 	overWeight = 4
 	// idleShare is the least weight of an account that counts as asking, tokens.
 	idleShare = 100.0
--- a/internal/request/mgrouting/choose.go
+++ b/internal/request/mgrouting/choose.go
@@ -4,10 +4,8 @@
 
 // The costs by which offers are compared, in milliseconds. They are those of
 // the engine model of internal/bench/mgmodel, which follows a small dense
-// model on one accelerator, and only their ratios matter. In trials with four
-// equal engines disturbance from 0 to 10 and shortage from 0 to 200 made no
-// difference beyond that of seeds: an offer's wait says nearly all. They decide
-// where waits are equal.
+// model on one accelerator, and only their ratios matter. An offer's wait says
+// nearly all; the others decide where waits are equal.
 const (
 	// disturbance is the delay that 1000 uncached prompt tokens put on one
 	// running stream, weighted against this request's own first token. A
@@ -19,9 +17,7 @@
 	shortage = 60.0
 	// pace is the cost of each millisecond between the first token and the
 	// last. A slow engine has a first token soon enough, and then long answers
-	// crawl there: with 0, 0.1, 0.2, 0.5 and 1 of four engines one at a quarter
-	// of its speed gives 13.7, 10.1, 8.0, 6.4 and 5.8 s of stall per 100 answers.
-	// From 0.2 on the index of fairness under heavy accounts falls below 0.98.
+	// crawl there; a greater cost takes from the fairness under heavy accounts.
 	pace = 0.1
 	// flight is the cost of each request that this entry has sent since the
 	// offer was asked for: about its prompt and a place in the queue.
--- a/internal/request/mgrouting/fleet.go
+++ b/internal/request/mgrouting/fleet.go
@@ -12,8 +12,7 @@
 
 // DefaultCount is the number of upstreams that are asked about a request. The
 // step from one to two brings most of the gain (Mitzenmacher 2001); the third
-// is the one with the prefix. Trials of 1, 2, 3 and 4 of four engines, one of
-// them slow, gave 9.69, 10.14, 10.19 and 10.21 answers in time a second.
+// is the one with the prefix.
 const DefaultCount = 3
 
 // Spread is how many times the average of requests in flight an upstream may
--- a/internal/request/mgscheduler/scheduler.go
+++ b/internal/request/mgscheduler/scheduler.go
@@ -16,10 +16,8 @@
 // DefaultPassing is the cost of the requests that may pass one which waits for
 // memory, in its own cost. The memory that they take comes back before much of
 // that which it waits for becomes free, and what they cost bounds the wait of
-// the one that is passed. Without passing, lookups among very long reports get
-// 6.4 answers in time a second, with 0.25 to 2 they get 6.8 (trials at z 1.5).
-// With 1 the index of fairness under heavy accounts is 0.978, with 0.5 it is
-// 0.981 at the same answers and 1.3 preemptions per 100 in place of 2.1.
+// the one that is passed. Without passing lookups wait among very long reports;
+// with more, heavy accounts have more than their share.
 const DefaultPassing = 0.5
 
 // spares is the most freed jobs kept for reuse.
--- a/internal/version/mgconfig/gossip.go
+++ b/internal/version/mgconfig/gossip.go
@@ -7,10 +7,9 @@
 
 // Where the platform lists no processes, each is known by others' word of it. An
 // exchange with one peer at a time hears each of a hundred peers once in a hundred
-// seconds, and one that isn't heard for half a minute is forgotten: half a
-// minute after the start each of 103 entries knew eighty others or fewer. They then
-// divided into two cells for four, two hubs had all requests, and reports began up to
-// 8 s late while half of the engines had nothing to do.
+// seconds, and one that isn't heard for half a minute is forgotten. Half a minute after
+// the start each would know too few others, divide into too few cells, and have two hubs
+// asked by all while half of the engines have nothing to do.
 //
 // So the processes of a cell tell their hub of themselves, the hubs tell the reader of
 // their cells, and each is told of all.
--- a/internal/version/mgconfig/listen.go
+++ b/internal/version/mgconfig/listen.go
@@ -9,8 +9,7 @@
 // Where changes of the list must be known soon, one process of a region reads it
 // from the platform, the hub of each cell listens at that reader, and the other
 // processes of a cell listen at their hub. A change then costs the platform one read
-// and not one for each process: 103 entries made 4,350 reads in 48 s while each that
-// heard of a newer list went on with its own watch, which returns at once as upstreams'
+// and not one for each process, whose own watch would return at once as upstreams'
 // heartbeats end it.
 //
 // What each tells carries its age since the platform's own word, so that whoever
@@ -23,7 +22,7 @@
 	hubHold = 150 * mgclock.Millis(1)
 	// hubRest is how old the reader's word is when a hub reads for its cell. Engines
 	// that started together beat together, and the reader's own watch takes up to
-	// quickWatch then; with 500 ms each hub read 1.4 times a second beside the reader.
+	// quickWatch then: sooner, each hub would read beside the reader.
 	hubRest = quickWatch + 200
 	// cellHold is the same for the other processes, which hear of the hub's life by
 	// their reports of load as well.
@@ -43,17 +42,15 @@
 	// theirs and some.
 	listenersLife = 3 * cellHold
 	// meetSpan is how long after a start a process that nobody listens at doesn't read
-	// for others: until some hundred processes know one another, which takes 6 s in
-	// virtual time, several take themselves for the reader.
+	// for others: until some hundred processes know one another several take
+	// themselves for the reader.
 	meetSpan = 6 * mgclock.Second
 	// awayPause is the mean pause of a process whose hub answers, and has no word of
 	// the platform, between two reads of its own. The hub asks often, and who else is
-	// answered tells the others. With pauses of half a second 103 processes made 3,300
-	// reads in eight seconds of a platform that turned all away.
+	// answered tells the others; a platform that turns all away is spared.
 	awayPause = 3 * mgclock.Second
 	// listenRow makes the pause after a list grow with its rows, in ms. A row takes
-	// some 24 bytes on the wire: 60 KB/s while the list never rests, 4.6 KB/s where a
-	// sixth of 144 upstreams is replaced each 3.3 s.
+	// some 24 bytes on the wire: 60 KB/s while the list never rests.
 	listenRow = 0.4
 	// listenMost bounds that pause, as listPullMost does for fetches.
 	listenMost = listPullMost
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -38,8 +38,8 @@
 	// count would never see a change.
 	plainEvery = 10
 	// plainQuick is the same for a list whose changes must be known soon: at least
-	// 18 s of watches that end with the next heartbeat. A read of 3,000 engines is
-	// seven calls.
+	// 18 s of watches that end with the next heartbeat. A read of some thousand
+	// upstreams is a dozen calls and more.
 	plainQuick = 300
 	// restedSpan is how long a watch may have rested before a read takes its place:
 	// upstreams write about each 1.2 s.
@@ -50,8 +50,7 @@
 	pollMin       = 30 * mgclock.Second
 	// missingPause is the mean pause after the answer that there is no value yet, where
 	// the platform is young: all processes start before the first table is published,
-	// and the first that reads it tells the others. 103 processes made 310 such reads
-	// with the pauses of an outage.
+	// and the first that reads it tells the others.
 	missingPause = mgclock.Second
 	// backoffMin and backoffMax bound the pause after a failed read by default.
 	// Half a minute is the longest that a change waits once the platform is back.
@@ -302,10 +301,9 @@
 
 // quickStale is the same where one process watches the list quickly: heartbeats of a
 // dozen upstreams end its watches each 100 ms or so, and it tells the others each
-// 200 ms. A platform that falls silent without a refusal hides a notice of 1.7 s; with
-// 1,500 ms it was seen 0.5 s before the upstream went, or not at all. On a calm day
-// without any silence upstreams were asked 946 times with 500 ms, 101 times with this
-// and never with 1,000 ms.
+// 200 ms. A platform that falls silent without a refusal hides a notice of 1.7 s, of
+// which some must be left to move what runs there; sooner, upstreams would be asked all
+// the time.
 const quickStale = 800 * mgclock.Millis(1)
 
 // Stale reports whether the platform gives no word of the list now.
--- a/internal/version/mgmember/cell.go
+++ b/internal/version/mgmember/cell.go
@@ -6,8 +6,8 @@
 )
 
 // cellSize is the most processes that share one hub. A hub sums what each tells it
-// five times a second: with 24 the busiest entry took 0.5 % of a core, with 300 it
-// took 67 % of its processor and moved 0.7 MB a second, and answers came late.
+// five times a second: with a few hundred its processor and its link are taken up by
+// that, and its answers come late.
 const cellSize = 40
 
 // Cells returns into how many cells a number of processes divides: a power of two,
