mgnode: packers of gossip are used again

Cause: each call allocated the state of a compression, 816 KB, which a hub does for each process of its cell every three seconds.

--- a/internal/process/mgnode/gossip.go
+++ b/internal/process/mgnode/gossip.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 )
@@ -60,9 +61,17 @@
 	return known, nil
 }
 
+// packers keeps the state of compressions, which takes most of a megabyte each: a hub
+// packs for each process of its cell every three seconds.
+var packers = sync.Pool{
+	New: func() any { return gzip.NewWriter(nil) },
+}
+
 func packGossip(all []mgmember.Gossip) ([]byte, error) {
 	var body bytes.Buffer
-	packer := gzip.NewWriter(&body)
+	packer := packers.Get().(*gzip.Writer)
+	defer packers.Put(packer)
+	packer.Reset(&body)
 	if err := json.NewEncoder(packer).Encode(all); err != nil {
 		return nil, fmt.Errorf("gossip can't be written: %w", err)
 	}
