--- a/internal/version/mgconfig/fleet_test.go
+++ b/internal/version/mgconfig/fleet_test.go
@@ -105,8 +105,9 @@
 	dead     map[string]bool
 	cordoned []string // availability zones on the platform's list
 
-	// Where upstreams is set, the list has so many, and the platform gives them in
-	// pages and allows pageRate reads a second of all members together.
+	// Where upstreams is set, the platform gives the list in the pages of so many rows,
+	// and allows pageRate reads a second of all members together. The list itself stays
+	// short: its pages are what counts.
 	upstreams int
 }
 
