mgconfig: a long list is left to hubs and keepers

Cause: a process that hears nothing fresh of the list reads it for itself each second. Before 3,000 engines that is sixty calls and 1.8 MB; where a third of 300 entries dies all others do it at once, are turned away, and fill the links of thin VMs for seconds. They ask peers for it each 300 ms now, and read after 5 s without. Lists under 500 members, processes included, are read as before.

--- a/internal/version/mgconfig/fleet_test.go
+++ b/internal/version/mgconfig/fleet_test.go
@@ -109,6 +109,7 @@
 	// and allows pageRate reads a second of all members together. The list itself stays
 	// short: its pages are what counts.
 	upstreams int
+	listed    int // upstreams that the list itself shows, 48 where it is 0
 }
 
 func newFleet(seed uint64, count int, spread mgclock.Millis) *fleet {
--- a/internal/version/mgconfig/listen.go
+++ b/internal/version/mgconfig/listen.go
@@ -165,6 +165,9 @@
 			m.members.Failed(now, from)
 			m.vms.next = min(m.vms.next, now)
 		}
+		if m.spared() {
+			m.exchange = min(m.exchange, now+m.jitter(longExchange))
+		}
 		return nil
 	}
 	m.members.Answered(now, from)
@@ -219,6 +222,42 @@
 	case r.hub == nil:
 		m.vms.next = max(m.vms.next, at+hubRest)
 	default:
-		m.vms.next = max(m.vms.next, at+slowPause)
+		m.vms.next = max(m.vms.next, at+m.ownPause())
+	}
+}
+
+const (
+	// longList is the number of members from which a process that others don't listen
+	// at leaves the list to them: thousands of upstreams are some dozen calls and a
+	// megabyte and more, which take seconds on the link of a thin VM. Where a third of
+	// the processes die, each of the others would read them at once, and be turned away.
+	longList = 500
+	// longPause is the pause between such a process's own reads while it hears nothing.
+	longPause = 5 * mgclock.Second
+	// longExchange is the interval at which it asks peers meanwhile, which have the list
+	// packed in a twentieth.
+	longExchange = 300 * mgclock.Millis(1)
+)
+
+// spared reports whether this process leaves a long list to its hub and the keepers of
+// its cell.
+func (m *Machine) spared() bool {
+	return m.spec.Quick > 0 && len(m.members.View().All()) > longList && m.roles().rank >= keepers
+}
+
+// ownPause returns the pause between two reads of the list by a process that doesn't
+// read it for others.
+func (m *Machine) ownPause() mgclock.Millis {
+	if m.spared() {
+		return longPause
+	}
+	return slowPause
+}
+
+// exchangePause returns the mean interval of exchanges.
+func (m *Machine) exchangePause(now mgclock.Millis) mgclock.Millis {
+	if m.spared() && !m.listening.well(now) {
+		return longExchange
 	}
+	return exchangeSpan
 }
--- a/internal/version/mgconfig/listen_fleet_test.go
+++ b/internal/version/mgconfig/listen_fleet_test.go
@@ -32,7 +32,10 @@
 // list puts a list of upstreams on the platform, of which one after the other leaves,
 // and returns its version.
 func (f *fleet) list(change int) uint64 {
-	const upstreams = 48
+	upstreams := 48
+	if f.listed > 0 {
+		upstreams = f.listed
+	}
 	list := mgplatform.List{
 		Version:  f.platform.values[mgplatform.ListKey].Version() + 1,
 		Cordoned: f.cordoned,
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -141,7 +141,8 @@
 	actions = append(actions, m.listen(now)...)
 	actions = append(actions, m.gossip(now)...)
 	if now >= m.exchange {
-		m.exchange = now + exchangeSpan*3/4 + m.jitter(exchangeSpan/2)
+		span := m.exchangePause(now)
+		m.exchange = now + span*3/4 + m.jitter(span/2)
 		actions = append(actions, m.ask(m.choose())...)
 	}
 	actions = append(actions, m.askFirst(now)...)
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -332,6 +332,10 @@
 			s.next = now + awayPause/2 + m.jitter(awayPause)
 			return false
 		}
+		if m.spared() && m.quick(s) {
+			s.next = now + longPause/2 + m.jitter(longPause)
+			return false
+		}
 		if m.Current() == nil || m.quick(s) {
 			s.next = now + firstRetry/2 + m.jitter(min(or(m.spec.Backoff, backoffMax), firstRetry<<min(s.failures, maxShift)))
 			return false
@@ -363,7 +367,7 @@
 	case m.quick(s) && m.leads(now):
 		return now + m.spec.Quick
 	case m.quick(s):
-		return now + slowPause
+		return now + m.ownPause()
 	default:
 		return now + watchPause
 	}
