tests that could not fail

TestHomes: the service had no memory, so that nobody was asked for places whatever its homes; it has now, and without the check the request runs where it must not. TestCordonAtStart passed also where no process became ready; all must.

--- a/internal/process/mgrelay/home_test.go
+++ b/internal/process/mgrelay/home_test.go
@@ -76,18 +76,31 @@
 		}
 	})
 	Convey("Who gives places isn't asked where homes leave upstreams out", t, func() {
-		g := open(t, say("x"), say("x"))
-		table, err := mgtable.Parse([]byte(strings.Replace(plan, `prefix = "/write/"`, "prefix = \"/write/\"\nhomes = [\"south\"]", 1)))
-		So(err, ShouldBeNil)
-		g.table = table
-		g.hosts[0].Region = "north"
-		g.hosts[1].Region = "south"
-		g.with(func(spec *mgrelay.Spec) {
-			spec.Place = func(context.Context, string, mgroom.Wait) (mgroom.Grant, bool) {
-				return mgroom.Grant{Place: "a"}, true
-			}
-		})
-		got := g.ask(context.Background(), http.MethodPost, "/write/1", "x", nil)
-		So(got.header.Get("Signature"), ShouldEqual, "signed by b")
+		for homes, signed := range map[string]string{
+			`homes = ["south"]`:          "signed by b",
+			`homes = ["south", "north"]`: "signed by a", // nobody is left out
+		} {
+			Convey(homes, func() {
+				g := open(t, say("x"), say("x"))
+				text := strings.Replace(plan, `prefix = "/write/"`, "prefix = \"/write/\"\n"+homes, 1)
+				text = strings.Replace(text, `kind = "plain"`, "model = \"m\"", 1)
+				text += "\n[[model]]\nname = \"m\"\ncontext = 9000\nmax = 9000\n"
+				table, err := mgtable.Parse([]byte(text))
+				So(err, ShouldBeNil)
+				g.table = table
+				g.hosts[0].Region = "north"
+				g.hosts[1].Region = "south"
+				asked := 0
+				g.with(func(spec *mgrelay.Spec) {
+					spec.Place = func(context.Context, string, mgroom.Wait) (mgroom.Grant, bool) {
+						asked++
+						return mgroom.Grant{Place: "a"}, true
+					}
+				})
+				got := g.ask(context.Background(), http.MethodPost, "/write/1", "x", http.Header{"Tokens": {"100,50"}})
+				So(got.header.Get("Signature"), ShouldEqual, signed)
+				So(asked == 0, ShouldEqual, signed == "signed by b")
+			})
+		}
 	})
 }
--- a/internal/request/mgroom/ramp_test.go
+++ b/internal/request/mgroom/ramp_test.go
@@ -22,30 +22,26 @@
 		warm  = 3 * mgclock.Second
 	)
 	for _, c := range []struct {
-		name  string
-		stay  int // engines that are warm all the while
-		back  int // engines that come back
-		load  int // notes that come in each step
-		serve mgclock.Millis
+		name string
+		stay int // engines that are warm and full all the while
+		back int // engines that come back
+		load int // notes that come in each step
 	}{
 		{
-			name:  "nineteen beside some that stay",
-			stay:  37,
-			back:  19,
-			load:  8,
-			serve: 5,
+			name: "nineteen come back beside full ones",
+			stay: 37,
+			back: 19,
+			load: 8,
 		},
 		{
-			name:  "two are all there is",
-			back:  2,
-			load:  8,
-			serve: 5,
+			name: "two are all there is",
+			back: 2,
+			load: 8,
 		},
 		{
-			name:  "one is all there is",
-			back:  1,
-			load:  8,
-			serve: 5,
+			name: "one is all there is",
+			back: 1,
+			load: 8,
 		},
 	} {
 		Convey("Cold engines bear their rate where "+c.name, t, func() {
@@ -68,6 +64,9 @@
 						Name: fmt.Sprint("engine-", i),
 						Free: 20_000, // what they are given ends at once
 					}
+					if i < c.stay {
+						place.Free = 0 // full all the while
+					}
 					if i >= c.stay {
 						if now < back {
 							continue
--- a/internal/version/mgconfig/cordon_test.go
+++ b/internal/version/mgconfig/cordon_test.go
@@ -123,14 +123,20 @@
 		f.net.Run(15 * sec)
 		f.cordon("hall")
 		f.startAll()
+		serving, unaware := map[string]bool{}, 0
 		for f.net.Now() < 25*sec {
 			f.net.Run(f.net.Now() + 5)
 			for _, n := range f.nodes {
 				if n.ready == never || n.members.View().Version() == 0 {
 					continue
 				}
-				So(n.members.View().Cordoned(), ShouldContainKey, "hall")
+				serving[n.name] = true
+				if _, known := n.members.View().Cordoned()["hall"]; !known {
+					unaware++
+				}
 			}
 		}
+		So(unaware, ShouldEqual, 0)
+		So(len(serving), ShouldEqual, len(f.nodes))
 	})
 }
