--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -28,9 +28,8 @@
 	return stop, hurry
 }
 
-// collectAt is the growth of the heap in per cent at which a process collects.
-// With 35,000 accounts it holds the memory in use to 18.3 MB in place of 25.3 at
-// the usual 100 (mgtable's BenchmarkFootprint); 25 brings little more.
+// collectAt is the growth of the heap in per cent at which a process collects: half of
+// the usual, as a table of many accounts takes most of what a node may use.
 const collectAt = 50
 
 // runProcess reads settings from a file and runs a process with them until it
--- /dev/null
+++ b/internal/version/mgconfig/platform_fleet_test.go
@@ -0,0 +1,156 @@
+package mgconfig
+
+import (
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/bench/mgnet"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// platform is a stand-in for the configuration service in virtual time.
+type platform struct {
+	net     *mgnet.Net
+	values  map[string]mgplatform.Value
+	frozen  map[string]mgplatform.Value // what is shown while stale
+	stale   bool
+	down    bool
+	waiting []func() bool // watches; true when answered
+	cordons int           // changes of the cordons
+	reads   map[mgclock.Millis]int
+}
+
+func (p *platform) get(key string) (mgplatform.Value, error) {
+	values := p.values
+	if p.stale {
+		values = p.frozen
+	}
+	v, ok := values[key]
+	if !ok {
+		return v, mgplatform.ErrMissing
+	}
+	return v, nil
+}
+
+func (p *platform) put(key string, data []byte) {
+	p.values[key] = mgplatform.NewValue(p.values[key].Version()+1, data)
+	kept := p.waiting[:0]
+	for _, look := range p.waiting {
+		if !look() {
+			kept = append(kept, look)
+		}
+	}
+	p.waiting = kept
+}
+
+func (p *platform) freeze(stale bool) {
+	p.stale = stale
+	p.frozen = make(map[string]mgplatform.Value)
+	for key, v := range p.values {
+		p.frozen[key] = v
+	}
+}
+
+// peak returns the most reads in a second from one time on.
+func (p *platform) peak(from mgclock.Millis) int {
+	most := 0
+	for second, count := range p.reads {
+		if second >= from/mgclock.Second {
+			most = max(most, count)
+		}
+	}
+	return most
+}
+
+func (f *fleet) read(n *node, a Action, finish func(ResultSpec)) {
+	p := f.platform
+	if f.beat > 0 && a.Key() == mgplatform.ListKey {
+		a.wait = min(a.wait, f.beat)
+	}
+	answer := func(v mgplatform.Value, err error) {
+		f.net.Send("platform", n.name, len(v.Bytes())+callBytes/2, func() {
+			finish(ResultSpec{
+				Value: v,
+				Err:   err,
+			})
+		})
+	}
+	if f.upstreams > 0 && a.Kind() == Read && a.Key() == mgplatform.ListKey {
+		pages := f.upstreams / pageRows
+		if pages > firstPages && !n.asked && !slices.Contains(f.seeds(), n.name) {
+			n.asked = true
+			f.readPages(n, firstPages, func(_ mgplatform.Value, err error) {
+				if err == nil {
+					err = mgplatform.ErrLong
+				}
+				answer(mgplatform.Value{}, err)
+			})
+			return
+		}
+		f.readPages(n, pages, answer)
+		return
+	}
+	f.net.Send(n.name, "platform", callBytes/2, func() {
+		p.reads[f.net.Now()/mgclock.Second]++
+		if p.down {
+			answer(mgplatform.Value{}, mgplatform.ErrDown)
+			return
+		}
+		v, err := p.get(a.Key())
+		if a.Kind() == Read || err != nil || v.Version() > a.After() {
+			answer(v, err)
+			return
+		}
+		f.await(a, answer)
+	})
+}
+
+// readPages reads the list page after page, each a read of the platform.
+func (f *fleet) readPages(n *node, pages int, answer func(mgplatform.Value, error)) {
+	f.net.Send(n.name, "platform", callBytes/2, func() {
+		p := f.platform
+		second := f.net.Now() / mgclock.Second
+		p.reads[second]++
+		switch {
+		case p.down:
+			answer(mgplatform.Value{}, mgplatform.ErrDown)
+		case p.reads[second] > pageRate:
+			answer(mgplatform.Value{}, mgplatform.ErrRate)
+		case pages <= 1:
+			answer(p.get(mgplatform.ListKey))
+		default:
+			f.net.At(f.net.Now()+pageSpan, "platform", func() {
+				f.net.Send("platform", n.name, callBytes/2, func() { f.readPages(n, pages-1, answer) })
+			})
+		}
+	})
+}
+
+// await holds a watch until the value changes or the wait is over.
+func (f *fleet) await(a Action, answer func(mgplatform.Value, error)) {
+	over := false
+	cordons := f.platform.cordons
+	f.platform.waiting = append(f.platform.waiting, func() bool {
+		v, err := f.platform.get(a.Key())
+		if over {
+			return true
+		}
+		if a.Key() == mgplatform.ManifestKey && f.platform.cordons > cordons && !f.platform.down {
+			over = true
+			answer(mgplatform.Value{}, mgplatform.ErrCordons)
+			return true
+		}
+		if f.platform.down || err != nil || v.Version() <= a.After() {
+			return false
+		}
+		over = true
+		answer(v, nil)
+		return true
+	})
+	f.net.At(f.net.Now()+a.Wait(), "platform", func() {
+		if !over {
+			over = true
+			answer(mgplatform.Value{}, mgplatform.ErrUnchanged)
+		}
+	})
+}
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -267,9 +267,8 @@
 const listPullRow = 4 * mgclock.Millis(1)
 
 // listPullMost bounds that interval where a member that lacks the newest list
-// watches the platform by itself: heartbeats of 3,000 engines are 1.1 MB a second,
-// a list of as many rows 30 KB on the wire (worked out from 450 bytes a heartbeat,
-// one each 1.2 s, and 12,871 bytes for 1,260 rows).
+// watches the platform by itself: the heartbeats of some thousand upstreams take its link
+// many times as much as a list of as many rows.
 const listPullMost = 1500 * mgclock.Millis(1)
 
 // listPullSpan returns the shortest interval of fetches of the list.
