--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -93,7 +93,7 @@
 // carryOut does the move's steps until it is over or the run's stream has ended.
 func (y *Relay) carryOut(r *run, m *moving) {
 	for m.found && r.ctx.Err() == nil && m.move.Step() != mgmigration.Done {
-		if y.closed(m) {
+		if y.destinationCordoned(m) {
 			// No request may reach it by the time that the run is stopped.
 			m.tried[m.to.Name] = true
 			m.move = mgmigration.Move{}
@@ -126,8 +126,9 @@
 	}
 }
 
-// closed reports whether a move's destination was cordoned before its run was stopped.
-func (y *Relay) closed(m *moving) bool {
+// destinationCordoned reports whether a move's destination was cordoned before its run
+// was stopped.
+func (y *Relay) destinationCordoned(m *moving) bool {
 	if y.spec.Cordoned == nil || m.move.Stopped() {
 		return false
 	}
