--- a/internal/version/mgconfig/word_test.go
+++ b/internal/version/mgconfig/word_test.go
@@ -51,6 +51,14 @@
 			So(m.Stale(1000+wordAge), ShouldBeTrue)
 		})
 	})
+	Convey("A hub that has the reader's word alone tells it on", t, func() {
+		m, _ := sixth()
+		m.takeList(0, upstreamList(5, mgplatform.Live))
+		m.vms.answered = false
+		So(m.Word(1000).Age, ShouldBeLessThan, 0)
+		m.Take(1000, Word{List: m.members.View().Version(), Age: 60}, "entry-2")
+		So(m.Word(1010).Age, ShouldEqual, 70)
+	})
 	Convey("Who has no word of the platform says so", t, func() {
 		m, _ := alone()
 		m.vms.answered = false
