--- /dev/null
+++ b/internal/soak/mgsoak/cordon_test.go
@@ -0,0 +1,90 @@
+package mgsoak
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Engines of a zone that operators empty begin generations, and a run that only looks at
+// answers finds nothing: each answer is whole.
+func TestBreached(t *testing.T) {
+	look := cordonLook{
+		zone:  "a",
+		begun: 1,
+		from:  10_000,
+		end:   14_000,
+	}
+	for _, c := range []struct {
+		name  string
+		begun int
+		other Fault
+		from  mgclock.Millis // of the other fault, which lasts for a second
+		found int
+	}{
+		{
+			name:  "nothing began",
+			found: 0,
+		},
+		{
+			name:  "work began and nothing else failed",
+			begun: 1,
+			found: 1,
+		},
+		{
+			name:  "work began beside a fault that keeps nobody from knowing",
+			begun: 1,
+			other: Fault{
+				Kind:   BarLink,
+				Target: "engine-1",
+			},
+			from:  11_000,
+			found: 1,
+		},
+		{
+			name:  "work began while the way to the platform failed",
+			begun: 1,
+			other: Fault{
+				Kind:   BarLink,
+				Target: platform,
+			},
+			from: 9_000,
+		},
+		{
+			name:  "work began just after a process stood still",
+			begun: 1,
+			other: Fault{
+				Kind:   PauseProcess,
+				Target: "entry-1",
+			},
+			from: 8_000,
+		},
+		{
+			name:  "work began long after a process stood still",
+			begun: 1,
+			other: Fault{
+				Kind:   PauseProcess,
+				Target: "entry-1",
+			},
+			from:  1_000,
+			found: 1,
+		},
+	} {
+		Convey("A cordon where "+c.name, t, func() {
+			look.begun = c.begun
+			r := run{
+				cordons: []cordonLook{look},
+			}
+			if c.other != (Fault{}) {
+				r.spans = append(r.spans, span{
+					fault: c.other,
+					from:  c.from,
+					end:   c.from + mgclock.Second,
+				})
+			}
+			So(len(r.breached()), ShouldEqual, c.found)
+		})
+	}
+}
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -193,8 +193,7 @@
 	return nil
 }
 
-// breached looks for work that a cordoned zone was given by processes that could know:
-// a process that stands still, or that a link has cut off, goes by what it knew.
+// breached looks for work that a cordoned zone was given by processes that could know.
 func (r *run) breached() []Finding {
 	var found []Finding
 	for _, c := range r.cordons {
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -40,9 +40,12 @@
 	Span   mgclock.Millis `json:"span,omitempty"`
 }
 
-// hides reports whether a fault may keep a process from knowing what others know.
+// hides reports whether a fault may keep a process from knowing what the platform shows:
+// it stands still, or the way to the platform fails. Other links carry callers' requests
+// and agents' work alone.
 func (f Fault) hides() bool {
-	return slices.Contains([]Kind{PauseProcess, CutLink, BarLink, MuteLink, DelayLink, LoseLink}, f.Kind)
+	links := []Kind{CutLink, BarLink, MuteLink, DelayLink, LoseLink}
+	return f.Kind == PauseProcess || f.Target == platform && slices.Contains(links, f.Kind)
 }
 
 // String returns the fault in a line.
