mgrelay: a line for each attempt that an upstream broke off

Which engine ended under which request couldn't be told from the logs: a broken connection looked the same whether the engine had ended, was told to stop or lost one connection, and no line named what was sent. Now a line and a counter (relay.broken) give the request's digest (account, host, path, body), whether the answer had begun, its events, and whether the engine's address refuses connections since. Nothing is decided by it yet.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -145,6 +145,7 @@
 		Place:   n.place,
 		Turn:    n.turn,
 		EndTurn: n.endTurn,
+		Refuses: mgdial.Refuses,
 		Client:  mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
 	}
 }
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -81,7 +81,7 @@
 	if x.call.Route.Kind() == mgtable.Stream && response.StatusCode < http.StatusMultipleChoices {
 		return y.stream(ctx, w, x, host, response)
 	}
-	return y.whole(w, x, response)
+	return y.whole(ctx, w, x, host, response)
 }
 
 // carry counts a request at an upstream, and returns what ends that.
@@ -157,6 +157,9 @@
 	}
 	x.attempts++
 	x.ran = true
+	if ctx.Err() == nil {
+		y.brokeOff(x, host, remains{})
+	}
 	return failed
 }
 
@@ -225,11 +228,16 @@
 }
 
 // whole delivers an answer that is no stream.
-func (y *Relay) whole(w http.ResponseWriter, x *exchange, response *http.Response) ending {
+func (y *Relay) whole(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) ending {
 	kept, err := io.ReadAll(io.LimitReader(response.Body, maxKept))
 	if err != nil {
 		x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 			"the answer broke off", "send the request again if it may run twice").WithCause(err)
+		if ctx.Err() == nil {
+			y.brokeOff(x, host, remains{
+				begun: true,
+			})
+		}
 		return failed
 	}
 	if y.spec.Clock.Now() > x.began+x.limit+writeSlack {
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -77,6 +77,9 @@
 	// Left returns how long this process still lives, or false when it doesn't
 	// stop.
 	Left func() (mgclock.Millis, bool)
+	// Refuses reports whether an upstream's address refuses connections, as after its
+	// process has ended; an error says that it isn't known. Nil never knows.
+	Refuses func(ctx context.Context, addr string) (bool, error)
 	// Move makes a call to a source of a move. Without it nothing is moved.
 	Move func(ctx context.Context, source Host, order Order) mgmigration.Reply
 }
--- a/internal/process/mgrelay/run.go
+++ b/internal/process/mgrelay/run.go
@@ -126,6 +126,14 @@
 	return first
 }
 
+// moved reports whether a mover is, or was, at work on a run: it has the upstream end
+// the run's stream.
+func (s *runs) moved(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.claimed
+}
+
 // note counts events that were delivered, and returns the time that each of
 // their tokens took since the events before, or false for the first.
 func (r *run) note(now mgclock.Millis, events int64) (each float64, ok bool) {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -30,7 +30,7 @@
 	}
 	first, err := events.next()
 	if err != nil && !errors.Is(err, io.EOF) {
-		return y.severed(x, run, err)
+		return y.severed(ctx, x, run, err)
 	}
 	y.begunAt(x, host)
 	y.spec.Load.Well(y.spec.Clock.Now(), host.Name)
@@ -53,7 +53,7 @@
 		first, err = events.next()
 	}
 	if !errors.Is(err, io.EOF) {
-		return y.severed(x, run, err)
+		return y.severed(ctx, x, run, err)
 	}
 	if len(first) > 0 {
 		// The end of a stream need not be followed by an empty line.
@@ -108,7 +108,14 @@
 }
 
 // severed notes a stream that broke off, and where the generation can go on.
-func (y *Relay) severed(x *exchange, run *run, cause error) ending {
+func (y *Relay) severed(ctx context.Context, x *exchange, run *run, cause error) ending {
+	if ctx.Err() == nil && !y.runs.moved(run) {
+		y.brokeOff(x, run.host, remains{
+			begun:  true,
+			events: run.made.Load(),
+			first:  mgclock.Millis(run.first.Load()),
+		})
+	}
 	x.places = append(run.outcome(y.spec.Clock), x.places...)
 	x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the stream broke off", "send the request again if it may run twice").WithCause(cause)
--- /dev/null
+++ b/internal/request/mgquarantine/digest.go
@@ -0,0 +1,39 @@
+package mgquarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+)
+
+// A Digest names what a caller asked for, whichever entry it came to: the client
+// account, the host, the path with its query, and the body. It is the first half of a
+// SHA-256, so that no caller can make a request that shares another's.
+type Digest [sha256.Size / 2]byte
+
+// DigestOf returns the digest of a request. Account is empty where the route needs none.
+func DigestOf(account, host, target string, body []byte) Digest {
+	sum := sha256.New()
+	for _, part := range []string{account, host, target} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		sum.Write(size[:])
+		sum.Write([]byte(part))
+	}
+	sum.Write(body)
+	return Digest(sum.Sum(nil)[:len(Digest{})])
+}
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest reads what String returns.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(d) {
+		return d, fmt.Errorf("digest %q: give %d hexadecimal digits", text, hex.EncodedLen(len(d)))
+	}
+	return Digest(data), nil
+}
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -115,3 +117,21 @@
 	}
 	return response, nil
 }
+
+// Refuses reports whether an address refuses connections, as the address of a process
+// that has ended does while its host lives. An error says that neither is known: the
+// host may be down or cut off.
+func Refuses(ctx context.Context, addr string) (bool, error) {
+	dialer := net.Dialer{
+		Timeout: near,
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("%s: whether it refuses connections isn't known: try again: %w", addr, err)
+	}
+	_ = conn.Close() // nothing was sent
+	return false, nil
+}
--- a/pkg/mgdial/dial_test.go
+++ b/pkg/mgdial/dial_test.go
@@ -27,3 +27,30 @@
 		So(count, ShouldEqual, 2)
 	})
 }
+
+// An upstream whose connection was reset must not be taken for one that has ended.
+func TestRefuses(t *testing.T) {
+	Convey("Of an address", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		addr := listener.Addr().String()
+		Convey("where somebody listens it is told that it doesn't refuse", func() {
+			refuses, err := mgdial.Refuses(context.Background(), addr)
+			So(err, ShouldBeNil)
+			So(refuses, ShouldBeFalse)
+		})
+		Convey("where nobody does any more, that it refuses", func() {
+			So(listener.Close(), ShouldBeNil)
+			refuses, err := mgdial.Refuses(context.Background(), addr)
+			So(err, ShouldBeNil)
+			So(refuses, ShouldBeTrue)
+		})
+		Convey("that gives no answer in time, that it isn't known", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, err := mgdial.Refuses(ctx, addr)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
