--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -138,15 +138,16 @@
 		return nil
 	}
 	return &mgrelay.Spec{
-		Form:    *n.form,
-		Basis:   n.basis,
-		Move:    n.move,
-		Probe:   n.probe,
-		Place:   n.place,
-		Turn:    n.turn,
-		EndTurn: n.endTurn,
-		Refuses: mgdial.Refuses,
-		Client:  mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
+		Form:       *n.form,
+		Basis:      n.basis,
+		Move:       n.move,
+		Probe:      n.probe,
+		Place:      n.place,
+		Turn:       n.turn,
+		EndTurn:    n.endTurn,
+		Refuses:    mgdial.Refuses,
+		Quarantine: n.quarantine,
+		Client:     mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
 	}
 }
 
--- a/internal/process/mgnode/gossip.go
+++ b/internal/process/mgnode/gossip.go
@@ -2,13 +2,10 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 )
@@ -27,7 +24,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := packGossip(n.loop.Gossiped(all))
+	body, err := pack(n.loop.Gossiped(all))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -38,7 +35,7 @@
 
 // gossip tells the process at an address of others, and returns what it knows.
 func (n *Node) gossip(ctx context.Context, addr string, all []mgmember.Gossip) ([]mgmember.Gossip, error) {
-	body, err := packGossip(all)
+	body, err := pack(all)
 	if err != nil {
 		return nil, err
 	}
@@ -61,34 +58,11 @@
 	return known, nil
 }
 
-// packers keeps the state of compressions, which takes most of a megabyte each: a hub
-// packs for each process of its cell every three seconds.
-var packers = sync.Pool{
-	New: func() any { return gzip.NewWriter(nil) },
-}
-
-func packGossip(all []mgmember.Gossip) ([]byte, error) {
-	var body bytes.Buffer
-	packer := packers.Get().(*gzip.Writer)
-	defer packers.Put(packer)
-	packer.Reset(&body)
-	if err := json.NewEncoder(packer).Encode(all); err != nil {
-		return nil, fmt.Errorf("gossip can't be written: %w", err)
-	}
-	if err := packer.Close(); err != nil {
-		return nil, fmt.Errorf("gossip can't be packed: %w", err)
-	}
-	return body.Bytes(), nil
-}
-
+// readGossip reads what is told of processes.
 func readGossip(from io.Reader) ([]mgmember.Gossip, error) {
-	unpacker, err := gzip.NewReader(from)
-	if err != nil {
-		return nil, fmt.Errorf("gossip can't be unpacked: tell it again: %w", err)
-	}
 	var all []mgmember.Gossip
-	if err := json.NewDecoder(io.LimitReader(unpacker, maxGossip)).Decode(&all); err != nil {
-		return nil, fmt.Errorf("gossip is not rows of JSON: tell it again: %w", err)
+	if err := unpack(from, maxGossip, &all); err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
 	}
 	return all, nil
 }
--- a/internal/process/mgnode/gossip_test.go
+++ b/internal/process/mgnode/gossip_test.go
@@ -28,7 +28,7 @@
 func TestGossipPacked(t *testing.T) {
 	Convey("What is packed is read again, also by a packer that was used", t, func() {
 		for _, count := range []int{3, 400, 0, 40} {
-			packed, err := packGossip(gossipOf(count))
+			packed, err := pack(gossipOf(count))
 			So(err, ShouldBeNil)
 			read, err := readGossip(bytes.NewReader(packed))
 			So(err, ShouldBeNil)
@@ -48,7 +48,7 @@
 			all := gossipOf(count)
 			b.ReportAllocs()
 			for range b.N {
-				if _, err := packGossip(all); err != nil {
+				if _, err := pack(all); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/process/mgnode/list_test.go
+++ b/internal/process/mgnode/list_test.go
@@ -138,7 +138,7 @@
 
 func mustPack(t *testing.T) []byte {
 	t.Helper()
-	body, err := packGossip([]mgmember.Gossip{{
+	body, err := pack([]mgmember.Gossip{{
 		Name: "entry-2",
 	}})
 	if err != nil {
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -24,6 +24,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgconfig"
@@ -54,6 +55,7 @@
 	places      atomic.Pointer[func(service string, others mgload.Report) []mgroom.Place]
 	hub         mgload.Hub
 	others      atomic.Pointer[others]
+	quarantine  *mgquarantine.Quarantine
 	move        func(context.Context, mgrelay.Host, mgrelay.Order) mgmigration.Reply
 	loop        *mgconfig.Loop
 	pause       *mgmember.Pause
@@ -100,6 +102,7 @@
 		move:        spec.Move,
 		known:       spec.Known,
 		probe:       spec.Probe,
+		quarantine:  mgquarantine.New(incarnation),
 	}
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
@@ -109,6 +112,7 @@
 	n.loop = mgconfig.NewLoop(n.loopSpec())
 	n.admin.Source("table", func() any { return n.loop.Status() })
 	n.admin.Source("members", n.memberState)
+	n.admin.Source("quarantine", n.quarantineState)
 	n.admin.Ready(n.Ready)
 	return n, nil
 }
@@ -237,6 +241,12 @@
 	n.servers.Go(func() { n.loop.Run(ctx) })
 	n.servers.Go(func() { n.pause.Run(ctx) })
 	n.servers.Go(func() { n.tick(ctx) })
+	if n.form != nil {
+		notes := n.exchanger()
+		n.servers.Go(func() { notes.spread(ctx) })
+		n.servers.Go(func() { notes.compare(ctx) })
+		n.servers.Go(func() { n.watchHeld(ctx) })
+	}
 	for n.Table() == nil || !n.loop.Ready() {
 		if !n.clock.Sleep(stop, drainLook) {
 			return fmt.Errorf("start: stopped before a configuration was in force: %w", stop.Err())
--- /dev/null
+++ b/internal/process/mgnode/quarantine.go
@@ -0,0 +1,256 @@
+package mgnode
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Processes tell one another which requests crash upstreams. Who learns a note tells it
+// to a few others, who tell it on (rumor mongering); and each compares what it knows with
+// one other now and then, for those that were cut off or have just started
+// (anti-entropy).
+
+// quarantinePath is where a process is told notes, and answers with those that the
+// other lacks, as JSON, compressed by gzip.
+const quarantinePath = "/quarantine"
+
+const (
+	// newsFanout is how many others are told in a round, and newsPause the time between
+	// two rounds. A note is told for mgquarantine's newsSpan, four rounds.
+	newsFanout = 3
+	newsPause  = 150 * mgclock.Millis(1)
+	// newsGap is the least time between two rounds, when there are fresh notes.
+	newsGap = 20 * mgclock.Millis(1)
+	// compareSpan is the mean interval at which a process compares what it knows.
+	compareSpan = 2 * mgclock.Second
+	// newsWait bounds the answer of a peer.
+	newsWait = 500 * mgclock.Millis(1)
+	// maxNews bounds what is told at once in bytes: four times mgquarantine's most
+	// notes.
+	maxNews = 1 << 20
+)
+
+// quarantineWire is what processes tell one another.
+type quarantineWire struct {
+	Notes []mgquarantine.Note `json:"notes,omitempty"`
+	// Sums are of all notes of who asks for those that it lacks; see Compare.
+	Sums    mgquarantine.Sums `json:"sums,omitempty"`
+	Compare bool              `json:"compare,omitempty"`
+}
+
+// exchanger exchanges notes with other processes.
+type exchanger struct {
+	clock      mgclock.Clock
+	log        logr.Logger
+	untold     func() // is told of a process that couldn't be told
+	quarantine *mgquarantine.Quarantine
+	peers      func() []*mgmember.Member
+	call       func(ctx context.Context, to *mgmember.Member, told quarantineWire) (quarantineWire, error)
+}
+
+// answer takes what another process tells, and returns what it lacks.
+func (e *exchanger) answer(told quarantineWire) quarantineWire {
+	e.take(told.Notes)
+	var lacking quarantineWire
+	if told.Compare {
+		lacking.Notes = e.quarantine.Lacking(e.clock.Now(), told.Sums)
+	}
+	return lacking
+}
+
+func (e *exchanger) take(notes []mgquarantine.Note) {
+	if len(notes) == 0 {
+		return
+	}
+	if unreadable := e.quarantine.Take(e.clock.Now(), notes); unreadable > 0 {
+		e.log.Info("notes of crashes can't be read: do all processes have one release?", "count", unreadable)
+	}
+}
+
+// tell tells some others in the background, and takes what they answer. Who can't be told
+// learns by others.
+func (e *exchanger) tell(ctx context.Context, count int, told quarantineWire) {
+	peers := e.peers()
+	for _, at := range rand.Perm(len(peers))[:min(count, len(peers))] {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, newsWait.Duration())
+			defer cancel()
+			lacking, err := e.call(callCtx, peers[at], told)
+			if err != nil {
+				e.untold()
+				return
+			}
+			e.take(lacking.Notes)
+		}()
+	}
+}
+
+// spread tells others what is learned, until ctx ends.
+func (e *exchanger) spread(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.quarantine.Changed()
+		var pause <-chan struct{} // none without news
+		if news := e.quarantine.News(e.clock.Now()); len(news) > 0 {
+			e.tell(ctx, newsFanout, quarantineWire{
+				Notes: news,
+			})
+			if !e.clock.Sleep(ctx, newsGap) {
+				return
+			}
+			pause = e.clock.After(newsPause - newsGap)
+		}
+		select {
+		case <-changed:
+		case <-pause:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// compare compares what is known with one other process now and then, until ctx ends.
+func (e *exchanger) compare(ctx context.Context) {
+	for e.clock.Sleep(ctx, compareSpan/2+mgclock.Millis(rand.Int64N(int64(compareSpan)))) {
+		e.quarantine.Tick(e.clock.Now())
+		e.tell(ctx, 1, quarantineWire{
+			Sums:    e.quarantine.Sums(),
+			Compare: true,
+		})
+	}
+}
+
+// exchanger returns what exchanges this node's notes.
+func (n *Node) exchanger() *exchanger {
+	return &exchanger{
+		clock:      n.clock,
+		log:        n.log,
+		untold:     func() { n.metrics.Counter("quarantine.untold").Inc(1) },
+		quarantine: n.quarantine,
+		peers:      func() []*mgmember.Member { return n.members.View().Peers() },
+		call:       n.callQuarantine,
+	}
+}
+
+// serveQuarantine takes what another process tells, and answers what it lacks.
+func (n *Node) serveQuarantine(w http.ResponseWriter, r *http.Request) {
+	var told quarantineWire
+	if err := unpack(r.Body, maxNews, &told); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := pack(n.exchanger().answer(told))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/gzip")
+	_, _ = w.Write(body) // one that left asks again
+}
+
+// callQuarantine tells a process, and returns what it answers.
+func (n *Node) callQuarantine(ctx context.Context, to *mgmember.Member, told quarantineWire) (quarantineWire, error) {
+	var lacking quarantineWire
+	body, err := pack(told)
+	if err != nil {
+		return lacking, err
+	}
+	url := n.guard.Base(to.PeerAddr()) + quarantinePath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return lacking, fmt.Errorf("peer %s: its address is odd: %w", to.PeerAddr(), err)
+	}
+	response, err := n.calls.RoundTrip(request)
+	if err != nil {
+		return lacking, fmt.Errorf("peer %s: it takes no notes of crashes: %w", to.PeerAddr(), err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return lacking, fmt.Errorf("peer %s: it takes no notes of crashes: status %d", to.PeerAddr(), response.StatusCode)
+	}
+	if err := unpack(response.Body, maxNews, &lacking); err != nil {
+		return lacking, fmt.Errorf("peer %s: %w", to.PeerAddr(), err)
+	}
+	return lacking, nil
+}
+
+// watchHeld logs requests as they come to be held, until ctx ends.
+func (n *Node) watchHeld(ctx context.Context) {
+	var held map[mgquarantine.Digest]bool
+	for ctx.Err() == nil {
+		changed := n.quarantine.Changed()
+		held = n.reportHeld(held)
+		select {
+		case <-changed:
+		case <-n.clock.After(mgclock.Second):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// reportHeld logs each request that is held and was not before, or the other way round,
+// and returns those that are.
+func (n *Node) reportHeld(before map[mgquarantine.Digest]bool) map[mgquarantine.Digest]bool {
+	held := map[mgquarantine.Digest]bool{}
+	for _, verdict := range n.quarantine.Verdicts(n.clock.Now()) {
+		if verdict.Left() == 0 {
+			continue
+		}
+		held[verdict.Digest()] = true
+		if before[verdict.Digest()] {
+			continue
+		}
+		keys := []any{"digest", verdict.Digest().String(), "occurrences", verdict.Occurrences(), "ms", int64(verdict.Left())}
+		n.log.Info("a request crashes upstreams and is held back", append(keys, evidenceKeys(verdict.Evidence())...)...)
+	}
+	for digest := range before {
+		if !held[digest] {
+			n.log.Info("a request is no longer held back", "digest", digest.String())
+		}
+	}
+	n.metrics.Gauge("quarantine.held").Update(int64(len(held)))
+	return held
+}
+
+// evidenceKeys returns what a log line tells of evidence.
+func evidenceKeys(notes []mgquarantine.Note) []any {
+	requests := make([]string, 0, len(notes))
+	upstreams := make([]string, 0, len(notes))
+	ages := make([]int64, 0, len(notes))
+	for _, note := range notes {
+		requests = append(requests, note.Request)
+		upstreams = append(upstreams, note.Upstream)
+		ages = append(ages, int64(note.Age))
+	}
+	return []any{"requests", requests, "upstreams", upstreams, "ages", ages}
+}
+
+// quarantineRow is a row of the dump.
+type quarantineRow struct {
+	Digest      string              `json:"digest"`
+	Occurrences int                 `json:"occurrences"`
+	Held        mgclock.Millis      `json:"held"` // ms that are left
+	Evidence    []mgquarantine.Note `json:"evidence"`
+}
+
+// quarantineState is the part of the dump that tells of requests that crash upstreams.
+func (n *Node) quarantineState() any {
+	verdicts := n.quarantine.Verdicts(n.clock.Now())
+	rows := make([]quarantineRow, 0, len(verdicts))
+	for _, verdict := range verdicts {
+		rows = append(rows, quarantineRow{
+			Digest:      verdict.Digest().String(),
+			Occurrences: verdict.Occurrences(),
+			Held:        verdict.Left(),
+			Evidence:    verdict.Evidence(),
+		})
+	}
+	return rows
+}
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -75,6 +75,7 @@
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		x.failure = keep(response)
+		y.answered(x)
 		return failed
 	}
 	y.spec.Budgets.Of(x.service).Earn(mgretry.Ratio)
@@ -245,6 +246,7 @@
 	}
 	y.spec.Load.Paced(y.spec.Clock.Now(), x.last, float64(y.spec.Clock.Now()-x.sent))
 	y.spec.Load.Well(y.spec.Clock.Now(), x.last)
+	y.answered(x)
 	header := w.Header()
 	copyHeader(header, response.Header)
 	if len(kept) < maxKept && x.method != http.MethodHead {
--- /dev/null
+++ b/internal/process/mgrelay/crash_test.go
@@ -0,0 +1,306 @@
+package mgrelay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+)
+
+// beginAndHangUp answers with a header and closes the connection.
+func beginAndHangUp(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// speakAndHangUp answers with two events and closes the connection.
+func speakAndHangUp(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("id: 1\n\nid: 2\n\n"))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// ended has each upstream's address refuse connections once it is asked.
+func ended(context.Context, string) (bool, error) { return true, nil }
+
+func alive(context.Context, string) (bool, error) { return false, nil }
+
+func unknown(context.Context, string) (bool, error) { return false, context.DeadlineExceeded }
+
+// hold has a quarantine hold what rig.ask sends to a target with a body.
+func hold(q *mgquarantine.Quarantine, target, body string) {
+	for _, upstream := range []string{"x", "y", "z"} {
+		q.Crashed(0, mgquarantine.Crash{
+			Digest:   mgquarantine.DigestOf("tankline", "tanks.example", target, []byte(body)),
+			Upstream: upstream + target,
+			Begun:    true,
+		})
+	}
+}
+
+// A reset, a stop that was told or a lost link must not be held against a request.
+func TestWhatCountsAsCrash(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		play    play
+		refuses func(context.Context, string) (bool, error)
+		leaving bool
+		counts  int
+	}{
+		{
+			name:    "a generation that had just begun at an upstream that has ended",
+			path:    "/write/1",
+			play:    beginAndHangUp,
+			refuses: ended,
+			counts:  1,
+		},
+		{
+			name:    "one that had made its first events a moment ago",
+			path:    "/write/1",
+			play:    speakAndHangUp,
+			refuses: ended,
+			counts:  1,
+		},
+		{
+			name:    "a call that was under way",
+			path:    "/book/1",
+			play:    hangUp,
+			refuses: ended,
+			counts:  1,
+		},
+		{
+			name:    "a connection that was reset at an upstream that lives",
+			path:    "/write/1",
+			play:    beginAndHangUp,
+			refuses: alive,
+		},
+		{
+			name:    "an upstream of which nothing is heard any more",
+			path:    "/write/1",
+			play:    beginAndHangUp,
+			refuses: unknown,
+		},
+		{
+			name:    "an upstream that had said that it leaves",
+			path:    "/write/1",
+			play:    beginAndHangUp,
+			refuses: ended,
+			leaving: true,
+		},
+		{
+			name:    "a refusal",
+			path:    "/book/1",
+			play:    decline(http.StatusServiceUnavailable),
+			refuses: ended,
+		},
+		{
+			name:    "a failure of the upstream's own",
+			path:    "/book/1",
+			play:    fail,
+			refuses: ended,
+		},
+	}
+	Convey("What is held against a request after", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := open(t, c.play)
+				q := mgquarantine.New("life")
+				g.with(func(spec *mgrelay.Spec) {
+					spec.Refuses = c.refuses
+					spec.Quarantine = q
+					spec.Leaving = func(string) bool { return c.leaving }
+				})
+				g.ask(context.Background(), http.MethodPost, c.path, "x", nil)
+				So(q.Occurrences(mgquarantine.DigestOf("tankline", "tanks.example", c.path, []byte("x"))), ShouldEqual, c.counts)
+			})
+		}
+		Convey("its caller left", func() {
+			began, release := make(chan struct{}), make(chan struct{})
+			g := open(t, func(w http.ResponseWriter, r *http.Request) {
+				beginning(w)
+				close(began)
+				<-r.Context().Done()
+				close(release)
+			})
+			q := mgquarantine.New("life")
+			g.with(func(spec *mgrelay.Spec) {
+				spec.Refuses = ended
+				spec.Quarantine = q
+			})
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				<-began
+				leave()
+			}()
+			g.ask(ctx, http.MethodPost, "/write/1", "x", nil)
+			<-release
+			So(q.Watching(), ShouldBeFalse)
+		})
+	})
+}
+
+func beginning(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// A request under which two upstreams have ended must not be tried on a third at once.
+func TestCrashesEndRetries(t *testing.T) {
+	Convey("A request under which an upstream ends", t, func() {
+		g := open(t, beginAndHangUp, beginAndHangUp, say("id: 1\n\n"))
+		q := mgquarantine.New("life")
+		g.with(func(spec *mgrelay.Spec) {
+			spec.Refuses = ended
+			spec.Quarantine = q
+		})
+		digest := mgquarantine.DigestOf("tankline", "tanks.example", "/note/1", []byte("x"))
+		Convey("is tried on one more", func() {
+			got := g.ask(context.Background(), http.MethodPost, "/note/1", "x", nil)
+			So(got.status, ShouldEqual, http.StatusBadGateway)
+			So(len(g.runs()), ShouldEqual, 2)
+			So(q.Occurrences(digest), ShouldEqual, 2)
+		})
+		Convey("is tried on none where one had ended before", func() {
+			q.Crashed(0, mgquarantine.Crash{
+				Digest:   digest,
+				Upstream: "x",
+				Begun:    true,
+			})
+			got := g.ask(context.Background(), http.MethodPost, "/note/1", "x", nil)
+			So(got.status, ShouldEqual, http.StatusBadGateway)
+			So(len(g.runs()), ShouldEqual, 1)
+		})
+		Convey("and one that is answered elsewhere has nothing held against it", func() {
+			g.hosts = g.hosts[1:]
+			got := g.ask(context.Background(), http.MethodPost, "/note/1", "x", nil)
+			So(got.status, ShouldEqual, http.StatusOK)
+			So(q.Occurrences(digest), ShouldEqual, 0)
+		})
+	})
+}
+
+// A request that is held must not reach an upstream in any way, and "not run" must be true.
+func TestHeldReachesNoUpstream(t *testing.T) {
+	Convey("A request that is held", t, func() {
+		q := mgquarantine.New("life")
+		Convey("is refused at once, as not run, with the time to come back", func() {
+			for _, path := range []string{"/note/1", "/book/1", "/write/1", "/look/1"} {
+				g := open(t, say("id: 1\n\n"))
+				g.with(func(spec *mgrelay.Spec) { spec.Quarantine = q })
+				hold(q, path, "x")
+				got := g.ask(context.Background(), http.MethodPost, path, "x", nil)
+				So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+				So(got.body, ShouldContainSubstring, `"quarantined"`)
+				So(got.body, ShouldContainSubstring, `"notrun"`)
+				So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+				So(g.runs(), ShouldBeEmpty)
+				So(g.ask(context.Background(), http.MethodPost, path, "another", nil).status, ShouldEqual, http.StatusOK)
+			}
+		})
+		Convey("is given up while it waits for a place", func() {
+			g := open(t, say("id: 1\n\n"))
+			waiting := make(chan struct{})
+			g.with(func(spec *mgrelay.Spec) {
+				spec.Quarantine = q
+				spec.Place = func(ctx context.Context, _ string, _ mgroom.Wait) (mgroom.Grant, bool) {
+					close(waiting)
+					<-ctx.Done()
+					return mgroom.Grant{}, false
+				}
+			})
+			g.memory(plan)
+			go func() {
+				<-waiting
+				hold(q, "/note/1", "x")
+			}()
+			got := g.ask(context.Background(), http.MethodPost, "/note/1", "x", http.Header{"Tokens": {"30,9"}})
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.body, ShouldContainSubstring, `"notrun"`)
+			So(g.runs(), ShouldBeEmpty)
+		})
+		Convey("is called back from an upstream that hasn't begun it, and not said not to have run", func() {
+			for _, path := range []string{"/note/1", "/book/1"} {
+				left := make(chan struct{})
+				g := open(t, func(_ http.ResponseWriter, r *http.Request) {
+					hold(q, path, "x")
+					<-r.Context().Done()
+					close(left)
+				})
+				g.with(func(spec *mgrelay.Spec) { spec.Quarantine = q })
+				got := g.ask(context.Background(), http.MethodPost, path, "x", nil)
+				<-left
+				So(got.status, ShouldEqual, http.StatusBadGateway)
+				So(got.body, ShouldContainSubstring, `"unknown"`)
+			}
+		})
+		Convey("that its caller has some events of", func() {
+			has, holding := make(chan struct{}), make(chan struct{})
+			go func() {
+				<-has
+				hold(q, "/note/1", "x")
+				close(holding)
+			}()
+			Convey("goes on where it runs", func() {
+				g := open(t, func(w http.ResponseWriter, _ *http.Request) {
+					sayEvent(w, "1")
+					<-holding
+					sayEvent(w, "2")
+				})
+				g.with(func(spec *mgrelay.Spec) { spec.Quarantine = q })
+				body, err := g.read("/note/1", "x", has)
+				So(err, ShouldBeNil)
+				So(body, ShouldEqual, "id: 1\n\nid: 2\n\n")
+			})
+			Convey("is not begun anew elsewhere", func() {
+				g := open(t, func(w http.ResponseWriter, _ *http.Request) {
+					sayEvent(w, "1")
+					<-holding
+					panic(http.ErrAbortHandler)
+				}, say("id: 2\n\n"))
+				g.with(func(spec *mgrelay.Spec) {
+					spec.Quarantine = q
+					spec.Refuses = ended
+				})
+				_, err := g.read("/note/1", "x", has)
+				So(err, ShouldNotBeNil)
+				So(len(g.runs()), ShouldEqual, 1)
+			})
+		})
+	})
+}
+
+func sayEvent(w http.ResponseWriter, id string) {
+	_, _ = io.WriteString(w, "id: "+id+"\n\n")
+	_ = http.NewResponseController(w).Flush()
+}
+
+// read reads an answer to its end, and closes has once its first byte is there.
+func (g *rig) read(target, body string, has chan<- struct{}) (string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.base+target, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	request.Host = "tanks.example"
+	request.Header.Set("Request-Id", "request-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(response.Body, first); err != nil {
+		return "", err
+	}
+	close(has)
+	rest, err := io.ReadAll(response.Body)
+	return string(append(first, rest...)), err
+}
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -35,16 +38,20 @@
 	cold     bool // an upstream was passed over as it is cold
 	dials    int  // upstreams that could not be reached
 	last     string
-	refusal  *answer        // the last upstream's word that it did not run
-	failure  *answer        // the last upstream's answer that it failed
-	ran      bool           // an attempt may have run
-	begun    bool           // the caller has a stream's header
-	order    order          // of the events that the caller has
-	heard    mgclock.Millis // when the caller was given events last
-	arrived  bool           // the next events are the first of another upstream
-	resumed  bool           // the generation goes on after these
-	from     place          // what the next attempt goes on from, or nothing
-	places   []place        // where else the generation can go on
+	refusal  *answer     // the last upstream's word that it did not run
+	failure  *answer     // the last upstream's answer that it failed
+	ran      bool        // an attempt may have run
+	crashed  bool        // an upstream broke an attempt off
+	begun    bool        // the caller has a stream's header
+	running  atomic.Bool // the same, for other goroutines
+	digested sync.Once
+	sum      mgquarantine.Digest // once digested
+	order    order               // of the events that the caller has
+	heard    mgclock.Millis      // when the caller was given events last
+	arrived  bool                // the next events are the first of another upstream
+	resumed  bool                // the generation goes on after these
+	from     place               // what the next attempt goes on from, or nothing
+	places   []place             // where else the generation can go on
 	problem  *mgproblem.Problem
 }
 
--- a/internal/process/mgrelay/home_test.go
+++ b/internal/process/mgrelay/home_test.go
@@ -82,12 +82,7 @@
 		} {
 			Convey(homes, func() {
 				g := open(t, say("x"), say("x"))
-				text := strings.Replace(plan, `prefix = "/write/"`, "prefix = \"/write/\"\n"+homes, 1)
-				text = strings.Replace(text, `kind = "plain"`, "model = \"m\"", 1)
-				text += "\n[[model]]\nname = \"m\"\ncontext = 9000\nmax = 9000\n"
-				table, err := mgtable.Parse([]byte(text))
-				So(err, ShouldBeNil)
-				g.table = table
+				g.memory(strings.Replace(plan, `prefix = "/write/"`, "prefix = \"/write/\"\n"+homes, 1))
 				g.hosts[0].Region = "north"
 				g.hosts[1].Region = "south"
 				asked := 0
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -9,8 +9,10 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// Run moves generations away from upstreams that leave, until ctx ends.
+// Run moves generations away from upstreams that leave and drops requests that come to
+// be held, until ctx ends.
 func (y *Relay) Run(ctx context.Context) {
+	go y.watchHeld(ctx)
 	if y.spec.Move == nil {
 		return
 	}
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -13,6 +13,9 @@
 
 // giveUp answers a request that no upstream will be asked about any more.
 func (y *Relay) giveUp(w http.ResponseWriter, x *exchange) {
+	if y.endHeld(w, x) {
+		return
+	}
 	switch {
 	case x.begun:
 		y.abort(x, x.cause())
@@ -33,6 +36,8 @@
 // expire answers a request whose time is over or whose caller has left.
 func (y *Relay) expire(ctx context.Context, w http.ResponseWriter, x *exchange) {
 	switch {
+	case errors.Is(context.Cause(ctx), errHeld):
+		y.giveUp(w, x)
 	case errors.Is(ctx.Err(), context.Canceled):
 		y.spec.Metrics.Counter("relay.left").Inc(1)
 		y.log(x, "the caller left", 0)
@@ -77,7 +82,11 @@
 	y.Write(w, problem)
 	x.freeWrites()
 	y.spec.Metrics.Counter("relay.failed." + string(problem.Kind())).Inc(1)
-	y.spec.Log.Info("a request failed", append(y.basis(),
+	keys := y.basis()
+	if problem.Kind() == mgproblem.Quarantined {
+		keys = append(keys, "digest", x.digest().String())
+	}
+	y.spec.Log.Info("a request failed", append(keys,
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
 		mglog.Version, x.call.Table.Version(), mglog.Upstream, x.last, mglog.Kind, string(problem.Kind()),
 		"status", problem.Status(), "attempts", x.attempts, "dials", x.dials, "ran", x.ran,
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
@@ -77,6 +78,9 @@
 	// Left returns how long this process still lives, or false when it doesn't
 	// stop.
 	Left func() (mgclock.Millis, bool)
+	// Quarantine holds requests back that crash upstreams. New makes one of its own
+	// where it is nil.
+	Quarantine *mgquarantine.Quarantine
 	// Refuses reports whether an upstream's address refuses connections, as after its
 	// process has ended; an error says that it isn't known. Nil never knows.
 	Refuses func(ctx context.Context, addr string) (bool, error)
@@ -93,16 +97,20 @@
 
 // A Relay passes requests through. Make one with New.
 type Relay struct {
-	spec  Spec
-	runs  runs
-	turns mgwarm.Turns
-	count atomic.Uint64 // ordinary answers
+	spec      Spec
+	exchanges exchanges
+	runs      runs
+	turns     mgwarm.Turns
+	count     atomic.Uint64 // ordinary answers
 	// outage is when the platform was away last, ms of the clock; 0 for never.
 	outage atomic.Int64
 }
 
 // New returns a relay.
 func New(spec Spec) *Relay {
+	if spec.Quarantine == nil {
+		spec.Quarantine = &mgquarantine.Quarantine{}
+	}
 	return &Relay{
 		spec: spec,
 	}
@@ -139,8 +147,12 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), x.limit.Duration())
+	ctx, drop := context.WithCancelCause(r.Context())
+	defer drop(nil)
+	ctx, cancel := context.WithTimeout(ctx, x.limit.Duration())
 	defer cancel()
+	y.exchanges.add(x, drop)
+	defer y.exchanges.remove(x)
 	x.guardWrites()
 	y.serve(ctx, w, x)
 }
@@ -148,6 +160,9 @@
 // serve sends a request until an answer can be delivered.
 func (y *Relay) serve(ctx context.Context, w http.ResponseWriter, x *exchange) {
 	for {
+		if y.endHeld(w, x) {
+			return
+		}
 		host, ok := y.next(ctx, x)
 		if ctx.Err() != nil {
 			y.expire(ctx, w, x)
@@ -211,6 +226,10 @@
 	if x.ran && !x.call.Route.Repeatable() {
 		return false
 	}
+	if x.crashed && y.dangerous(x) {
+		y.spec.Metrics.Counter("relay.dangerous").Inc(1)
+		return false
+	}
 	if end == unreached {
 		return x.dials < maxDials && y.waited(x) < x.limit/dialPart
 	}
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -126,6 +126,18 @@
 	return mgload.Report{Rows: rows}
 }
 
+// memory gives the upstreams of a table's service a memory, so that generations wait for
+// places.
+func (g *rig) memory(text string) {
+	text = strings.Replace(text, `kind = "plain"`, "model = \"m\"", 1)
+	text += "\n[[model]]\nname = \"m\"\ncontext = 9000\nmax = 9000\n"
+	table, err := mgtable.Parse([]byte(text))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.table = table
+}
+
 // with opens the relay anew with some of its spec changed.
 func (g *rig) with(change func(*mgrelay.Spec)) {
 	spec := mgrelay.Spec{
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -62,6 +62,7 @@
 		}
 	}
 	x.freeWrites()
+	y.answered(x)
 	y.tellPace(run)
 	y.done(x, response.StatusCode)
 	return delivered
@@ -83,6 +84,7 @@
 		return
 	}
 	x.begun = true
+	x.running.Store(true)
 	copyHeader(w.Header(), response.Header)
 	w.Header().Del("Content-Length")
 	w.WriteHeader(response.StatusCode)
--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -1,3 +1,45 @@
-// Package mgquarantine names requests by what their callers asked for, whichever
-// entry they come to.
+// Package mgquarantine finds requests that crash the upstreams that run them, and holds
+// them back.
+//
+// # Load
+//
+// One body ends each engine that begins to run it, with the two dozen other generations
+// there. Its caller repeats it, through other entries; an entry that retries it ends a
+// second engine. Without a common memory such a request goes through all engines of a
+// service, faster than they start again.
+//
+// # Decision
+//
+// A request is known by its Digest. An attempt is evidence when its upstream ended while
+// the attempt was about to begin there or had just begun. What runs on an upstream ends
+// with it, so a single crash says little: a request is held after three crashes, and
+//
+//   - crashes within a moment count once, as when an availability zone is lost;
+//   - of the attempts at one upstream those that had just begun are suspected before
+//     those that still waited;
+//   - crashes that a request explains which is in more of them count for no other;
+//   - an answer to the request, from any upstream, voids what was held against it.
+//
+// A held request is let through again once the hold is over; a further crash holds it
+// for twice as long.
+//
+// # State
+//
+// Evidence and answers are Notes: they are only added, so that processes can exchange
+// them in any order and more than once, and reach the same verdicts (a grow-only set).
+// Each carries its age in place of a time. Nothing outlives the processes.
+//
+// # Terms
+//
+//   - crash: the end of an upstream's process without notice.
+//   - occurrence: the crashes of one moment.
+//   - sound: a request that an upstream answered.
+//   - hold: the time for which a request reaches no upstream.
+//
+// # References
+//
+//   - G. Hohpe, B. Woolf, Enterprise Integration Patterns (2003), on poison messages.
+//   - M. Shapiro and others, Conflict-free replicated data types, SSS (2011).
+//   - V. Chvátal, A greedy heuristic for the set-covering problem, Mathematics of
+//     Operations Research 4 (1979).
 package mgquarantine
--- /dev/null
+++ b/internal/request/mgquarantine/judge.go
@@ -0,0 +1,175 @@
+package mgquarantine
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// needed is the number of occurrences after which a request is held.
+	needed = 3
+	// momentSpan is the time in which crashes are one occurrence, unless the request was
+	// sent to the second upstream after the first had ended. What ends several upstreams
+	// at once, such as the loss of an availability zone, is no request.
+	momentSpan = 300 * mgclock.Millis(1)
+	// crashSpan is the time in which reports about one upstream are of the same crash:
+	// longer than reports differ, shorter than an upstream takes to start again.
+	crashSpan = mgclock.Second
+	// holdSpan is the first hold. It doubles with each crash after a hold, up to
+	// maxDoublings times.
+	holdSpan     = 10 * mgclock.Minute
+	maxDoublings = 3
+)
+
+// crash is the end of one upstream and the requests that may have caused it.
+type crash struct {
+	at        mgclock.Millis
+	notes     []stored // of requests that were about to begin or had just begun
+	begun     bool     // some of them had begun, which are likelier than the others
+	explained bool
+}
+
+// suspects reports whether a note's request is among the likeliest.
+func (c *crash) suspects(s stored) bool { return s.note.Begun == c.begun }
+
+// follows reports whether an attempt of a request was sent after an earlier crash.
+func (c *crash) follows(earlier *crash, digest Digest) bool {
+	for _, s := range c.notes {
+		for _, before := range earlier.notes {
+			if s.digest == digest && before.digest == digest && s.follows(before) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// apart reports whether a crash is another occurrence for a request than an earlier one.
+func (c *crash) apart(earlier *crash, digest Digest) bool {
+	return c != earlier && (c.at >= earlier.at+momentSpan || c.follows(earlier, digest))
+}
+
+// has reports whether a request was about to begin or had just begun.
+func (c *crash) has(digest Digest) bool {
+	return slices.ContainsFunc(c.notes, func(s stored) bool { return s.digest == digest })
+}
+
+// suspicion is what the notes say of a request.
+type suspicion struct {
+	occurrences int
+	held        bool           // it is, or was until its hold ended
+	until       mgclock.Millis // end of the hold
+	retain      mgclock.Millis // until when its notes are needed
+}
+
+// crashesOf groups notes, sorted by time, into crashes.
+func crashesOf(notes []stored) []*crash {
+	var all []*crash
+	last := map[string]*crash{} // by upstream
+	for _, s := range notes {
+		c := last[s.note.Upstream]
+		if c == nil || s.at >= c.at+crashSpan {
+			c = &crash{
+				at: s.at,
+			}
+			last[s.note.Upstream] = c
+			all = append(all, c)
+		}
+		c.notes = append(c.notes, s)
+		c.begun = c.begun || s.note.Begun
+	}
+	return all
+}
+
+// judge returns what evidence, sorted by time, says of each request. The request in most
+// crashes explains those; what is left is held against the others.
+func judge(notes []stored) map[Digest]suspicion {
+	crashes := crashesOf(notes)
+	verdicts := map[Digest]suspicion{}
+	for {
+		left := occurrences(crashes)
+		worst, found := mostSeen(left)
+		if !found || len(left[worst]) < needed {
+			for digest, seen := range left {
+				verdicts[digest] = suspicion{
+					occurrences: len(seen),
+					retain:      seen[len(seen)-1].at + evidenceLife,
+				}
+			}
+			return verdicts
+		}
+		verdicts[worst] = holdOf(left[worst])
+		for _, c := range crashes {
+			c.explained = c.explained || c.has(worst)
+		}
+	}
+}
+
+// occurrences returns the crashes that each request is suspected of and no other
+// explains, one of each moment.
+func occurrences(crashes []*crash) map[Digest][]*crash {
+	seen := map[Digest][]*crash{}
+	for _, c := range crashes {
+		if c.explained {
+			continue
+		}
+		for _, s := range c.notes {
+			before := seen[s.digest]
+			if !c.suspects(s) || len(before) > 0 && !c.apart(before[len(before)-1], s.digest) {
+				continue
+			}
+			seen[s.digest] = append(before, c)
+		}
+	}
+	return seen
+}
+
+// mostSeen returns the request with the most occurrences. Of equals it returns the one
+// that all processes agree on.
+func mostSeen(seen map[Digest][]*crash) (worst Digest, found bool) {
+	for digest := range seen {
+		more := cmp.Compare(len(seen[digest]), len(seen[worst]))
+		if !found || more > 0 || more == 0 && bytes.Compare(digest[:], worst[:]) < 0 {
+			worst, found = digest, true
+		}
+	}
+	return worst, found
+}
+
+// holdOf returns the hold of a request with enough occurrences. Crashes during a hold are
+// of attempts that were under way when it began.
+func holdOf(seen []*crash) suspicion {
+	span := holdSpan
+	until := seen[needed-1].at + span
+	for _, c := range seen[needed:] {
+		if c.at < until {
+			continue
+		}
+		span = min(2*span, holdSpan<<maxDoublings)
+		until = c.at + span
+	}
+	return suspicion{
+		occurrences: len(seen),
+		held:        true,
+		until:       until,
+		retain:      until + span,
+	}
+}
+
+// byTime sorts notes. Those of one process that were seen at once are in its order.
+func byTime(notes []stored) {
+	slices.SortFunc(notes, func(a, b stored) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.note.Origin, b.note.Origin), cmp.Compare(a.note.Number, b.note.Number))
+	})
+}
+
+// left returns how long the hold lasts at a time, 0 where there is none.
+func (s suspicion) left(now mgclock.Millis) mgclock.Millis {
+	if !s.held {
+		return 0
+	}
+	return max(s.until-now, 0)
+}
--- /dev/null
+++ b/internal/request/mgquarantine/quarantine.go
@@ -0,0 +1,365 @@
+package mgquarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// evidenceLife is how long notes count against a request that isn't held.
+	evidenceLife = 10 * mgclock.Minute
+	// most is the number of notes that are kept: some hundred requests with a few
+	// crashes each, 0.3 MB. Of more, those of requests that aren't held go first.
+	most = 1024
+	// newsSpan is how long a note is told on after it was learned.
+	newsSpan = 600 * mgclock.Millis(1)
+)
+
+// A Quarantine holds what this process knows of requests that crash upstreams. The zero
+// Quarantine is empty and ready for use by several goroutines; New names its process.
+type Quarantine struct {
+	origin string
+	state  atomic.Pointer[state]
+
+	mu      sync.Mutex
+	number  uint64
+	offsets map[string]mgclock.Millis // of this process's clock, by origin
+	notes   map[id]stored
+	changed chan struct{} // closed when there are fresh notes
+}
+
+// state is what the notes say. It never changes.
+type state struct {
+	verdicts map[Digest]suspicion
+	expires  mgclock.Millis
+}
+
+// New returns a quarantine of a process, whose incarnation origin names.
+func New(origin string) *Quarantine {
+	return &Quarantine{
+		origin: origin,
+	}
+}
+
+// Changed returns a channel that is closed when the quarantine next learns a note. Ask
+// for it before what it tells is read.
+func (q *Quarantine) Changed() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.changed == nil {
+		q.changed = make(chan struct{})
+	}
+	return q.changed
+}
+
+// A Crash is the end of an upstream while a request was about to begin there or had just
+// begun.
+type Crash struct {
+	Digest   Digest
+	Request  string // id of the attempt's request
+	Upstream string
+	Begun    bool           // the upstream had begun the request
+	Sent     mgclock.Millis // when the attempt was sent
+}
+
+// Crashed takes a crash.
+func (q *Quarantine) Crashed(now mgclock.Millis, c Crash) {
+	q.add(now, c.Digest, Note{
+		Request:  c.Request,
+		Upstream: c.Upstream,
+		Begun:    c.Begun,
+		Sent:     c.Sent,
+	})
+}
+
+// Answered takes that an upstream answered a request, which matters only where something
+// is held against it.
+func (q *Quarantine) Answered(now mgclock.Millis, digest Digest) {
+	if current := q.state.Load(); current == nil || current.verdicts[digest].occurrences == 0 {
+		return
+	}
+	q.add(now, digest, Note{})
+}
+
+// Watching reports whether anything is held against any request, so that a Digest is
+// worth its cost.
+func (q *Quarantine) Watching() bool {
+	current := q.state.Load()
+	return current != nil && len(current.verdicts) > 0
+}
+
+// Held returns how long a request is still held, or false.
+func (q *Quarantine) Held(now mgclock.Millis, digest Digest) (mgclock.Millis, bool) {
+	current := q.state.Load()
+	if current == nil {
+		return 0, false
+	}
+	left := current.verdicts[digest].left(now)
+	return left, left > 0
+}
+
+// Occurrences returns how many times upstreams have ended under a request that no other
+// request explains.
+func (q *Quarantine) Occurrences(digest Digest) int {
+	current := q.state.Load()
+	if current == nil {
+		return 0
+	}
+	return current.verdicts[digest].occurrences
+}
+
+// Take takes notes of other processes. Those that can't be read are left out, and their
+// number is returned.
+func (q *Quarantine) Take(now mgclock.Millis, notes []Note) (unreadable int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	fresh := false
+	for _, note := range notes {
+		digest, err := ParseDigest(note.Digest)
+		if err != nil || note.Number == 0 || note.Age < 0 {
+			unreadable++
+			continue
+		}
+		if note.Age >= evidenceLife+holdSpan<<(maxDoublings+1) {
+			continue
+		}
+		s := stored{
+			note:    note,
+			digest:  digest,
+			learned: now,
+		}
+		if _, known := q.notes[s.name()]; known {
+			continue
+		}
+		s.at = q.when(now, note)
+		q.put(s)
+		fresh = true
+	}
+	if fresh {
+		q.settle(now)
+	}
+	return unreadable
+}
+
+// clockSlack is how far a note's age may differ from what its origin's clock tells: the
+// ways of two notes differ by less, and a clock that stood still by more.
+const clockSlack = 500 * mgclock.Millis(1)
+
+// when returns when a note was seen, by this process's clock. Notes of one origin keep
+// their order, whichever ways they came.
+func (q *Quarantine) when(now mgclock.Millis, note Note) mgclock.Millis {
+	at := now - note.Age
+	offset, known := q.offsets[note.Origin]
+	if drift := at - note.Seen - offset; !known || drift > clockSlack || drift < -clockSlack {
+		if q.offsets == nil || len(q.offsets) >= most {
+			q.offsets = map[string]mgclock.Millis{}
+		}
+		offset = at - note.Seen
+		q.offsets[note.Origin] = offset
+	}
+	return note.Seen + offset
+}
+
+// add makes a note of this process's own.
+func (q *Quarantine) add(now mgclock.Millis, digest Digest, note Note) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.number++
+	note.Origin = q.origin
+	note.Number = q.number
+	note.Digest = digest.String()
+	note.Seen = now
+	q.put(stored{
+		note:    note,
+		digest:  digest,
+		at:      now,
+		learned: now,
+	})
+	q.settle(now)
+}
+
+func (q *Quarantine) put(s stored) {
+	if q.notes == nil {
+		q.notes = map[id]stored{}
+	}
+	q.notes[s.name()] = s
+}
+
+// settle works out what the notes say and tells those that wait for it.
+func (q *Quarantine) settle(now mgclock.Millis) {
+	q.weigh(now)
+	if q.changed != nil {
+		close(q.changed)
+		q.changed = nil
+	}
+}
+
+// weigh drops the notes that have run out and replaces the state.
+func (q *Quarantine) weigh(now mgclock.Millis) {
+	next := &state{
+		verdicts: judge(q.evidence()),
+		expires:  now + evidenceLife,
+	}
+	for name, s := range q.notes {
+		retain := s.at + evidenceLife
+		if s.note.Upstream != "" {
+			retain = max(retain, next.verdicts[s.digest].retain)
+		}
+		if now >= retain {
+			delete(q.notes, name)
+			continue
+		}
+		next.expires = min(next.expires, retain)
+	}
+	q.bound(next)
+	for digest, verdict := range next.verdicts {
+		if now >= verdict.retain {
+			delete(next.verdicts, digest)
+		}
+	}
+	q.state.Store(next)
+}
+
+// evidence returns the notes that an answer hasn't voided, sorted by time.
+func (q *Quarantine) evidence() []stored {
+	sound := map[Digest]mgclock.Millis{}
+	for _, s := range q.notes {
+		if s.note.Upstream == "" {
+			if at, known := sound[s.digest]; !known || s.at > at {
+				sound[s.digest] = s.at
+			}
+		}
+	}
+	var notes []stored
+	for _, s := range q.notes {
+		if at, answered := sound[s.digest]; s.note.Upstream != "" && (!answered || s.at > at) {
+			notes = append(notes, s)
+		}
+	}
+	byTime(notes)
+	return notes
+}
+
+// bound drops the oldest notes beyond the most, those of requests that aren't held first.
+func (q *Quarantine) bound(next *state) {
+	if len(q.notes) <= most {
+		return
+	}
+	names := make([]id, 0, len(q.notes))
+	for name := range q.notes {
+		names = append(names, name)
+	}
+	rank := func(name id) int {
+		if s := q.notes[name]; s.note.Upstream != "" && next.verdicts[s.digest].held {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(names, func(a, b id) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(q.notes[a].at, q.notes[b].at))
+	})
+	for _, name := range names[:len(names)-most+most/8] { // more than one, since to rank them takes a while
+		delete(q.notes, name)
+	}
+}
+
+// Tick lets notes run out. Call it about once a second.
+func (q *Quarantine) Tick(now mgclock.Millis) {
+	current := q.state.Load()
+	if current == nil || now < current.expires {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.weigh(now)
+}
+
+// News returns the notes that this process learned lately, and so tells on.
+func (q *Quarantine) News(now mgclock.Millis) []Note {
+	return q.collect(now, func(s stored) bool { return now < s.learned+newsSpan })
+}
+
+// Lacking returns the notes that a process may lack whose Sums these are.
+func (q *Quarantine) Lacking(now mgclock.Millis, theirs Sums) []Note {
+	own := q.Sums()
+	return q.collect(now, func(s stored) bool {
+		part := s.name().part()
+		return own.at(part) != theirs.at(part)
+	})
+}
+
+func (q *Quarantine) collect(now mgclock.Millis, wanted func(stored) bool) []Note {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var notes []Note
+	for _, s := range q.notes {
+		if wanted(s) {
+			notes = append(notes, s.told(now))
+		}
+	}
+	return notes
+}
+
+// Sums returns checksums of which notes there are, or nil where there are none.
+func (q *Quarantine) Sums() Sums {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.notes) == 0 {
+		return nil
+	}
+	sums := make(Sums, sumParts)
+	for name := range q.notes {
+		sums[name.part()] += name.hash()
+	}
+	return sums
+}
+
+// A Verdict is what is held against a request.
+type Verdict struct {
+	digest      Digest
+	occurrences int
+	left        mgclock.Millis
+	evidence    []Note
+}
+
+// Digest returns the request's digest.
+func (v Verdict) Digest() Digest { return v.digest }
+
+// Occurrences returns how many times upstreams have ended under the request.
+func (v Verdict) Occurrences() int { return v.occurrences }
+
+// Left returns how long the request is still held, 0 where it isn't.
+func (v Verdict) Left() mgclock.Millis { return v.left }
+
+// Evidence returns the notes of the crashes, the newest first.
+func (v Verdict) Evidence() []Note { return v.evidence }
+
+// Verdicts returns what is held against all requests, by digest.
+func (q *Quarantine) Verdicts(now mgclock.Millis) []Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	current := q.state.Load()
+	if current == nil {
+		return nil
+	}
+	notes := map[Digest][]Note{}
+	for _, s := range q.evidence() {
+		notes[s.digest] = append(notes[s.digest], s.told(now))
+	}
+	verdicts := make([]Verdict, 0, len(current.verdicts))
+	for digest, found := range current.verdicts {
+		slices.Reverse(notes[digest])
+		verdicts = append(verdicts, Verdict{
+			digest:      digest,
+			occurrences: found.occurrences,
+			left:        found.left(now),
+			evidence:    notes[digest],
+		})
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int { return cmp.Compare(a.digest.String(), b.digest.String()) })
+	return verdicts
+}
--- /dev/null
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -0,0 +1,373 @@
+package mgquarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	sec = mgclock.Second
+	min = mgclock.Minute
+)
+
+func digestOf(name string) mgquarantine.Digest {
+	return mgquarantine.DigestOf("account", "host", "/path", []byte(name))
+}
+
+// seen is one crash as a process sees it, or an answer where upstream is empty.
+type seen struct {
+	at       mgclock.Millis
+	request  string
+	upstream string
+	waiting  bool // the upstream had not begun it
+	sent     mgclock.Millis
+}
+
+func take(q *mgquarantine.Quarantine, all []seen) {
+	for _, s := range all {
+		if s.upstream == "" {
+			q.Answered(s.at, digestOf(s.request))
+			continue
+		}
+		q.Crashed(s.at, mgquarantine.Crash{
+			Digest:   digestOf(s.request),
+			Request:  s.request,
+			Upstream: s.upstream,
+			Begun:    !s.waiting,
+			Sent:     s.sent,
+		})
+	}
+}
+
+// after returns the crashes of a request, one each second from a time on.
+func after(at mgclock.Millis, request string, upstreams ...string) []seen {
+	var all []seen
+	for i, upstream := range upstreams {
+		all = append(all, seen{
+			at:       at + sec*mgclock.Millis(i),
+			request:  request,
+			upstream: upstream,
+			sent:     at + sec*mgclock.Millis(i) - 100,
+		})
+	}
+	return all
+}
+
+// A request that crashes upstreams goes on to the next, or a proper one is refused.
+func TestHeld(t *testing.T) {
+	cases := []struct {
+		name string
+		seen []seen
+		now  mgclock.Millis
+		held []string
+	}{
+		{
+			name: "two crashes",
+			seen: after(0, "bad", "a", "b"),
+			now:  5 * sec,
+		},
+		{
+			name: "three",
+			seen: after(0, "bad", "a", "b", "c"),
+			now:  5 * sec,
+			held: []string{"bad"},
+		},
+		{
+			name: "three of one upstream that starts again under its name",
+			seen: after(0, "bad", "a", "a", "a"),
+			now:  5 * sec,
+			held: []string{"bad"},
+		},
+		{
+			name: "one, as three processes see it",
+			seen: []seen{
+				{at: 0, request: "bad", upstream: "a"},
+				{at: 400, request: "bad", upstream: "a"},
+				{at: 800, request: "bad", upstream: "a"},
+			},
+			now: 5 * sec,
+		},
+		{
+			name: "an availability zone that is lost under a request of many callers",
+			seen: []seen{
+				{at: 1000, request: "hot", upstream: "a", sent: 500},
+				{at: 1003, request: "hot", upstream: "b", sent: 600},
+				{at: 1005, request: "hot", upstream: "c", sent: 700},
+				{at: 1040, request: "hot", upstream: "d", sent: 800},
+			},
+			now: 5 * sec,
+		},
+		{
+			name: "three within a moment, each sent after the one before",
+			seen: []seen{
+				{at: 1000, request: "bad", upstream: "a", sent: 900},
+				{at: 1050, request: "bad", upstream: "b", sent: 1000},
+				{at: 1099, request: "bad", upstream: "c", sent: 1051},
+			},
+			now:  5 * sec,
+			held: []string{"bad"},
+		},
+		{
+			name: "three, with an answer in between",
+			seen: append(append(after(0, "hot", "a", "b"), seen{at: 1500, request: "hot"}), after(2*sec, "hot", "c")...),
+			now:  5 * sec,
+		},
+		{
+			name: "an answer once it was held",
+			seen: append(after(0, "hot", "a", "b", "c"), seen{at: 2500, request: "hot"}),
+			now:  5 * sec,
+		},
+		{
+			name: "a neighbour at three of five crashes",
+			seen: slices.Concat(after(0, "bad", "a", "b", "c", "d", "e"), after(2, "neighbour", "a", "b", "c")),
+			now:  10 * sec,
+			held: []string{"bad"},
+		},
+		{
+			name: "neighbours that waited",
+			seen: slices.Concat(after(0, "bad", "a", "b", "c"), []seen{
+				{at: 2, request: "queued", upstream: "a", waiting: true},
+				{at: 1002, request: "queued", upstream: "b", waiting: true},
+				{at: 2002, request: "queued", upstream: "c", waiting: true},
+			}),
+			now:  10 * sec,
+			held: []string{"bad"},
+		},
+		{
+			name: "upstreams that end before they say that they began it",
+			seen: []seen{
+				{at: 0, request: "bad", upstream: "a", waiting: true},
+				{at: 1000, request: "bad", upstream: "b", waiting: true},
+				{at: 2000, request: "bad", upstream: "c", waiting: true},
+			},
+			now:  10 * sec,
+			held: []string{"bad"},
+		},
+		{
+			name: "two requests that crash different upstreams",
+			seen: slices.Concat(after(0, "bad", "a", "b", "c"), after(200, "worse", "d", "e", "f")),
+			now:  10 * sec,
+			held: []string{"bad", "worse"},
+		},
+		{
+			name: "three that lie far apart",
+			seen: []seen{
+				{at: 0, request: "old", upstream: "a"},
+				{at: 11 * min, request: "old", upstream: "b"},
+				{at: 22 * min, request: "old", upstream: "c"},
+			},
+			now: 22*min + sec,
+		},
+		{
+			name: "three, once the hold is over",
+			seen: after(0, "bad", "a", "b", "c"),
+			now:  10*min + 3*sec,
+		},
+		{
+			name: "one more after a hold",
+			seen: append(after(0, "bad", "a", "b", "c"), after(11*min, "bad", "d")...),
+			now:  30 * min,
+			held: []string{"bad"},
+		},
+		{
+			name: "one more long after a hold",
+			seen: append(after(0, "bad", "a", "b", "c"), after(25*min, "bad", "d")...),
+			now:  26 * min,
+		},
+	}
+	Convey("Which requests are held", t, func() {
+		for _, c := range cases {
+			Convey("after "+c.name, func() {
+				slices.SortStableFunc(c.seen, func(a, b seen) int { return int(a.at - b.at) })
+				q := mgquarantine.New("life")
+				for _, s := range c.seen {
+					q.Tick(s.at)
+					take(q, []seen{s})
+				}
+				q.Tick(c.now)
+				var held []string
+				for _, name := range []string{"bad", "hot", "neighbour", "old", "queued", "worse"} {
+					if _, is := q.Held(c.now, digestOf(name)); is {
+						held = append(held, name)
+					}
+				}
+				So(held, ShouldResemble, c.held)
+			})
+		}
+	})
+}
+
+// Two entries that heard of the same crashes in another order must not differ in what
+// they let through.
+func TestNotesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		origins := make([]*mgquarantine.Quarantine, 4)
+		for i := range origins {
+			origins[i] = mgquarantine.New(strconv.Itoa(i))
+		}
+		for i := range rapid.IntRange(0, 40).Draw(t, "events") {
+			s := seen{
+				at:       mgclock.Millis(i) * 150,
+				request:  rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "request"),
+				upstream: rapid.SampledFrom([]string{"a", "b", "c", "d", ""}).Draw(t, "upstream"),
+				waiting:  rapid.Bool().Draw(t, "waiting"),
+			}
+			s.sent = s.at - mgclock.Millis(rapid.IntRange(0, 500).Draw(t, "age"))
+			take(origins[rapid.IntRange(0, 3).Draw(t, "origin")], []seen{s})
+		}
+		const now = 10 * sec
+		var notes []mgquarantine.Note
+		for _, q := range origins {
+			notes = append(notes, q.Lacking(now, nil)...)
+		}
+		one, other := mgquarantine.New("one"), mgquarantine.New("other")
+		one.Take(now, notes)
+		for _, at := range rapid.Permutation(indexes(len(notes))).Draw(t, "order") {
+			other.Take(now, notes[at:at+1])
+			other.Take(now, notes[at:at+1])
+		}
+		if len(one.Lacking(now, other.Sums())) > 0 {
+			t.Fatal("the checksums of the same notes differ")
+		}
+		for _, name := range []string{"x", "y", "z"} {
+			left, held := one.Held(now, digestOf(name))
+			otherLeft, otherHeld := other.Held(now, digestOf(name))
+			if left != otherLeft || held != otherHeld {
+				t.Fatalf("request %s: %d ms, %v and %d ms, %v", name, left, held, otherLeft, otherHeld)
+			}
+		}
+	})
+}
+
+func indexes(count int) []int {
+	all := make([]int, count)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// A process that lacks notes must be given those, and not all that there are.
+func TestLacking(t *testing.T) {
+	Convey("Of many notes a process that lacks one gets a small part", t, func() {
+		q, other := mgquarantine.New("life"), mgquarantine.New("other")
+		for i := range 400 {
+			take(q, after(0, strconv.Itoa(i), fmt.Sprint("engine-", i)))
+		}
+		So(len(q.Lacking(sec, nil)), ShouldEqual, 400)
+		other.Take(sec, q.Lacking(sec, nil))
+		So(q.Lacking(sec, other.Sums()), ShouldBeEmpty)
+		take(q, after(sec, "one more", "engine"))
+		lacking := q.Lacking(2*sec, other.Sums())
+		So(len(lacking), ShouldBeBetween, 0, 40)
+		other.Take(2*sec, lacking)
+		So(q.Lacking(2*sec, other.Sums()), ShouldBeEmpty)
+	})
+}
+
+// A flood of different requests must not fill the memory, nor free one that is held.
+func TestFlood(t *testing.T) {
+	Convey("Of a flood of crashes a bounded number is kept, and what is held stays", t, func() {
+		q := mgquarantine.New("life")
+		take(q, after(0, "bad", "a", "b", "c"))
+		for i := range 2000 {
+			take(q, after(4*sec+mgclock.Millis(i), strconv.Itoa(i), fmt.Sprint("engine-", i)))
+		}
+		So(len(q.Lacking(10*sec, nil)), ShouldBeLessThanOrEqualTo, 1024)
+		_, held := q.Held(10*sec, digestOf("bad"))
+		So(held, ShouldBeTrue)
+	})
+}
+
+// Notes of a process with another release, or of nobody, must not stop the others.
+func TestOddNotes(t *testing.T) {
+	Convey("Notes that can't be read are counted and left out", t, func() {
+		q := mgquarantine.New("life")
+		good := mgquarantine.Note{
+			Origin:   "other",
+			Number:   1,
+			Digest:   digestOf("x").String(),
+			Upstream: "a",
+		}
+		odd := []mgquarantine.Note{good, good, good}
+		odd[0].Digest = "no digest"
+		odd[1].Number = 0
+		odd[2].Age = -5
+		So(q.Take(sec, append(odd, good)), ShouldEqual, 3)
+		So(q.Occurrences(digestOf("x")), ShouldEqual, 1)
+	})
+}
+
+// storm is a service whose engines one request crashes again and again.
+type storm struct {
+	random   *rand.Rand
+	q        *mgquarantine.Quarantine
+	now      mgclock.Millis
+	engines  int
+	held     bool
+	ended    int
+	innocent map[string]bool
+}
+
+// crash ends an engine under the request, with neighbours that had just begun or waited.
+func (s *storm) crash(upstream int) {
+	s.ended++
+	name := fmt.Sprintf("engine-%d-%d", upstream, s.ended)
+	all := []seen{{
+		at:       s.now,
+		request:  "bad",
+		upstream: name,
+		sent:     s.now - 800,
+	}}
+	for range s.random.IntN(24) {
+		// A caller repeats a request that failed: few bodies, again and again.
+		neighbour := fmt.Sprint("neighbour-", s.random.IntN(60))
+		s.innocent[neighbour] = true
+		all = append(all, seen{
+			at:       s.now + mgclock.Millis(s.random.IntN(5)),
+			request:  neighbour,
+			upstream: name,
+			waiting:  s.random.IntN(10) > 0,
+			sent:     s.now - mgclock.Millis(s.random.IntN(1000)),
+		})
+	}
+	take(s.q, all)
+}
+
+// A proper request must not be refused for a neighbour's that crashes its upstreams.
+func TestNeighboursAreServed(t *testing.T) {
+	Convey("In storms of crashes no neighbour is held, and the request is after a few", t, func() {
+		falsely := 0
+		most := 0
+		for seed := range uint64(300) {
+			s := storm{
+				random:   rand.New(rand.NewPCG(seed, 0)),
+				q:        mgquarantine.New("life"),
+				engines:  18,
+				innocent: map[string]bool{},
+			}
+			for s.ended < 40 && !s.held {
+				s.now += mgclock.Millis(100 + s.random.IntN(1200))
+				s.crash(s.random.IntN(s.engines))
+				_, s.held = s.q.Held(s.now, digestOf("bad"))
+				for name := range s.innocent {
+					if _, held := s.q.Held(s.now, digestOf(name)); held {
+						falsely++
+					}
+				}
+			}
+			most = max(most, s.ended)
+		}
+		So(falsely, ShouldEqual, 0)
+		So(most, ShouldBeLessThanOrEqualTo, 6)
+	})
+}
--- a/pkg/mgproblem/problem.go
+++ b/pkg/mgproblem/problem.go
@@ -32,6 +32,7 @@
 	Unconfirmed  Kind = "unconfirmed"  // whether it ran can't be told
 	Unpromisable Kind = "unpromisable" // the promise asked for can't be kept
 	Cancelled    Kind = "cancelled"    // the caller cancelled it
+	Quarantined  Kind = "quarantined"  // the request crashes upstreams and is held back
 	Internal     Kind = "internal"     // a fault of the system
 )
 
@@ -154,6 +155,12 @@
 		return http.StatusGone
 	case Crowded, Leaving, Unready, Behind:
 		return http.StatusServiceUnavailable
+	case Quarantined:
+		// Callers take 503 for the word that the request did not run.
+		if p.Outcome() == NotRun {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusBadGateway
 	default:
 		return http.StatusInternalServerError
 	}
