mgagent, mgentry: prompts that crash engines are held back on the own interface, too

Cause: the same as for requests that are passed through. An answer starts over at up to three engines, each of which it may crash, and a caller's repeat begins anew. An entry couldn't tell: agents say 'interrupted' of an engine that has ended and of one that is cut off.

An agent now tells 'crashed' of a generation without a token whose engine refuses connections or has lost it, unless it leaves; entries take that as evidence. All entries exchange notes, not only those with routes. What waits at an agent when its prompt comes to be held is not called back.

Also: two processes that compare their notes both learn. Two crashes of one upstream are told apart when an attempt was sent after the first, however soon it has started again.

--- /dev/null
+++ b/internal/process/mgagent/crash_test.go
@@ -0,0 +1,81 @@
+package mgagent_test
+
+import (
+	"context"
+	"io"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// crashing returns a stream that gives some tokens, breaks, and can't be opened again.
+func crashing(tokens uint64, cause error) streamSeam {
+	opened := false
+	return func(context.Context, string, uint64) (*mgengine.TokenStream, error) {
+		if opened {
+			return nil, cause
+		}
+		opened = true
+		at := uint64(0)
+		return mgengine.NewTokenStream(func(context.Context) (mgengine.Token, error) {
+			if at == tokens {
+				return mgengine.Token{}, io.ErrUnexpectedEOF
+			}
+			at++
+			return mgengine.Token{
+				Seq:  at,
+				Text: "t",
+			}, nil
+		}, nil), nil
+	}
+}
+
+// Entries can't tell an engine that a request ends from one that is cut off.
+func TestCrashTold(t *testing.T) {
+	refused := mgengine.NewFailure(mgengine.NotStarted, "stream", "", syscall.ECONNREFUSED)
+	cases := []struct {
+		name   string
+		tokens uint64
+		cause  error
+		told   string
+	}{
+		{
+			name:  "that has ended as it began a generation",
+			cause: refused,
+			told:  "crashed",
+		},
+		{
+			name:  "that has started again since",
+			cause: mgengine.NewFailure(mgengine.Missing, "stream", "", nil),
+			told:  "crashed",
+		},
+		{
+			name:  "that gives no answer",
+			cause: mgengine.NewFailure(mgengine.Unknown, "stream", "", context.DeadlineExceeded),
+			told:  "interrupted",
+		},
+		{
+			name:   "that has ended after some tokens",
+			tokens: 2,
+			cause:  refused,
+			told:   "interrupted",
+		},
+	}
+	Convey("What is told of an engine", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var got string
+				bubbleWith(t, crashing(c.tokens, c.cause), func(r *rig) {
+					r.begin("a", "i1")
+					r.sleep(3 * mgclock.Second)
+					got = r.frames("a")
+				})
+				So(got, ShouldContainSubstring, c.told)
+			})
+		}
+	})
+}
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
@@ -172,7 +173,7 @@
 			a.end(g, "", interrupted(token.Fault))
 			return
 		case mgengine.KindOf(err) == mgengine.Missing:
-			a.end(g, "", interrupted("the engine lost the generation"))
+			a.end(g, "", a.lost(g, "the engine lost the generation"))
 			return
 		}
 		barren++
@@ -180,7 +181,11 @@
 			barren = 0
 		}
 		if barren >= streamTries || !a.spec.Clock.Sleep(ctx, streamPause) {
-			a.end(g, "", interrupted("the engine can't be reached"))
+			problem := interrupted("the engine can't be reached")
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				problem = a.lost(g, "the engine has ended")
+			}
+			a.end(g, "", problem)
 			return
 		}
 	}
@@ -244,6 +249,15 @@
 	a.scheduler.Progress(now, g.id, int(token.Seq))
 }
 
+// lost returns why a generation ended whose engine ended without a word: it may be what
+// ended the engine, unless it has made tokens.
+func (a *Agent) lost(g *generation, detail string) *mgproblem.Problem {
+	if a.leaving.Load() || g.produced() > 0 {
+		return interrupted(detail)
+	}
+	return mgproblem.New(mgproblem.Crashed, mgproblem.Unknown, detail, "send the request again for a new answer")
+}
+
 func interrupted(detail string) *mgproblem.Problem {
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown, detail, "send the request again for a new answer")
 }
--- /dev/null
+++ b/internal/process/mgentry/crash.go
@@ -0,0 +1,59 @@
+package mgentry
+
+import (
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// digest names what the caller asked for.
+func (j *job) digest() mgquarantine.Digest {
+	return mgquarantine.DigestOf(j.account.Name(), j.service.Name(), j.model, []byte(j.prompt))
+}
+
+// heldBack returns what to tell the caller of a request that crashes upstreams, or nil.
+func (e *Entry) heldBack(j *job, ran bool) *mgproblem.Problem {
+	if !e.spec.Quarantine.Watching() {
+		return nil
+	}
+	left, held := e.spec.Quarantine.Held(e.spec.Clock.Now(), j.digest())
+	if !held {
+		return nil
+	}
+	e.spec.Metrics.Counter("held").Inc(1)
+	return mgquarantine.Problem(left, ran)
+}
+
+// noteCrash takes an agent's word that its engine ended as it began the attempt.
+func (r *reading) noteCrash() {
+	digest := r.job.digest()
+	r.entry.spec.Quarantine.Crashed(r.entry.spec.Clock.Now(), mgquarantine.Crash{
+		Digest:   digest,
+		Request:  r.attempt.id,
+		Upstream: r.attempt.agent.Upstream(),
+		Begun:    true,
+		Sent:     r.attempt.sent,
+	})
+	r.entry.spec.Metrics.Counter("crashed").Inc(1)
+	r.entry.spec.Log.Info("an engine ended as it began a generation",
+		mglog.Attempt, r.attempt.id, mglog.Upstream, r.attempt.agent.Upstream(),
+		mglog.Account, r.job.account.Name(), "digest", digest.String())
+}
+
+// dangerous returns why a request is not begun at another engine, or nil.
+func (r *reading) dangerous() *mgproblem.Problem {
+	if problem := r.entry.heldBack(r.job, r.doubt); problem != nil {
+		return problem
+	}
+	if r.crashed && !r.entry.spec.Quarantine.Retryable(r.job.digest()) {
+		return interruptedProblem()
+	}
+	return nil
+}
+
+// noteSound takes that an engine answered the request.
+func (r *reading) noteSound() {
+	if r.job != nil && r.entry.spec.Quarantine.Watching() {
+		r.entry.spec.Quarantine.Answered(r.entry.spec.Clock.Now(), r.job.digest())
+	}
+}
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mganswer"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
@@ -51,6 +52,8 @@
 	// its own.
 	Calls  http.RoundTripper
 	Frames http.RoundTripper
+	// Quarantine holds requests back that crash upstreams. New makes one where it is nil.
+	Quarantine *mgquarantine.Quarantine
 	// Relay passes the requests through that the table's routes name. Without
 	// it the table's routes have no effect.
 	Relay *mgrelay.Spec
@@ -94,6 +97,9 @@
 
 // New returns an entry; epoch is unique to this life of the process.
 func New(spec Spec, epoch string) *Entry {
+	if spec.Quarantine == nil {
+		spec.Quarantine = &mgquarantine.Quarantine{}
+	}
 	e := &Entry{
 		spec:   spec,
 		signer: mganswer.NewSigner(spec.Seal),
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -22,6 +22,10 @@
 		return
 	}
 	e.spec.Metrics.Counter("requests").Inc(1)
+	if problem := e.heldBack(j, false); problem != nil {
+		e.turnedAway(w, problem)
+		return
+	}
 	giveBack, problem := e.take(r.Context(), c.account.Name())
 	if problem != nil {
 		e.turnedAway(w, problem)
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -39,6 +39,7 @@
 	giveBack func(tokens int) // returns what the account's caps were charged too much
 	evicted  uint32
 	notRun   bool // the agent attests that the attempt did not run
+	crashed  bool // the engine ended as it began the attempt
 	doubt    bool // an attempt before this one may have run
 }
 
@@ -135,6 +136,8 @@
 			problem = r.elsewhere(ctx)
 		case mgdelivery.Fail:
 			problem = decision.Problem()
+		case mgdelivery.Finish:
+			r.noteSound()
 		}
 		moved := decision.Action() == mgdelivery.Elsewhere
 		deliver := decision.Action() == mgdelivery.Deliver || decision.Action() == mgdelivery.Finish
@@ -225,6 +228,10 @@
 func (r *reading) note(frame *mgrpc.Frame) {
 	r.tokens += len(frame.GetText())
 	r.evicted = frame.GetPreempted()
+	r.crashed = r.job != nil && r.tokens == 0 && frame.GetFault() == string(mgproblem.Crashed)
+	if r.crashed {
+		r.noteCrash()
+	}
 	r.notRun = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
 }
 
@@ -247,6 +254,9 @@
 		return interruptedProblem()
 	}
 	r.doubt = r.doubt || !r.notRun
+	if problem := r.dangerous(); problem != nil {
+		return problem
+	}
 	// An engine that dies leaves many requests behind at once. Without a budget
 	// all of them go to the engines that are left, which may be overloaded next.
 	if !r.entry.budgets.Of(r.job.service.Name()).Spend() {
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -25,6 +25,7 @@
 	spec.Log = e.spec.Log
 	spec.Metrics = e.spec.Metrics
 	spec.Budgets = &e.budgets
+	spec.Quarantine = e.spec.Quarantine
 	spec.Load = &e.load
 	spec.Others = e.spec.Others
 	spec.Left = e.left
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -20,6 +20,7 @@
 	agent      *mgmember.Member
 	offer      *mgrpc.Offer
 	generation string
+	sent       mgclock.Millis
 	doubt      bool   // an attempt before this one may have run
 	ended      func() // gives its place in the agent's count back, once
 }
@@ -213,6 +214,7 @@
 func (e *Entry) start(ctx context.Context, j *job, fleet *fleet, chosen probed) (attempt, *mgproblem.Problem) {
 	made := attempt{
 		id:    e.nextAttempt(),
+		sent:  e.spec.Clock.Now(),
 		agent: chosen.agent,
 		offer: chosen.offer,
 		ended: fleet.fly(chosen.place),
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -9,7 +9,6 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
-	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -41,6 +40,10 @@
 	n.admin.Source("entry", func() any { return entry.State() })
 	n.admin.Source("shares", func() any { return shares.Status() })
 	n.servers.Go(func() { entry.Run(ctx) })
+	notes := n.exchanger()
+	n.servers.Go(func() { notes.spread(ctx) })
+	n.servers.Go(func() { notes.compare(ctx) })
+	n.servers.Go(func() { n.watchHeld(ctx) })
 	if n.form != nil {
 		n.servers.Go(func() { n.tellLoads(ctx, entry.Load()) })
 	}
@@ -65,18 +68,19 @@
 
 func (n *Node) entrySpec(settings mgsettings.Entry, shares *mgshare.Loop) mgentry.Spec {
 	return mgentry.Spec{
-		Settings: settings,
-		Clock:    n.clock,
-		Log:      n.log,
-		Metrics:  n.metrics,
-		Seal:     n.seal,
-		Table:    n.Table,
-		Seen:     n.Seen,
-		View:     n.members.View,
-		Failed:   n.failed,
-		Heard:    n.heard,
-		Acquire:  shares.Acquire,
-		Running:  shares.Running,
+		Settings:   settings,
+		Clock:      n.clock,
+		Log:        n.log,
+		Metrics:    n.metrics,
+		Seal:       n.seal,
+		Quarantine: n.quarantine,
+		Table:      n.Table,
+		Seen:       n.Seen,
+		View:       n.members.View,
+		Failed:     n.failed,
+		Heard:      n.heard,
+		Acquire:    shares.Acquire,
+		Running:    shares.Running,
 		Calls: &mglink.Guard{
 			Pooled:   n.calls,
 			Again:    n.guard.Transport(true),
@@ -105,13 +109,7 @@
 // by how many of them are known, until ctx ends.
 func (n *Node) boundRetries(ctx context.Context, allowed int, bound func(limit int)) {
 	for ok := true; ok; ok = n.clock.Sleep(ctx, mgclock.Second) {
-		entries := 1
-		for _, peer := range n.members.View().Peers() {
-			if peer.Kind() == mgplatform.EntryKind {
-				entries++
-			}
-		}
-		bound(mgretry.Share(allowed, entries))
+		bound(mgretry.Share(allowed, 1+len(n.entries())))
 	}
 }
 
@@ -119,17 +117,13 @@
 // that come back reach any of them; where most are stopping, too, an answer that
 // may be cut is worth more than a second refusal.
 func (n *Node) elsewhere() bool {
-	entries, stay := 0, 0
-	for _, peer := range n.members.View().Peers() {
-		if peer.Kind() != mgplatform.EntryKind {
-			continue
-		}
-		entries++
-		if !peer.Leaving() {
+	entries, stay := n.entries(), 0
+	for _, entry := range entries {
+		if !entry.Leaving() {
 			stay++
 		}
 	}
-	return entries > 0 && 2*stay >= entries
+	return len(entries) > 0 && 2*stay >= len(entries)
 }
 
 // relaySpec returns how requests are passed through, or nil when none are.
@@ -138,16 +132,15 @@
 		return nil
 	}
 	return &mgrelay.Spec{
-		Form:       *n.form,
-		Basis:      n.basis,
-		Move:       n.move,
-		Probe:      n.probe,
-		Place:      n.place,
-		Turn:       n.turn,
-		EndTurn:    n.endTurn,
-		Refuses:    mgdial.Refuses,
-		Quarantine: n.quarantine,
-		Client:     mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
+		Form:    *n.form,
+		Basis:   n.basis,
+		Move:    n.move,
+		Probe:   n.probe,
+		Place:   n.place,
+		Turn:    n.turn,
+		EndTurn: n.endTurn,
+		Refuses: mgdial.Refuses,
+		Client:  mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
 	}
 }
 
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -241,12 +241,6 @@
 	n.servers.Go(func() { n.loop.Run(ctx) })
 	n.servers.Go(func() { n.pause.Run(ctx) })
 	n.servers.Go(func() { n.tick(ctx) })
-	if n.form != nil {
-		notes := n.exchanger()
-		n.servers.Go(func() { notes.spread(ctx) })
-		n.servers.Go(func() { notes.compare(ctx) })
-		n.servers.Go(func() { n.watchHeld(ctx) })
-	}
 	for n.Table() == nil || !n.loop.Ready() {
 		if !n.clock.Sleep(stop, drainLook) {
 			return fmt.Errorf("start: stopped before a configuration was in force: %w", stop.Err())
--- a/internal/process/mgnode/quarantine.go
+++ b/internal/process/mgnode/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -31,7 +32,7 @@
 	// newsGap is the least time between two rounds, when there are fresh notes.
 	newsGap = 20 * mgclock.Millis(1)
 	// compareSpan is the mean interval at which a process compares what it knows.
-	compareSpan = 2 * mgclock.Second
+	compareSpan = 1500 * mgclock.Millis(1)
 	// newsWait bounds the answer of a peer.
 	newsWait = 500 * mgclock.Millis(1)
 	// maxNews bounds what is told at once in bytes: four times mgquarantine's most
@@ -42,7 +43,7 @@
 // quarantineWire is what processes tell one another.
 type quarantineWire struct {
 	Notes []mgquarantine.Note `json:"notes,omitempty"`
-	// Sums are of all notes of who asks for those that it lacks; see Compare.
+	// Sums are of all notes of the sender, where it compares them.
 	Sums    mgquarantine.Sums `json:"sums,omitempty"`
 	Compare bool              `json:"compare,omitempty"`
 }
@@ -63,6 +64,7 @@
 	var lacking quarantineWire
 	if told.Compare {
 		lacking.Notes = e.quarantine.Lacking(e.clock.Now(), told.Sums)
+		lacking.Sums = e.quarantine.Sums()
 	}
 	return lacking
 }
@@ -90,10 +92,26 @@
 				return
 			}
 			e.take(lacking.Notes)
+			if told.Compare {
+				e.giveBack(ctx, peers[at], lacking.Sums)
+			}
 		}()
 	}
 }
 
+// giveBack tells a process what it lacks by its sums.
+func (e *exchanger) giveBack(ctx context.Context, to *mgmember.Member, theirs mgquarantine.Sums) {
+	notes := e.quarantine.Lacking(e.clock.Now(), theirs)
+	if len(notes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, newsWait.Duration())
+	defer cancel()
+	if _, err := e.call(ctx, to, quarantineWire{Notes: notes}); err != nil {
+		e.untold()
+	}
+}
+
 // spread tells others what is learned, until ctx ends.
 func (e *exchanger) spread(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -127,6 +145,17 @@
 	}
 }
 
+// entries returns the other entries that are known and well.
+func (n *Node) entries() []*mgmember.Member {
+	var entries []*mgmember.Member
+	for _, peer := range n.members.View().Peers() {
+		if peer.Kind() == mgplatform.EntryKind {
+			entries = append(entries, peer)
+		}
+	}
+	return entries
+}
+
 // exchanger returns what exchanges this node's notes.
 func (n *Node) exchanger() *exchanger {
 	return &exchanger{
@@ -134,7 +163,7 @@
 		log:        n.log,
 		untold:     func() { n.metrics.Counter("quarantine.untold").Inc(1) },
 		quarantine: n.quarantine,
-		peers:      func() []*mgmember.Member { return n.members.View().Peers() },
+		peers:      n.entries,
 		call:       n.callQuarantine,
 	}
 }
--- a/internal/process/mgnode/quarantine_test.go
+++ b/internal/process/mgnode/quarantine_test.go
@@ -227,7 +227,7 @@
 			took = m.untilHeld(30)
 		})
 		So(meanwhile, ShouldEqual, 0)
-		So(took, ShouldBeLessThanOrEqualTo, 5*mgclock.Second)
+		So(took, ShouldBeLessThanOrEqualTo, 3*mgclock.Second+newsWait)
 	})
 }
 
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -20,9 +20,6 @@
 	// refusalWait is how long a retry waits for the word whether the upstream before
 	// has ended. An address without a listener answers in one round trip.
 	refusalWait = 50 * mgclock.Millis(1)
-	// retriedCrashes is the number of crashes from which on a request is not tried on
-	// a further upstream after one, only when its caller sends it again.
-	retriedCrashes = 2
 )
 
 // errHeld is the cause with which the attempt of a request ends that is held from then on.
@@ -115,18 +112,13 @@
 		return nil
 	}
 	y.spec.Metrics.Counter("relay.held").Inc(1)
-	const detail = "upstreams ended one after another as they began this request, which is held back"
-	if x.ran {
-		return mgproblem.New(mgproblem.Quarantined, mgproblem.Unknown, detail, "don't send it again as it is")
-	}
-	return mgproblem.New(mgproblem.Quarantined, mgproblem.NotRun, detail,
-		"send another, or the same after the time given").WithRetry(left)
+	return mgquarantine.Problem(left, x.ran)
 }
 
 // dangerous reports whether a request under which an upstream has just ended should not
 // be tried on another one.
 func (y *Relay) dangerous(x *exchange) bool {
-	return y.spec.Quarantine.Watching() && y.spec.Quarantine.Occurrences(x.digest()) >= retriedCrashes
+	return y.spec.Quarantine.Watching() && !y.spec.Quarantine.Retryable(x.digest())
 }
 
 // answered takes that an upstream answered a request.
--- a/internal/request/mgquarantine/judge.go
+++ b/internal/request/mgquarantine/judge.go
@@ -15,8 +15,9 @@
 	// sent to the second upstream after the first had ended. What ends several upstreams
 	// at once, such as the loss of an availability zone, is no request.
 	momentSpan = 300 * mgclock.Millis(1)
-	// crashSpan is the time in which reports about one upstream are of the same crash:
-	// longer than reports differ, shorter than an upstream takes to start again.
+	// crashSpan is the time in which reports about one upstream are of the same crash,
+	// unless an attempt was sent after the other had ended: longer than reports differ,
+	// shorter than an upstream takes to start again.
 	crashSpan = mgclock.Second
 	// holdSpan is the first hold. It doubles with each crash after a hold, up to
 	// maxDoublings times.
@@ -71,7 +72,7 @@
 	last := map[string]*crash{} // by upstream
 	for _, s := range notes {
 		c := last[s.note.Upstream]
-		if c == nil || s.at >= c.at+crashSpan {
+		if c == nil || s.at >= c.at+crashSpan || slices.ContainsFunc(c.notes, s.follows) {
 			c = &crash{
 				at: s.at,
 			}
--- /dev/null
+++ b/internal/request/mgquarantine/problem.go
@@ -0,0 +1,17 @@
+package mgquarantine
+
+import (
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+)
+
+// Problem returns what to tell the caller of a request that is held for a while yet; ran
+// says that an attempt of it may have run.
+func Problem(left mgclock.Millis, ran bool) *mgproblem.Problem {
+	const detail = "upstreams ended one after another as they began this request, which is held back"
+	if ran {
+		return mgproblem.New(mgproblem.Quarantined, mgproblem.Unknown, detail, "don't send it again as it is")
+	}
+	return mgproblem.New(mgproblem.Quarantined, mgproblem.NotRun, detail,
+		"send another, or the same after the time given").WithRetry(left)
+}
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -102,6 +102,14 @@
 	return left, left > 0
 }
 
+// triedCrashes is the number of occurrences from which on a request is not tried on a
+// further upstream after a crash, only when its caller sends it again.
+const triedCrashes = 2
+
+// Retryable reports whether a request under which an upstream has just ended may be tried
+// on another one.
+func (q *Quarantine) Retryable(digest Digest) bool { return q.Occurrences(digest) < triedCrashes }
+
 // Occurrences returns how many times upstreams have ended under a request that no other
 // request explains.
 func (q *Quarantine) Occurrences(digest Digest) int {
--- a/pkg/mgproblem/problem.go
+++ b/pkg/mgproblem/problem.go
@@ -29,6 +29,7 @@
 	Incarnation  Kind = "incarnation"  // the process was replaced
 	Tombstone    Kind = "tombstone"    // the attempt was cancelled before
 	Interrupted  Kind = "interrupted"  // the generation ended before its end
+	Crashed      Kind = "crashed"      // the upstream ended as it began the request
 	Unconfirmed  Kind = "unconfirmed"  // whether it ran can't be told
 	Unpromisable Kind = "unpromisable" // the promise asked for can't be kept
 	Cancelled    Kind = "cancelled"    // the caller cancelled it
@@ -147,7 +148,7 @@
 		return http.StatusTooManyRequests
 	case Incarnation, Tombstone, Unconfirmed:
 		return http.StatusConflict
-	case Interrupted:
+	case Interrupted, Crashed:
 		return http.StatusBadGateway
 	case Late:
 		return http.StatusGatewayTimeout
