--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -138,10 +138,7 @@
 	router.Use(e.count)
 	router.Use(e.bound)
 	router.Use(e.routed)
-	router.NotFound(func(w http.ResponseWriter, _ *http.Request) {
-		mgproblem.Write(w, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
-			"no such path", "see the list of paths in docs/OPERATIONS.md"))
-	})
+	router.NotFound(e.unrouted)
 	router.Group(func(callers chi.Router) {
 		callers.Post("/v1/chat/completions", e.account(e.chat))
 		callers.Post("/v1/completions", e.account(e.complete))
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -6,12 +6,14 @@
 	"slices"
 	"strings"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // openRelay makes the relay out of what the entry already has: one set of retry
@@ -162,6 +164,22 @@
 // one that is starting: it takes 50 ms once the platform answers.
 const unreadyRetry = 100 * mgclock.Millis(1)
 
+// denied notes a request that the table in force doesn't allow.
+func (e *Entry) denied(r *http.Request, table *mgtable.Table) {
+	e.spec.Metrics.Counter("denied").Inc(1)
+	e.spec.Log.Info("the table in force has no such route or key",
+		mglog.Request, r.Header.Get(e.spec.Relay.Form.ID), "host", r.Host, "path", r.URL.Path, mglog.Version, table.Version())
+}
+
+// unrouted answers a request that neither a route nor the own interface takes.
+func (e *Entry) unrouted(w http.ResponseWriter, r *http.Request) {
+	if table := e.spec.Table(); e.relay != nil && table != nil {
+		e.denied(r, table)
+	}
+	mgproblem.Write(w, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
+		"no such path", "see the list of paths in docs/OPERATIONS.md"))
+}
+
 // routed passes requests through that the table's routes name; others are
 // requests of the entry's own interface.
 func (e *Entry) routed(next http.Handler) http.Handler {
@@ -186,6 +204,7 @@
 		}
 		account := accountOf(table, r)
 		if account == nil && !route.Public() {
+			e.denied(r, table)
 			e.stranger(w)
 			return
 		}
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -50,6 +50,7 @@
 	}
 	defer response.Body.Close()
 	y.spec.Answered(host.Name)
+	y.noteLeaving(x, host, response)
 	x.attempts++
 	if y.isRefusal(response) {
 		y.noteMisdirected(host, response)
@@ -172,6 +173,16 @@
 	return response.StatusCode >= http.StatusBadRequest && response.Header.Get(y.spec.Form.Refused) != ""
 }
 
+// noteLeaving takes an upstream's word in an answer that it leaves.
+func (y *Relay) noteLeaving(x *exchange, host Host, response *http.Response) {
+	if name := y.spec.Form.Leaving; name == "" || response.Header.Get(name) == "" {
+		return
+	}
+	y.spec.Metrics.Counter("relay.leaving").Inc(1)
+	y.spec.Log.Info("an upstream says in an answer that it leaves", mglog.Request, x.id, mglog.Upstream, host.Name,
+		"known", y.spec.Leaving != nil && y.spec.Leaving(host.Name))
+}
+
 // noteMisdirected takes that another upstream answers at a host's address: the
 // host is gone, and the list doesn't show it yet. Without this the address,
 // which holds none of our work, looks the least loaded and draws each next
--- a/internal/process/mgrelay/form.go
+++ b/internal/process/mgrelay/form.go
@@ -14,6 +14,7 @@
 	Upstream  string // the upstream that is meant; another one refuses
 	Instance  string // of answers: the upstream that answered
 	Refused   string // of answers: the upstream did not run the request
+	Leaving   string // of answers: the upstream leaves
 	Signature string // of answers: the upstream made this answer
 	Tokens    string // "prompt,most": tokens of the prompt, and most of the output
 	Hint      string // the caller's estimate of the output's tokens
@@ -33,6 +34,7 @@
 		Upstream:  "Upstream",
 		Instance:  "Instance",
 		Refused:   "Refused",
+		Leaving:   "Leaving",
 		Signature: "Signature",
 		Tokens:    "Tokens",
 		Hint:      "Hint",
