mgrelay, mgmember, mgconfig: an upstream's word in an answer that it leaves binds

What callers saw: writes went to an upstream 2.5 s after it had told the same entry, in an answer, that it leaves.

Cause: entries read the list, and ask upstreams with generations only while the list is stale; an answer's own word was not read. The class: what one process has learned isn't used where it matters, nor told on.

Now any answer's word takes the upstream out at once, and a report's header counts as its state does. The word holds for the life of the upstream that said it: by the list's 'born', whatever newer lists show; before, it was forgotten after two minutes (shown on: after three minutes without a list the upstream was used again). A late word of an earlier life takes nobody out. Who is told of it and didn't know tells on: before, four peers were told, and nobody else but by chance.

Departures are told with the life they are of; a process of the release before takes the name with it for another upstream's, and learns by itself.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -175,12 +175,14 @@
 
 // noteLeaving takes an upstream's word in an answer that it leaves.
 func (y *Relay) noteLeaving(x *exchange, host Host, response *http.Response) {
-	if name := y.spec.Form.Leaving; name == "" || response.Header.Get(name) == "" {
+	name := y.spec.Form.Leaving
+	if name == "" || response.Header.Get(name) == "" || y.spec.Leaving == nil || y.spec.Leaving(host.Name) {
 		return
 	}
 	y.spec.Metrics.Counter("relay.leaving").Inc(1)
-	y.spec.Log.Info("an upstream says in an answer that it leaves", mglog.Request, x.id, mglog.Upstream, host.Name,
-		"known", y.spec.Leaving != nil && y.spec.Leaving(host.Name))
+	y.spec.Log.Info("an upstream says in an answer that it leaves, which the list doesn't show",
+		mglog.Request, x.id, mglog.Upstream, host.Name)
+	y.spec.Departed(host.Name)
 }
 
 // noteMisdirected takes that another upstream answers at a host's address: the
--- a/internal/request/mgquarantine/quarantine_test.go
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// answer is an upstream's answer to a request.
+func answer(at mgclock.Millis, request string) seen {
+	return seen{
+		at:      at,
+		request: request,
+	}
+}
+
 // after returns the crashes of a request, one each second from a time on.
 func after(at mgclock.Millis, request string, upstreams ...string) []seen {
 	var all []seen
@@ -90,40 +98,87 @@
 		{
 			name: "one, as three processes see it",
 			seen: []seen{
-				{at: 0, request: "bad", upstream: "a"},
-				{at: 400, request: "bad", upstream: "a"},
-				{at: 800, request: "bad", upstream: "a"},
+				{
+					at:       0,
+					request:  "bad",
+					upstream: "a",
+				},
+				{
+					at:       400,
+					request:  "bad",
+					upstream: "a",
+				},
+				{
+					at:       800,
+					request:  "bad",
+					upstream: "a",
+				},
 			},
 			now: 5 * sec,
 		},
 		{
 			name: "an availability zone that is lost under a request of many callers",
 			seen: []seen{
-				{at: 1000, request: "hot", upstream: "a", sent: 500},
-				{at: 1003, request: "hot", upstream: "b", sent: 600},
-				{at: 1005, request: "hot", upstream: "c", sent: 700},
-				{at: 1040, request: "hot", upstream: "d", sent: 800},
+				{
+					at:       1000,
+					request:  "hot",
+					upstream: "a",
+					sent:     500,
+				},
+				{
+					at:       1003,
+					request:  "hot",
+					upstream: "b",
+					sent:     600,
+				},
+				{
+					at:       1005,
+					request:  "hot",
+					upstream: "c",
+					sent:     700,
+				},
+				{
+					at:       1040,
+					request:  "hot",
+					upstream: "d",
+					sent:     800,
+				},
 			},
 			now: 5 * sec,
 		},
 		{
 			name: "three within a moment, each sent after the one before",
 			seen: []seen{
-				{at: 1000, request: "bad", upstream: "a", sent: 900},
-				{at: 1050, request: "bad", upstream: "b", sent: 1000},
-				{at: 1099, request: "bad", upstream: "c", sent: 1051},
+				{
+					at:       1000,
+					request:  "bad",
+					upstream: "a",
+					sent:     900,
+				},
+				{
+					at:       1050,
+					request:  "bad",
+					upstream: "b",
+					sent:     1000,
+				},
+				{
+					at:       1099,
+					request:  "bad",
+					upstream: "c",
+					sent:     1051,
+				},
 			},
 			now:  5 * sec,
 			held: []string{"bad"},
 		},
 		{
 			name: "three, with an answer in between",
-			seen: append(append(after(0, "hot", "a", "b"), seen{at: 1500, request: "hot"}), after(2*sec, "hot", "c")...),
+			seen: append(append(after(0, "hot", "a", "b"), answer(1500, "hot")), after(2*sec, "hot", "c")...),
 			now:  5 * sec,
 		},
 		{
 			name: "an answer once it was held",
-			seen: append(after(0, "hot", "a", "b", "c"), seen{at: 2500, request: "hot"}),
+			seen: append(after(0, "hot", "a", "b", "c"), answer(2500, "hot")),
 			now:  5 * sec,
 		},
 		{
@@ -135,9 +190,24 @@
 		{
 			name: "neighbours that waited",
 			seen: slices.Concat(after(0, "bad", "a", "b", "c"), []seen{
-				{at: 2, request: "queued", upstream: "a", waiting: true},
-				{at: 1002, request: "queued", upstream: "b", waiting: true},
-				{at: 2002, request: "queued", upstream: "c", waiting: true},
+				{
+					at:       2,
+					request:  "queued",
+					upstream: "a",
+					waiting:  true,
+				},
+				{
+					at:       1002,
+					request:  "queued",
+					upstream: "b",
+					waiting:  true,
+				},
+				{
+					at:       2002,
+					request:  "queued",
+					upstream: "c",
+					waiting:  true,
+				},
 			}),
 			now:  10 * sec,
 			held: []string{"bad"},
@@ -145,9 +215,24 @@
 		{
 			name: "upstreams that end before they say that they began it",
 			seen: []seen{
-				{at: 0, request: "bad", upstream: "a", waiting: true},
-				{at: 1000, request: "bad", upstream: "b", waiting: true},
-				{at: 2000, request: "bad", upstream: "c", waiting: true},
+				{
+					at:       0,
+					request:  "bad",
+					upstream: "a",
+					waiting:  true,
+				},
+				{
+					at:       1000,
+					request:  "bad",
+					upstream: "b",
+					waiting:  true,
+				},
+				{
+					at:       2000,
+					request:  "bad",
+					upstream: "c",
+					waiting:  true,
+				},
 			},
 			now:  10 * sec,
 			held: []string{"bad"},
@@ -161,9 +246,21 @@
 		{
 			name: "three that lie far apart",
 			seen: []seen{
-				{at: 0, request: "old", upstream: "a"},
-				{at: 11 * min, request: "old", upstream: "b"},
-				{at: 22 * min, request: "old", upstream: "c"},
+				{
+					at:       0,
+					request:  "old",
+					upstream: "a",
+				},
+				{
+					at:       11 * min,
+					request:  "old",
+					upstream: "b",
+				},
+				{
+					at:       22 * min,
+					request:  "old",
+					upstream: "c",
+				},
 			},
 			now: 22*min + sec,
 		},
--- a/internal/version/mgconfig/departure_test.go
+++ b/internal/version/mgconfig/departure_test.go
@@ -233,14 +233,17 @@
 		actions := m.Departed(sec, "engine-1")
 		So(members.View().Hosts("reports"), ShouldBeEmpty)
 		So(actions, ShouldNotBeEmpty)
-		So(actions[0].Summary().GetDeparted(), ShouldResemble, []string{"engine-1"})
+		So(actions[0].Summary().GetDeparted(), ShouldResemble, []string{"engine-1 0"})
 		So(m.Departed(sec, "engine-1"), ShouldBeEmpty)
 		Convey("who take it", func() {
 			other, known := alone()
 			told := actions[0].Summary()
 			told.Name = "entry-9" // both machines of this test have one name
-			other.take(sec, told)
+			on := other.take(sec, told)
 			So(known.View().Hosts("reports"), ShouldBeEmpty)
+			So(on, ShouldNotBeEmpty)
+			So(on[0].Summary().GetDeparted(), ShouldResemble, []string{"engine-1 0"})
+			So(other.take(sec, told), ShouldBeEmpty)
 		})
 		Convey("and is told for a while only", func() {
 			m.now = sec + departedSpan
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -62,9 +62,9 @@
 	now       mgclock.Millis // of the last call
 	list      []byte         // the text of the list of VMs in use
 	leaving   bool
-	departed  map[string]mgclock.Millis // upstreams by their own word, and when
-	exchange  mgclock.Millis            // next exchange
-	tick      mgclock.Millis            // next tick of the members
+	departed  map[mgmember.Departure]mgclock.Millis // when that was learned
+	exchange  mgclock.Millis                        // next exchange
+	tick      mgclock.Millis                        // next tick of the members
 	manifest  source
 	confirmed mgclock.Millis // when another's word of the list was last the platform's
 	vms       source
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -136,14 +136,11 @@
 	}
 	m.members.Heard(now, s.GetName(), s.GetIncarnation(), s.GetLeaving())
 	m.meet(now, s)
-	for _, upstream := range s.GetDeparted() {
-		m.members.Heard(now, upstream, "", true)
-	}
+	actions := m.takeDepartures(now, s.GetDeparted())
 	from := peer{
 		name: s.GetName(),
 		addr: s.GetAddr(),
 	}
-	var actions []Action
 	if s.GetList() > m.members.View().Version() && !m.listening.well(now) {
 		actions = append(actions, m.fetchList(now, from)...)
 	}
@@ -205,28 +202,48 @@
 // would else find out by itself, up to a second later of a notice of two.
 func (m *Machine) Departed(now mgclock.Millis, upstream string) []Action {
 	m.now = now
-	m.members.Heard(now, upstream, "", true)
-	if _, told := m.departed[upstream]; told {
+	if !m.depart(now, m.members.DepartureOf(upstream)) {
 		return nil
 	}
-	if m.departed == nil {
-		m.departed = make(map[string]mgclock.Millis)
+	return m.push(now)
+}
+
+// takeDepartures takes what a peer tells of upstreams that leave. What is news is told
+// on: the first to know tells a few peers only.
+func (m *Machine) takeDepartures(now mgclock.Millis, told []string) []Action {
+	news := false
+	for _, text := range told {
+		news = m.depart(now, m.members.ReadDeparture(text)) || news
+	}
+	if !news {
+		return nil
 	}
-	m.departed[upstream] = now
 	return m.push(now)
 }
 
+// depart takes a departure and reports whether peers should hear of it.
+func (m *Machine) depart(now mgclock.Millis, departure mgmember.Departure) bool {
+	if !m.members.Depart(now, departure) {
+		return false
+	}
+	if m.departed == nil {
+		m.departed = make(map[mgmember.Departure]mgclock.Millis)
+	}
+	m.departed[departure] = now
+	return true
+}
+
 // departures returns the upstreams that peers are told of.
 func (m *Machine) departures() []string {
-	var names []string
-	for name, at := range m.departed {
+	var all []string
+	for departure, at := range m.departed {
 		if m.now >= at+departedSpan {
-			delete(m.departed, name)
+			delete(m.departed, departure)
 			continue
 		}
-		names = append(names, name)
+		all = append(all, departure.String())
 	}
-	return names
+	return all
 }
 
 // meet makes the sender of a summary known, and those it names.
--- /dev/null
+++ b/internal/version/mgmember/departure_test.go
@@ -0,0 +1,125 @@
+package mgmember_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// An upstream that said that it leaves must not be brought back by a list, before it
+// starts again.
+func TestDeparture(t *testing.T) {
+	row := func(born int64) []mgplatform.VM {
+		return []mgplatform.VM{{
+			Name:     "engine-1",
+			Kind:     mgplatform.UpstreamKind,
+			Addr:     "10.0.0.1:80",
+			Upstream: "engine-1",
+			Services: []string{"report"},
+			State:    mgplatform.Live,
+			Born:     born,
+		}}
+	}
+	list := func(version uint64, vms []mgplatform.VM) mgplatform.List {
+		return mgplatform.List{
+			Version: version,
+			VMs:     vms,
+		}
+	}
+	word := mgmember.Departure{
+		Upstream: "engine-1",
+		Born:     7,
+	}
+	cases := []struct {
+		name  string
+		after func(m *mgmember.Members)
+		used  bool
+	}{
+		{
+			name:  "and nothing follows",
+			after: func(*mgmember.Members) {},
+		},
+		{
+			name: "and a newer list shows the same life",
+			after: func(m *mgmember.Members) {
+				m.List(200, list(2, row(7)))
+			},
+		},
+		{
+			name: "and it is missing from a list and back in the next",
+			after: func(m *mgmember.Members) {
+				m.List(200, list(2, nil))
+				m.List(300, list(3, row(7)))
+			},
+		},
+		{
+			name: "and the platform is silent for minutes",
+			after: func(m *mgmember.Members) {
+				for at := mgclock.Second; at < 10*mgclock.Minute; at += mgclock.Second {
+					m.Tick(at)
+				}
+			},
+		},
+		{
+			name: "and it starts again under its name",
+			after: func(m *mgmember.Members) {
+				m.List(200, list(2, row(8)))
+			},
+			used: true,
+		},
+		{
+			name: "and starts again, and a late word of its last life comes",
+			after: func(m *mgmember.Members) {
+				m.List(200, list(2, row(8)))
+				m.Depart(300, m.ReadDeparture("engine-1 7"))
+			},
+			used: true,
+		},
+		{
+			name: "and starts again, and leaves again",
+			after: func(m *mgmember.Members) {
+				m.List(200, list(2, row(8)))
+				m.Depart(300, m.ReadDeparture("engine-1"))
+			},
+		},
+		{
+			name: "and others fail and answer",
+			after: func(m *mgmember.Members) {
+				m.Failed(200, "engine-1")
+				m.Failed(201, "engine-1")
+				m.Answered(300, "engine-1")
+			},
+		},
+	}
+	Convey("An upstream has said that it leaves,", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m := mgmember.New("entry")
+				m.List(0, list(1, row(7)))
+				So(len(m.View().Hosts("report")), ShouldEqual, 1)
+				So(m.Depart(100, m.DepartureOf("engine-1")), ShouldBeTrue)
+				So(m.Depart(100, m.DepartureOf("engine-1")), ShouldBeFalse)
+				c.after(m)
+				So(len(m.View().Hosts("report")) == 1, ShouldEqual, c.used)
+			})
+		}
+		Convey("before any list names it", func() {
+			m := mgmember.New("entry")
+			m.Depart(100, word)
+			m.List(200, list(1, row(7)))
+			So(m.View().Hosts("report"), ShouldBeEmpty)
+		})
+		Convey("and is forgotten once it has long been gone", func() {
+			m := mgmember.New("entry")
+			m.List(0, list(1, row(7)))
+			m.Depart(100, m.DepartureOf("engine-1"))
+			m.List(200, list(2, nil))
+			m.Tick(3 * mgclock.Minute)
+			So(m.Depart(4*mgclock.Minute, word), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/version/mgmember/members.go
+++ b/internal/version/mgmember/members.go
@@ -48,14 +48,15 @@
 	self string
 	view atomic.Pointer[View]
 
-	mu       sync.Mutex
-	list     mgplatform.List
-	known    map[string]mgplatform.VM // the last listed row of each member
-	evidence map[string]*evidence
-	cold     map[string]mgclock.Millis // until when listed upstreams are cold, by name
-	cordons  map[string]mgclock.Millis // cordoned availability zones, and since when that is known
-	stale    bool                      // the view lacks an incarnation until the next Tick
-	changed  chan struct{}             // closed when the view is replaced
+	mu         sync.Mutex
+	list       mgplatform.List
+	known      map[string]mgplatform.VM // the last listed row of each member
+	evidence   map[string]*evidence
+	cold       map[string]mgclock.Millis // until when listed upstreams are cold, by name
+	cordons    map[string]mgclock.Millis // cordoned availability zones, and since when that is known
+	departures map[string]departed       // of upstreams, by name
+	stale      bool                      // the view lacks an incarnation until the next Tick
+	changed    chan struct{}             // closed when the view is replaced
 }
 
 // New returns the members as the process named self sees them.
@@ -241,6 +242,7 @@
 			changed = true
 		}
 	}
+	changed = m.endDepartures(now) || changed
 	if changed {
 		m.rebuild(now)
 	}
@@ -320,7 +322,7 @@
 		vm:      vm,
 		hash:    xxhash.Sum64String(vm.Name),
 		listed:  listed,
-		leaving: vm.State == mgplatform.Leaving,
+		leaving: vm.State == mgplatform.Leaving || m.leaves(vm.Name, vm.Born),
 	}
 	member.cold = m.cold[vm.Name]
 	_, member.cordoned = m.cordons[vm.Zone]
