--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -178,6 +178,9 @@
 // Seen tells that another process goes by a version.
 func (n *Node) Seen(version uint64, from string) { n.loop.Seen(version, from) }
 
+// LookForTable has the table read from the platform at once.
+func (n *Node) LookForTable() { n.loop.LookForTable() }
+
 // Reseed replaces the addresses of peers to ask while no other is known.
 func (n *Node) Reseed(seeds []string) { n.loop.Reseed(seeds) }
 
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -171,6 +171,10 @@
 	l.act(func(m *Machine, now mgclock.Millis) []Action { return m.Departed(now, upstream) })
 }
 
+// LookForTable has the table read from the platform at once, where another call to it has
+// shown that there is a newer one.
+func (l *Loop) LookForTable() { l.act((*Machine).LookForTable) }
+
 // Take takes another process's word of the platform.
 func (l *Loop) Take(word Word, from string) {
 	l.step(func(m *Machine, now mgclock.Millis) []Action { return m.Take(now, word, from) })
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -132,6 +132,13 @@
 	return actions
 }
 
+// LookForTable reads the table at once.
+func (m *Machine) LookForTable(now mgclock.Millis) []Action {
+	m.now = now
+	m.manifest.next = min(m.manifest.next, now)
+	return m.readPlatform(now)
+}
+
 // readSource watches as a watcher that has the value, and reads otherwise.
 func (m *Machine) readSource(s *source) Action {
 	s.rounds++
