mgconfig, mgentry: nothing is denied by a table that may not be the newest

What callers saw: 404 for a route that had been added, which no caller sends again; a key that had been added would have had 401.

Cause: an entry denied by whatever table it had. It can't know the newest while the platform is silent, while a peer or a call has shown a newer one that is not yet in force, or while nobody has told it for a while; callers take 404 and 401 for the last word.

Now each answer of the platform about the list, whose watch covers all keys, says that there is no newer table, and its age goes from the reader to hubs and entries with the list. A denial needs such a word of the table in force that is 1.5 s old at most; without it the caller has 503 and the time to come back. What the table allows is served as before. Deployments whose platform tells list and table apart go on as they were.

Evidence: TestNoDenialByOldTable had 404 and 401 before while the store was silent.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -35,6 +35,9 @@
 	Seal     *mgseal.Signer
 	// Table returns the table in force, or nil while there is none.
 	Table func() *mgtable.Table
+	// Certain reports whether that table was the newest a moment ago, so that what it
+	// doesn't name isn't there. Nil stands for yes.
+	Certain func() bool
 	// Seen tells that another process goes by a version.
 	Seen func(version uint64, from string)
 	// View returns the other processes as they are known now.
@@ -216,7 +219,7 @@
 		}
 		account := accountOf(table, r)
 		if account == nil {
-			e.stranger(w)
+			e.deny(w, r, table, e.stranger)
 			return
 		}
 		next(w, r, caller{
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -164,20 +164,42 @@
 // one that is starting: it takes 50 ms once the platform answers.
 const unreadyRetry = 100 * mgclock.Millis(1)
 
-// denied notes a request that the table in force doesn't allow.
-func (e *Entry) denied(r *http.Request, table *mgtable.Table) {
-	e.spec.Metrics.Counter("denied").Inc(1)
-	e.spec.Log.Info("the table in force has no such route or key",
-		mglog.Request, r.Header.Get(e.spec.Relay.Form.ID), "host", r.Host, "path", r.URL.Path, mglog.Version, table.Version())
+// deny answers a request that the table in force doesn't allow. Where there may be a newer
+// table it is told to come back, since callers take a denial for the last word.
+func (e *Entry) deny(w http.ResponseWriter, r *http.Request, table *mgtable.Table, last func(w http.ResponseWriter)) {
+	certain := e.spec.Certain == nil || e.spec.Certain()
+	if e.relay != nil {
+		e.spec.Log.Info("the table in force has no such route or key",
+			mglog.Request, r.Header.Get(e.spec.Relay.Form.ID), "host", r.Host, "path", r.URL.Path,
+			mglog.Version, table.Version(), "certain", certain)
+	}
+	if certain {
+		e.spec.Metrics.Counter("denied").Inc(1)
+		last(w)
+		return
+	}
+	e.spec.Metrics.Counter("doubted").Inc(1)
+	e.refuse(w, mgproblem.New(mgproblem.Unready, mgproblem.NotRun,
+		"the table in force here may not be the newest, and has no such route or key",
+		"send it again after the time given").WithRetry(doubtRetry))
 }
 
+// doubtRetry is when a caller may come back whose route or key isn't known here: the
+// platform is asked again within about as long.
+const doubtRetry = mgclock.Second
+
 // unrouted answers a request that neither a route nor the own interface takes.
 func (e *Entry) unrouted(w http.ResponseWriter, r *http.Request) {
-	if table := e.spec.Table(); e.relay != nil && table != nil {
-		e.denied(r, table)
+	missing := func(w http.ResponseWriter) {
+		mgproblem.Write(w, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
+			"no such path", "see the list of paths in docs/OPERATIONS.md"))
+	}
+	table := e.spec.Table()
+	if table == nil {
+		missing(w)
+		return
 	}
-	mgproblem.Write(w, mgproblem.New(mgproblem.Missing, mgproblem.NotRun,
-		"no such path", "see the list of paths in docs/OPERATIONS.md"))
+	e.deny(w, r, table, missing)
 }
 
 // routed passes requests through that the table's routes name; others are
@@ -204,8 +226,7 @@
 		}
 		account := accountOf(table, r)
 		if account == nil && !route.Public() {
-			e.denied(r, table)
-			e.stranger(w)
+			e.deny(w, r, table, e.stranger)
 			return
 		}
 		e.relay.Serve(w, r, mgrelay.Call{
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -75,6 +75,7 @@
 		Seal:       n.seal,
 		Quarantine: n.quarantine,
 		Table:      n.Table,
+		Certain:    n.loop.Certain,
 		Seen:       n.Seen,
 		View:       n.members.View,
 		Failed:     n.failed,
--- a/internal/process/mgnode/list.go
+++ b/internal/process/mgnode/list.go
@@ -25,6 +25,9 @@
 	listHeader  = "List"
 	ageHeader   = "List-Age"
 	tableHeader = "Table"
+	// tableAgeHeader is how long ago the platform had no newer table, ms, negative where
+	// that isn't known. A process of an earlier release doesn't tell it.
+	tableAgeHeader = "Table-Age"
 )
 
 const (
@@ -52,6 +55,7 @@
 	header.Set(listHeader, strconv.FormatUint(listing.Word.List, 10))
 	header.Set(ageHeader, strconv.FormatInt(int64(listing.Word.Age), 10))
 	header.Set(tableHeader, strconv.FormatUint(listing.Word.Table, 10))
+	header.Set(tableAgeHeader, strconv.FormatInt(int64(listing.Word.TableAge), 10))
 	if listing.Packed == nil {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -100,6 +104,10 @@
 		}
 	}
 	listing.Word.Age = mgclock.Millis(age)
+	listing.Word.TableAge = -1
+	if tableAge, err := strconv.ParseInt(header.Get(tableAgeHeader), 10, 64); err == nil {
+		listing.Word.TableAge = mgclock.Millis(tableAge)
+	}
 	if response.StatusCode == http.StatusNotModified {
 		return listing, nil
 	}
--- a/internal/process/mgnode/load.go
+++ b/internal/process/mgnode/load.go
@@ -149,6 +149,8 @@
 		List:  reply.GetList(),
 		Age:   mgclock.Millis(reply.GetAge()),
 		Table: reply.GetTable(),
+		// That is told to those that listen only.
+		TableAge: -1,
 	}
 }
 
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -50,6 +50,7 @@
 	form        *mgrelay.Form // nil passes no requests through
 	probe       func(context.Context, mgrelay.Host) (bool, error)
 	known       func(digest string) *mgtable.Page
+	joint       bool
 	turns       mgmigration.Turns
 	lines       lines
 	places      atomic.Pointer[func(service string, others mgload.Report) []mgroom.Place]
@@ -101,6 +102,7 @@
 		form:        spec.Relay,
 		move:        spec.Move,
 		known:       spec.Known,
+		joint:       spec.Joint,
 		probe:       spec.Probe,
 		quarantine:  mgquarantine.New(incarnation),
 	}
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -30,6 +30,7 @@
 			Seeds:       n.settings.Seeds,
 			Spread:      mgclock.Millis(n.settings.Spread),
 			Known:       n.known,
+			Joint:       n.joint,
 			Quick:       mgclock.Millis(n.settings.Quick),
 			Watch:       mgclock.Millis(n.settings.Watch),
 			Answer:      mgclock.Millis(n.settings.Answer),
--- a/internal/process/mgnode/spec.go
+++ b/internal/process/mgnode/spec.go
@@ -22,6 +22,9 @@
 	// Platform reads the table and the list of VMs. Nil stands for the service
 	// at Settings.Platform.
 	Platform *mgplatform.Client
+	// Joint says that an answer about the list shows that there is no newer table; see
+	// mgconfig.MachineSpec.
+	Joint bool
 	// Known returns a page of the table that the process has read already, or
 	// nil; see mgconfig.MachineSpec.
 	Known func(digest string) *mgtable.Page
--- /dev/null
+++ b/internal/version/mgconfig/certain.go
@@ -0,0 +1,47 @@
+package mgconfig
+
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
+// A process that doesn't know the newest table may serve what its table allows, and must
+// not say that a route or a key isn't there: callers take that for the last word. Where
+// one watch of the platform covers list and table (MachineSpec.Joint), each answer about
+// the list says that there is no newer table, and its age goes with the word of the list.
+
+// certainSpan is how old that word may be. An edit is in force everywhere two seconds
+// after it was accepted.
+const certainSpan = 1500 * mgclock.Millis(1)
+
+// Certain reports whether the table in force was the newest a moment ago.
+func (m *Machine) Certain(now mgclock.Millis) bool {
+	if !m.spec.Joint {
+		return true // nobody tells how old the table is
+	}
+	age := m.tableAge(now)
+	return age >= 0 && age <= certainSpan
+}
+
+// tableAge returns how long ago the platform had no newer table, or -1 where that isn't
+// known.
+func (m *Machine) tableAge(now mgclock.Millis) mgclock.Millis {
+	behind := m.pull != nil && m.pull.mark.above(m.Current().mark())
+	if m.Current() == nil || behind || m.looking || !m.tableHeard {
+		return -1
+	}
+	return now - m.tableAsOf
+}
+
+// confirmTable takes that the platform had no table newer than the one that was read at a
+// time.
+func (m *Machine) confirmTable(at mgclock.Millis) {
+	if !m.tableHeard || at > m.tableAsOf {
+		m.tableAsOf = at
+	}
+	m.tableHeard = true
+}
+
+// confirmTableBy takes the same from another's word of the table in force here.
+func (m *Machine) confirmTableBy(now mgclock.Millis, word Word) {
+	if word.TableAge >= 0 && word.Table == m.Current().Version() {
+		m.confirmTable(now - word.TableAge)
+	}
+}
--- a/internal/version/mgconfig/listen.go
+++ b/internal/version/mgconfig/listen.go
@@ -184,6 +184,7 @@
 		}
 	}
 	m.confirm(now, result.Word)
+	m.confirmTableBy(now, result.Word)
 	return append(actions, m.Seen(now, result.Word.Table, from)...)
 }
 
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -99,6 +99,14 @@
 	return l.machine.Stale(l.spec.Clock.Now())
 }
 
+// Certain reports whether the table in force was the newest a moment ago, so that what it
+// doesn't name isn't there.
+func (l *Loop) Certain() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Certain(l.spec.Clock.Now())
+}
+
 // Status returns the state for the dump.
 func (l *Loop) Status() Status {
 	l.mu.Lock()
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -35,6 +35,10 @@
 	// tens of ms; the others watch once a second. 0: all watch alike.
 	Quick mgclock.Millis
 
+	// Joint says that an answer of the platform about the list shows, too, that there is
+	// no newer table than the one that the platform's client has.
+	Joint bool
+
 	// Watch is the longest wait of one watch, Answer the longest time for the
 	// platform's answer beyond it and Backoff the longest pause after failed
 	// reads; 0 stands for the defaults.
@@ -59,27 +63,30 @@
 	rng     *rand.Rand
 	current atomic.Pointer[Snapshot]
 
-	now       mgclock.Millis // of the last call
-	list      []byte         // the text of the list of VMs in use
-	leaving   bool
-	departed  map[mgmember.Departure]mgclock.Millis // when that was learned
-	exchange  mgclock.Millis                        // next exchange
-	tick      mgclock.Millis                        // next tick of the members
-	manifest  source
-	confirmed mgclock.Millis // when another's word of the list was last the platform's
-	vms       source
-	budget    budget
-	pull      *pull
-	pulls     int // number of pulls begun
-	listPull  listPull
-	listening listening
-	listeners mgclock.Millis // when another listened at this process last
-	gossiping gossiping
-	assigned  roles           // as of the last view; see the method roles
-	asked     map[string]bool // peers with an exchange under way
-	join      join
-	refused   refused
-	counts    Counts
+	now        mgclock.Millis // of the last call
+	list       []byte         // the text of the list of VMs in use
+	leaving    bool
+	departed   map[mgmember.Departure]mgclock.Millis // when that was learned
+	exchange   mgclock.Millis                        // next exchange
+	tick       mgclock.Millis                        // next tick of the members
+	manifest   source
+	looking    bool           // the platform has a newer table, which is being read
+	tableHeard bool           // it has been said once that there is no newer table
+	tableAsOf  mgclock.Millis // when that was so last
+	confirmed  mgclock.Millis // when another's word of the list was last the platform's
+	vms        source
+	budget     budget
+	pull       *pull
+	pulls      int // number of pulls begun
+	listPull   listPull
+	listening  listening
+	listeners  mgclock.Millis // when another listened at this process last
+	gossiping  gossiping
+	assigned   roles           // as of the last view; see the method roles
+	asked      map[string]bool // peers with an exchange under way
+	join       join
+	refused    refused
+	counts     Counts
 }
 
 // exchangeSpan is the mean interval of exchanges. Together with the push it
--- a/internal/version/mgconfig/platform.go
+++ b/internal/version/mgconfig/platform.go
@@ -135,6 +135,7 @@
 // LookForTable reads the table at once.
 func (m *Machine) LookForTable(now mgclock.Millis) []Action {
 	m.now = now
+	m.looking = true
 	m.manifest.next = min(m.manifest.next, now)
 	return m.readPlatform(now)
 }
@@ -247,6 +248,9 @@
 		return m.askFirst(now)
 	}
 	fresh := m.vms.done(now, result, m)
+	if m.spec.Joint && m.vms.failures == 0 {
+		m.confirmTable(now)
+	}
 	before := m.members.View()
 	if !fresh || !m.takeList(now, result.Value.Bytes()) {
 		return nil
@@ -280,6 +284,10 @@
 	if m.manifest.done(now, result, m) {
 		m.takeManifest(now, result.Value.Bytes())
 	}
+	if m.manifest.failures == 0 {
+		m.looking = false
+		m.confirmTable(now)
+	}
 	if errors.Is(result.Err, mgplatform.ErrCordons) {
 		// Each hub and two more of its cell hear of a cordon here, also where the
 		// process that reads the list for all has just died or is cut off.
--- a/internal/version/mgconfig/word.go
+++ b/internal/version/mgconfig/word.go
@@ -11,6 +11,9 @@
 	List  uint64
 	Age   mgclock.Millis // negative where it has no word of the platform
 	Table uint64
+	// TableAge is how long ago the platform had no newer table, negative where that
+	// isn't known.
+	TableAge mgclock.Millis
 }
 
 const (
@@ -26,9 +29,10 @@
 // Word returns what this process can tell others.
 func (m *Machine) Word(now mgclock.Millis) Word {
 	word := Word{
-		List:  m.members.View().Version(),
-		Age:   -1,
-		Table: m.Current().Version(),
+		List:     m.members.View().Version(),
+		Age:      -1,
+		Table:    m.Current().Version(),
+		TableAge: m.tableAge(now),
 	}
 	if (m.vms.answered || m.vms.told) && (m.vms.failures == 0 || now < m.confirmed+wordAge) {
 		word.Age = now - m.vms.heard
