mgrest, mgrelay: an upstream that asks for a rest has one

Entries passed the time on to callers and went on sending: in TestRetryAfterKeepsRequestsAway 30 requests were sent for 15 that another upstream had room for, now 16. Callers were told the rest of one upstream, 30 s, where another could have taken the request at once.

Now nothing is sent to it during the rest it asked this entry for, by first tries, retries, places or moves; a place that is given there is not used. After the rest one request goes there, and as many more as answers double (slow start). Where all upstreams of a service rest, requests are refused at once, with the time until the first ends; nothing waits for a place.

A copy of a generation that lies at a resting upstream is still used: it is nowhere else.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -34,7 +34,9 @@
 const maxKept = 256 << 10
 
 // attempt sends a request to one upstream and delivers its answer.
-func (y *Relay) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, host Host) ending {
+func (y *Relay) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, host Host) (end ending) {
+	end = failed // also where the caller's connection is broken
+	defer func() { x.endAttempt(end == delivered) }()
 	x.tried[host.Name] = true
 	x.last = host.Name
 	defer y.carry(x, host)()
@@ -51,6 +53,7 @@
 	defer response.Body.Close()
 	y.spec.Answered(host.Name)
 	y.noteLeaving(x, host, response)
+	y.noteRest(x, host, response)
 	x.attempts++
 	if y.isRefusal(response) {
 		y.noteMisdirected(host, response)
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -50,6 +50,7 @@
 	heard    mgclock.Millis      // when the caller was given events last
 	arrived  bool                // the next events are the first of another upstream
 	resumed  bool                // the generation goes on after these
+	ended    func(answered bool) // ends the attempt at its upstream's rests
 	from     place               // what the next attempt goes on from, or nothing
 	places   []place             // where else the generation can go on
 	problem  *mgproblem.Problem
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -41,7 +41,10 @@
 	query.Memory = x.size.memory()
 	query.Capacity = capacity(x.call.Table, x.service)
 	query.Tokens = max(x.size.output, 1)
-	list := slices.DeleteFunc(y.costs(x.service, query, y.others()), func(s spot) bool { return !x.homes.allow(s.host.Region) })
+	now := y.spec.Clock.Now()
+	list := slices.DeleteFunc(y.costs(x.service, query, y.others()), func(s spot) bool {
+		return !x.homes.allow(s.host.Region) || !y.rests.Takes(now, s.host.Name)
+	})
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b spot) int {
 		switch {
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -20,6 +20,7 @@
 	for ctx.Err() == nil {
 		changed := y.spec.Changed()
 		late := y.runs.late()
+		y.rests.Forget(func(upstream string) bool { return !y.spec.Leaving(upstream) })
 		for _, host := range y.runs.hosts() {
 			if y.spec.Leaving(host.Name) {
 				y.runs.mover(host.Name, true)
--- a/internal/process/mgrelay/refuse.go
+++ b/internal/process/mgrelay/refuse.go
@@ -56,8 +56,9 @@
 // back where a refusal gives none.
 func (y *Relay) pass(w http.ResponseWriter, x *exchange, kept *answer) {
 	copyHeader(w.Header(), kept.header)
-	if promises(kept.status) && w.Header().Get("Retry-After") == "" {
-		y.setRetry(w, comeBack)
+	if kept.status == http.StatusServiceUnavailable || promises(kept.status) && w.Header().Get("Retry-After") == "" {
+		// The upstream's own time is for this process and that upstream.
+		y.setRetry(w, y.crowded(x).Retry())
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(kept.body)))
 	w.WriteHeader(kept.status)
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrest"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
@@ -101,6 +102,7 @@
 	exchanges exchanges
 	runs      runs
 	turns     mgwarm.Turns
+	rests     mgrest.Rests
 	count     atomic.Uint64 // ordinary answers
 	// outage is when the platform was away last, ms of the clock; 0 for never.
 	outage atomic.Int64
@@ -194,6 +196,7 @@
 // for a request that waited, or the best that was not tried.
 func (y *Relay) next(ctx context.Context, x *exchange) (Host, bool) {
 	if x.from.copy != "" {
+		y.takes(x, x.from.host) // only there is the copy
 		return x.from.host, true
 	}
 	if host, settled := y.admit(ctx, x); settled {
@@ -203,9 +206,13 @@
 		if x.tried[spot.host.Name] {
 			continue
 		}
+		if !y.takes(x, spot.host) {
+			continue
+		}
 		if !spot.host.Cold || y.warmTurn(x, spot.host) {
 			return spot.host, true
 		}
+		x.endAttempt(false)
 		x.cold = true
 	}
 	return Host{}, false
@@ -256,6 +263,10 @@
 			"all availability zones with upstreams of the service are cordoned",
 			"send it again after the time given").WithRetry(comeBackClosed)
 	}
+	if left, all := y.restLeft(x); all {
+		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"all upstreams of the service asked for a rest", "send it again after the time given").WithRetry(left)
+	}
 	hosts := y.spec.Every(x.service)
 	if len(hosts) > 0 && x.homes.shut(hosts) {
 		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
--- /dev/null
+++ b/internal/process/mgrelay/rest_test.go
@@ -0,0 +1,99 @@
+package mgrelay_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+)
+
+// decliningFor turns requests away and says for how long it wants none, in seconds.
+func decliningFor(seconds string) play {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Refused", "1")
+		w.Header().Set("Retry-After", seconds)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// An upstream that asked for a rest must not be sent further requests, and no caller must
+// wait for its end where another upstream has room.
+func TestRetryAfterKeepsRequestsAway(t *testing.T) {
+	ask := func(g *rig, path string) reply {
+		return g.ask(context.Background(), http.MethodPost, path, "x", http.Header{"Tokens": {"30,9"}})
+	}
+	Convey("After an upstream has asked for a rest", t, func() {
+		g := open(t, decliningFor("30"), say("id: 1\n\n"))
+		Convey("requests of each kind go to another at once", func() {
+			for n := range 5 {
+				for _, path := range []string{"/book/", "/look/", "/note/"} {
+					got := ask(g, path+strconv.Itoa(n))
+					So(got.status, ShouldEqual, http.StatusOK)
+					So(got.header.Get("Signature"), ShouldEqual, "signed by b")
+				}
+			}
+			So(len(g.runs()), ShouldEqual, 16)
+		})
+		Convey("so do those that are given a place there", func() {
+			g.memory(plan)
+			g.with(func(spec *mgrelay.Spec) {
+				spec.Place = func(context.Context, string, mgroom.Wait) (mgroom.Grant, bool) {
+					return mgroom.Grant{Place: "a"}, true
+				}
+			})
+			for n := range 5 {
+				So(ask(g, "/note/"+strconv.Itoa(n)).status, ShouldEqual, http.StatusOK)
+			}
+			So(len(g.runs()), ShouldEqual, 6)
+		})
+	})
+	Convey("Where all upstreams rest", t, func() {
+		g := open(t, decliningFor("30"), decliningFor("20.5"))
+		ask(g, "/book/1")
+		So(len(g.runs()), ShouldEqual, 2)
+		Convey("requests are refused at once with the time until the first ends", func() {
+			for _, path := range []string{"/book/2", "/note/2"} {
+				got := ask(g, path)
+				So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+				seconds, err := strconv.Atoi(got.header.Get("Retry-After"))
+				So(err, ShouldBeNil)
+				So(seconds, ShouldBeBetweenOrEqual, 20, 21)
+			}
+			So(len(g.runs()), ShouldEqual, 2)
+		})
+		Convey("they wait for no place", func() {
+			g.memory(plan)
+			asked := 0
+			g.with(func(spec *mgrelay.Spec) {
+				spec.Place = func(context.Context, string, mgroom.Wait) (mgroom.Grant, bool) {
+					asked++
+					return mgroom.Grant{}, false
+				}
+			})
+			for range 2 {
+				ask(g, "/note/3")
+			}
+			So(asked, ShouldEqual, 1)
+		})
+	})
+	Convey("A caller isn't told the rest of one upstream where another may take its request", t, func() {
+		g := open(t, decliningFor("30"), say("b"))
+		got := ask(g, "/once/1")
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.header.Get("Retry-After"), ShouldEqual, "1")
+	})
+	Convey("A refusal without a time asks for no rest, nor one that can't be read", t, func() {
+		for _, text := range []string{"", "soon", "-3"} {
+			g := open(t, decliningFor(text), say("b"))
+			for n := range 2 {
+				ask(g, "/book/"+strconv.Itoa(n))
+			}
+			So(len(g.runs()), ShouldEqual, 4)
+		}
+	})
+}
--- a/internal/process/mgrelay/wait.go
+++ b/internal/process/mgrelay/wait.go
@@ -32,6 +32,10 @@
 		// Who gives places doesn't know of homes and would give what can't be used.
 		return Host{}, false
 	}
+	if _, all := y.restLeft(x); all {
+		x.problem = y.crowded(x)
+		return Host{}, true
+	}
 	began := y.spec.Clock.Now()
 	grant, ok := y.spec.Place(ctx, x.service, x.wait(y.spec.Clock.Now()))
 	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - began))
@@ -40,7 +44,8 @@
 	}
 	for _, host := range y.spec.Every(x.service) { // as it is after the wait
 		if host.Name == grant.Place {
-			return host, true
+			// Who gives places doesn't know of rests that others were asked for.
+			return host, y.takes(x, host)
 		}
 	}
 	if grant.Place == "" {
