mgsoak, mgstandin: a prompt that ends engines, in each run

The stand-in engine loses all that it holds once it begins a prompt with crash=1; each run sends one for a third of its time through one entry after another and counts the engines that ended: three, and three more for each fault that an entry had meanwhile or just before.

An entry that has just started compares its notes with another's at once: it would let the prompt through for up to two seconds.

--- a/internal/process/mgnode/quarantine.go
+++ b/internal/process/mgnode/quarantine.go
@@ -134,14 +134,21 @@
 	}
 }
 
-// compare compares what is known with one other process now and then, until ctx ends.
+// compare compares what is known with one other process now and then, until ctx ends. A
+// process that has just started does so as soon as it knows another.
 func (e *exchanger) compare(ctx context.Context) {
-	for e.clock.Sleep(ctx, compareSpan/2+mgclock.Millis(rand.Int64N(int64(compareSpan)))) {
+	for len(e.peers()) == 0 {
+		if !e.clock.Sleep(ctx, newsPause) {
+			return
+		}
+	}
+	for ctx.Err() == nil {
 		e.quarantine.Tick(e.clock.Now())
 		e.tell(ctx, 1, quarantineWire{
 			Sums:    e.quarantine.Sums(),
 			Compare: true,
 		})
+		e.clock.Sleep(ctx, compareSpan/2+mgclock.Millis(rand.Int64N(int64(compareSpan))))
 	}
 }
 
--- a/internal/soak/mgsoak/cordon_test.go
+++ b/internal/soak/mgsoak/cordon_test.go
@@ -88,3 +88,69 @@
 		})
 	}
 }
+
+// A prompt that ends engines one after another must be found, and not where entries can't
+// have known it.
+func TestEndedByPrompt(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes int
+		entries int // faults of entries
+		found   int
+	}{
+		{
+			name:    "three engines ended",
+			crashes: 3,
+		},
+		{
+			name:    "four ended and no entry failed",
+			crashes: 4,
+			found:   1,
+		},
+		{
+			name:    "four ended and an entry was killed",
+			crashes: 4,
+			entries: 1,
+		},
+		{
+			name:    "ten ended and two entries were killed",
+			crashes: 10,
+			entries: 2,
+			found:   1,
+		},
+	} {
+		Convey(c.name, t, func() {
+			r := &run{
+				spans: []span{
+					{
+						fault: Fault{
+							Kind: CrashPrompt,
+						},
+						from: 4_000,
+						end:  8_000,
+					},
+					{
+						fault: Fault{
+							Kind:   KillProcess,
+							Target: "entry-2",
+						},
+						from: 100,
+						end:  200,
+					},
+				},
+			}
+			r.evidence.crashes = c.crashes
+			for range c.entries {
+				r.spans = append(r.spans, span{
+					fault: Fault{
+						Kind:   KillProcess,
+						Target: "entry-1",
+					},
+					from: 2_000,
+					end:  2_100,
+				})
+			}
+			So(len(r.endedByPrompt()), ShouldEqual, c.found)
+		})
+	}
+}
--- a/internal/soak/mgsoak/deployment.go
+++ b/internal/soak/mgsoak/deployment.go
@@ -274,9 +274,14 @@
 
 // get returns the status and body of a URL, or 0 when it can't be reached.
 func get(ctx context.Context, url, key string) (int, []byte) {
+	return call(ctx, http.MethodGet, url, key, "")
+}
+
+// call is get with a method and a body to send.
+func call(ctx context.Context, method, url, key, body string) (int, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -288,11 +293,11 @@
 		return 0, nil
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(response.Body)
 	if err != nil {
 		return 0, nil
 	}
-	return response.StatusCode, body
+	return response.StatusCode, text
 }
 
 // fresh uses a connection for each request.
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -40,6 +40,7 @@
 	nothingCut    = "a planned stop cuts nothing"
 	noCause       = "nothing fails without a fault"
 	cordonKept    = "a cordoned zone gets no new work"
+	promptHeld    = "a prompt that ends engines is held back"
 )
 
 // report is one answer as its caller has it.
@@ -76,6 +77,7 @@
 	looks       []look
 	generations map[string]mgstandin.Record
 	runs        map[string]int // of writes, by operation
+	crashes     int            // engines that the prompt ended
 }
 
 // merge adds what one engine remembers: a generation that moved is known to two.
@@ -83,6 +85,7 @@
 	if e.generations == nil {
 		e.generations = map[string]mgstandin.Record{}
 	}
+	e.crashes += counts.Crashes
 	for id, record := range counts.Generations {
 		all := e.generations[id]
 		all.Starts += record.Starts
--- a/internal/soak/mgsoak/harm.go
+++ b/internal/soak/mgsoak/harm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"syscall"
@@ -46,6 +47,9 @@
 		return r.harmPlatform(ctx, f)
 	case CordonZone:
 		return r.cordon(ctx, f)
+	case CrashPrompt:
+		r.sendPrompt(ctx, f)
+		return nil
 	case EditTable, RevokeKey:
 		r.editing.Lock()
 		defer r.editing.Unlock()
@@ -202,6 +206,47 @@
 	return total, nil
 }
 
+// promptPause is the time between two requests with the prompt that ends engines.
+const promptPause = 150 * mgclock.Millis(1)
+
+// sendPrompt sends a prompt that ends the engines which begin it, through one entry after
+// another.
+func (r *run) sendPrompt(ctx context.Context, f Fault) {
+	body := fmt.Sprintf(`{"model":"report","messages":[{"role":"user","content":"%s len=5"}]}`, mgstandin.CrashMark)
+	end := r.now() + f.Span
+	for n := 0; r.now() < end && ctx.Err() == nil; n++ {
+		base := r.d.entries[n%len(r.d.entries)]
+		_, _ = call(ctx, http.MethodPost, base+"/v1/chat/completions", firstKey, body) // how it fails is no matter
+		r.wait(ctx, promptPause)
+	}
+}
+
+// endedByPrompt looks for more engines that the prompt ended than entries can't have known.
+func (r *run) endedByPrompt() []Finding {
+	var sent span
+	for _, s := range r.spans {
+		if s.fault.Kind == CrashPrompt {
+			sent = s
+		}
+	}
+	allowed := promptCrashes
+	for _, s := range r.spans {
+		if strings.HasPrefix(s.fault.Target, "entry-") && s.from < sent.end && sent.from < s.end+promptWord {
+			allowed += promptCrashes // an entry that starts anew, stands still or is cut off
+		}
+	}
+	if r.evidence.crashes <= allowed {
+		return nil
+	}
+	return []Finding{finding(promptHeld, "%d engines ended, of %d that may have", r.evidence.crashes, allowed)}
+}
+
+// promptCrashes is how many engines end under a prompt before one entry holds it back.
+const promptCrashes = 3
+
+// promptWord is how long after a fault an entry may not have heard of the prompt.
+const promptWord = 3 * mgclock.Second
+
 // planned reports whether a fault is one that answers must outlast by themselves.
 func (f Fault) planned() bool {
 	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || slices.Contains([]Kind{EditTable, RevokeKey, CordonZone}, f.Kind)
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -190,6 +190,7 @@
 	r.findings = append(r.findings, r.evidence.check()...)
 	r.findings = append(r.findings, r.causeless()...)
 	r.findings = append(r.findings, r.breached()...)
+	r.findings = append(r.findings, r.endedByPrompt()...)
 	return nil
 }
 
@@ -253,6 +254,6 @@
 			booked++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d findings",
-		r.seed, len(r.faults), whole, told, booked, len(r.evidence.tickets), len(r.evidence.looks), len(r.findings))
+	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d findings",
+		r.seed, len(r.faults), whole, told, booked, len(r.evidence.tickets), len(r.evidence.looks), r.evidence.crashes, len(r.findings))
 }
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -29,6 +29,7 @@
 	EditTable    Kind = "edit"   // a new version
 	RevokeKey    Kind = "revoke" // a version without the second account's key
 	CordonZone   Kind = "cordon" // no new work for a zone, for the span
+	CrashPrompt  Kind = "prompt" // a prompt that ends its engine, again and again for the span
 )
 
 // A Fault is one step of a schedule.
@@ -105,7 +106,7 @@
 	for at := quietHead; ; {
 		at += mgclock.Millis(r.ExpFloat64() * meanGap)
 		if at >= length-quietTail {
-			return append(faults, drawCordon(seed, length))
+			return append(faults, drawCordon(seed, length), drawPrompt(seed, length))
 		}
 		f := Fault{
 			At:   at,
@@ -136,6 +137,19 @@
 	}
 }
 
+// drawPrompt returns the span in which a prompt is sent that ends the engines which begin
+// it, drawn by itself like the cordon.
+func drawPrompt(seed uint64, length mgclock.Millis) Fault {
+	r := rand.New(rand.NewPCG(seed, 0x63726173))
+	free := length - quietHead - quietTail
+	span := free / 3
+	return Fault{
+		At:   quietHead + mgclock.Millis(r.Int64N(max(int64(free-span), 1))),
+		Kind: CrashPrompt,
+		Span: span,
+	}
+}
+
 func drawKind(r *rand.Rand) Kind {
 	total := 0
 	for _, d := range drawn {
--- a/internal/standin/mgstandin/engine_test.go
+++ b/internal/standin/mgstandin/engine_test.go
@@ -308,3 +308,30 @@
 	fmt.Println(mgstandin.Output("reconcile len=300", 0), mgstandin.Output("reconcile len=300", 20))
 	// Output: 300 20
 }
+
+// A prompt that ends its engine must take with it what runs beside it.
+func TestCrashMark(t *testing.T) {
+	Convey("An engine that begins a prompt with the mark loses all that it held", t, func() {
+		e := mgstandin.NewEngine(mgstandin.EngineSpec{}, mgclock.Clock{})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for id, prompt := range map[string]string{
+			"proper": "len=100000",
+			"bad":    mgstandin.CrashMark,
+		} {
+			So(e.Start(mgengine.StartSpec{
+				ID:     id,
+				Prompt: prompt,
+			}), ShouldBeNil)
+		}
+		go e.Run(ctx)
+		for e.Counts().Crashes == 0 {
+			<-time.After(time.Millisecond)
+		}
+		So(e.List(), ShouldBeEmpty)
+		So(e.Start(mgengine.StartSpec{
+			ID:     "after",
+			Prompt: "len=5",
+		}), ShouldBeNil)
+	})
+}
--- a/internal/standin/mgstandin/generation.go
+++ b/internal/standin/mgstandin/generation.go
@@ -30,6 +30,11 @@
 // advance publishes a generation's tokens up to seq.
 func (e *Engine) advance(id string, seq uint64) {
 	if g := e.running(id); g != nil {
+		if strings.Contains(g.spec.Prompt, CrashMark) {
+			e.counts.Crashes++
+			e.die()
+			return
+		}
 		e.counts.Tokens++
 		g.produced = seq
 		g.wake()
--- a/internal/standin/mgstandin/text.go
+++ b/internal/standin/mgstandin/text.go
@@ -16,6 +16,10 @@
 	"valve", "draft", "crew", "harbour", "ticket", "shift", "sounding", "ullage",
 }
 
+// CrashMark in a prompt ends the engine that begins to generate for it: all that it held
+// is lost, and it starts again at once.
+const CrashMark = "crash=1"
+
 // lengths is the distribution of outputs whose prompt doesn't say: a median of
 // 90 tokens, and one in a hundred over 1,200.
 var lengths = distuv.LogNormal{
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -38,6 +38,7 @@
 	Orders      int               `json:"orders"`  // orders carried out
 	Older       int               `json:"older"`   // of those, orders older than one before
 	Refused     int               `json:"refused"` // orders refused
+	Crashes     int               `json:"crashes"` // by prompts with CrashMark
 }
 
 // Record is what an engine remembers of a generation.
