--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -11,17 +11,17 @@
 	return mgquarantine.DigestOf(j.account.Name(), j.service.Name(), j.model, []byte(j.prompt))
 }
 
-// heldBack returns what to tell the caller of a request that crashes upstreams, or nil.
-func (e *Entry) heldBack(j *job, ran bool) *mgproblem.Problem {
+// admit returns what to tell the caller of a request that crashes upstreams, or nil.
+func (e *Entry) admit(j *job) *mgproblem.Problem {
 	if !e.spec.Quarantine.Watching() {
 		return nil
 	}
-	left, held := e.spec.Quarantine.Held(e.spec.Clock.Now(), j.digest())
-	if !held {
+	left, ok := e.spec.Quarantine.Admit(e.spec.Clock.Now(), j.digest())
+	if ok {
 		return nil
 	}
 	e.spec.Metrics.Counter("held").Inc(1)
-	return mgquarantine.Problem(left, ran)
+	return mgquarantine.Problem(left, false)
 }
 
 // noteCrash takes an agent's word that its engine ended as it began the attempt.
@@ -42,8 +42,12 @@
 
 // dangerous returns why a request is not begun at another engine, or nil.
 func (r *reading) dangerous() *mgproblem.Problem {
-	if problem := r.entry.heldBack(r.job, r.doubt); problem != nil {
-		return problem
+	if !r.entry.spec.Quarantine.Watching() {
+		return nil
+	}
+	if left, held := r.entry.spec.Quarantine.Held(r.entry.spec.Clock.Now(), r.job.digest()); held {
+		r.entry.spec.Metrics.Counter("held").Inc(1)
+		return mgquarantine.Problem(left, r.doubt)
 	}
 	if r.crashed && !r.entry.spec.Quarantine.Retryable(r.job.digest()) {
 		return interruptedProblem()
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -22,7 +22,7 @@
 		return
 	}
 	e.spec.Metrics.Counter("requests").Inc(1)
-	if problem := e.heldBack(j, false); problem != nil {
+	if problem := e.admit(j); problem != nil {
 		e.turnedAway(w, problem)
 		return
 	}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -40,9 +40,8 @@
 	n.admin.Source("entry", func() any { return entry.State() })
 	n.admin.Source("shares", func() any { return shares.Status() })
 	n.servers.Go(func() { entry.Run(ctx) })
-	notes := n.exchanger()
-	n.servers.Go(func() { notes.spread(ctx) })
-	n.servers.Go(func() { notes.compare(ctx) })
+	n.servers.Go(func() { n.notes.spread(ctx) })
+	n.servers.Go(func() { n.notes.compare(ctx) })
 	n.servers.Go(func() { n.watchHeld(ctx) })
 	if n.form != nil {
 		n.servers.Go(func() { n.tellLoads(ctx, entry.Load()) })
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -57,6 +57,7 @@
 	hub         mgload.Hub
 	others      atomic.Pointer[others]
 	quarantine  *mgquarantine.Quarantine
+	notes       *exchanger
 	move        func(context.Context, mgrelay.Host, mgrelay.Order) mgmigration.Reply
 	loop        *mgconfig.Loop
 	pause       *mgmember.Pause
@@ -104,8 +105,9 @@
 		known:       spec.Known,
 		joint:       spec.Joint,
 		probe:       spec.Probe,
-		quarantine:  mgquarantine.New(incarnation),
 	}
+	n.quarantine = mgquarantine.New(incarnation, n.triesFirst)
+	n.notes = n.exchanger()
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
 	n.pause = mgmember.NewPause(n.clock, nil)
--- a/internal/process/mgnode/quarantine.go
+++ b/internal/process/mgnode/quarantine.go
@@ -163,6 +163,13 @@
 	return entries
 }
 
+// triesFirst reports whether this process ranks first among the entries that are known
+// here for a request whose hold is over.
+func (n *Node) triesFirst(digest mgquarantine.Digest) bool {
+	self := mgmember.Self(n.settings.Name, n.settings.Zone, 0)
+	return mgmember.Rank(digest.String(), append(n.entries(), self), 1)[0] == self
+}
+
 // exchanger returns what exchanges this node's notes.
 func (n *Node) exchanger() *exchanger {
 	return &exchanger{
@@ -182,7 +189,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := pack(n.exchanger().answer(told))
+	body, err := pack(n.notes.answer(told))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -53,7 +53,7 @@
 // whether the upstream has ended, or soon.
 func (y *Relay) brokeOff(x *exchange, host Host, left remains) {
 	y.spec.Metrics.Counter("relay.broken").Inc(1)
-	x.crashed = true
+	x.broken = true
 	now := y.spec.Clock.Now()
 	leaving := y.spec.Leaving != nil && y.spec.Leaving(host.Name)
 	keys := append(y.basis(),
@@ -105,9 +105,17 @@
 // held returns what to tell the caller of a request that is held, or nil.
 func (y *Relay) held(x *exchange) *mgproblem.Problem {
 	if !y.spec.Quarantine.Watching() {
+		x.admitted = true
 		return nil
 	}
-	left, held := y.spec.Quarantine.Held(y.spec.Clock.Now(), x.digest())
+	var left mgclock.Millis
+	held := false
+	if x.admitted {
+		left, held = y.spec.Quarantine.Held(y.spec.Clock.Now(), x.digest())
+	} else {
+		left, x.admitted = y.spec.Quarantine.Admit(y.spec.Clock.Now(), x.digest())
+		held = !x.admitted
+	}
 	if !held {
 		return nil
 	}
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -41,7 +41,8 @@
 	refusal  *answer     // the last upstream's word that it did not run
 	failure  *answer     // the last upstream's answer that it failed
 	ran      bool        // an attempt may have run
-	crashed  bool        // an upstream broke an attempt off
+	broken   bool        // an upstream broke an attempt off
+	admitted bool        // the quarantine has let it through
 	begun    bool        // the caller has a stream's header
 	running  atomic.Bool // the same, for other goroutines
 	digested sync.Once
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -233,7 +233,7 @@
 	if x.ran && !x.call.Route.Repeatable() {
 		return false
 	}
-	if x.crashed && y.dangerous(x) {
+	if x.broken && y.dangerous(x) {
 		y.spec.Metrics.Counter("relay.dangerous").Inc(1)
 		return false
 	}
--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -20,8 +20,9 @@
 //   - crashes that a request explains which is in more of them count for no other;
 //   - an answer to the request, from any upstream, voids what was held against it.
 //
-// A held request is let through again once the hold is over; a further crash holds it
-// for twice as long.
+// Once its hold is over, a request is tried again, one attempt at a time, at the process
+// that ranks first for it or, a while later, at any: where upstreams ended for another
+// reason an answer ends the quarantine, and a further crash holds the request for longer.
 //
 // # State
 //
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -15,6 +15,11 @@
 	// most is the number of notes that are kept: some hundred requests with a few
 	// crashes each, 0.3 MB. Of more, those of requests that aren't held go first.
 	most = 1024
+	// noteLife is how long a note may be needed.
+	noteLife = longestHold + 2*evidenceLife
+	// trialSpan is how long after a hold one process alone lets the request through, and
+	// how long that one waits for what comes of it.
+	trialSpan = 5 * mgclock.Second
 	// newsSpan is how long a note is told on after it was learned.
 	newsSpan = 600 * mgclock.Millis(1)
 )
@@ -23,13 +28,15 @@
 // Quarantine is empty and ready for use by several goroutines; New names its process.
 type Quarantine struct {
 	origin string
+	first  func(Digest) bool // see New
 	state  atomic.Pointer[state]
 
 	mu      sync.Mutex
 	number  uint64
 	offsets map[string]mgclock.Millis // of this process's clock, by origin
 	notes   map[id]stored
-	changed chan struct{} // closed when there are fresh notes
+	trials  map[Digest]mgclock.Millis // until when a request's trial here is waited for
+	changed chan struct{}             // closed when there are fresh notes
 }
 
 // state is what the notes say. It never changes.
@@ -38,10 +45,13 @@
 	expires  mgclock.Millis
 }
 
-// New returns a quarantine of a process, whose incarnation origin names.
-func New(origin string) *Quarantine {
+// New returns a quarantine of a process, whose incarnation origin names. First reports
+// whether this process is the one that tries a request whose hold is over, of those that
+// exchange notes; nil stands for yes.
+func New(origin string, first func(Digest) bool) *Quarantine {
 	return &Quarantine{
 		origin: origin,
+		first:  first,
 	}
 }
 
@@ -102,6 +112,34 @@
 	return left, left > 0
 }
 
+// Admit reports whether a request may be sent to an upstream, and if not, how long it is
+// still held. Once its hold is over one attempt at a time is let through, at one process
+// for a while, and what comes of it decides: an answer ends the quarantine, a crash begins
+// a longer hold.
+func (q *Quarantine) Admit(now mgclock.Millis, digest Digest) (left mgclock.Millis, ok bool) {
+	current := q.state.Load()
+	if current == nil || !current.verdicts[digest].held {
+		return 0, true
+	}
+	verdict := current.verdicts[digest]
+	if left := verdict.left(now); left > 0 {
+		return left, false
+	}
+	if left := verdict.until + trialSpan - now; left > 0 && q.first != nil && !q.first(digest) {
+		return left, false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if left := q.trials[digest] - now; left > 0 {
+		return left, false
+	}
+	if q.trials == nil {
+		q.trials = map[Digest]mgclock.Millis{}
+	}
+	q.trials[digest] = now + trialSpan
+	return 0, true
+}
+
 // triedCrashes is the number of occurrences from which on a request is not tried on a
 // further upstream after a crash, only when its caller sends it again.
 const triedCrashes = 2
@@ -132,7 +170,7 @@
 			unreadable++
 			continue
 		}
-		if note.Age >= evidenceLife+holdSpan<<(maxDoublings+1) {
+		if note.Age >= noteLife {
 			continue
 		}
 		s := stored{
@@ -229,6 +267,11 @@
 			delete(next.verdicts, digest)
 		}
 	}
+	for digest := range q.trials {
+		if !next.verdicts[digest].held {
+			delete(q.trials, digest)
+		}
+	}
 	q.state.Store(next)
 }
 
