--- a/internal/process/mgentry/crash_test.go
+++ b/internal/process/mgentry/crash_test.go
@@ -26,8 +26,7 @@
 	c.next.ServeHTTP(w, r)
 }
 
-// A prompt that crashes each engine must not be started over at all of them, nor sent
-// again by its caller until none is left.
+// A prompt that crashes engines must not be started over, or sent again, until none is left.
 func TestCrashingPrompt(t *testing.T) {
 	crashed := func() *mgrpc.Frame {
 		return &mgrpc.Frame{
--- a/internal/process/mgrelay/rest_test.go
+++ b/internal/process/mgrelay/rest_test.go
@@ -21,8 +21,7 @@
 	}
 }
 
-// An upstream that asked for a rest must not be sent further requests, and no caller must
-// wait for its end where another upstream has room.
+// An upstream that asked for a rest must have it, at the cost of no caller's time.
 func TestRetryAfterKeepsRequestsAway(t *testing.T) {
 	ask := func(g *rig, path string) reply {
 		return g.ask(context.Background(), http.MethodPost, path, "x", http.Header{"Tokens": {"30,9"}})
--- a/internal/request/mgquarantine/quarantine_test.go
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -313,8 +313,7 @@
 	})
 }
 
-// Two entries that heard of the same crashes in another order must not differ in what
-// they let through.
+// Entries that heard of the same crashes in another order must hold the same requests.
 func TestNotesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		origins := make([]*mgquarantine.Quarantine, 4)
@@ -479,8 +478,7 @@
 	})
 }
 
-// A request that was held since upstreams ended for another reason must come back soon,
-// and one that crashes them must not be tried by all at once.
+// A request that was held without guilt must be served soon, and no other tried by all.
 func TestTrial(t *testing.T) {
 	Convey("Once the hold of a request is over", t, func() {
 		mine, other := mgquarantine.New("mine", nil), mgquarantine.New("other", func(mgquarantine.Digest) bool { return false })
--- a/internal/request/mgrest/rest_test.go
+++ b/internal/request/mgrest/rest_test.go
@@ -11,8 +11,7 @@
 
 const sec = mgclock.Second
 
-// An upstream that asked for a rest must get nothing during it, nor all that waited at
-// its end.
+// An upstream must get nothing during the rest it asked for, nor everything at its end.
 func TestRest(t *testing.T) {
 	Convey("An upstream that asked for a rest of two seconds", t, func() {
 		var r mgrest.Rests
--- a/internal/soak/mgsoak/cordon_test.go
+++ b/internal/soak/mgsoak/cordon_test.go
@@ -89,8 +89,7 @@
 	}
 }
 
-// A prompt that ends engines one after another must be found, and not where entries can't
-// have known it.
+// A prompt that ends engines must be found, but where entries can't have known it.
 func TestEndedByPrompt(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/version/mgmember/departure_test.go
+++ b/internal/version/mgmember/departure_test.go
@@ -10,8 +10,7 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// An upstream that said that it leaves must not be brought back by a list, before it
-// starts again.
+// An upstream that said that it leaves must not be brought back by a list.
 func TestDeparture(t *testing.T) {
 	row := func(born int64) []mgplatform.VM {
 		return []mgplatform.VM{{
