mgsoak: an engine that starts again within a second may end once more

The trace: entry-1 saw engine-1 and engine-3 end (50.058, 50.296), entry-2 engine-3 again (50.671, under its name, 0.37 s later), entry-1 engine-1 (50.857), and the prompt was held. A second report of one upstream within a second from another entry is taken for a report of the same crash: entries' clocks are compared to within the ways of their notes, and taken for two, one crash would count twice against proper requests. Engines on the users' platform are back after some seconds; stand-ins at once.

--- a/internal/soak/mgsoak/harm.go
+++ b/internal/soak/mgsoak/harm.go
@@ -229,7 +229,9 @@
 			sent = s
 		}
 	}
-	allowed := promptCrashes
+	// Another entry's word of an engine that started again under its name within a second
+	// is taken for a word of the same crash, once for each entry.
+	allowed := promptCrashes + max(r.size.Entries, reserve+1) - 1
 	for _, s := range r.spans {
 		if strings.HasPrefix(s.fault.Target, "entry-") && s.from < sent.end && sent.from < s.end+promptWord {
 			allowed += promptCrashes // an entry that starts anew, stands still or is cut off
