--- a/internal/version/mgmember/departure_test.go
+++ b/internal/version/mgmember/departure_test.go
@@ -74,7 +74,7 @@
 			name: "and starts again, and a late word of its last life comes",
 			after: func(m *mgmember.Members) {
 				m.List(200, list(2, row(8)))
-				m.Depart(300, m.ReadDeparture("engine-1 7"))
+				So(m.Depart(300, m.ReadDeparture("engine-1 7")), ShouldBeFalse)
 			},
 			used: true,
 		},
