mgrelay: a line and a counter for the limit that an upstream names

An upstream may name in its answers the requests a second that it takes from all entries together. What is named is read (mglimit.Parse: a decimal number of 0 or more, else a line and a counter of its own) and logged with the entry and the request. No decision changes.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -54,6 +54,7 @@
 	y.spec.Answered(host.Name)
 	y.noteLeaving(x, host, response)
 	y.noteRest(x, host, response)
+	y.noteLimit(x, host, response)
 	x.attempts++
 	if y.isRefusal(response) {
 		y.noteMisdirected(host, response)
--- a/internal/process/mgrelay/form.go
+++ b/internal/process/mgrelay/form.go
@@ -15,6 +15,7 @@
 	Instance  string // of answers: the upstream that answered
 	Refused   string // of answers: the upstream did not run the request
 	Leaving   string // of answers: the upstream leaves
+	Limit     string // of answers: the requests a second that the upstream takes in all
 	Signature string // of answers: the upstream made this answer
 	Tokens    string // "prompt,most": tokens of the prompt, and most of the output
 	Hint      string // the caller's estimate of the output's tokens
@@ -35,6 +36,7 @@
 		Instance:  "Instance",
 		Refused:   "Refused",
 		Leaving:   "Leaving",
+		Limit:     "Limit",
 		Signature: "Signature",
 		Tokens:    "Tokens",
 		Hint:      "Hint",
--- /dev/null
+++ b/internal/request/mglimit/doc.go
@@ -0,0 +1,2 @@
+// Package mglimit reads the rates that upstreams in need ask for in their answers.
+package mglimit
--- /dev/null
+++ b/internal/request/mglimit/parse.go
@@ -0,0 +1,17 @@
+package mglimit
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Parse reads the requests a second that an upstream names: a decimal number of 0 or more.
+func Parse(text string) (float64, error) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, fmt.Errorf("mglimit: %q is no limit: give requests a second, 0 or more", text)
+	}
+	return rate, nil
+}
--- /dev/null
+++ b/internal/request/mglimit/parse_test.go
@@ -0,0 +1,29 @@
+package mglimit
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestParse(t *testing.T) {
+	Convey("Of what upstreams name", t, func() {
+		for text, rate := range map[string]float64{
+			"4.9":  4.9,
+			" 5 ":  5,
+			"0":    0,
+			"0.25": 0.25,
+			"1e2":  100,
+		} {
+			got, err := Parse(text)
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, rate)
+		}
+		Convey("what is no rate is refused", func() {
+			for _, text := range []string{"", "few", "-1", "NaN", "Inf", "1e999", "5/s", "5, 6"} {
+				_, err := Parse(text)
+				So(err, ShouldNotBeNil)
+			}
+		})
+	})
+}
