mgnode: what processes learn and tell on has a file of its own

The exchange of notes (rumors, comparing) was in quarantine.go, which also tells of held requests. It will carry what answers say of upstreams' limits as well: moved to news.go, quarantineWire is newsWire. The path stays, so that processes of two releases understand one another. No change of behaviour.

--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -71,7 +71,7 @@
 	router.Mount(mgrpc.PeerPathPrefix, mgrpc.NewPeerServer(peerServer{node: n}))
 	router.Get(listPath, n.serveList)
 	router.Post(gossipPath, n.serveGossip)
-	router.Post(quarantinePath, n.serveQuarantine)
+	router.Post(quarantinePath, n.serveNews)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		role := n.role.Load()
 		if role == nil {
--- a/internal/process/mgnode/quarantine.go
+++ b/internal/process/mgnode/quarantine.go
@@ -1,13 +1,7 @@
 package mgnode
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"net/http"
-
-	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
@@ -15,143 +9,6 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// Processes tell one another which requests crash upstreams. Who learns a note tells it
-// to a few others, who tell it on (rumor mongering); and each compares what it knows with
-// one other now and then, for those that were cut off or have just started
-// (anti-entropy).
-
-// quarantinePath is where a process is told notes, and answers with those that the
-// other lacks, as JSON, compressed by gzip.
-const quarantinePath = "/quarantine"
-
-const (
-	// newsFanout is how many others are told in a round, and newsPause the time between
-	// two rounds. A note is told for mgquarantine's newsSpan, four rounds.
-	newsFanout = 3
-	newsPause  = 150 * mgclock.Millis(1)
-	// newsGap is the least time between two rounds, when there are fresh notes.
-	newsGap = 20 * mgclock.Millis(1)
-	// compareSpan is the mean interval at which a process compares what it knows.
-	compareSpan = 1500 * mgclock.Millis(1)
-	// newsWait bounds the answer of a peer.
-	newsWait = 500 * mgclock.Millis(1)
-	// maxNews bounds what is told at once in bytes: four times mgquarantine's most
-	// notes.
-	maxNews = 1 << 20
-)
-
-// quarantineWire is what processes tell one another.
-type quarantineWire struct {
-	Notes []mgquarantine.Note `json:"notes,omitempty"`
-	// Sums are of all notes of the sender, where it compares them.
-	Sums    mgquarantine.Sums `json:"sums,omitempty"`
-	Compare bool              `json:"compare,omitempty"`
-}
-
-// exchanger exchanges notes with other processes.
-type exchanger struct {
-	clock      mgclock.Clock
-	log        logr.Logger
-	untold     func() // is told of a process that couldn't be told
-	quarantine *mgquarantine.Quarantine
-	peers      func() []*mgmember.Member
-	call       func(ctx context.Context, to *mgmember.Member, told quarantineWire) (quarantineWire, error)
-}
-
-// answer takes what another process tells, and returns what it lacks.
-func (e *exchanger) answer(told quarantineWire) quarantineWire {
-	e.take(told.Notes)
-	var lacking quarantineWire
-	if told.Compare {
-		lacking.Notes = e.quarantine.Lacking(e.clock.Now(), told.Sums)
-		lacking.Sums = e.quarantine.Sums()
-	}
-	return lacking
-}
-
-func (e *exchanger) take(notes []mgquarantine.Note) {
-	if len(notes) == 0 {
-		return
-	}
-	if unreadable := e.quarantine.Take(e.clock.Now(), notes); unreadable > 0 {
-		e.log.Info("notes of crashes can't be read: do all processes have one release?", "count", unreadable)
-	}
-}
-
-// tell tells some others in the background, and takes what they answer. Who can't be told
-// learns by others.
-func (e *exchanger) tell(ctx context.Context, count int, told quarantineWire) {
-	peers := e.peers()
-	for _, at := range rand.Perm(len(peers))[:min(count, len(peers))] {
-		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, newsWait.Duration())
-			defer cancel()
-			lacking, err := e.call(callCtx, peers[at], told)
-			if err != nil {
-				e.untold()
-				return
-			}
-			e.take(lacking.Notes)
-			if told.Compare {
-				e.giveBack(ctx, peers[at], lacking.Sums)
-			}
-		}()
-	}
-}
-
-// giveBack tells a process what it lacks by its sums.
-func (e *exchanger) giveBack(ctx context.Context, to *mgmember.Member, theirs mgquarantine.Sums) {
-	notes := e.quarantine.Lacking(e.clock.Now(), theirs)
-	if len(notes) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, newsWait.Duration())
-	defer cancel()
-	if _, err := e.call(ctx, to, quarantineWire{Notes: notes}); err != nil {
-		e.untold()
-	}
-}
-
-// spread tells others what is learned, until ctx ends.
-func (e *exchanger) spread(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := e.quarantine.Changed()
-		var pause <-chan struct{} // none without news
-		if news := e.quarantine.News(e.clock.Now()); len(news) > 0 {
-			e.tell(ctx, newsFanout, quarantineWire{
-				Notes: news,
-			})
-			if !e.clock.Sleep(ctx, newsGap) {
-				return
-			}
-			pause = e.clock.After(newsPause - newsGap)
-		}
-		select {
-		case <-changed:
-		case <-pause:
-		case <-ctx.Done():
-		}
-	}
-}
-
-// compare compares what is known with one other process now and then, until ctx ends. A
-// process that has just started does so as soon as it knows another.
-func (e *exchanger) compare(ctx context.Context) {
-	for len(e.peers()) == 0 {
-		if !e.clock.Sleep(ctx, newsPause) {
-			return
-		}
-	}
-	for ctx.Err() == nil {
-		e.quarantine.Tick(e.clock.Now())
-		e.tell(ctx, 1, quarantineWire{
-			Sums:    e.quarantine.Sums(),
-			Compare: true,
-		})
-		e.clock.Sleep(ctx, compareSpan/2+mgclock.Millis(rand.Int64N(int64(compareSpan))))
-	}
-}
-
 // entries returns the other entries that are known and well.
 func (n *Node) entries() []*mgmember.Member {
 	var entries []*mgmember.Member
@@ -170,60 +27,6 @@
 	return mgmember.Rank(digest.String(), append(n.entries(), self), 1)[0] == self
 }
 
-// exchanger returns what exchanges this node's notes.
-func (n *Node) exchanger() *exchanger {
-	return &exchanger{
-		clock:      n.clock,
-		log:        n.log,
-		untold:     func() { n.metrics.Counter("quarantine.untold").Inc(1) },
-		quarantine: n.quarantine,
-		peers:      n.entries,
-		call:       n.callQuarantine,
-	}
-}
-
-// serveQuarantine takes what another process tells, and answers what it lacks.
-func (n *Node) serveQuarantine(w http.ResponseWriter, r *http.Request) {
-	var told quarantineWire
-	if err := unpack(r.Body, maxNews, &told); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	body, err := pack(n.notes.answer(told))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/gzip")
-	_, _ = w.Write(body) // one that left asks again
-}
-
-// callQuarantine tells a process, and returns what it answers.
-func (n *Node) callQuarantine(ctx context.Context, to *mgmember.Member, told quarantineWire) (quarantineWire, error) {
-	var lacking quarantineWire
-	body, err := pack(told)
-	if err != nil {
-		return lacking, err
-	}
-	url := n.guard.Base(to.PeerAddr()) + quarantinePath
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return lacking, fmt.Errorf("peer %s: its address is odd: %w", to.PeerAddr(), err)
-	}
-	response, err := n.calls.RoundTrip(request)
-	if err != nil {
-		return lacking, fmt.Errorf("peer %s: it takes no notes of crashes: %w", to.PeerAddr(), err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return lacking, fmt.Errorf("peer %s: it takes no notes of crashes: status %d", to.PeerAddr(), response.StatusCode)
-	}
-	if err := unpack(response.Body, maxNews, &lacking); err != nil {
-		return lacking, fmt.Errorf("peer %s: %w", to.PeerAddr(), err)
-	}
-	return lacking, nil
-}
-
 // watchHeld logs requests as they come to be held, until ctx ends.
 func (n *Node) watchHeld(ctx context.Context) {
 	var held map[mgquarantine.Digest]bool
--- a/internal/process/mgnode/quarantine_test.go
+++ b/internal/process/mgnode/quarantine_test.go
@@ -54,7 +54,7 @@
 			untold:     func() {},
 			quarantine: mgquarantine.New("life "+strconv.Itoa(i), nil),
 			peers:      func() []*mgmember.Member { return slices.Delete(slices.Clone(members), i, i+1) },
-			call: func(ctx context.Context, to *mgmember.Member, told quarantineWire) (quarantineWire, error) {
+			call: func(ctx context.Context, to *mgmember.Member, told newsWire) (newsWire, error) {
 				return m.call(ctx, i, to, told)
 			},
 		})
@@ -63,7 +63,7 @@
 }
 
 // call carries a message one to three ms each way.
-func (m *mesh) call(ctx context.Context, from int, to *mgmember.Member, told quarantineWire) (quarantineWire, error) {
+func (m *mesh) call(ctx context.Context, from int, to *mgmember.Member, told newsWire) (newsWire, error) {
 	at, _ := strconv.Atoi(to.Name())
 	m.calls.Add(1)
 	m.bytes.Add(size(told))
@@ -72,7 +72,7 @@
 	cut := m.cut.Load()
 	if lost || int64(at) == cut || int64(from) == cut {
 		<-ctx.Done()
-		return quarantineWire{}, errLost
+		return newsWire{}, errLost
 	}
 	time.Sleep(way())
 	lacking := m.nodes[at].answer(told)
@@ -81,7 +81,7 @@
 	return lacking, nil
 }
 
-func size(told quarantineWire) int64 {
+func size(told newsWire) int64 {
 	body, err := pack(told)
 	if err != nil {
 		return 0
