mglimit, mgrelay, mgnode: an upstream's limit holds for all entries together

Cause: nobody read the word. The class is that of leaving, rests and crashes: what one process learns from an answer isn't used where it matters, here the sum over all processes, which none of them sees.

Change: what answers say of a limit is a word (mglimit.Limits) of one life of the upstream; it ends with an answer to a later request that names none, and not by itself. Words travel with the notes of crashes (rumors, comparing) and with each question for a permit. A request to a limited upstream takes a permit from the hub of its cell (mglimit.Permits, a token bucket that starts empty); who grants gives the part of the rate that the entries which turn to it are of all, so that the parts sum to the rate whoever takes itself for the hub. Where no permit is left a request goes elsewhere at once, and where all upstreams are limited it is refused at once with a time to come back that is spread by how many were turned away. The line gives up at once who can't have its turn in time.

Weighed and not built: equal parts by the number of entries (5 a second of 300 is one a minute each, unused where no request comes); permits handed out ahead with the reports of load (an entry that sends each eight seconds has none when it needs one).

--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -126,6 +126,7 @@
 			Region:  member.Region(),
 			Suspect: member.Suspect(),
 			Cold:    member.Cold(now, span),
+			Born:    member.Born(),
 			Givers:  fleet.givers[service],
 		})
 	}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -140,6 +140,8 @@
 		Turn:    n.turn,
 		EndTurn: n.endTurn,
 		Refuses: mgdial.Refuses,
+		Limits:  &n.limits,
+		Permit:  n.permit,
 		Client:  mgdial.NewClientWith(mgdial.Near(upstreamSilence)),
 	}
 }
--- a/internal/process/mgnode/news.go
+++ b/internal/process/mgnode/news.go
@@ -9,15 +9,16 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// Processes tell one another which requests crash upstreams. Who learns a note tells it
-// to a few others, who tell it on (rumor mongering); and each compares what it knows with
-// one other now and then, for those that were cut off or have just started
-// (anti-entropy).
+// Processes tell one another what their requests show of upstreams: which requests crash
+// them, in notes, and which limits they name, in words. Who learns something tells it to a
+// few others, who tell it on (rumor mongering); and each compares what it knows with one
+// other now and then, for those that were cut off or have just started (anti-entropy).
 
 // quarantinePath is where a process is told notes, and answers with those that the
 // other lacks, as JSON, compressed by gzip.
@@ -45,6 +46,8 @@
 	// Sums are of all notes of the sender, where it compares them.
 	Sums    mgquarantine.Sums `json:"sums,omitempty"`
 	Compare bool              `json:"compare,omitempty"`
+	// Limits are those that changed lately, and all that are known where they are compared.
+	Limits []mglimit.Word `json:"limits,omitempty"`
 }
 
 // exchanger exchanges notes with other processes.
@@ -53,26 +56,32 @@
 	log        logr.Logger
 	untold     func() // is told of a process that couldn't be told
 	quarantine *mgquarantine.Quarantine
+	limits     *mglimit.Limits
+	learn      func(words []mglimit.Word) // takes what others know of limits
 	peers      func() []*mgmember.Member
 	call       func(ctx context.Context, to *mgmember.Member, told newsWire) (newsWire, error)
 }
 
 // answer takes what another process tells, and returns what it lacks.
 func (e *exchanger) answer(told newsWire) newsWire {
-	e.take(told.Notes)
+	e.take(told)
 	var lacking newsWire
 	if told.Compare {
 		lacking.Notes = e.quarantine.Lacking(e.clock.Now(), told.Sums)
 		lacking.Sums = e.quarantine.Sums()
+		lacking.Limits = e.limits.Words(e.clock.Now())
 	}
 	return lacking
 }
 
-func (e *exchanger) take(notes []mgquarantine.Note) {
-	if len(notes) == 0 {
+func (e *exchanger) take(told newsWire) {
+	if len(told.Limits) > 0 {
+		e.learn(told.Limits)
+	}
+	if len(told.Notes) == 0 {
 		return
 	}
-	if unreadable := e.quarantine.Take(e.clock.Now(), notes); unreadable > 0 {
+	if unreadable := e.quarantine.Take(e.clock.Now(), told.Notes); unreadable > 0 {
 		e.log.Info("notes of crashes can't be read: do all processes have one release?", "count", unreadable)
 	}
 }
@@ -90,7 +99,7 @@
 				e.untold()
 				return
 			}
-			e.take(lacking.Notes)
+			e.take(lacking)
 			if told.Compare {
 				e.giveBack(ctx, peers[at], lacking.Sums)
 			}
@@ -114,12 +123,14 @@
 // spread tells others what is learned, until ctx ends.
 func (e *exchanger) spread(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := e.quarantine.Changed()
+		changed, limited := e.quarantine.Changed(), e.limits.Changed()
 		var pause <-chan struct{} // none without news
-		if news := e.quarantine.News(e.clock.Now()); len(news) > 0 {
-			e.tell(ctx, newsFanout, newsWire{
-				Notes: news,
-			})
+		news := newsWire{
+			Notes:  e.quarantine.News(e.clock.Now()),
+			Limits: e.limits.News(e.clock.Now()),
+		}
+		if len(news.Notes)+len(news.Limits) > 0 {
+			e.tell(ctx, newsFanout, news)
 			if !e.clock.Sleep(ctx, newsGap) {
 				return
 			}
@@ -127,6 +138,7 @@
 		}
 		select {
 		case <-changed:
+		case <-limited:
 		case <-pause:
 		case <-ctx.Done():
 		}
@@ -146,6 +158,7 @@
 		e.tell(ctx, 1, newsWire{
 			Sums:    e.quarantine.Sums(),
 			Compare: true,
+			Limits:  e.limits.Words(e.clock.Now()),
 		})
 		e.clock.Sleep(ctx, compareSpan/2+mgclock.Millis(rand.Int64N(int64(compareSpan))))
 	}
@@ -158,6 +171,8 @@
 		log:        n.log,
 		untold:     func() { n.metrics.Counter("quarantine.untold").Inc(1) },
 		quarantine: n.quarantine,
+		limits:     &n.limits,
+		learn:      n.takeLimits,
 		peers:      n.entries,
 		call:       n.callNews,
 	}
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -22,6 +22,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
@@ -57,6 +58,8 @@
 	hub         mgload.Hub
 	others      atomic.Pointer[others]
 	quarantine  *mgquarantine.Quarantine
+	limits      mglimit.Limits
+	permits     mglimit.Permits
 	notes       *exchanger
 	move        func(context.Context, mgrelay.Host, mgrelay.Order) mgmigration.Reply
 	loop        *mgconfig.Loop
@@ -117,6 +120,7 @@
 	n.admin.Source("table", func() any { return n.loop.Status() })
 	n.admin.Source("members", n.memberState)
 	n.admin.Source("quarantine", n.quarantineState)
+	n.admin.Source("limits", func() any { return n.limits.Words(n.clock.Now()) })
 	n.admin.Ready(n.Ready)
 	return n, nil
 }
@@ -260,6 +264,7 @@
 func (n *Node) tick(ctx context.Context) {
 	for n.clock.Sleep(ctx, mgclock.Second) {
 		n.members.Tick(n.clock.Now())
+		n.forgetLimits()
 		n.tellReads(n.loop.Status())
 	}
 }
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -72,6 +72,7 @@
 	router.Get(listPath, n.serveList)
 	router.Post(gossipPath, n.serveGossip)
 	router.Post(quarantinePath, n.serveNews)
+	router.Post(permitPath, n.servePermit)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		role := n.role.Load()
 		if role == nil {
--- a/internal/process/mgnode/place.go
+++ b/internal/process/mgnode/place.go
@@ -209,7 +209,11 @@
 		to.seen = (*places)(service, n.hub.Others(now, n.settings.Name))
 		n.tellLine(now, service, to)
 	}
-	for _, grant := range to.grants(now) {
+	seen := slices.Clone(to.seen)
+	parts := n.boundPlaces(now, seen)
+	grants := to.grants(now, seen)
+	n.reservePermits(now, grants, parts)
+	for _, grant := range grants {
 		if own := to.asks[grant.Name]; own != nil {
 			own.grant = grant
 			close(own.given)
@@ -217,10 +221,11 @@
 	}
 }
 
-// grants returns what can be given to those that wait, or that nothing can.
-func (l *line) grants(now mgclock.Millis) []mgroom.Grant {
-	if l.seen == nil {
+// grants returns what can be given to those that wait by the upstreams that are seen, or
+// that nothing can.
+func (l *line) grants(now mgclock.Millis, seen []mgroom.Place) []mgroom.Grant {
+	if seen == nil {
 		return l.room.Close()
 	}
-	return l.room.Look(now, slices.Clone(l.seen))
+	return l.room.Look(now, seen)
 }
--- a/internal/process/mgnode/quarantine_test.go
+++ b/internal/process/mgnode/quarantine_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -53,6 +54,8 @@
 			log:        logr.Discard(),
 			untold:     func() {},
 			quarantine: mgquarantine.New("life "+strconv.Itoa(i), nil),
+			limits:     &mglimit.Limits{},
+			learn:      func([]mglimit.Word) {},
 			peers:      func() []*mgmember.Member { return slices.Delete(slices.Clone(members), i, i+1) },
 			call: func(ctx context.Context, to *mgmember.Member, told newsWire) (newsWire, error) {
 				return m.call(ctx, i, to, told)
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -16,9 +16,10 @@
 	Addr    string // IP and port
 	Zone    string
 	Region  string
-	Suspect bool // it failed lately
-	Cold    bool // it may have started a moment ago
-	Givers  int  // processes that give places at it, 1 at least
+	Suspect bool  // it failed lately
+	Cold    bool  // it may have started a moment ago
+	Born    int64 // start of its present life by the list, 0 where it tells none
+	Givers  int   // processes that give places at it, 1 at least
 }
 
 // spot is an upstream and what a request costs there.
@@ -43,8 +44,16 @@
 	query.Tokens = max(x.size.output, 1)
 	now := y.spec.Clock.Now()
 	list := slices.DeleteFunc(y.costs(x.service, query, y.others()), func(s spot) bool {
-		return !x.homes.allow(s.host.Region) || !y.rests.Takes(now, s.host.Name)
+		return !x.homes.allow(s.host.Region) || !y.rests.Takes(now, s.host.Name) || y.permitLeft(now, s.host) > 0
 	})
+	if query.Copy {
+		// A generation that is moved reads and takes memory there as any other does.
+		for i := range list {
+			if _, limited := y.spec.Limits.Rate(list[i].host.Name, list[i].host.Born); limited {
+				list[i].cost += shunCost
+			}
+		}
+	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b spot) int {
 		switch {
@@ -155,6 +164,8 @@
 		if spot.cold && ramp > 0 {
 			place.Ramp = mgwarm.Placed(ramp, spot.host.Givers)
 		}
+		place.Rate, place.Limited = y.spec.Limits.Rate(spot.host.Name, spot.host.Born)
+		place.Givers = spot.host.Givers
 		places = append(places, place)
 	}
 	return places
--- /dev/null
+++ b/internal/process/mgrelay/limit_test.go
@@ -0,0 +1,158 @@
+package mgrelay_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgroom"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// limiting answers, and names a limit while there is one.
+func limiting(limit *atomic.Pointer[string], text string) play {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if named := limit.Load(); named != nil {
+			w.Header().Set("Limit", *named)
+		}
+		say(text)(w, r)
+	}
+}
+
+func named(text string) *atomic.Pointer[string] {
+	var limit atomic.Pointer[string]
+	limit.Store(&text)
+	return &limit
+}
+
+// An upstream that named a limit must have no more, at the cost of no caller's time.
+func TestLimitKeepsRequestsAway(t *testing.T) {
+	ask := func(g *rig, path string) reply {
+		return g.ask(context.Background(), http.MethodPost, path, "x", http.Header{
+			"Tokens":     {"30,9"},
+			"Request-Id": {path},
+		})
+	}
+	// at returns what an upstream got.
+	at := func(g *rig, name string) int {
+		count := 0
+		for _, ran := range g.runs() {
+			if ran.upstream == name {
+				count++
+			}
+		}
+		return count
+	}
+	bound := func(rate float64, began time.Time) int { return int(1.5*rate*time.Since(began).Seconds() + 5) }
+	Convey("Once an upstream has named a limit", t, func() {
+		limit := named("2")
+		g := open(t, limiting(limit, "id: 1\n\n"), say("id: 1\n\n"))
+		began := time.Now()
+		Convey("requests of each kind go to another at once", func() {
+			for n := range 40 {
+				for _, path := range []string{"/book/", "/look/", "/note/"} {
+					So(ask(g, path+strconv.Itoa(n)).status, ShouldEqual, http.StatusOK)
+				}
+			}
+			So(at(g, "a"), ShouldBeLessThanOrEqualTo, bound(2, began))
+		})
+		Convey("so do those that are given a place there", func() {
+			g.memory(plan)
+			g.with(func(spec *mgrelay.Spec) {
+				spec.Place = func(context.Context, string, mgroom.Wait) (mgroom.Grant, bool) {
+					return mgroom.Grant{Place: "a"}, true
+				}
+			})
+			began = time.Now()
+			for n := range 60 {
+				So(ask(g, "/note/"+strconv.Itoa(n)).status, ShouldEqual, http.StatusOK)
+			}
+			So(at(g, "a"), ShouldBeLessThanOrEqualTo, bound(2, began))
+		})
+		Convey("they come back once an answer names none", func() {
+			ask(g, "/book/first")
+			limit.Store(nil)
+			ticker := time.NewTicker(10 * time.Millisecond)
+			defer ticker.Stop()
+			for n := 0; at(g, "a") < 20; n++ {
+				So(ask(g, "/book/"+strconv.Itoa(n)).status, ShouldEqual, http.StatusOK)
+				<-ticker.C
+			}
+		})
+	})
+	Convey("Where all upstreams have as many as they take", t, func() {
+		g := open(t, limiting(named("0"), "a"), limiting(named("0.1"), "b"))
+		for n := range 2 {
+			So(ask(g, "/once/"+strconv.Itoa(n)).status, ShouldEqual, http.StatusOK)
+		}
+		Convey("requests are refused at once, with times to come back that differ", func() {
+			times := map[string]bool{}
+			g.with(func(spec *mgrelay.Spec) { spec.Form.Fractions = true })
+			for n := range 2 {
+				ask(g, "/once/again"+strconv.Itoa(n))
+			}
+			for n := range 20 {
+				got := ask(g, "/once/late"+strconv.Itoa(n))
+				So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+				So(got.body, ShouldContainSubstring, `"notrun"`)
+				seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				So(err, ShouldBeNil)
+				So(seconds, ShouldBeBetween, 0, 12)
+				times[got.header.Get("Retry-After")] = true
+			}
+			So(len(times), ShouldBeGreaterThan, 5)
+		})
+	})
+	Convey("A limit that can't be read is none", t, func() {
+		for _, text := range []string{"few", "-1", "NaN", ""} {
+			g := open(t, limiting(named(text), "a"))
+			for n := range 30 {
+				So(ask(g, "/book/"+strconv.Itoa(n)).status, ShouldEqual, http.StatusOK)
+			}
+		}
+	})
+	Convey("A generation that is moved goes where there is no limit, else it counts", t, func() {
+		for limitedHost, forcedSends := range map[string]int64{"b": 0, "both": 1} {
+			var forced atomic.Int64
+			limits := &mglimit.Limits{}
+			s := tell(t, func(s *story, order mgrelay.Order) mgmigration.Reply {
+				if order.Last {
+					close(s.stop)
+				}
+				return mgmigration.Reply{
+					Outcome: mgmigration.Copied,
+					Handle:  "h",
+				}
+			}, goOn, goOn)
+			limits.Named(0, "b", 0, 1)
+			if limitedHost == "both" {
+				limits.Named(0, "c", 0, 1)
+			}
+			s.rig.with(func(spec *mgrelay.Spec) {
+				s.spec(spec)
+				spec.Limits = limits
+				spec.Permit = func(_ context.Context, permit mgrelay.Permit) (mgclock.Millis, bool) {
+					if permit.Ask.Forced {
+						forced.Add(1)
+					}
+					return 0, true
+				}
+			})
+			got := s.rig.ask(context.Background(), http.MethodPost, "/write/1", "x", nil)
+			So(got.body, ShouldEqual, whole())
+			runs := s.rig.runs()
+			if limitedHost == "b" {
+				So(runs[len(runs)-1].upstream, ShouldEqual, "c")
+			}
+			So(forced.Load(), ShouldEqual, forcedSends)
+		}
+	})
+}
--- a/internal/process/mgrelay/mover.go
+++ b/internal/process/mgrelay/mover.go
@@ -20,7 +20,10 @@
 	for ctx.Err() == nil {
 		changed := y.spec.Changed()
 		late := y.runs.late()
-		y.rests.Forget(func(upstream string) bool { return !y.spec.Leaving(upstream) })
+		stays := func(upstream string) bool { return !y.spec.Leaving(upstream) }
+		y.rests.Forget(stays)
+		y.waits.Forget(stays)
+		y.permits.Forget(stays)
 		for _, host := range y.runs.hosts() {
 			if y.spec.Leaving(host.Name) {
 				y.runs.mover(host.Name, true)
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
@@ -82,6 +83,11 @@
 	// Quarantine holds requests back that crash upstreams. New makes one of its own
 	// where it is nil.
 	Quarantine *mgquarantine.Quarantine
+	// Limits are the rates that upstreams name in their answers, and Permit takes leave to
+	// send to one of them, or returns the time until there may be some. New makes what this
+	// process needs alone where they are nil.
+	Limits *mglimit.Limits
+	Permit func(ctx context.Context, permit Permit) (wait mgclock.Millis, ok bool)
 	// Refuses reports whether an upstream's address refuses connections, as after its
 	// process has ended; an error says that it isn't known. Nil never knows.
 	Refuses func(ctx context.Context, addr string) (bool, error)
@@ -103,6 +109,9 @@
 	runs      runs
 	turns     mgwarm.Turns
 	rests     mgrest.Rests
+	waits     mglimit.Waits
+	permits   mglimit.Permits // where nobody else gives any
+	turned    turned
 	count     atomic.Uint64 // ordinary answers
 	// outage is when the platform was away last, ms of the clock; 0 for never.
 	outage atomic.Int64
@@ -113,9 +122,16 @@
 	if spec.Quarantine == nil {
 		spec.Quarantine = &mgquarantine.Quarantine{}
 	}
-	return &Relay{
+	if spec.Limits == nil {
+		spec.Limits = &mglimit.Limits{}
+	}
+	y := &Relay{
 		spec: spec,
 	}
+	if spec.Permit == nil {
+		y.spec.Permit = y.alone
+	}
+	return y
 }
 
 // Call is a request that was found to be allowed.
@@ -197,6 +213,7 @@
 func (y *Relay) next(ctx context.Context, x *exchange) (Host, bool) {
 	if x.from.copy != "" {
 		y.takes(x, x.from.host) // only there is the copy
+		y.countForced(ctx, x, x.from.host)
 		return x.from.host, true
 	}
 	if host, settled := y.admit(ctx, x); settled {
@@ -209,11 +226,12 @@
 		if !y.takes(x, spot.host) {
 			continue
 		}
-		if !spot.host.Cold || y.warmTurn(x, spot.host) {
+		warm := !spot.host.Cold || y.warmTurn(x, spot.host)
+		if warm && y.permitted(ctx, x, spot.host) {
 			return spot.host, true
 		}
 		x.endAttempt(false)
-		x.cold = true
+		x.cold = x.cold || !warm
 	}
 	return Host{}, false
 }
@@ -267,6 +285,11 @@
 		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
 			"all upstreams of the service asked for a rest", "send it again after the time given").WithRetry(left)
 	}
+	if left, all := y.awayLeft(x); all {
+		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
+			"all upstreams of the service have as many requests as they take", "send it again after the time given").
+			WithRetry(y.spreadReturn(x, left))
+	}
 	hosts := y.spec.Every(x.service)
 	if len(hosts) > 0 && x.homes.shut(hosts) {
 		return mgproblem.New(mgproblem.Crowded, mgproblem.NotRun,
--- a/internal/process/mgrelay/rest.go
+++ b/internal/process/mgrelay/rest.go
@@ -58,12 +58,25 @@
 // restLeft returns the time until the first of the upstreams that a request may run at
 // takes requests again, or false where one does now.
 func (y *Relay) restLeft(x *exchange) (soonest mgclock.Millis, all bool) {
+	return y.soonest(x, func(now mgclock.Millis, host Host) mgclock.Millis { return y.rests.Left(now, host.Name) })
+}
+
+// awayLeft is restLeft for upstreams that rest or have no permit left.
+func (y *Relay) awayLeft(x *exchange) (soonest mgclock.Millis, all bool) {
+	return y.soonest(x, func(now mgclock.Millis, host Host) mgclock.Millis {
+		return max(y.rests.Left(now, host.Name), y.permitLeft(now, host))
+	})
+}
+
+// soonest returns the least time that is left of the upstreams that a request may run at, or
+// false where one has none left.
+func (y *Relay) soonest(x *exchange, leftAt func(now mgclock.Millis, host Host) mgclock.Millis) (soonest mgclock.Millis, all bool) {
 	now := y.spec.Clock.Now()
 	for _, host := range y.spec.Every(x.service) {
 		if !x.homes.allow(host.Region) {
 			continue
 		}
-		left := y.rests.Left(now, host.Name)
+		left := leftAt(now, host)
 		if left == 0 {
 			return 0, false
 		}
--- a/internal/process/mgrelay/rig_test.go
+++ b/internal/process/mgrelay/rig_test.go
@@ -79,10 +79,11 @@
 
 // seen is a request as an upstream got it.
 type seen struct {
-	method string
-	target string
-	body   string
-	header http.Header
+	upstream string
+	method   string
+	target   string
+	body     string
+	header   http.Header
 }
 
 // rig is a relay before upstreams on loopback, each with its own answers.
@@ -174,10 +175,11 @@
 		body, _ := io.ReadAll(r.Body)
 		g.mu.Lock()
 		g.seen = append(g.seen, seen{
-			method: r.Method,
-			target: r.RequestURI,
-			body:   string(body),
-			header: r.Header.Clone(),
+			upstream: name,
+			method:   r.Method,
+			target:   r.RequestURI,
+			body:     string(body),
+			header:   r.Header.Clone(),
 		})
 		g.mu.Unlock()
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
--- a/internal/process/mgrelay/wait.go
+++ b/internal/process/mgrelay/wait.go
@@ -45,7 +45,14 @@
 	for _, host := range y.spec.Every(x.service) { // as it is after the wait
 		if host.Name == grant.Place {
 			// Who gives places doesn't know of rests that others were asked for.
-			return host, y.takes(x, host)
+			if !y.takes(x, host) {
+				return Host{}, false
+			}
+			if !y.permitted(ctx, x, host) {
+				x.endAttempt(false)
+				return Host{}, false
+			}
+			return host, true
 		}
 	}
 	if grant.Place == "" {
--- /dev/null
+++ b/internal/request/mglimit/limits_test.go
@@ -0,0 +1,211 @@
+package mglimit
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+func TestLimits(t *testing.T) {
+	const now = 10 * mgclock.Second
+	rate := func(s *Limits, born int64) float64 {
+		rate, limited := s.Rate("a", born)
+		if !limited {
+			return -1
+		}
+		return rate
+	}
+	cases := []struct {
+		name string
+		play func(s *Limits)
+		born int64 // by the list
+		rate float64
+	}{
+		{
+			name: "what is named holds",
+			play: func(s *Limits) { s.Named(now, "a", 0, 5) },
+			rate: 5,
+		},
+		{
+			name: "the last rate that is named holds",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Named(now+1, "a", 0, 0)
+			},
+			rate: 0,
+		},
+		{
+			name: "an answer to a later request ends it",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Unnamed(now+20, now+1, "a", 0)
+			},
+			rate: -1,
+		},
+		{
+			name: "an answer that was overtaken doesn't",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Unnamed(now+20, now-1, "a", 0)
+			},
+			rate: 5,
+		},
+		{
+			name: "it holds again once it is named again",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Unnamed(now+20, now+1, "a", 0)
+				s.Named(now+30, "a", 0, 4)
+			},
+			rate: 4,
+		},
+		{
+			name: "nothing ends by itself",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Forget(now+mgclock.Minute*60, func(string) bool { return true })
+			},
+			rate: 5,
+		},
+		{
+			name: "a list that lacks the upstream for a while doesn't end it",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Forget(now+10*mgclock.Second, func(string) bool { return false })
+			},
+			rate: 5,
+		},
+		{
+			name: "a later life has none by the list",
+			play: func(s *Limits) { s.Named(now, "a", 1, 5) },
+			born: 2,
+			rate: -1,
+		},
+		{
+			name: "a limit of a later life holds while the list is late",
+			play: func(s *Limits) { s.Named(now, "a", 2, 5) },
+			born: 1,
+			rate: 5,
+		},
+		{
+			name: "a late word of an earlier life is nothing",
+			play: func(s *Limits) {
+				s.Named(now, "a", 2, 5)
+				s.Named(now+1, "a", 1, 50)
+				s.Unnamed(now+30, now+20, "a", 1)
+			},
+			born: 2,
+			rate: 5,
+		},
+		{
+			name: "another process's word holds",
+			play: func(s *Limits) { s.Take(now, []Word{{Upstream: "a", Rate: 5, Named: 300}}) },
+			rate: 5,
+		},
+		{
+			name: "another process's word of the end counts only where it is surely later",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Take(now+wordSlack, []Word{{Upstream: "a", Rate: 5, Named: 900, Ended: true, Unnamed: 100}})
+			},
+			rate: 5,
+		},
+		{
+			name: "and ends it then",
+			play: func(s *Limits) {
+				s.Named(now, "a", 0, 5)
+				s.Take(now+2*wordSlack, []Word{{Upstream: "a", Rate: 5, Named: 900, Ended: true, Unnamed: 100}})
+			},
+			rate: -1,
+		},
+		{
+			name: "words that can't be used are nothing",
+			play: func(s *Limits) {
+				_, unusable := s.Take(now, []Word{
+					{Rate: 5},
+					{Upstream: "a", Rate: -1},
+					{Upstream: "a", Rate: math.NaN()},
+					{Upstream: "a", Rate: math.Inf(1)},
+					{Upstream: "a", Rate: 5, Named: -1},
+				})
+				So(unusable, ShouldEqual, 5)
+			},
+			rate: -1,
+		},
+	}
+	Convey("Of an upstream's limit", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var s Limits
+				c.play(&s)
+				So(rate(&s, c.born), ShouldEqual, c.rate)
+			})
+		}
+	})
+}
+
+// Ages that processes tell one another must neither be negative nor shrink on the way.
+func TestWordsAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := mgclock.Millis(rapid.Int64Range(0, 1000).Draw(t, "now"))
+		named := now
+		var first Limits
+		first.Named(now, "a", 0, 5)
+		words := first.Words(now)
+		for range rapid.IntRange(1, 4).Draw(t, "hops") {
+			now += mgclock.Millis(rapid.Int64Range(0, 500).Draw(t, "way"))
+			var next Limits
+			next.Take(now, words)
+			now += mgclock.Millis(rapid.Int64Range(0, 500).Draw(t, "kept"))
+			before := words[0].Named
+			words = next.Words(now)
+			if words[0].Named < before || words[0].Named > now-named {
+				t.Fatalf("an age of %d ms of what was named %d ms ago", words[0].Named, now-named)
+			}
+			if _, unusable := next.Take(now, words); unusable > 0 {
+				t.Fatalf("%v can't be used", words)
+			}
+		}
+	})
+}
+
+// Processes must agree in whatever order, and however often, they hear of the same.
+func TestWordsCommute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const now = 10 * mgclock.Second
+		word := rapid.Custom(func(t *rapid.T) Word {
+			w := Word{
+				Upstream: "a",
+				Born:     rapid.Int64Range(1, 2).Draw(t, "born"),
+				Named:    mgclock.Millis(rapid.Int64Range(0, 2000).Draw(t, "named")),
+			}
+			w.Rate = float64(w.Named) // what was said at one moment is one rate
+			if w.Ended = rapid.Bool().Draw(t, "ended"); w.Ended {
+				w.Unnamed = mgclock.Millis(rapid.Int64Range(0, 2000).Draw(t, "unnamed"))
+			}
+			return w
+		})
+		words := rapid.SliceOfN(word, 1, 6).Draw(t, "words")
+		var one, other Limits
+		one.Take(now, words)
+		for _, i := range rapid.Permutation(indexes(len(words))).Draw(t, "order") {
+			other.Take(now, words[i:i+1])
+			other.Take(now, words[i:i+1])
+		}
+		if a, b := one.Words(now), other.Words(now); len(a) != 1 || len(b) != 1 || a[0] != b[0] {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
+
+func indexes(count int) []int {
+	all := make([]int, count)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
--- a/internal/request/mgload/load.go
+++ b/internal/request/mgload/load.go
@@ -137,8 +137,9 @@
 // A Hub puts together what entries tell it. The zero Hub is empty and ready for
 // use by several goroutines.
 type Hub struct {
-	mu   sync.Mutex
-	told map[string]told
+	mu    sync.Mutex
+	told  map[string]told
+	heard map[string]mgclock.Millis // when an entry last turned to this process
 }
 
 type told struct {
@@ -151,6 +152,7 @@
 func (h *Hub) Tell(now mgclock.Millis, entry string, report Report) Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.hear(now, entry)
 	if h.told == nil {
 		h.told = map[string]told{}
 	}
@@ -161,6 +163,32 @@
 	return h.others(now, entry)
 }
 
+// Heard takes that an entry turns to this process.
+func (h *Hub) Heard(now mgclock.Millis, entry string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hear(now, entry)
+}
+
+func (h *Hub) hear(now mgclock.Millis, entry string) {
+	if h.heard == nil {
+		h.heard = map[string]mgclock.Millis{}
+	}
+	h.heard[entry] = now
+}
+
+// Entries returns how many entries turn to this process.
+func (h *Hub) Entries(now mgclock.Millis) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for entry, at := range h.heard {
+		if now >= at+tellLife {
+			delete(h.heard, entry)
+		}
+	}
+	return len(h.heard)
+}
+
 // Others returns what an entry would be told now.
 func (h *Hub) Others(now mgclock.Millis, entry string) Report {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/request/mgroom/limit_test.go
@@ -0,0 +1,64 @@
+package mgroom
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A request must not wait for a place that its upstream's limit will not allow in time.
+func TestLimitedPlaces(t *testing.T) {
+	limited := func(name string, permits int) Place {
+		return Place{
+			Name:    name,
+			Free:    100000,
+			Rate:    2,
+			Limited: true,
+			Permits: permits,
+		}
+	}
+	line := func(count int, end mgclock.Millis) *Room {
+		var r Room
+		for n := range count {
+			w := wait(fmt.Sprint("report ", n), 100, 100)
+			w.End = end
+			r.Add(w)
+		}
+		return &r
+	}
+	Convey("Of ten reports", t, func() {
+		Convey("as many go to a limited place as it takes now", func() {
+			grants := line(10, mgclock.Minute).Look(0, []Place{limited("a", 3)})
+			So(granted(grants), ShouldEqual, "report 0 at a, report 1 at a, report 2 at a, ")
+		})
+		Convey("the others go where there is no limit", func() {
+			roomy := Place{
+				Name: "b",
+				Cost: 500,
+				Free: 200,
+			}
+			grants := line(10, mgclock.Minute).Look(0, []Place{limited("a", 1), roomy})
+			So(granted(grants), ShouldEqual, "report 0 at a, report 1 at b, report 2 at b, ")
+		})
+		Convey("those that can't have their turn in time are given up at once, the others wait", func() {
+			r := line(10, 2*mgclock.Second)
+			grants := r.Look(0, []Place{limited("a", 0)})
+			So(len(grants), ShouldEqual, 6)
+			So(r.Len(), ShouldEqual, 4)
+			for _, g := range grants {
+				So(g.Place, ShouldBeEmpty)
+				So(g.Retry, ShouldBeBetweenOrEqual, retryMin, retryMax)
+			}
+		})
+		Convey("all wait where a place has no limit", func() {
+			full := Place{
+				Name: "b",
+				Free: 10,
+			}
+			So(line(10, 2*mgclock.Second).Look(0, []Place{limited("a", 0), full}), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/request/mgroom/room.go
+++ b/internal/request/mgroom/room.go
@@ -55,7 +55,13 @@
 	// Ramp is the most requests that it may be given in a second while it is cold,
 	// and 0 while it isn't.
 	Ramp int
-	gave int // requests that it was given in the last second
+	// Rate is the requests a second that it takes from all processes, where it is Limited,
+	// and Permits how many of them may be given now.
+	Rate    float64
+	Limited bool
+	Permits int
+	Givers  int // processes that give places at it
+	gave    int // requests that it was given in the last second
 }
 
 // room reports whether a request can be sent there: there is memory for it, its prompt
@@ -64,6 +70,9 @@
 	if p.Ramp > 0 && p.gave >= p.Ramp {
 		return false
 	}
+	if p.Limited && p.Permits < 1 {
+		return false
+	}
 	return p.Free >= w.Need && float64(p.Pending)/mgload.ReadRate <= readLimit
 }
 
@@ -133,6 +142,7 @@
 	r.countGiven(now, places)
 	over := r.shares.over(now, r.waits)
 	slices.SortStableFunc(r.waits, func(a, b Wait) int { return order(now, over, a, b) })
+	rate, bound := limitedRate(places)
 	var grants []Grant
 	kept := r.waits[:0]
 	for _, w := range r.waits {
@@ -149,6 +159,11 @@
 				Name:  w.Name,
 				Retry: r.retry(now),
 			})
+		case bound && now+turnSpan(len(kept), rate) > w.End:
+			grants = append(grants, Grant{
+				Name:  w.Name,
+				Retry: min(max(turnSpan(len(kept), rate), retryMin), retryMax),
+			})
 		default:
 			kept = append(kept, w)
 		}
@@ -157,6 +172,23 @@
 	return grants
 }
 
+// limitedRate returns the requests a second that the places take together, or false where
+// one takes any number.
+func limitedRate(places []Place) (rate float64, bound bool) {
+	for _, p := range places {
+		if !p.Limited {
+			return 0, false
+		}
+		rate += p.Rate
+	}
+	return rate, rate > 0
+}
+
+// turnSpan returns the time until a request has its turn that so many others go before.
+func turnSpan(before int, rate float64) mgclock.Millis {
+	return mgclock.Millis(float64(before+1) / rate * float64(mgclock.Second))
+}
+
 // Close gives up all that wait, where no upstream of the service may be given work: a
 // caller that is told so at once can come back in time, one that waits can't.
 func (r *Room) Close() []Grant {
@@ -231,6 +263,7 @@
 	r.given[place.Name] = append(r.given[place.Name], g)
 	place.take(g)
 	place.gave++
+	place.Permits--
 	r.pace.count(now, w.Need)
 	r.shares.count(now, w.Account, w.Need)
 }
--- a/internal/version/mgmember/member.go
+++ b/internal/version/mgmember/member.go
@@ -64,6 +64,10 @@
 // Suspect reports whether it failed lately.
 func (m *Member) Suspect() bool { return m.suspect }
 
+// Born returns when its present life began by the list, 0 where the list tells none. It
+// orders the lives of one upstream.
+func (m *Member) Born() int64 { return m.vm.Born }
+
 // Power returns how much its VM bears, relative to others, or 0.
 func (m *Member) Power() int { return m.vm.Power }
 
--- a/internal/version/mgmember/view.go
+++ b/internal/version/mgmember/view.go
@@ -22,6 +22,7 @@
 	cordons   map[string]mgclock.Millis // by availability zone; see Cordoned
 	served    bool                      // any upstream stays
 	peers     []*Member                 // all but this process
+	others    int                       // of these, entries, suspects too
 	near      map[string][]*Member      // of these, by region, suspects too, in the order of byHash
 }
 
@@ -72,6 +73,9 @@
 		v.near[m.Region()] = append(v.near[m.Region()], m)
 	}
 	if m.Kind() == mgplatform.EntryKind {
+		if !self {
+			v.others++
+		}
 		v.entries[m.Region()] = append(v.entries[m.Region()], m)
 		return
 	}
@@ -157,3 +161,6 @@
 // Peers returns the other processes, without suspects unless nobody else is
 // left.
 func (v *View) Peers() []*Member { return v.peers }
+
+// Others returns how many other entries are known, those that leave and suspects included.
+func (v *View) Others() int { return v.others }
