mgadapter, mgmember: what the store says is ordered by its era, then its revision

Cause: a store that comes back from an older copy gives its revisions out again. Each process compared revisions alone: its watch was turned away (410), the read that followed was refused as older than the last one, and the list stayed until as many changes had been made as were lost. A configuration at a lower revision was dropped for the last one in the same way. The class: an order that holds within one life of its source is used across lives, as with processes' incarnations, where the product has always told lives apart.

Change: a moment is an era and a revision (mgadapter, era.go). Versions of lists and manifests are made of both, so that all that compares them, in processes and between them, goes by the era without a change. An answer of a later era has what was known read anew; one of an earlier era is refused; one that tells no era is of the last. What is true isn't taken back: upstreams that were leaving stay so in that life, those that had left for 3.2 s (mgmember, at each process, whoever read the list); upstreams and cordons that the copy lacks are kept for 3.2 s; the table goes by its own version as before. Lines tell of a new era, and of answers that are older than earlier ones.

TestSourceOverEras, TestTableStaysOverEras and TestListFromCopyTakesNothingBack play the rest: the very revision given out again, an answer that was slow, none with an era, cordons, configurations.

--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -58,7 +58,10 @@
 // List is the value of ListKey. It lags behind what it shows.
 type List struct {
 	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
+	// Era rises each time that the platform comes back from an older copy of its values, which
+	// may show what was true seconds ago. Versions rise with it.
+	Era uint64 `json:"era,omitempty"`
+	VMs []VM   `json:"vms"`
 	// Cordoned are the availability zones whose upstreams get no new work until the
 	// operator takes that back. What runs there goes on.
 	Cordoned []string `json:"cordoned,omitempty"`
--- a/internal/version/mgmember/departure.go
+++ b/internal/version/mgmember/departure.go
@@ -34,10 +34,14 @@
 
 // departed is a departure and when it was learned.
 type departed struct {
-	born int64
-	at   mgclock.Millis
+	born  int64
+	at    mgclock.Millis
+	until mgclock.Millis // 0 where it doesn't end by itself
 }
 
+// holds reports whether a departure hasn't ended by itself.
+func (d departed) holds(now mgclock.Millis) bool { return d.until == 0 || now < d.until }
+
 // DepartureOf returns the departure of an upstream's present life, as the list shows it.
 func (m *Members) DepartureOf(upstream string) Departure {
 	m.mu.Lock()
@@ -58,7 +62,7 @@
 		return false // it has started again since
 	}
 	before, known := m.departures[d.Upstream]
-	if known && before.born >= d.Born {
+	if known && before.born >= d.Born && before.until == 0 {
 		return false
 	}
 	if m.departures == nil {
@@ -87,6 +91,10 @@
 		vm, known := m.known[name]
 		switch {
 		case known && vm.Born > d.born:
+		case d.until > 0:
+			if d.holds(now) {
+				continue
+			}
 		case now < d.at+wordLife || known && vm.Born > 0 && m.isListed(name):
 			continue
 		}
--- a/internal/version/mgmember/members.go
+++ b/internal/version/mgmember/members.go
@@ -55,6 +55,7 @@
 	cold       map[string]mgclock.Millis // until when listed upstreams are cold, by name
 	cordons    map[string]mgclock.Millis // cordoned availability zones, and since when that is known
 	departures map[string]departed       // of upstreams, by name
+	gone       map[string]gone           // rows that have left the list lately, by name
 	stale      bool                      // the view lacks an incarnation until the next Tick
 	changed    chan struct{}             // closed when the view is replaced
 }
@@ -95,6 +96,8 @@
 	if list.Version <= m.list.Version {
 		return false
 	}
+	m.noteGone(now, list)
+	m.enterEra(now, list)
 	m.list = list
 	if m.known == nil {
 		m.known = make(map[string]mgplatform.VM)
