mgquarantine: the age of a note is never negative and doesn't shrink on the way

Cause: a note's time is put in order by its origin's clock, with one offset for each origin from its first note. Where that one came on a slower way, the next one's time lies ahead of the clock; told on as "now less that time" its age was negative, and the receiver took that for unreadable. By the same way ages shrank.

Change: the age that is told is the one that was heard and the time for which the note was kept. What orders notes of one origin is as before. A refusal names the origin, number, field and value (Refusal), the line has the first of them, and there is a counter, quarantine.refused.

TestCrashesKnownEverywhere plays ways of 1 to 400 ms now, crashes 2 s apart.

--- a/internal/process/mgnode/news.go
+++ b/internal/process/mgnode/news.go
@@ -54,7 +54,8 @@
 type exchanger struct {
 	clock      mgclock.Clock
 	log        logr.Logger
-	untold     func() // is told of a process that couldn't be told
+	untold     func()          // is told of a process that couldn't be told
+	refused    func(count int) // is told of notes that can't be used
 	quarantine *mgquarantine.Quarantine
 	limits     *mglimit.Limits
 	learn      func(words []mglimit.Word) // takes what others know of limits
@@ -81,8 +82,9 @@
 	if len(told.Notes) == 0 {
 		return
 	}
-	if unreadable := e.quarantine.Take(e.clock.Now(), told.Notes); unreadable > 0 {
-		e.log.Info("notes of crashes can't be read: do all processes have one release?", "count", unreadable)
+	if refused := e.quarantine.Take(e.clock.Now(), told.Notes); len(refused) > 0 {
+		e.refused(len(refused))
+		e.log.Info("notes of crashes were refused", "count", len(refused), "first", refused[0].Error())
 	}
 }
 
@@ -170,6 +172,7 @@
 		clock:      n.clock,
 		log:        n.log,
 		untold:     func() { n.metrics.Counter("quarantine.untold").Inc(1) },
+		refused:    func(count int) { n.metrics.Counter("quarantine.refused").Inc(int64(count)) },
 		quarantine: n.quarantine,
 		limits:     &n.limits,
 		learn:      n.takeLimits,
--- a/internal/process/mgnode/quarantine_test.go
+++ b/internal/process/mgnode/quarantine_test.go
@@ -26,6 +26,8 @@
 	count int
 	loss  float64 // part of the calls that bring no answer
 	dead  int     // processes, the last ones, that don't answer
+	// slowest is the longest way of a message; three ms where it is 0.
+	slowest time.Duration
 }
 
 // mesh is processes that exchange notes in virtual time.
@@ -53,6 +55,7 @@
 		m.nodes = append(m.nodes, &exchanger{
 			log:        logr.Discard(),
 			untold:     func() {},
+			refused:    func(int) {},
 			quarantine: mgquarantine.New("life "+strconv.Itoa(i), nil),
 			limits:     &mglimit.Limits{},
 			learn:      func([]mglimit.Word) {},
@@ -65,12 +68,18 @@
 	return m
 }
 
-// call carries a message one to three ms each way.
+// call carries a message one ms to the slowest way's span each way.
 func (m *mesh) call(ctx context.Context, from int, to *mgmember.Member, told newsWire) (newsWire, error) {
 	at, _ := strconv.Atoi(to.Name())
 	m.calls.Add(1)
 	m.bytes.Add(size(told))
-	way := func() time.Duration { return time.Millisecond + time.Duration(rand.Int64N(int64(2*time.Millisecond))) }
+	slowest := m.spec.slowest
+	if slowest == 0 {
+		slowest = 3 * time.Millisecond
+	}
+	way := func() time.Duration {
+		return time.Millisecond + time.Duration(rand.Int64N(int64(slowest-time.Millisecond)))
+	}
 	lost := at >= m.spec.count-m.spec.dead || rand.Float64() < m.spec.loss
 	cut := m.cut.Load()
 	if lost || int64(at) == cut || int64(from) == cut {
@@ -143,13 +152,18 @@
 // Entries that have not heard of the crashes send the request on to further upstreams.
 func TestCrashesKnownEverywhere(t *testing.T) {
 	cases := []struct {
-		name string
-		loss float64
-		dead int
+		name    string
+		loss    float64
+		dead    int
+		slowest time.Duration
 	}{
 		{
 			name: "calm",
 		},
+		{
+			name:    "ways of up to 400 ms",
+			slowest: 400 * time.Millisecond,
+		},
 		{
 			name: "a fifth of the calls lost",
 			loss: 0.2,
@@ -164,8 +178,9 @@
 			for _, c := range cases {
 				Convey(fmt.Sprintf("%d processes, %s", count, c.name), func() {
 					spec := meshSpec{
-						count: count,
-						loss:  c.loss,
+						count:   count,
+						loss:    c.loss,
+						slowest: c.slowest,
 					}
 					if c.dead > 0 {
 						spec.dead = max(count/c.dead, 1)
@@ -175,7 +190,7 @@
 					m.run(t, func() {
 						time.Sleep(time.Second)
 						for i := range 3 {
-							time.Sleep(400 * time.Millisecond)
+							time.Sleep(max(400*time.Millisecond, 5*c.slowest))
 							m.crash(i, fmt.Sprintf("engine-%d", i))
 						}
 						took = m.untilHeld(count - spec.dead)
--- a/internal/request/mgquarantine/note.go
+++ b/internal/request/mgquarantine/note.go
@@ -54,7 +54,7 @@
 
 // stored is a note as it is kept.
 type stored struct {
-	note    Note // its age is not used
+	note    Note // its age is as it was told
 	digest  Digest
 	at      mgclock.Millis // when it was seen, by this process's clock
 	learned mgclock.Millis // when this process learned of it
@@ -74,9 +74,11 @@
 	return s.note.Origin == other.note.Origin && s.note.Sent >= other.note.Seen
 }
 
-// told returns a note as it is told at a time.
+// told returns a note as it is told at a time. Its age grows by the time that the note was
+// kept: the time at which it was seen may lie ahead, where an earlier note of the origin
+// came on a slower way.
 func (s stored) told(now mgclock.Millis) Note {
 	note := s.note
-	note.Age = now - s.at
+	note.Age += max(now-s.learned, 0)
 	return note
 }
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -158,21 +160,56 @@
 	return current.verdicts[digest].occurrences
 }
 
-// Take takes notes of other processes. Those that can't be read are left out, and their
-// number is returned.
-func (q *Quarantine) Take(now mgclock.Millis, notes []Note) (unreadable int) {
+// A Refusal tells why another process's note can't be used.
+type Refusal struct {
+	Origin string
+	Number uint64
+	Field  string
+	Value  string
+}
+
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("note %d of %q: its %s is %q: run one release on all processes, or report it", r.Number, r.Origin, r.Field, r.Value)
+}
+
+// check returns what is wrong with another process's note, or nil.
+func (n Note) check() *Refusal {
+	refusal := &Refusal{
+		Origin: n.Origin,
+		Number: n.Number,
+	}
+	_, err := ParseDigest(n.Digest)
+	switch {
+	case err != nil:
+		refusal.Field = "digest"
+		refusal.Value = n.Digest
+	case n.Number == 0:
+		refusal.Field = "number"
+		refusal.Value = "0"
+	case n.Age < 0:
+		refusal.Field = "age"
+		refusal.Value = strconv.FormatInt(int64(n.Age), 10)
+	default:
+		return nil
+	}
+	return refusal
+}
+
+// Take takes notes of other processes. Those that can't be used are left out, and returned
+// with the reason.
+func (q *Quarantine) Take(now mgclock.Millis, notes []Note) (refused []*Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	fresh := false
 	for _, note := range notes {
-		digest, err := ParseDigest(note.Digest)
-		if err != nil || note.Number == 0 || note.Age < 0 {
-			unreadable++
+		if refusal := note.check(); refusal != nil {
+			refused = append(refused, refusal)
 			continue
 		}
 		if note.Age >= noteLife {
 			continue
 		}
+		digest, _ := ParseDigest(note.Digest) // it was checked
 		s := stored{
 			note:    note,
 			digest:  digest,
@@ -188,7 +225,7 @@
 	if fresh {
 		q.settle(now)
 	}
-	return unreadable
+	return refused
 }
 
 // clockSlack is how far a note's age may differ from what its origin's clock tells: the
--- a/internal/request/mgquarantine/quarantine_test.go
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -408,7 +408,7 @@
 		odd[0].Digest = "no digest"
 		odd[1].Number = 0
 		odd[2].Age = -5
-		So(q.Take(sec, append(odd, good)), ShouldEqual, 3)
+		So(len(q.Take(sec, append(odd, good))), ShouldEqual, 3)
 		So(q.Occurrences(digestOf("x")), ShouldEqual, 1)
 	})
 }
