mgconfig: nothing is denied for 3.2 s after the platform has come back from a copy

A copy may lack a table that was accepted, and a process that never read it took the platform's word about the copy for the word that there is no newer table: a route or key of it was denied, which callers take for the last word. TestCertain has the case, which failed before (certain at once).

--- a/internal/version/mgconfig/certain.go
+++ b/internal/version/mgconfig/certain.go
@@ -23,6 +23,9 @@
 // tableAge returns how long ago the platform had no newer table, or -1 where that isn't
 // known.
 func (m *Machine) tableAge(now mgclock.Millis) mgclock.Millis {
+	if m.copied && now < m.copiedAt+copySpan {
+		return -1
+	}
 	behind := m.pull != nil && m.pull.mark.above(m.Current().mark())
 	if m.Current() == nil || behind || m.looking || !m.tableHeard {
 		return -1
@@ -45,3 +48,16 @@
 		m.confirmTable(now - word.TableAge)
 	}
 }
+
+// copySpan is how long after the platform has come back from an older copy its newest table
+// may not be the newest that was accepted: what the copy lacks is written again meanwhile.
+const copySpan = 3200 * mgclock.Millis(1)
+
+// enterEra takes the era of a list that was taken.
+func (m *Machine) enterEra(now mgclock.Millis, era uint64) {
+	if m.list != nil && era > m.era {
+		m.copied = true
+		m.copiedAt = now
+	}
+	m.era = era
+}
--- a/internal/version/mgconfig/certain_test.go
+++ b/internal/version/mgconfig/certain_test.go
@@ -1,6 +1,7 @@
 package mgconfig
 
 import (
+	"encoding/json"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -45,6 +46,28 @@
 			So(m.Certain(4000+certainSpan), ShouldBeTrue)
 			So(m.Certain(4000+certainSpan+1), ShouldBeFalse)
 		})
+		Convey("not for a while after the platform has come back from a copy", func() {
+			list := func(era uint64) []byte {
+				data, err := json.Marshal(mgplatform.List{
+					Version: 1000 + era,
+					Era:     era,
+				})
+				So(err, ShouldBeNil)
+				return data
+			}
+			answers := func(at mgclock.Millis) bool {
+				m.answeredManifest(at, ResultSpec{
+					Err: mgplatform.ErrUnchanged,
+				})
+				return m.Certain(at)
+			}
+			So(m.takeList(2000, list(1)), ShouldBeTrue)
+			So(m.takeList(3000, list(2)), ShouldBeTrue)
+			So(answers(3000), ShouldBeFalse)
+			So(m.Word(3000).TableAge, ShouldEqual, -1)
+			So(answers(3000+copySpan-1), ShouldBeFalse)
+			So(answers(3000+copySpan), ShouldBeTrue)
+		})
 		Convey("not after a failed one", func() {
 			m.answeredList(4000, ResultSpec{
 				Err: mgplatform.ErrDown,
--- a/internal/version/mgconfig/machine.go
+++ b/internal/version/mgconfig/machine.go
@@ -73,6 +73,9 @@
 	looking    bool           // the platform has a newer table, which is being read
 	tableHeard bool           // it has been said once that there is no newer table
 	tableAsOf  mgclock.Millis // when that was so last
+	era        uint64         // of the list in use; see mgplatform.List
+	copied     bool           // the platform has come back from a copy
+	copiedAt   mgclock.Millis // when that was learned
 	confirmed  mgclock.Millis // when another's word of the list was last the platform's
 	vms        source
 	budget     budget
--- a/internal/version/mgconfig/spread.go
+++ b/internal/version/mgconfig/spread.go
@@ -324,6 +324,7 @@
 	if !m.members.List(now, list) {
 		return false
 	}
+	m.enterEra(now, list.Era)
 	m.list = data
 	m.counts.Lists++
 	return true
