--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -60,6 +60,7 @@
 	quarantine  *mgquarantine.Quarantine
 	limits      mglimit.Limits
 	permits     mglimit.Permits
+	unpermitted atomic.Int64 // until then no permit is asked for: the hub gave no answer
 	notes       *exchanger
 	move        func(context.Context, mgrelay.Host, mgrelay.Order) mgmigration.Reply
 	loop        *mgconfig.Loop
--- a/internal/process/mgnode/permit.go
+++ b/internal/process/mgnode/permit.go
@@ -53,6 +53,9 @@
 	if hub == nil {
 		return n.givePermit(n.settings.Name, permit)
 	}
+	if n.clock.Now() < mgclock.Millis(n.unpermitted.Load()) {
+		return permitRetry, false
+	}
 	word, _ := n.limits.Word(n.clock.Now(), permit.Ask.Upstream)
 	reply, err := n.askPermit(ctx, hub, permitAsk{
 		Entry:   n.settings.Name,
@@ -63,6 +66,8 @@
 	})
 	if err != nil {
 		if ctx.Err() == nil {
+			// The next upstream of the request must not cost as much time again.
+			n.unpermitted.Store(int64(n.clock.Now() + permitRetry))
 			n.failed(hub.Name())
 			n.metrics.Counter("permits.unanswered").Inc(1)
 			n.log.Info("no permit could be asked for, the request goes elsewhere", "hub", hub.Name(),
--- a/internal/process/mgrelay/limit.go
+++ b/internal/process/mgrelay/limit.go
@@ -78,8 +78,8 @@
 	Givers int   // see Host
 }
 
-// alone gives permits where no other process does.
-func (y *Relay) alone(_ context.Context, permit Permit) (mgclock.Millis, bool) {
+// permitAlone gives permits where no other process does.
+func (y *Relay) permitAlone(_ context.Context, permit Permit) (mgclock.Millis, bool) {
 	rate, limited := y.spec.Limits.Rate(permit.Ask.Upstream, permit.Born)
 	if !limited {
 		return 0, true
@@ -116,17 +116,17 @@
 	if supply == 0 {
 		return soonest
 	}
-	turned := y.turned.count(y.spec.Clock.Now(), x.service)
+	rejected := y.rejections.count(y.spec.Clock.Now(), x.service)
 	if y.spec.Processes != nil {
-		turned *= float64(y.spec.Processes())
+		rejected *= float64(y.spec.Processes())
 	}
-	span := min(turned/supply*float64(mgclock.Second), float64(longestReturn))
+	span := min(rejected/supply*float64(mgclock.Second), float64(longestReturn))
 	return soonest + mgclock.Millis(rand.Float64()*span)
 }
 
-// turned counts the requests that were turned away lately, by service. The zero turned has
-// counted none.
-type turned struct {
+// rejections counts the requests that were turned away lately, by service. The zero
+// rejections has counted none.
+type rejections struct {
 	mu  sync.Mutex
 	all map[string]*recent
 }
@@ -138,7 +138,7 @@
 }
 
 // count counts one more and returns how many there were within a second.
-func (t *turned) count(now mgclock.Millis, service string) float64 {
+func (t *rejections) count(now mgclock.Millis, service string) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.all == nil {
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -104,15 +104,15 @@
 
 // A Relay passes requests through. Make one with New.
 type Relay struct {
-	spec      Spec
-	exchanges exchanges
-	runs      runs
-	turns     mgwarm.Turns
-	rests     mgrest.Rests
-	waits     mglimit.Waits
-	permits   mglimit.Permits // where nobody else gives any
-	turned    turned
-	count     atomic.Uint64 // ordinary answers
+	spec       Spec
+	exchanges  exchanges
+	runs       runs
+	turns      mgwarm.Turns
+	rests      mgrest.Rests
+	waits      mglimit.Waits
+	permits    mglimit.Permits // where nobody else gives any
+	rejections rejections
+	count      atomic.Uint64 // ordinary answers
 	// outage is when the platform was away last, ms of the clock; 0 for never.
 	outage atomic.Int64
 }
@@ -129,7 +129,7 @@
 		spec: spec,
 	}
 	if spec.Permit == nil {
-		y.spec.Permit = y.alone
+		y.spec.Permit = y.permitAlone
 	}
 	return y
 }
--- a/internal/request/mglimit/limits_test.go
+++ b/internal/request/mglimit/limits_test.go
@@ -10,6 +10,20 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
+func word(upstream string, rate float64, named mgclock.Millis) Word {
+	return Word{
+		Upstream: upstream,
+		Rate:     rate,
+		Named:    named,
+	}
+}
+
+func ended(w Word, unnamed mgclock.Millis) Word {
+	w.Ended = true
+	w.Unnamed = unnamed
+	return w
+}
+
 func TestLimits(t *testing.T) {
 	const now = 10 * mgclock.Second
 	rate := func(s *Limits, born int64) float64 {
@@ -103,14 +117,14 @@
 		},
 		{
 			name: "another process's word holds",
-			play: func(s *Limits) { s.Take(now, []Word{{Upstream: "a", Rate: 5, Named: 300}}) },
+			play: func(s *Limits) { s.Take(now, []Word{word("a", 5, 300)}) },
 			rate: 5,
 		},
 		{
 			name: "another process's word of the end counts only where it is surely later",
 			play: func(s *Limits) {
 				s.Named(now, "a", 0, 5)
-				s.Take(now+wordSlack, []Word{{Upstream: "a", Rate: 5, Named: 900, Ended: true, Unnamed: 100}})
+				s.Take(now+wordSlack, []Word{ended(word("a", 5, 900), 100)})
 			},
 			rate: 5,
 		},
@@ -118,7 +132,7 @@
 			name: "and ends it then",
 			play: func(s *Limits) {
 				s.Named(now, "a", 0, 5)
-				s.Take(now+2*wordSlack, []Word{{Upstream: "a", Rate: 5, Named: 900, Ended: true, Unnamed: 100}})
+				s.Take(now+2*wordSlack, []Word{ended(word("a", 5, 900), 100)})
 			},
 			rate: -1,
 		},
@@ -126,11 +140,11 @@
 			name: "words that can't be used are nothing",
 			play: func(s *Limits) {
 				_, unusable := s.Take(now, []Word{
-					{Rate: 5},
-					{Upstream: "a", Rate: -1},
-					{Upstream: "a", Rate: math.NaN()},
-					{Upstream: "a", Rate: math.Inf(1)},
-					{Upstream: "a", Rate: 5, Named: -1},
+					word("", 5, 0),
+					word("a", -1, 0),
+					word("a", math.NaN(), 0),
+					word("a", math.Inf(1), 0),
+					word("a", 5, -1),
 				})
 				So(unusable, ShouldEqual, 5)
 			},
@@ -177,7 +191,7 @@
 func TestWordsCommute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const now = 10 * mgclock.Second
-		word := rapid.Custom(func(t *rapid.T) Word {
+		drawn := rapid.Custom(func(t *rapid.T) Word {
 			w := Word{
 				Upstream: "a",
 				Born:     rapid.Int64Range(1, 2).Draw(t, "born"),
@@ -189,7 +203,7 @@
 			}
 			return w
 		})
-		words := rapid.SliceOfN(word, 1, 6).Draw(t, "words")
+		words := rapid.SliceOfN(drawn, 1, 6).Draw(t, "words")
 		var one, other Limits
 		one.Take(now, words)
 		for _, i := range rapid.Permutation(indexes(len(words))).Draw(t, "order") {
--- a/internal/request/mglimit/permits.go
+++ b/internal/request/mglimit/permits.go
@@ -24,7 +24,7 @@
 // A Part is what one granter gives of an upstream's limit.
 type Part struct {
 	rate     float64 // requests a second
-	granters float64 // about as many processes as grant the rest
+	granters float64 // about how many processes grant parts
 }
 
 // PartOf returns the part of a limit that a granter gives to the processes that turn to it,
--- a/internal/request/mglimit/permits_test.go
+++ b/internal/request/mglimit/permits_test.go
@@ -9,11 +9,23 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
+func ask(request string) Ask {
+	return Ask{
+		Upstream: "a",
+		Request:  request,
+	}
+}
+
+func forced(a Ask) Ask {
+	a.Forced = true
+	return a
+}
+
 // given has a granter asked each ten ms for a span, and returns what it gave.
 func given(p *Permits, from, span mgclock.Millis, part Part) int {
 	count := 0
 	for at := from; at < from+span; at += 10 {
-		if _, ok := p.Take(at, Ask{Upstream: "a", Request: fmt.Sprint(at)}, part); ok {
+		if _, ok := p.Take(at, ask(fmt.Sprint(at)), part); ok {
 			count++
 		}
 	}
@@ -52,17 +64,17 @@
 		Convey("tells when the next permit comes", func() {
 			part := PartOf(0.5, 1, 1)
 			given(&p, 0, 10*second, part)
-			wait, ok := p.Take(10*second, Ask{Upstream: "a"}, part)
+			wait, ok := p.Take(10*second, ask(""), part)
 			So(ok, ShouldBeFalse)
-			_, ok = p.Take(10*second+wait-1, Ask{Upstream: "a"}, part)
+			_, ok = p.Take(10*second+wait-1, ask(""), part)
 			So(ok, ShouldBeFalse)
-			_, ok = p.Take(10*second+wait, Ask{Upstream: "a"}, part)
+			_, ok = p.Take(10*second+wait, ask(""), part)
 			So(ok, ShouldBeTrue)
 		})
 		Convey("takes off what couldn't wait", func() {
 			part := PartOf(5, 1, 1)
 			for range 10 {
-				_, ok := p.Take(0, Ask{Upstream: "a", Forced: true}, part)
+				_, ok := p.Take(0, forced(ask("")), part)
 				So(ok, ShouldBeTrue)
 			}
 			So(given(&p, 0, 4*second, part), ShouldBeBetweenOrEqual, 9, 12)
@@ -71,14 +83,14 @@
 			part := PartOf(1, 1, 1)
 			given(&p, 0, 2*second, part)
 			p.Reserve(2*second, "a", "r", part)
-			_, ok := p.Take(2*second+10, Ask{Upstream: "a", Request: "other"}, part)
+			_, ok := p.Take(2*second+10, ask("other"), part)
 			So(ok, ShouldBeFalse)
-			_, ok = p.Take(2*second+10, Ask{Upstream: "a", Request: "r"}, part)
+			_, ok = p.Take(2*second+10, ask("r"), part)
 			So(ok, ShouldBeTrue)
-			_, ok = p.Take(2*second+20, Ask{Upstream: "a", Request: "r"}, part)
+			_, ok = p.Take(2*second+20, ask("r"), part)
 			So(ok, ShouldBeFalse)
 			p.Reserve(2*second+20, "a", "late", part)
-			_, ok = p.Take(2*second+20+reservedSpan, Ask{Upstream: "a", Request: "late"}, part)
+			_, ok = p.Take(2*second+20+reservedSpan, ask("late"), part)
 			So(ok, ShouldBeFalse)
 		})
 	})
--- a/internal/request/mgquarantine/age_test.go
+++ b/internal/request/mgquarantine/age_test.go
@@ -40,7 +40,11 @@
 			c := New("c", nil)
 			c.Take(10600, told)
 			So(len(c.notes), ShouldEqual, 2)
-			So(c.notes[id{origin: "a", number: 2}].at-c.notes[id{origin: "a", number: 1}].at, ShouldEqual, 500)
+			at := map[uint64]mgclock.Millis{}
+			for name, kept := range c.notes {
+				at[name.number] = kept.at
+			}
+			So(at[2]-at[1], ShouldEqual, 500)
 		})
 	})
 }
--- /dev/null
+++ b/internal/request/mgquarantine/refusal.go
@@ -0,0 +1,41 @@
+package mgquarantine
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// A Refusal tells why another process's note can't be used.
+type Refusal struct {
+	Origin string
+	Number uint64
+	Field  string
+	Value  string
+}
+
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("note %d of %q: its %s is %q: run one release on all processes, or report it", r.Number, r.Origin, r.Field, r.Value)
+}
+
+// check returns what is wrong with another process's note, or nil.
+func (n Note) check() *Refusal {
+	refusal := &Refusal{
+		Origin: n.Origin,
+		Number: n.Number,
+	}
+	_, err := ParseDigest(n.Digest)
+	switch {
+	case err != nil:
+		refusal.Field = "digest"
+		refusal.Value = n.Digest
+	case n.Number == 0:
+		refusal.Field = "number"
+		refusal.Value = "0"
+	case n.Age < 0:
+		refusal.Field = "age"
+		refusal.Value = strconv.FormatInt(int64(n.Age), 10)
+	default:
+		return nil
+	}
+	return refusal
+}
