--- a/internal/process/mgnode/quarantine_test.go
+++ b/internal/process/mgnode/quarantine_test.go
@@ -161,7 +161,7 @@
 			name: "calm",
 		},
 		{
-			name:    "ways of up to 400 ms",
+			name:    "ways of up to 400 ms, crashes two seconds apart",
 			slowest: 400 * time.Millisecond,
 		},
 		{
@@ -204,6 +204,31 @@
 	})
 }
 
+// Crashes that follow one another must count at each process, however slow the ways to it are.
+func TestCrashesKnownOverSlowWays(t *testing.T) {
+	Convey("Three crashes 400 ms apart are known to all within two seconds over ways of up to 400 ms", t, func() {
+		for _, count := range []int{5, 30, 100, 300} {
+			Convey(fmt.Sprintf("%d processes", count), func() {
+				m := newMesh(meshSpec{
+					count:   count,
+					slowest: 400 * time.Millisecond,
+				})
+				var took mgclock.Millis
+				m.run(t, func() {
+					time.Sleep(time.Second)
+					for i := range 3 {
+						time.Sleep(400 * time.Millisecond)
+						m.crash(i, fmt.Sprintf("engine-%d", i))
+					}
+					took = m.untilHeld(count)
+				})
+				t.Logf("%d processes: known to all after %d ms", count, took)
+				So(took, ShouldBeLessThanOrEqualTo, 2*mgclock.Second)
+			})
+		}
+	})
+}
+
 // An entry that was cut off while the request was found out sends it on once it is back.
 func TestCrashesKnownAfterCut(t *testing.T) {
 	Convey("A process that was cut off knows within the stable span after the cut", t, func() {
