--- a/internal/soak/mgproc/link.go
+++ b/internal/soak/mgproc/link.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -24,7 +22,6 @@
 	mu      sync.Mutex
 	barred  bool
 	strands map[*strand]bool
-	refused map[string]bool // addresses of callers whose connections the target refused
 }
 
 // strand is one connection over a Link.
@@ -46,7 +43,6 @@
 		listener: l,
 		target:   target,
 		strands:  make(map[*strand]bool),
-		refused:  make(map[string]bool),
 	}
 	r.wg.Add(1)
 	go r.accept()
@@ -99,14 +95,6 @@
 	}
 }
 
-// Refused reports whether the target refused the last connection from a caller's address.
-// The caller, which the link had accepted, takes its request for sent.
-func (l *Link) Refused(caller string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.refused[caller]
-}
-
 // Close ends the link.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -140,9 +128,6 @@
 func (l *Link) connect(near net.Conn) {
 	defer l.wg.Done()
 	far, err := net.Dial("tcp", l.target)
-	l.mu.Lock()
-	l.refused[near.RemoteAddr().String()] = errors.Is(err, syscall.ECONNREFUSED)
-	l.mu.Unlock()
 	if err != nil {
 		_ = near.Close()
 		return
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -50,7 +50,6 @@
 	text   string
 	tokens int
 	err    error
-	from   string // the caller's address on its last connection
 	began  mgclock.Millis
 	ended  mgclock.Millis
 }
--- a/internal/soak/mgsoak/load.go
+++ b/internal/soak/mgsoak/load.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -60,7 +59,7 @@
 		began:  r.now(),
 	}
 	last := mgclock.Millis(0)
-	answer, err := client.Complete(tracing(&seen.from), mgclient.Request{
+	answer, err := client.Complete(context.Background(), mgclient.Request{
 		Model: "report",
 		Messages: []mgclient.Message{{
 			Role:    "user",
@@ -80,13 +79,6 @@
 	r.evidence.reports = append(r.evidence.reports, seen)
 }
 
-// tracing returns a context whose requests note the address of their last connection.
-func tracing(from *string) context.Context {
-	return httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
-		GotConn: func(got httptrace.GotConnInfo) { *from = got.Conn.LocalAddr().String() },
-	})
-}
-
 // book books a ticket under an operation that is minted first.
 func (r *run) book(client *mgclient.Client, name string) {
 	ctx := context.Background()
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -220,7 +220,6 @@
 		switch {
 		case len(near) == 0:
 			found = append(found, finding(noCause, "%s at %d to %d ms: %v", a.prompt, a.began, a.ended, a.err))
-		case r.refused(a):
 		case !slices.ContainsFunc(near, func(s span) bool { return !s.fault.planned() }):
 			found = append(found, finding(nothingCut, "%s at %d to %d ms, beside %v: %v", a.prompt, a.began, a.ended, near[0].fault, a.err))
 		}
@@ -228,17 +227,6 @@
 	return found
 }
 
-// refused reports whether the last connection of a report had ended at a link whose process
-// was gone. Without the link it would have been refused, and nothing sent.
-func (r *run) refused(a report) bool {
-	for _, link := range r.d.links {
-		if link.Refused(a.from) {
-			return true
-		}
-	}
-	return false
-}
-
 // near returns the faults that may have harmed an answer.
 func (r *run) near(a report) []span {
 	var list []span
