mgnode: a listener that closes says which requests it read and didn't answer

Change: a listener follows its connections' states. Its last line has the requests whose header was read while it closed, those of them that no handler got, and the connections that its end breaks.

All requests that are lost were read by the process. http.Server.Shutdown is named by it: a connection that reads its request once a shutdown has begun is closed without a response (conn.serve in net/http). Ruled out: the end of closeWait (nothing was left at it), handlers cut off (0), the accept queue alone (0 to 2 of the losses are resets).

--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -44,8 +44,10 @@
 	if spec.Slow == 0 {
 		spec.Slow = defaultSlow
 	}
+	var conns connections
 	server := &http.Server{
-		Handler:           spec.Handler,
+		Handler:           conns.handle(spec.Handler),
+		ConnState:         conns.note,
 		MaxHeaderBytes:    spec.Head,
 		ReadHeaderTimeout: spec.Slow.Duration(),
 		IdleTimeout:       idleSlow.Duration(),
@@ -57,7 +59,11 @@
 		defer close(stopped)
 		closeCtx, cancel := context.WithTimeout(context.Background(), closeWait.Duration())
 		defer cancel()
-		if server.Shutdown(closeCtx) != nil {
+		conns.close()
+		err := server.Shutdown(closeCtx)
+		e := conns.ending()
+		log.Info("listener closed", "name", spec.Name, "read", e.read, "unanswered", e.unanswered, "unused", e.unused, "cut", e.cut)
+		if err != nil {
 			_ = server.Close()
 		}
 	})
