mgnode, mglistener: a stopping process answers every request that has reached it

Seen: in each planned stop of an entry callers without any link lose 1 to 15 requests (6 to 40 callers): sent on a connection that the entry took, answered with EOF or a reset. Callers are told "unconfirmed".

Cause: http.Server.Shutdown. (1) conn.serve looks at its flag after a request's header is read: a connection accepted before, whose request arrives after, is closed without a response: "unanswered" of the listener's last line was the number of the losses in six of six stops. (2) Closing a listening socket resets what its accept queue holds, and handshakes in progress: 0 to 4 of the losses are resets.

Change: Shutdown isn't used. mglistener has the kernel drop connection requests (a socket filter for SYN; multipath TCP is off, as its sockets take no filters), goes on accepting for 50 ms, empties the queue without waiting and closes the socket; all of that before any connection is closed. mgnode answers what was accepted, each answer with "Connection: close"; ends idle connections by a read deadline, which leaves one alone whose request has arrived; and waits for connections without a request up to two seconds within the drain's bound, 250 ms otherwise.

The line "stopped" is "drained" now and its "cut" is "unfinished": it counts handlers that run as the drain ends. Stop.Run returns the time by which the process should have answered; nobody used its count.

--- /dev/null
+++ b/internal/connection/mglistener/listener.go
@@ -0,0 +1,108 @@
+package mglistener
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A Listener is a TCP listener. Make one with Listen.
+type Listener struct {
+	tcp       *net.TCPListener
+	identity  *tls.Config // nil: without TLS
+	finishing atomic.Bool
+}
+
+// Listen opens a listener on an IP and port, with TLS where identity isn't nil.
+func Listen(address string, identity *tls.Config) (*Listener, error) {
+	// Multipath TCP sockets take no filters.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{
+		tcp:      l.(*net.TCPListener),
+		identity: identity,
+	}, nil
+}
+
+// Accept returns the next connection. After Finish it returns those that the kernel has
+// completed, and then net.ErrClosed.
+func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.tcp.Accept()
+	if l.finishing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		conn, err = l.acceptQueued()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if l.identity != nil {
+		return tls.Server(conn, l.identity), nil
+	}
+	return conn, nil
+}
+
+// Finish has the kernel drop connection requests, leaves handshakes in progress the time
+// of settle, and then lets Accept empty the queue and close the socket. The error says
+// that connection requests can't be dropped; one that is completed between the last Accept
+// and the close is reset then.
+func (l *Listener) Finish(settle mgclock.Millis) error {
+	l.finishing.Store(true)
+	err := dropRequests(l.tcp)
+	if err != nil {
+		err = fmt.Errorf("%s: connection requests can't be dropped while the listener closes: use a system with socket filters: %w", l.Addr(), err)
+	}
+	return errors.Join(err, l.tcp.SetDeadline(time.Now().Add(settle.Duration())))
+}
+
+// acceptQueued returns a connection of the accept queue without waiting. When there is
+// none it closes the socket and returns net.ErrClosed.
+func (l *Listener) acceptQueued() (net.Conn, error) {
+	raw, err := l.tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var conn net.Conn
+	var failed error
+	err = raw.Control(func(fd uintptr) { conn, failed = acceptNow(fd) })
+	if err != nil {
+		return nil, err
+	}
+	if errors.Is(failed, syscall.EAGAIN) {
+		return nil, errors.Join(net.ErrClosed, l.tcp.Close())
+	}
+	return conn, failed
+}
+
+// acceptNow accepts one connection from a listening socket that doesn't block.
+func acceptNow(fd uintptr) (net.Conn, error) {
+	accepted, err := acceptSocket(int(fd))
+	if err != nil {
+		return nil, os.NewSyscallError("accept", err)
+	}
+	file := os.NewFile(uintptr(accepted), "accepted")
+	defer file.Close()
+	return net.FileConn(file)
+}
+
+// Close closes the socket at once.
+func (l *Listener) Close() error {
+	err := l.tcp.Close()
+	if l.finishing.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Addr returns the address and port.
+func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
--- /dev/null
+++ b/internal/connection/mglistener/listener_test.go
@@ -0,0 +1,108 @@
+package mglistener_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// settle is long enough for what is under way on loopback.
+const settle = 50 * mgclock.Millis(1)
+
+// A connection that waits to be accepted must not be reset by the end of its listener.
+func TestFinishKeepsAcceptQueue(t *testing.T) {
+	Convey("Connections that nobody has accepted when the listener ends", t, func() {
+		const count = 20
+		listener, err := mglistener.Listen("127.0.0.1:0", nil)
+		So(err, ShouldBeNil)
+		address := listener.Addr().String()
+		for range count {
+			conn, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			defer conn.Close()
+			_, err = conn.Write([]byte("request"))
+			So(err, ShouldBeNil)
+		}
+		So(listener.Finish(0), ShouldBeNil)
+		mgclock.Clock{}.Sleep(t.Context(), 20) // settle is over before the first Accept
+		accepted := 0
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				So(errors.Is(err, net.ErrClosed), ShouldBeTrue)
+				break
+			}
+			accepted++
+			So(conn.Close(), ShouldBeNil)
+		}
+		So(accepted, ShouldEqual, count)
+		_, err = net.Dial("tcp", address)
+		So(errors.Is(err, syscall.ECONNREFUSED), ShouldBeTrue)
+	})
+}
+
+// A caller that connects while a listener ends is answered or refused, never reset.
+func TestFinishUnderLoad(t *testing.T) {
+	Convey("Callers that open one connection after another while the listener ends", t, func() {
+		listener, err := mglistener.Listen("127.0.0.1:0", nil)
+		So(err, ShouldBeNil)
+		var callers sync.WaitGroup
+		lost := make(chan error, 8)
+		for range cap(lost) {
+			callers.Go(func() { lost <- callUntilRefused(listener.Addr().String()) })
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- echo(listener) }()
+		mgclock.Clock{}.Sleep(t.Context(), 100)
+		So(listener.Finish(settle), ShouldBeNil)
+		So(errors.Is(<-ended, net.ErrClosed), ShouldBeTrue)
+		callers.Wait()
+		close(lost)
+		for err := range lost {
+			So(err, ShouldBeNil)
+		}
+	})
+}
+
+// callUntilRefused sends a byte on each of a row of connections, until one is refused.
+func callUntilRefused(address string) error {
+	for {
+		conn, err := net.Dial("tcp", address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		_, err = conn.Write([]byte{1})
+		if err == nil {
+			_, err = io.ReadFull(conn, make([]byte, 1))
+		}
+		_ = conn.Close()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// echo answers each connection's byte until the listener ends.
+func echo(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer conn.Close()
+			_, _ = io.CopyN(conn, conn, 1)
+		}()
+	}
+}
--- a/internal/connection/mgpeer/peer.go
+++ b/internal/connection/mgpeer/peer.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -144,14 +145,11 @@
 }
 
 // Listen opens a listener for the system's other processes.
-func (g *Guard) Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+func (g *Guard) Listen(address string) (*mglistener.Listener, error) {
+	listener, err := mglistener.Listen(address, g.identity)
 	if err != nil {
 		return nil, fmt.Errorf("key peer: can't listen on %s: give a free IP and port of this VM: %w", address, err)
 	}
-	if g.identity != nil {
-		return tls.NewListener(listener, g.identity), nil
-	}
 	return listener, nil
 }
 
--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -1,9 +1,13 @@
 package mgnode
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"time"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // connections follows the connections of a listener, so that its end can say what became
@@ -33,18 +37,52 @@
 	c.states[conn] = state
 }
 
-// handle counts the requests that reach next while the listener closes.
+// handle passes requests on to next. While the listener closes it counts them, and each
+// is the last of its connection.
 func (c *connections) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.mu.Lock()
-		if c.closing {
-			c.handled++
+		if c.last() {
+			w.Header().Set("Connection", "close")
 		}
-		c.mu.Unlock()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// last reports whether the listener closes, and counts the request then.
+func (c *connections) last() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		c.handled++
+	}
+	return c.closing
+}
+
+// drain waits until each connection has had its last response, and ends those that are
+// idle. It returns after linger, or when killed ends.
+func (c *connections) drain(killed context.Context, linger mgclock.Millis) {
+	var clock mgclock.Clock
+	for end := clock.Now() + linger; c.expireIdle() > 0 && clock.Now() < end; {
+		if !clock.Sleep(killed, closeLook) {
+			return
+		}
+	}
+}
+
+// expireIdle ends the idle connections, and returns how many connections are left.
+func (c *connections) expireIdle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, state := range c.states {
+		if state == http.StateIdle {
+			// A read deadline ends a connection only if it brings no request; Close could
+			// meet one that has been read and not been noted yet.
+			_ = conn.SetReadDeadline(time.Now())
+		}
+	}
+	return len(c.states)
+}
+
 // close begins to count.
 func (c *connections) close() {
 	c.mu.Lock()
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
@@ -53,6 +52,7 @@
 		Name:     "callers",
 		Listener: public,
 		Handler:  entry.Routes(),
+		Linger:   n.linger,
 		Head:     int(settings.Head),
 		Slow:     mgclock.Millis(settings.Slow),
 	})
@@ -147,17 +147,14 @@
 }
 
 // listenPublic opens the callers' listener, with TLS where it is set.
-func listenPublic(settings mgsettings.Entry) (net.Listener, error) {
+func listenPublic(settings mgsettings.Entry) (*mglistener.Listener, error) {
 	identity, err := mgpeer.Public(files(settings.Public))
 	if err != nil {
 		return nil, err
 	}
-	public, err := net.Listen("tcp", settings.Listen)
+	public, err := mglistener.Listen(settings.Listen, identity)
 	if err != nil {
 		return nil, fmt.Errorf("key listen: can't listen on %s: give a free IP and port of this VM: %w", settings.Listen, err)
 	}
-	if identity != nil {
-		return tls.NewListener(public, identity), nil
-	}
 	return public, nil
 }
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
@@ -71,8 +71,10 @@
 	shares      atomic.Pointer[mgshare.Loop] // of an entry, else nil
 	serving     atomic.Bool                  // the listeners for work are open
 	leaving     atomic.Bool
-	told        readsTold // tick's own
+	closeBy     atomic.Int64 // when the callers' listener is closed at the latest, of a drained process
+	told        readsTold    // tick's own
 	servers     sync.WaitGroup
+	also        []ServerSpec // listeners besides its own
 	killed      context.Context
 	kill        context.CancelFunc
 }
@@ -224,17 +226,20 @@
 		return nil
 	case <-stop.Done():
 	}
-	stopping.Run(hurry)
+	n.closeBy.Store(int64(stopping.Run(hurry)))
 	return nil
 }
 
 // Start opens the listeners for operators and peers, finds the newest table and
 // waits until it is in force, or stop ends.
 func (n *Node) Start(ctx, stop context.Context) error {
-	operators, err := net.Listen("tcp", n.settings.Admin)
+	operators, err := mglistener.Listen(n.settings.Admin, nil)
 	if err != nil {
 		return fmt.Errorf("key admin: can't listen on %s: give a free IP and port of this VM: %w", n.settings.Admin, err)
 	}
+	for _, spec := range n.also {
+		n.Serve(ctx, spec)
+	}
 	n.Serve(ctx, ServerSpec{
 		Name:     "admin",
 		Listener: operators,
@@ -275,6 +280,9 @@
 	n.servers.Go(func() { Serve(ctx, n.killed, n.log, spec) })
 }
 
+// Also adds a listener that Start serves besides its own. It is called before Start.
+func (n *Node) Also(spec ServerSpec) { n.also = append(n.also, spec) }
+
 // Serving tells that the listeners for work are open. A process that was ready
 // before would be sent requests that nobody takes.
 func (n *Node) Serving() { n.serving.Store(true) }
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -8,18 +8,31 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// closeWait is how long listeners wait for their last responses once the
-// drain is over.
-const closeWait = 300 * mgclock.Millis(1)
+const (
+	// closeWait is how long listeners wait at least for their last responses once no
+	// connection is accepted any more.
+	closeWait = 250 * mgclock.Millis(1)
+	// lingerMost is how long the callers' listener waits at most for connections that have
+	// brought no request yet.
+	lingerMost = 2 * mgclock.Second
+	// settleWait is the time that handshakes in progress have when a listener closes.
+	settleWait = 50 * mgclock.Millis(1)
+	// closeLook is the interval at which a closing listener looks for idle connections.
+	closeLook = 5 * mgclock.Millis(1)
+)
 
 // ServerSpec describes one listener of a process.
 type ServerSpec struct {
 	Name     string
-	Listener net.Listener
+	Listener *mglistener.Listener
 	Handler  http.Handler
+	// Linger returns how long the listener waits for its last responses. Nil stands for
+	// closeWait.
+	Linger func() mgclock.Millis
 	// Head bounds a request's header in bytes, Slow the time in which it must
 	// arrive.
 	Head int
@@ -35,8 +48,9 @@
 	idleSlow = 2 * mgclock.Minute
 )
 
-// Serve answers on a listener until ctx ends. When killed ends, it breaks every
-// connection at once, as the end of its process would.
+// Serve answers on a listener until ctx ends. Then it answers what has reached it, on
+// connections that it hasn't accepted yet, too, and closes. When killed ends, it breaks
+// every connection at once, as the end of its process would.
 func Serve(ctx, killed context.Context, log logr.Logger, spec ServerSpec) {
 	if spec.Head == 0 {
 		spec.Head = defaultHead
@@ -44,6 +58,7 @@
 	if spec.Slow == 0 {
 		spec.Slow = defaultSlow
 	}
+	log = log.WithValues("name", spec.Name)
 	var conns connections
 	server := &http.Server{
 		Handler:           conns.handle(spec.Handler),
@@ -54,23 +69,38 @@
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 	}
 	defer context.AfterFunc(killed, func() { _ = server.Close() })()
-	stopped := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		defer close(stopped)
-		closeCtx, cancel := context.WithTimeout(context.Background(), closeWait.Duration())
-		defer cancel()
+	finished := make(chan struct{})
+	notFinished := context.AfterFunc(ctx, func() {
+		defer close(finished)
 		conns.close()
-		err := server.Shutdown(closeCtx)
-		e := conns.ending()
-		log.Info("listener closed", "name", spec.Name, "read", e.read, "unanswered", e.unanswered, "unused", e.unused, "cut", e.cut)
-		if err != nil {
-			_ = server.Close()
+		if err := spec.Listener.Finish(settleWait); err != nil {
+			log.Error(err, "a listener may reset connections as it closes")
 		}
 	})
-	log.Info("listening", "name", spec.Name, "address", spec.Listener.Addr().String())
-	if err := server.Serve(spec.Listener); !errors.Is(err, http.ErrServerClosed) {
-		log.Error(err, "a listener ended", "name", spec.Name)
+	log.Info("listening", "address", spec.Listener.Addr().String())
+	err := server.Serve(spec.Listener)
+	if notFinished() || killed.Err() != nil {
+		if !errors.Is(err, http.ErrServerClosed) {
+			log.Error(err, "a listener ended")
+		}
 		return
 	}
-	<-stopped
+	<-finished
+	linger := closeWait
+	if spec.Linger != nil {
+		linger = spec.Linger()
+	}
+	// http.Server.Shutdown isn't used: a connection that reads its request after it has
+	// begun is closed without a response.
+	conns.drain(killed, linger)
+	e := conns.ending()
+	log.Info("listener closed", "read", e.read, "unanswered", e.unanswered, "unused", e.unused, "cut", e.cut)
+	_ = server.Close()
+}
+
+// linger returns how long the callers' listener waits for its last responses: no longer
+// than the drain may last, but for closeWait.
+func (n *Node) linger() mgclock.Millis {
+	left := mgclock.Millis(n.closeBy.Load()) - n.clock.Now()
+	return max(closeWait, min(left, lingerMost))
 }
--- /dev/null
+++ b/internal/process/mgnode/serve_test.go
@@ -0,0 +1,146 @@
+package mgnode
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/go-logr/logr/funcr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// served is a listener under test.
+type served struct {
+	address string
+	stop    context.CancelFunc
+	done    chan struct{}
+	lines   atomic.Pointer[string] // the last line of the log
+}
+
+// serve serves a handler that answers 204 until its stop is called.
+func serve(t *testing.T) *served {
+	t.Helper()
+	listener, err := mglistener.Listen("127.0.0.1:0", nil)
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &served{
+		address: listener.Addr().String(),
+		stop:    cancel,
+		done:    make(chan struct{}),
+	}
+	log := funcr.New(func(_, args string) { s.lines.Store(&args) }, funcr.Options{})
+	go func() {
+		defer close(s.done)
+		Serve(ctx, context.Background(), log, ServerSpec{
+			Name:     "callers",
+			Listener: listener,
+			Handler:  http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+			Linger:   func() mgclock.Millis { return 5 * mgclock.Second },
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-s.done
+	})
+	return s
+}
+
+// A connection accepted before a stop may bring its request after the stop has begun.
+func TestStopAnswersLateRequest(t *testing.T) {
+	Convey("A listener that stops", t, func() {
+		s := serve(t)
+		open := func() (net.Conn, *bufio.Reader) {
+			conn, err := net.Dial("tcp", s.address)
+			So(err, ShouldBeNil)
+			return conn, bufio.NewReader(conn)
+		}
+		// ask sends a request and returns the status of its answer and whether the
+		// connection can be used again.
+		ask := func(conn net.Conn, r *bufio.Reader) (int, bool) {
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+			So(err, ShouldBeNil)
+			response, err := http.ReadResponse(r, nil)
+			So(err, ShouldBeNil)
+			return response.StatusCode, !response.Close
+		}
+		fresh, freshReader := open()
+		defer fresh.Close()
+		kept, keptReader := open()
+		defer kept.Close()
+		code, again := ask(kept, keptReader)
+		So(code, ShouldEqual, http.StatusNoContent)
+		So(again, ShouldBeTrue)
+
+		s.stop()
+		_, err := keptReader.Peek(1)
+		Convey("ends the connections that are idle", func() { So(err, ShouldEqual, io.EOF) })
+		Convey("answers a connection that brings its first request now, and ends it", func() {
+			code, again := ask(fresh, freshReader)
+			So(code, ShouldEqual, http.StatusNoContent)
+			So(again, ShouldBeFalse)
+			<-s.done
+			So(*s.lines.Load(), ShouldContainSubstring, `"read"=1 "unanswered"=0 "unused"=0 "cut"=0`)
+		})
+	})
+}
+
+// Callers that come without pause while an entry stops are answered or refused.
+func TestStopLosesNothing(t *testing.T) {
+	Convey("Callers with kept and with new connections while a listener stops", t, func() {
+		s := serve(t)
+		var callers sync.WaitGroup
+		ends := make(chan string, 40)
+		for i := range cap(ends) {
+			callers.Go(func() { ends <- untilRefused(s.address, i%2 == 0) })
+		}
+		mgclock.Clock{}.Sleep(t.Context(), 100)
+		s.stop()
+		callers.Wait()
+		close(ends)
+		for end := range ends {
+			So(end, ShouldEqual, "")
+		}
+	})
+}
+
+// untilRefused sends requests until a connection is refused, and says which got no answer.
+func untilRefused(address string, keep bool) string {
+	var conn net.Conn
+	var reader *bufio.Reader
+	for {
+		if conn == nil {
+			fresh, err := net.Dial("tcp", address)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				return ""
+			}
+			if err != nil {
+				return fmt.Sprintf("connect: %v", err)
+			}
+			conn, reader = fresh, bufio.NewReader(fresh)
+		}
+		_, err := io.Copy(conn, strings.NewReader("GET / HTTP/1.1\r\nHost: entry\r\n\r\n"))
+		if err != nil {
+			return fmt.Sprintf("send: %v", err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return fmt.Sprintf("answer: %v", err)
+		}
+		if !keep || response.Close {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
--- a/internal/process/mgnode/stop.go
+++ b/internal/process/mgnode/stop.go
@@ -29,9 +29,9 @@
 	Busy func() int
 }
 
-// Run carries out the stop. It ends early when hurry ends, and returns the
-// number of requests that were still in progress then.
-func (s Stop) Run(hurry context.Context) int {
+// Run drains the process. It ends early when hurry ends, and returns the time by which
+// the process should have answered what reached it meanwhile.
+func (s Stop) Run(hurry context.Context) mgclock.Millis {
 	end := s.Clock.Now() + s.Longest
 	s.Unready()
 	s.Log.Info("stopping: not ready any more", "busy", s.Busy())
@@ -39,10 +39,9 @@
 	s.Leave()
 	for s.Busy() > 0 && s.Clock.Now() < end {
 		if !s.Clock.Sleep(hurry, drainLook) {
-			break
+			end = s.Clock.Now()
 		}
 	}
-	left := s.Busy()
-	s.Log.Info("stopped", "cut", left)
-	return left
+	s.Log.Info("drained", "unfinished", s.Busy())
+	return end
 }
