mgproc, mgsoak: a caller's connection is refused where its process is gone

Cause: the link before an entry takes connections while no process is behind it, so that a caller counts a request as sent that no process had. That stands for nothing on a real network: a process that is gone refuses.

Change: callers connect through the link's Dial, which connects to the target first and hands a refusal on; what the link does to a connection is as before, a barred one is broken as before. mgclient takes a function that opens its connections.

--- a/internal/soak/mgproc/link.go
+++ b/internal/soak/mgproc/link.go
@@ -11,7 +11,8 @@
 )
 
 // A Link is a link between two processes that can be cut, silenced, delayed and
-// cut one way.
+// cut one way. Another process connects to its address, where it listens whether its target
+// lives or not; the process that made it uses Dial, which a target that is gone refuses.
 type Link struct {
 	listener net.Listener
 	target   string
@@ -52,6 +53,19 @@
 // Addr returns the address to connect to in place of the target.
 func (l *Link) Addr() string { return l.listener.Addr().String() }
 
+// Dial connects to the target over the link. A target that refuses connections refuses
+// this one.
+func (l *Link) Dial(ctx context.Context) (net.Conn, error) {
+	var dialer net.Dialer
+	far, err := dialer.DialContext(ctx, "tcp", l.target)
+	if err != nil {
+		return nil, err
+	}
+	caller, near := net.Pipe()
+	l.wg.Go(func() { l.carry(near, far) })
+	return caller, nil
+}
+
 // Cut breaks the connections that stand and returns how many; new ones work.
 func (l *Link) Cut() int {
 	standing := l.standing()
@@ -124,7 +138,7 @@
 	}
 }
 
-// connect passes one connection on until one end closes it.
+// connect connects an accepted connection to the target.
 func (l *Link) connect(near net.Conn) {
 	defer l.wg.Done()
 	far, err := net.Dial("tcp", l.target)
@@ -132,6 +146,11 @@
 		_ = near.Close()
 		return
 	}
+	l.carry(near, far)
+}
+
+// carry passes one connection on until one end closes it.
+func (l *Link) carry(near, far net.Conn) {
 	s := &strand{
 		near:   near,
 		far:    far,
@@ -177,7 +196,7 @@
 			}
 		}
 		if err == io.EOF {
-			_ = to.(*net.TCPConn).CloseWrite()
+			closeWrite(to)
 			return
 		}
 		if err != nil {
@@ -187,6 +206,16 @@
 	}
 }
 
+// closeWrite tells the other end that nothing more comes. A pipe has no half that could be
+// closed alone.
+func closeWrite(c net.Conn) {
+	if tcp, is := c.(*net.TCPConn); is {
+		_ = tcp.CloseWrite()
+		return
+	}
+	_ = c.Close()
+}
+
 // mute makes the strand silent.
 func (s *strand) mute() {
 	s.mu.Lock()
--- a/internal/soak/mgsoak/deployment.go
+++ b/internal/soak/mgsoak/deployment.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -104,6 +105,17 @@
 	return l.Addr(), nil
 }
 
+// dial connects to the address of a link. A process that is gone refuses the connection, as
+// it would without the link.
+func (d *deployment) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	for _, l := range d.links {
+		if l.Addr() == addr {
+			return l.Dial(ctx)
+		}
+	}
+	return nil, fmt.Errorf("deployment: no link has the address %s: use one of its entries", addr)
+}
+
 func (d *deployment) startStandins() error {
 	for _, name := range append(append([]string{}, d.names.engines...), service, platform) {
 		addrs, err := mgproc.FreeAddrs(1)
--- a/internal/soak/mgsoak/load.go
+++ b/internal/soak/mgsoak/load.go
@@ -39,6 +39,7 @@
 		Begin:   20000,
 		Tries:   12,
 		Jitter:  draw.Float64,
+		Dial:    r.d.dial,
 	})
 	for n := 0; ctx.Err() == nil; n++ {
 		name := fmt.Sprintf("caller %d, request %d,", number, n)
--- a/pkg/mgclient/client.go
+++ b/pkg/mgclient/client.go
@@ -43,9 +43,13 @@
 
 // New returns a client.
 func New(spec Spec) *Client {
+	client := mgdial.NewClient()
+	if spec.Dial != nil {
+		client = mgdial.NewClientWith(spec.Dial)
+	}
 	return &Client{
 		spec: spec,
-		http: mgdial.NewClient(),
+		http: client,
 	}
 }
 
--- a/pkg/mgclient/spec.go
+++ b/pkg/mgclient/spec.go
@@ -1,6 +1,11 @@
 package mgclient
 
-import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+import (
+	"context"
+	"net"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
 
 // Spec describes a client. A field that is zero takes the default in brackets.
 type Spec struct {
@@ -11,6 +16,8 @@
 	Tries   int            // tries in a row without progress [8]
 	Clock   mgclock.Clock
 	Jitter  func() float64 // uniform numbers in [0, 1) [math/rand/v2]
+	// Dial opens the connections to the entries [mgdial.NewClient's].
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Request asks for one answer.
