mgquarantine, mgnode: crashes are ordered by the clock that can tell, over any ways

(2) Worse for callers, and no test had it: five upstreams lost at one moment and five more five seconds later, a sound request on each (TestMassCrashesOverSlowWays): it was held by 2 of 100 processes with ways of up to 200 ms, by 12 of 30 and 52 of 100 with 400 ms.

Cause: a process took a note's time as now less the age that was told, which leaves out what the note took on its way, and compared such times of different origins with 300 ms. The error is one-sided and differs from process to process: two moments shrink to one, and one grows to several, each process by its own ways. No other span mends both.

Change: a time of another process's note is an upper bound (the least of all copies), and a crash counts as a later occurrence only where one clock proves it: that of the process which saw both, or which saw the later one. Its attempt was sent after the latest time of the earlier crash, or ended momentSpan (crashSpan at one upstream) after it, its own delay taken off: that of the dial that was refused. All processes count the longest chain by names, so that the same notes give the same verdict. A pause of the process or its clock voids what attempts under way would prove. A note that a copy makes older by 20 ms is told again, who is told of one that he knows to be older answers with his, and a round tells five in place of three where one request ended several upstreams.

Weighed: round trips halved (Cristian) and the least of several exchanges (NTP's filter): errors of 60 to 100 ms a hop at first contact, added up over five hops, and a guess; intervals for each note with lower bounds from round trips: sound, too wide to prove 400 ms at 300 processes; another momentSpan: trades one fault for the other.

The own interface's agents don't say when an engine ended: there an attempt's whole time is its delay, and only what is sent after a crash counts as later.

--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -27,12 +27,14 @@
 // noteCrash takes an agent's word that its engine ended as it began the attempt.
 func (r *reading) noteCrash() {
 	digest := r.job.digest()
-	r.entry.spec.Quarantine.Crashed(r.entry.spec.Clock.Now(), mgquarantine.Crash{
+	now := r.entry.spec.Clock.Now()
+	r.entry.spec.Quarantine.Crashed(now, mgquarantine.Crash{
 		Digest:   digest,
 		Request:  r.attempt.id,
 		Upstream: r.attempt.agent.Upstream(),
 		Begun:    true,
 		Sent:     r.attempt.sent,
+		Delay:    now - r.attempt.sent, // the agent's word doesn't tell when the engine ended
 	})
 	r.entry.spec.Metrics.Counter("crashed").Inc(1)
 	r.entry.spec.Log.Info("an engine ended as it began a generation",
--- a/internal/process/mgnode/news.go
+++ b/internal/process/mgnode/news.go
@@ -25,10 +25,12 @@
 const quarantinePath = "/quarantine"
 
 const (
-	// newsFanout is how many others are told in a round, and newsPause the time between
-	// two rounds. A note is told for mgquarantine's newsSpan, four rounds.
-	newsFanout = 3
-	newsPause  = 150 * mgclock.Millis(1)
+	// newsFanout is how many others are told in a round, urgentFanout how many where one
+	// request has ended several upstreams, and newsPause the time between two rounds. A
+	// note is told for mgquarantine's newsSpan, four rounds.
+	newsFanout   = 3
+	urgentFanout = 5
+	newsPause    = 150 * mgclock.Millis(1)
 	// newsGap is the least time between two rounds, when there are fresh notes.
 	newsGap = 20 * mgclock.Millis(1)
 	// compareSpan is the mean interval at which a process compares what it knows.
@@ -63,10 +65,12 @@
 	call       func(ctx context.Context, to *mgmember.Member, told newsWire) (newsWire, error)
 }
 
-// answer takes what another process tells, and returns what it lacks.
+// answer takes what another process tells, and returns what it lacks or knows less well.
 func (e *exchanger) answer(told newsWire) newsWire {
 	e.take(told)
-	var lacking newsWire
+	lacking := newsWire{
+		Notes: e.quarantine.Refine(e.clock.Now(), told.Notes),
+	}
 	if told.Compare {
 		lacking.Notes = e.quarantine.Lacking(e.clock.Now(), told.Sums)
 		lacking.Sums = e.quarantine.Sums()
@@ -132,7 +136,11 @@
 			Limits: e.limits.News(e.clock.Now()),
 		}
 		if len(news.Notes)+len(news.Limits) > 0 {
-			e.tell(ctx, newsFanout, news)
+			fanout := newsFanout
+			if isRepeated(news.Notes) {
+				fanout = urgentFanout
+			}
+			e.tell(ctx, fanout, news)
 			if !e.clock.Sleep(ctx, newsGap) {
 				return
 			}
@@ -147,6 +155,22 @@
 	}
 }
 
+// isRepeated reports whether several upstreams ended under one request.
+func isRepeated(notes []mgquarantine.Note) bool {
+	upstreams := map[string]string{} // by digest
+	for _, note := range notes {
+		if note.Upstream == "" {
+			continue
+		}
+		before, seen := upstreams[note.Digest]
+		if seen && before != note.Upstream {
+			return true
+		}
+		upstreams[note.Digest] = note.Upstream
+	}
+	return false
+}
+
 // compare compares what is known with one other process now and then, until ctx ends. A
 // process that has just started does so as soon as it knows another.
 func (e *exchanger) compare(ctx context.Context) {
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -117,6 +117,8 @@
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
 	n.pause = mgmember.NewPause(n.clock, nil)
+	n.pause.On(func(mgclock.Millis) { n.quarantine.Paused(n.clock.Now()) })
+	n.quarantine.Watch(func() { n.pause.Check() })
 	n.bus = mgevent.NewBus(n.clock)
 	n.handleEvents()
 	n.loop = mgconfig.NewLoop(n.loopSpec())
--- a/internal/process/mgnode/quarantine_test.go
+++ b/internal/process/mgnode/quarantine_test.go
@@ -229,6 +229,36 @@
 	})
 }
 
+// A sound request that runs wherever upstreams are lost together must not be held.
+func TestMassCrashesOverSlowWays(t *testing.T) {
+	Convey("Five upstreams lost at one moment, and five more five seconds later, hold no request", t, func() {
+		for _, slowest := range []time.Duration{3 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+			for _, count := range []int{5, 30, 100} {
+				Convey(fmt.Sprintf("%d processes, ways of up to %v", count, slowest), func() {
+					m := newMesh(meshSpec{
+						count:   count,
+						slowest: slowest,
+					})
+					most := 0
+					m.run(t, func() {
+						time.Sleep(time.Second)
+						for moment := range 2 {
+							for i := range 5 {
+								m.crash(i, fmt.Sprintf("engine-%d", 5*moment+i))
+							}
+							for range 50 {
+								time.Sleep(100 * time.Millisecond)
+								most = max(most, m.holding())
+							}
+						}
+					})
+					So(most, ShouldEqual, 0)
+				})
+			}
+		}
+	})
+}
+
 // An entry that was cut off while the request was found out sends it on once it is back.
 func TestCrashesKnownAfterCut(t *testing.T) {
 	Convey("A process that was cut off knows within the stable span after the cut", t, func() {
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -82,6 +82,8 @@
 		y.spec.Log.Info("an upstream broke an attempt off", append(keys, "ended", ended, "evidence", evidence)...)
 		if evidence {
 			y.spec.Metrics.Counter("relay.crashed").Inc(1)
+			// The refusal took its way, as the word of the end did before it.
+			crash.Delay = y.spec.Clock.Now() - now
 			y.spec.Quarantine.Crashed(now, crash)
 		}
 	}()
--- a/internal/request/mgquarantine/judge.go
+++ b/internal/request/mgquarantine/judge.go
@@ -13,7 +13,8 @@
 	needed = 3
 	// momentSpan is the time in which crashes are one occurrence, unless the request was
 	// sent to the second upstream after the first had ended. What ends several upstreams
-	// at once, such as the loss of an availability zone, is no request.
+	// at once, such as the loss of an availability zone, is no request. The span is between
+	// times of one clock.
 	momentSpan = 300 * mgclock.Millis(1)
 	// crashSpan is the time in which reports about one upstream are of the same crash,
 	// unless an attempt was sent after the other had ended: longer than reports differ,
@@ -24,6 +25,8 @@
 	holdSpan    = 30 * mgclock.Second
 	holdFactor  = 4
 	longestHold = 32 * mgclock.Minute
+	// chainMost bounds the crashes of one request that are weighed, the latest ones.
+	chainMost = 128
 )
 
 // crash is the end of one upstream and the requests that may have caused it.
@@ -37,11 +40,11 @@
 // suspects reports whether a note's request is among the likeliest.
 func (c *crash) suspects(s stored) bool { return s.note.Begun == c.begun }
 
-// follows reports whether an attempt of a request was sent after an earlier crash.
-func (c *crash) follows(earlier *crash, digest Digest) bool {
+// after reports whether a crash is a later occurrence for a request than another.
+func (c *crash) after(earlier *crash, digest Digest) bool {
 	for _, s := range c.notes {
 		for _, before := range earlier.notes {
-			if s.digest == digest && before.digest == digest && s.follows(before) {
+			if s.digest == digest && before.digest == digest && s.after(before) {
 				return true
 			}
 		}
@@ -49,11 +52,6 @@
 	return false
 }
 
-// apart reports whether a crash is another occurrence for a request than an earlier one.
-func (c *crash) apart(earlier *crash, digest Digest) bool {
-	return c != earlier && (c.at >= earlier.at+momentSpan || c.follows(earlier, digest))
-}
-
 // has reports whether a request was about to begin or had just begun.
 func (c *crash) has(digest Digest) bool {
 	return slices.ContainsFunc(c.notes, func(s stored) bool { return s.digest == digest })
@@ -73,7 +71,7 @@
 	last := map[string]*crash{} // by upstream
 	for _, s := range notes {
 		c := last[s.note.Upstream]
-		if c == nil || s.at >= c.at+crashSpan || slices.ContainsFunc(c.notes, s.follows) {
+		if c == nil || s.at >= c.at+crashSpan || slices.ContainsFunc(c.notes, s.after) {
 			c = &crash{
 				at: s.at,
 			}
@@ -113,22 +111,57 @@
 // occurrences returns the crashes that each request is suspected of and no other
 // explains, one of each moment.
 func occurrences(crashes []*crash) map[Digest][]*crash {
-	seen := map[Digest][]*crash{}
+	suspected := map[Digest][]*crash{}
 	for _, c := range crashes {
 		if c.explained {
 			continue
 		}
 		for _, s := range c.notes {
-			before := seen[s.digest]
-			if !c.suspects(s) || len(before) > 0 && !c.apart(before[len(before)-1], s.digest) {
-				continue
+			all := suspected[s.digest]
+			if c.suspects(s) && (len(all) == 0 || all[len(all)-1] != c) {
+				suspected[s.digest] = append(all, c)
 			}
-			seen[s.digest] = append(before, c)
 		}
 	}
+	seen := map[Digest][]*crash{}
+	for digest, all := range suspected {
+		seen[digest] = longestChain(digest, all[max(len(all)-chainMost, 0):])
+	}
 	return seen
 }
 
+// longestChain returns the longest row of crashes each of which is a later occurrence for a
+// request than the one before. The times of notes order them only roughly: a note may have
+// come on a slow way.
+func longestChain(digest Digest, crashes []*crash) []*crash {
+	chains := make([][]*crash, len(crashes)) // the longest one that ends with each crash
+	var chainTo func(i int) []*crash
+	chainTo = func(i int) []*crash {
+		if chains[i] != nil {
+			return chains[i]
+		}
+		chains[i] = crashes[i : i+1 : i+1] // ends the search where notes contradict each other
+		var longest []*crash
+		for j, earlier := range crashes {
+			if j == i || !crashes[i].after(earlier, digest) {
+				continue
+			}
+			if chain := chainTo(j); len(chain) > len(longest) {
+				longest = chain
+			}
+		}
+		chains[i] = append(slices.Clip(longest), crashes[i])
+		return chains[i]
+	}
+	var longest []*crash
+	for i := range crashes {
+		if chain := chainTo(i); len(chain) > len(longest) {
+			longest = chain
+		}
+	}
+	return longest
+}
+
 // mostSeen returns the request with the most occurrences. Of equals it returns the one
 // that all processes agree on.
 func mostSeen(seen map[Digest][]*crash) (worst Digest, found bool) {
--- /dev/null
+++ b/internal/request/mgquarantine/order_test.go
@@ -0,0 +1,213 @@
+package mgquarantine_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// Crashes that several processes saw must count at each of them as at the one that can tell
+// their order.
+func TestOrderAcrossProcesses(t *testing.T) {
+	// The first crash is seen at 0 by one process, and known to the other at 150. The other
+	// sees the second one at 500.
+	cases := []struct {
+		name        string
+		second      mgquarantine.Crash
+		known       mgclock.Millis // when the other process learns of the first, if not at 150
+		pause       mgclock.Millis // when the other process goes on after a pause
+		occurrences int
+	}{
+		{
+			name: "sent after the first was known",
+			second: mgquarantine.Crash{
+				Upstream: "b",
+				Sent:     160,
+			},
+			occurrences: 2,
+		},
+		{
+			name: "sent before the first was known, and seen more than a moment after",
+			second: mgquarantine.Crash{
+				Upstream: "b",
+				Sent:     100,
+			},
+			occurrences: 2,
+		},
+		{
+			name: "sent before the first was known, and possibly ended within a moment of it",
+			second: mgquarantine.Crash{
+				Upstream: "b",
+				Sent:     100,
+				Delay:    60,
+			},
+			occurrences: 1,
+		},
+		{
+			name: "sent before, and seen within a moment of the time at which the first was known",
+			second: mgquarantine.Crash{
+				Upstream: "b",
+				Sent:     100,
+			},
+			known:       250,
+			occurrences: 1,
+		},
+		{
+			name: "the first is known only later",
+			second: mgquarantine.Crash{
+				Upstream: "b",
+				Sent:     450,
+			},
+			known:       510,
+			occurrences: 1,
+		},
+		{
+			name: "of the same upstream, which may have had one crash only",
+			second: mgquarantine.Crash{
+				Upstream: "a",
+				Sent:     100,
+			},
+			occurrences: 1,
+		},
+		{
+			name: "of the same upstream, sent after the first was known",
+			second: mgquarantine.Crash{
+				Upstream: "a",
+				Sent:     160,
+			},
+			occurrences: 2,
+		},
+		{
+			name: "sent before a pause of the process that saw it",
+			second: mgquarantine.Crash{
+				Upstream: "b",
+				Sent:     160,
+			},
+			pause:       490,
+			occurrences: 1,
+		},
+	}
+	Convey("Of two crashes, seen by two processes", t, func() {
+		for _, c := range cases {
+			Convey(fmt.Sprintf("%s: %d occurrences", c.name, c.occurrences), func() {
+				first, other, third := mgquarantine.New("first", nil), mgquarantine.New("other", nil), mgquarantine.New("third", nil)
+				first.Crashed(0, mgquarantine.Crash{
+					Digest:   digestOf("bad"),
+					Upstream: "a",
+					Begun:    true,
+					Sent:     -100,
+				})
+				told := first.Lacking(0, nil)
+				c.second.Digest, c.second.Begun = digestOf("bad"), true
+				if c.known == 0 {
+					c.known = 150
+				}
+				if c.known < 500 {
+					other.Take(c.known, told)
+				}
+				if c.pause > 0 {
+					other.Paused(c.pause)
+				}
+				other.Crashed(500, c.second)
+				if c.known >= 500 {
+					other.Take(c.known, told)
+				}
+				for _, q := range []*mgquarantine.Quarantine{first, third} {
+					So(q.Take(5*sec, other.Lacking(600, nil)), ShouldBeEmpty)
+				}
+				So(other.Occurrences(digestOf("bad")), ShouldEqual, c.occurrences)
+				So(first.Occurrences(digestOf("bad")), ShouldEqual, c.occurrences)
+				So(third.Occurrences(digestOf("bad")), ShouldEqual, c.occurrences)
+			})
+		}
+	})
+}
+
+// A copy of a note that came on a faster way must tell what the first one couldn't.
+func TestFasterCopyTellsOrder(t *testing.T) {
+	Convey("A second crash that was sent before the word of the first came", t, func() {
+		first, other, third := mgquarantine.New("first", nil), mgquarantine.New("other", nil), mgquarantine.New("third", nil)
+		take(first, []seen{{
+			request:  "bad",
+			upstream: "a",
+			sent:     -100,
+		}})
+		take(other, []seen{{
+			at:       400,
+			request:  "bad",
+			upstream: "b",
+			sent:     300,
+		}})
+		other.Take(790, first.Lacking(400, nil)) // 390 ms on its way
+		So(other.Occurrences(digestOf("bad")), ShouldEqual, 1)
+		So(len(third.Take(900, other.Lacking(800, nil))), ShouldEqual, 0)
+		So(third.Occurrences(digestOf("bad")), ShouldEqual, 1)
+
+		other.Take(1000, first.Lacking(800, nil)) // 200 ms
+		So(other.Occurrences(digestOf("bad")), ShouldEqual, 2)
+		So(third.Take(1300, other.Lacking(1000, third.Sums())), ShouldBeEmpty)
+		So(third.Occurrences(digestOf("bad")), ShouldEqual, 2)
+	})
+}
+
+// Upstreams that end together must count once at every process, whatever the ways and the
+// clocks of those that saw it.
+func TestMomentsNeverSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const count = 4
+		moments := rapid.IntRange(1, 3).Draw(t, "moments")
+		way := rapid.Int64Range(0, rapid.SampledFrom([]int64{3, 200, 400, 1500}).Draw(t, "slowest"))
+		var all [count]*mgquarantine.Quarantine
+		var offset [count]mgclock.Millis // of each process's clock
+		for i := range all {
+			all[i] = mgquarantine.New(strconv.Itoa(i), nil)
+			offset[i] = mgclock.Millis(rapid.Int64Range(0, 100000).Draw(t, "offset"))
+		}
+		now := mgclock.Millis(10000)
+		exchange := func(times int) {
+			for range times {
+				from, to := rapid.IntRange(0, count-1).Draw(t, "from"), rapid.IntRange(0, count-1).Draw(t, "to")
+				if from == to {
+					continue
+				}
+				told := all[from].Lacking(now+offset[from], nil)
+				now += mgclock.Millis(way.Draw(t, "way"))
+				all[to].Take(now+offset[to], told)
+			}
+		}
+		for moment := range moments {
+			for i := range count {
+				if !rapid.Bool().Draw(t, "sees") {
+					continue
+				}
+				at := now + offset[i]
+				all[i].Crashed(at, mgquarantine.Crash{
+					Digest:   digestOf("sound"),
+					Upstream: fmt.Sprintf("engine-%d-%d", moment, rapid.IntRange(0, 3).Draw(t, "engine")),
+					Begun:    true,
+					Sent:     at - 1 - mgclock.Millis(rapid.Int64Range(0, 2000).Draw(t, "age")),
+				})
+			}
+			exchange(rapid.IntRange(0, 12).Draw(t, "exchanges"))
+			if rapid.Bool().Draw(t, "stands still") {
+				i := rapid.IntRange(0, count-1).Draw(t, "which")
+				now += 5 * sec
+				offset[i] -= 5 * sec
+				all[i].Paused(now + offset[i])
+			}
+			now += 6 * sec
+		}
+		exchange(20)
+		for i, q := range all {
+			if q.Occurrences(digestOf("sound")) > moments {
+				t.Fatalf("process %d counts %d occurrences of %d moments", i, q.Occurrences(digestOf("sound")), moments)
+			}
+		}
+	})
+}
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -22,6 +22,9 @@
 	trialSpan = 5 * mgclock.Second
 	// newsSpan is how long a note is told on after it was learned.
 	newsSpan = 600 * mgclock.Millis(1)
+	// newsGain is by how much a note's time must come down to be news again: other copies of
+	// it came on slower ways.
+	newsGain = 20 * mgclock.Millis(1)
 )
 
 // A Quarantine holds what this process knows of requests that crash upstreams. The zero
@@ -29,11 +32,13 @@
 type Quarantine struct {
 	origin string
 	first  func(Digest) bool // see New
+	check  func()            // see Watch
 	state  atomic.Pointer[state]
 
 	mu      sync.Mutex
 	number  uint64
-	offsets map[string]mgclock.Millis // of this process's clock, by origin
+	offsets map[string]mgclock.Millis // of this process's clock at most, by origin
+	paused  mgclock.Millis            // when the process last went on after a pause, 0 for never
 	notes   map[id]stored
 	trials  map[Digest]mgclock.Millis // until when a request's trial here is waited for
 	changed chan struct{}             // closed when there are fresh notes
@@ -74,15 +79,20 @@
 	Upstream string
 	Begun    bool           // the upstream had begun the request
 	Sent     mgclock.Millis // when the attempt was sent
+	Delay    mgclock.Millis // how long before it was seen the end may have come
 }
 
-// Crashed takes a crash.
+// Crashed takes a crash that was seen at a time.
 func (q *Quarantine) Crashed(now mgclock.Millis, c Crash) {
+	if q.check != nil {
+		q.check()
+	}
 	q.add(now, c.Digest, Note{
 		Request:  c.Request,
 		Upstream: c.Upstream,
 		Begun:    c.Begun,
 		Sent:     c.Sent,
+		Delay:    c.Delay,
 	})
 }
 
@@ -164,6 +174,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	fresh := false
+	changed := map[Digest]bool{}
 	for _, note := range notes {
 		if refusal := note.check(); refusal != nil {
 			refused = append(refused, refusal)
@@ -178,12 +189,29 @@
 			digest:  digest,
 			learned: now,
 		}
-		if _, known := q.notes[s.name()]; known {
+		known, is := q.notes[s.name()]
+		if is && known.note.Origin == q.origin {
 			continue
 		}
 		s.at = q.when(now, note)
+		if is {
+			if s.at < known.at {
+				if known.at-s.at >= newsGain {
+					known.learned = now
+					fresh = true
+				}
+				known.at = s.at
+				q.put(known)
+				changed[digest] = true
+			}
+			continue
+		}
 		q.put(s)
 		fresh = true
+		changed[digest] = true
+	}
+	for digest := range changed {
+		fresh = q.restate(now, digest) || fresh
 	}
 	if fresh {
 		q.settle(now)
@@ -191,43 +219,62 @@
 	return refused
 }
 
-// clockSlack is how far a note's age may differ from what its origin's clock tells: the
-// ways of two notes differ by less, and a clock that stood still by more.
+// clockSlack is how far the offset of an origin's clock may differ between two of its
+// notes. A clock that stood still meanwhile makes it differ by more.
 const clockSlack = 500 * mgclock.Millis(1)
 
-// when returns when a note was seen, by this process's clock. Notes of one origin keep
-// their order, whichever ways they came.
+// when returns when a note was seen at the latest, by this process's clock: its age leaves
+// out what it took on its way. Notes of one origin keep their order and distance,
+// whichever ways they came, by the least offset that any of them shows.
 func (q *Quarantine) when(now mgclock.Millis, note Note) mgclock.Millis {
-	at := now - note.Age
+	fresh := now - note.Age - note.Seen
 	offset, known := q.offsets[note.Origin]
-	if drift := at - note.Seen - offset; !known || drift > clockSlack || drift < -clockSlack {
-		if q.offsets == nil || len(q.offsets) >= most {
-			q.offsets = map[string]mgclock.Millis{}
+	if drift := fresh - offset; known && drift >= 0 && drift <= clockSlack {
+		return note.Seen + offset
+	}
+	if q.offsets == nil || len(q.offsets) >= most {
+		q.offsets = map[string]mgclock.Millis{}
+	}
+	q.offsets[note.Origin] = fresh
+	if known && fresh < offset && offset-fresh <= clockSlack {
+		for name, s := range q.notes {
+			if name.origin == note.Origin && s.at == s.note.Seen+offset {
+				s.at = s.note.Seen + fresh
+				q.notes[name] = s
+			}
 		}
-		offset = at - note.Seen
-		q.offsets[note.Origin] = offset
 	}
-	return note.Seen + offset
+	return note.Seen + fresh
 }
 
 // add makes a note of this process's own.
 func (q *Quarantine) add(now mgclock.Millis, digest Digest, note Note) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.number++
-	note.Origin = q.origin
-	note.Number = q.number
 	note.Digest = digest.String()
 	note.Seen = now
-	q.put(stored{
+	if note.Upstream != "" && q.pausedSince(note.Sent) {
+		note.Delay = max(note.Delay, note.Seen-note.Sent)
+	}
+	own := stored{
 		note:    note,
 		digest:  digest,
 		at:      now,
 		learned: now,
-	})
+	}
+	own.note.After = q.earlier(own, nil)
+	q.putOwn(own)
 	q.settle(now)
 }
 
+// putOwn numbers and keeps a note of this process's own.
+func (q *Quarantine) putOwn(s stored) {
+	q.number++
+	s.note.Origin = q.origin
+	s.note.Number = q.number
+	q.put(s)
+}
+
 func (q *Quarantine) put(s stored) {
 	if q.notes == nil {
 		q.notes = map[id]stored{}
@@ -252,7 +299,7 @@
 	}
 	for name, s := range q.notes {
 		retain := s.at + evidenceLife
-		if s.note.Upstream != "" {
+		if s.crashed() {
 			retain = max(retain, next.verdicts[s.digest].retain)
 		}
 		if now >= retain {
@@ -275,21 +322,34 @@
 	q.state.Store(next)
 }
 
-// evidence returns the notes that an answer hasn't voided, sorted by time.
+// evidence returns the notes that an answer hasn't voided, one for each attempt, sorted by
+// time.
 func (q *Quarantine) evidence() []stored {
 	sound := map[Digest]mgclock.Millis{}
 	for _, s := range q.notes {
-		if s.note.Upstream == "" {
+		if !s.crashed() {
 			if at, known := sound[s.digest]; !known || s.at > at {
 				sound[s.digest] = s.at
 			}
 		}
 	}
-	var notes []stored
+	attempts := map[id]stored{}
 	for _, s := range q.notes {
-		if at, answered := sound[s.digest]; s.note.Upstream != "" && (!answered || s.at > at) {
-			notes = append(notes, s)
+		if at, answered := sound[s.digest]; !s.crashed() || answered && s.at <= at {
+			continue
 		}
+		if merged, known := attempts[s.base()]; known {
+			s.note.After = slices.Concat(merged.note.After, s.note.After)
+			s.at = min(merged.at, s.at)
+			s.learned = min(merged.learned, s.learned)
+		}
+		s.note.Number = s.base().number
+		s.note.Of = 0
+		attempts[s.name()] = s
+	}
+	notes := make([]stored, 0, len(attempts))
+	for _, s := range attempts {
+		notes = append(notes, s)
 	}
 	byTime(notes)
 	return notes
@@ -305,7 +365,7 @@
 		names = append(names, name)
 	}
 	rank := func(name id) int {
-		if s := q.notes[name]; s.note.Upstream != "" && next.verdicts[s.digest].held {
+		if s := q.notes[name]; s.crashed() && next.verdicts[s.digest].held {
 			return 1
 		}
 		return 0
@@ -355,6 +415,21 @@
 	return notes
 }
 
+// Refine returns those of another process's notes that are known here to be older than it
+// tells by newsGain at least, so that it can place them better.
+func (q *Quarantine) Refine(now mgclock.Millis, told []Note) []Note {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var older []Note
+	for _, note := range told {
+		s, known := q.notes[note.name()]
+		if known && now-s.at >= note.Age+newsGain {
+			older = append(older, s.told(now))
+		}
+	}
+	return older
+}
+
 // Sums returns checksums of which notes there are, or nil where there are none.
 func (q *Quarantine) Sums() Sums {
 	q.mu.Lock()
--- a/internal/request/mgquarantine/refusal.go
+++ b/internal/request/mgquarantine/refusal.go
@@ -34,6 +34,9 @@
 	case n.Age < 0:
 		refusal.Field = "age"
 		refusal.Value = strconv.FormatInt(int64(n.Age), 10)
+	case n.Delay < 0:
+		refusal.Field = "delay"
+		refusal.Value = strconv.FormatInt(int64(n.Delay), 10)
 	default:
 		return nil
 	}
