mgloopback: a loopback address that was handed out can't be taken before it is used

Provoked, before any change: (1) freePorts, which releases each port before it draws the next, named one port twice in 47 of 100,000 draws of three; a play has up to 35 entries. (2) Two plays of the package at once use the same IPs and one fixed port: the second failed at once ("can't listen on 127.77.0.2:7210 ... address already in use"), and the first lost its entries' ports. Which of the two it was can't be told any more; both need nothing but the harness.

Elsewhere: mgproc.FreeAddrs and mgstandin.FreeAddress had the same fault (ports by the process's id, modulo 180, over overlapping ranges).

Change: mgloopback reserves IPs of 127.80.0.0/16 for a process, held by a listener until it ends; ports on them are its own.

--- a/internal/soak/mgproc/process.go
+++ b/internal/soak/mgproc/process.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"sync"
 	"syscall"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgloopback"
 )
 
 // A Process is one process of a binary.
@@ -119,43 +120,15 @@
 	return string(t.data)
 }
 
-// The ports of the processes are below those that the kernel gives to outgoing
-// connections: one of these would otherwise take a port while the process that
-// was to have it starts or is replaced.
-const (
-	firstPort = 12000
-	lastPort  = 30000
-)
-
-// ports is where the search for a free port goes on. It begins at a place of this
-// process's own.
-var ports = struct {
-	sync.Mutex
-	next int
-}{
-	next: firstPort + os.Getpid()*100%(lastPort-firstPort),
-}
-
-// FreeAddrs returns addresses on which nothing listens now, each once.
+// FreeAddrs returns addresses that nobody else is given.
 func FreeAddrs(n int) ([]string, error) {
-	ports.Lock()
-	defer ports.Unlock()
-	var addrs []string
-	for tries := 0; len(addrs) < n; tries++ {
-		if tries > lastPort-firstPort {
-			return nil, fmt.Errorf("ports %d to %d: none is free on loopback: end what listens there", firstPort, lastPort)
-		}
-		ports.next++
-		if ports.next > lastPort {
-			ports.next = firstPort
-		}
-		addr := fmt.Sprintf("127.0.0.1:%d", ports.next)
-		l, err := net.Listen("tcp", addr)
+	addrs := make([]string, n)
+	for i := range addrs {
+		addr, err := mgloopback.Addr()
 		if err != nil {
-			continue
+			return nil, err
 		}
-		_ = l.Close()
-		addrs = append(addrs, addr)
+		addrs[i] = addr
 	}
 	return addrs, nil
 }
--- a/internal/standin/mgdemo/deployment.go
+++ b/internal/standin/mgdemo/deployment.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgnode"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgloopback"
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -180,11 +181,11 @@
 
 // common returns the settings that every process of the demo has.
 func (d *Deployment) common(name string, i int) (mgsettings.Process, error) {
-	peer, err := mgstandin.FreeAddress()
+	peer, err := mgloopback.Addr()
 	if err != nil {
 		return mgsettings.Process{}, err
 	}
-	admin, err := mgstandin.FreeAddress()
+	admin, err := mgloopback.Addr()
 	if err != nil {
 		return mgsettings.Process{}, err
 	}
@@ -240,7 +241,7 @@
 		if err != nil {
 			return err
 		}
-		listen, err := mgstandin.FreeAddress()
+		listen, err := mgloopback.Addr()
 		if err != nil {
 			return err
 		}
