--- a/internal/connection/mglistener/listener.go
+++ b/internal/connection/mglistener/listener.go
@@ -87,6 +87,9 @@
 // acceptNow accepts one connection from a listening socket that doesn't block.
 func acceptNow(fd uintptr) (net.Conn, error) {
 	accepted, err := acceptSocket(int(fd))
+	for errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
+		accepted, err = acceptSocket(int(fd))
+	}
 	if err != nil {
 		return nil, os.NewSyscallError("accept", err)
 	}
--- a/internal/request/mgquarantine/order.go
+++ b/internal/request/mgquarantine/order.go
@@ -12,6 +12,9 @@
 	afterMost = 8
 	// restateMost bounds how many times a process says more of one attempt.
 	restateMost = 4
+	// clockSlack is how far the offset of an origin's clock may differ between two of its
+	// notes. A clock that stood still meanwhile makes it differ by more.
+	clockSlack = 500 * mgclock.Millis(1)
 )
 
 // Watch sets what looks for a pause of the process, and calls Paused where there was one,
@@ -30,6 +33,30 @@
 // pausedSince reports whether the process paused after a time.
 func (q *Quarantine) pausedSince(at mgclock.Millis) bool { return q.paused > 0 && at <= q.paused }
 
+// when returns when a note was seen at the latest, by this process's clock: its age leaves
+// out what it took on its way. Notes of one origin keep their order and distance,
+// whichever ways they came, by the least offset that any of them shows.
+func (q *Quarantine) when(now mgclock.Millis, note Note) mgclock.Millis {
+	fresh := now - note.Age - note.Seen
+	offset, known := q.offsets[note.Origin]
+	if drift := fresh - offset; known && drift >= 0 && drift <= clockSlack {
+		return note.Seen + offset
+	}
+	if q.offsets == nil || len(q.offsets) >= most {
+		q.offsets = map[string]mgclock.Millis{}
+	}
+	q.offsets[note.Origin] = fresh
+	if known && fresh < offset && offset-fresh <= clockSlack {
+		for name, s := range q.notes {
+			if name.origin == note.Origin && s.at == s.note.Seen+offset {
+				s.at = s.note.Seen + fresh
+				q.notes[name] = s
+			}
+		}
+	}
+	return note.Seen + fresh
+}
+
 // earlier returns the notes of other processes which an own note proves to be of earlier
 // occurrences, without those that are known to be, the latest ones first.
 func (q *Quarantine) earlier(own stored, known []Reference) []Reference {
--- /dev/null
+++ b/internal/request/mgquarantine/verdict.go
@@ -0,0 +1,54 @@
+package mgquarantine
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A Verdict is what is held against a request.
+type Verdict struct {
+	digest      Digest
+	occurrences int
+	left        mgclock.Millis
+	evidence    []Note
+}
+
+// Digest returns the request's digest.
+func (v Verdict) Digest() Digest { return v.digest }
+
+// Occurrences returns how many times upstreams have ended under the request.
+func (v Verdict) Occurrences() int { return v.occurrences }
+
+// Left returns how long the request is still held, 0 where it isn't.
+func (v Verdict) Left() mgclock.Millis { return v.left }
+
+// Evidence returns the notes of the crashes, the newest first.
+func (v Verdict) Evidence() []Note { return v.evidence }
+
+// Verdicts returns what is held against all requests, by digest.
+func (q *Quarantine) Verdicts(now mgclock.Millis) []Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	current := q.state.Load()
+	if current == nil {
+		return nil
+	}
+	notes := map[Digest][]Note{}
+	for _, s := range q.evidence() {
+		notes[s.digest] = append(notes[s.digest], s.told(now))
+	}
+	verdicts := make([]Verdict, 0, len(current.verdicts))
+	for digest, found := range current.verdicts {
+		slices.Reverse(notes[digest])
+		verdicts = append(verdicts, Verdict{
+			digest:      digest,
+			occurrences: found.occurrences,
+			left:        found.left(now),
+			evidence:    notes[digest],
+		})
+	}
+	slices.SortFunc(verdicts, func(a, b Verdict) int { return cmp.Compare(a.digest.String(), b.digest.String()) })
+	return verdicts
+}
