mgnode: a closing listener counts its unanswered requests by connection

Seen: one of 30 stops' lines had "unanswered":-1. A request read just before the listener began to close, and handled just after, counted as handled and not as read; it could as well have hidden a lost one.

Change: what was read is marked at its connection, and only that counts as handled. TestUnansweredCountsRequests fails before (0 for 1). Only the line's figure differs.

--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -14,45 +14,73 @@
 // of them. The zero value is ready for use.
 type connections struct {
 	mu      sync.Mutex
-	states  map[net.Conn]http.ConnState
+	open    map[net.Conn]*connection
 	closing bool
 	read    int // requests whose header was read while the listener closed
 	handled int // of these, those that a handler got
 }
 
+// connection is what is known of one.
+type connection struct {
+	state   http.ConnState
+	pending bool // a request counts as read and hasn't reached a handler
+}
+
+// connectionKey is the key of a connection in the contexts of its requests.
+type connectionKey struct{}
+
+// context adds a new connection to its requests' contexts, as the hook of http.Server.
+func (c *connections) context(ctx context.Context, conn net.Conn) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return context.WithValue(ctx, connectionKey{}, c.of(conn))
+}
+
+// of returns what is known of a connection. It is called with mu held.
+func (c *connections) of(conn net.Conn) *connection {
+	if c.open == nil {
+		c.open = map[net.Conn]*connection{}
+	}
+	if c.open[conn] == nil {
+		c.open[conn] = &connection{}
+	}
+	return c.open[conn]
+}
+
 // note takes a connection's new state, as the hook of http.Server.
 func (c *connections) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.states == nil {
-		c.states = map[net.Conn]http.ConnState{}
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.open, conn)
+		return
 	}
+	known := c.of(conn)
+	known.state = state
 	if c.closing && state == http.StateActive {
 		c.read++
+		known.pending = true
 	}
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.states, conn)
-		return
-	}
-	c.states[conn] = state
 }
 
 // handle passes requests on to next. While the listener closes it counts them, and each
 // is the last of its connection.
 func (c *connections) handle(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c.last() {
+		known, _ := r.Context().Value(connectionKey{}).(*connection)
+		if c.last(known) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// last reports whether the listener closes, and counts the request then.
-func (c *connections) last() bool {
+// last reports whether the listener closes, and counts a connection's request then.
+func (c *connections) last(known *connection) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if known != nil && known.pending {
+		known.pending = false
 		c.handled++
 	}
 	return c.closing
@@ -73,14 +101,14 @@
 func (c *connections) expireIdle() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, state := range c.states {
-		if state == http.StateIdle {
+	for conn, known := range c.open {
+		if known.state == http.StateIdle {
 			// A read deadline ends a connection only if it brings no request; Close could
 			// meet one that has been read and not been noted yet.
 			_ = conn.SetReadDeadline(time.Now())
 		}
 	}
-	return len(c.states)
+	return len(c.open)
 }
 
 // close begins to count.
@@ -106,8 +134,8 @@
 		read:       c.read,
 		unanswered: c.read - c.handled,
 	}
-	for _, state := range c.states {
-		switch state {
+	for _, known := range c.open {
+		switch known.state {
 		case http.StateNew:
 			e.unused++
 		case http.StateActive:
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -63,6 +63,7 @@
 	server := &http.Server{
 		Handler:           conns.handle(spec.Handler),
 		ConnState:         conns.note,
+		ConnContext:       conns.context,
 		MaxHeaderBytes:    spec.Head,
 		ReadHeaderTimeout: spec.Slow.Duration(),
 		IdleTimeout:       idleSlow.Duration(),
--- a/internal/process/mgnode/serve_test.go
+++ b/internal/process/mgnode/serve_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -96,6 +97,34 @@
 	})
 }
 
+// A request that was read before a listener closes must not make up for one that is lost.
+func TestUnansweredCountsRequests(t *testing.T) {
+	Convey("Of two connections, one read before the listener closes and one after", t, func() {
+		var conns connections
+		early, late := &net.TCPConn{}, &net.TCPConn{}
+		contexts := map[net.Conn]context.Context{}
+		for _, conn := range []net.Conn{early, late} {
+			conns.note(conn, http.StateNew)
+			contexts[conn] = conns.context(context.Background(), conn)
+		}
+		handler := conns.handle(http.NotFoundHandler())
+		answer := func(conn net.Conn) {
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil).WithContext(contexts[conn]))
+		}
+		conns.note(early, http.StateActive)
+		conns.close()
+		conns.note(late, http.StateActive)
+		answer(early)
+		So(conns.ending(), ShouldResemble, ending{
+			read:       1,
+			unanswered: 1,
+			cut:        2,
+		})
+		answer(late)
+		So(conns.ending().unanswered, ShouldEqual, 0)
+	})
+}
+
 // Callers that come without pause while an entry stops are answered or refused.
 func TestStopLosesNothing(t *testing.T) {
 	Convey("Callers with kept and with new connections while a listener stops", t, func() {
