--- /dev/null
+++ b/internal/request/mgquarantine/bench_test.go
@@ -0,0 +1,44 @@
+package mgquarantine_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// BenchmarkCrashed measures one more crash of a request by the number of crashes that are
+// known of it, each seen by eight processes.
+func BenchmarkCrashed(b *testing.B) {
+	for _, count := range []int{1, 8, 32, 128} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			q := mgquarantine.New("life", nil)
+			for i := range count {
+				at := mgclock.Millis(1000 * (i + 1))
+				for origin := range 8 {
+					other := mgquarantine.New(fmt.Sprint("origin-", origin, "-", i), nil)
+					take(other, []seen{{
+						at:       at,
+						request:  "bad",
+						upstream: fmt.Sprint("engine-", i),
+						sent:     at - 500,
+					}})
+					q.Take(at, other.Lacking(at, nil))
+				}
+			}
+			now := mgclock.Millis(1000 * (count + 1))
+			b.ResetTimer()
+			for range b.N {
+				now += 10
+				q.Crashed(now, mgquarantine.Crash{
+					Digest:   digestOf("bad"),
+					Upstream: "engine",
+					Begun:    true,
+					Sent:     now - 500,
+				})
+			}
+		})
+	}
+}
--- a/internal/request/mgquarantine/judge.go
+++ b/internal/request/mgquarantine/judge.go
@@ -40,18 +40,6 @@
 // suspects reports whether a note's request is among the likeliest.
 func (c *crash) suspects(s stored) bool { return s.note.Begun == c.begun }
 
-// after reports whether a crash is a later occurrence for a request than another.
-func (c *crash) after(earlier *crash, digest Digest) bool {
-	for _, s := range c.notes {
-		for _, before := range earlier.notes {
-			if s.digest == digest && before.digest == digest && s.after(before) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // has reports whether a request was about to begin or had just begun.
 func (c *crash) has(digest Digest) bool {
 	return slices.ContainsFunc(c.notes, func(s stored) bool { return s.digest == digest })
@@ -134,6 +122,7 @@
 // request than the one before. The times of notes order them only roughly: a note may have
 // come on a slow way.
 func longestChain(digest Digest, crashes []*crash) []*crash {
+	earlier := earlierCrashes(digest, crashes)
 	chains := make([][]*crash, len(crashes)) // the longest one that ends with each crash
 	var chainTo func(i int) []*crash
 	chainTo = func(i int) []*crash {
@@ -142,10 +131,7 @@
 		}
 		chains[i] = crashes[i : i+1 : i+1] // ends the search where notes contradict each other
 		var longest []*crash
-		for j, earlier := range crashes {
-			if j == i || !crashes[i].after(earlier, digest) {
-				continue
-			}
+		for _, j := range earlier[i] {
 			if chain := chainTo(j); len(chain) > len(longest) {
 				longest = chain
 			}
@@ -162,6 +148,50 @@
 	return longest
 }
 
+// earlierCrashes returns, for each crash of a request, which of them are earlier
+// occurrences, in their order. A note is compared with those of its process and with those
+// that it names.
+func earlierCrashes(digest Digest, crashes []*crash) [][]int {
+	type place struct {
+		note  stored
+		crash int
+	}
+	named := map[Reference]int{}
+	process := map[string][]place{}
+	for i, c := range crashes {
+		for _, s := range c.notes {
+			if s.digest == digest {
+				named[s.reference()] = i
+				process[s.note.Origin] = append(process[s.note.Origin], place{
+					note:  s,
+					crash: i,
+				})
+			}
+		}
+	}
+	earlier := make([][]int, len(crashes))
+	for i, c := range crashes {
+		for _, s := range c.notes {
+			if s.digest != digest {
+				continue
+			}
+			for _, other := range process[s.note.Origin] {
+				if other.crash != i && s.after(other.note) {
+					earlier[i] = append(earlier[i], other.crash)
+				}
+			}
+			for _, name := range s.note.After {
+				if at, known := named[name]; known && at != i {
+					earlier[i] = append(earlier[i], at)
+				}
+			}
+		}
+		slices.Sort(earlier[i])
+		earlier[i] = slices.Compact(earlier[i])
+	}
+	return earlier
+}
+
 // mostSeen returns the request with the most occurrences. Of equals it returns the one
 // that all processes agree on.
 func mostSeen(seen map[Digest][]*crash) (worst Digest, found bool) {
--- a/internal/request/mgquarantine/order.go
+++ b/internal/request/mgquarantine/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -10,8 +11,10 @@
 const (
 	// afterMost bounds how many notes of other processes one note names as earlier.
 	afterMost = 8
-	// restateMost bounds how many times a process says more of one attempt.
-	restateMost = 4
+	// restateMost bounds how many times a process says more of one attempt, and
+	// attemptsMost the attempts of one request of which it does, the latest ones.
+	restateMost  = 4
+	attemptsMost = 8
 	// clockSlack is how far the offset of an origin's clock may differ between two of its
 	// notes. A clock that stood still meanwhile makes it differ by more.
 	clockSlack = 500 * mgclock.Millis(1)
@@ -90,8 +93,10 @@
 			own[s.base().number] = append(own[s.base().number], s)
 		}
 	}
+	numbers := slices.Sorted(maps.Keys(own))
 	fresh := false
-	for _, said := range own {
+	for _, number := range numbers[max(len(numbers)-attemptsMost, 0):] {
+		said := own[number]
 		if len(said) > restateMost {
 			continue
 		}
