--- a/internal/request/mgquarantine/order_test.go
+++ b/internal/request/mgquarantine/order_test.go
@@ -12,8 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// Crashes that several processes saw must count at each of them as at the one that can tell
-// their order.
+// Crashes that several processes saw must count the same at each of them.
 func TestOrderAcrossProcesses(t *testing.T) {
 	// The first crash is seen at 0 by one process, and known to the other at 150. The other
 	// sees the second one at 500.
@@ -156,8 +155,7 @@
 	})
 }
 
-// Upstreams that end together must count once at every process, whatever the ways and the
-// clocks of those that saw it.
+// Upstreams that end together must count once at every process, whatever the ways and clocks.
 func TestMomentsNeverSplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const count = 4
--- /dev/null
+++ b/internal/soak/mgsoak/stop_test.go
@@ -0,0 +1,32 @@
+package mgsoak
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A report that fails beside nothing but a planned stop must be a finding, however it fails.
+func TestFailureBesidePlannedStop(t *testing.T) {
+	Convey("A report that failed beside a planned stop", t, func() {
+		for _, err := range []error{errors.New("unconfirmed: EOF"), errors.New("connection reset by peer")} {
+			r := &run{
+				spans: []span{{
+					fault: Fault{
+						Kind:   StopProcess,
+						Target: "entry-1",
+					},
+					end: 100,
+				}},
+			}
+			r.evidence.reports = []report{{
+				prompt: "report",
+				err:    err,
+			}}
+			found := r.causeless()
+			So(len(found), ShouldEqual, 1)
+			So(found[0].Promise, ShouldEqual, nothingCut)
+		}
+	})
+}
