mgnode: a closing listener logs the idle connections it ended

A stop that loses requests on kept connections left no trace: 'listener closed' counts requests that were read, and a connection that was ended as idle had read none. The line now has the number of these connections (idle) and the shortest time for which one of them was idle (silence, ms).

No behaviour changes. It separates the hypotheses for TestStopDropsRequests: requests lost in the accept queue or in handlers leave idle at 0; requests lost on connections that were ended as idle come with a silence of the order of the settling time.

--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -16,14 +16,18 @@
 	mu           sync.Mutex
 	open         map[net.Conn]*trackedConn
 	closing      bool
-	readCount    int // requests read while the listener was closing
-	handledCount int // of these, those that reached a handler
+	readCount    int            // requests read while the listener was closing
+	handledCount int            // of these, those that reached a handler
+	idleCount    int            // connections that the close has ended because they were idle
+	minSilence   mgclock.Millis // the shortest time for which one of these was idle
 }
 
 // trackedConn is the state of one connection.
 type trackedConn struct {
-	state   http.ConnState
-	pending bool // a counted request has not reached a handler yet
+	state     http.ConnState
+	pending   bool           // a counted request has not reached a handler yet
+	idleSince mgclock.Millis // when the connection last became idle
+	idleEnded bool           // the close has ended it because it was idle
 }
 
 // connKey is the context key under which a request finds the trackedConn of its connection.
@@ -59,6 +63,9 @@
 	}
 	tracked := c.trackedOf(conn)
 	tracked.state = state
+	if state == http.StateIdle {
+		tracked.idleSince = mgclock.Clock{}.Now()
+	}
 	if c.closing && state == http.StateActive {
 		c.readCount++
 		tracked.pending = true
@@ -105,8 +112,10 @@
 func (c *connTracker) endIdleAndCountOpen() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := mgclock.Clock{}.Now()
 	for conn, tracked := range c.open {
 		if tracked.state == http.StateIdle {
+			c.countIdleEnd(tracked, now)
 			// A read deadline ends a connection only if no request arrives on it. Close
 			// could hit one whose request was read and whose state change is not
 			// recorded yet.
@@ -116,6 +125,20 @@
 	return len(c.open)
 }
 
+// countIdleEnd counts a connection that the close ends because it is idle. It is called with
+// mu held.
+func (c *connTracker) countIdleEnd(tracked *trackedConn, now mgclock.Millis) {
+	if tracked.idleEnded {
+		return
+	}
+	tracked.idleEnded = true
+	silence := now - tracked.idleSince
+	if c.idleCount == 0 || silence < c.minSilence {
+		c.minSilence = silence
+	}
+	c.idleCount++
+}
+
 // beginClose marks the listener as closing, from which on requests are counted.
 func (c *connTracker) beginClose() {
 	c.mu.Lock()
@@ -126,10 +149,12 @@
 // closeStats counts a listener's requests and connections as it closes.
 // A request can be both unanswered and aborted.
 type closeStats struct {
-	read       int // requests read while it was closing
-	unanswered int // of these, those that reached no handler, so that their connection was closed without a response
-	unused     int // connections closed before their first request
-	aborted    int // requests interrupted by the close, one for each active connection
+	read       int            // requests read while it was closing
+	unanswered int            // of these, those that reached no handler, so that their connection was closed without a response
+	unused     int            // connections closed before their first request
+	aborted    int            // requests interrupted by the close, one for each active connection
+	idle       int            // connections that were ended because they were idle
+	minSilence mgclock.Millis // the shortest time for which one of the idle connections was idle
 }
 
 // statsAtClose returns the counts for a listener whose open connections are all closed now.
@@ -139,6 +164,8 @@
 	stats := closeStats{
 		read:       c.readCount,
 		unanswered: c.readCount - c.handledCount,
+		idle:       c.idleCount,
+		minSilence: c.minSilence,
 	}
 	for _, tracked := range c.open {
 		switch tracked.state {
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -97,7 +97,8 @@
 	// after Shutdown has begun, without a response.
 	conns.drain(killed, linger)
 	stats := conns.statsAtClose()
-	log.Info("listener closed", "read", stats.read, "unanswered", stats.unanswered, "unused", stats.unused, "cut", stats.aborted)
+	log.Info("listener closed", "read", stats.read, "unanswered", stats.unanswered, "unused", stats.unused, "cut", stats.aborted,
+		"idle", stats.idle, "silence", int64(stats.minSilence))
 	_ = server.Close()
 }
 
