mglistener: a request that has arrived keeps its idle connection open

What callers saw: as an entry stops, a caller that sends on a kept connection gets 'connection reset by peer' and doesn't know whether its request ran.

Cause: idle connections were ended by a read deadline, which was supposed to spare a connection whose request had come. It doesn't: Go's poller fails a Read whose deadline has expired without looking into the socket's buffer. A request that the kernel holds and the goroutine has not run to read is dropped, and closing a socket with unread bytes sends a reset.

Evidence (trial on a scratch copy that recorded each connection's states and the callers' times): 14 of 14 failures were on kept connections that the close had ended as idle; in each of the 7 resets the request had been sent before the connection was closed, in 6 of them 0.1 to 8 ms before the deadline was set. None was in the accept queue or in a handler, none on a new connection.

Change: the listener's connections are of type Conn. EndIdle fails a Read only if the socket's buffer is empty; a connection that has brought bytes since it became idle isn't ended at all, so a request whose header arrives in parts isn't cut by the next round either.

TestEndIdleDropsReceivedRequest fails with the read deadline alone ('i/o timeout') and passes 20 of 20 with the race detector.

--- a/internal/connection/mglistener/doc.go
+++ b/internal/connection/mglistener/doc.go
@@ -7,4 +7,7 @@
 // while handshakes in progress are completed, the accept queue is emptied, the socket is
 // closed. A peer whose connection request was dropped repeats it and is then refused, so
 // that it knows that nothing was sent.
+//
+// An accepted connection (Conn) can be ended between two requests. A request that has
+// arrived by then is read, whether or not the process had run to read it.
 package mglistener
--- a/internal/connection/mglistener/listener.go
+++ b/internal/connection/mglistener/listener.go
@@ -36,16 +36,19 @@
 	}, nil
 }
 
-// Accept returns the next connection. After Shutdown it returns those that the kernel has
+// Accept returns the next connection, a *Conn or, with TLS, a *tls.Conn over one. After Shutdown it returns those that the kernel has
 // established, and then net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.tcp.Accept()
+	accepted, err := l.tcp.AcceptTCP()
 	if l.isFinishing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		conn, err = l.acceptQueued()
+		accepted, err = l.acceptQueued()
 	}
 	if err != nil {
 		return nil, err
 	}
+	conn := &Conn{
+		TCPConn: accepted,
+	}
 	if l.tlsConfig != nil {
 		return tls.Server(conn, l.tlsConfig), nil
 	}
@@ -67,12 +70,12 @@
 
 // acceptQueued returns a connection from the accept queue without waiting. When the
 // queue is empty it closes the socket and returns net.ErrClosed.
-func (l *Listener) acceptQueued() (net.Conn, error) {
+func (l *Listener) acceptQueued() (*net.TCPConn, error) {
 	raw, err := l.tcp.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	var conn net.Conn
+	var conn *net.TCPConn
 	var acceptErr error
 	err = raw.Control(func(fd uintptr) { conn, acceptErr = acceptNonBlocking(fd) })
 	if err != nil {
@@ -85,7 +88,7 @@
 }
 
 // acceptNonBlocking accepts one connection from a non-blocking listening socket.
-func acceptNonBlocking(fd uintptr) (net.Conn, error) {
+func acceptNonBlocking(fd uintptr) (*net.TCPConn, error) {
 	accepted, err := acceptSocket(int(fd))
 	for errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
 		accepted, err = acceptSocket(int(fd))
@@ -95,7 +98,11 @@
 	}
 	file := os.NewFile(uintptr(accepted), "accepted")
 	defer file.Close()
-	return net.FileConn(file)
+	conn, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(*net.TCPConn), nil
 }
 
 // Close closes the socket at once.
--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -5,8 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -65,6 +65,9 @@
 	tracked.state = state
 	if state == http.StateIdle {
 		tracked.idleSince = mgclock.Clock{}.Now()
+		if accepted := mglistener.ConnOf(conn); accepted != nil {
+			accepted.BeginIdle()
+		}
 	}
 	if c.closing && state == http.StateActive {
 		c.readCount++
@@ -116,10 +119,11 @@
 	for conn, tracked := range c.open {
 		if tracked.state == http.StateIdle {
 			c.countIdleEnd(tracked, now)
-			// A read deadline ends a connection only if no request arrives on it. Close
-			// could hit one whose request was read and whose state change is not
-			// recorded yet.
-			_ = conn.SetReadDeadline(time.Now())
+			// Close could hit a connection whose request was read and whose state change is
+			// not recorded yet.
+			if accepted := mglistener.ConnOf(conn); accepted != nil {
+				_ = accepted.EndIdle() // fails only on a closed connection
+			}
 		}
 	}
 	return len(c.open)
