mglistener: an expired idle timeout doesn't drop a request that has arrived

A request that arrives as the two minutes of an idle connection end, before the goroutine has run to read it, was reset. What callers saw would be a reset without a stop; it was found by reading the places that close a connection, not by a failure.

Read now looks into the buffer after any expired deadline of a connection on which nothing has come since it became idle. Bodies and headers in progress keep their deadlines.

--- a/internal/connection/mglistener/conn.go
+++ b/internal/connection/mglistener/conn.go
@@ -51,11 +51,12 @@
 	return c.TCPConn.SetReadDeadline(time.Now())
 }
 
-// Read reads from the connection. After EndIdle it returns the bytes that have arrived, or
-// os.ErrDeadlineExceeded where there are none.
+// Read reads from the connection. If the connection is idle and its deadline has expired, by
+// EndIdle or otherwise, it returns the bytes that have arrived, or os.ErrDeadlineExceeded
+// where there are none.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.received.Load() {
 		// An expired deadline hides bytes that are in the socket's buffer. Closing the socket
 		// would discard them and reset the connection.
 		n, err = c.readBuffered(p, err)
@@ -68,12 +69,6 @@
 	return n, err
 }
 
-func (c *Conn) isEnding() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ending
-}
-
 // markReceived records that bytes were read, and withdraws an EndIdle.
 func (c *Conn) markReceived() error {
 	c.mu.Lock()
