mgnode: an idle connection stays open while its caller's next request may be on its way

What callers saw: as an entry stops, a request on a kept connection gets EOF.

Cause: idle connections were ended as soon as the listening socket was closed, 50 ms after the stop began, which is the time for handshakes in progress. A caller whose last response had not announced the end of its connection sends on it; if it waits 60 ms for a processor, its request comes after the close.

Change: a connection that is idle during the close stays open for half of the linger, from the begin of the close or from the end of its last response. A request that comes is answered, and the response ends the connection. The bounds of the linger (250 ms, 2 s at an entry within the drain's bound) are as before. HTTP/1.1 has no means to tell an idle connection from one whose request is on its way, so half of the time that a stop has for its last responses is for such requests and half for their responses.

--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -99,25 +99,30 @@
 	return c.closing
 }
 
-// drain ends idle connections, and waits until the other connections have had their last
-// responses. It returns after timeout, or when killed is canceled; see Serve.
+// drain waits until all connections have had their last responses, and ends those that stay
+// idle. It returns after timeout, or when killed is canceled; see Serve.
+//
+// A response that was sent before the close doesn't announce the end of its connection, so
+// the caller's next request may be on its way. An idle connection therefore stays open for
+// half of timeout; the other half is left for the responses.
 func (c *connTracker) drain(killed context.Context, timeout mgclock.Millis) {
 	var clock mgclock.Clock
-	for end := clock.Now() + timeout; c.endIdleAndCountOpen() > 0 && clock.Now() < end; {
+	begin := clock.Now()
+	for c.endIdleAndCountOpen(begin, timeout/2) > 0 && clock.Now() < begin+timeout {
 		if !clock.Sleep(killed, idlePollInterval) {
 			return
 		}
 	}
 }
 
-// endIdleAndCountOpen ends the idle connections, and returns how many connections are open
-// in any state.
-func (c *connTracker) endIdleAndCountOpen() int {
+// endIdleAndCountOpen ends the connections that have been idle for a period since begin, and
+// returns how many connections are open in any state.
+func (c *connTracker) endIdleAndCountOpen(begin, period mgclock.Millis) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := mgclock.Clock{}.Now()
 	for conn, tracked := range c.open {
-		if tracked.state == http.StateIdle {
+		if tracked.state == http.StateIdle && now >= max(begin, tracked.idleSince)+period {
 			c.countIdleEnd(tracked, now)
 			// Close could hit a connection whose request was read and whose state change is
 			// not recorded yet.
