mgquarantine: crashes of one millisecond are ordered one way

What callers saw: a request under which two upstreams ended within one millisecond was held for 30 s, as after three crashes: 503 without a try.

Cause: an attempt counted as sent after a crash if sent >= seen, in ms. Where both attempts are sent and seen in one ms, each is later than the other, and the longest chain visits one crash twice.

Change: an attempt keeps the number that this process's next record has when it is sent. Within one ms it is later than records with lower numbers, and than no others, so there are no cycles, and attempts in progress at the same time aren't ordered at all. A record without it, of an older release, goes by its own number.

TestOneMillisecondCountsMore fails in its five cases with the old comparison (3, 3, 4, 3, 3 occurrences for 2, 1, 2, 2, 2).

--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -30,12 +30,13 @@
 	digest := r.job.digest()
 	now := r.entry.spec.Clock.Now()
 	r.entry.spec.Quarantine.RecordCrash(now, mgquarantine.Crash{
-		Digest:   digest,
-		Request:  r.attempt.id,
-		Upstream: r.attempt.agent.Upstream(),
-		Begun:    true,
-		Sent:     r.attempt.sentAt,
-		Delay:    now - r.attempt.sentAt, // upper bound: the report does not say when the engine ended
+		Digest:     digest,
+		Request:    r.attempt.id,
+		Upstream:   r.attempt.agent.Upstream(),
+		Begun:      true,
+		Sent:       r.attempt.sentAt,
+		NextNumber: r.attempt.nextCrashNumber,
+		Delay:      now - r.attempt.sentAt, // upper bound: the report does not say when the engine ended
 	})
 	r.entry.spec.Metrics.Counter("crashed").Inc(1)
 	r.entry.spec.Log.Info("engine ended while it began a generation",
--- a/internal/process/mgentry/route.go
+++ b/internal/process/mgentry/route.go
@@ -21,6 +21,7 @@
 	offer           *mgrpc.Offer
 	generation      string
 	sentAt          mgclock.Millis
+	nextCrashNumber uint64 // of the quarantine, when the attempt was sent
 	priorMayHaveRun bool   // an earlier attempt may have run
 	release         func() // removes the attempt from the agent's in-flight count; idempotent
 }
@@ -213,11 +214,12 @@
 // is cancelled so that no generation runs without a reader.
 func (e *Entry) startAt(ctx context.Context, j *job, fleet *fleet, chosen probeResult) (attempt, *mgproblem.Problem) {
 	attempt := attempt{
-		id:      e.newAttemptID(),
-		sentAt:  e.spec.Clock.Now(),
-		agent:   chosen.agent,
-		offer:   chosen.offer,
-		release: fleet.trackRequest(chosen.index),
+		id:              e.newAttemptID(),
+		sentAt:          e.spec.Clock.Now(),
+		nextCrashNumber: e.spec.Quarantine.NextNumber(),
+		agent:           chosen.agent,
+		offer:           chosen.offer,
+		release:         fleet.trackRequest(chosen.index),
 	}
 	budget := j.firstTokenDeadline - e.spec.Clock.Now()
 	if budget <= 0 {
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -44,6 +44,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.sentAt = y.spec.Clock.Now()
+	x.nextCrashNumber = y.spec.Quarantine.NextNumber()
 	request := y.newRequest(ctx, x, host)
 	y.addResumeHeaders(x, request)
 	response, err := mgdial.Do(y.spec.Client, request)
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -69,11 +69,12 @@
 	// Only a stream shows whether the upstream had begun to work on the request. Any
 	// other answer begins only when it is complete, so Begun is assumed.
 	crash := mgquarantine.Crash{
-		Digest:   x.digest(),
-		Request:  x.id,
-		Upstream: host.Name,
-		Begun:    partial.headerReceived || x.call.Route.Kind() != mgtable.Stream,
-		Sent:     x.sentAt,
+		Digest:     x.digest(),
+		Request:    x.id,
+		Upstream:   host.Name,
+		Begun:      partial.headerReceived || x.call.Route.Kind() != mgtable.Stream,
+		Sent:       x.sentAt,
+		NextNumber: x.nextCrashNumber,
 	}
 	checked := make(chan struct{})
 	go func() {
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -32,6 +32,7 @@
 	control    *http.ResponseController
 
 	sentAt           mgclock.Millis // when the last attempt was sent
+	nextCrashNumber  uint64         // of the quarantine, when the last attempt was sent
 	pendingTokens    int            // prompt tokens that are counted as not yet read
 	tried            map[string]bool
 	attempts         int         // sends that may have reached an upstream
--- a/internal/request/mgquarantine/invalid.go
+++ b/internal/request/mgquarantine/invalid.go
@@ -37,6 +37,9 @@
 	case r.Delay < 0:
 		invalid.Field = "delay"
 		invalid.Value = strconv.FormatInt(int64(r.Delay), 10)
+	case r.NextNumber > r.Number:
+		invalid.Field = "next"
+		invalid.Value = strconv.FormatUint(r.NextNumber, 10)
 	default:
 		return nil
 	}
--- a/internal/request/mgquarantine/order_test.go
+++ b/internal/request/mgquarantine/order_test.go
@@ -212,3 +212,61 @@
 		}
 	})
 }
+
+// Crashes seen within one millisecond must count once each at most, and an attempt that was
+// sent before a crash was recorded must not count after it.
+func TestOneMillisecondCountsMore(t *testing.T) {
+	crash := func(upstream string, nextNumber uint64) mgquarantine.Crash {
+		return mgquarantine.Crash{
+			Digest:     digestOf("bad"),
+			Upstream:   upstream,
+			Begun:      true,
+			Sent:       10,
+			NextNumber: nextNumber,
+		}
+	}
+	cases := []struct {
+		name        string
+		crashes     []mgquarantine.Crash
+		occurrences int
+	}{
+		{
+			name:        "two, the second sent after the first was recorded",
+			crashes:     []mgquarantine.Crash{crash("a", 1), crash("b", 2)},
+			occurrences: 2,
+		},
+		{
+			name:        "two, both sent before any was recorded",
+			crashes:     []mgquarantine.Crash{crash("a", 1), crash("b", 1)},
+			occurrences: 1,
+		},
+		{
+			name:        "three, the last two sent after the first was recorded",
+			crashes:     []mgquarantine.Crash{crash("a", 1), crash("b", 2), crash("c", 2)},
+			occurrences: 2,
+		},
+		{
+			name:        "two of one upstream, the second sent after the first was recorded",
+			crashes:     []mgquarantine.Crash{crash("a", 1), crash("a", 2)},
+			occurrences: 2,
+		},
+		{
+			name:        "two of a release that doesn't say when they were sent",
+			crashes:     []mgquarantine.Crash{crash("a", 0), crash("b", 0)},
+			occurrences: 2,
+		},
+	}
+	Convey("Of crashes sent and seen within one millisecond", t, func() {
+		for _, c := range cases {
+			Convey(fmt.Sprintf("%s: %d occurrences", c.name, c.occurrences), func() {
+				own, other := mgquarantine.New("own", nil), mgquarantine.New("other", nil)
+				for _, crash := range c.crashes {
+					own.RecordCrash(10, crash)
+				}
+				So(own.Occurrences(digestOf("bad")), ShouldEqual, c.occurrences)
+				So(other.Merge(1000, own.MissingRecords(20, nil)), ShouldBeEmpty)
+				So(other.Occurrences(digestOf("bad")), ShouldEqual, c.occurrences)
+			})
+		}
+	})
+}
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -35,9 +35,9 @@
 	mayRunFirstTrial func(Digest) bool // see New
 	checkPause       func()            // see SetPauseCheck
 	state            atomic.Pointer[state]
+	lastNumber       atomic.Uint64
 
 	mu             sync.Mutex
-	lastNumber     uint64
 	offsets        map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
 	lastPause      mgclock.Millis            // end of the process's last pause, 0 for none
 	records        map[recordID]storedRecord
@@ -81,19 +81,28 @@
 	Begun    bool           // the upstream had begun the request
 	Sent     mgclock.Millis // when the attempt was sent
 	Delay    mgclock.Millis // uncertainty of the crash's time: how long before it was seen the upstream may have ended
+	// NextNumber is what Quarantine.NextNumber returned when the attempt was sent, 0 if
+	// unknown.
+	NextNumber uint64
 }
 
+// NextNumber returns the number of this process's next record. An attempt that keeps it as
+// Crash.NextNumber is ordered after the crashes recorded before it was sent, also within one
+// millisecond.
+func (q *Quarantine) NextNumber() uint64 { return q.lastNumber.Load() + 1 }
+
 // RecordCrash records a crash that was seen now.
 func (q *Quarantine) RecordCrash(now mgclock.Millis, c Crash) {
 	if q.checkPause != nil {
 		q.checkPause()
 	}
 	q.addOwn(now, c.Digest, Record{
-		Request:  c.Request,
-		Upstream: c.Upstream,
-		Begun:    c.Begun,
-		Sent:     c.Sent,
-		Delay:    c.Delay,
+		Request:    c.Request,
+		Upstream:   c.Upstream,
+		Begun:      c.Begun,
+		Sent:       c.Sent,
+		Delay:      c.Delay,
+		NextNumber: c.NextNumber,
 	})
 }
 
@@ -194,9 +203,8 @@
 
 // putOwn numbers and stores a record of this process's own.
 func (q *Quarantine) putOwn(s storedRecord) {
-	q.lastNumber++
 	s.record.Origin = q.origin
-	s.record.Number = q.lastNumber
+	s.record.Number = q.lastNumber.Add(1)
 	q.put(s)
 }
 
--- a/internal/request/mgquarantine/quarantine_test.go
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -407,11 +407,12 @@
 			Digest:   digestOf("x").String(),
 			Upstream: "a",
 		}
-		invalid := []mgquarantine.Record{valid, valid, valid}
+		invalid := []mgquarantine.Record{valid, valid, valid, valid}
 		invalid[0].Digest = "no digest"
 		invalid[1].Number = 0
 		invalid[2].Age = -5
-		So(len(q.Merge(sec, append(invalid, valid))), ShouldEqual, 3)
+		invalid[3].NextNumber = 2
+		So(len(q.Merge(sec, append(invalid, valid))), ShouldEqual, 4)
 		So(q.Occurrences(digestOf("x")), ShouldEqual, 1)
 	})
 }
--- a/internal/request/mgquarantine/record.go
+++ b/internal/request/mgquarantine/record.go
@@ -1,6 +1,7 @@
 package mgquarantine
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,10 @@
 	// Delay is the uncertainty of the crash's time: how long before Seen the upstream may
 	// have ended, ms.
 	Delay mgclock.Millis `json:"delay,omitempty"`
+	// NextNumber is the number of the origin's next record when the attempt was sent, 0 where
+	// that is unknown. The attempt was sent after the origin's records with lower numbers
+	// were made.
+	NextNumber uint64 `json:"next,omitempty"`
 	// Earlier references records of other processes whose upstreams ended in an earlier
 	// occurrence. A follow-up record adds references to an earlier record of the same
 	// attempt: it repeats that record with the new references, and has the number of the
@@ -112,10 +117,17 @@
 // isCrash reports whether the record is of a crash, not of an answer.
 func (s storedRecord) isCrash() bool { return s.record.Upstream != "" }
 
-// sentAfter reports whether the attempt was sent after another had ended. It compares times
-// of one process's clock only.
+// sentAfter reports whether the attempt was sent after another had ended. It compares records
+// of one origin only. Times of the same millisecond don't tell the order; the numbers of the
+// records do.
 func (s storedRecord) sentAfter(other storedRecord) bool {
-	return s.record.Origin == other.record.Origin && s.record.Sent >= other.record.Seen
+	if s.record.Origin != other.record.Origin {
+		return false
+	}
+	if s.record.Sent == other.record.Seen {
+		return other.record.Number < cmp.Or(s.record.NextNumber, s.record.Number)
+	}
+	return s.record.Sent > other.record.Seen
 }
 
 // isLaterThan reports whether the crash is a later occurrence than another. It relies on a
