mglimit: a granter's first permit comes after the interval of the limit

What was seen: an upstream that names a limit of 0 or 0.1 requests a second gets two requests within 0.1 s, where one in 5 s is tried. The users' upstream is in need when it names such a limit; its callers are served late or not at all. TestUpstreamLimitExceeded, 16 processes at once with the race detector, 35 s: 8 of 331 runs failed on, 'Expected: 503, Actual: 200'.

Cause: a token bucket begins at a random level between 0 and 1. If it is near 1 the first permit is whole within milliseconds, although a request has just been sent: the one whose answer named the limit.

Evidence (trial on a scratch copy that prints each grant): before each of 7 failures a bucket that had begun at 0.9792 to 0.9994 granted a permit 6 to 105 ms after it was created. No request was sent without a permit, so the limit wasn't read and acted upon at different times, and none was withdrawn. Load only lengthens the test's loop, and so the chance.

Change: the level is drawn between 0 and 1 - 1/granters. A granter of n has a permit every n intervals, so its first one comes after one interval of the limit at the earliest, and n granters together still begin at the limit's rate.

TestFirstPermitComesTooEarly fails in 15 of 16 cases with the old level.

--- a/internal/request/mglimit/permits.go
+++ b/internal/request/mglimit/permits.go
@@ -45,6 +45,12 @@
 // Rate returns the part in requests a second.
 func (p Share) Rate() float64 { return p.rate }
 
+// initialPermits returns the level at which a granter's bucket begins. It is random, so that
+// granters that begin together have their first permits at different times. The request
+// whose answer named the limit has been sent, so no granter has one before the interval that
+// the limit asks for between two requests.
+func (p Share) initialPermits() float64 { return rand.Float64() * max(1-1/p.granters, 0) }
+
 // A PermitRequest is a request for a permit.
 type PermitRequest struct {
 	Upstream string
@@ -112,10 +118,8 @@
 func (p *Permits) bucket(now mgclock.Millis, upstream string, share Share) *bucket {
 	b := p.buckets[upstream]
 	if b == nil {
-		// A random level, so that granters that begin together have their first permits at
-		// different times.
 		b = &bucket{
-			permits:  rand.Float64(),
+			permits:  share.initialPermits(),
 			filledAt: now,
 		}
 		if p.buckets == nil {
--- a/internal/request/mglimit/permits_test.go
+++ b/internal/request/mglimit/permits_test.go
@@ -100,6 +100,30 @@
 	})
 }
 
+// Guards against a second request right after the one whose answer named the limit: no granter
+// grants its first permit before the interval that the limit asks for has passed.
+func TestFirstPermitComesTooEarly(t *testing.T) {
+	Convey("After a limit was named, the first permit of any granter", t, func() {
+		for _, granters := range []int{1, 2, 5, 100} {
+			for _, rate := range []float64{0, 0.1, 2, 40} {
+				Convey(fmt.Sprintf("comes after the interval of the limit, with %d granters of %v requests a second", granters, rate), func() {
+					share := ShareOf(rate, 1, granters)
+					interval := mgclock.Millis(float64(mgclock.Second) / (share.Rate() * float64(granters)))
+					early := 0
+					for range 1000 {
+						var p Permits
+						p.Take(0, newPermitRequest("first"), share)
+						if _, ok := p.Take(interval*9/10, newPermitRequest("second"), share); ok {
+							early++
+						}
+					}
+					So(early, ShouldEqual, 0)
+				})
+			}
+		}
+	})
+}
+
 // Unused permits of many granters must not be usable all at once.
 func TestManyGrantersBurst(t *testing.T) {
 	Convey("After a pause, whatever each granter keeps", t, func() {
