mgquarantine: rounding to 1 ms doesn't reverse the order of two processes' crashes

The bound could be up to 2 ms too low, and an attempt sent in the same millisecond counted as sent after it. Two upstreams that end together, seen by two processes a millisecond apart, counted as two occurrences. Found by reading; no caller was seen to be held by it, since it takes three such pairs.

Change: the offset of an origin's clock includes the rounding error, and only a later millisecond proves the order.

TestRoundingReversesOrder (clocks in us, three processes) fails at its first draw before ('2 occurrences'), passes 5 times 5,000 draws after.

--- a/internal/request/mgquarantine/order.go
+++ b/internal/request/mgquarantine/order.go
@@ -19,6 +19,9 @@
 	// maxOffsetDrift is how far the offset of an origin's clock may differ between two of
 	// its records. A clock that stood still in between makes it differ by more.
 	maxOffsetDrift = 500 * mgclock.Millis(1)
+	// maxRoundingError is how much too low the offset of an origin's clock may be because
+	// all times are rounded down to 1 ms: one for the record's age, one for the two clocks.
+	maxRoundingError = 2 * mgclock.Millis(1)
 )
 
 // SetPauseCheck sets the function that is called before each crash is recorded. It detects
@@ -47,7 +50,7 @@
 // any of them gives. An offset that differs by more than maxOffsetDrift replaces the stored
 // one and leaves the bounds of earlier records as they are.
 func (q *Quarantine) boundSeenTime(now mgclock.Millis, record Record) mgclock.Millis {
-	newOffset := now - record.Age - record.Seen
+	newOffset := now - record.Age - record.Seen + maxRoundingError
 	offset, known := q.offsets[record.Origin]
 	if drift := newOffset - offset; known && drift >= 0 && drift <= maxOffsetDrift {
 		return record.Seen + offset
--- a/internal/request/mgquarantine/order_test.go
+++ b/internal/request/mgquarantine/order_test.go
@@ -270,3 +270,44 @@
 		}
 	})
 }
+
+// Times are rounded down to 1 ms at each process. A crash that another process saw after an
+// attempt was sent must not count as seen before it.
+func TestRoundingReversesOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const usPerMillis = 1000
+		var clocks [3]int64 // offset of each process's clock, us
+		var all [3]*mgquarantine.Quarantine
+		for i := range all {
+			clocks[i] = rapid.Int64Range(0, 5*usPerMillis).Draw(t, "clock")
+			all[i] = mgquarantine.New(strconv.Itoa(i), nil)
+		}
+		now := int64(10 * sec * usPerMillis) // us
+		at := func(process int) mgclock.Millis { return mgclock.Millis((now + clocks[process]) / usPerMillis) }
+		pass := func(name string) { now += rapid.Int64Range(0, 2*usPerMillis).Draw(t, name) }
+		last := len(all) - 1
+		sent := at(last)
+		pass("until the first crash")
+		all[0].RecordCrash(at(0), mgquarantine.Crash{
+			Digest:   digestOf("sound"),
+			Upstream: "first",
+			Begun:    true,
+		})
+		for i := range last {
+			pass("until it is sent on")
+			records := all[i].MissingRecords(at(i), nil)
+			pass("delay")
+			all[i+1].Merge(at(i+1), records)
+		}
+		pass("until the second crash")
+		all[last].RecordCrash(at(last), mgquarantine.Crash{
+			Digest:   digestOf("sound"),
+			Upstream: "second",
+			Begun:    true,
+			Sent:     sent,
+		})
+		if count := all[last].Occurrences(digestOf("sound")); count != 1 {
+			t.Fatalf("%d occurrences", count)
+		}
+	})
+}
--- a/internal/request/mgquarantine/record.go
+++ b/internal/request/mgquarantine/record.go
@@ -144,7 +144,7 @@
 // occurrence than another process's record. The time of the other record is an upper bound,
 // since its network delay isn't known.
 func (s storedRecord) provesLaterThan(earlier storedRecord) bool {
-	return s.record.Sent >= earlier.seenBound || s.record.Seen-s.record.Delay >= earlier.seenBound+windowFor(s, earlier)
+	return s.record.Sent > earlier.seenBound || s.record.Seen-s.record.Delay > earlier.seenBound+windowFor(s, earlier)
 }
 
 // windowFor returns the time within which two crashes are one occurrence.
@@ -155,9 +155,9 @@
 	return occurrenceWindow
 }
 
-// withAge returns the record with its age at a time.
+// withAge returns the record with its age at a time, which isn't below the age received.
 func (s storedRecord) withAge(now mgclock.Millis) Record {
 	record := s.record
-	record.Age = max(now-s.seenBound, 0)
+	record.Age = max(now-s.seenBound, s.record.Age)
 	return record
 }
