mgquarantine: an answer doesn't void a crash that follows it in the same millisecond

An answer voided each crash with a time not after its own, also one that the same process recorded after the answer. A request that is answered and then crashes an upstream within 1 ms wasn't counted, so it could reach one more upstream. Found by reading.

Change: within one millisecond the numbers of a process's records decide.

TestEarlierAnswerVoidsCrash fails before ('Expected: 1, Actual: 0'), passes after; the package's tests pass.

--- a/internal/request/mgquarantine/order_test.go
+++ b/internal/request/mgquarantine/order_test.go
@@ -311,3 +311,30 @@
 		}
 	})
 }
+
+// A crash must not be voided by an answer that came before it in the same millisecond.
+func TestEarlierAnswerVoidsCrash(t *testing.T) {
+	Convey("Of a crash, an answer and another crash within one millisecond", t, func() {
+		own, other := mgquarantine.New("own", nil), mgquarantine.New("other", nil)
+		record(own, []observation{
+			{
+				at:       10,
+				request:  "bad",
+				upstream: "a",
+				sent:     5,
+			},
+			answerAt(10, "bad"),
+			{
+				at:       10,
+				request:  "bad",
+				upstream: "b",
+				sent:     10,
+			},
+		})
+		Convey("the last one counts", func() {
+			So(own.Occurrences(digestOf("bad")), ShouldEqual, 1)
+			So(other.Merge(1000, own.MissingRecords(20, nil)), ShouldBeEmpty)
+			So(other.Occurrences(digestOf("bad")), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -258,17 +258,15 @@
 // evidence returns the crash records that no answer has voided, merged to one for each
 // attempt and sorted by time.
 func (q *Quarantine) evidence() []storedRecord {
-	lastAnswer := map[Digest]mgclock.Millis{}
+	answers := map[Digest][]storedRecord{}
 	for _, s := range q.records {
 		if !s.isCrash() {
-			if at, known := lastAnswer[s.digest]; !known || s.seenBound > at {
-				lastAnswer[s.digest] = s.seenBound
-			}
+			answers[s.digest] = append(answers[s.digest], s)
 		}
 	}
 	attempts := map[recordID]storedRecord{}
 	for _, s := range q.records {
-		if at, answered := lastAnswer[s.digest]; !s.isCrash() || answered && s.seenBound <= at {
+		if !s.isCrash() || slices.ContainsFunc(answers[s.digest], s.isVoidedBy) {
 			continue
 		}
 		if merged, known := attempts[s.firstID()]; known {
--- a/internal/request/mgquarantine/record.go
+++ b/internal/request/mgquarantine/record.go
@@ -140,6 +140,16 @@
 	return slices.Contains(s.record.Earlier, earlier.reference())
 }
 
+// isVoidedBy reports whether an answer to the request voids the crash: it was seen later. Within
+// one millisecond the numbers of the records decide, and between origins an answer is assumed
+// to be the later one.
+func (s storedRecord) isVoidedBy(answer storedRecord) bool {
+	if s.seenBound == answer.seenBound && s.record.Origin == answer.record.Origin {
+		return s.firstID().number < answer.record.Number
+	}
+	return s.seenBound <= answer.seenBound
+}
+
 // provesLaterThan reports whether this process's own record s is provably of a later
 // occurrence than another process's record. The time of the other record is an upper bound,
 // since its network delay isn't known.
