mgrest: answers to requests from before a rest don't end it

What was seen: by reading only. An upstream that answers 503 with Retry-After gets requests during the time that it asked for, and all at once after it.

Cause: each answer doubles the number of requests that may be in flight after a rest, also an answer to a request that was sent before the rest began. With 16 in flight and one of them turned away, five of the other answers lifted the limit, and with it the rest, at once.

Change: an attempt keeps the number of rests at the time when it was sent; only answers to requests sent since the last rest widen the window.

The new case of TestUpstreamLoadedDuringRest fails before (CanSend in the rest: 'Expected: false, Actual: true'), 20 of 20 after with the race detector.

--- a/internal/request/mgrest/rest.go
+++ b/internal/request/mgrest/rest.go
@@ -24,7 +24,8 @@
 type rest struct {
 	until    mgclock.Millis
 	window   int // maximum of inFlight after the rest
-	inFlight int // requests in flight that were sent after the rest
+	inFlight int // requests in flight that were sent after the first rest
+	count    int // rests so far
 }
 
 // Begin begins a rest of a duration that an upstream asked for. A shorter one
@@ -42,6 +43,7 @@
 	}
 	current.until = max(current.until, now+min(duration, maxRest))
 	current.window = 1
+	current.count++
 }
 
 // Remaining returns the remaining time of an upstream's rest, 0 if it has none.
@@ -78,14 +80,17 @@
 		return nil, false
 	}
 	current.inFlight++
-	return func(answered bool) { r.end(upstream, current, answered) }, true
+	count := current.count
+	return func(answered bool) { r.end(upstream, current, answered, count) }, true
 }
 
-func (r *Rests) end(upstream string, current *rest, answered bool) {
+// end ends a request that was sent after a number of rests. An answer shows what the upstream
+// takes only if the upstream hasn't asked for another rest since.
+func (r *Rests) end(upstream string, current *rest, answered bool, count int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current.inFlight--
-	if !answered {
+	if !answered || count < current.count {
 		return
 	}
 	current.window *= 2
--- a/internal/request/mgrest/rest_test.go
+++ b/internal/request/mgrest/rest_test.go
@@ -48,6 +48,30 @@
 			So(r.CanSend(3*sec, "a"), ShouldBeFalse)
 			So(r.CanSend(3*sec+10, "a"), ShouldBeTrue)
 		})
+		Convey("rests again, although requests from before are answered during the second rest", func() {
+			acquire := func(now mgclock.Millis) func(answered bool) {
+				end, ok := r.Acquire(now, "a")
+				So(ok, ShouldBeTrue)
+				return end
+			}
+			for range 4 {
+				acquire(2 * sec)(true)
+			}
+			var earlier []func(bool)
+			for range 16 {
+				earlier = append(earlier, acquire(2*sec))
+			}
+			r.Begin(2*sec+10, "a", sec)
+			for _, end := range earlier {
+				end(true)
+			}
+			So(r.CanSend(3*sec, "a"), ShouldBeFalse)
+			So(r.Remaining(3*sec, "a"), ShouldEqual, 10)
+			end := acquire(3*sec + 10)
+			So(r.CanSend(3*sec+10, "a"), ShouldBeFalse)
+			end(true)
+			So(r.CanSend(3*sec+10, "a"), ShouldBeTrue)
+		})
 		Convey("is not sent requests sooner because a later answer asked for a shorter rest", func() {
 			r.Begin(100, "a", 500)
 			So(r.CanSend(sec, "a"), ShouldBeFalse)
