mgentry: an agent's 'not run' doesn't hold for the next attempt

What a caller saw: 'not run' although its request may have run; a caller of answers with side effects sends it again and runs it twice.

Cause: a frame with a fault sets whether its agent attests 'not run' and whether the engine crashed, and both stayed set when the answer restarted at another agent. If that attempt was lost without a frame, its engine may have worked on the request, but the first agent's attestation was taken for it.

Change: a restart clears both.

--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -39,8 +39,8 @@
 	receivedTokens int
 	refund         func(tokens int) // returns what the account's caps were overcharged
 	preemptions    uint32
-	attestedNotRun bool // the agent attests that the attempt did not run
-	engineCrashed  bool // the engine ended as it began the attempt
+	attestedNotRun bool // the agent attests that the current attempt did not run
+	engineCrashed  bool // the engine ended as it began the current attempt
 	mayHaveRun     bool // an earlier attempt may have run
 }
 
@@ -277,6 +277,8 @@
 	r.attempt = attempt
 	r.mayHaveRun = r.mayHaveRun || attempt.priorMayHaveRun
 	r.receivedTokens = 0
+	r.attestedNotRun = false
+	r.engineCrashed = false
 	r.open(ctx)
 	return nil
 }
--- a/internal/process/mgentry/unanswered_test.go
+++ b/internal/process/mgentry/unanswered_test.go
@@ -8,9 +8,11 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/go-chi/chi/v5"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
 // silentStart makes one offer. Its connection breaks on the start and the cancel,
@@ -60,3 +62,35 @@
 		So(string(body), ShouldContainSubstring, `"outcome":"unknown"`)
 	})
 }
+
+// The first agent attests that its attempt did not run. The engine of the second may have
+// worked on the request until its agent lost it, so the attestation must not be taken for that
+// attempt too.
+func TestLostRestartReportedNotRun(t *testing.T) {
+	Convey("A request that was lost after a restart has an unknown outcome", t, func() {
+		accepting := acceptingAgent{
+			firstTokenWait: 900,
+			cancelOutcome:  "unknown",
+		}
+		lost := chi.NewRouter()
+		lost.Mount(mgrpc.AgentPathPrefix, mgrpc.NewAgentServer(accepting))
+		lost.Get("/frames/{generation}", func(w http.ResponseWriter, _ *http.Request) {
+			mgproblem.Write(w, mgproblem.New(mgproblem.NotFound, mgproblem.Unknown, "no such generation", "start it again"))
+		})
+		entry := newEntry(hostTransport{
+			"agent-1": agentHandler(acceptingAgent{
+				firstTokenWait: 1,
+				cancelOutcome:  "unknown",
+			}, &mgrpc.Frame{
+				Fault:   "crowded",
+				Outcome: "notrun",
+			}),
+			"agent-2": lost,
+		})
+		request := tanklineRequest(http.MethodPost, "/v1/chat/completions", `{"model":"report","messages":[{"role":"user","content":"len=5"}]}`)
+		recorder := httptest.NewRecorder()
+		entry.Handler().ServeHTTP(recorder, request)
+		So(recorder.Code, ShouldNotEqual, http.StatusOK)
+		So(recorder.Body.String(), ShouldContainSubstring, `"outcome":"unknown"`)
+	})
+}
