mgentry: a refusal after an unanswered copy of a call isn't 'not run'

What a caller saw: 'not run' for a lookup that one upstream may have run and another refused.

Cause: a call that may be repeated is tried at one upstream after another, and a hedged copy beside it; the problem of the last one was reported.

Change: an outcome that is unknown stays, as it does among the agents that are asked to start a generation.

--- a/internal/process/mgentry/hedge.go
+++ b/internal/process/mgentry/hedge.go
@@ -6,6 +6,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
 // hedges holds the latency statistics of each service. The zero value is ready
@@ -32,16 +33,27 @@
 // isGood reports whether the service replied without a fault.
 func (t callResult) isGood() bool { return t.err == nil && t.reply.GetFault() == nil }
 
+// problem returns why the result isn't good.
+func (t callResult) problem() *mgproblem.Problem {
+	if t.err != nil {
+		return mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+			"no upstream answered", "send the call again").WithCause(t.err)
+	}
+	return problemFromFault(t.reply.GetFault())
+}
+
 // invokeHedged makes a call that may run twice. It sends a copy to a second host
 // when the first takes longer than 95 of 100 earlier calls of the service, so
 // that one slow upstream doesn't delay the caller (Dean and Barroso 2013). The
-// first good reply wins.
+// first good reply wins. Where there is none, a copy that may have run counts more than one
+// that has not.
 func (e *Entry) invokeHedged(ctx context.Context, call *call, first host, second []host) callResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	hedge := e.hedges.of(call.service.Name())
 	startedAt := e.spec.Clock.Now()
 	results := make(chan callResult, 2)
+	var worst *callResult // of those that aren't good
 	e.sendCopy(ctx, call, first, results)
 	pending := 1
 	hedgeTimer := make(<-chan struct{})
@@ -56,8 +68,11 @@
 				hedge.Observe(e.spec.Clock.Now()-startedAt, call.service.HedgeFraction())
 				return result
 			}
+			if worst == nil || worst.problem().Outcome() == mgproblem.NotRun {
+				worst = &result
+			}
 			if pending == 0 {
-				return result
+				return *worst
 			}
 		case <-hedgeTimer:
 			hedgeTimer = nil
--- a/internal/process/mgentry/hedge_test.go
+++ b/internal/process/mgentry/hedge_test.go
@@ -110,3 +110,87 @@
 	}
 	return mgclock.Clock{}.Now() - begun
 }
+
+// refusingAgent refuses each call as not run.
+type refusingAgent struct {
+	mgrpc.Agent
+}
+
+func (refusingAgent) Invoke(context.Context, *mgrpc.InvokeRequest) (*mgrpc.InvokeReply, error) {
+	return &mgrpc.InvokeReply{
+		Fault: &mgrpc.Fault{
+			Kind:    "leaving",
+			Outcome: "notrun",
+			Retry:   100,
+		},
+	}, nil
+}
+
+// breakingTransport is a hostTransport that breaks the connection to one host a number of
+// times.
+type breakingTransport struct {
+	hostTransport
+	host   string
+	breaks *atomic.Int64
+}
+
+func (b breakingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Host == b.host && b.breaks.Add(-1) >= 0 {
+		return nil, errReset
+	}
+	return b.hostTransport.RoundTrip(r)
+}
+
+// One upstream may have run a lookup that it didn't answer. Another that refuses it must not
+// make the caller believe that it has not run.
+func TestUnansweredCallReportedNotRun(t *testing.T) {
+	Convey("A call that one upstream didn't answer and another refused has an unknown outcome", t, func() {
+		for range 20 { // the upstreams are tried in random order
+			entry := newEntryWithTable(lookups, "level", silentTransport{
+				host: "agent-1",
+				hostTransport: hostTransport{
+					"agent-2": mgrpc.NewAgentServer(refusingAgent{}),
+				},
+			})
+			recorder := httptest.NewRecorder()
+			entry.Handler().ServeHTTP(recorder, tanklineRequest(http.MethodGet, "/v1/services/level/tank/7", ""))
+			So(recorder.Code, ShouldNotEqual, http.StatusOK)
+			So(recorder.Body.String(), ShouldContainSubstring, `"outcome":"unknown"`)
+		}
+	})
+	Convey("So has one whose second copy broke off before both upstreams refused it", t, func() {
+		var answers []string
+		synctest.Test(t, func(*testing.T) {
+			var delay, calls, breaks atomic.Int64
+			delay.Store(20)
+			slow := delayedHandler(&delay, &calls)
+			network := breakingTransport{
+				hostTransport: hostTransport{
+					"agent-1": slow,
+					"agent-2": slow,
+				},
+				host:   "agent-2",
+				breaks: &breaks,
+			}
+			entry := newEntryWithTable(lookups, "level", network)
+			for range 200 {
+				lookup(entry.Handler())
+			}
+			refuse := mgrpc.NewAgentServer(refusingAgent{})
+			network.hostTransport["agent-1"] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mgclock.Clock{}.Sleep(r.Context(), 2000)
+				refuse.ServeHTTP(w, r)
+			})
+			network.hostTransport["agent-2"] = refuse
+			for range 10 {
+				breaks.Store(1)
+				recorder := httptest.NewRecorder()
+				entry.Handler().ServeHTTP(recorder, tanklineRequest(http.MethodGet, "/v1/services/level/tank/7", ""))
+				answers = append(answers, recorder.Body.String())
+			}
+		})
+		for _, answer := range answers {
+			So(answer, ShouldContainSubstring, `"outcome":"unknown"`)
+		}
+	})
+}
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -245,7 +245,7 @@
 // invokeRepeatable makes a call that may run more than once. It tries another
 // upstream if one can't be reached and the service's retry budget allows it.
 func (e *Entry) invokeRepeatable(ctx context.Context, call *call) (*mgrpc.InvokeReply, *mgproblem.Problem) {
-	problem := crowdedProblem()
+	var problem *mgproblem.Problem
 	budget := e.budgets.Of(call.service.Name())
 	hosts := e.hosts(call.service.Name())
 	for i, host := range hosts {
@@ -257,12 +257,10 @@
 			budget.Earn(mgretry.Ratio)
 			return answer.reply, nil
 		}
-		if answer.err == nil {
-			problem = problemFromFault(answer.reply.GetFault())
-			continue
-		}
-		problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
-			"no upstream answered", "send the call again")
+		problem = mergeRefusals(problem, answer.problem())
+	}
+	if problem == nil {
+		problem = crowdedProblem()
 	}
 	return nil, problem
 }
