mgrelay: a long refusal or failure doesn't look complete when it is cut

What a caller saw: the first 256 KiB of an upstream's failure or refusal, with a Content-Length of 256 KiB, as if it were whole.

Cause: such an answer is kept while other upstreams are tried, in a buffer of 256 KiB; what lies beyond was dropped without a sign.

Change: an answer that doesn't fit is replaced by a problem of the relay's own, with the outcome that the upstream's answer had: unknown for a failure, not run for a refusal. The same holds, with its cause in the log, for one that breaks off.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -81,7 +82,7 @@
 		return failed
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
-		x.failure = bufferAnswer(response)
+		x.failure = x.bufferAnswer(response, mgproblem.Unknown)
 		y.recordQuarantineAnswer(x)
 		return failed
 	}
@@ -210,16 +211,25 @@
 
 // keepRefusal keeps the answer of a refusing upstream for the caller.
 func (y *Relay) keepRefusal(x *exchange, response *http.Response) attemptOutcome {
-	x.refusal = bufferAnswer(response)
+	x.refusal = x.bufferAnswer(response, mgproblem.NotRun)
 	y.spec.Metrics.Counter("relay.refused").Inc(1)
 	return refused
 }
 
-// bufferAnswer reads the answer of a failed or refusing upstream, or returns nil if it
-// breaks off. A body longer than maxBufferedAnswer is truncated without a sign.
-func bufferAnswer(response *http.Response) *answer {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
+// errLongAnswer means that an answer can't be passed on whole, because it can't be delivered
+// before other upstreams have been tried.
+var errLongAnswer = fmt.Errorf("mgrelay: the upstream's refusal or failure has over %d bytes: let it send a shorter one", maxBufferedAnswer)
+
+// bufferAnswer reads the answer of a failed or refusing upstream. If it breaks off or has over
+// maxBufferedAnswer bytes, bufferAnswer sets the problem with the outcome and returns nil.
+func (x *exchange) bufferAnswer(response *http.Response, outcome mgproblem.Outcome) *answer {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
+	if err == nil && len(body) > maxBufferedAnswer {
+		err = errLongAnswer
+	}
 	if err != nil {
+		x.problem = mgproblem.New(mgproblem.Interrupted, outcome, "the upstream's answer is not whole",
+			"send the request again if it may run twice").WithCause(err)
 		return nil
 	}
 	return &answer{
--- a/internal/process/mgrelay/relay_test.go
+++ b/internal/process/mgrelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -176,3 +177,31 @@
 		}
 	})
 }
+
+// Guards against a refusal or failure of an upstream that is cut at the size of the buffer and
+// looks complete.
+func TestLongFailureLooksComplete(t *testing.T) {
+	answerLong := func(status int, refuses bool) upstreamHandler {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if refuses {
+				w.Header().Set("Refused", "1")
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, strings.Repeat("x", 300<<10))
+		}
+	}
+	Convey("An upstream's answer of 300 KiB", t, func() {
+		Convey("that it failed is replaced by a problem that says that the request may have run", func() {
+			g := newHarness(t, answerLong(http.StatusInternalServerError, false))
+			got := g.send(context.Background(), http.MethodPost, "/once/1", "x", nil)
+			So(got.status, ShouldEqual, http.StatusBadGateway)
+			So(got.body, ShouldContainSubstring, `"unknown"`)
+		})
+		Convey("that it refuses the request is replaced by a problem that says that it has not run", func() {
+			g := newHarness(t, answerLong(http.StatusServiceUnavailable, true))
+			got := g.send(context.Background(), http.MethodPost, "/once/1", "x", nil)
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.body, ShouldContainSubstring, `"notrun"`)
+		})
+	})
+}
