mgretry: more processes than retries don't exceed what a service allows

A service that fails gets a retry from each entry: 300 of 300 entries where it allows 56 and a fifth of its requests. Its callers wait the longer for it.

Cause: each entry's share was at least one retry. An entry that holds none can't be left out by rounding down either: a share of 0 stood for the default of 64.

Change: where there are more entries than retries, the entries of the first ranks hold one each. The others hold only what their answers earn, a retry in ten answers, one at most; what isn't used within 10 s, the time over which services count retries, expires, or all of them would spend it at once. Up to one entry per retry nothing changes: at 56 up to 50 entries, at 246 up to 221.

The effect on callers at 300 entries wasn't measured.

--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -112,6 +112,10 @@
 // for each service. The entries share what a service allows.
 func (e *Entry) SetMaxRetries(limit int) { e.budgets.SetLimit(limit) }
 
+// ExpireEarnedRetries drops the retries that an entry without a share of a service's
+// retries has earned; see mgretry.Budgets.ExpireEarned.
+func (e *Entry) ExpireEarnedRetries() { e.budgets.ExpireEarned() }
+
 // directHosts returns the upstreams that run a service, that this entry reaches
 // without an agent and that accept new work.
 func (e *Entry) directHosts(service string) []mgrelay.Host {
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -46,7 +46,7 @@
 		n.background.Go(func() { n.reportLoads(ctx, entry.Load()) })
 	}
 	if settings.MaxRetries > 0 {
-		n.background.Go(func() { n.limitRetries(ctx, int(settings.MaxRetries), entry.SetMaxRetries) })
+		n.background.Go(func() { n.limitRetries(ctx, int(settings.MaxRetries), entry) })
 	}
 	n.Serve(ctx, ServerSpec{
 		Name:           "callers",
@@ -106,12 +106,27 @@
 // three intervals of three seconds each; the kernel counts them in whole seconds.
 const upstreamSilenceTimeout = 9 * time.Second
 
+// retryWindow is the time over which services count the retries that they allow.
+const retryWindow = 10 * mgclock.Second
+
 // limitRetries sets this entry's limit of retries once a second until ctx ends. The
 // limit is its share of total, the number of retries allowed to all entries together,
-// and follows from the number of known entries.
-func (n *Node) limitRetries(ctx context.Context, total int, setLimit func(limit int)) {
+// and follows from the known entries.
+func (n *Node) limitRetries(ctx context.Context, total int, entry *mgentry.Entry) {
+	expireAt := n.clock.Now() + retryWindow
 	for ok := true; ok; ok = n.clock.Sleep(ctx, mgclock.Second) {
-		setLimit(mgretry.Share(total, 1+len(n.otherEntries())))
+		others := n.otherEntries()
+		rank := 0
+		for _, other := range others {
+			if other.Name() < n.settings.Name {
+				rank++
+			}
+		}
+		entry.SetMaxRetries(mgretry.Share(total, 1+len(others), rank))
+		if now := n.clock.Now(); now >= expireAt {
+			entry.ExpireEarnedRetries()
+			expireAt = now + retryWindow
+		}
 	}
 }
 
--- a/internal/request/mgretry/budget.go
+++ b/internal/request/mgretry/budget.go
@@ -25,19 +25,45 @@
 // full.
 type Budget struct {
 	spent atomic.Int64 // in thousandths of a retry
-	limit atomic.Int64 // whole retries, 0 for DefaultLimit
+	limit atomic.Int64 // whole retries, 0 for DefaultLimit, earnedOnly for no share
 }
 
+// earnedOnly is the limit of a budget without a share of the service's retries.
+// It holds one retry at most, which successes have earned.
+const earnedOnly = -1
+
 // SetLimit sets the maximum of retries in the budget, where several processes
-// share a service's budget.
-func (b *Budget) SetLimit(limit int) { b.limit.Store(int64(limit)) }
+// share a service's budget. At 0 the budget becomes empty and holds only what
+// successes earn, one retry at most, until ExpireEarned.
+func (b *Budget) SetLimit(limit int) {
+	if limit > 0 {
+		b.limit.Store(int64(limit))
+		return
+	}
+	if b.limit.Swap(earnedOnly) != earnedOnly {
+		b.spent.Store(unitsPerRetry)
+	}
+}
+
+// ExpireEarned empties a budget without a share. What many processes have earned
+// and kept could otherwise be spent at once, long after the requests for which
+// the service allows it.
+func (b *Budget) ExpireEarned() {
+	if b.limit.Load() == earnedOnly {
+		b.spent.Store(unitsPerRetry)
+	}
+}
 
 // maxRetries returns the maximum of retries in the budget.
 func (b *Budget) maxRetries() int64 {
-	if limit := b.limit.Load(); limit > 0 {
+	switch limit := b.limit.Load(); limit {
+	case 0:
+		return DefaultLimit
+	case earnedOnly:
+		return 1
+	default:
 		return limit
 	}
-	return DefaultLimit
 }
 
 // Earn adds the fraction of a retry that a success earns.
--- a/internal/request/mgretry/budgets.go
+++ b/internal/request/mgretry/budgets.go
@@ -13,7 +13,8 @@
 	mu        sync.Mutex
 	byService atomic.Pointer[map[string]*Budget]
 
-	limit int // of each budget, 0 for DefaultLimit
+	limit    int // of each budget, if isShared
+	isShared bool
 }
 
 // SetLimit sets the maximum of retries in each budget; see Budget.SetLimit.
@@ -21,14 +22,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limit = limit
+	s.isShared = true
+	for _, b := range s.all() {
+		b.SetLimit(limit)
+	}
+}
+
+// ExpireEarned empties the budgets that hold only what successes earn; see
+// Budget.ExpireEarned. Call it once in the time over which services count retries.
+func (s *Budgets) ExpireEarned() {
+	for _, b := range s.all() {
+		b.ExpireEarned()
+	}
+}
+
+// all returns the budgets by service. The map isn't changed.
+func (s *Budgets) all() map[string]*Budget {
 	if all := s.byService.Load(); all != nil {
-		for _, b := range *all {
-			b.SetLimit(limit)
-		}
+		return *all
 	}
+	return nil
 }
 
-// Of returns the budget of a service, which is full when new.
+// Of returns the budget of a service. A new one is full, or holds nothing where
+// SetLimit has set 0.
 func (s *Budgets) Of(service string) *Budget {
 	if all := s.byService.Load(); all != nil {
 		if b := (*all)[service]; b != nil {
@@ -49,7 +66,9 @@
 		next = maps.Clone(*all)
 	}
 	b := new(Budget)
-	b.SetLimit(s.limit)
+	if s.isShared {
+		b.SetLimit(s.limit)
+	}
 	next[service] = b
 	s.byService.Store(&next)
 	return b
--- a/internal/request/mgretry/retry_test.go
+++ b/internal/request/mgretry/retry_test.go
@@ -206,16 +206,20 @@
 // the retries overload the other engines.
 func TestProcessesExceedServiceBudget(t *testing.T) {
 	Convey("Processes together hold at most what a service allows", t, func() {
-		for _, processes := range []int{1, 2, 5, 24} {
-			So(processes*mgretry.Share(56, processes), ShouldBeLessThanOrEqualTo, 56)
+		for _, processes := range []int{1, 2, 5, 24, 50, 51, 57, 300, 1000} {
+			sum := 0
+			for rank := range processes {
+				sum += mgretry.Share(56, processes, rank)
+			}
+			So(sum, ShouldBeBetweenOrEqual, 1, 56)
 		}
-		So(mgretry.Share(56, 5), ShouldEqual, 10)
-		So(mgretry.Share(246, 104), ShouldEqual, 2)
-		So(mgretry.Share(0, 0), ShouldEqual, 1)
+		So(mgretry.Share(56, 5, 4), ShouldEqual, 10)
+		So(mgretry.Share(246, 104, 103), ShouldEqual, 2)
+		So(mgretry.Share(0, 0, 0), ShouldEqual, 0)
 		Convey("and no more, once bounded", func() {
 			var budgets mgretry.Budgets
 			before := budgets.Of("books")
-			budgets.SetLimit(mgretry.Share(56, 5))
+			budgets.SetLimit(mgretry.Share(56, 5, 0))
 			for _, b := range []*mgretry.Budget{before, budgets.Of("notes")} {
 				spent := 0
 				for b.Spend() {
@@ -226,3 +230,47 @@
 		})
 	})
 }
+
+// Guards against many processes that keep a retry each and spend all of them when the service
+// fails: 300 retries where it allows 56 and a fifth of its requests.
+func TestManyProcessesKeepRetries(t *testing.T) {
+	Convey("Of 300 processes that share 56 retries", t, func() {
+		const processes = 300
+		budgets := make([]mgretry.Budgets, processes)
+		for rank := range budgets {
+			budgets[rank].SetLimit(mgretry.Share(56, processes, rank))
+		}
+		succeed := func(times int) {
+			for i := range budgets {
+				for range times {
+					budgets[i].Of("books").Earn(mgretry.Ratio)
+				}
+			}
+		}
+		spendAll := func() int {
+			spent := 0
+			for i := range budgets {
+				for budgets[i].Of("books").Spend() {
+					spent++
+				}
+			}
+			return spent
+		}
+		Convey("all together retry as often as is allowed without a success", func() {
+			So(spendAll(), ShouldBeBetweenOrEqual, 1, 56)
+		})
+		Convey("each retries what its successes have earned", func() {
+			spendAll()
+			succeed(10)
+			So(spendAll(), ShouldEqual, processes)
+		})
+		Convey("none keeps what it has earned beyond the service's window", func() {
+			succeed(100)
+			for i := range budgets {
+				budgets[i].ExpireEarned()
+				budgets[i].SetLimit(mgretry.Share(56, processes, i))
+			}
+			So(spendAll(), ShouldBeBetweenOrEqual, 1, 56)
+		})
+	})
+}
--- a/internal/request/mgretry/share.go
+++ b/internal/request/mgretry/share.go
@@ -9,10 +9,17 @@
 // been answered.
 const sharedFraction = 0.9
 
-// Share returns the maximum of retries that each of the processes holds.
-// Allowed is the number of retries that a service allows all of them together,
-// in addition to a fraction of its requests. There is no shared counter: a
-// process that sees few failures leaves its part unused.
-func Share(allowed, processes int) int {
-	return max(int(sharedFraction*float64(allowed)/float64(max(processes, 1))), 1)
+// Share returns the maximum of retries that one of the processes holds. Allowed
+// is the number of retries that a service allows all of them together, in
+// addition to a fraction of its requests. Rank is the process's place among
+// them, from 0. Where there are more processes than retries, those of the first
+// ranks hold one each and the others none. There is no shared counter: a process
+// that sees few failures leaves its part unused.
+func Share(allowed, processes, rank int) int {
+	shared := int(sharedFraction * float64(allowed))
+	processes = max(processes, 1)
+	if shared < processes && rank < shared {
+		return 1
+	}
+	return shared / processes
 }
