mgnode: only connections that ended while idle are logged as such

Cause: a connection counted as ended at the time of EndIdle, also one whose request had come and that went on. Change: it counts when it is closed, if it was still idle. Two comments are wrapped, one is reworded. Conclusion: 'idle' and 'silence' name losses, not rescued requests.

--- a/internal/connection/mglistener/listener.go
+++ b/internal/connection/mglistener/listener.go
@@ -36,8 +36,8 @@
 	}, nil
 }
 
-// Accept returns the next connection, a *Conn or, with TLS, a *tls.Conn over one. After Shutdown it returns those that the kernel has
-// established, and then net.ErrClosed.
+// Accept returns the next connection, a *Conn or, with TLS, a *tls.Conn over one. After
+// Shutdown it returns those that the kernel has established, and then net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.tcp.AcceptTCP()
 	if l.isFinishing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/process/mgentry/hedge.go
+++ b/internal/process/mgentry/hedge.go
@@ -45,8 +45,8 @@
 // invokeHedged makes a call that may run twice. It sends a copy to a second host
 // when the first takes longer than 95 of 100 earlier calls of the service, so
 // that one slow upstream doesn't delay the caller (Dean and Barroso 2013). The
-// first good reply wins. Where there is none, a copy that may have run counts more than one
-// that has not.
+// first good reply wins. Where there is none, the result of a copy that may have
+// run is returned rather than that of one that certainly didn't.
 func (e *Entry) invokeHedged(ctx context.Context, call *call, first host, second []host) callResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -58,6 +58,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
+		c.countIdleEnd(c.open[conn])
 		delete(c.open, conn)
 		return
 	}
@@ -123,7 +124,7 @@
 	now := mgclock.Clock{}.Now()
 	for conn, tracked := range c.open {
 		if tracked.state == http.StateIdle && now >= max(begin, tracked.idleSince)+period {
-			c.countIdleEnd(tracked, now)
+			tracked.idleEnded = true
 			// Close could hit a connection whose request was read and whose state change is
 			// not recorded yet.
 			if accepted := mglistener.ConnOf(conn); accepted != nil {
@@ -134,14 +135,13 @@
 	return len(c.open)
 }
 
-// countIdleEnd counts a connection that the close ends because it is idle. It is called with
-// mu held.
-func (c *connTracker) countIdleEnd(tracked *trackedConn, now mgclock.Millis) {
-	if tracked.idleEnded {
+// countIdleEnd counts a closed connection if the close of the listener has ended it because it
+// was idle. It is called with mu held.
+func (c *connTracker) countIdleEnd(tracked *trackedConn) {
+	if tracked == nil || tracked.state != http.StateIdle || !tracked.idleEnded {
 		return
 	}
-	tracked.idleEnded = true
-	silence := now - tracked.idleSince
+	silence := mgclock.Clock{}.Now() - tracked.idleSince
 	if c.idleCount == 0 || silence < c.minSilence {
 		c.minSilence = silence
 	}
--- a/internal/process/mgnode/serve_test.go
+++ b/internal/process/mgnode/serve_test.go
@@ -94,6 +94,7 @@
 			So(reusable, ShouldBeFalse)
 			<-s.done
 			So(*s.lastLogLine.Load(), ShouldContainSubstring, `"read"=1 "unanswered"=0 "unused"=0 "cut"=0`)
+			So(*s.lastLogLine.Load(), ShouldContainSubstring, `"idle"=1 "silence"=`)
 		})
 	})
 }
