mglistener: the tests of idle connections wait for the bytes, not for a time

Cause: 20 ms of sleep are no proof that a request has arrived at the socket, beside load least of all; and connections with TLS had no test. Change: the tests look into the socket's buffer until it holds something. TestEndIdleDropsReceivedTLSRequest is new.

--- a/internal/connection/mglistener/conn_test.go
+++ b/internal/connection/mglistener/conn_test.go
@@ -1,13 +1,18 @@
 package mglistener_test
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"sync"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -27,6 +32,21 @@
 	return caller, conn
 }
 
+// awaitArrival waits until the connection's socket has bytes to read or the end of the stream.
+func awaitArrival(t *testing.T, conn *mglistener.Conn) {
+	raw, err := conn.SyscallConn()
+	So(err, ShouldBeNil)
+	arrived := false
+	for !arrived {
+		err := raw.Control(func(fd uintptr) {
+			_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			arrived = err == nil
+		})
+		So(err, ShouldBeNil)
+		mgclock.Clock{}.Sleep(t.Context(), 1)
+	}
+}
+
 // Guards against an idle connection that its idle timeout closes although its next request has
 // arrived.
 func TestDeadlineHidesReceivedRequest(t *testing.T) {
@@ -37,7 +57,7 @@
 		buffer := make([]byte, 64)
 		_, err := io.WriteString(caller, "request")
 		So(err, ShouldBeNil)
-		mgclock.Clock{}.Sleep(t.Context(), 20)
+		awaitArrival(t, conn)
 		So(conn.SetReadDeadline(mgclock.DeadlineAfter(-1)), ShouldBeNil)
 		Convey("has a request read that arrived before", func() {
 			n, err := conn.Read(buffer)
@@ -70,7 +90,7 @@
 			exchange()
 			_, err := io.WriteString(caller, "next")
 			So(err, ShouldBeNil)
-			mgclock.Clock{}.Sleep(t.Context(), 20)
+			awaitArrival(t, conn)
 			So(conn.EndIdle(), ShouldBeNil)
 			n, err := conn.Read(buffer)
 			So(err, ShouldBeNil)
@@ -95,10 +115,52 @@
 		Convey("ends if its caller has closed it", func() {
 			exchange()
 			So(caller.Close(), ShouldBeNil)
-			mgclock.Clock{}.Sleep(t.Context(), 20)
+			awaitArrival(t, conn)
 			So(conn.EndIdle(), ShouldBeNil)
 			_, err := conn.Read(buffer)
 			So(err, ShouldEqual, io.EOF)
 		})
 	})
 }
+
+// Guards against a request over TLS that is lost as TestEndIdleDropsReceivedRequest shows without.
+func TestEndIdleDropsReceivedTLSRequest(t *testing.T) {
+	Convey("An idle connection with TLS has its next request read if it arrived before the end", t, func() {
+		// The server is used for its certificate only.
+		certified := httptest.NewTLSServer(http.NotFoundHandler())
+		defer certified.Close()
+		listener, err := mglistener.Listen("127.0.0.1:0", certified.TLS)
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		var caller net.Conn
+		var callErr error
+		var calls sync.WaitGroup
+		calls.Go(func() {
+			caller, callErr = tls.Dial("tcp", listener.Addr().String(), &tls.Config{
+				RootCAs:    certified.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs,
+				ServerName: "example.com",
+			})
+			if callErr == nil {
+				_, callErr = io.WriteString(caller, "first")
+			}
+		})
+		conn, err := listener.Accept()
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		buffer := make([]byte, 64)
+		n, err := conn.Read(buffer)
+		So(err, ShouldBeNil)
+		So(string(buffer[:n]), ShouldEqual, "first")
+		calls.Wait()
+		So(callErr, ShouldBeNil)
+		defer caller.Close()
+		mglistener.ConnOf(conn).BeginIdle()
+		_, err = io.WriteString(caller, "next")
+		So(err, ShouldBeNil)
+		awaitArrival(t, mglistener.ConnOf(conn))
+		So(mglistener.ConnOf(conn).EndIdle(), ShouldBeNil)
+		n, err = conn.Read(buffer)
+		So(err, ShouldBeNil)
+		So(string(buffer[:n]), ShouldEqual, "next")
+	})
+}
