tests: one line says which failure each new test guards against

The hedged case changed a map while earlier copies might still read it. Change: shorter heads; the test waits until the copies have chosen their handlers.

--- a/internal/connection/mglistener/conn_test.go
+++ b/internal/connection/mglistener/conn_test.go
@@ -123,7 +123,7 @@
 	})
 }
 
-// Guards against a request over TLS that is lost as TestEndIdleDropsReceivedRequest shows without.
+// Guards against the failure of TestEndIdleDropsReceivedRequest on a connection with TLS.
 func TestEndIdleDropsReceivedTLSRequest(t *testing.T) {
 	Convey("An idle connection with TLS has its next request read if it arrived before the end", t, func() {
 		// The server is used for its certificate only.
--- a/internal/process/mgentry/hedge_test.go
+++ b/internal/process/mgentry/hedge_test.go
@@ -141,8 +141,7 @@
 	return b.hostTransport.RoundTrip(r)
 }
 
-// One upstream may have run a lookup that it didn't answer. Another that refuses it must not
-// make the caller believe that it has not run.
+// Guards against "not run" from one upstream for a call that another may have run.
 func TestUnansweredCallReportedNotRun(t *testing.T) {
 	Convey("A call that one upstream didn't answer and another refused has an unknown outcome", t, func() {
 		for range 20 { // the upstreams are tried in random order
@@ -176,6 +175,7 @@
 			for range 200 {
 				lookup(entry.Handler())
 			}
+			synctest.Wait() // the last copies have chosen their handlers
 			refuse := mgrpc.NewAgentServer(refusingAgent{})
 			network.hostTransport["agent-1"] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				mgclock.Clock{}.Sleep(r.Context(), 2000)
--- a/internal/process/mgentry/unanswered_test.go
+++ b/internal/process/mgentry/unanswered_test.go
@@ -63,9 +63,7 @@
 	})
 }
 
-// The first agent attests that its attempt did not run. The engine of the second may have
-// worked on the request until its agent lost it, so the attestation must not be taken for that
-// attempt too.
+// Guards against "not run", attested by one agent, for a request that a second agent then lost.
 func TestLostRestartReportedNotRun(t *testing.T) {
 	Convey("A request that was lost after a restart has an unknown outcome", t, func() {
 		accepting := acceptingAgent{
--- a/internal/request/mgquarantine/order_test.go
+++ b/internal/request/mgquarantine/order_test.go
@@ -213,8 +213,7 @@
 	})
 }
 
-// Crashes seen within one millisecond must count once each at most, and an attempt that was
-// sent before a crash was recorded must not count after it.
+// Guards against crashes within one millisecond that count more than once, or in a false order.
 func TestOneMillisecondCountsMore(t *testing.T) {
 	crash := func(upstream string, nextNumber uint64) mgquarantine.Crash {
 		return mgquarantine.Crash{
@@ -271,8 +270,7 @@
 	})
 }
 
-// Times are rounded down to 1 ms at each process. A crash that another process saw after an
-// attempt was sent must not count as seen before it.
+// Guards against an order of two processes' crashes that only the rounding to 1 ms shows.
 func TestRoundingReversesOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const usPerMillis = 1000
@@ -312,7 +310,7 @@
 	})
 }
 
-// A crash must not be voided by an answer that came before it in the same millisecond.
+// Guards against a crash that an earlier answer of the same millisecond voids.
 func TestEarlierAnswerVoidsCrash(t *testing.T) {
 	Convey("Of a crash, an answer and another crash within one millisecond", t, func() {
 		own, other := mgquarantine.New("own", nil), mgquarantine.New("other", nil)
