mgnode: the simulated calls of the exchange tests end with their contexts

Callers saw nothing.

Cause: the mesh's call ignored its context. A comparison that returned after the test had cancelled its processes sent the missing records with the ended context, and that simulated call could take 800 ms more. The test waited 1 s in all, then its main goroutine returned, virtual time stood still, and synctest reported a deadlock.

Change: the simulated call ends with its context, as Node.sendUpdates does, and the test waits for its goroutines instead of 1 s, so a goroutine that outlives its process fails the test at once. Scenarios, checks and bounds are unchanged. It is stricter: round trips over the product's 500 ms have no reply now.

Conclusion: a fault of the test; the product's calls end with their contexts.

--- a/internal/process/mgnode/exchange_test.go
+++ b/internal/process/mgnode/exchange_test.go
@@ -69,6 +69,7 @@
 }
 
 // call delivers a message and its response, each with a random latency of one ms to maxLatency.
+// It ends with its context, as Node.sendUpdates does.
 func (m *mesh) call(ctx context.Context, from int, to *mgmember.Member, message updateMessage) (updateMessage, error) {
 	receiver, _ := strconv.Atoi(to.Name())
 	m.calls.Add(1)
@@ -77,8 +78,13 @@
 	if maxLatency == 0 {
 		maxLatency = 3 * time.Millisecond
 	}
-	latency := func() time.Duration {
-		return time.Millisecond + time.Duration(rand.Int64N(int64(maxLatency-time.Millisecond)))
+	wait := func() error {
+		select {
+		case <-time.After(time.Millisecond + time.Duration(rand.Int64N(int64(maxLatency-time.Millisecond)))):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	lost := receiver >= m.spec.count-m.spec.deadCount || rand.Float64() < m.spec.lossRate
 	cut := m.isolated.Load()
@@ -86,10 +92,14 @@
 		<-ctx.Done()
 		return updateMessage{}, errLost
 	}
-	time.Sleep(latency())
+	if err := wait(); err != nil {
+		return updateMessage{}, err
+	}
 	reply := m.nodes[receiver].handle(message)
 	m.bytes.Add(compressedSize(reply))
-	time.Sleep(latency())
+	if err := wait(); err != nil {
+		return updateMessage{}, err
+	}
 	return reply, nil
 }
 
@@ -101,7 +111,8 @@
 	return int64(len(body))
 }
 
-// run runs the processes of the mesh until body returns.
+// run runs the processes of the mesh until body returns. It fails the test if a call outlives
+// its process.
 func (m *mesh) run(t *testing.T, body func()) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -111,7 +122,7 @@
 		}
 		body()
 		cancel()
-		time.Sleep(time.Second) // calls in progress end
+		synctest.Wait()
 	})
 }
 
