mglimit: a hub doesn't assign the permit that another entry takes meanwhile

What callers saw: an upstream with a rate limit gets two requests where the limit allows one, and rejects or delays them.

Cause: the hub read the available permits, assigned placements, and reserved the permits. Each step took the lock of the buckets, nothing held it between them.

Change: Permits.Hold makes Take wait while the hub assigns and reserves.

Conclusion: the class 'reads a limit and then acts on it' had one more fault.

--- a/internal/process/mgnode/placement.go
+++ b/internal/process/mgnode/placement.go
@@ -213,11 +213,7 @@
 		queue.upstreams = (*placementCandidates)(service, n.entryLoads.Others(now, n.settings.Name))
 		n.reportQueue(now, service, queue)
 	}
-	upstreams := slices.Clone(queue.upstreams)
-	limitShares := n.applyLimits(now, upstreams)
-	grants := queue.assign(now, upstreams)
-	n.reservePermits(now, grants, limitShares)
-	for _, grant := range grants {
+	for _, grant := range n.assignWithPermits(now, queue) {
 		if pending := queue.byName[grant.Name]; pending != nil {
 			pending.grant = grant
 			close(pending.granted)
@@ -225,6 +221,18 @@
 	}
 }
 
+// assignWithPermits assigns upstreams to a queue's requests and reserves their permits. No
+// other request is granted a permit meanwhile.
+func (n *Node) assignWithPermits(now mgclock.Millis, queue *placementQueue) []mgwaitlist.Grant {
+	release := n.permits.Hold()
+	defer release()
+	upstreams := slices.Clone(queue.upstreams)
+	limitShares := n.applyLimits(now, upstreams)
+	grants := queue.assign(now, upstreams)
+	n.reservePermits(now, grants, limitShares)
+	return grants
+}
+
 // assign returns the grants that are possible now. Without upstreams that may be given work,
 // it gives all waiting requests up: their grants have no Place.
 func (l *placementQueue) assign(now mgclock.Millis, upstreams []mgwaitlist.Place) []mgwaitlist.Grant {
--- a/internal/request/mglimit/permits.go
+++ b/internal/request/mglimit/permits.go
@@ -63,6 +63,7 @@
 // Permits are the token buckets of a granter. The zero Permits has granted none and is
 // ready for use by several goroutines.
 type Permits struct {
+	taking  sync.Mutex // held by Take and from Hold to its release
 	mu      sync.Mutex
 	buckets map[string]*bucket
 }
@@ -76,6 +77,8 @@
 
 // Take grants a permit, or returns the time until there may be one.
 func (p *Permits) Take(now mgclock.Millis, request PermitRequest, share Share) (wait mgclock.Millis, ok bool) {
+	p.taking.Lock()
+	defer p.taking.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.bucket(now, request.Upstream, share)
@@ -90,7 +93,15 @@
 	return mgclock.Millis(math.Ceil((wholePermit - b.permits) / share.rate * float64(mgclock.Second))), false
 }
 
-// Available returns how many permits can be granted now.
+// Hold makes Take wait until release is called, so that the permits that Available returns can
+// be assigned and reserved.
+func (p *Permits) Hold() (release func()) {
+	p.taking.Lock()
+	return p.taking.Unlock
+}
+
+// Available returns how many permits can be granted now. Unless Take is held, it may grant
+// them meanwhile.
 func (p *Permits) Available(now mgclock.Millis, upstream string, share Share) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
