--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -9,6 +9,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -108,13 +109,9 @@
 	return e.relay.PlacementCandidates(table, service, others)
 }
 
-// SetMaxRetries sets the maximum number of retries that this entry's budget holds
-// for each service. The entries share what a service allows.
-func (e *Entry) SetMaxRetries(limit int) { e.budgets.SetLimit(limit) }
-
-// ExpireEarnedRetries drops the retries that an entry without a share of a service's
-// retries has earned; see mgretry.Budgets.ExpireEarned.
-func (e *Entry) ExpireEarnedRetries() { e.budgets.ExpireEarned() }
+// RetryBudgets returns this entry's budgets of retries. The entries share what a service
+// allows.
+func (e *Entry) RetryBudgets() *mgretry.Budgets { return &e.budgets }
 
 // directHosts returns the upstreams that run a service, that this entry reaches
 // without an agent and that accept new work.
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -46,7 +46,7 @@
 		n.background.Go(func() { n.reportLoads(ctx, entry.Load()) })
 	}
 	if settings.MaxRetries > 0 {
-		n.background.Go(func() { n.limitRetries(ctx, int(settings.MaxRetries), entry) })
+		n.background.Go(func() { n.limitRetries(ctx, int(settings.MaxRetries), entry.RetryBudgets()) })
 	}
 	n.Serve(ctx, ServerSpec{
 		Name:           "callers",
@@ -112,7 +112,7 @@
 // limitRetries sets this entry's limit of retries once a second until ctx ends. The
 // limit is its share of total, the number of retries allowed to all entries together,
 // and follows from the known entries.
-func (n *Node) limitRetries(ctx context.Context, total int, entry *mgentry.Entry) {
+func (n *Node) limitRetries(ctx context.Context, total int, budgets *mgretry.Budgets) {
 	expireAt := n.clock.Now() + retryWindow
 	for ok := true; ok; ok = n.clock.Sleep(ctx, mgclock.Second) {
 		others := n.otherEntries()
@@ -122,9 +122,9 @@
 				rank++
 			}
 		}
-		entry.SetMaxRetries(mgretry.Share(total, 1+len(others), rank))
+		budgets.SetLimit(mgretry.Share(total, 1+len(others), rank))
 		if now := n.clock.Now(); now >= expireAt {
-			entry.ExpireEarnedRetries()
+			budgets.ExpireEarned()
 			expireAt = now + retryWindow
 		}
 	}
