mgrelay: a forced request counts before it is sent

What callers saw: an upstream with a rate limit could get two requests where the limit allows one, when a generation goes on there by force.

Cause: the relay reported the forced request in a goroutine and sent it meanwhile.

Change: the relay takes the permit before it sends. A node takes its own permit at once, and asks a hub in the background, so a silent hub still delays nothing (TestForcedRequestWaitsForGranter).

Conclusion: at the hub itself nothing lies between the two any more; where another process is the hub, the request still counts some ms late.

--- a/internal/process/mgnode/permit.go
+++ b/internal/process/mgnode/permit.go
@@ -48,12 +48,22 @@
 }
 
 // acquirePermit acquires the permit to send a request to a rate-limited upstream. If it is
-// not granted, it returns the time after which to try again.
+// not granted, it returns the time after which to try again. A forced request doesn't wait for
+// another process's response.
 func (n *Node) acquirePermit(ctx context.Context, request mgrelay.PermitRequest) (mgclock.Millis, bool) {
 	hub := n.hubPeer()
 	if hub == nil {
 		return n.grantPermit(n.settings.Name, request)
 	}
+	if request.Ask.Forced {
+		go n.acquirePermitFrom(ctx, hub, request)
+		return 0, true
+	}
+	return n.acquirePermitFrom(ctx, hub, request)
+}
+
+// acquirePermitFrom acquires a permit from the hub.
+func (n *Node) acquirePermitFrom(ctx context.Context, hub *mgmember.Member, request mgrelay.PermitRequest) (mgclock.Millis, bool) {
 	if n.clock.Now() < mgclock.Millis(n.permitRetryAt.Load()) {
 		return permitRetryDelay, false
 	}
--- a/internal/process/mgnode/permit_test.go
+++ b/internal/process/mgnode/permit_test.go
@@ -296,3 +296,52 @@
 		}
 	})
 }
+
+// Guards against a forced request that waits for a granter that doesn't respond, or that the granter
+// doesn't count.
+func TestForcedRequestWaitsForGranter(t *testing.T) {
+	Convey("A forced request at an entry", t, func() {
+		const rate = 2
+		for _, reachable := range []bool{true, false} {
+			Convey(fmt.Sprintf("is sent at once, and counts if the granter is reachable: %v", reachable), func() {
+				var elapsed mgclock.Millis
+				var granted bool
+				var available int
+				synctest.Test(t, func(t *testing.T) {
+					c := newPermitCluster(t, 2, 1)
+					entry, granter := c.nodes[0], c.nodes[1]
+					if entry.hubPeer() == nil {
+						entry, granter = granter, entry
+					}
+					c.setCut(func(int, int) bool { return !reachable })
+					now := c.clock.Now()
+					for _, n := range c.nodes {
+						n.limits.RecordRate(now, limitedUpstream, 0, rate)
+						n.entryLoads.MarkSeen(now, "entry-0")
+						n.entryLoads.MarkSeen(now, "entry-1")
+					}
+					share := granter.limitShare(now, rate, 1)
+					granter.permits.Available(now-10*mgclock.Second, limitedUpstream, share)
+					_, granted = entry.acquirePermit(t.Context(), mgrelay.PermitRequest{
+						Ask: mglimit.PermitRequest{
+							Upstream: limitedUpstream,
+							Request:  "forced",
+							Forced:   true,
+						},
+						Granters: 1,
+					})
+					elapsed = c.clock.Now() - now
+					time.Sleep(permitTimeout.Duration() + time.Millisecond)
+					available = granter.permits.Available(now, limitedUpstream, share)
+				})
+				So(granted, ShouldBeTrue)
+				So(elapsed, ShouldEqual, 0)
+				if reachable {
+					So(available, ShouldEqual, 0)
+				} else {
+					So(available, ShouldEqual, 1)
+				}
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/limit.go
+++ b/internal/process/mgrelay/limit.go
@@ -53,14 +53,13 @@
 }
 
 // takeForcedPermit reports a request that is sent to a rate-limited upstream even if
-// there is no permit, so that it counts against the limit. It doesn't wait for the
-// reply.
+// there is no permit, so that it counts against the limit.
 func (y *Relay) takeForcedPermit(ctx context.Context, x *exchange, host Host) {
 	if _, limited := y.spec.Limits.Rate(host.Name, host.IncarnationStart); !limited {
 		return
 	}
 	y.spec.Metrics.Counter("relay.limit.forced").Inc(1)
-	go y.spec.TakePermit(context.WithoutCancel(ctx), x.permitRequest(host, true))
+	y.spec.TakePermit(context.WithoutCancel(ctx), x.permitRequest(host, true))
 }
 
 func (x *exchange) permitRequest(host Host, forced bool) PermitRequest {
--- a/internal/process/mgrelay/limit_test.go
+++ b/internal/process/mgrelay/limit_test.go
@@ -157,3 +157,37 @@
 		}
 	})
 }
+
+// Guards against another request with the permit of a forced one, which was sent before it
+// counted.
+func TestForcedRequestSentBeforeItCounts(t *testing.T) {
+	Convey("A generation that goes on where its copy lies counts before it is sent there", t, func() {
+		s := newMoveScenario(t, func(s *moveScenario, order mgrelay.MoveOrder) mgmigration.Reply {
+			if order.Stop {
+				close(s.breakOff)
+			}
+			return mgmigration.Reply{
+				Outcome: mgmigration.Copied,
+				Handle:  "h",
+			}
+		}, resumeFromCopy)
+		limits := &mglimit.Limits{}
+		limits.RecordRate(0, "b", 0, 1)
+		var sentBefore atomic.Int64
+		sentBefore.Store(-1)
+		s.harness.startRelay(func(spec *mgrelay.Spec) {
+			s.configure(spec)
+			spec.Limits = limits
+			spec.TakePermit = func(ctx context.Context, permit mgrelay.PermitRequest) (mgclock.Millis, bool) {
+				mgclock.Clock{}.Sleep(ctx, 50)
+				if permit.Ask.Forced {
+					sentBefore.Store(int64(len(s.harness.requests()) - 1)) // without the one that was moved
+				}
+				return 0, true
+			}
+		})
+		got := s.harness.send(context.Background(), http.MethodPost, "/write/1", "x", nil)
+		So(got.body, ShouldEqual, wholeStream())
+		So(sentBefore.Load(), ShouldEqual, 0)
+	})
+}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -89,7 +89,8 @@
 	Quarantine *mgquarantine.Quarantine
 	// Limits are the rate limits that upstreams announce in their answers. TakePermit
 	// takes a permit to send to an upstream that has one, or returns the time until
-	// there may be a permit. New creates both for this process alone if they are nil.
+	// there may be a permit. For a forced request it returns at once. New creates both
+	// for this process alone if they are nil.
 	Limits     *mglimit.Limits
 	TakePermit func(ctx context.Context, request PermitRequest) (wait mgclock.Millis, ok bool)
 	// RefusesConnections reports whether an upstream's address refuses connections, as it does
