mgagent: a start without an answer isn't repeated

What callers saw: one whole answer, but its generation had been started twice; a prompt that had ended the engine ran there again at once.

Cause: the agent sent a start again if it had no answer, since engines start an id only once. An engine that has restarted meanwhile doesn't know the id.

Change: the agent asks the engine which generations it holds, and goes on if this one is among them. Otherwise its outcome is unknown and the entry decides. It logs the attempt, whether the engine holds it, and the error.

Conclusion: a start that is lost on its way now costs the entry a retry.

--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,9 +20,9 @@
 	// maxPumpSleep limits the pump's sleep, so that a wake-up that the scheduler
 	// computed from an estimate is never far off.
 	maxPumpSleep = mgclock.Second
-	// maxStartTries is the maximum number of start requests for one generation.
-	// The engine treats starts as idempotent by id.
-	maxStartTries = 3
+	// maxHeldChecks is the maximum number of queries whether the engine holds a
+	// generation whose start it didn't answer.
+	maxHeldChecks = 2
 	// startTimeout limits the wait for the engine's answer to a start. It is
 	// well below the shortest deadline to the first token.
 	startTimeout = 2 * mgclock.Second
@@ -102,37 +103,45 @@
 	a.readTokens(ctx, g)
 }
 
-// startAtEngine starts the generation, retrying if the engine doesn't answer.
-// The engine starts an id only once.
+// startAtEngine starts the generation. A start without an answer isn't repeated: the
+// engine starts an id only once, but an engine that has restarted since would start it
+// again. The generation goes on if the engine holds it.
 func (a *Agent) startAtEngine(ctx context.Context, g *generation) *mgproblem.Problem {
-	var err error
-	mayHaveStarted := false // an earlier try may have started it
-	for range maxStartTries {
-		err = a.tryStart(ctx, g)
+	err := a.tryStart(ctx, g)
+	if err == nil {
+		return nil
+	}
+	if mgengine.KindOf(err) == mgengine.NotStarted {
+		// The engine counts as down until its next load report, unless it
+		// refused the request itself: otherwise one account's invalid
+		// requests would take the engines away from all others.
+		a.engineDown.Store(!mgengine.IsRefusal(err) || a.engineDown.Load())
+		return mgproblem.New(mgproblem.Overloaded, mgproblem.NotRun,
+			"the engine refused the generation", "try another upstream").WithCause(err)
+	}
+	held := a.holdsGeneration(ctx, g.id)
+	a.spec.Log.Info("the engine didn't answer a start", mglog.Attempt, g.id,
+		mglog.Upstream, a.spec.Settings.Upstream, "held", held, "why", err.Error())
+	if held {
+		return nil
+	}
+	a.cancelAtEngine(context.WithoutCancel(ctx), g.id)
+	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+		"the engine did not answer", "try another upstream").WithCause(err)
+}
+
+// holdsGeneration reports whether the engine lists a generation.
+func (a *Agent) holdsGeneration(ctx context.Context, id string) bool {
+	for range maxHeldChecks {
+		held, err := a.listGenerations(ctx)
 		if err == nil {
-			return nil
-		}
-		if mgengine.KindOf(err) == mgengine.NotStarted {
-			// The engine counts as down until its next load report, unless it
-			// refused the request itself: otherwise one account's invalid
-			// requests would take the engines away from all others.
-			a.engineDown.Store(!mgengine.IsRefusal(err) || a.engineDown.Load())
-			if mayHaveStarted {
-				// A refusal covers this try alone. An earlier one was sent and
-				// not answered, so the engine may have run it until it crashed.
-				break
-			}
-			return mgproblem.New(mgproblem.Overloaded, mgproblem.NotRun,
-				"the engine refused the generation", "try another upstream").WithCause(err)
+			return slices.ContainsFunc(held, func(found mgengine.Generation) bool { return found.ID == id })
 		}
-		mayHaveStarted = true
 		if ctx.Err() != nil {
-			break
+			return false
 		}
 	}
-	a.cancelAtEngine(context.WithoutCancel(ctx), g.id)
-	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
-		"the engine did not answer", "try another upstream").WithCause(err)
+	return false
 }
 
 // cancelAtEngine asks the engine to cancel a generation. Without the timeout an
--- a/internal/process/mgagent/start_test.go
+++ b/internal/process/mgagent/start_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -10,6 +13,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgengine"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
+	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
@@ -86,3 +90,81 @@
 	<-done
 	return canceled.GetOutcome()
 }
+
+// Guards against a generation that is started twice: an engine whose answer to the start was
+// lost restarts before the agent tries again, and no longer knows the generation.
+func TestLostAnswerStartsTwice(t *testing.T) {
+	cases := []struct {
+		name     string
+		restarts bool // the engine restarts after the first start
+		finished int64
+		outcome  mgproblem.Outcome
+	}{
+		{
+			name:     "if the engine holds it, its tokens are read",
+			finished: 1,
+			outcome:  mgproblem.Done,
+		},
+		{
+			name:     "if the engine has restarted, its outcome is unknown",
+			restarts: true,
+			outcome:  mgproblem.Unknown,
+		},
+	}
+	Convey("A generation starts once where the engine's answer was lost", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				engine := mgstandin.NewEngine(mgstandin.EngineSpec{}, mgclock.Clock{})
+				engineCtx, stopEngine := context.WithCancel(context.Background())
+				defer stopEngine()
+				go engine.Run(engineCtx)
+				var startCalls atomic.Int64
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.Method != http.MethodPost || r.URL.Path != "/v1/generations" || startCalls.Add(1) > 1 {
+						engine.Handler().ServeHTTP(w, r)
+						return
+					}
+					engine.Handler().ServeHTTP(httptest.NewRecorder(), r)
+					if c.restarts {
+						engine.Set(mgstandin.Fault{Kind: mgstandin.Die})
+						engine.Set(mgstandin.Fault{Kind: mgstandin.Heal})
+					}
+					panic(http.ErrAbortHandler)
+				}))
+				defer server.Close()
+				agent, err := newAgent(table, mgengine.Calls{}, func(spec *mgagent.Spec) {
+					spec.Engine = mgengine.NewHTTP(server.URL, nil)
+					spec.Settings.MaxWaiting = 8
+				})
+				So(err, ShouldBeNil)
+				ctx, cancel, done := runAgent(agent)
+				reply, err := agent.Start(ctx, &mgrpc.StartRequest{
+					Attempt:     "a",
+					Incarnation: "i1",
+					Account:     "tankline",
+					Service:     "report",
+					Model:       "tank-70b",
+					Prompt:      "a report len=3",
+					Max:         8,
+					Budget:      10000,
+				})
+				So(err, ShouldBeNil)
+				So(reply.GetFault(), ShouldBeNil)
+				for agent.State().Broken+agent.State().Finished == 0 {
+					So(mgclock.Clock{}.Sleep(ctx, 1), ShouldBeTrue)
+				}
+				state := agent.State()
+				canceled, err := agent.Cancel(ctx, &mgrpc.CancelRequest{
+					Attempt:     "a",
+					Incarnation: "i1",
+				})
+				So(err, ShouldBeNil)
+				cancel()
+				<-done
+				So(engine.Counts().Generations["a"].Starts, ShouldEqual, 1)
+				So(state.Finished, ShouldEqual, c.finished)
+				So(canceled.GetOutcome(), ShouldEqual, string(c.outcome))
+			})
+		}
+	})
+}
