mgagent: the comment of a test follows the code

Change: one sentence says which failure it guards against; its cases are unchanged. Conclusion: wording only.

--- a/internal/process/mgagent/start_test.go
+++ b/internal/process/mgagent/start_test.go
@@ -18,9 +18,8 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
-// An engine accepts a start, its answer is lost, and the engine or its
-// replacement refuses the retry. The refusal covers only the retry: the first
-// start may have run, so "not run" would be false.
+// Guards against "not run" for a start whose answer was lost: the engine may have run it,
+// whatever the engine or its replacement reports afterwards.
 func TestFalseNotRunAfterLostAnswer(t *testing.T) {
 	lost := mgengine.NewFailure(mgengine.Unknown, "start", "", errors.New("the answer was lost"))
 	refused := mgengine.NewFailure(mgengine.NotStarted, "start", "", errors.New("nobody listens"))
