mgagent: a test for the second query whether an engine holds a generation

Cause: the agent asks twice, and no test showed why. Change: a case of TestLostAnswerStartsTwice whose first query gets no answer.

--- a/internal/process/mgagent/start_test.go
+++ b/internal/process/mgagent/start_test.go
@@ -96,6 +96,7 @@
 	cases := []struct {
 		name     string
 		restarts bool // the engine restarts after the first start
+		muted    bool // the engine doesn't answer the first query for its generations after that
 		finished int64
 		outcome  mgproblem.Outcome
 	}{
@@ -104,6 +105,12 @@
 			finished: 1,
 			outcome:  mgproblem.Done,
 		},
+		{
+			name:     "if the engine answers only the second query, its tokens are read too",
+			muted:    true,
+			finished: 1,
+			outcome:  mgproblem.Done,
+		},
 		{
 			name:     "if the engine has restarted, its outcome is unknown",
 			restarts: true,
@@ -117,8 +124,12 @@
 				engineCtx, stopEngine := context.WithCancel(context.Background())
 				defer stopEngine()
 				go engine.Run(engineCtx)
-				var startCalls atomic.Int64
+				var startCalls, queries atomic.Int64
 				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					isQuery := r.Method == http.MethodGet && r.URL.Path == "/v1/generations"
+					if c.muted && isQuery && startCalls.Load() > 0 && queries.Add(1) == 1 {
+						panic(http.ErrAbortHandler)
+					}
 					if r.Method != http.MethodPost || r.URL.Path != "/v1/generations" || startCalls.Add(1) > 1 {
 						engine.Handler().ServeHTTP(w, r)
 						return
