--- a/internal/process/mgnode/permit_race_test.go
+++ b/internal/process/mgnode/permit_race_test.go
@@ -1,6 +1,7 @@
 package mgnode
 
 import (
+	"fmt"
 	"strconv"
 	"sync"
 	"testing"
@@ -84,3 +85,27 @@
 		So(none, ShouldEqual, 0)
 	})
 }
+
+// BenchmarkAssignWithPermits measures how long an assignment keeps other entries from taking
+// permits, by the numbers of upstreams and of waiting requests.
+func BenchmarkAssignWithPermits(b *testing.B) {
+	for _, size := range []struct{ upstreams, waiting int }{{15, 20}, {144, 300}} {
+		b.Run(fmt.Sprintf("%d upstreams, %d requests", size.upstreams, size.waiting), func(b *testing.B) {
+			n := newHubWithOnePermit()
+			for i := range size.waiting {
+				n.placementQueues.enqueue(n.clock.Now(), "llm", newRequest(strconv.Itoa(i)))
+			}
+			queue := n.placementQueues.byService["llm"]
+			for i := range size.upstreams {
+				queue.upstreams = append(queue.upstreams, mgwaitlist.Place{
+					Name:    strconv.Itoa(i),
+					Limited: i == 0,
+					Rate:    0.5,
+				})
+			}
+			for b.Loop() {
+				n.assignWithPermits(n.clock.Now(), queue)
+			}
+		})
+	}
+}
