mgrelay: logs and counters tell which software version a stream continues at

Change: the list's version of an upstream's software reaches the view, the relay and the dump; a line and a counter for each stream that a caller resumes, that continues at another upstream, and of these at another version. Nothing is decided by it.

--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -45,6 +45,9 @@
 	Power            int      `json:"power,omitempty"` // capacity of its processor and network relative to others; 0 if unknown
 	ColdMillis       int64    `json:"cold,omitempty"`  // ms for which its request rate is still limited after its start
 	IncarnationStart int64    `json:"born,omitempty"`  // start time, if the platform provides it; increases with each start under the same name
+	// SoftwareVersion is the version of the upstream's software, "" if the platform doesn't
+	// provide it. Versions have no order. Output of one version can't be continued by another.
+	SoftwareVersion string `json:"software,omitempty"`
 }
 
 // PeerAddr returns the address at which other processes reach the VM.
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -129,6 +129,7 @@
 			FailedRecently:   member.Suspect(),
 			Cold:             member.Cold(now, coldWindow),
 			IncarnationStart: member.IncarnationStart(),
+			SoftwareVersion:  member.SoftwareVersion(),
 			Granters:         fleet.assignerCount[service],
 		})
 	}
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -173,6 +173,7 @@
 			Kind:        member.Kind(),
 			Zone:        member.Zone(),
 			Upstream:    member.Upstream(),
+			Software:    member.SoftwareVersion(),
 			Incarnation: member.Incarnation(),
 			Leaving:     member.Leaving(),
 			Suspect:     member.Suspect(),
@@ -199,6 +200,7 @@
 	Kind        string `json:"kind"`
 	Zone        string `json:"zone"`
 	Upstream    string `json:"upstream,omitempty"`
+	Software    string `json:"software,omitempty"` // version of the upstream's software
 	Incarnation string `json:"incarnation,omitempty"`
 	Leaving     bool   `json:"leaving,omitempty"`
 	Suspect     bool   `json:"suspect,omitempty"`
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -48,6 +48,8 @@
 	streaming        atomic.Bool // headerSent for other goroutines
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
+	begunAt          Host                // the upstream that produced the first event; zero before
+	lastHost         Host                // the upstream that produced the last event; zero before
 	sequence         eventSequence       // of the events that the caller has
 	lastEventAt      mgclock.Millis      // when the caller was last sent events
 	firstAfterResume bool                // the next events are the first ones of another upstream
--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -20,6 +20,7 @@
 	Tokens       string   // "prompt,max": number of tokens of the prompt, and maximum for the output
 	OutputHint   string   // the caller's estimate of the number of output tokens
 	LastEventID  string   // id of the last event that a caller, or the relay, has received
+	Resumes      string   // from callers that resume a stream: the id of the request that brought its first event
 	Copy         string   // the copy from which a generation continues: address of the source, "/", handle of the copy
 	NotForwarded []string // further headers that are never forwarded to upstreams
 	// RetryAfterFractions reports whether callers accept fractions of a second in Retry-After.
@@ -41,6 +42,7 @@
 		Tokens:      "Tokens",
 		OutputHint:  "Hint",
 		LastEventID: "Last-Event-Id",
+		Resumes:     "Resumes",
 		Copy:        "Copy",
 	}
 }
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -17,10 +17,11 @@
 	Addr             string // IP and port
 	Zone             string
 	Region           string
-	FailedRecently   bool  // it failed recently
-	Cold             bool  // it may have started a short time ago
-	IncarnationStart int64 // when its incarnation started, as stated by the list; 0 if not stated
-	Granters         int   // number of processes that assign its placements or give permits for it, at least 1
+	FailedRecently   bool   // it failed recently
+	Cold             bool   // it may have started a short time ago
+	IncarnationStart int64  // when its incarnation started, as stated by the list; 0 if not stated
+	SoftwareVersion  string // of its incarnation, as stated by the list; "" if not stated
+	Granters         int    // number of processes that assign its placements or give permits for it, at least 1
 }
 
 // candidate is an upstream and the cost of a request there.
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -168,6 +168,7 @@
 	}
 	y.spec.Log.Info(what, append(y.dataVersionKeys(),
 		mglog.Request, r.exchange.id, mglog.Upstream, r.host.Name, "to", m.destination.Name, "found", m.hasDestination,
+		"begun", r.host.SoftwareVersion, "software", m.destination.SoftwareVersion,
 		"outcome", m.lastReply.Outcome.String(), "tried", m.refusedCount, "stopped", m.move.Stopped(),
 		"places", len(r.resumePoints), "ms", int64(m.duration), "waited", int64(m.slotWait))...)
 }
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -34,6 +34,7 @@
 	}
 	y.countPromptRead(x, host)
 	y.spec.Load.RecordAnswer(y.spec.Clock.Now(), host.Name)
+	y.recordProducer(x, host)
 	x.firstAfterResume = x.resumed
 	// The resume points of an earlier move are void: their copies were used or are
 	// gone.
@@ -69,6 +70,42 @@
 	return delivered
 }
 
+// recordProducer records that an upstream produces the next events of a stream.
+func (y *Relay) recordProducer(x *exchange, host Host) {
+	before := x.lastHost
+	x.lastHost = host
+	switch {
+	case before.Name == "":
+		x.begunAt = host
+		y.recordCallerResume(x, host)
+	case before.Name != host.Name:
+		y.recordContinuation(x, before, host)
+	}
+}
+
+// recordCallerResume records a stream that its caller resumes after an answer that broke off.
+func (y *Relay) recordCallerResume(x *exchange, host Host) {
+	last := x.header.Get(y.spec.Headers.LastEventID)
+	if last == "" {
+		return
+	}
+	y.spec.Metrics.Counter("relay.resumed.caller").Inc(1)
+	y.spec.Log.Info("a caller resumes a stream", append(y.dataVersionKeys(),
+		mglog.Request, x.id, "resumes", x.header.Get(y.spec.Headers.Resumes), "last", last, mglog.Service, x.service,
+		mglog.Upstream, host.Name, "software", host.SoftwareVersion)...)
+}
+
+// recordContinuation records a stream that continues at another upstream within one answer.
+func (y *Relay) recordContinuation(x *exchange, before, host Host) {
+	y.spec.Metrics.Counter("relay.resumed.relay").Inc(1)
+	if before.SoftwareVersion != host.SoftwareVersion {
+		y.spec.Metrics.Counter("relay.resumed.mixed").Inc(1)
+	}
+	y.spec.Log.Info("a stream continues at another upstream", append(y.dataVersionKeys(),
+		mglog.Request, x.id, mglog.Service, x.service, "from", before.Name, "begun", before.SoftwareVersion,
+		mglog.Upstream, host.Name, "software", host.SoftwareVersion, "last", x.sequence.lastID)...)
+}
+
 // recordTokenTime records the average time per token of a complete stream in µs,
 // measured over the part that the last upstream produced.
 func (y *Relay) recordTokenTime(r *generation) {
--- a/internal/version/mgmember/member.go
+++ b/internal/version/mgmember/member.go
@@ -68,6 +68,10 @@
 // the list has none. It orders the incarnations of one upstream.
 func (m *Member) IncarnationStart() int64 { return m.vm.IncarnationStart }
 
+// SoftwareVersion returns the version of the upstream's software according to the list, "" where
+// the list has none.
+func (m *Member) SoftwareVersion() string { return m.vm.SoftwareVersion }
+
 // Power returns the relative capacity of its VM, or 0.
 func (m *Member) Power() int { return m.vm.Power }
 
