--- a/internal/process/mgrelay/move_test.go
+++ b/internal/process/mgrelay/move_test.go
@@ -21,6 +21,7 @@
 	leaving  bool
 	changed  chan struct{}
 	breakOff chan struct{} // closed when the source must break off its stream
+	version  string        // the source's software version in its events, if they have it
 	orders   []mgrelay.MoveOrder
 	reply    func(order mgrelay.MoveOrder) mgmigration.Reply
 }
@@ -30,7 +31,11 @@
 // source produces three events and breaks off when breakOff is closed.
 func (s *moveScenario) source(w http.ResponseWriter, r *http.Request) {
 	for n := 1; n <= 3; n++ {
-		_, _ = fmt.Fprint(w, eventText(n))
+		text := eventText(n)
+		if s.version != "" {
+			text = versionedEvent(n, s.version)
+		}
+		_, _ = fmt.Fprint(w, text)
 	}
 	_ = http.NewResponseController(w).Flush()
 	s.leave()
--- /dev/null
+++ b/internal/process/mgrelay/version_test.go
@@ -0,0 +1,156 @@
+package mgrelay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+)
+
+// versionedEvent is event n as an upstream with a software version writes it.
+func versionedEvent(n int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: written by %s.\n\n", n, version)
+}
+
+// streamEvents returns a handler that writes the events after the one that the request
+// names, up to last.
+func streamEvents(version string, last int) upstreamHandler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		first := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &first)
+		for n := first + 1; n <= last; n++ {
+			_, _ = fmt.Fprint(w, versionedEvent(n, version))
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// breakOffAfter returns a handler that writes events and then closes the connection.
+func breakOffAfter(version string, last int) upstreamHandler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		streamEvents(version, last)(w, r)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writers returns the versions that wrote a stream's events, each once.
+func writers(body string) []string {
+	var versions []string
+	for _, match := range regexp.MustCompile(`written by (.*)\.`).FindAllStringSubmatch(body, -1) {
+		versions = append(versions, match[1])
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// setVersions sets the software versions of the upstreams a, b and so on.
+func (g *harness) setVersions(versions ...string) {
+	for i, version := range versions {
+		g.hosts[i].SoftwareVersion = version
+	}
+}
+
+// Guards against a stream whose events are written by several software versions, because it
+// broke off and was continued at whichever upstream was cheapest.
+func TestStreamContinuesAtOtherVersion(t *testing.T) {
+	cases := []struct {
+		name     string
+		versions []string
+		whole    bool
+	}{
+		{
+			name:     "continues at its version, though another upstream is cheaper",
+			versions: []string{"v1", "v1.1", "v1"},
+			whole:    true,
+		},
+		{
+			name:     "breaks off if its version has no other upstream",
+			versions: []string{"v1", "v1.1", "v2"},
+		},
+		{
+			name:     "breaks off if its version is unknown",
+			versions: []string{"", "", "v1"},
+		},
+		{
+			name:     "breaks off if the version of the others is unknown",
+			versions: []string{"v1", "", ""},
+		},
+	}
+	Convey("A resumable stream that breaks off after three events", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := newHarness(t, breakOffAfter(c.versions[0], 3), streamEvents(c.versions[1], 6), streamEvents(c.versions[2], 6))
+				g.setVersions(c.versions...)
+				got := g.send(context.Background(), http.MethodPost, "/note/1", "x", nil)
+				So(writers(got.body), ShouldResemble, []string{c.versions[0]})
+				So(got.cut, ShouldEqual, !c.whole)
+			})
+		}
+	})
+}
+
+// reclaimDelay is the time from the notice of an upstream to its end.
+const reclaimDelay = 200 * time.Millisecond
+
+// Guards against a generation whose memory is copied to another software version when its
+// upstream leaves.
+func TestGenerationMovesToOtherVersion(t *testing.T) {
+	cases := []struct {
+		name     string
+		versions []string
+		whole    bool
+	}{
+		{
+			name:     "moves to its version, though another upstream is cheaper",
+			versions: []string{"v1", "v1.1", "v1"},
+			whole:    true,
+		},
+		{
+			name:     "is not moved if its version has no other upstream",
+			versions: []string{"v1", "v1.1", "v2"},
+		},
+		{
+			name:     "is not moved if its version is unknown",
+			versions: []string{"", "", "v1"},
+		},
+	}
+	Convey("A generation whose upstream leaves", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				others := make([]upstreamHandler, 0, 2)
+				for _, version := range c.versions[1:] {
+					others = append(others, streamEvents(version, 6))
+				}
+				s := newMoveScenario(t, func(s *moveScenario, order mgrelay.MoveOrder) mgmigration.Reply {
+					if order.Stop && c.whole {
+						close(s.breakOff)
+					}
+					return mgmigration.Reply{
+						Outcome: mgmigration.Copied,
+						Handle:  "h",
+					}
+				}, others...)
+				s.version = c.versions[0]
+				if !c.whole {
+					time.AfterFunc(reclaimDelay, func() { close(s.breakOff) })
+				}
+				s.harness.setVersions(c.versions...)
+				s.harness.startRelay(s.configure)
+				got := s.harness.send(context.Background(), http.MethodPost, "/write/1", "x", nil)
+				So(got.cut, ShouldEqual, !c.whole)
+				for _, order := range s.orders {
+					So(order.To, ShouldEqual, s.harness.hosts[2].Addr)
+				}
+				So(len(s.orders) > 0, ShouldEqual, c.whole)
+			})
+		}
+	})
+}
