mgrelay: a stream continues at the software version that began it, within an answer

Callers saw answers whose first events one software version of an engine had written and whose last events another had. Engines don't check this. Cause: destinations of moves, upstreams of repeated attempts and copies were chosen by service and cost alone: a thing went on because the name of its service matched, though its version wasn't compared. Change: mgorigin.Origin.Accepts decides, by equality of service and known version. The upstreams that may be chosen are filtered by it before the choice (moves, repeated attempts), and each attempt passes it once more before it is sent. A stream whose version has no upstream ends at once. With several cells, upstreams of other cells are used if none of the own cell runs the version. An upstream that the list shows in another incarnation than the one that was sent the request has an unknown version. Conclusion: one decision for all ways to a second upstream in an answer. Callers' next tries are still open (TestCallerResumesAtOtherVersion).

--- a/internal/process/mgentry/agents.go
+++ b/internal/process/mgentry/agents.go
@@ -18,6 +18,8 @@
 	// directHosts holds, by service, the upstreams that this entry reaches without
 	// an agent and that accept new work.
 	directHosts map[string][]*mgmember.Member
+	// regionHosts holds the same, also for the upstreams of other cells.
+	regionHosts map[string][]*mgmember.Member
 	// assignerCount is, by service, the number of the region's processes that assign
 	// placements at directHosts.
 	assignerCount map[string]int
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -44,6 +45,8 @@
 	spec.AllCordoned = e.isClosedService
 	spec.LeavingChanged = e.spec.Changed
 	spec.Upstreams = e.directHosts
+	spec.AllUpstreams = e.regionHosts
+	spec.IncarnationStart = e.incarnationStart
 	spec.IsListStale = e.spec.IsListStale
 	e.relay = mgrelay.New(spec)
 }
@@ -114,13 +117,23 @@
 func (e *Entry) RetryBudgets() *mgretry.Budgets { return &e.budgets }
 
 // directHosts returns the upstreams that run a service, that this entry reaches
-// without an agent and that accept new work.
+// without an agent and that accept new work. With several cells these are the
+// upstreams of this entry's cell; see restrictToCell.
 func (e *Entry) directHosts(service string) []mgrelay.Host {
 	fleet := e.fleet()
-	hosts := fleet.directHosts[service]
+	return e.relayHosts(service, fleet.directHosts[service], fleet.assignerCount[service])
+}
+
+// regionHosts is like directHosts, for the upstreams of all cells.
+func (e *Entry) regionHosts(service string) []mgrelay.Host {
+	fleet := e.fleet()
+	return e.relayHosts(service, fleet.regionHosts[service], fleet.assignerCount[service])
+}
+
+func (e *Entry) relayHosts(service string, members []*mgmember.Member, assignerCount int) []mgrelay.Host {
 	now, coldWindow := e.spec.Clock.Now(), e.coldWindow(service)
-	list := make([]mgrelay.Host, 0, len(hosts))
-	for _, member := range hosts {
+	list := make([]mgrelay.Host, 0, len(members))
+	for _, member := range members {
 		list = append(list, mgrelay.Host{
 			Name:             member.Upstream(),
 			Addr:             member.Addr(),
@@ -130,12 +143,22 @@
 			Cold:             member.Cold(now, coldWindow),
 			IncarnationStart: member.IncarnationStart(),
 			SoftwareVersion:  member.SoftwareVersion(),
-			Granters:         fleet.assignerCount[service],
+			Granters:         assignerCount,
 		})
 	}
 	return list
 }
 
+// incarnationStart returns when the current incarnation of an upstream started, or false if
+// it isn't on the list of VMs.
+func (e *Entry) incarnationStart(name string) (start int64, listed bool) {
+	member, ok := e.spec.View().Agent(name)
+	if !ok || !member.Listed() {
+		return 0, false
+	}
+	return member.IncarnationStart(), true
+}
+
 // coldWindow returns how long an upstream of a service counts as cold after a start.
 func (e *Entry) coldWindow(service string) mgclock.Millis {
 	table := e.spec.Table()
@@ -156,7 +179,8 @@
 // restrictToCell restricts each service's upstreams to those of this entry's
 // cell, so that the load known in the cell is all the load that they get.
 func (f *fleet) restrictToCell(cell mgmember.Cell) {
-	for service, all := range f.directHosts {
+	f.regionHosts = maps.Clone(f.directHosts)
+	for service, all := range f.regionHosts {
 		f.assignerCount[service] = cell.Count
 		if cell.Count > 1 && len(all) >= minCellHosts*cell.Count {
 			f.directHosts[service] = mgmember.CellPart(all, cell.Index, cell.Count)
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -49,6 +50,7 @@
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
 	begunAt          Host                // the upstream that produced the first event; zero before
+	origin           mgorigin.Origin     // of the stream; zero before its first event
 	lastHost         Host                // the upstream that produced the last event; zero before
 	sequence         eventSequence       // of the events that the caller has
 	lastEventAt      mgclock.Millis      // when the caller was last sent events
--- a/internal/process/mgrelay/harness_test.go
+++ b/internal/process/mgrelay/harness_test.go
@@ -189,8 +189,9 @@
 	}))
 	t.Cleanup(server.Close)
 	g.hosts = append(g.hosts, mgrelay.Host{
-		Name: name,
-		Addr: server.Listener.Addr().String(),
+		Name:            name,
+		Addr:            server.Listener.Addr().String(),
+		SoftwareVersion: "v1",
 	})
 }
 
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -42,11 +42,16 @@
 // candidates returns the upstreams that may take a request by ascending cost, those
 // of equal cost in random order.
 func (y *Relay) candidates(x *exchange, query mgload.Query) []candidate {
+	return y.candidatesOf(x, query, y.upstreamsFor(x.service, x.origin))
+}
+
+// candidatesOf returns those of hosts that may take a request, in the order of candidates.
+func (y *Relay) candidatesOf(x *exchange, query mgload.Query, hosts []Host) []candidate {
 	query.Memory = x.size.memory()
 	query.Capacity = upstreamCapacity(x.call.Table, x.service)
 	query.Tokens = max(x.size.output, 1)
 	now := y.spec.Clock.Now()
-	list := slices.DeleteFunc(y.allCandidates(x.service, query, y.otherEntriesLoad()), func(s candidate) bool {
+	list := slices.DeleteFunc(y.allCandidates(hosts, query, y.otherEntriesLoad()), func(s candidate) bool {
 		return !x.homes.allows(s.host.Region) || !y.backoffs.CanSend(now, s.host.Name) || y.permitDelay(now, s.host) > 0
 	})
 	if query.Copy {
@@ -94,10 +99,8 @@
 	return model.MaxContext()
 }
 
-// allCandidates returns all upstreams of a service with the cost of a request at
-// each.
-func (y *Relay) allCandidates(service string, query mgload.Query, others mgload.Report) []candidate {
-	hosts := y.spec.Upstreams(service)
+// allCandidates returns upstreams of a service with the cost of a request at each.
+func (y *Relay) allCandidates(hosts []Host, query mgload.Query, others mgload.Report) []candidate {
 	paces := y.spec.Load.Paces(y.spec.Clock.Now())
 	faults := y.spec.Load.Faults(y.spec.Clock.Now())
 	var knownPaces []float64
@@ -148,7 +151,7 @@
 		Zone:     y.spec.Zone,
 		Capacity: upstreamCapacity(table, service),
 	}
-	list := y.allCandidates(service, query, others)
+	list := y.allCandidates(y.spec.Upstreams(service), query, others)
 	if len(list) == 0 {
 		return nil
 	}
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -215,13 +215,15 @@
 		Run:     r.exchange.id,
 		Benefit: r.state(y.spec.Clock.Now()).Benefit(),
 	}
-	hosts := map[string]Host{}
+	byName := map[string]Host{}
 	copyTime := r.copyTime()
-	for _, c := range y.candidates(r.exchange, mgload.Query{Zone: r.host.Zone, Copy: true}) {
+	origin := y.originAt(r.exchange.service, r.host)
+	hosts := y.upstreamsFor(r.exchange.service, origin)
+	for _, c := range y.candidatesOf(r.exchange, mgload.Query{Zone: r.host.Zone, Copy: true}, hosts) {
 		if c.host.Name == r.host.Name || tried[c.host.Name] {
 			continue
 		}
-		hosts[c.host.Name] = c.host
+		byName[c.host.Name] = c.host
 		request.Destinations = append(request.Destinations, mgmigration.Destination{
 			Name:     c.host.Name,
 			Cost:     c.cost,
@@ -233,11 +235,11 @@
 	}
 	if y.spec.AcquireSlot != nil {
 		if name, ok := y.spec.AcquireSlot(r.ctx, r.exchange.service, request); ok {
-			host, known := hosts[name]
+			host, known := byName[name]
 			return host, known
 		}
 	}
-	return hosts[request.Destinations[0].Name], true
+	return byName[request.Destinations[0].Name], true
 }
 
 // copyTime returns the time in ms to copy the generation's memory within an
--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -31,6 +32,11 @@
 	if y.spec.AwaitPlacement == nil || x.attempts+x.failedDials > 0 || x.call.Route.Kind() != mgtable.Stream || x.size.prompt == 0 {
 		return Host{}, false
 	}
+	if x.origin != (mgorigin.Origin{}) {
+		// The process that assigns placements doesn't know which software version a
+		// stream needs.
+		return Host{}, false
+	}
 	hosts := y.spec.Upstreams(x.service)
 	if upstreamCapacity(x.call.Table, x.service) == 0 || len(hosts) == 0 || x.homes.excludesAny(hosts) {
 		// The process that assigns placements doesn't know about homes and might
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -34,6 +34,13 @@
 	// Upstreams returns all upstreams that run a service and aren't leaving, in any
 	// order.
 	Upstreams func(service string) []Host
+	// AllUpstreams is like Upstreams, but includes those that this process leaves to other
+	// processes. If it is nil, there are none.
+	AllUpstreams func(service string) []Host
+	// IncarnationStart returns when the current incarnation of an upstream started, as stated
+	// by the list, or false if the list has no such upstream. If it is nil, upstreams have one
+	// incarnation only.
+	IncarnationStart func(upstream string) (start int64, listed bool)
 	// Load counts what this process sends to each upstream. OtherLoads returns what
 	// other entries have sent. Zone is this entry's availability zone.
 	Load       *mgload.Tracker
@@ -200,6 +207,13 @@
 			y.giveUp(w, x)
 			return
 		}
+		if !y.mayContinueAt(x, host) {
+			// The list has changed since the upstream was chosen.
+			y.spec.Metrics.Counter("relay.unmatched").Inc(1)
+			x.endAttempt(false)
+			y.giveUp(w, x)
+			return
+		}
 		outcome := y.attempt(ctx, w, x, host)
 		if outcome == delivered {
 			return
@@ -262,6 +276,10 @@
 	if x.mayHaveRun && !x.call.Route.Repeatable() {
 		return false
 	}
+	if !y.canContinue(x) {
+		y.spec.Metrics.Counter("relay.unmatched").Inc(1)
+		return false
+	}
 	if x.attemptBroken && y.mayCrashAnother(x) {
 		y.spec.Metrics.Counter("relay.dangerous").Inc(1)
 		return false
--- a/internal/process/mgrelay/resume.go
+++ b/internal/process/mgrelay/resume.go
@@ -42,9 +42,13 @@
 // prepareResume chooses the next resume point of a generation that broke off, and
 // reports whether there is one.
 func (y *Relay) prepareResume(x *exchange) bool {
-	for len(x.resumePoints) > 0 && y.isBarred(x.resumePoints[0].host.Name) {
-		y.spec.Log.Info("a copy is left unused, its upstream's availability zone is cordoned",
-			mglog.Request, x.id, mglog.Upstream, x.resumePoints[0].host.Name)
+	for len(x.resumePoints) > 0 {
+		host := x.resumePoints[0].host
+		if !y.isBarred(host.Name) && y.mayContinueAt(x, host) {
+			break
+		}
+		y.spec.Log.Info("a copy is left unused, its upstream is cordoned or runs another software version",
+			mglog.Request, x.id, mglog.Upstream, host.Name, "begun", x.origin.Version, "software", host.SoftwareVersion)
 		x.resumePoints = x.resumePoints[1:]
 	}
 	if !x.headerSent || len(x.resumePoints) == 0 {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -77,6 +77,7 @@
 	switch {
 	case before.Name == "":
 		x.begunAt = host
+		x.origin = y.originAt(x.service, host)
 		y.recordCallerResume(x, host)
 	case before.Name != host.Name:
 		y.recordContinuation(x, before, host)
--- a/internal/process/mgrelay/version_test.go
+++ b/internal/process/mgrelay/version_test.go
@@ -154,3 +154,26 @@
 		}
 	})
 }
+
+// Guards against taking an upstream that has restarted under its name for the version that it
+// had before.
+func TestRestartedUpstreamKeepsVersion(t *testing.T) {
+	Convey("A resumable stream breaks off", t, func() {
+		for _, restarted := range []string{"a", "b"} {
+			Convey("if the list states a new incarnation of "+restarted, func() {
+				g := newHarness(t, breakOffAfter("v1", 3), streamEvents("v1", 6))
+				g.startRelay(func(spec *mgrelay.Spec) {
+					spec.IncarnationStart = func(upstream string) (int64, bool) {
+						if upstream == restarted {
+							return 2, true
+						}
+						return 0, true
+					}
+				})
+				got := g.send(context.Background(), http.MethodPost, "/note/1", "x", nil)
+				So(got.cut, ShouldBeTrue)
+				So(len(g.requests()), ShouldEqual, 1)
+			})
+		}
+	})
+}
