mgorigin, mgrelay, mgnode: a caller resumes a stream at the version that began it

Callers whose connection broke, and who came back with their last event, got the rest of their stream from whichever software version was cheapest. Cause: an entry that is asked to resume a stream knew nothing of its beginning: the caller's Resumes was passed on like any header. Change: mgorigin keeps the origin (service, software version) of each resumable stream, keyed by client account and request id. The entry announces it to up to six others when it sends the request, so that they have it while the prompt is read, and waits for one acknowledgement before the first event leaves, 100 ms at most and not at all while no other entry answers. If the request goes to a second version before its first event, the event waits until no entry can state the first. An entry without a record asks the region's entries; answers that differ make the origin unknown. A stream without a known origin, or whose version has no upstream, is refused at once as not run, before it waits for a placement. Replicas that restart are told again, found by the incarnation in their answers. A process of an earlier release neither states nor keeps records: its streams aren't resumed elsewhere. Ruled out: the caller can't carry the version (it returns nothing but an id of its own), the platform can't be written to, and engines forget a run with its connection. Telling after the first event would lose short streams, which last 50 ms; a broadcast of each record to all costs too much at 360 entries (measured next).

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -43,6 +43,7 @@
 	n.background.Go(func() { n.exchanger.runAntiEntropy(ctx) })
 	n.background.Go(func() { n.watchHeld(ctx) })
 	if n.relayHeaders != nil {
+		n.background.Go(func() { n.origins.Run(ctx) })
 		n.background.Go(func() { n.reportLoads(ctx, entry.Load()) })
 	}
 	if settings.MaxRetries > 0 {
@@ -161,6 +162,7 @@
 		ReleaseSlot:        n.releaseMigrationSlot,
 		RefusesConnections: mgdial.RefusesConnections,
 		Limits:             &n.limits,
+		Origins:            n.origins,
 		TakePermit:         n.acquirePermit,
 		Client:             mgdial.NewClientWith(mgdial.DialInRegion(upstreamSilenceTimeout)),
 	}
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -25,6 +25,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
@@ -62,6 +63,7 @@
 	permits             mglimit.Permits
 	permitRetryAt       atomic.Int64 // after the hub didn't respond, no permit is requested before this time
 	exchanger           *updateExchanger
+	origins             *mgorigin.Replicator
 	move                func(context.Context, mgrelay.Host, mgrelay.MoveOrder) mgmigration.Reply
 	configLoop          *mgconfig.Loop // reads and exchanges the table, the list and gossip
 	pause               *mgmember.PauseDetector
@@ -114,6 +116,7 @@
 	}
 	n.quarantine = mgquarantine.New(incarnation, n.isFirstToRetry)
 	n.exchanger = n.newExchanger()
+	n.origins = n.newOrigins()
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.calls = guard.Transport(false)
 	n.pause = mgmember.NewPauseDetector(n.clock, nil)
@@ -126,6 +129,7 @@
 	n.admin.AddSection("members", n.memberState)
 	n.admin.AddSection("quarantine", n.quarantineState)
 	n.admin.AddSection("limits", func() any { return n.limits.Records(n.clock.Now()) })
+	n.admin.AddSection("origins", func() any { return n.origins.State() })
 	n.admin.SetReadiness(n.Ready)
 	return n, nil
 }
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -46,6 +46,7 @@
 	defer cancel()
 	x.sentAt = y.spec.Clock.Now()
 	x.nextCrashNumber = y.spec.Quarantine.NextNumber()
+	y.announceOrigin(x, host)
 	request := y.newRequest(ctx, x, host)
 	y.addResumeHeaders(x, request)
 	response, err := mgdial.Do(y.spec.Client, request)
--- a/internal/process/mgrelay/backoff.go
+++ b/internal/process/mgrelay/backoff.go
@@ -76,7 +76,7 @@
 // run. It returns 0 and false if one of them has no delay, or if there are none.
 func (y *Relay) shortestDelay(x *exchange, delayAt func(now mgclock.Millis, host Host) mgclock.Millis) (shortest mgclock.Millis, allDelayed bool) {
 	now := y.spec.Clock.Now()
-	for _, host := range y.spec.Upstreams(x.service) {
+	for _, host := range y.upstreamsFor(x.service, x.origin) {
 		if !x.homes.allows(host.Region) {
 			continue
 		}
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -43,11 +43,7 @@
 // digest identifies the content of the request.
 func (x *exchange) digest() mgquarantine.Digest {
 	x.digestOnce.Do(func() {
-		account := ""
-		if x.call.Account != nil {
-			account = x.call.Account.Name()
-		}
-		x.digestValue = mgquarantine.DigestOf(account, x.hostHeader, x.target, x.body)
+		x.digestValue = mgquarantine.DigestOf(x.accountName(), x.hostHeader, x.target, x.body)
 	})
 	return x.digestValue
 }
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -51,6 +51,8 @@
 	digestValue      mgquarantine.Digest // valid after digestOnce
 	begunAt          Host                // the upstream that produced the first event; zero before
 	origin           mgorigin.Origin     // of the stream; zero before its first event
+	originKey        mgorigin.Key        // of the stream's origin, if isRecorded
+	isRecorded       bool                // the caller may resume the stream
 	lastHost         Host                // the upstream that produced the last event; zero before
 	sequence         eventSequence       // of the events that the caller has
 	lastEventAt      mgclock.Millis      // when the caller was last sent events
--- a/internal/process/mgrelay/harness_test.go
+++ b/internal/process/mgrelay/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
@@ -75,6 +76,9 @@
 
 [[account]]
 name = "tankline"
+
+[[account]]
+name = "cooperativa"
 `
 
 // receivedRequest is a request as an upstream received it.
@@ -94,6 +98,8 @@
 	mu       sync.Mutex
 	received []receivedRequest
 	hosts    []mgrelay.Host
+	account  string               // the callers' client account
+	origins  *mgorigin.Replicator // of all relays of the harness
 }
 
 // upstreamHandler answers one request at an upstream.
@@ -108,8 +114,10 @@
 		t.Fatal(err)
 	}
 	g := &harness{
-		t:     t,
-		table: table,
+		t:       t,
+		table:   table,
+		account: "tankline",
+		origins: mgorigin.NewReplicator(mgorigin.ReplicatorSpec{}),
 	}
 	for i, answer := range handlers {
 		g.addUpstream(t, string(rune('a'+i)), answer)
@@ -132,6 +140,11 @@
 func (g *harness) configureModel(text string) {
 	text = strings.Replace(text, `kind = "plain"`, "model = \"m\"", 1)
 	text += "\n[[model]]\nname = \"m\"\ncontext = 9000\nmax = 9000\n"
+	g.parseTable(text)
+}
+
+// parseTable uses another table.
+func (g *harness) parseTable(text string) {
 	table, err := mgtable.Parse([]byte(text))
 	if err != nil {
 		g.t.Fatal(err)
@@ -150,6 +163,7 @@
 		Client:         mgdial.NewClientWith(mgdial.DialInRegion(time.Minute)),
 		Upstreams:      func(string) []mgrelay.Host { return g.hosts },
 		Load:           &mgload.Tracker{},
+		Origins:        g.origins,
 		OtherLoads:     g.increasingLoad,
 		ReportFailed:   func(string) {},
 		ReportAnswered: func(string) {},
@@ -164,7 +178,7 @@
 		relay.Serve(w, r, mgrelay.Call{
 			Table:   g.table,
 			Route:   g.table.Route("tanks.example", path),
-			Account: g.table.Account("tankline"),
+			Account: g.table.Account(g.account),
 		})
 	}))
 	g.t.Cleanup(server.Close)
--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -82,13 +82,9 @@
 	if x.call.Route.LatencyGoal() == 0 {
 		end = x.startedAt + x.timeout
 	}
-	account := ""
-	if x.call.Account != nil {
-		account = x.call.Account.Name()
-	}
 	return mgwaitlist.Request{
 		Name:     x.id,
-		Account:  account,
+		Account:  x.accountName(),
 		Need:     x.size.memory(),
 		Output:   x.size.output,
 		Duration: promptTime + msPerToken*mgclock.Millis(x.size.output),
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrest"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
@@ -100,6 +101,9 @@
 	// for this process alone if they are nil.
 	Limits     *mglimit.Limits
 	TakePermit func(ctx context.Context, request PermitRequest) (wait mgclock.Millis, ok bool)
+	// Origins holds the origins of streams, for callers that resume them. New creates one for
+	// this process alone if it is nil.
+	Origins *mgorigin.Replicator
 	// RefusesConnections reports whether an upstream's address refuses connections, as it does
 	// after its process has ended. An error means that this is unknown. If RefusesConnections
 	// is nil, it is always unknown.
@@ -139,6 +143,11 @@
 	if spec.Limits == nil {
 		spec.Limits = &mglimit.Limits{}
 	}
+	if spec.Origins == nil {
+		spec.Origins = mgorigin.NewReplicator(mgorigin.ReplicatorSpec{
+			Clock: spec.Clock,
+		})
+	}
 	y := &Relay{
 		spec: spec,
 	}
@@ -188,6 +197,10 @@
 	y.exchanges.add(x, cancelCause)
 	defer y.exchanges.remove(x)
 	x.setWriteDeadline()
+	if problem := y.bindToOrigin(ctx, x); problem != nil {
+		y.answerProblem(w, x, problem)
+		return
+	}
 	y.serve(ctx, w, x)
 }
 
@@ -320,6 +333,11 @@
 			"all upstreams of the service have as many requests as they take", "send it again after the time given").
 			WithRetryAfter(y.spreadRetryDelay(x, left))
 	}
+	if !y.canContinue(x) {
+		return mgproblem.New(mgproblem.Unresumable, mgproblem.NotRun,
+			"no upstream runs the software version that began the stream",
+			"send the request again from its beginning, or as it is after the time given").WithRetryAfter(retryDelayNoUpstream)
+	}
 	hosts := y.spec.Upstreams(x.service)
 	if len(hosts) > 0 && x.homes.excludesAll(hosts) {
 		return mgproblem.New(mgproblem.Overloaded, mgproblem.NotRun,
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -34,6 +34,10 @@
 	}
 	y.countPromptRead(x, host)
 	y.spec.Load.RecordAnswer(y.spec.Clock.Now(), host.Name)
+	if problem := y.confirmOrigin(ctx, x, host); problem != nil {
+		x.problem = problem
+		return failed
+	}
 	y.recordProducer(x, host)
 	x.firstAfterResume = x.resumed
 	// The resume points of an earlier move are void: their copies were used or are
@@ -64,6 +68,9 @@
 		}
 	}
 	x.clearWriteDeadline()
+	if x.isRecorded {
+		y.spec.Origins.End(x.originKey)
+	}
 	y.recordQuarantineAnswer(x)
 	y.recordTokenTime(gen)
 	y.countAnswer(x, response.StatusCode)
@@ -77,7 +84,6 @@
 	switch {
 	case before.Name == "":
 		x.begunAt = host
-		x.origin = y.originAt(x.service, host)
 		y.recordCallerResume(x, host)
 	case before.Name != host.Name:
 		y.recordContinuation(x, before, host)
@@ -86,13 +92,13 @@
 
 // recordCallerResume records a stream that its caller resumes after an answer that broke off.
 func (y *Relay) recordCallerResume(x *exchange, host Host) {
-	last := x.header.Get(y.spec.Headers.LastEventID)
-	if last == "" {
+	if !y.isResumption(x) {
 		return
 	}
 	y.spec.Metrics.Counter("relay.resumed.caller").Inc(1)
 	y.spec.Log.Info("a caller resumes a stream", append(y.dataVersionKeys(),
-		mglog.Request, x.id, "resumes", x.header.Get(y.spec.Headers.Resumes), "last", last, mglog.Service, x.service,
+		mglog.Request, x.id, "resumes", x.header.Get(y.spec.Headers.Resumes),
+		"last", x.header.Get(y.spec.Headers.LastEventID), mglog.Service, x.service,
 		mglog.Upstream, host.Name, "software", host.SoftwareVersion)...)
 }
 
--- a/internal/process/mgrelay/version_test.go
+++ b/internal/process/mgrelay/version_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 )
 
 // versionedEvent is event n as an upstream with a software version writes it.
@@ -177,3 +179,92 @@
 		}
 	})
 }
+
+// resumeHeader is the header of a request that resumes a stream after its third event.
+func resumeHeader(id, resumes string) http.Header {
+	return http.Header{
+		"Request-Id":    {id},
+		"Last-Event-Id": {"3"},
+		"Resumes":       {resumes},
+	}
+}
+
+// Guards against a stream that its caller resumes and that is joined to another version, is
+// refused although it fits, or waits although it fits nowhere.
+func TestResumedStreamJoinsOtherVersion(t *testing.T) {
+	Convey("A caller whose stream of v1 broke off after three events resumes it", t, func() {
+		g := newHarness(t, breakOffAfter("v1", 3), streamEvents("v1.1", 6), streamEvents("v1", 6))
+		all := g.hosts
+		g.setVersions("v1", "v1.1", "v1")
+		g.hosts = all[:2]
+		first := g.send(context.Background(), http.MethodPost, "/note/1", "x", nil)
+		So(first.cut, ShouldBeTrue)
+		So(writers(first.body), ShouldResemble, []string{"v1"})
+		before := len(g.requests())
+
+		Convey("and gets the rest from v1", func() {
+			g.hosts = all[1:]
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
+			So(got.cut, ShouldBeFalse)
+			So(first.body+got.body, ShouldEqual, wholeStreamOf("v1"))
+		})
+		Convey("and, when that broke off again, once more by the id of its first request", func() {
+			g.hosts = all[:2]
+			g.hosts[0].Addr = "127.0.0.1:1"
+			second := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
+			So(second.status, ShouldEqual, http.StatusServiceUnavailable)
+			g.hosts = all[1:]
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-3", "request-1"))
+			So(first.body+got.body, ShouldEqual, wholeStreamOf("v1"))
+		})
+		Convey("and is refused at once if v1 has no upstream any more", func() {
+			g.hosts = all[1:2]
+			g.startRelay(func(spec *mgrelay.Spec) {
+				spec.AwaitPlacement = func(context.Context, string, mgwaitlist.Request) (mgwaitlist.Grant, bool) {
+					panic("the request waits for a placement")
+				}
+			})
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(got.body, ShouldContainSubstring, `"notrun"`)
+			So(len(g.requests()), ShouldEqual, before)
+		})
+		Convey("and is refused if it names a request that no process knows", func() {
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-0"))
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.header.Get("Retry-After"), ShouldBeEmpty)
+			So(got.body, ShouldContainSubstring, `"notrun"`)
+			So(len(g.requests()), ShouldEqual, before)
+		})
+		Convey("and is refused if it names no request", func() {
+			header := resumeHeader("request-2", "")
+			header.Del("Resumes")
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", header)
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(len(g.requests()), ShouldEqual, before)
+		})
+		Convey("but another client account can't resume it by its id", func() {
+			g.account = "cooperativa"
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(len(g.requests()), ShouldEqual, before)
+		})
+		Convey("and gets the rest from an upstream that another process uses otherwise", func() {
+			g.hosts = all[1:2]
+			g.startRelay(func(spec *mgrelay.Spec) {
+				spec.AllUpstreams = func(string) []mgrelay.Host { return all[1:] }
+			})
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
+			So(first.body+got.body, ShouldEqual, wholeStreamOf("v1"))
+		})
+	})
+}
+
+func wholeStreamOf(version string) string {
+	var all strings.Builder
+	for n := 1; n <= 6; n++ {
+		all.WriteString(versionedEvent(n, version))
+	}
+	return all.String()
+}
--- a/pkg/mgproblem/problem.go
+++ b/pkg/mgproblem/problem.go
@@ -34,6 +34,7 @@
 	GuaranteeUnavailable Kind = "unpromisable" // the requested guarantee can't be given
 	Cancelled            Kind = "cancelled"    // the caller cancelled the request
 	Quarantined          Kind = "quarantined"  // the request crashes upstreams and is quarantined
+	Unresumable          Kind = "unresumable"  // no upstream is known to fit the stream that the caller resumes
 	Internal             Kind = "internal"     // a fault of the system
 )
 
@@ -154,7 +155,7 @@
 		return http.StatusGatewayTimeout
 	case Cancelled:
 		return http.StatusGone
-	case Overloaded, Leaving, NotReady, OutdatedVersion:
+	case Overloaded, Leaving, NotReady, OutdatedVersion, Unresumable:
 		return http.StatusServiceUnavailable
 	case Quarantined:
 		// Callers interpret 503 as an attestation that the request did not run.
