mgrelay: a stream is resumed at the service that began it

Callers on a route to two services could get the rest of a stream from the other service. Cause: the service is picked by a hash of the request's id, and each try has an id of its own. Change: a stream that a caller resumes goes to the service in its record, if the route still leads there; otherwise it is refused as not run. Conclusion: the record's service decides, the hash only for streams that begin.

--- a/internal/process/mgrelay/origin.go
+++ b/internal/process/mgrelay/origin.go
@@ -93,6 +93,11 @@
 		}
 		return problem
 	}
+	if !x.call.Route.HasService(found.Origin.Service) {
+		return mgproblem.New(mgproblem.Unresumable, mgproblem.NotRun,
+			"the route no longer leads to the service that began the stream", "send the request again from its beginning")
+	}
+	x.service = found.Origin.Service
 	x.origin = found.Origin
 	if !y.canContinue(x) {
 		return y.noCapacityProblem(x)
--- a/internal/process/mgrelay/version_test.go
+++ b/internal/process/mgrelay/version_test.go
@@ -268,3 +268,49 @@
 	}
 	return all.String()
 }
+
+// Guards against a stream of one service that is joined to another service of its route, to
+// which the id of the caller's next request leads.
+func TestResumedStreamJoinsOtherService(t *testing.T) {
+	const shared = `services = ["ledger", "archive"]`
+	Convey("On a route to two services", t, func() {
+		g := newHarness(t, streamEvents("ledger", 6), streamEvents("archive", 6))
+		g.parseTable(strings.Replace(tableText, `services = ["ledger"]
+attempts = 2
+timeout = 5000
+
+[[account]]`, shared+`
+attempts = 2
+timeout = 5000
+
+[[account]]`, 1) + "\n[[service]]\nname = \"archive\"\nkind = \"plain\"\n")
+		g.startRelay(func(spec *mgrelay.Spec) {
+			spec.Upstreams = func(service string) []mgrelay.Host {
+				if service == "archive" {
+					return g.hosts[1:]
+				}
+				return g.hosts[:1]
+			}
+		})
+		for i := range 20 {
+			id := fmt.Sprint("first-", i)
+			first := g.send(context.Background(), http.MethodPost, "/note/1", "x", http.Header{"Request-Id": {id}})
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader(fmt.Sprint("second-", i), id))
+			So(got.status, ShouldEqual, http.StatusOK)
+			So(writers(got.body), ShouldResemble, writers(first.body))
+		}
+		Convey("a stream isn't resumed at a service to which the route no longer leads", func() {
+			var id string
+			for i := 0; ; i++ {
+				id = fmt.Sprint("again-", i)
+				first := g.send(context.Background(), http.MethodPost, "/note/1", "x", http.Header{"Request-Id": {id}})
+				if writers(first.body)[0] == "archive" {
+					break
+				}
+			}
+			g.parseTable(tableText)
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("later", id))
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		})
+	})
+}
--- a/pkg/mgtable/route.go
+++ b/pkg/mgtable/route.go
@@ -1,6 +1,7 @@
 package mgtable
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -101,6 +102,11 @@
 	return r.kind == Safe || r.kind == Stream && r.Resumes()
 }
 
+// HasService reports whether the route leads to a service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.services, func(share Share) bool { return share.service == name })
+}
+
 // PickService selects a service by weight, given a uniformly distributed random number.
 func (r *Route) PickService(random uint64) string {
 	total := uint64(0)
