mgnode: an agent hands generations only to engines of its engine's version

Callers of the own interface could get an answer of which two software versions had written parts: an agent moves the generations of a leaving engine to any engine that holds the model. Cause: that of the relay: the destination was matched by the model's name. Change: the agents that may take over run the version of the agent's engine, by mgorigin.Origin.Accepts on the list of VMs; an unknown version equals none. Conclusion: operators of the own interface state the version in the list (software), or their generations stay where they are.

--- a/internal/process/mgfleet/fleet_test.go
+++ b/internal/process/mgfleet/fleet_test.go
@@ -133,13 +133,14 @@
 	f.processes[name] = startProcess(f.t, f.binary, name, "agent", "--settings", file)
 	f.admins[name] = addrs[1]
 	vm := mgplatform.VM{
-		Name:     name,
-		Kind:     mgplatform.AgentKind,
-		Addr:     f.addRelay(name, addrs[0]),
-		Zone:     zone,
-		Region:   "south",
-		Upstream: upstream,
-		State:    mgplatform.Live,
+		Name:            name,
+		Kind:            mgplatform.AgentKind,
+		Addr:            f.addRelay(name, addrs[0]),
+		Zone:            zone,
+		Region:          "south",
+		Upstream:        upstream,
+		State:           mgplatform.Live,
+		SoftwareVersion: "v1",
 	}
 	if upstream == "books" {
 		vm.Services = []string{"ticket"}
--- a/internal/process/mgnode/agent.go
+++ b/internal/process/mgnode/agent.go
@@ -9,6 +9,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgservice"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgagent"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgplacement"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -54,14 +55,26 @@
 	return drain, nil
 }
 
-// otherAgents returns the region's other agents whose engines hold a model and that
-// are not leaving.
+// otherAgents returns the region's other agents whose engines hold a model, run the
+// software version of this agent's engine, and are not leaving.
 func (n *Node) otherAgents(model string) []mgagent.OtherAgent {
+	view := n.members.View()
+	self, ok := view.Member(n.settings.Name)
+	if !ok {
+		return nil
+	}
+	origin := mgorigin.Origin{
+		Service: model,
+		Version: self.SoftwareVersion(),
+	}
 	var others []mgagent.OtherAgent
-	for _, member := range n.members.View().Upstreams(model) { // the upstreams' agents
+	for _, member := range view.Upstreams(model) { // the upstreams' agents
 		if member.Name() == n.settings.Name || member.Region() != n.settings.Region || member.Leaving() {
 			continue
 		}
+		if !origin.Accepts(model, member.SoftwareVersion()) {
+			continue
+		}
 		others = append(others, mgagent.OtherAgent{
 			Name:  member.Name(),
 			Zone:  member.Zone(),
--- a/internal/soak/mgsoak/deployment.go
+++ b/internal/soak/mgsoak/deployment.go
@@ -203,14 +203,15 @@
 	}
 	for i, agent := range d.names.agents {
 		vm := mgplatform.VM{
-			Name:     agent,
-			Kind:     mgplatform.AgentKind,
-			Addr:     d.peers[agent],
-			Zone:     zone(i),
-			Region:   "south",
-			Upstream: strings.TrimPrefix(agent, "agent-"),
-			State:    mgplatform.Live,
-			Models:   []string{"tank"},
+			Name:            agent,
+			Kind:            mgplatform.AgentKind,
+			Addr:            d.peers[agent],
+			Zone:            zone(i),
+			Region:          "south",
+			Upstream:        strings.TrimPrefix(agent, "agent-"),
+			State:           mgplatform.Live,
+			Models:          []string{"tank"},
+			SoftwareVersion: "v1",
 		}
 		if vm.Upstream == service {
 			vm.Models = nil
--- a/internal/standin/mgdemo/deployment.go
+++ b/internal/standin/mgdemo/deployment.go
@@ -219,15 +219,16 @@
 		Policy:      "ours",
 	}
 	d.vms = append(d.vms, mgplatform.VM{
-		Name:     name,
-		Kind:     "agent",
-		Addr:     common.PeerAddr,
-		Zone:     common.Zone,
-		Region:   region,
-		Upstream: upstream,
-		Models:   models,
-		Services: services,
-		State:    "live",
+		Name:            name,
+		Kind:            "agent",
+		Addr:            common.PeerAddr,
+		Zone:            common.Zone,
+		Region:          region,
+		Upstream:        upstream,
+		Models:          models,
+		Services:        services,
+		State:           "live",
+		SoftwareVersion: "v1",
 	})
 	return d.launch(name, common, func(stop, hurry context.Context, n *mgnode.Node) error {
 		return mgnode.RunAgent(stop, hurry, settings, n)
