mgrelay: a stream isn't joined at an incarnation that the list doesn't show yet

Callers could get events of two versions from an upstream that restarted under its name with another version: until the list shows that, the new incarnation passes for the old one. Cause: the version was that of the name in the list, not of the incarnation that answered. Change: upstreams of the own interface state in each answer when their incarnation started (Born); an answer of another incarnation than the listed one has an unknown version. Where upstreams don't, the incarnation counts as the listed one once the platform confirms the list after the answer, or the upstream itself states it (the platform's report has it): asked where a stream continues without a copy, or a caller resumes it. Records name the upstream and its incarnation. Where the list states no start, names are never used again. Result: TestUnlistedIncarnationJoinsStream, seven cases. A slice that the relay's caller owns is cloned before it is filtered: the race detector found it in a test. Conclusion: what is unknown equals nothing, also for lives of one name. With the platform silent, a stream that began meanwhile and whose upstream is gone can't be continued.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -70,8 +70,10 @@
 	OtherLoads func() mgload.Report
 	// IsListStale reports whether the list of VMs may be out of date. ReportDeparted reports an
 	// upstream that has announced that it is leaving.
-	IsListStale    func() bool
-	ReportDeparted func(name string)
+	IsListStale func() bool
+	// ListConfirmedAt returns when the platform last confirmed the list; see mgrelay.Spec.
+	ListConfirmedAt func() mgclock.Millis
+	ReportDeparted  func(name string)
 	// Changed returns a channel that is closed when the view is next replaced.
 	Changed func() <-chan struct{}
 	// BaseURL returns the base URL for an agent's address.
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -88,15 +88,16 @@
 			Clock:    n.clock,
 			Interval: mgclock.Millis(settings.HeartbeatInterval),
 		},
-		Frames:         n.guard.Transport(true), // a new connection for each stream
-		BaseURL:        n.guard.BaseURL,
-		Relay:          n.relaySpec(),
-		ReportAnswered: n.peerAnswered,
-		Changed:        n.members.Changed, // closed when the view changes
-		OtherLoads:     n.OtherLoads,
-		OthersStay:     n.halfOfOthersStay,
-		IsListStale:    n.configLoop.IsListStale,
-		ReportDeparted: n.recordUpstreamLeaving,
+		Frames:          n.guard.Transport(true), // a new connection for each stream
+		BaseURL:         n.guard.BaseURL,
+		Relay:           n.relaySpec(),
+		ReportAnswered:  n.peerAnswered,
+		Changed:         n.members.Changed, // closed when the view changes
+		OtherLoads:      n.OtherLoads,
+		OthersStay:      n.halfOfOthersStay,
+		IsListStale:     n.configLoop.IsListStale,
+		ListConfirmedAt: n.listConfirmedAt,
+		ReportDeparted:  n.recordUpstreamLeaving,
 	}
 }
 
@@ -157,6 +158,7 @@
 		ListVersion:        n.listVersionAndReportAge,
 		Move:               n.move,
 		AskLeaving:         n.probe,
+		AskIncarnation:     n.askIncarnation,
 		AwaitPlacement:     n.acquirePlacement,
 		AcquireSlot:        n.acquireMigrationSlot,
 		ReleaseSlot:        n.releaseMigrationSlot,
@@ -168,6 +170,16 @@
 	}
 }
 
+// listConfirmedAt returns when the platform last confirmed the list of VMs, negative if it
+// hasn't.
+func (n *Node) listConfirmedAt() mgclock.Millis {
+	report := n.configLoop.Report()
+	if report.Age < 0 {
+		return -1
+	}
+	return n.clock.Now() - report.Age
+}
+
 // listenPublic opens the callers' listener, with TLS if it is configured.
 func listenPublic(settings mgsettings.Entry) (*mglistener.Listener, error) {
 	identity, err := mgpeer.LoadPublicTLS(certFiles(settings.Public))
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -51,6 +51,7 @@
 	platform            mgplatform.Client
 	relayHeaders        *mgrelay.HeaderNames // nil if no requests are passed through
 	probe               func(context.Context, mgrelay.Host) (bool, error)
+	askIncarnation      func(context.Context, mgrelay.Host) (int64, error)
 	parsedPage          func(digest string) *mgtable.Page // see Spec
 	listConfirmsTable   bool                              // see Spec
 	migrationSlots      mgmigration.Slots
@@ -113,6 +114,7 @@
 		parsedPage:        spec.ParsedPage,
 		listConfirmsTable: spec.ListConfirmsTable,
 		probe:             spec.Probe,
+		askIncarnation:    spec.AskIncarnation,
 	}
 	n.quarantine = mgquarantine.New(incarnation, n.isFirstToRetry)
 	n.exchanger = n.newExchanger()
--- a/internal/process/mgnode/spec.go
+++ b/internal/process/mgnode/spec.go
@@ -38,6 +38,8 @@
 	Relay *mgrelay.HeaderNames
 	// Probe asks an upstream whether it is leaving. Nil asks none.
 	Probe func(ctx context.Context, upstream mgrelay.Host) (leaving bool, err error)
+	// AskIncarnation asks an upstream when its incarnation started. Nil asks none.
+	AskIncarnation func(ctx context.Context, upstream mgrelay.Host) (start int64, err error)
 	// Move calls the source of a migration. Nil migrates nothing.
 	Move func(ctx context.Context, source mgrelay.Host, order mgrelay.MoveOrder) mgmigration.Reply
 }
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -49,7 +49,10 @@
 	streaming        atomic.Bool // headerSent for other goroutines
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
-	begunAt          Host                // the upstream that produced the first event; zero before
+	begunAt          Host                // the upstream that began the stream in this answer; zero before, or if the caller resumes it
+	begunAtTime      mgclock.Millis      // when it did
+	statedStart      int64               // of the incarnation that answered the last attempt, 0 if not stated
+	copied           bool                // the last attempt continues from a copy of the generation
 	origin           mgorigin.Origin     // of the stream; zero before its first event
 	originKey        mgorigin.Key        // of the stream's origin, if isRecorded
 	isRecorded       bool                // the caller may resume the stream
--- a/internal/process/mgrelay/generation.go
+++ b/internal/process/mgrelay/generation.go
@@ -18,6 +18,8 @@
 	firstEventAt atomic.Int64   // ms of the relay's clock; 0 before the first event
 	eventCount   atomic.Int64   // events delivered
 	lastEventAt  mgclock.Millis // when events were last delivered
+	addedAt      mgclock.Millis // when its upstream answered
+	statedStart  int64          // of the upstream's incarnation, as its answer states it; 0 if not stated
 
 	claimed      bool          // a move has been started, or none may start any more; guarded by generations.mu
 	moveDone     chan struct{} // closed when its move is done
@@ -46,15 +48,17 @@
 	return s.added
 }
 
-func (s *generations) add(ctx context.Context, x *exchange, host Host) *generation {
+func (s *generations) add(ctx context.Context, now mgclock.Millis, x *exchange, host Host) *generation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &generation{
-		ctx:      ctx,
-		exchange: x,
-		host:     host,
-		moveDone: make(chan struct{}),
-		registry: s,
+		ctx:         ctx,
+		exchange:    x,
+		host:        host,
+		addedAt:     now,
+		statedStart: x.statedStart,
+		moveDone:    make(chan struct{}),
+		registry:    s,
 	}
 	if s.byUpstream == nil {
 		s.byUpstream = map[string]map[*generation]bool{}
--- a/internal/process/mgrelay/harness_test.go
+++ b/internal/process/mgrelay/harness_test.go
@@ -129,7 +129,7 @@
 // increasingLoad reports each upstream as more loaded than the one before it.
 func (g *harness) increasingLoad() mgload.Report {
 	rows := map[string]mgload.Load{}
-	for i, host := range g.hosts {
+	for i, host := range g.currentHosts() {
 		rows[host.Name] = mgload.Load{Runs: i}
 	}
 	return mgload.Report{Loads: rows}
@@ -149,9 +149,32 @@
 	if err != nil {
 		g.t.Fatal(err)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.table = table
 }
 
+// currentHosts returns the upstreams.
+func (g *harness) currentHosts() []mgrelay.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hosts
+}
+
+// setHosts changes the upstreams while the relay runs.
+func (g *harness) setHosts(hosts []mgrelay.Host) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hosts = hosts
+}
+
+// setAccount changes the callers' client account while the relay runs.
+func (g *harness) setAccount(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account = name
+}
+
 // startRelay starts the relay with some of its spec changed, in place of an earlier
 // one, which runs on until the test ends.
 func (g *harness) startRelay(change func(*mgrelay.Spec)) {
@@ -161,7 +184,7 @@
 		Metrics:        mgmetric.New(),
 		Budgets:        &mgretry.Budgets{},
 		Client:         mgdial.NewClientWith(mgdial.DialInRegion(time.Minute)),
-		Upstreams:      func(string) []mgrelay.Host { return g.hosts },
+		Upstreams:      func(string) []mgrelay.Host { return g.currentHosts() },
 		Load:           &mgload.Tracker{},
 		Origins:        g.origins,
 		OtherLoads:     g.increasingLoad,
@@ -175,11 +198,14 @@
 	go relay.Run(ctx)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		path, _, _ := strings.Cut(r.RequestURI, "?")
-		relay.Serve(w, r, mgrelay.Call{
+		g.mu.Lock()
+		call := mgrelay.Call{
 			Table:   g.table,
 			Route:   g.table.Route("tanks.example", path),
 			Account: g.table.Account(g.account),
-		})
+		}
+		g.mu.Unlock()
+		relay.Serve(w, r, call)
 	}))
 	g.t.Cleanup(server.Close)
 	g.addr = server.Listener.Addr().String()
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -72,6 +72,10 @@
 		return
 	}
 	startedAt := y.spec.Clock.Now()
+	if !y.hasAnswered(r.ctx, r.statedStart, r.host, r.addedAt) {
+		close(r.moveDone)
+		return
+	}
 	m := migration{
 		tried: map[string]bool{},
 	}
--- a/internal/process/mgrelay/origin.go
+++ b/internal/process/mgrelay/origin.go
@@ -10,30 +10,78 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
-// originAt returns the origin of a stream that an upstream of a service produces. Its version
-// is unknown if the list meanwhile states another incarnation than host is: which of the two
-// produced the stream can't be told.
+// originAt returns the origin of a stream that an upstream of a service produces, according to
+// the list. Its version is unknown if the list meanwhile states another incarnation than host
+// is: which of the two produced the stream can't be told.
 func (y *Relay) originAt(service string, host Host) mgorigin.Origin {
 	origin := mgorigin.Origin{
 		Service: service,
 		Version: host.SoftwareVersion,
 	}
-	if y.spec.IncarnationStart == nil {
-		return origin
-	}
-	if start, listed := y.spec.IncarnationStart(host.Name); listed && start != host.IncarnationStart {
+	if !y.isListed(host.Name, host.IncarnationStart) {
 		origin.Version = ""
 	}
 	return origin
 }
 
+// isListed reports whether the list has no other incarnation of an upstream than one that
+// started at a time.
+func (y *Relay) isListed(upstream string, start int64) bool {
+	if y.spec.IncarnationStart == nil {
+		return true
+	}
+	listed, ok := y.spec.IncarnationStart(upstream)
+	return !ok || listed == start
+}
+
+const (
+	// confirmTimeout limits the wait for the platform's confirmation of the list. An entry
+	// receives one within 200 ms from its hub, and within a second by its own watch.
+	confirmTimeout = mgclock.Second
+	// confirmInterval is the interval at which the confirmation is checked.
+	confirmInterval = 10 * mgclock.Millis(1)
+)
+
+// isIncarnation reports whether an upstream was, at a time, the incarnation that host states. An
+// upstream may restart under its name with another software version, and the list shows that
+// late. So it returns true only if the list was confirmed since, or the upstream itself states
+// that it is this incarnation.
+func (y *Relay) isIncarnation(ctx context.Context, host Host, since mgclock.Millis) bool {
+	if host.IncarnationStart == 0 || y.spec.ListConfirmedAt == nil {
+		return y.isListed(host.Name, host.IncarnationStart)
+	}
+	asked := false
+	for end := y.spec.Clock.Now() + confirmTimeout; y.spec.Clock.Now() < end; {
+		confirmed := y.spec.ListConfirmedAt() > since
+		if !y.isListed(host.Name, host.IncarnationStart) {
+			return false
+		}
+		if confirmed {
+			return true
+		}
+		if !asked && y.spec.AskIncarnation != nil {
+			asked = true
+			askCtx, cancel := context.WithTimeout(ctx, destinationProbeTimeout.Duration())
+			start, err := y.spec.AskIncarnation(askCtx, host)
+			cancel()
+			if err == nil {
+				return start == host.IncarnationStart
+			}
+		}
+		if !y.spec.Clock.Sleep(ctx, confirmInterval) {
+			return false
+		}
+	}
+	return false
+}
+
 // upstreamsFor returns the upstreams at which a stream with an origin may continue. They
 // include those that this process leaves to others if none of its own runs the version.
 func (y *Relay) upstreamsFor(service string, origin mgorigin.Origin) []Host {
 	rejects := func(host Host) bool { return !origin.Accepts(service, host.SoftwareVersion) }
 	hosts := slices.DeleteFunc(slices.Clone(y.spec.Upstreams(service)), rejects)
 	if len(hosts) == 0 && origin != (mgorigin.Origin{}) && y.spec.AllUpstreams != nil {
-		hosts = slices.DeleteFunc(y.spec.AllUpstreams(service), rejects)
+		hosts = slices.DeleteFunc(slices.Clone(y.spec.AllUpstreams(service)), rejects)
 	}
 	return hosts
 }
@@ -49,9 +97,6 @@
 	if x.origin == (mgorigin.Origin{}) {
 		return true
 	}
-	if x.begunAt.Name != "" && y.originAt(x.service, x.begunAt) != x.origin {
-		return false
-	}
 	return len(y.upstreamsFor(x.service, x.origin)) > 0
 }
 
@@ -93,12 +138,21 @@
 		}
 		return problem
 	}
-	if !x.call.Route.HasService(found.Origin.Service) {
+	if !x.call.Route.HasService(found.Record.Service) {
 		return mgproblem.New(mgproblem.Unresumable, mgproblem.NotRun,
 			"the route no longer leads to the service that began the stream", "send the request again from its beginning")
 	}
-	x.service = found.Origin.Service
-	x.origin = found.Origin
+	began := Host{
+		Name:             found.Record.Upstream,
+		IncarnationStart: found.Record.Start,
+	}
+	if y.spec.Headers.Start == "" && !y.isIncarnation(ctx, began, y.spec.Clock.Now()) {
+		return mgproblem.New(mgproblem.Unresumable, mgproblem.NotRun,
+			"the upstream that began the stream may have run another software version than was known",
+			"send the request again from its beginning")
+	}
+	x.service = found.Record.Service
+	x.origin = found.Record.Origin()
 	if !y.canContinue(x) {
 		return y.noCapacityProblem(x)
 	}
@@ -109,36 +163,60 @@
 // once another process answers.
 const retryDelayUnknownOrigin = mgclock.Second
 
-// announceOrigin records which version a stream is about to begin at.
+// announceOrigin records which version a stream is about to begin at. The record of a stream that
+// continues stays as it is.
 func (y *Relay) announceOrigin(x *exchange, host Host) {
-	if !x.isRecorded {
+	if !x.isRecorded || x.origin != (mgorigin.Origin{}) {
 		return
 	}
-	origin := x.origin
-	if origin == (mgorigin.Origin{}) {
-		origin = y.originAt(x.service, host)
-	}
-	y.spec.Origins.Announce(mgorigin.Record{
+	origin := y.originAt(x.service, host)
+	record := mgorigin.Record{
 		Key:     x.originKey,
 		Service: origin.Service,
 		Version: origin.Version,
 		Left:    x.timeLeft(y.spec.Clock.Now()) + originLife,
-	})
+	}
+	if host.IncarnationStart != 0 {
+		record.Upstream, record.Start = host.Name, host.IncarnationStart
+	}
+	y.spec.Origins.Announce(record)
 }
 
-// confirmOrigin binds a stream to the upstream that is about to produce its first event. It
-// returns a problem if other processes may have recorded another origin.
+// confirmOrigin binds a stream to the upstream that is about to produce its first event, and
+// makes sure that one that continues a stream fits. It returns a problem if the upstream's events
+// must not be forwarded.
 func (y *Relay) confirmOrigin(ctx context.Context, x *exchange, host Host) *mgproblem.Problem {
-	if x.headerSent {
-		return nil
+	if x.origin != (mgorigin.Origin{}) {
+		if x.copied || y.hasAnswered(ctx, x.statedStart, host, y.spec.Clock.Now()) {
+			return nil
+		}
+		return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
+			"the upstream may run another software version than is known", "send the request again if it may run twice")
 	}
-	if x.origin == (mgorigin.Origin{}) {
-		y.announceOrigin(x, host)
-		x.origin = y.originAt(x.service, host)
+	if y.spec.Headers.Start != "" && x.statedStart != host.IncarnationStart {
+		host.SoftwareVersion = "" // the list doesn't have the incarnation that answered
 	}
+	y.announceOrigin(x, host)
+	x.origin = y.originAt(x.service, host)
+	x.begunAt, x.begunAtTime = host, y.spec.Clock.Now()
 	if !x.isRecorded || y.spec.Origins.Confirm(ctx, x.originKey) {
 		return nil
 	}
 	return mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 		"other processes may have recorded another software version for the stream", "send the request again if it may run twice")
 }
+
+// hasBegunAsListed reports whether the upstream that began a stream in this answer was the
+// incarnation whose version is known.
+func (y *Relay) hasBegunAsListed(ctx context.Context, x *exchange) bool {
+	return x.begunAt.Name == "" || y.spec.Headers.Start != "" || y.isIncarnation(ctx, x.begunAt, x.begunAtTime)
+}
+
+// hasAnswered reports whether an answer that came at a time, and that states when its incarnation
+// started, is from the incarnation of host.
+func (y *Relay) hasAnswered(ctx context.Context, statedStart int64, host Host, at mgclock.Millis) bool {
+	if y.spec.Headers.Start != "" {
+		return statedStart == host.IncarnationStart
+	}
+	return y.isIncarnation(ctx, host, at)
+}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -69,6 +69,12 @@
 	// AllCordoned reports whether a service has upstreams that aren't leaving and all of
 	// them are cordoned. Nil reports none.
 	AllCordoned func(service string) bool
+	// ListConfirmedAt returns when the platform last confirmed the list, in ms of the clock,
+	// negative if it hasn't. AskIncarnation asks an upstream when its incarnation started. If
+	// ListConfirmedAt is nil, the list is always current; if AskIncarnation is nil, no upstream
+	// is asked.
+	ListConfirmedAt func() mgclock.Millis
+	AskIncarnation  func(ctx context.Context, upstream Host) (start int64, err error)
 	// AcquireSlot acquires a migration slot for a generation of a service, and ReleaseSlot
 	// releases it; see mgmigration.Slots. AcquireSlot returns the name of the destination
 	// to move the generation to, or false if no process could be asked. If AcquireSlot is
@@ -238,7 +244,7 @@
 		if y.prepareResume(x) {
 			continue
 		}
-		if !y.mayRetry(x, outcome) {
+		if !y.mayRetry(ctx, x, outcome) {
 			y.giveUp(w, x)
 			return
 		}
@@ -285,11 +291,11 @@
 
 // mayRetry reports whether a request may be sent to another upstream after an
 // attempt with this outcome.
-func (y *Relay) mayRetry(x *exchange, outcome attemptOutcome) bool {
+func (y *Relay) mayRetry(ctx context.Context, x *exchange, outcome attemptOutcome) bool {
 	if x.mayHaveRun && !x.call.Route.Repeatable() {
 		return false
 	}
-	if !y.canContinue(x) {
+	if !y.canContinue(x) || !y.hasBegunAsListed(ctx, x) {
 		y.spec.Metrics.Counter("relay.unmatched").Inc(1)
 		return false
 	}
--- a/internal/process/mgrelay/resume.go
+++ b/internal/process/mgrelay/resume.go
@@ -29,6 +29,7 @@
 // x.resumeFrom if it names a copy, and sets x.resumed if the caller has events.
 func (y *Relay) addResumeHeaders(x *exchange, request *http.Request) {
 	names := &y.spec.Headers
+	x.copied = x.resumeFrom.copyRef != ""
 	if x.resumeFrom.copyRef != "" {
 		request.Header.Set(names.Copy, x.resumeFrom.copyRef)
 		x.resumeFrom = resumePoint{}
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -23,7 +23,7 @@
 // deliverStream forwards events as they arrive. It forwards only complete events: if
 // an upstream stops in the middle of one, the caller must not receive half of it.
 func (y *Relay) deliverStream(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) attemptOutcome {
-	gen := y.generations.add(ctx, x, host)
+	gen := y.generations.add(ctx, y.spec.Clock.Now(), x, host)
 	defer y.generations.remove(gen)
 	reader := eventReader{
 		source: response.Body,
@@ -83,7 +83,6 @@
 	x.lastHost = host
 	switch {
 	case before.Name == "":
-		x.begunAt = host
 		y.recordCallerResume(x, host)
 	case before.Name != host.Name:
 		y.recordContinuation(x, before, host)
--- a/internal/process/mgrelay/version_test.go
+++ b/internal/process/mgrelay/version_test.go
@@ -15,6 +15,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // versionedEvent is event n as an upstream with a software version writes it.
@@ -196,29 +197,30 @@
 		g := newHarness(t, breakOffAfter("v1", 3), streamEvents("v1.1", 6), streamEvents("v1", 6))
 		all := g.hosts
 		g.setVersions("v1", "v1.1", "v1")
-		g.hosts = all[:2]
+		g.setHosts(all[:2])
 		first := g.send(context.Background(), http.MethodPost, "/note/1", "x", nil)
 		So(first.cut, ShouldBeTrue)
 		So(writers(first.body), ShouldResemble, []string{"v1"})
 		before := len(g.requests())
 
 		Convey("and gets the rest from v1", func() {
-			g.hosts = all[1:]
+			g.setHosts(all[1:])
 			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
 			So(got.cut, ShouldBeFalse)
 			So(first.body+got.body, ShouldEqual, wholeStreamOf("v1"))
 		})
 		Convey("and, when that broke off again, once more by the id of its first request", func() {
-			g.hosts = all[:2]
-			g.hosts[0].Addr = "127.0.0.1:1"
+			gone := all[0]
+			gone.Addr = "127.0.0.1:1"
+			g.setHosts([]mgrelay.Host{gone, all[1]})
 			second := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
 			So(second.status, ShouldEqual, http.StatusServiceUnavailable)
-			g.hosts = all[1:]
+			g.setHosts(all[1:])
 			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-3", "request-1"))
 			So(first.body+got.body, ShouldEqual, wholeStreamOf("v1"))
 		})
 		Convey("and is refused at once if v1 has no upstream any more", func() {
-			g.hosts = all[1:2]
+			g.setHosts(all[1:2])
 			g.startRelay(func(spec *mgrelay.Spec) {
 				spec.AwaitPlacement = func(context.Context, string, mgwaitlist.Request) (mgwaitlist.Grant, bool) {
 					panic("the request waits for a placement")
@@ -245,13 +247,13 @@
 			So(len(g.requests()), ShouldEqual, before)
 		})
 		Convey("but another client account can't resume it by its id", func() {
-			g.account = "cooperativa"
+			g.setAccount("cooperativa")
 			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
 			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
 			So(len(g.requests()), ShouldEqual, before)
 		})
 		Convey("and gets the rest from an upstream that another process uses otherwise", func() {
-			g.hosts = all[1:2]
+			g.setHosts(all[1:2])
 			g.startRelay(func(spec *mgrelay.Spec) {
 				spec.AllUpstreams = func(string) []mgrelay.Host { return all[1:] }
 			})
@@ -284,12 +286,13 @@
 timeout = 5000
 
 [[account]]`, 1) + "\n[[service]]\nname = \"archive\"\nkind = \"plain\"\n")
+		hosts := g.hosts
 		g.startRelay(func(spec *mgrelay.Spec) {
 			spec.Upstreams = func(service string) []mgrelay.Host {
 				if service == "archive" {
-					return g.hosts[1:]
+					return hosts[1:]
 				}
-				return g.hosts[:1]
+				return hosts[:1]
 			}
 		})
 		for i := range 20 {
@@ -314,3 +317,102 @@
 		})
 	})
 }
+
+// Guards against a stream of another version at an upstream that restarted under its name, which
+// the list doesn't show yet.
+func TestUnlistedIncarnationJoinsStream(t *testing.T) {
+	const listed, restarted = 1, 2
+	stating := func(start int, answer upstreamHandler) upstreamHandler {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Born", fmt.Sprint(start))
+			answer(w, r)
+		}
+	}
+	cases := []struct {
+		name      string
+		hasHeader bool // upstreams state in answers when they started
+		begins    int  // start of the incarnation that begins the stream
+		continues int  // of the one that is asked to continue it
+		asked     bool // upstreams answer when they are asked
+		confirmed bool // the platform confirms the list all the time
+		whole     bool
+	}{
+		{
+			name:      "both answers are from listed incarnations",
+			hasHeader: true,
+			begins:    listed,
+			continues: listed,
+			whole:     true,
+		},
+		{
+			name:      "the first answer is from another incarnation",
+			hasHeader: true,
+			begins:    restarted,
+			continues: listed,
+		},
+		{
+			name:      "the second answer is from another incarnation",
+			hasHeader: true,
+			begins:    listed,
+			continues: restarted,
+		},
+		{
+			name:      "the list is confirmed",
+			begins:    listed,
+			continues: listed,
+			confirmed: true,
+			whole:     true,
+		},
+		{
+			name:      "the list isn't confirmed, and the upstreams state their incarnations",
+			begins:    listed,
+			continues: listed,
+			asked:     true,
+			whole:     true,
+		},
+		{
+			name:      "the list isn't confirmed, and the second upstream states another one",
+			begins:    listed,
+			continues: restarted,
+			asked:     true,
+		},
+		{
+			name:      "the list isn't confirmed, and the upstreams don't answer",
+			begins:    listed,
+			continues: listed,
+		},
+	}
+	Convey("A stream that breaks off continues only at a listed incarnation", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := newHarness(t, stating(c.begins, breakOffAfter("v1", 3)), stating(c.continues, streamEvents("v1", 6)))
+				for i := range g.hosts {
+					g.hosts[i].IncarnationStart = listed
+				}
+				starts := map[string]int{
+					"a": c.begins,
+					"b": c.continues,
+				}
+				g.startRelay(func(spec *mgrelay.Spec) {
+					if !c.hasHeader {
+						spec.Headers.Start = ""
+					}
+					spec.IncarnationStart = func(string) (int64, bool) { return listed, true }
+					spec.ListConfirmedAt = func() mgclock.Millis {
+						if c.confirmed {
+							return spec.Clock.Now() + 1
+						}
+						return -1
+					}
+					if c.asked {
+						spec.AskIncarnation = func(_ context.Context, upstream mgrelay.Host) (int64, error) {
+							return int64(starts[upstream.Name]), nil
+						}
+					}
+				})
+				got := g.send(context.Background(), http.MethodPost, "/note/1", "x", nil)
+				So(got.cut, ShouldEqual, !c.whole)
+			})
+		}
+	})
+}
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -42,6 +42,7 @@
 	ProbeTimeout  int64  `toml:"probe" default:"200" min:"1" max:"5000" unit:"ms" help:"longest wait for offers; two good ones end it, so that it is felt only where agents do not answer; a round trip to another region and some room"`
 	MaxRetries    int64  `toml:"retry" default:"0" min:"0" max:"1000000" help:"retries that a service allows all entries together beyond a tenth of its answers; 0: each entry holds 64"`
 	CallTimeout   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
+	Relay         bool   `toml:"relay" help:"pass requests that match a route of the table on to upstreams that the list names, in the headers of docs/OPERATIONS.md"`
 	Fresh         bool   `toml:"fresh" help:"no process ran under this name lately, so that caps are leased from the start; for demos and tests"`
 	Public        TLS    `toml:"public" help:"certificate towards callers; empty: plain HTTP behind the platform's balancer"`
 }
--- a/internal/request/mgorigin/find.go
+++ b/internal/request/mgorigin/find.go
@@ -12,7 +12,7 @@
 
 // A Finding is the result of a search for a stream's origin.
 type Finding struct {
-	Origin Origin // its version is "" if two records differ
+	Record Record // its version is "" if the origins in two records differ
 	Known  bool   // there is a record
 	// Complete reports whether all other processes answered. A record may turn up later
 	// otherwise.
@@ -24,7 +24,7 @@
 func (p *Replicator) Find(ctx context.Context, key Key) Finding {
 	if record, ok := p.records.Find(p.spec.Clock.Now(), key); ok {
 		return Finding{
-			Origin:   record.Origin(),
+			Record:   record,
 			Known:    true,
 			Complete: true,
 		}
@@ -71,11 +71,13 @@
 		return
 	}
 	for _, record := range reply.Records {
-		if f.Known && record.Origin() != f.Origin {
-			f.Origin.Version = ""
+		if f.Known && record.Origin() != f.Record.Origin() {
+			f.Record.Version = ""
 			continue
 		}
-		f.Origin = record.Origin()
-		f.Known = true
+		if !f.Known {
+			f.Record = record
+			f.Known = true
+		}
 	}
 }
--- a/internal/request/mgorigin/record.go
+++ b/internal/request/mgorigin/record.go
@@ -39,10 +39,14 @@
 
 // A Record states the origin of a stream.
 type Record struct {
-	Key     Key            `json:"key"`
-	Service string         `json:"service"`
-	Version string         `json:"version,omitempty"` // software version, "" if unknown
-	Left    mgclock.Millis `json:"left"`              // time until the record expires
+	Key     Key    `json:"key"`
+	Service string `json:"service"`
+	Version string `json:"version,omitempty"` // software version, "" if unknown
+	// Upstream and Start name the upstream and when its incarnation started, 0 if no other
+	// incarnation can have its name. The version is that of this incarnation.
+	Upstream string         `json:"upstream,omitempty"`
+	Start    int64          `json:"born,omitempty"`
+	Left     mgclock.Millis `json:"left"` // time until the record expires
 }
 
 // Origin returns the origin that the record states.
@@ -53,6 +57,12 @@
 	}
 }
 
+// equal reports whether two records of a stream differ at most in their time.
+func (r Record) equal(other Record) bool {
+	other.Left = r.Left
+	return r == other
+}
+
 // Message is what processes send one another about streams.
 type Message struct {
 	Records []Record `json:"records,omitempty"` // to keep, each in place of an earlier one
--- a/internal/request/mgorigin/records.go
+++ b/internal/request/mgorigin/records.go
@@ -11,8 +11,8 @@
 	maxRecords = 100_000
 	// maxRecordLife limits how long a record is kept.
 	maxRecordLife = 60 * mgclock.Minute
-	// maxVersionLength limits a service's name and a version in a record, in bytes.
-	maxVersionLength = 256
+	// maxNameLength limits each name and the version in a record, in bytes.
+	maxNameLength = 256
 	// endedLife is how long the record of a complete stream is kept: the caller may not have
 	// received its end.
 	endedLife = 5 * mgclock.Second
@@ -25,19 +25,19 @@
 type Records struct {
 	mu      sync.Mutex
 	byKey   map[Key]storedRecord
-	origins map[Origin]*Origin // one copy of each
+	begins  map[Record]*Record // one copy of each, without key and time
 	sweptAt mgclock.Millis
 }
 
 type storedRecord struct {
-	origin    *Origin
+	begin     *Record // the record without key and time
 	expiresAt mgclock.Millis
 }
 
 // Put stores a record in place of an earlier one. It returns false if the record is invalid or
 // there are too many.
 func (s *Records) Put(now mgclock.Millis, record Record) bool {
-	if len(record.Service) > maxVersionLength || len(record.Version) > maxVersionLength || record.Left <= 0 {
+	if max(len(record.Service), len(record.Version), len(record.Upstream)) > maxNameLength || record.Left <= 0 {
 		return false
 	}
 	s.mu.Lock()
@@ -48,14 +48,15 @@
 	}
 	if s.byKey == nil {
 		s.byKey = map[Key]storedRecord{}
-		s.origins = map[Origin]*Origin{}
+		s.begins = map[Record]*Record{}
 	}
-	origin := record.Origin()
-	if s.origins[origin] == nil {
-		s.origins[origin] = &origin
+	begin := record
+	begin.Key, begin.Left = Key{}, 0
+	if s.begins[begin] == nil {
+		s.begins[begin] = &begin
 	}
 	s.byKey[record.Key] = storedRecord{
-		origin:    s.origins[origin],
+		begin:     s.begins[begin],
 		expiresAt: now + min(record.Left, maxRecordLife),
 	}
 	return true
@@ -69,12 +70,9 @@
 	if !ok || now >= found.expiresAt {
 		return Record{}, false
 	}
-	return Record{
-		Key:     key,
-		Service: found.origin.Service,
-		Version: found.origin.Version,
-		Left:    found.expiresAt - now,
-	}, true
+	record := *found.begin
+	record.Key, record.Left = key, found.expiresAt-now
+	return record, true
 }
 
 // End shortens the life of the record of a stream that is complete.
@@ -100,17 +98,17 @@
 		return
 	}
 	s.sweptAt = now
-	used := map[Origin]bool{}
+	used := map[Record]bool{}
 	for key, record := range s.byKey {
 		if now >= record.expiresAt {
 			delete(s.byKey, key)
 			continue
 		}
-		used[*record.origin] = true
+		used[*record.begin] = true
 	}
-	for origin := range s.origins {
-		if !used[origin] {
-			delete(s.origins, origin)
+	for begin := range s.begins {
+		if !used[begin] {
+			delete(s.begins, begin)
 		}
 	}
 }
--- a/internal/request/mgorigin/replicator.go
+++ b/internal/request/mgorigin/replicator.go
@@ -100,7 +100,7 @@
 	if known == nil && record.Version == "" {
 		return // without a record the origin is unknown, too
 	}
-	if known != nil && known.record.Origin() == record.Origin() {
+	if known != nil && known.record.equal(record) {
 		return
 	}
 	if !p.records.Put(now, record) {
@@ -115,12 +115,13 @@
 		}
 		p.own[record.Key] = known
 	}
+	replaced := known.edition > 0 && known.record.Origin() != record.Origin()
 	known.record = record
 	known.expiresAt = now + min(record.Left, maxRecordLife)
 	known.edition++
 	for name := range known.copies {
 		known.copies[name] = copyState{
-			outdated: true,
+			outdated: replaced || known.copies[name].outdated,
 		}
 	}
 	for _, r := range p.replicas {
--- a/internal/request/mgorigin/replicator_test.go
+++ b/internal/request/mgorigin/replicator_test.go
@@ -127,7 +127,7 @@
 				c.fail(m)
 				for i := range streams {
 					got := m.lastRunning().Find(context.Background(), recordOf(fmt.Sprint(i), "").Key)
-					if got.Known && got.Origin.Version == "v1" {
+					if got.Known && got.Record.Version == "v1" {
 						found++
 					}
 				}
@@ -193,7 +193,7 @@
 				confirmed = m.of("front-0").Confirm(context.Background(), recordOf("1", "").Key)
 				for _, name := range m.names {
 					got := m.of(name).Find(context.Background(), recordOf("1", "").Key)
-					versions[got.Origin.Version] = true
+					versions[got.Record.Version] = true
 				}
 			})
 			So(confirmed, ShouldBeTrue)
@@ -227,8 +227,8 @@
 			got = m.of("front-2").Find(context.Background(), recordOf("1", "").Key)
 		})
 		So(got.Known, ShouldBeTrue)
-		So(got.Origin.Accepts("report", "v1"), ShouldBeFalse)
-		So(got.Origin.Accepts("report", "v1.1"), ShouldBeFalse)
+		So(got.Record.Origin().Accepts("report", "v1"), ShouldBeFalse)
+		So(got.Record.Origin().Accepts("report", "v1.1"), ShouldBeFalse)
 	})
 }
 
@@ -264,7 +264,7 @@
 		So(s.Put(0, recordOf("one more", "v1")), ShouldBeFalse)
 		So(s.Put(60_000, recordOf("one more", "v1")), ShouldBeTrue)
 		So(s.Len(), ShouldEqual, 1)
-		long := recordOf("long", string(make([]byte, maxVersionLength+1)))
+		long := recordOf("long", string(make([]byte, maxNameLength+1)))
 		So(s.Put(60_000, long), ShouldBeFalse)
 	})
 	Convey("A complete stream's record is dropped soon, also at replicas", t, func() {
