mgsoak: streams of two software versions, resumed by their callers at other entries

Change: six upstreams of routes, four of v1 and two of v1.1, whose events state who wrote them; readers that disconnect and resume at the next entry; two upgrades under the same name, one of them abrupt; engines of two versions, whose texts differ. Entries pass routes on where the setting relay is true; standin events is the upstream. Altered test: TestSeedDrawsAnotherSchedule counts a further kind drawn separately. Conclusion: the soak plays both rules of the incident.

--- a/cmd/marjoramgauge/commands.go
+++ b/cmd/marjoramgauge/commands.go
@@ -18,6 +18,7 @@
 	standin := addCommand(root, "standin", "run a stand-in of what surrounds the system", &struct{}{})
 	addCommand(standin, "engine", "a model engine", &standinEngineCommand{output: output})
 	addCommand(standin, "service", "a plain service", &standinServiceCommand{output: output})
+	addCommand(standin, "events", "an upstream that streams events", &standinEventsCommand{output: output})
 	addCommand(standin, "platform", "the platform's config service and list of VMs", &standinPlatformCommand{output: output})
 	addCommand(root, "call", "send one request and stream its answer", &callCommand{output: output})
 	addCommand(root, "bench", "measure policies against each other in virtual time", &benchCommand{output: output})
--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgnode"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 )
 
@@ -34,16 +34,16 @@
 const gcPercent = 50
 
 // runProcess reads settings from a file and runs a process with them until it receives
-// a stop signal. The parameter process is the part of settings that all processes
-// share.
+// a stop signal. The parameter spec returns the specification of the node once the settings
+// have been read.
 func runProcess(
-	file string, settings any, process *mgsettings.Process, log io.Writer,
+	file string, settings any, spec func() mgnode.Spec,
 	run func(stop, forceStop context.Context, node *mgnode.Node) error,
 ) error {
 	if err := mgsettings.Load(file, settings); err != nil {
 		return err
 	}
-	node, err := mgnode.Open(*process, log)
+	node, err := mgnode.New(spec())
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,18 @@
 // Execute runs an entry until it receives a stop signal.
 func (c *entryCommand) Execute([]string) error {
 	var settings mgsettings.Entry
-	return runProcess(c.Settings, &settings, &settings.Process, c.output.errOut, func(stop, forceStop context.Context, node *mgnode.Node) error {
+	spec := func() mgnode.Spec {
+		s := mgnode.Spec{
+			Settings: settings.Process,
+			Log:      c.output.errOut,
+		}
+		if settings.Relay {
+			headers := mgrelay.DefaultHeaderNames()
+			s.Relay = &headers
+		}
+		return s
+	}
+	return runProcess(c.Settings, &settings, spec, func(stop, forceStop context.Context, node *mgnode.Node) error {
 		return mgnode.RunEntry(stop, forceStop, settings, node)
 	})
 }
@@ -73,7 +84,13 @@
 // Execute runs an agent until it receives a stop signal.
 func (c *agentCommand) Execute([]string) error {
 	var settings mgsettings.Agent
-	return runProcess(c.Settings, &settings, &settings.Process, c.output.errOut, func(stop, forceStop context.Context, node *mgnode.Node) error {
+	spec := func() mgnode.Spec {
+		return mgnode.Spec{
+			Settings: settings.Process,
+			Log:      c.output.errOut,
+		}
+	}
+	return runProcess(c.Settings, &settings, spec, func(stop, forceStop context.Context, node *mgnode.Node) error {
 		return mgnode.RunAgent(stop, forceStop, settings, node)
 	})
 }
--- a/cmd/marjoramgauge/standin.go
+++ b/cmd/marjoramgauge/standin.go
@@ -69,6 +69,22 @@
 	return mgstandin.RunService(ctx, spec, printAddress(c.output, "service"))
 }
 
+type standinEventsCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the upstream, TOML"`
+	output   outputs
+}
+
+// Execute runs an upstream that streams events until it is interrupted.
+func (c *standinEventsCommand) Execute([]string) error {
+	var spec mgstandin.EventsSpec
+	if err := readStandin(c.Settings, &spec); err != nil {
+		return err
+	}
+	ctx, cancel := interruptContext()
+	defer cancel()
+	return mgstandin.RunEvents(ctx, spec, printAddress(c.output, "events"))
+}
+
 type standinPlatformCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the platform, TOML"`
 	output   outputs
--- a/internal/soak/mgsoak/deployment.go
+++ b/internal/soak/mgsoak/deployment.go
@@ -30,6 +30,7 @@
 	admins       map[string]string // addresses
 	entries      []string          // base URLs for callers, over links
 	peers        map[string]string
+	streams      []*streamUpstream
 	tableVersion int
 	listVersion  uint64 // version of the list of VMs
 	revoked      bool
@@ -55,7 +56,7 @@
 		admins:    map[string]string{},
 		peers:     map[string]string{},
 	}
-	for _, step := range []func() error{d.startStandins, d.startSystem, func() error { return d.publishList() }, func() error { return d.publishTable(ctx) }} {
+	for _, step := range []func() error{d.startStandins, d.startStreams, d.startSystem, func() error { return d.publishList() }, func() error { return d.publishTable(ctx) }} {
 		if err := step(); err != nil {
 			d.close()
 			return nil, fmt.Errorf("deployment: %w", err)
@@ -83,11 +84,10 @@
 
 // start writes a settings file and starts a process with it.
 func (d *deployment) start(name, settings string, args ...string) error {
-	file := filepath.Join(d.folder, name+".toml")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+	if err := d.writeSettings(name, settings); err != nil {
 		return err
 	}
-	p, err := mgproc.Start(d.binary, name, append(args, "--settings", file)...)
+	p, err := mgproc.Start(d.binary, name, append(args, "--settings", d.settingsFile(name))...)
 	if err != nil {
 		return err
 	}
@@ -95,6 +95,13 @@
 	return nil
 }
 
+// writeSettings writes the settings that a process reads at its next start.
+func (d *deployment) writeSettings(name, settings string) error {
+	return os.WriteFile(d.settingsFile(name), []byte(settings), 0o600)
+}
+
+func (d *deployment) settingsFile(name string) string { return filepath.Join(d.folder, name+".toml") }
+
 // link creates a link in front of an address and returns the link's address.
 func (d *deployment) link(name, target string) (string, error) {
 	l, err := mgproc.NewLink(target)
@@ -117,12 +124,12 @@
 }
 
 func (d *deployment) startStandins() error {
-	for _, name := range append(append([]string{}, d.names.engines...), service, platform) {
+	for i, name := range append(append([]string{}, d.names.engines...), service, platform) {
 		addrs, err := mgproc.FreeAddrs(1)
 		if err != nil {
 			return err
 		}
-		kind, extra := "engine", "lag = 200\nlate = 100\n[model]\nspeed = 3\n"
+		kind, extra := "engine", fmt.Sprintf("software = %q\nlag = 200\nlate = 100\n[model]\nspeed = 3\n", softwareVersion(i))
 		switch name {
 		case service:
 			kind, extra = "service", "name = \"books\"\ndelay = 5\n"
@@ -160,7 +167,7 @@
 		if err != nil {
 			return err
 		}
-		if err := d.startProcess(entry, i, fmt.Sprintf("listen = %q\nnotice = 300\n", addrs[0]), "entry"); err != nil {
+		if err := d.startProcess(entry, i, fmt.Sprintf("listen = %q\nnotice = 300\nrelay = true\n", addrs[0]), "entry"); err != nil {
 			return err
 		}
 		addr, err := d.link(entry, addrs[0])
@@ -189,6 +196,15 @@
 	return d.start(name, common+extra, kind)
 }
 
+// softwareVersion returns the version of engine i. Generations can move between engines of one
+// version only.
+func softwareVersion(i int) string {
+	if i%2 == 0 {
+		return oldVersion
+	}
+	return newVersion
+}
+
 // zones is the number of availability zones.
 const zones = 3
 
@@ -211,7 +227,7 @@
 			Upstream:        strings.TrimPrefix(agent, "agent-"),
 			State:           mgplatform.Live,
 			Models:          []string{"tank"},
-			SoftwareVersion: "v1",
+			SoftwareVersion: softwareVersion(i),
 		}
 		if vm.Upstream == service {
 			vm.Models = nil
@@ -230,6 +246,9 @@
 			State:  mgplatform.Live,
 		})
 	}
+	for i, u := range d.streams {
+		list.VMs = append(list.VMs, u.vm(i))
+	}
 	data, err := json.Marshal(list)
 	if err != nil {
 		return err
--- a/internal/soak/mgsoak/doc.go
+++ b/internal/soak/mgsoak/doc.go
@@ -5,7 +5,10 @@
 // Terms:
 //
 //   - deployment: entries and agents of the built binary, stand-ins for engines, a
-//     plain service and the platform, and a link in front of each of them.
+//     plain service, the platform and upstreams of streams, and a link in front of each
+//     of them but the last.
+//   - reader: a caller of streams, which now and then closes its connection and resumes
+//     the stream at another entry.
 //   - fault: a disturbance of a process, a link or a stand-in for some time. Faults
 //     are drawn one after another and overlap.
 //   - schedule: the faults of a run with their times. A seed always draws the same
@@ -27,4 +30,8 @@
 //     is active.
 //   - A cordoned zone gets no new work.
 //   - A prompt that crashes engines is blocked.
+//   - A stream has events of one software version, also if its caller resumes it at
+//     another entry and upstreams are upgraded meanwhile. A stream that is taken up
+//     again goes on nearly as often as a new one begins, unless all entries that had its
+//     record have ended.
 package mgsoak
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -41,6 +41,8 @@
 	failureHasCause        = "nothing fails without a fault"
 	cordonRespected        = "a cordoned zone gets no new work"
 	crashPromptBlocked     = "a prompt that ends engines is held back"
+	oneSoftwareVersion     = "a stream has events of one software version"
+	streamsResume          = "streams are resumed nearly as often as they begin"
 )
 
 // callerAnswer is an answer as its caller received it.
@@ -78,6 +80,7 @@
 	generations  map[string]mgstandin.Record
 	runs         map[string]int // number of executions of each write, by operation
 	crashes      int            // engine crashes caused by the crash prompt
+	streams      []*readStream
 }
 
 // merge adds the counters of one engine. Both engines of a migrated generation have a
@@ -133,17 +136,28 @@
 	return ids
 }
 
+// isPrefix reports whether the received text is a prefix of a generation as one software version
+// writes it.
+func isPrefix(id string, r callerAnswer) bool {
+	for _, version := range []string{"", oldVersion, newVersion} {
+		if mgstandin.FirstTokens(mgstandin.WrittenBy(id, version), r.tokens) == r.text {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *evidence) checkAnswer(r callerAnswer) []Finding {
 	ids := e.generationsOf(r.prompt)
 	matches := r.tokens == 0 && r.text == ""
 	for _, id := range ids {
-		matches = matches || mgstandin.FirstTokens(id, r.tokens) == r.text
+		matches = matches || isPrefix(id, r)
 	}
 	var found []Finding
 	if !matches {
 		promise := oneGeneration
 		for id := range e.generations {
-			if mgstandin.FirstTokens(id, r.tokens) == r.text {
+			if isPrefix(id, r) {
 				promise = ownAnswerOnly
 			}
 		}
--- a/internal/soak/mgsoak/evidence_test.go
+++ b/internal/soak/mgsoak/evidence_test.go
@@ -164,6 +164,6 @@
 				seen[f.Kind] = true
 			}
 		}
-		So(len(seen), ShouldEqual, len(faultWeights)+2) // the cordon and the prompt are drawn separately
+		So(len(seen), ShouldEqual, len(faultWeights)+3) // the cordon, the prompt and the upgrades are drawn separately
 	})
 }
--- a/internal/soak/mgsoak/inject.go
+++ b/internal/soak/mgsoak/inject.go
@@ -48,6 +48,8 @@
 		return r.injectPlatformFault(ctx, f)
 	case CordonZone:
 		return r.cordon(ctx, f)
+	case UpgradeUpstream:
+		return r.upgrade(ctx, f)
 	case CrashPrompt:
 		r.sendPrompt(ctx, f)
 		return nil
@@ -257,5 +259,5 @@
 
 // mustBeTolerated reports whether the fault alone must not make an answer fail.
 func (f Fault) mustBeTolerated() bool {
-	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || slices.Contains([]Kind{EditTable, RevokeKey, CordonZone}, f.Kind)
+	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || slices.Contains([]Kind{EditTable, RevokeKey, CordonZone, UpgradeUpstream}, f.Kind)
 }
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -110,6 +110,9 @@
 	for i := range r.size.Callers {
 		load.Go(func() { r.runCaller(loadCtx, i) })
 	}
+	for i := range r.size.Readers {
+		load.Go(func() { r.runReader(loadCtx, i) })
+	}
 	for i := range d.entries {
 		load.Go(func() { r.runObserver(loadCtx, i) })
 	}
@@ -190,6 +193,7 @@
 	}
 	r.evidence.runs = counts.Runs
 	r.findings = append(r.findings, r.evidence.check()...)
+	r.findings = append(r.findings, r.checkStreams()...)
 	r.findings = append(r.findings, r.checkFailedAnswers()...)
 	r.findings = append(r.findings, r.checkCordons()...)
 	r.findings = append(r.findings, r.checkPromptCrashes()...)
@@ -257,6 +261,21 @@
 			booked++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d findings",
-		r.seed, len(r.faults), whole, failed, booked, len(r.evidence.tickets), len(r.evidence.observations), r.evidence.crashes, len(r.findings))
+	wholeStreams, resumed, asked := 0, 0, 0
+	for _, s := range r.evidence.streams {
+		if s.last == s.total {
+			wholeStreams++
+		}
+		for _, request := range s.requests {
+			if request.resumes {
+				asked++
+			}
+			if request.resumes && request.served {
+				resumed++
+			}
+		}
+	}
+	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d of %d streams whole, %d of %d resumed, %d findings",
+		r.seed, len(r.faults), whole, failed, booked, len(r.evidence.tickets), len(r.evidence.observations), r.evidence.crashes,
+		wholeStreams, len(r.evidence.streams), resumed, asked, len(r.findings))
 }
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -26,10 +26,11 @@
 	LeaveEngine     Kind = "leave"   // leaves with a notice of the duration, then is down for as long
 	FailService     Kind = "service" // the next calls fail as the variant says
 	FailPlatform    Kind = "platform"
-	EditTable       Kind = "edit"   // publishes a new table version
-	RevokeKey       Kind = "revoke" // publishes a table version without the second account's key
-	CordonZone      Kind = "cordon" // a zone gets no new work for the duration
-	CrashPrompt     Kind = "prompt" // a prompt that crashes its engine, sent repeatedly for the duration
+	EditTable       Kind = "edit"    // publishes a new table version
+	RevokeKey       Kind = "revoke"  // publishes a table version without the second account's key
+	CordonZone      Kind = "cordon"  // a zone gets no new work for the duration
+	CrashPrompt     Kind = "prompt"  // a prompt that crashes its engine, sent repeatedly for the duration
+	UpgradeUpstream Kind = "upgrade" // an upstream of streams restarts with another software version
 )
 
 // Fault is one step of a schedule.
@@ -59,6 +60,7 @@
 	Entries int `long:"entries" default:"2" description:"entries"`
 	Engines int `long:"engines" default:"3" description:"engines, with an agent each"`
 	Callers int `long:"callers" default:"12" description:"callers at once"`
+	Readers int `long:"readers" default:"12" description:"callers of streams at once"`
 }
 
 const (
@@ -107,7 +109,7 @@
 	for at := faultFreeStart; ; {
 		at += mgclock.Millis(r.ExpFloat64() * meanFaultInterval)
 		if at >= length-faultFreeEnd {
-			return append(faults, drawCordon(seed, length), drawPrompt(seed, length))
+			return append(append(faults, drawCordon(seed, length), drawPrompt(seed, length)), drawUpgrades(seed, length)...)
 		}
 		f := Fault{
 			At:       at,
@@ -151,6 +153,32 @@
 	}
 }
 
+// abruptUpgrade is the variant of an upgrade in which the upstream doesn't leave first.
+const abruptUpgrade = "abrupt"
+
+// drawUpgrades returns the upgrades of two upstreams of streams. Like drawCordon it has its own
+// random generator.
+func drawUpgrades(seed uint64, length mgclock.Millis) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0x75706772))
+	available := length - faultFreeStart - faultFreeEnd - maxFaultDuration
+	upgrades := []Fault{
+		{
+			Target:  "stream-1",
+			Variant: "planned",
+		},
+		{
+			Target:  "stream-2",
+			Variant: abruptUpgrade,
+		},
+	}
+	for i := range upgrades {
+		upgrades[i].Kind = UpgradeUpstream
+		upgrades[i].At = faultFreeStart + mgclock.Millis(r.Int64N(max(int64(available), 1)))
+		upgrades[i].Duration = maxFaultDuration
+	}
+	return upgrades
+}
+
 func drawKind(r *rand.Rand) Kind {
 	total := 0
 	for _, d := range faultWeights {
--- a/internal/soak/mgsoak/soak_test.go
+++ b/internal/soak/mgsoak/soak_test.go
@@ -27,6 +27,7 @@
 			Entries: 2,
 			Engines: 3,
 			Callers: 8,
+			Readers: 8,
 		},
 		Minutes: 0.25,
 		Binary:  binary,
@@ -45,6 +46,7 @@
 		So(found, ShouldBeEmpty)
 		So(len(r.evidence.answers), ShouldBeGreaterThan, 0)
 		So(len(r.evidence.tickets), ShouldBeGreaterThan, 0)
+		So(len(r.evidence.streams), ShouldBeGreaterThan, 0)
 		So(r.plot(filepath.Join(t.TempDir(), "soak.png")), ShouldBeNil)
 	})
 }
--- a/internal/soak/mgsoak/table.go
+++ b/internal/soak/mgsoak/table.go
@@ -73,6 +73,7 @@
 	for _, engine := range names.engines {
 		fmt.Fprintf(&text, engineTable, engine)
 	}
+	text.WriteString(streamTable)
 	if !revoked {
 		text.WriteString(secondAccount)
 	}
--- a/internal/standin/mgstandin/run.go
+++ b/internal/standin/mgstandin/run.go
@@ -32,6 +32,11 @@
 	return runServer(ctx, spec.Listen, NewService(spec, mgclock.Clock{}).Handler(), ready)
 }
 
+// RunEvents serves an upstream that streams events until ctx ends.
+func RunEvents(ctx context.Context, spec EventsSpec, ready func(addr string)) error {
+	return runServer(ctx, spec.Listen, NewEvents(spec, mgclock.Clock{}).Handler(), ready)
+}
+
 // RunPlatform serves a platform with its initial values until ctx ends.
 func RunPlatform(ctx context.Context, spec PlatformSpec, ready func(addr string)) error {
 	p := NewPlatform(spec, mgclock.Clock{})
--- a/internal/standin/mgstandin/spec.go
+++ b/internal/standin/mgstandin/spec.go
@@ -7,18 +7,19 @@
 
 // EngineSpec holds the settings of an engine stand-in.
 type EngineSpec struct {
-	Listen  string         `toml:"listen" need:"yes" help:"loopback IP and port"`
-	Model   mgmodel.Spec   `toml:"model" help:"steps and memory; its speed is the demo's"`
-	Serves  []string       `toml:"serves" help:"models loaded at the start; none means any model"`
-	Role    string         `toml:"role" help:"role at the start"`
-	Fenced  bool           `toml:"fenced" help:"whether it refuses orders with an old fencing number"`
-	Lag     mgclock.Millis `toml:"lag" min:"0" max:"600000" unit:"ms" help:"age of the load report"`
-	Late    mgclock.Millis `toml:"late" min:"0" max:"600000" unit:"ms" help:"delay of cache events"`
-	Gap     int            `toml:"gap" min:"0" max:"1000000" help:"each gap-th cache event is lost; 0 for none"`
-	Keep    mgclock.Millis `toml:"keep" default:"60000" min:"0" max:"3600000" unit:"ms" help:"how long a finished generation can be resumed"`
-	Beat    mgclock.Millis `toml:"beat" default:"1000" min:"0" max:"600000" unit:"ms" help:"interval of heartbeats on a stream"`
-	Copy    int            `toml:"copy" default:"55" min:"0" max:"1000000" unit:"us" help:"time to copy a token's memory to another engine"`
-	Loading mgclock.Millis `toml:"loading" min:"0" max:"600000" unit:"ms" help:"how long a load order takes"`
+	Listen   string         `toml:"listen" need:"yes" help:"loopback IP and port"`
+	Software string         `toml:"software" help:"its software version, on which the text of its generations depends"`
+	Model    mgmodel.Spec   `toml:"model" help:"steps and memory; its speed is the demo's"`
+	Serves   []string       `toml:"serves" help:"models loaded at the start; none means any model"`
+	Role     string         `toml:"role" help:"role at the start"`
+	Fenced   bool           `toml:"fenced" help:"whether it refuses orders with an old fencing number"`
+	Lag      mgclock.Millis `toml:"lag" min:"0" max:"600000" unit:"ms" help:"age of the load report"`
+	Late     mgclock.Millis `toml:"late" min:"0" max:"600000" unit:"ms" help:"delay of cache events"`
+	Gap      int            `toml:"gap" min:"0" max:"1000000" help:"each gap-th cache event is lost; 0 for none"`
+	Keep     mgclock.Millis `toml:"keep" default:"60000" min:"0" max:"3600000" unit:"ms" help:"how long a finished generation can be resumed"`
+	Beat     mgclock.Millis `toml:"beat" default:"1000" min:"0" max:"600000" unit:"ms" help:"interval of heartbeats on a stream"`
+	Copy     int            `toml:"copy" default:"55" min:"0" max:"1000000" unit:"us" help:"time to copy a token's memory to another engine"`
+	Loading  mgclock.Millis `toml:"loading" min:"0" max:"600000" unit:"ms" help:"how long a load order takes"`
 }
 
 // ServiceSpec holds the settings of a plain service stand-in.
@@ -28,6 +29,15 @@
 	Delay  mgclock.Millis `toml:"delay" min:"0" max:"600000" unit:"ms" help:"time that a call takes"`
 }
 
+// EventsSpec holds the settings of a stand-in that streams events.
+type EventsSpec struct {
+	Listen   string         `toml:"listen" need:"yes" help:"loopback IP and port"`
+	Name     string         `toml:"name" help:"its name in the list of VMs, which requests state"`
+	Software string         `toml:"software" help:"its software version, which its events state"`
+	Born     int64          `toml:"born" help:"when its incarnation started, as the list of VMs states it"`
+	Interval mgclock.Millis `toml:"interval" min:"0" max:"600000" unit:"ms" help:"time between events"`
+}
+
 // PlatformSpec holds the settings of a platform stand-in.
 type PlatformSpec struct {
 	Listen string         `toml:"listen" need:"yes" help:"loopback IP and port"`
--- a/internal/standin/mgstandin/stream.go
+++ b/internal/standin/mgstandin/stream.go
@@ -148,7 +148,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		lastSeq, faultDue := v.streamLimit(v.produced)
-		seq = writeTokens(out, id, seq, lastSeq, v.preempted)
+		seq = writeTokens(out, WrittenBy(id, e.spec.Software), seq, lastSeq, v.preempted)
 		ended := v.end != "" && seq > v.produced
 		if ended {
 			_ = out.Encode(mgengine.Token{
@@ -174,12 +174,13 @@
 	}
 }
 
-// writeTokens writes the tokens from seq to last and returns the next sequence number.
-func writeTokens(out *json.Encoder, id string, seq, last uint64, preempted int) uint64 {
+// writeTokens writes the tokens from seq to last of the text with a name, and returns the next
+// sequence number.
+func writeTokens(out *json.Encoder, name string, seq, last uint64, preempted int) uint64 {
 	for ; seq <= last; seq++ {
 		_ = out.Encode(mgengine.Token{
 			Seq:       seq,
-			Text:      Text(id, seq),
+			Text:      Text(name, seq),
 			Preempted: preempted,
 		})
 	}
--- a/internal/standin/mgstandin/text.go
+++ b/internal/standin/mgstandin/text.go
@@ -34,6 +34,15 @@
 	return fmt.Sprintf("%s-%04x ", words[hash%uint64(len(words))], hash>>48)
 }
 
+// WrittenBy returns the name under which a software version writes a generation's text. The text
+// of a generation that continues at another version belongs to neither name.
+func WrittenBy(generation, version string) string {
+	if version == "" {
+		return generation
+	}
+	return generation + "@" + version
+}
+
 // FirstTokens returns the first tokens of a generation, joined.
 func FirstTokens(generation string, tokens int) string {
 	var b strings.Builder
