mgorigin: replication within what control may take of the network

Cause: at the target's size, 120 entries of a region with 10.8 streams a second each, the records took 24.2 KB/s an entry, of 15: complete streams were sent as whole records in messages of their own, and each record named its fields. Change: a record is an array; ends travel as keys with the next message; messages to a replica are 250 ms apart unless a stream waits, and then one replica is hurried where there are three, all where there are six.

--- a/internal/request/mgorigin/mesh_test.go
+++ b/internal/request/mgorigin/mesh_test.go
@@ -37,7 +37,7 @@
 
 // runMesh runs a mesh of processes until body returns.
 func runMesh(t *testing.T, count int, body func(m *mesh)) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		m := &mesh{
 			replicator: map[string]*Replicator{},
 			life:       map[string]int{},
@@ -55,7 +55,6 @@
 		for _, name := range m.names {
 			m.kill(name)
 		}
-		synctest.Wait()
 	})
 }
 
@@ -167,6 +166,13 @@
 	return nil
 }
 
+// traffic returns the number of messages so far, and the bytes in them.
+func (m *mesh) traffic() (messages, bytes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls, m.bytes
+}
+
 func (m *mesh) of(name string) *Replicator {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/request/mgorigin/record.go
+++ b/internal/request/mgorigin/record.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -39,14 +40,29 @@
 
 // A Record states the origin of a stream.
 type Record struct {
-	Key     Key    `json:"key"`
-	Service string `json:"service"`
-	Version string `json:"version,omitempty"` // software version, "" if unknown
+	Key     Key
+	Service string
+	Version string // software version, "" if unknown
 	// Upstream and Start name the upstream and when its incarnation started, 0 if no other
 	// incarnation can have its name. The version is that of this incarnation.
-	Upstream string         `json:"upstream,omitempty"`
-	Start    int64          `json:"born,omitempty"`
-	Left     mgclock.Millis `json:"left"` // time until the record expires
+	Upstream string
+	Start    int64
+	Left     mgclock.Millis // time until the record expires
+}
+
+// MarshalJSON returns the record as an array, which takes two thirds of the bytes of an object.
+func (r Record) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{r.Key, r.Service, r.Version, r.Upstream, r.Start, r.Left})
+}
+
+// UnmarshalJSON parses the output of MarshalJSON.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	fields := []any{&r.Key, &r.Service, &r.Version, &r.Upstream, &r.Start, &r.Left}
+	count := len(fields)
+	if err := json.Unmarshal(data, &fields); err != nil || len(fields) != count {
+		return fmt.Errorf("record of a stream: is no array of %d fields: do all processes run the same release?", count)
+	}
+	return nil
 }
 
 // Origin returns the origin that the record states.
@@ -66,6 +82,7 @@
 // Message is what processes send one another about streams.
 type Message struct {
 	Records []Record `json:"records,omitempty"` // to keep, each in place of an earlier one
+	Ended   []Key    `json:"ended,omitempty"`   // of streams that are complete
 	Find    []Key    `json:"find,omitempty"`    // of records that the sender asks for
 }
 
--- a/internal/request/mgorigin/replica.go
+++ b/internal/request/mgorigin/replica.go
@@ -12,6 +12,7 @@
 	name       string
 	stop       context.CancelFunc
 	pending    map[Key]bool // keys of own records to send
+	ended      []Key        // of complete streams, to send
 	failing    bool         // the last message wasn't answered
 	wake       chan struct{}
 	urgent     chan struct{}
@@ -47,13 +48,6 @@
 	}
 }
 
-// hurry makes run send without waiting for messageInterval.
-func (r *replica) hurry() {
-	if len(r.pending) > 0 && !r.failing {
-		notify(r.urgent)
-	}
-}
-
 // notify sends on a channel with a buffer of one, unless it is full.
 func notify(channel chan struct{}) {
 	select {
@@ -156,6 +150,8 @@
 			outdated: known.copies[r.name].outdated,
 		}
 	}
+	b.message.Ended = r.ended
+	r.ended = nil
 	return b, true
 }
 
--- a/internal/request/mgorigin/replicator.go
+++ b/internal/request/mgorigin/replicator.go
@@ -17,8 +17,9 @@
 	fewReplicas = 3
 	manyPeers   = 40
 	// messageInterval is the minimum interval between two messages to a replica, unless a
-	// stream waits for the replica's acknowledgement.
-	messageInterval = 200 * mgclock.Millis(1)
+	// stream waits for an acknowledgement. Then all replicas are sent the record at once if
+	// there are more than fewReplicas, and one of them otherwise.
+	messageInterval = 250 * mgclock.Millis(1)
 	// checkInterval is the interval at which a replica without messages is asked whether it
 	// has restarted, which loses its records.
 	checkInterval = mgclock.Second
@@ -143,8 +144,8 @@
 		}
 		acked, outdated := p.copiesOf(known)
 		changed := known.changed
-		for _, r := range p.replicas {
-			r.hurry()
+		if !acked || outdated {
+			p.hurry(outdated || len(p.replicas) > fewReplicas)
 		}
 		p.mu.Unlock()
 		if acked && !outdated {
@@ -161,6 +162,20 @@
 	}
 }
 
+// hurry makes one replica that answers, or all of them, receive what is to be sent to them at
+// once. mu must be held.
+func (p *Replicator) hurry(all bool) {
+	for _, r := range p.replicas {
+		if len(r.pending) == 0 || r.failing {
+			continue
+		}
+		notify(r.urgent)
+		if !all {
+			return
+		}
+	}
+}
+
 // copiesOf reports whether a replica has the current record, or none answers, and whether a
 // peer may have an earlier one. mu must be held.
 func (p *Replicator) copiesOf(known *ownRecord) (acked, outdated bool) {
@@ -195,7 +210,7 @@
 	known.expiresAt = min(known.expiresAt, now+endedLife)
 	for name, r := range p.replicas {
 		if _, sent := known.copies[name]; sent {
-			r.enqueue(key)
+			r.ended = append(r.ended, key) // goes with the next message
 		} else {
 			delete(r.pending, key)
 		}
@@ -210,6 +225,9 @@
 			p.spec.Count("rejected")
 		}
 	}
+	for _, key := range message.Ended {
+		p.records.End(now, key)
+	}
 	reply := Reply{
 		Incarnation: incarnation,
 	}
--- a/internal/request/mgorigin/replicator_test.go
+++ b/internal/request/mgorigin/replicator_test.go
@@ -286,6 +286,22 @@
 	})
 }
 
+// Guards against records that change on their way.
+func TestRecordChangesInTransit(t *testing.T) {
+	Convey("A record keeps its value as JSON", t, func() {
+		sent := recordOf("1", "v1.1")
+		sent.Upstream, sent.Start = "i-1", 1_796_332_504_123
+		data, err := json.Marshal(sent)
+		So(err, ShouldBeNil)
+		var received Record
+		So(json.Unmarshal(data, &received), ShouldBeNil)
+		So(received, ShouldResemble, sent)
+		for _, invalid := range []string{`{}`, `[]`, `["short","a","b","c",1,1]`, `["` + sent.Key.String() + `","a","b","c",1]`} {
+			So(json.Unmarshal([]byte(invalid), &received), ShouldNotBeNil)
+		}
+	})
+}
+
 // Guards against two client accounts whose requests have the same id.
 func TestAccountsShareRequestID(t *testing.T) {
 	Convey("Keys differ by account and by request", t, func() {
