mgrelay: a process that resumes a stream keeps and replicates its record

Cause: reading the diff: only the process that relayed a stream first announced its origin. Once that and its replicas had restarted, a caller whose connection broke a second time was refused. Change: the record that was found is announced with the time that the caller has left. Conclusion: the copies of a stream's record follow the process that relays it.

--- a/internal/process/mgrelay/origin.go
+++ b/internal/process/mgrelay/origin.go
@@ -156,6 +156,12 @@
 	if !y.canContinue(x) {
 		return y.noCapacityProblem(x)
 	}
+	if x.isRecorded {
+		// The process that relayed the stream before may have ended, and with it a copy.
+		record := found.Record
+		record.Left = x.timeLeft(y.spec.Clock.Now()) + originLife
+		y.spec.Origins.Announce(record)
+	}
 	return nil
 }
 
--- a/internal/process/mgrelay/version_test.go
+++ b/internal/process/mgrelay/version_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -416,3 +417,33 @@
 		}
 	})
 }
+
+// Guards against a stream that can't be resumed a second time, because the process that relayed
+// it first has ended and the next one kept no record.
+func TestResumedStreamIsNotRecorded(t *testing.T) {
+	Convey("A process that resumes another one's stream keeps and replicates its record", t, func() {
+		key := mgorigin.KeyOf("tankline", "request-1")
+		g := newHarness(t, breakOffAfter("v1", 5))
+		g.origins = mgorigin.NewReplicator(mgorigin.ReplicatorSpec{
+			Peers: func() []mgorigin.Peer { return []mgorigin.Peer{{Name: "other"}} },
+			Call: func(_ context.Context, _ string, message mgorigin.Message) (mgorigin.Reply, error) {
+				var reply mgorigin.Reply
+				if len(message.Find) > 0 {
+					reply.Records = []mgorigin.Record{
+						{
+							Key:     key,
+							Service: "ledger",
+							Version: "v1",
+							Left:    mgclock.Minute,
+						},
+					}
+				}
+				return reply, nil
+			},
+		})
+		g.startRelay(func(*mgrelay.Spec) {})
+		got := g.send(context.Background(), http.MethodPost, "/note/1", "x", resumeHeader("request-2", "request-1"))
+		So(writers(got.body), ShouldResemble, []string{"v1"})
+		So(g.origins.State().Own, ShouldEqual, 1)
+	})
+}
