mgrelay: upstreams of the own interface state their version in each answer

Callers of streams that began at an upstream whose restart the list didn't show yet were refused when they resumed them. Cause: the answer stated the incarnation only, so that the version of one that the list lacks was unknown. Change: answers state the version itself (Software, in place of Born), which decides for streams that begin and that continue. Where upstreams don't (the users' platform), the incarnation is checked as before. Conclusion: on the own interface no list is needed to tell a version.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -56,7 +56,7 @@
 	defer response.Body.Close()
 	y.spec.ReportAnswered(host.Name)
 	y.recordLeavingHeader(x, host, response)
-	x.statedStart, _ = strconv.ParseInt(response.Header.Get(y.spec.Headers.Start), 10, 64) // 0 if it can't be parsed
+	x.statedVersion = response.Header.Get(y.spec.Headers.Software)
 	y.recordRetryAfter(x, host, response)
 	y.recordLimit(x, host, response)
 	x.attempts++
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -51,7 +51,7 @@
 	digestValue      mgquarantine.Digest // valid after digestOnce
 	begunAt          Host                // the upstream that began the stream in this answer; zero before, or if the caller resumes it
 	begunAtTime      mgclock.Millis      // when it did
-	statedStart      int64               // of the incarnation that answered the last attempt, 0 if not stated
+	statedVersion    string              // software version that the last attempt's answer states
 	copied           bool                // the last attempt continues from a copy of the generation
 	origin           mgorigin.Origin     // of the stream; zero before its first event
 	originKey        mgorigin.Key        // of the stream's origin, if isRecorded
--- a/internal/process/mgrelay/generation.go
+++ b/internal/process/mgrelay/generation.go
@@ -19,7 +19,7 @@
 	eventCount   atomic.Int64   // events delivered
 	lastEventAt  mgclock.Millis // when events were last delivered
 	addedAt      mgclock.Millis // when its upstream answered
-	statedStart  int64          // of the upstream's incarnation, as its answer states it; 0 if not stated
+	stated       string         // software version that the upstream's answer states
 
 	claimed      bool          // a move has been started, or none may start any more; guarded by generations.mu
 	moveDone     chan struct{} // closed when its move is done
@@ -52,13 +52,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &generation{
-		ctx:         ctx,
-		exchange:    x,
-		host:        host,
-		addedAt:     now,
-		statedStart: x.statedStart,
-		moveDone:    make(chan struct{}),
-		registry:    s,
+		ctx:      ctx,
+		exchange: x,
+		host:     host,
+		addedAt:  now,
+		stated:   x.statedVersion,
+		moveDone: make(chan struct{}),
+		registry: s,
 	}
 	if s.byUpstream == nil {
 		s.byUpstream = map[string]map[*generation]bool{}
--- a/internal/process/mgrelay/harness_test.go
+++ b/internal/process/mgrelay/harness_test.go
@@ -98,6 +98,7 @@
 	mu       sync.Mutex
 	received []receivedRequest
 	hosts    []mgrelay.Host
+	versions map[string]string    // software versions of the upstreams
 	account  string               // the callers' client account
 	origins  *mgorigin.Replicator // of all relays of the harness
 }
@@ -114,10 +115,11 @@
 		t.Fatal(err)
 	}
 	g := &harness{
-		t:       t,
-		table:   table,
-		account: "tankline",
-		origins: mgorigin.NewReplicator(mgorigin.ReplicatorSpec{}),
+		t:        t,
+		table:    table,
+		account:  "tankline",
+		versions: map[string]string{},
+		origins:  mgorigin.NewReplicator(mgorigin.ReplicatorSpec{}),
 	}
 	for i, answer := range handlers {
 		g.addUpstream(t, string(rune('a'+i)), answer)
@@ -161,6 +163,13 @@
 	return g.hosts
 }
 
+// versionOf returns the software version of an upstream.
+func (g *harness) versionOf(name string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.versions[name]
+}
+
 // setHosts changes the upstreams while the relay runs.
 func (g *harness) setHosts(hosts []mgrelay.Host) {
 	g.mu.Lock()
@@ -225,9 +234,11 @@
 		g.mu.Unlock()
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Signature", "signed by "+name)
+		w.Header().Set("Software", g.versionOf(name))
 		answer(w, r)
 	}))
 	t.Cleanup(server.Close)
+	g.versions[name] = "v1"
 	g.hosts = append(g.hosts, mgrelay.Host{
 		Name:            name,
 		Addr:            server.Listener.Addr().String(),
--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -15,7 +15,7 @@
 	Instance     string   // in answers: the upstream that answered
 	Refused      string   // in answers: the upstream did not run the request
 	Leaving      string   // in answers: the upstream is leaving
-	Start        string   // in answers: when the upstream's incarnation started, as the list states it; if it has a name, all answers have it
+	Software     string   // in answers: the version of the upstream's software; if it has a name, all answers have it
 	RateLimit    string   // in answers: the rate limit of the upstream for all entries, in requests a second
 	Signature    string   // in answers: proves that the upstream produced the answer
 	Tokens       string   // "prompt,max": number of tokens of the prompt, and maximum for the output
@@ -38,7 +38,7 @@
 		Instance:    "Instance",
 		Refused:     "Refused",
 		Leaving:     "Leaving",
-		Start:       "Born",
+		Software:    "Software",
 		RateLimit:   "Limit",
 		Signature:   "Signature",
 		Tokens:      "Tokens",
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -72,7 +72,7 @@
 		return
 	}
 	startedAt := y.spec.Clock.Now()
-	if !y.hasAnswered(r.ctx, r.statedStart, r.host, r.addedAt) {
+	if !y.isVersionCertain(r.ctx, r.stated, r.host, r.addedAt) {
 		close(r.moveDone)
 		return
 	}
--- a/internal/process/mgrelay/origin.go
+++ b/internal/process/mgrelay/origin.go
@@ -146,7 +146,7 @@
 		Name:             found.Record.Upstream,
 		IncarnationStart: found.Record.Start,
 	}
-	if y.spec.Headers.Start == "" && !y.isIncarnation(ctx, began, y.spec.Clock.Now()) {
+	if y.spec.Headers.Software == "" && !y.isIncarnation(ctx, began, y.spec.Clock.Now()) {
 		return mgproblem.New(mgproblem.Unresumable, mgproblem.NotRun,
 			"the upstream that began the stream may have run another software version than was known",
 			"send the request again from its beginning")
@@ -172,17 +172,23 @@
 // announceOrigin records which version a stream is about to begin at. The record of a stream that
 // continues stays as it is.
 func (y *Relay) announceOrigin(x *exchange, host Host) {
-	if !x.isRecorded || x.origin != (mgorigin.Origin{}) {
+	if x.origin == (mgorigin.Origin{}) {
+		y.recordOrigin(x, y.originAt(x.service, host), host)
+	}
+}
+
+// recordOrigin announces the origin of a stream that begins at an upstream.
+func (y *Relay) recordOrigin(x *exchange, origin mgorigin.Origin, host Host) {
+	if !x.isRecorded {
 		return
 	}
-	origin := y.originAt(x.service, host)
 	record := mgorigin.Record{
 		Key:     x.originKey,
 		Service: origin.Service,
 		Version: origin.Version,
 		Left:    x.timeLeft(y.spec.Clock.Now()) + originLife,
 	}
-	if host.IncarnationStart != 0 {
+	if host.IncarnationStart != 0 && y.spec.Headers.Software == "" {
 		record.Upstream, record.Start = host.Name, host.IncarnationStart
 	}
 	y.spec.Origins.Announce(record)
@@ -193,17 +199,17 @@
 // must not be forwarded.
 func (y *Relay) confirmOrigin(ctx context.Context, x *exchange, host Host) *mgproblem.Problem {
 	if x.origin != (mgorigin.Origin{}) {
-		if x.copied || y.hasAnswered(ctx, x.statedStart, host, y.spec.Clock.Now()) {
+		if x.copied || y.isVersionCertain(ctx, x.statedVersion, host, y.spec.Clock.Now()) {
 			return nil
 		}
 		return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 			"the upstream may run another software version than is known", "send the request again if it may run twice")
 	}
-	if y.spec.Headers.Start != "" && x.statedStart != host.IncarnationStart {
-		host.SoftwareVersion = "" // the list doesn't have the incarnation that answered
-	}
-	y.announceOrigin(x, host)
 	x.origin = y.originAt(x.service, host)
+	if y.spec.Headers.Software != "" {
+		x.origin.Version = x.statedVersion // the list may not show this incarnation yet
+	}
+	y.recordOrigin(x, x.origin, host)
 	x.begunAt, x.begunAtTime = host, y.spec.Clock.Now()
 	if !x.isRecorded || y.spec.Origins.Confirm(ctx, x.originKey) {
 		return nil
@@ -212,17 +218,17 @@
 		"other processes may have recorded another software version for the stream", "send the request again if it may run twice")
 }
 
-// hasBegunAsListed reports whether the upstream that began a stream in this answer was the
-// incarnation whose version is known.
+// hasBegunAsListed reports whether the version of the upstream that began a stream in this answer
+// is certain.
 func (y *Relay) hasBegunAsListed(ctx context.Context, x *exchange) bool {
-	return x.begunAt.Name == "" || y.spec.Headers.Start != "" || y.isIncarnation(ctx, x.begunAt, x.begunAtTime)
+	return x.begunAt.Name == "" || y.spec.Headers.Software != "" || y.isIncarnation(ctx, x.begunAt, x.begunAtTime)
 }
 
-// hasAnswered reports whether an answer that came at a time, and that states when its incarnation
-// started, is from the incarnation of host.
-func (y *Relay) hasAnswered(ctx context.Context, statedStart int64, host Host, at mgclock.Millis) bool {
-	if y.spec.Headers.Start != "" {
-		return statedStart == host.IncarnationStart
+// isVersionCertain reports whether an answer that came at a time, and that states a software
+// version where upstreams do so, is from the version of host.
+func (y *Relay) isVersionCertain(ctx context.Context, stated string, host Host, at mgclock.Millis) bool {
+	if y.spec.Headers.Software != "" {
+		return stated == host.SoftwareVersion
 	}
 	return y.isIncarnation(ctx, host, at)
 }
--- a/internal/soak/mgsoak/streams.go
+++ b/internal/soak/mgsoak/streams.go
@@ -98,7 +98,7 @@
 }
 
 func (u *streamUpstream) settings() string {
-	return fmt.Sprintf("listen = %q\nname = %q\nsoftware = %q\nborn = %d\ninterval = %d\n", u.addr, u.name, u.version, u.start, streamInterval)
+	return fmt.Sprintf("listen = %q\nname = %q\nsoftware = %q\ninterval = %d\n", u.addr, u.name, u.version, streamInterval)
 }
 
 // vm returns the row of the list of VMs.
--- a/internal/standin/mgstandin/events.go
+++ b/internal/standin/mgstandin/events.go
@@ -75,7 +75,7 @@
 	header := w.Header()
 	header.Set("Request-Id", r.Header.Get("Request-Id"))
 	header.Set("Signature", e.spec.Name)
-	header.Set("Born", strconv.FormatInt(e.spec.Born, 10))
+	header.Set("Software", e.spec.Software)
 	header.Set("Content-Type", "text/event-stream")
 	e.write(r.Context(), w, caller, last, total)
 }
