mgorigin: replicas are chosen in other availability zones

Callers could not resume a stream whose entry and first replica were lost with their zone. Cause: with three replicas the third could be in the zone of the process itself, and it alone had acknowledged when the first event left. Change: peers of the own zone are chosen last.

--- a/internal/request/mgorigin/replicator.go
+++ b/internal/request/mgorigin/replicator.go
@@ -298,8 +298,8 @@
 	}
 }
 
-// chooseReplicas returns the names of the peers that keep a process's records, as many as
-// possible of them in different availability zones. A peer that joins or leaves changes
+// chooseReplicas returns the names of the peers that keep a process's records: in other
+// availability zones than its own, and as many of these as possible. A peer that joins or leaves changes
 // the choice of few processes.
 func chooseReplicas(name, zone string, peers []Peer) []string {
 	count := maxReplicas
@@ -318,7 +318,7 @@
 		return 0
 	})
 	inZone := map[string]int{
-		zone: 1, // this process
+		zone: len(peers), // chosen last, since a zone may be lost as a whole
 	}
 	rounds := make(map[string]int, len(ranked))
 	for _, peer := range ranked {
