mgnode: a connection attempt doesn't outlive its node

Cause: a listener that shuts down drops connection requests, so that a peer repeats its request after a second and is then refused (mglistener). net/http continues a dial whose request has been given up, for a connection that a later request may use. Where two processes stop at the same time, the dial of one to the other lasts until dialTimeout, one second. Ruled out: load alone (0 of 60 with 5 at once only says that it is rarer), a SYN lost to a full queue (ListenOverflows 0).

Change: Wait closes the connections of all transports of the node, which ends such dials.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -84,11 +84,11 @@
 		ReportRunning:      capShares.SetRunning, // how many streams of an account run here
 		Calls: &mglink.RetryTransport{
 			Pooled:   n.calls,
-			Second:   n.guard.Transport(true), // for a call's second attempt: a new connection each
+			Second:   n.newTransport(true), // for a call's second attempt: a new connection each
 			Clock:    n.clock,
 			Interval: mgclock.Millis(settings.HeartbeatInterval),
 		},
-		Frames:          n.guard.Transport(true), // a new connection for each stream
+		Frames:          n.newTransport(true), // a new connection for each stream
 		BaseURL:         n.guard.BaseURL,
 		Relay:           n.relaySpec(),
 		ReportAnswered:  n.peerAnswered,
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -44,8 +44,9 @@
 	log                 logr.Logger
 	metrics             *mgmetric.Set
 	admin               *mgadmin.Admin
-	guard               *mgpeer.Guard     // authenticates and secures calls between processes
-	calls               http.RoundTripper // between processes, over pooled connections
+	guard               *mgpeer.Guard       // authenticates and secures calls between processes
+	calls               http.RoundTripper   // between processes, over pooled connections
+	transports          []http.RoundTripper // all transports between processes, calls among them
 	signer              *mgseal.Signer
 	members             *mgmember.Members
 	platform            mgplatform.Client
@@ -120,7 +121,7 @@
 	n.exchanger = n.newExchanger()
 	n.origins = n.newOrigins()
 	n.killed, n.kill = context.WithCancel(context.Background())
-	n.calls = guard.Transport(false)
+	n.calls = n.newTransport(false)
 	n.pause = mgmember.NewPauseDetector(n.clock, nil)
 	n.pause.OnPause(func(mgclock.Millis) { n.quarantine.RecordPause(n.clock.Now()) })
 	n.quarantine.SetPauseCheck(func() { n.pause.Check() })
@@ -307,8 +308,31 @@
 // nothing is drained. It is for demos and tests of failures.
 func (n *Node) Kill() { n.kill() }
 
-// Wait waits until all goroutines that the node has started have ended.
-func (n *Node) Wait() { n.background.Wait() }
+// Wait waits until all goroutines that the node has started have ended, and then closes its
+// connections to other processes.
+func (n *Node) Wait() {
+	n.background.Wait()
+	n.closeConnections()
+}
+
+// newTransport returns a transport to other processes; see mgpeer.Guard.Transport.
+func (n *Node) newTransport(noReuse bool) http.RoundTripper {
+	transport := n.guard.Transport(noReuse)
+	n.transports = append(n.transports, transport)
+	return transport
+}
+
+// closeConnections closes the pooled connections to other processes, and ends attempts to open
+// one whose requests have been given up: an attempt at a process that is stopping would last
+// until its timeout.
+func (n *Node) closeConnections() {
+	for _, transport := range n.transports {
+		client := http.Client{
+			Transport: transport,
+		}
+		client.CloseIdleConnections()
+	}
+}
 
 // NewDrain returns the drain of this process.
 func (n *Node) NewDrain(refuseNewWork func(), busy func() int) Drain {
