mgagent: an agent looks at once whether its engine has lost a generation

Cause: after a broken connection the agent waited 200 ms before it opened the stream again. Only then it learned that the engine had ended and started again, and told the entry. An agent that is killed within this time hides the crash: the entry sees a lost attempt, and the request counts as innocent of it.

Change: the first connection after a broken one is opened at once, later ones 200 ms after the one before. One more is tried, so that a short stall of the engine is outlasted as before.

Result: TestCrashReportedLate, virtual time: 200 ms before, at most 50 after (the bound of the relay's own check). TestBrokenConnectionsReopenedTooOften holds the number of connections, before and after.

Conclusion: the time in which a kill hides a crash is shorter by 200 ms, and not zero.

--- a/internal/process/mgagent/crash_test.go
+++ b/internal/process/mgagent/crash_test.go
@@ -81,3 +81,68 @@
 		}
 	})
 }
+
+// Guards against a crash that is reported so late that the agent's own end can hide it: the entry
+// then sends the request to another engine as if it had done nothing.
+func TestCrashReportedLate(t *testing.T) {
+	// The relay waits as long for its own check whether an upstream has ended.
+	const maxReportDelay = 50 * mgclock.Millis(1)
+	cases := []struct {
+		name  string
+		cause error
+	}{
+		{
+			name:  "that has started again since",
+			cause: mgengine.NewFailure(mgengine.Missing, "stream", "", nil),
+		},
+	}
+	Convey("A crash is reported at once by the agent of an engine", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				var got string
+				var delay mgclock.Millis
+				runHarnessWith(t, crashingStream(0, c.cause), func(r *harness) {
+					start := r.clock.Now()
+					r.startAttempt("a", "i1")
+					got = r.frames("a")
+					delay = r.clock.Now() - start
+				})
+				So(got, ShouldContainSubstring, "crashed")
+				So(delay, ShouldBeLessThanOrEqualTo, maxReportDelay)
+			})
+		}
+	})
+}
+
+// Guards against an agent that opens connections in quick succession to an engine that breaks each
+// one after a token.
+func TestBrokenConnectionsReopenedTooOften(t *testing.T) {
+	const (
+		duration = 4 * mgclock.Second
+		interval = 200 * mgclock.Millis(1) // at least between two connections but the first two
+	)
+	Convey("An engine that breaks each connection after a token", t, func() {
+		connections := 0
+		stream := func(_ context.Context, _ string, from uint64) (*mgengine.TokenStream, error) {
+			connections++
+			sent := false
+			return mgengine.NewTokenStream(func(context.Context) (mgengine.Token, error) {
+				if sent {
+					return mgengine.Token{}, io.ErrUnexpectedEOF
+				}
+				sent = true
+				return mgengine.Token{
+					Seq:  from,
+					Text: "t",
+				}, nil
+			}, nil), nil
+		}
+		runHarnessWith(t, stream, func(r *harness) {
+			r.startAttempt("a", "i1")
+			r.sleep(duration)
+		})
+		Convey("gets a limited number of connections", func() {
+			So(connections, ShouldBeLessThanOrEqualTo, 2+int(duration/interval))
+		})
+	})
+}
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -29,7 +29,7 @@
 	// maxEmptyConnections is the maximum number of consecutive connections
 	// without a new token. With reconnectDelay between them they outlast a short
 	// stall of the engine and still end within a few seconds.
-	maxEmptyConnections = 5
+	maxEmptyConnections = 6
 	reconnectDelay      = 200 * mgclock.Millis(1)
 	// streamSilenceTimeout is how long an engine's stream may send nothing.
 	// Engines send a heartbeat each second while a generation waits.
@@ -159,9 +159,11 @@
 	return a.spec.Engine.Start(ctx, g.spec)
 }
 
-// readTokens reads the generation's tokens, reconnecting as often as needed.
+// readTokens reads the generation's tokens, reconnecting as often as needed. The first time it
+// reconnects at once, to learn whether the engine has lost the generation.
 func (a *Agent) readTokens(ctx context.Context, g *generation) {
 	emptyConnections := 0
+	reconnectAt := a.spec.Clock.Now() // earliest time of the next connection
 	for {
 		before := g.tokenCount()
 		token, err := a.readConnection(ctx, g)
@@ -191,7 +193,7 @@
 		if g.tokenCount() > before {
 			emptyConnections = 0
 		}
-		if emptyConnections >= maxEmptyConnections || !a.spec.Clock.Sleep(ctx, reconnectDelay) {
+		if emptyConnections >= maxEmptyConnections || !a.spec.Clock.Sleep(ctx, reconnectAt-a.spec.Clock.Now()) {
 			problem := interruptedProblem("the engine can't be reached")
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				problem = a.lostProblem(g, "the engine has ended")
@@ -199,6 +201,7 @@
 			a.endGeneration(g, "", problem)
 			return
 		}
+		reconnectAt = a.spec.Clock.Now() + reconnectDelay
 	}
 }
 
