mgagent: an engine that refuses connections has ended, and is reported at once

Cause: an agent whose engine had ended tried five connections over 0.8 s, also where each was refused. Its generations were told as lost only then: entries restarted them elsewhere 0.8 s late, and an agent killed meanwhile hid the crash.

Connections that fail otherwise are tried as before.

Conclusion: an engine that closed its listener for a moment and kept its generations would lose them now where a connection breaks in that moment.

--- a/internal/process/mgagent/crash_test.go
+++ b/internal/process/mgagent/crash_test.go
@@ -95,6 +95,10 @@
 			name:  "that has started again since",
 			cause: mgengine.NewFailure(mgengine.Missing, "stream", "", nil),
 		},
+		{
+			name:  "that refuses connections",
+			cause: mgengine.NewFailure(mgengine.NotStarted, "stream", "", syscall.ECONNREFUSED),
+		},
 	}
 	Convey("A crash is reported at once by the agent of an engine", t, func() {
 		for _, c := range cases {
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -188,17 +188,16 @@
 		case mgengine.KindOf(err) == mgengine.Missing:
 			a.endGeneration(g, "", a.lostProblem(g, "the engine lost the generation"))
 			return
+		case errors.Is(err, syscall.ECONNREFUSED):
+			a.endGeneration(g, "", a.lostProblem(g, "the engine has ended"))
+			return
 		}
 		emptyConnections++
 		if g.tokenCount() > before {
 			emptyConnections = 0
 		}
 		if emptyConnections >= maxEmptyConnections || !a.spec.Clock.Sleep(ctx, reconnectAt-a.spec.Clock.Now()) {
-			problem := interruptedProblem("the engine can't be reached")
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				problem = a.lostProblem(g, "the engine has ended")
-			}
-			a.endGeneration(g, "", problem)
+			a.endGeneration(g, "", interruptedProblem("the engine can't be reached"))
 			return
 		}
 		reconnectAt = a.spec.Clock.Now() + reconnectDelay
