mgorigin: entries that leave or were suspected are asked for a stream's origin, too

Cause: an entry without a record asked only those that neither leave nor are suspected. A record that one of the others alone had wasn't found, and the caller was refused without Retry-After, as if all had answered.

Change: the replicator is given all other entries, and which of them depart: these get no records, and are asked. One that doesn't answer makes the search incomplete, so that the refusal has Retry-After.

--- a/internal/process/mgnode/origin.go
+++ b/internal/process/mgnode/origin.go
@@ -9,7 +9,6 @@
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
-	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -38,24 +37,17 @@
 	})
 }
 
-// regionEntries returns the region's other entries that are neither leaving nor suspect.
-func (n *Node) regionEntries() []*mgmember.Member {
-	var entries []*mgmember.Member
-	for _, member := range n.members.View().Entries(n.settings.Region) {
-		if member.Name() != n.settings.Name && !member.Leaving() && !member.Suspect() {
-			entries = append(entries, member)
-		}
-	}
-	return entries
-}
-
-// originPeers returns the entries that may keep records of origins.
+// originPeers returns the region's other entries.
 func (n *Node) originPeers() []mgorigin.Peer {
 	var peers []mgorigin.Peer
-	for _, entry := range n.regionEntries() {
+	for _, entry := range n.members.View().Entries(n.settings.Region) {
+		if entry.Name() == n.settings.Name {
+			continue
+		}
 		peers = append(peers, mgorigin.Peer{
-			Name: entry.Name(),
-			Zone: entry.Zone(),
+			Name:      entry.Name(),
+			Zone:      entry.Zone(),
+			Departing: entry.Leaving() || entry.Suspect(),
 		})
 	}
 	return peers
--- a/internal/process/mgnode/origin_test.go
+++ b/internal/process/mgnode/origin_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -131,6 +133,38 @@
 	})
 }
 
+// Guards against a refused stream whose record only an entry that leaves, or was suspected, has.
+func TestDepartingEntryIsNotAsked(t *testing.T) {
+	cases := map[string]func(n *Node){
+		"leaving": func(n *Node) { n.recordPeerAnnouncement("b", "", true) },
+		"suspected": func(n *Node) {
+			for !n.originPeers()[0].Departing {
+				n.peerFailed("b")
+			}
+		},
+	}
+	Convey("An entry asks another one for the origin of a stream", t, func() {
+		for name, depart := range cases {
+			Convey("that is "+name, func() {
+				receiver := originNode(t, "")
+				server := httptest.NewServer(receiver.guard.RequireKey(http.HandlerFunc(receiver.serveOrigins)))
+				defer server.Close()
+				record := mgorigin.Record{
+					Key:     mgorigin.KeyOf("tankline", "request-1"),
+					Service: "report",
+					Version: "v1.1",
+					Left:    mgclock.Minute,
+				}
+				receiver.origins.Handle("", mgorigin.Message{Records: []mgorigin.Record{record}})
+				n := originNode(t, strings.TrimPrefix(server.URL, "http://"))
+				depart(n)
+				So(n.originPeers()[0].Departing, ShouldBeTrue)
+				So(n.origins.Find(context.Background(), record.Key).Record.Version, ShouldEqual, "v1.1")
+			})
+		}
+	})
+}
+
 // jsonBytes returns the length of a value as JSON, 0 if it has none.
 func jsonBytes(value any) int {
 	data, err := json.Marshal(value)
--- a/internal/request/mgorigin/mesh_test.go
+++ b/internal/request/mgorigin/mesh_test.go
@@ -22,6 +22,7 @@
 	life       map[string]int
 	stop       map[string]context.CancelFunc
 	cut        map[string]bool // processes that reach no others
+	departing  map[string]bool // processes that leave
 	calls      int
 	bytes      int
 	changed    chan struct{}
@@ -43,6 +44,7 @@
 			life:       map[string]int{},
 			stop:       map[string]context.CancelFunc{},
 			cut:        map[string]bool{},
+			departing:  map[string]bool{},
 			changed:    make(chan struct{}),
 		}
 		for i := range count {
@@ -110,12 +112,15 @@
 }
 
 func (m *mesh) peersOf(name string) []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var peers []Peer
 	for _, other := range m.names {
 		if other != name {
 			peers = append(peers, Peer{
-				Name: other,
-				Zone: zoneOf(other),
+				Name:      other,
+				Zone:      zoneOf(other),
+				Departing: m.departing[other],
 			})
 		}
 	}
@@ -173,6 +178,14 @@
 	return m.calls, m.bytes
 }
 
+// depart makes a process one that leaves.
+func (m *mesh) depart(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.departing[name] = true
+	m.notifyChanged()
+}
+
 func (m *mesh) of(name string) *Replicator {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/request/mgorigin/replicator.go
+++ b/internal/request/mgorigin/replicator.go
@@ -33,6 +33,9 @@
 type Peer struct {
 	Name string
 	Zone string // availability zone
+	// Departing reports whether it leaves or doesn't answer. It is then asked for records, and
+	// sent none.
+	Departing bool
 }
 
 // ReplicatorSpec configures a Replicator.
@@ -302,12 +305,12 @@
 // availability zones than its own, and as many of these as possible. A peer that joins or leaves changes
 // the choice of few processes.
 func chooseReplicas(name, zone string, peers []Peer) []string {
+	ranked := slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return peer.Departing })
 	count := maxReplicas
-	if len(peers) > manyPeers {
+	if len(ranked) > manyPeers {
 		count = fewReplicas
 	}
 	score := func(peer Peer) uint64 { return xxhash.Sum64String(name + "\x00" + peer.Name) }
-	ranked := slices.Clone(peers)
 	slices.SortFunc(ranked, func(a, b Peer) int {
 		switch {
 		case score(a) > score(b):
@@ -318,7 +321,7 @@
 		return 0
 	})
 	inZone := map[string]int{
-		zone: len(peers), // chosen last, since a zone may be lost as a whole
+		zone: len(ranked), // chosen last, since a zone may be lost as a whole
 	}
 	rounds := make(map[string]int, len(ranked))
 	for _, peer := range ranked {
--- a/internal/request/mgorigin/replicator_test.go
+++ b/internal/request/mgorigin/replicator_test.go
@@ -232,6 +232,33 @@
 	})
 }
 
+// Guards against a process that leaves and isn't asked for a record that it alone has, or is
+// sent records that it takes with it.
+func TestDepartingProcessIsSkipped(t *testing.T) {
+	Convey("A process that leaves", t, func() {
+		var got Finding
+		var kept bool
+		runMesh(t, 4, func(m *mesh) {
+			m.of("front-1").Handle("", Message{
+				Records: []Record{recordOf("1", "v1")},
+			})
+			m.depart("front-1")
+			time.Sleep(time.Second)
+			got = m.of("front-0").Find(context.Background(), recordOf("1", "").Key)
+			m.of("front-0").Announce(recordOf("2", "v1"))
+			time.Sleep(time.Second)
+			_, kept = m.of("front-1").records.Find(mgclock.Clock{}.Now(), recordOf("2", "").Key)
+		})
+		Convey("is asked for records", func() {
+			So(got.Record.Version, ShouldEqual, "v1")
+			So(got.Complete, ShouldBeTrue)
+		})
+		Convey("gets none", func() {
+			So(kept, ShouldBeFalse)
+		})
+	})
+}
+
 // Guards against telling a caller that a stream is unknown for good while a process that may
 // know it doesn't answer.
 func TestMissingAnswerTakenForUnknown(t *testing.T) {
