mgsoak: a failing seed of streams that a surviving entry doesn't know

Cause: not traced. The three entries are stopped, silent and killed within three seconds. The building of the program is shared. Conclusion: open, to be fixed first.

--- a/internal/soak/mgsoak/soak_test.go
+++ b/internal/soak/mgsoak/soak_test.go
@@ -15,14 +15,7 @@
 // under drawn faults of processes, links and engines. Recovery times differ between
 // machines, so that findings which depend on them are ignored.
 func TestSoak(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts twelve processes")
-	}
-	binary := filepath.Join(t.TempDir(), "marjoramgauge")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/marjoramgauge/marjoramgauge/cmd/marjoramgauge").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildProgram(t)
 	// The seeds are those of earlier findings: with 127 an upstream restarted with another
 	// version while the platform's connections were silent, and its streams were refused.
 	for _, command := range []Command{
@@ -51,6 +44,34 @@
 	}
 }
 
+// Guards against streams that can't be resumed although an entry survives: within three seconds one
+// of three entries is stopped, the connections to the second go silent, and the third is killed.
+func TestSurvivingEntryLacksRecords(t *testing.T) {
+	playSoak(t, Command{
+		Size: Size{
+			Entries: 3,
+			Engines: 3,
+			Callers: 12,
+			Readers: 12,
+		},
+		Seed:    418,
+		Minutes: 0.4,
+	}, buildProgram(t))
+}
+
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	if testing.Short() {
+		t.Skip("starts twelve processes or more")
+	}
+	binary := filepath.Join(t.TempDir(), "marjoramgauge")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/marjoramgauge/marjoramgauge/cmd/marjoramgauge").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 func playSoak(t *testing.T, command Command, binary string) {
 	r, err := command.prepare(command.Seed)
 	if err != nil {
