--- a/internal/soak/mgsoak/soak_test.go
+++ b/internal/soak/mgsoak/soak_test.go
@@ -44,9 +44,9 @@
 	}
 }
 
-// Guards against streams that can't be resumed although an entry survives: within three seconds one
-// of three entries is stopped, the connections to the second go silent, and the third is killed.
-func TestSurvivingEntryLacksRecords(t *testing.T) {
+// Guards against a record that is dropped before its caller returns: the entry has written the whole
+// stream, but the caller's connection has gone silent, which the caller notices late.
+func TestRecordDroppedBeforeCallerReturns(t *testing.T) {
 	playSoak(t, Command{
 		Size: Size{
 			Entries: 3,
