mgrelay: the own interface names the request that a stream continues in Continues

Cause: its header had the name of the users' platform, which only platform/ should know. Change: Continues; platform/mgadapter still translates.

--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -44,7 +44,7 @@
 		Tokens:      "Tokens",
 		OutputHint:  "Hint",
 		LastEventID: "Last-Event-Id",
-		Resumes:     "Resumes",
+		Resumes:     "Continues",
 		Copy:        "Copy",
 	}
 }
--- a/internal/process/mgrelay/version_test.go
+++ b/internal/process/mgrelay/version_test.go
@@ -189,7 +189,7 @@
 	return http.Header{
 		"Request-Id":    {id},
 		"Last-Event-Id": {"3"},
-		"Resumes":       {resumes},
+		"Continues":     {resumes},
 	}
 }
 
@@ -244,7 +244,7 @@
 		})
 		Convey("and is refused if it names no request", func() {
 			header := resumeHeader("request-2", "")
-			header.Del("Resumes")
+			header.Del("Continues")
 			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", header)
 			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
 			So(len(g.requests()), ShouldEqual, before)
--- a/internal/soak/mgsoak/streams.go
+++ b/internal/soak/mgsoak/streams.go
@@ -220,7 +220,7 @@
 	request.Header.Set("Request-Id", id)
 	if s.last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
-		request.Header.Set("Resumes", first)
+		request.Header.Set("Continues", first)
 	}
 	response, err := unpooledClient.Do(request)
 	if err != nil {
