mgrelay: logs and a counter show answers that end with their connection

Neither a line nor a metric said how an answer was framed or where in a stream it ended, so the hypotheses could not be told apart. Now each answer without a length or chunks counts in relay.closed and has a line with its events and the bytes of an event that was open. No decision depends on it.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -275,6 +275,7 @@
 		}
 		return failed
 	}
+	y.recordCloseFraming(x, response, 0, 0)
 	if y.spec.Clock.Now() > x.startedAt+x.timeout+writeSlack {
 		y.spec.Metrics.Counter("relay.late").Inc(1)
 	}
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -61,6 +61,7 @@
 	if !errors.Is(err, io.EOF) {
 		return y.streamInterrupted(ctx, x, gen, err)
 	}
+	y.recordCloseFraming(x, response, gen.eventCount.Load(), len(events))
 	if len(events) > 0 {
 		// The last event of a stream need not be followed by an empty line.
 		if err := y.deliverEvents(w, x, events); err != nil {
