mgrelay: a test's held request expired where the test process ran for long

TestHeldRequestReachesUpstream failed in rounds 2 and 3 of -count 3 under the race detector: it recorded the three crashes at time 0 of the clock, which counts from the process's start, so that the hold of 30 s was over in later rounds. The crashes are recorded at the current time now. The checks are as they were.

--- a/internal/process/mgrelay/crash_test.go
+++ b/internal/process/mgrelay/crash_test.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // headerThenHangUp answers with a header and closes the connection.
@@ -40,11 +41,13 @@
 // holdRequest makes a quarantine hold the request that harness.send sends with this
 // target and body.
 func holdRequest(q *mgquarantine.Quarantine, target, body string) {
+	now := mgclock.Clock{}.Now()
 	for _, upstream := range []string{"x", "y", "z"} {
-		q.RecordCrash(0, mgquarantine.Crash{
+		q.RecordCrash(now, mgquarantine.Crash{
 			Digest:   mgquarantine.DigestOf("tankline", "tanks.example", target, []byte(body)),
 			Upstream: upstream + target,
 			Begun:    true,
+			Sent:     now,
 		})
 	}
 }
