mgrelay: an answer that broke off is never delivered as whole

Cause: each path took the end of the connection for the end of the answer. An answer with neither a length nor chunks ends so whether it is whole or not, and deliverStream even forwarded the rest of an open event as the last one. Towards the caller the relay then added what the upstream had not said: the last chunk, or a length. A caller with HTTP/1.0, whose answer has no chunks, saw an ordinary end also where the relay cut it.

Change: one place (endingOf) decides whether an answer is whole; second tries, resumption, the record of the stream's origin, what is held against the engine or request, counters and log lines hang on it. A stream that ends inside an event is broken in each framing, one without any event and framing is, too. Where nothing but the connection's end tells, the upstream is asked (one connection, for such answers only): if it refuses connections, it has ended and the answer is broken. The caller's answer has the upstream's framing, so that it claims no more than is known, and a connection whose end marks the answer's end is reset if it is closed before (SO_LINGER 0 meanwhile, so also if the process is killed).

--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -33,12 +33,12 @@
 // connKey is the context key under which a request finds the trackedConn of its connection.
 type connKey struct{}
 
-// connContext stores a connection's state in the contexts of its requests. It is the
+// connContext stores a connection and its state in the contexts of its requests. It is the
 // ConnContext hook of http.Server.
 func (c *connTracker) connContext(ctx context.Context, conn net.Conn) context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return context.WithValue(ctx, connKey{}, c.trackedOf(conn))
+	return context.WithValue(mglistener.ConnContext(ctx, conn), connKey{}, c.trackedOf(conn))
 }
 
 // trackedOf returns the state of a connection, which it creates if needed. It is called with
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -62,7 +62,7 @@
 	x.attempts++
 	if y.isRefusal(response) {
 		y.recordMisdirected(host, response)
-		return y.keepRefusal(x, response)
+		return y.keepRefusal(x, host, response)
 	}
 	x.mayHaveRun = true
 	if problem := y.checkAnswer(x, response); problem != nil {
@@ -84,7 +84,7 @@
 		return failed
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
-		x.failure = x.bufferAnswer(response, mgproblem.Unknown)
+		x.failure = y.bufferAnswer(x, host, response, mgproblem.Unknown)
 		y.recordQuarantineAnswer(x)
 		return failed
 	}
@@ -212,8 +212,8 @@
 }
 
 // keepRefusal keeps the answer of a refusing upstream for the caller.
-func (y *Relay) keepRefusal(x *exchange, response *http.Response) attemptOutcome {
-	x.refusal = x.bufferAnswer(response, mgproblem.NotRun)
+func (y *Relay) keepRefusal(x *exchange, host Host, response *http.Response) attemptOutcome {
+	x.refusal = y.bufferAnswer(x, host, response, mgproblem.NotRun)
 	y.spec.Metrics.Counter("relay.refused").Inc(1)
 	return refused
 }
@@ -224,20 +224,21 @@
 
 // bufferAnswer reads the answer of a failed or refusing upstream. If it breaks off or has over
 // maxBufferedAnswer bytes, bufferAnswer sets the problem with the outcome and returns nil.
-func (x *exchange) bufferAnswer(response *http.Response, outcome mgproblem.Outcome) *answer {
+func (y *Relay) bufferAnswer(x *exchange, host Host, response *http.Response, outcome mgproblem.Outcome) *answer {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
 	if err == nil && len(body) > maxBufferedAnswer {
 		err = errLongAnswer
 	}
-	if err != nil {
+	if err = y.endWhole(x, host, response, err); err != nil {
 		x.problem = mgproblem.New(mgproblem.Interrupted, outcome, "the upstream's answer is not whole",
 			"send the request again if it may run twice").WithCause(err)
 		return nil
 	}
 	return &answer{
-		status: response.StatusCode,
-		header: response.Header,
-		body:   body,
+		status:  response.StatusCode,
+		header:  response.Header,
+		body:    body,
+		framing: framingOf(response),
 	}
 }
 
@@ -265,17 +266,19 @@
 // deliverWhole delivers an answer that is not a stream.
 func (y *Relay) deliverWhole(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) attemptOutcome {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
-	if err != nil {
-		x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
-			"the answer broke off", "send the request again if it may run twice").WithCause(err)
-		if ctx.Err() == nil {
-			y.recordBrokenAttempt(x, host, partialAnswer{
-				headerReceived: true,
-			})
+	hasMore := err == nil && len(body) == maxBufferedAnswer
+	if !hasMore {
+		if cause := y.endWhole(x, host, response, err); cause != nil {
+			x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+				"the answer broke off", "send the request again if it may run twice").WithCause(cause)
+			if ctx.Err() == nil {
+				y.recordBrokenAttempt(x, host, partialAnswer{
+					headerReceived: true,
+				})
+			}
+			return failed
 		}
-		return failed
 	}
-	y.recordCloseFraming(x, response, 0, 0)
 	if y.spec.Clock.Now() > x.startedAt+x.timeout+writeSlack {
 		y.spec.Metrics.Counter("relay.late").Inc(1)
 	}
@@ -284,22 +287,41 @@
 	y.recordQuarantineAnswer(x)
 	header := w.Header()
 	copyHeader(header, response.Header)
-	if len(body) < maxBufferedAnswer && x.method != http.MethodHead {
+	if !hasMore && x.method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	x.beginBody(header, framingOf(response))
 	w.WriteHeader(response.StatusCode)
 	_, err = w.Write(body)
-	if err == nil && len(body) == maxBufferedAnswer {
-		_, err = io.Copy(w, response.Body)
+	if err == nil && hasMore {
+		if _, err = io.Copy(w, response.Body); err == nil {
+			err = y.endWhole(x, host, response, nil)
+		}
 	}
 	if err != nil {
 		y.abort(x, err)
 	}
-	x.clearWriteDeadline()
+	x.endBody()
 	y.countAnswer(x, response.StatusCode)
 	return delivered
 }
 
+// endWhole returns why an answer that isn't a stream, and whose body has ended, is not whole, or
+// nil. An answer of which that is unknown is passed on with the upstream's framing, which claims
+// nothing.
+func (y *Relay) endWhole(x *exchange, host Host, response *http.Response, err error) error {
+	end := answerEnd{
+		framing: framingOf(response),
+		err:     err,
+	}
+	result, cause := y.endingOf(host, end)
+	y.recordEnd(x, end, result)
+	if result == endsBroken {
+		return cause
+	}
+	return nil
+}
+
 // copyHeader copies an answer's headers. A missing Content-Type stays missing:
 // otherwise the library would guess one.
 func copyHeader(to, from http.Header) {
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// errCrashCheckTimeout means that it wasn't known in time whether an upstream has ended.
+var errCrashCheckTimeout = errors.New("mgrelay: the upstream's address doesn't answer: its VM may be down or cut off")
+
 // errNoCrashCheck means that there is no means to check whether upstreams have
 // ended.
 var errNoCrashCheck = errors.New("mgrelay: can't check whether the upstream has ended: set Spec.RefusesConnections")
--- a/internal/process/mgrelay/doc.go
+++ b/internal/process/mgrelay/doc.go
@@ -16,7 +16,8 @@
 //     each attempt ended in one of these two ways: the upstream stated that the
 //     request did not run, or no connection was made.
 //   - An answer that breaks off upstream breaks off at the caller. It never
-//     appears complete.
+//     appears complete, and the caller's answer states no end that the upstream's
+//     doesn't state (see endingOf).
 //   - An answer that names another request is discarded: its connection is
 //     closed, and the request counts as failed.
 //   - An upstream receives the time for which the caller still waits. When the
--- /dev/null
+++ b/internal/process/mgrelay/ending.go
@@ -0,0 +1,121 @@
+package mgrelay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+)
+
+// ending is what is known of an answer's completeness when its bytes have ended.
+type ending int
+
+const (
+	endsBroken  ending = iota // the upstream broke off
+	endsUnknown               // only the connection's end marks the end, and the upstream may have ended
+	endsWhole
+)
+
+var (
+	errInsideEvent  = errors.New("the stream ended inside an event: the upstream broke off")
+	errNoEvent      = errors.New("the connection ended before the first event: the upstream broke off")
+	errUpstreamDown = errors.New("the connection ended and the upstream refuses others: it has ended, and the answer may be cut")
+	errUnknownEnd   = errors.New("the connection ended and the upstream can't be asked: the answer may be cut")
+)
+
+// answerEnd is how the body of an upstream's answer ended.
+type answerEnd struct {
+	framing framing
+	err     error // what ended it; nil or io.EOF for an ordinary end
+	stream  *eventReader
+}
+
+// endingOf decides whether an answer is whole, for every path on which one is delivered. The
+// cause is nil if it is. An answer that ends with its connection is broken if its upstream has
+// ended since: a process that ends closes its connections as if their answers were complete.
+func (y *Relay) endingOf(host Host, end answerEnd) (result ending, cause error) {
+	switch {
+	case end.err != nil && !errors.Is(end.err, io.EOF):
+		return endsBroken, end.err
+	case end.stream != nil && end.stream.scanner.inEvent():
+		return endsBroken, errInsideEvent
+	case end.framing != framedByClose:
+		return endsWhole, nil
+	case end.stream != nil && end.stream.events == 0:
+		return endsBroken, errNoEvent
+	}
+	ended, err := y.hasEndedSoon(host)
+	switch {
+	case err != nil:
+		return endsUnknown, errUnknownEnd
+	case ended:
+		return endsBroken, errUpstreamDown
+	default:
+		return endsWhole, nil
+	}
+}
+
+// hasEndedSoon is hasEnded for a caller that waits: it returns an error after crashCheckTimeout.
+func (y *Relay) hasEndedSoon(host Host) (bool, error) {
+	type reply struct {
+		ended bool
+		err   error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		ended, err := y.hasEnded(host)
+		replies <- reply{
+			ended: ended,
+			err:   err,
+		}
+	}()
+	select {
+	case r := <-replies:
+		return r.ended, r.err
+	case <-y.spec.Clock.After(crashCheckTimeout):
+		return false, errCrashCheckTimeout
+	}
+}
+
+// recordEnd records an answer that ended with its connection.
+func (y *Relay) recordEnd(x *exchange, end answerEnd, result ending) {
+	if end.framing != framedByClose {
+		return
+	}
+	y.spec.Metrics.Counter("relay.closed").Inc(1)
+	events, inside := int64(0), false
+	if end.stream != nil {
+		events, inside = end.stream.events, end.stream.scanner.inEvent()
+	}
+	y.spec.Log.Info("an answer ended with its connection", mglog.Request, x.id, mglog.Route, x.call.Route.Name(),
+		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside,
+		"ending", [...]string{"broken", "unknown", "whole"}[result])
+}
+
+// beginBody prepares the header of an answer with a body. The caller's answer states no end that
+// the upstream's doesn't state. Where the connection's end marks it, the connection is reset
+// unless endBody is called: a process that fails, too, would otherwise end it in the same way.
+func (x *exchange) beginBody(header http.Header, upstream framing) {
+	if upstream == framedByClose {
+		header.Del("Content-Length")
+		header.Set("Transfer-Encoding", "identity") // see http.ResponseWriter: no chunks
+	}
+	if upstream == framedByHeader || header.Get("Content-Length") != "" {
+		return
+	}
+	x.endsWithConn = upstream == framedByClose || !x.canChunk
+	if x.endsWithConn {
+		mglistener.ResetOnClose(x.conn, true)
+	}
+}
+
+// endBody ends an answer that is whole, or of which the caller's answer claims nothing.
+func (x *exchange) endBody() {
+	if x.endsWithConn {
+		_ = x.control.Flush() // a failed write has been reported
+		mglistener.ResetOnClose(x.conn, false)
+	}
+	x.clearWriteDeadline()
+}
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -31,6 +33,8 @@
 	startedAt  mgclock.Millis
 	timeout    mgclock.Millis // from startedAt, the shorter of deadline and timeout of the route
 	control    *http.ResponseController
+	conn       net.Conn // the caller's, nil if unknown
+	canChunk   bool     // the caller understands chunks
 
 	sentAt           mgclock.Millis // when the last attempt was sent
 	nextCrashNumber  uint64         // of the quarantine, when the last attempt was sent
@@ -46,6 +50,7 @@
 	attemptBroken    bool        // an upstream closed the connection of an attempt
 	admitted         bool        // by the quarantine; see quarantineProblem
 	headerSent       bool        // of a stream, to the caller
+	endsWithConn     bool        // the end of the caller's connection marks the end of its answer
 	streaming        atomic.Bool // headerSent for other goroutines
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
@@ -76,9 +81,10 @@
 
 // answer is an upstream's answer that was read completely.
 type answer struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	framing framing
 }
 
 // writeSlack is added to a request's timeout to get the time limit for writing its
@@ -99,6 +105,8 @@
 		timeout:    call.Route.Timeout(),
 		tried:      map[string]bool{},
 		control:    http.NewResponseController(w),
+		conn:       mglistener.RequestConn(r.Context()),
+		canChunk:   r.ProtoAtLeast(1, 1),
 	}
 	x.service = serviceOf(call.Route, x.id)
 	x.homes = homesOf(call)
--- a/internal/process/mgrelay/framing.go
+++ b/internal/process/mgrelay/framing.go
@@ -1,10 +1,6 @@
 package mgrelay
 
-import (
-	"net/http"
-
-	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
-)
+import "net/http"
 
 // framing is how an upstream marks the end of an answer's body (RFC 9112, 6.3).
 type framing int
@@ -16,11 +12,6 @@
 	framedByClose // the body ends with its connection
 )
 
-// String returns the name of the framing for logs.
-func (f framing) String() string {
-	return [...]string{"header", "length", "chunks", "close"}[f]
-}
-
 // framingOf returns the framing of an answer.
 func framingOf(response *http.Response) framing {
 	switch {
@@ -34,14 +25,3 @@
 		return framedByClose
 	}
 }
-
-// recordCloseFraming records an answer that ended with its connection, and how many bytes of an
-// incomplete event a stream had at its end.
-func (y *Relay) recordCloseFraming(x *exchange, response *http.Response, events int64, open int) {
-	if framingOf(response) != framedByClose {
-		return
-	}
-	y.spec.Metrics.Counter("relay.closed").Inc(1)
-	y.spec.Log.Info("an answer ended with its connection", mglog.Request, x.id, mglog.Route, x.call.Route.Name(),
-		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "open", open)
-}
--- a/internal/process/mgrelay/respond.go
+++ b/internal/process/mgrelay/respond.go
@@ -64,9 +64,10 @@
 		y.setRetryAfter(w, y.noCapacityProblem(x).RetryAfter())
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(upstreamAnswer.body)))
+	x.beginBody(w.Header(), upstreamAnswer.framing)
 	w.WriteHeader(upstreamAnswer.status)
 	_, _ = w.Write(upstreamAnswer.body) // a caller that disconnected needs no refusal
-	x.clearWriteDeadline()
+	x.endBody()
 	y.spec.Metrics.Counter("relay.passed." + strconv.Itoa(upstreamAnswer.status)).Inc(1)
 	y.log(x, "the upstream's refusal or failure was forwarded", upstreamAnswer.status)
 }
@@ -118,7 +119,7 @@
 }
 
 // abort closes the caller's connection, so that the part of the answer that the caller
-// has can't appear complete. It never returns: it panics with http.ErrAbortHandler.
+// has can't appear complete (see beginBody). It never returns: it panics with http.ErrAbortHandler.
 func (y *Relay) abort(x *exchange, cause error) {
 	y.spec.Metrics.Counter("relay.cut").Inc(1)
 	y.spec.Log.Info("an answer was cut", append(y.dataVersionKeys(),
--- a/internal/process/mgrelay/sequence.go
+++ b/internal/process/mgrelay/sequence.go
@@ -1,7 +1,6 @@
 package mgrelay
 
 import (
-	"bytes"
 	"fmt"
 	"strconv"
 )
@@ -60,25 +59,3 @@
 	}
 	return undelivered, nil
 }
-
-// splitEvent returns the first event with its separator, and the remaining events.
-func splitEvent(events []byte) (event, rest []byte) {
-	end := bytes.Index(events, eventSeparator)
-	if end < 0 {
-		return events, nil
-	}
-	end += len(eventSeparator)
-	return events[:end], events[end:]
-}
-
-// eventID returns an event's id, or "".
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
-		event = rest
-	}
-	return ""
-}
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -1,10 +1,7 @@
 package mgrelay
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
@@ -12,63 +9,41 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
-// eventSeparator separates the events of a stream (HTML Living Standard, 9.2).
-var eventSeparator = []byte("\n\n")
-
-var errEventTooLarge = errors.New("an event exceeds 1 MiB: raise the bound or send smaller events")
-
 // deliverStream forwards events as they arrive. It forwards only complete events: if
 // an upstream stops in the middle of one, the caller must not receive half of it.
 func (y *Relay) deliverStream(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) attemptOutcome {
 	gen := y.generations.add(ctx, y.spec.Clock.Now(), x, host)
 	defer y.generations.remove(gen)
-	reader := eventReader{
+	reader := &eventReader{
 		source: response.Body,
 	}
-	events, err := reader.next()
-	if err != nil && !errors.Is(err, io.EOF) {
-		return y.streamInterrupted(ctx, x, gen, err)
+	data, events, err := reader.next()
+	if err != nil {
+		if result, cause := y.endStream(x, host, response, reader, err); result == endsBroken {
+			return y.streamInterrupted(ctx, x, gen, cause)
+		}
 	}
-	y.countPromptRead(x, host)
-	y.spec.Load.RecordAnswer(y.spec.Clock.Now(), host.Name)
-	if problem := y.confirmOrigin(ctx, x, host); problem != nil {
+	if problem := y.beginStream(ctx, w, x, host, response); problem != nil {
 		x.problem = problem
 		return failed
 	}
-	y.recordProducer(x, host)
-	x.firstAfterResume = x.resumed
-	// The resume points of an earlier move are void: their copies were used or are
-	// gone.
-	x.resumePoints = nil
-	y.writeHeader(w, x, response)
 	for err == nil {
-		if err = y.deliverEvents(w, x, events); err != nil {
-			y.abort(x, err)
-		}
-		now := y.spec.Clock.Now()
-		if x.lastEventAt > 0 {
-			y.recordPause(x, host, now)
+		y.forwardEvents(w, x, gen, data, events)
+		if data, events, err = reader.next(); err == nil {
+			continue
 		}
-		x.lastEventAt = now
-		if perToken, ok := gen.recordEvents(now, int64(bytes.Count(events, eventSeparator))); ok {
-			y.spec.Load.RecordPace(now, host.Name, perToken)
+		result, cause := y.endStream(x, host, response, reader, err)
+		if result == endsBroken || result == endsUnknown && !x.endsWithConn {
+			return y.streamInterrupted(ctx, x, gen, cause)
 		}
-		events, err = reader.next()
 	}
-	if !errors.Is(err, io.EOF) {
-		return y.streamInterrupted(ctx, x, gen, err)
-	}
-	y.recordCloseFraming(x, response, gen.eventCount.Load(), len(events))
-	if len(events) > 0 {
-		// The last event of a stream need not be followed by an empty line.
-		if err := y.deliverEvents(w, x, events); err != nil {
+	if len(data) > 0 {
+		// Comments and line ends after the last event.
+		if err := y.deliverEvents(w, x, data); err != nil {
 			y.abort(x, err)
 		}
 	}
-	x.clearWriteDeadline()
+	x.endBody()
 	if x.isRecorded {
 		y.spec.Origins.End(x.originKey)
 	}
@@ -78,6 +53,50 @@
 	return delivered
 }
 
+// endStream decides whether a stream that has ended is whole.
+func (y *Relay) endStream(x *exchange, host Host, response *http.Response, reader *eventReader, err error) (ending, error) {
+	end := answerEnd{
+		framing: framingOf(response),
+		err:     err,
+		stream:  reader,
+	}
+	result, cause := y.endingOf(host, end)
+	y.recordEnd(x, end, result)
+	return result, cause
+}
+
+// beginStream confirms that a stream may come from an upstream, and writes its header. It returns
+// a problem if the upstream's events must not be forwarded.
+func (y *Relay) beginStream(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) *mgproblem.Problem {
+	y.countPromptRead(x, host)
+	y.spec.Load.RecordAnswer(y.spec.Clock.Now(), host.Name)
+	if problem := y.confirmOrigin(ctx, x, host); problem != nil {
+		return problem
+	}
+	y.recordProducer(x, host)
+	x.firstAfterResume = x.resumed
+	// The resume points of an earlier move are void: their copies were used or are
+	// gone.
+	x.resumePoints = nil
+	y.writeHeader(w, x, response)
+	return nil
+}
+
+// forwardEvents writes complete events to the caller and records their times.
+func (y *Relay) forwardEvents(w http.ResponseWriter, x *exchange, gen *generation, data []byte, events int) {
+	if err := y.deliverEvents(w, x, data); err != nil {
+		y.abort(x, err)
+	}
+	now := y.spec.Clock.Now()
+	if x.lastEventAt > 0 {
+		y.recordPause(x, gen.host, now)
+	}
+	x.lastEventAt = now
+	if perToken, ok := gen.recordEvents(now, int64(events)); ok {
+		y.spec.Load.RecordPace(now, gen.host.Name, perToken)
+	}
+}
+
 // recordProducer records that an upstream produces the next events of a stream.
 func (y *Relay) recordProducer(x *exchange, host Host) {
 	before := x.lastHost
@@ -132,6 +151,7 @@
 	x.streaming.Store(true)
 	copyHeader(w.Header(), response.Header)
 	w.Header().Del("Content-Length")
+	x.beginBody(w.Header(), framingOf(response))
 	w.WriteHeader(response.StatusCode)
 	y.spec.Metrics.Histogram("relay.first").Update(int64(y.elapsed(x)))
 }
@@ -189,33 +209,3 @@
 	}
 	return x.control.Flush()
 }
-
-// eventReader splits a stream into events.
-type eventReader struct {
-	source   io.Reader
-	buffer   []byte // read and not yet returned
-	consumed int    // bytes of buffer that were returned
-	chunk    [4096]byte
-}
-
-// next returns all complete events that have arrived, at least one, with their
-// separators. At the end of the stream it returns the remaining bytes with io.EOF.
-func (e *eventReader) next() ([]byte, error) {
-	e.buffer = append(e.buffer[:0], e.buffer[e.consumed:]...)
-	e.consumed = 0
-	for {
-		if end := bytes.LastIndex(e.buffer, eventSeparator); end >= 0 {
-			e.consumed = end + len(eventSeparator)
-			return e.buffer[:e.consumed], nil
-		}
-		if len(e.buffer) > maxEventBytes {
-			return nil, errEventTooLarge
-		}
-		n, err := e.source.Read(e.chunk[:])
-		e.buffer = append(e.buffer, e.chunk[:n]...)
-		if err != nil && n == 0 {
-			e.consumed = len(e.buffer)
-			return e.buffer, err
-		}
-	}
-}
