mgdial: EndsWithConnection replaces mgrelay's type of framings

The relay asks one thing of a framing: whether nothing but the connection's end marks a body's end. The clients of plain services need the same.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -235,10 +235,10 @@
 		return nil
 	}
 	return &answer{
-		status:  response.StatusCode,
-		header:  response.Header,
-		body:    body,
-		framing: framingOf(response),
+		status:       response.StatusCode,
+		header:       response.Header,
+		body:         body,
+		endsWithConn: mgdial.EndsWithConnection(response),
 	}
 }
 
@@ -290,7 +290,7 @@
 	if !hasMore && x.method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.beginBody(header, framingOf(response))
+	x.beginBody(header, mgdial.EndsWithConnection(response))
 	w.WriteHeader(response.StatusCode)
 	_, err = w.Write(body)
 	if err == nil && hasMore {
@@ -311,8 +311,8 @@
 // nothing.
 func (y *Relay) endWhole(x *exchange, host Host, response *http.Response, err error) error {
 	end := answerEnd{
-		framing: framingOf(response),
-		err:     err,
+		withConn: mgdial.EndsWithConnection(response),
+		err:      err,
 	}
 	result, cause := y.endingOf(host, end)
 	y.recordEnd(x, end, result)
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -27,9 +27,9 @@
 
 // answerEnd is how the body of an upstream's answer ended.
 type answerEnd struct {
-	framing framing
-	err     error // what ended it; nil or io.EOF for an ordinary end
-	stream  *eventReader
+	withConn bool  // nothing but the connection's end marks it
+	err      error // what ended it; nil or io.EOF for an ordinary end
+	stream   *eventReader
 }
 
 // endingOf decides whether an answer is whole, for every path on which one is delivered. The
@@ -41,7 +41,7 @@
 		return endsBroken, end.err
 	case end.stream != nil && end.stream.scanner.inEvent():
 		return endsBroken, errInsideEvent
-	case end.framing != framedByClose:
+	case !end.withConn:
 		return endsWhole, nil
 	case end.stream != nil && end.stream.events == 0:
 		return endsBroken, errNoEvent
@@ -81,7 +81,7 @@
 
 // recordEnd records an answer that ended with its connection.
 func (y *Relay) recordEnd(x *exchange, end answerEnd, result ending) {
-	if end.framing != framedByClose {
+	if !end.withConn {
 		return
 	}
 	y.spec.Metrics.Counter("relay.closed").Inc(1)
@@ -97,15 +97,12 @@
 // beginBody prepares the header of an answer with a body. The caller's answer states no end that
 // the upstream's doesn't state. Where the connection's end marks it, the connection is reset
 // unless endBody is called: a process that fails, too, would otherwise end it in the same way.
-func (x *exchange) beginBody(header http.Header, upstream framing) {
-	if upstream == framedByClose {
+func (x *exchange) beginBody(header http.Header, upstreamEndsWithConn bool) {
+	if upstreamEndsWithConn {
 		header.Del("Content-Length")
 		header.Set("Transfer-Encoding", "identity") // see http.ResponseWriter: no chunks
 	}
-	if upstream == framedByHeader || header.Get("Content-Length") != "" {
-		return
-	}
-	x.endsWithConn = upstream == framedByClose || !x.canChunk
+	x.endsWithConn = upstreamEndsWithConn || !x.canChunk && header.Get("Content-Length") == ""
 	if x.endsWithConn {
 		mglistener.ResetOnClose(x.conn, true)
 	}
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -81,10 +81,10 @@
 
 // answer is an upstream's answer that was read completely.
 type answer struct {
-	status  int
-	header  http.Header
-	body    []byte
-	framing framing
+	status       int
+	header       http.Header
+	body         []byte
+	endsWithConn bool // nothing but the connection's end marks the end of the body
 }
 
 // writeSlack is added to a request's timeout to get the time limit for writing its
--- a/internal/process/mgrelay/respond.go
+++ b/internal/process/mgrelay/respond.go
@@ -64,7 +64,7 @@
 		y.setRetryAfter(w, y.noCapacityProblem(x).RetryAfter())
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(upstreamAnswer.body)))
-	x.beginBody(w.Header(), upstreamAnswer.framing)
+	x.beginBody(w.Header(), upstreamAnswer.endsWithConn)
 	w.WriteHeader(upstreamAnswer.status)
 	_, _ = w.Write(upstreamAnswer.body) // a caller that disconnected needs no refusal
 	x.endBody()
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -6,6 +6,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -56,9 +57,9 @@
 // endStream decides whether a stream that has ended is whole.
 func (y *Relay) endStream(x *exchange, host Host, response *http.Response, reader *eventReader, err error) (ending, error) {
 	end := answerEnd{
-		framing: framingOf(response),
-		err:     err,
-		stream:  reader,
+		withConn: mgdial.EndsWithConnection(response),
+		err:      err,
+		stream:   reader,
 	}
 	result, cause := y.endingOf(host, end)
 	y.recordEnd(x, end, result)
@@ -151,7 +152,7 @@
 	x.streaming.Store(true)
 	copyHeader(w.Header(), response.Header)
 	w.Header().Del("Content-Length")
-	x.beginBody(w.Header(), framingOf(response))
+	x.beginBody(w.Header(), mgdial.EndsWithConnection(response))
 	w.WriteHeader(response.StatusCode)
 	y.spec.Metrics.Histogram("relay.first").Update(int64(y.elapsed(x)))
 }
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -136,3 +136,10 @@
 	_ = conn.Close() // nothing was sent
 	return false, nil
 }
+
+// EndsWithConnection reports whether the end of the connection is all that marks the end of a
+// response's body, since it has neither a length nor chunks (RFC 9112, 6.3). A body that was cut
+// may then end without an error.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
--- a/pkg/mgdial/dial_test.go
+++ b/pkg/mgdial/dial_test.go
@@ -1,8 +1,11 @@
 package mgdial_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -55,3 +58,71 @@
 		})
 	})
 }
+
+// Guards against a response whose framing tells its end and that is taken for one that ends with
+// its connection, or the reverse.
+func TestFramingMisread(t *testing.T) {
+	cases := []struct {
+		name     string
+		method   string
+		response string
+		withConn bool
+	}{
+		{
+			name:     "neither length nor chunks",
+			method:   http.MethodGet,
+			response: "HTTP/1.1 200 OK\r\n\r\nbody",
+			withConn: true,
+		},
+		{
+			name:     "HTTP/1.0",
+			method:   http.MethodGet,
+			response: "HTTP/1.0 200 OK\r\n\r\nbody",
+			withConn: true,
+		},
+		{
+			name:     "a length",
+			method:   http.MethodGet,
+			response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		},
+		{
+			name:     "chunks",
+			method:   http.MethodGet,
+			response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		},
+		{
+			name:     "no body, to HEAD",
+			method:   http.MethodHead,
+			response: "HTTP/1.1 200 OK\r\n\r\n",
+		},
+		{
+			name:     "no body, 204",
+			method:   http.MethodGet,
+			response: "HTTP/1.1 204 No Content\r\n\r\n",
+		},
+	}
+	Convey("A response with", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				So(err, ShouldBeNil)
+				defer listener.Close()
+				go func() {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					_, _ = io.WriteString(conn, c.response)
+					_ = conn.Close()
+				}()
+				request, err := http.NewRequest(c.method, "http://"+listener.Addr().String(), nil)
+				So(err, ShouldBeNil)
+				response, err := mgdial.Do(mgdial.NewClient(), request)
+				So(err, ShouldBeNil)
+				defer response.Body.Close()
+				So(mgdial.EndsWithConnection(response), ShouldEqual, c.withConn)
+			})
+		}
+	})
+}
