mgservice: a reply that its service broke off as it ended doesn't look whole

A service that ends closes its connections in the same way. Such a reply fails as unknown now if the service refuses connections since; TestReplyOfEndedServiceLooksWhole failed before. A service that lives and breaks off a reply without a framing can't be told from one that has finished: said in the postmortem.

--- a/internal/connection/mgservice/client.go
+++ b/internal/connection/mgservice/client.go
@@ -132,6 +132,12 @@
 	if len(body) > maxBodyBytes {
 		return Reply{}, NewFailure(Unknown, fmt.Sprintf("the reply has over %d bytes", maxBodyBytes), nil)
 	}
+	if mgdial.EndsWithConnection(response) {
+		// A service that ends closes its connections as if their replies were complete.
+		if ended, err := mgdial.RefusesConnections(ctx, r.URL.Host); err == nil && ended {
+			return Reply{}, NewFailure(Unknown, "the reply ended with its connection and the service has ended", nil)
+		}
+	}
 	return Reply{
 		Status: response.StatusCode,
 		Mime:   response.Header.Get("Content-Type"),
--- a/internal/connection/mgservice/client_test.go
+++ b/internal/connection/mgservice/client_test.go
@@ -177,3 +177,32 @@
 		}
 	})
 }
+
+// Guards against a reply without a length that its service broke off as it ended, and that looks
+// whole.
+func TestReplyOfEndedServiceLooksWhole(t *testing.T) {
+	Convey("A reply with neither a length nor chunks", t, func() {
+		for _, ends := range []bool{false, true} {
+			var s *httptest.Server
+			s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Transfer-Encoding", "identity") // no chunks
+				_, _ = io.WriteString(w, "booked as ticket 7")
+				if ends {
+					_ = s.Listener.Close()
+				}
+			}))
+			reply, err := mgservice.NewHTTP(s.URL, nil).Call(context.Background(), mgservice.CallSpec{
+				Method: http.MethodPost,
+				Path:   "/tickets",
+			})
+			s.Close()
+			if ends {
+				So(mgservice.KindOf(err), ShouldEqual, mgservice.Unknown)
+				So(err, ShouldNotBeNil)
+				continue
+			}
+			So(err, ShouldBeNil)
+			So(string(reply.Body), ShouldEqual, "booked as ticket 7")
+		}
+	})
+}
