mgsoak: streams without a framing, streams that break off, and a check that callers see it

Upstreams of the soak's streams now send 4 of 10 answers with neither length nor chunks and break off 15 of 100 inside an event; a reader whose answer ends as whole before its last event is a finding. Two faults of the stand-in link showed at once, by traces: it passed a reset on as an ordinary end, and after bytes that it had dropped it still passed on the end of the connection (an entry logged 133 events, its reader had an ordinary end after 89), which TCP can't do. Both are resets now, so the check stands as it is.

--- a/internal/soak/mgproc/link.go
+++ b/internal/soak/mgproc/link.go
@@ -67,11 +67,11 @@
 	return caller, nil
 }
 
-// Cut closes the open connections and returns their number. New connections work.
+// Cut resets the open connections and returns their number. New connections work.
 func (l *Link) Cut() int {
 	open := l.openConnections()
 	for _, c := range open {
-		c.close()
+		c.reset()
 	}
 	return len(open)
 }
@@ -163,13 +163,13 @@
 	l.connections[c] = true
 	l.mu.Unlock()
 	if blocked {
-		c.close()
+		c.reset()
 	}
 	var directions sync.WaitGroup
 	directions.Go(func() { c.forward(target, caller, &l.delay, nil) })
 	directions.Go(func() { c.forward(caller, target, &l.delay, &l.dropsReplies) })
 	directions.Wait()
-	c.close()
+	c.end(false)
 	l.mu.Lock()
 	delete(l.connections, c)
 	l.mu.Unlock()
@@ -179,6 +179,7 @@
 // one end that the other has closed.
 func (s *connection) forward(to, from net.Conn, delay *atomic.Int64, drops *atomic.Bool) {
 	buffer := make([]byte, 16<<10)
+	hasGap := false
 	for {
 		n, err := from.Read(buffer)
 		select {
@@ -190,18 +191,19 @@
 		if pause := mgclock.Millis(delay.Load()); pause > 0 {
 			mgclock.Clock{}.Sleep(context.Background(), pause)
 		}
-		if n > 0 && (drops == nil || !drops.Load()) {
+		hasGap = hasGap || n > 0 && drops != nil && drops.Load()
+		if n > 0 && !hasGap {
 			if _, err := to.Write(buffer[:n]); err != nil {
-				s.close()
+				s.reset()
 				return
 			}
 		}
-		if err == io.EOF {
+		if err == io.EOF && !hasGap {
 			closeWrite(to)
 			return
 		}
 		if err != nil {
-			s.close()
+			s.reset()
 			return
 		}
 	}
@@ -228,11 +230,18 @@
 	}
 }
 
-// close closes the connection to both ends.
-func (s *connection) close() {
+// reset breaks the connection. Neither end may take it for the end that the other one made.
+func (s *connection) reset() { s.end(true) }
+
+// end closes the connection to both ends, with a reset if isReset.
+func (s *connection) end(isReset bool) {
 	s.once.Do(func() {
 		close(s.closed)
-		_ = s.caller.Close()
-		_ = s.target.Close()
+		for _, conn := range []net.Conn{s.caller, s.target} {
+			if tcp, is := conn.(*net.TCPConn); is && isReset {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
 	})
 }
--- a/internal/soak/mgsoak/doc.go
+++ b/internal/soak/mgsoak/doc.go
@@ -30,6 +30,8 @@
 //     is active.
 //   - A cordoned zone gets no new work.
 //   - A prompt that crashes engines is blocked.
+//   - An answer that its upstream broke off doesn't look whole to its caller, whatever its
+//     framing.
 //   - A stream has events of one software version, also if its caller resumes it at
 //     another entry and upstreams are upgraded meanwhile. A stream that is taken up
 //     again goes on nearly as often as a new one begins, unless all entries that had its
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -42,6 +42,7 @@
 	cordonRespected        = "a cordoned zone gets no new work"
 	crashPromptBlocked     = "a prompt that ends engines is held back"
 	oneSoftwareVersion     = "a stream has events of one software version"
+	brokenIsVisible        = "an answer that broke off doesn't look whole"
 	streamsResume          = "streams are resumed nearly as often as they begin"
 )
 
--- a/internal/soak/mgsoak/streams.go
+++ b/internal/soak/mgsoak/streams.go
@@ -27,6 +27,10 @@
 	// streamHost is the host of the route to these upstreams, streamService their service.
 	streamHost    = "streams.example"
 	streamService = "events"
+	// closingShare is the share of the upstreams' answers that have neither length nor chunks and
+	// end with their connection, breakingShare the share of those that break off inside an event.
+	closingShare  = 0.4
+	breakingShare = 0.15
 	// streamInterval is the time between two events of a stream.
 	streamInterval  = 20 * mgclock.Millis(1)
 	minStreamEvents = 20
@@ -98,7 +102,8 @@
 }
 
 func (u *streamUpstream) settings() string {
-	return fmt.Sprintf("listen = %q\nname = %q\nsoftware = %q\ninterval = %d\n", u.addr, u.name, u.version, streamInterval)
+	return fmt.Sprintf("listen = %q\nname = %q\nsoftware = %q\ninterval = %d\ncloses = %g\nbreaks = %g\n",
+		u.addr, u.name, u.version, streamInterval, closingShare, breakingShare)
 }
 
 // vm returns the row of the list of VMs.
@@ -144,13 +149,14 @@
 
 // readStream is a stream as its caller received it, over all its tries.
 type readStream struct {
-	caller   string
-	total    int
-	last     int      // id of the last event
-	versions []string // that wrote its events, each once
-	fault    string   // first event that isn't the next one of this caller's stream
-	refusal  string   // the last answer without events
-	requests []streamRequest
+	caller     string
+	total      int
+	last       int      // id of the last event
+	versions   []string // that wrote its events, each once
+	fault      string   // first event that isn't the next one of this caller's stream
+	endedEarly string   // the request whose answer lacks the last events and was whole by its framing
+	refusal    string   // the last answer without events
+	requests   []streamRequest
 }
 
 // streamRequest is a time at which a caller asked for a stream, or for its rest, until it got
@@ -233,15 +239,23 @@
 		return true, false
 	}
 	before := s.last
-	lines := bufio.NewScanner(response.Body)
-	for s.fault == "" && s.last < before+limit && lines.Scan() {
+	s.readEvents(bufio.NewScanner(response.Body), id, before+limit)
+	return true, s.last > before
+}
+
+// readEvents reads the events of the answer to a request, up to the one with the id limit.
+func (s *readStream) readEvents(lines *bufio.Scanner, request string, limit int) {
+	for s.fault == "" && s.last < limit && lines.Scan() {
 		s.add(lines.Text())
 	}
-	if s.last > before && s.fault == "" {
+	if s.fault == "" && s.last < limit && s.last < s.total && lines.Err() == nil {
+		s.endedEarly = request
+		return
+	}
+	if s.last == limit && s.fault == "" {
 		_ = lines.Scan() // the data of the last event
 		s.add(lines.Text())
 	}
-	return true, s.last > before
 }
 
 // add adds a line of a stream.
@@ -270,6 +284,9 @@
 	if s.fault != "" {
 		found = append(found, newFinding(oneGeneration, "stream of %s: %s", s.caller, s.fault))
 	}
+	if s.endedEarly != "" {
+		found = append(found, newFinding(brokenIsVisible, "the answer to %s ended as whole before event %d", s.endedEarly, s.total))
+	}
 	if len(s.versions) > 1 {
 		found = append(found, newFinding(oneSoftwareVersion, "stream of %s: events of %v", s.caller, s.versions))
 	}
--- a/internal/soak/mgsoak/streams_test.go
+++ b/internal/soak/mgsoak/streams_test.go
@@ -1,7 +1,12 @@
 package mgsoak
 
 import (
+	"bufio"
+	"cmp"
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -59,6 +64,61 @@
 	})
 }
 
+// Guards against a check of streams that takes a part for whole, or a whole one for a part.
+func TestEarlyEndPasses(t *testing.T) {
+	const events = "id: 1\ndata: me v1\n\nid: 2\ndata: me v1\n\n"
+	cases := []struct {
+		name       string
+		text       string
+		err        error // after the text
+		limit      int
+		endedEarly bool
+	}{
+		{
+			name:  "a whole answer",
+			text:  events + "id: 3\ndata: me v1\n\n",
+			limit: 9,
+		},
+		{
+			name:       "one that ends before its last event",
+			text:       events,
+			limit:      9,
+			endedEarly: true,
+		},
+		{
+			name:       "one that ends inside an event",
+			text:       events + "id:",
+			limit:      9,
+			endedEarly: true,
+		},
+		{
+			name:  "one whose connection breaks",
+			text:  events,
+			err:   io.ErrUnexpectedEOF,
+			limit: 9,
+		},
+		{
+			name:  "one that its reader has left",
+			text:  events,
+			limit: 2,
+		},
+	}
+	Convey("The check of", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				s := readStream{
+					caller: "me",
+					total:  3,
+				}
+				body := io.MultiReader(strings.NewReader(c.text), iotest.ErrReader(cmp.Or(c.err, io.EOF)))
+				s.readEvents(bufio.NewScanner(body), "request", c.limit)
+				So(s.endedEarly != "", ShouldEqual, c.endedEarly)
+				So(len(s.check()) > 0, ShouldEqual, c.endedEarly)
+			})
+		}
+	})
+}
+
 // Guards against a check of resumed streams that finds nothing where most are refused.
 func TestRefusedStreamsPass(t *testing.T) {
 	// streams returns streams that began, of which a number is taken up again and goes on.
--- a/internal/standin/mgstandin/events.go
+++ b/internal/standin/mgstandin/events.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -15,8 +18,8 @@
 
 // Events is an upstream of routes that streams numbered events. Each event names the software
 // version that wrote it, so that a check can tell whether a stream holds events of several.
-// Like an engine it doesn't check which version wrote the events that it continues. The zero
-// Events is ready for use.
+// Like an engine it doesn't check which version wrote the events that it continues, and its answers
+// may have no framing or break off. The zero Events is ready for use.
 type Events struct {
 	spec  EventsSpec
 	clock mgclock.Clock
@@ -77,13 +80,43 @@
 	header.Set("Signature", e.spec.Name)
 	header.Set("Software", e.spec.Software)
 	header.Set("Content-Type", "text/event-stream")
-	e.write(r.Context(), w, caller, last, total)
+	e.write(r.Context(), w, caller, last, total, e.drawPlan(r.Header.Get("Request-Id"), last, total))
 }
 
-func (e *Events) write(ctx context.Context, w http.ResponseWriter, caller string, last, total int) {
+// answerPlan is how one answer ends, drawn from the id of its request.
+type answerPlan struct {
+	closes  bool // it has neither length nor chunks
+	breakAt int  // the event inside which it breaks off, 0 for none
+}
+
+// drawPlan draws how an answer with the events after last ends.
+func (e *Events) drawPlan(id string, last, total int) answerPlan {
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(id), xxhash.Sum64String(e.spec.Name)))
+	plan := answerPlan{
+		closes: rng.Float64() < e.spec.Closes,
+	}
+	if last < total && rng.Float64() < e.spec.Breaks {
+		plan.breakAt = last + 1 + rng.IntN(total-last)
+	}
+	return plan
+}
+
+func (e *Events) write(ctx context.Context, w http.ResponseWriter, caller string, last, total int, plan answerPlan) {
 	control := http.NewResponseController(w)
+	if plan.closes {
+		w.Header().Set("Transfer-Encoding", "identity") // see http.ResponseWriter: no chunks
+	}
 	for n := last + 1; n <= total; n++ {
-		if _, err := fmt.Fprint(w, Event(n, caller, e.spec.Software)); err != nil {
+		event := Event(n, caller, e.spec.Software)
+		if n == plan.breakAt {
+			_, _ = io.WriteString(w, event[:len(event)/2])
+			_ = control.Flush()
+			if plan.closes {
+				return // the connection ends as after a whole answer
+			}
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, event); err != nil {
 			return
 		}
 		_ = control.Flush()
--- a/internal/standin/mgstandin/spec.go
+++ b/internal/standin/mgstandin/spec.go
@@ -35,6 +35,8 @@
 	Name     string         `toml:"name" help:"its name in the list of VMs, which requests state"`
 	Software string         `toml:"software" help:"its software version, which its events state"`
 	Interval mgclock.Millis `toml:"interval" min:"0" max:"600000" unit:"ms" help:"time between events"`
+	Closes   float64        `toml:"closes" min:"0" max:"1" help:"share of the answers that have neither length nor chunks and end with their connection"`
+	Breaks   float64        `toml:"breaks" min:"0" max:"1" help:"share of the answers that break off inside an event"`
 }
 
 // PlatformSpec holds the settings of a platform stand-in.
