mgrelay: the line of a broken attempt has the parts of its prompt

The line now has the names of the parts that requests may share, from the header that HeaderNames.Parts names. No decision depends on it.

--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -57,7 +57,7 @@
 	leaving := y.spec.IsLeaving != nil && y.spec.IsLeaving(host.Name)
 	keys := append(y.dataVersionKeys(),
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
-		mglog.Upstream, host.Name, "digest", x.digest().String(), "attempts", x.attempts,
+		mglog.Upstream, host.Name, "digest", x.digest().String(), "parts", y.spec.Headers.partsOf(x.header), "attempts", x.attempts,
 		"begun", partial.headerReceived, "events", partial.eventCount, "ms", int64(now-x.sentAt), "leaving", leaving)
 	if x.call.Account != nil {
 		keys = append(keys, mglog.Account, x.call.Account.Name())
