mgquarantine: a part of prompts that crashes engines is held, whatever else its requests hold

Cause: evidence was kept by whole requests.

Change: a crash counts against the request and against the parts that its prompt may share, at their service and model. What most requests have in common is cleared by answers: a process leaves parts out of its records that it has seen answered within 2 s, also by a stream that lives 300 ms after its first event, and tells others that suspect such a part. The best explanation is held: the one of most crashes, the narrowest where several do (a request before its parts, a later part before an earlier one that explains few more). From two occurrences on all crashes with a part count, since its requests overlap. A request whose upstream ended isn't tried elsewhere if a part of it has been in another crash.

TestTrialIsMissingOrRepeated passes a rank in place of a bool; its checks are as they were.

--- a/internal/process/mgnode/exchange.go
+++ b/internal/process/mgnode/exchange.go
@@ -40,8 +40,8 @@
 	// exchangeTimeout limits the wait for a peer's response.
 	exchangeTimeout = 500 * mgclock.Millis(1)
 	// maxUpdateBytes limits a decompressed message: four times the size of the maximum
-	// number of records that mgquarantine keeps.
-	maxUpdateBytes = 1 << 20
+	// number of records that mgquarantine keeps, each with as many parts as it may have.
+	maxUpdateBytes = 4 << 20
 )
 
 // updateMessage is the message of an exchange, in both directions.
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -117,7 +117,7 @@
 		probe:             spec.Probe,
 		askIncarnation:    spec.AskIncarnation,
 	}
-	n.quarantine = mgquarantine.New(incarnation, n.isFirstToRetry)
+	n.quarantine = mgquarantine.New(incarnation, n.trialRank)
 	n.exchanger = n.newExchanger()
 	n.origins = n.newOrigins()
 	n.killed, n.kill = context.WithCancel(context.Background())
--- a/internal/process/mgnode/quarantine.go
+++ b/internal/process/mgnode/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
@@ -21,14 +22,14 @@
 	return entries
 }
 
-// isFirstToRetry reports whether this process ranks first among the known entries for a
-// digest. The first may retry a request that is no longer held before the others; see mgquarantine.New.
-func (n *Node) isFirstToRetry(digest mgquarantine.Digest) bool {
+// trialRank returns this process's rank among the known entries for a digest; see mgquarantine.New.
+func (n *Node) trialRank(digest mgquarantine.Digest) int {
 	self := mgmember.Self(n.settings.Name, n.settings.Zone, 0)
-	return mgmember.Rank(digest.String(), append(n.otherEntries(), self), 1)[0] == self
+	entries := append(n.otherEntries(), self)
+	return slices.Index(mgmember.Rank(digest.String(), entries, len(entries)), self)
 }
 
-// watchHeld logs which requests begin and cease to be held, until ctx ends.
+// watchHeld logs which requests and parts begin and cease to be held, until ctx ends.
 func (n *Node) watchHeld(ctx context.Context) {
 	var held map[mgquarantine.Digest]bool
 	for ctx.Err() == nil {
@@ -42,7 +43,7 @@
 	}
 }
 
-// reportHeld logs the requests that have begun or ceased to be held since previous, and
+// reportHeld logs the requests and parts that have begun or ceased to be held since previous, and
 // returns those that are held now.
 func (n *Node) reportHeld(previous map[mgquarantine.Digest]bool) map[mgquarantine.Digest]bool {
 	held := map[mgquarantine.Digest]bool{}
@@ -55,11 +56,15 @@
 			continue
 		}
 		keys := []any{"digest", suspect.Digest().String(), "occurrences", suspect.Occurrences(), "ms", int64(suspect.Remaining())}
-		n.log.Info("a request crashes upstreams and is held back", append(keys, evidenceLogValues(suspect.Evidence())...)...)
+		message := "a request crashes upstreams and is held back"
+		if suspect.IsPart() {
+			message = "a part of prompts crashes upstreams, and requests with it are held back"
+		}
+		n.log.Info(message, append(keys, evidenceLogValues(suspect.Evidence())...)...)
 	}
 	for digest := range previous {
 		if !held[digest] {
-			n.log.Info("a request is no longer held back", "digest", digest.String())
+			n.log.Info("a request, or a part of prompts, is no longer held back", "digest", digest.String())
 		}
 	}
 	n.metrics.Gauge("quarantine.held").Update(int64(len(held)))
@@ -79,21 +84,23 @@
 	return []any{"requests", requests, "upstreams", upstreams, "ages", ages}
 }
 
-// quarantineRow describes one request in the dump.
+// quarantineRow describes one request, or part of prompts, in the dump.
 type quarantineRow struct {
 	Digest      string                `json:"digest"`
+	Part        bool                  `json:"part,omitempty"`
 	Occurrences int                   `json:"occurrences"`
 	Held        mgclock.Millis        `json:"held"` // remaining ms
 	Evidence    []mgquarantine.Record `json:"evidence"`
 }
 
-// quarantineState returns the dump of the requests that crash upstreams.
+// quarantineState returns the dump of the requests and parts that crash upstreams.
 func (n *Node) quarantineState() any {
 	suspects := n.quarantine.Suspects(n.clock.Now())
 	rows := make([]quarantineRow, 0, len(suspects))
 	for _, suspect := range suspects {
 		rows = append(rows, quarantineRow{
 			Digest:      suspect.Digest().String(),
+			Part:        suspect.IsPart(),
 			Occurrences: suspect.Occurrences(),
 			Held:        suspect.Remaining(),
 			Evidence:    suspect.Evidence(),
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -48,6 +48,14 @@
 	return x.digestValue
 }
 
+// setParts computes the digests of the parts that the request's prompt may share with others, at
+// its service and model.
+func (x *exchange) setParts(names *HeaderNames) {
+	for _, part := range names.partsOf(x.header) {
+		x.parts = append(x.parts, mgquarantine.PartDigestOf(x.service, x.header.Get(names.Model), part))
+	}
+}
+
 // recordBrokenAttempt records an attempt that its upstream broke off. It returns
 // when it is known whether the upstream has ended, or after crashCheckTimeout.
 func (y *Relay) recordBrokenAttempt(x *exchange, host Host, partial partialAnswer) {
@@ -66,6 +74,7 @@
 	// other answer begins only when it is complete, so Begun is assumed.
 	crash := mgquarantine.Crash{
 		Digest:     x.digest(),
+		Parts:      x.parts,
 		Request:    x.id,
 		Upstream:   host.Name,
 		Begun:      partial.headerReceived || x.call.Route.Kind() != mgtable.Stream,
@@ -124,9 +133,9 @@
 	var left mgclock.Millis
 	held := false
 	if x.admitted {
-		left, held = y.spec.Quarantine.Held(y.spec.Clock.Now(), x.digest())
+		left, held = y.spec.Quarantine.Held(y.spec.Clock.Now(), x.digest(), x.parts...)
 	} else {
-		left, x.admitted = y.spec.Quarantine.Admit(y.spec.Clock.Now(), x.digest())
+		left, x.admitted = y.spec.Quarantine.Admit(y.spec.Clock.Now(), x.digest(), x.parts...)
 		held = !x.admitted
 	}
 	if !held {
@@ -139,15 +148,29 @@
 // mayCrashAnother reports whether a request under which an upstream has just ended
 // should not be tried on another one.
 func (y *Relay) mayCrashAnother(x *exchange) bool {
-	return y.spec.Quarantine.HasSuspects() && !y.spec.Quarantine.Retryable(x.digest())
+	return y.spec.Quarantine.HasSuspects() && !y.spec.Quarantine.Retryable(x.digest(), x.parts...)
 }
 
 // recordQuarantineAnswer reports to the quarantine that an upstream answered a
 // request.
 func (y *Relay) recordQuarantineAnswer(x *exchange) {
+	now := y.spec.Clock.Now()
 	if y.spec.Quarantine.HasSuspects() {
-		y.spec.Quarantine.RecordAnswer(y.spec.Clock.Now(), x.digest())
+		y.spec.Quarantine.RecordAnswer(now, x.digest(), x.parts...)
+		return
+	}
+	y.spec.Quarantine.RecordPartAnswers(now, x.parts...)
+}
+
+// recordProgress reports a stream that runs to the quarantine, once each startWindow: its upstream
+// has begun it and lives on.
+func (y *Relay) recordProgress(x *exchange, gen *generation, now mgclock.Millis) {
+	since := max(mgclock.Millis(gen.firstEventAt.Load()), x.progressAt)
+	if now < since+startWindow {
+		return
 	}
+	x.progressAt = now
+	y.recordQuarantineAnswer(x)
 }
 
 // exchanges are the requests in progress. The zero value is empty.
@@ -181,7 +204,7 @@
 	y.exchanges.mu.Lock()
 	defer y.exchanges.mu.Unlock()
 	for x, cancel := range y.exchanges.cancels {
-		if _, held := y.spec.Quarantine.Held(now, x.digest()); held && !x.streaming.Load() {
+		if _, held := y.spec.Quarantine.Held(now, x.digest(), x.parts...); held && !x.streaming.Load() {
 			cancel(errQuarantined)
 		}
 	}
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -54,6 +54,8 @@
 	streaming        atomic.Bool // headerSent for other goroutines
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
+	parts            []mgquarantine.Digest
+	progressAt       mgclock.Millis      // when progress of the stream was last reported to the quarantine
 	begunAt          Host                // the upstream that began the stream in this answer; zero before, or if the caller resumes it
 	begunAtTime      mgclock.Millis      // when it did
 	statedVersion    string              // software version that the last attempt's answer states
--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -19,6 +19,7 @@
 	RateLimit    string   // in answers: the rate limit of the upstream for all entries, in requests a second
 	Signature    string   // in answers: proves that the upstream produced the answer
 	Tokens       string   // "prompt,max": number of tokens of the prompt, and maximum for the output
+	Model        string   // the model that the request is for
 	Parts        string   // the parts of the prompt in order, each "name:tokens"; requests share all but the last
 	OutputHint   string   // the caller's estimate of the number of output tokens
 	LastEventID  string   // id of the last event that a caller, or the relay, has received
@@ -43,6 +44,7 @@
 		RateLimit:   "Limit",
 		Signature:   "Signature",
 		Tokens:      "Tokens",
+		Model:       "Model",
 		Parts:       "Parts",
 		OutputHint:  "Hint",
 		LastEventID: "Last-Event-Id",
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -200,13 +200,14 @@
 	defer cancelCause(nil)
 	ctx, cancel := context.WithTimeout(ctx, x.timeout.Duration())
 	defer cancel()
-	y.exchanges.add(x, cancelCause)
-	defer y.exchanges.remove(x)
 	x.setWriteDeadline()
 	if problem := y.bindToOrigin(ctx, x); problem != nil {
 		y.answerProblem(w, x, problem)
 		return
 	}
+	x.setParts(&y.spec.Headers)
+	y.exchanges.add(x, cancelCause)
+	defer y.exchanges.remove(x)
 	y.serve(ctx, w, x)
 }
 
--- a/internal/process/mgrelay/respond.go
+++ b/internal/process/mgrelay/respond.go
@@ -89,7 +89,7 @@
 	y.spec.Metrics.Counter("relay.failed." + string(problem.Kind())).Inc(1)
 	keys := y.dataVersionKeys()
 	if problem.Kind() == mgproblem.Quarantined {
-		keys = append(keys, "digest", x.digest().String())
+		keys = append(keys, "digest", x.digest().String(), "parts", y.spec.Headers.partsOf(x.header))
 	}
 	y.spec.Log.Info("a request failed", append(keys,
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -96,6 +96,7 @@
 	if perToken, ok := gen.recordEvents(now, int64(events)); ok {
 		y.spec.Load.RecordPace(now, gen.host.Name, perToken)
 	}
+	y.recordProgress(x, gen, now)
 }
 
 // recordProducer records that an upstream produces the next events of a stream.
--- a/internal/request/mgquarantine/digest.go
+++ b/internal/request/mgquarantine/digest.go
@@ -8,7 +8,7 @@
 )
 
 // A Digest identifies a request by its content, independent of the entry that receives it:
-// the client account, the host, the path with its query, and the body. It is the first half
+// the client account, the host, the path with its query, and the body; or a part of prompts. It is the first half
 // of a SHA-256, so that no caller can construct a request that collides with another's.
 type Digest [sha256.Size / 2]byte
 
@@ -25,6 +25,20 @@
 	return Digest(sum.Sum(nil)[:len(Digest{})])
 }
 
+// PartDigestOf returns the digest of a part that prompts have in common, the same for all requests
+// that a service and a model run with it.
+func PartDigestOf(service, model, part string) Digest {
+	sum := sha256.New()
+	sum.Write([]byte{0xff}) // separates parts from requests, whose first size is below 2^56
+	for _, text := range []string{service, model, part} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
+		sum.Write(size[:])
+		sum.Write([]byte(text))
+	}
+	return Digest(sum.Sum(nil)[:len(Digest{})])
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -1,12 +1,13 @@
-// Package mgquarantine detects requests that crash the upstreams that run them, and holds
-// such requests back.
+// Package mgquarantine detects requests, and parts of prompts, that crash the upstreams that run
+// them, and holds such requests back.
 //
 // # Problem
 //
 // One request body can crash each engine that begins to run it, together with the two dozen
 // other generations there. Its caller repeats it through other entries, and an entry that
 // retries it crashes a second engine. Without shared state such a request goes through all
-// engines of a service faster than they restart.
+// engines of a service faster than they restart. The cause may also be a part of the prompt that
+// many requests have in common, no two of which are alike otherwise.
 //
 // # Decision
 //
@@ -23,9 +24,20 @@
 //     other request;
 //   - an answer to the request, from any upstream, voids the evidence against it.
 //
+// A part is suspected and held like a request, with four differences:
+//
+//   - parts of a service and model are identified by their names alone, whichever account
+//     sends them. The last part of a prompt is its request's own and isn't considered;
+//   - an answer to a request with the part also voids the crashes of a short time after it.
+//     What most requests have in common is in most crashes, and is answered all the time;
+//   - once there are two occurrences all crashes count, also those of one moment, because
+//     requests with the part come at many processes at once;
+//   - the narrowest explanation is preferred: a request before its parts where both explain as
+//     many crashes, a later part of a prompt before an earlier one that explains few more.
+//
 // Once its hold is over, a request is tried again, one attempt at a time, first by the
 // process that ranks first for it, by rendezvous hashing of the digest (see New), and
-// after a delay by any process. If the upstreams crashed for another reason, an answer
+// with time by more processes. If the upstreams crashed for another reason, an answer
 // ends the quarantine; a further crash holds the request for longer.
 //
 // # State
@@ -53,9 +65,12 @@
 //   - occurrence: all crashes within one window, which count once.
 //   - sound: the name of a request in the tests of the order of crashes (order_test.go),
 //     where no upstream answers it.
-//   - hold: the time for which a request is sent to no upstream.
+//   - part: a piece of a prompt that other requests may contain, such as a document.
+//   - hold: the time for which a request, or all with a part, is sent to no upstream.
 //   - trial: an attempt of a request in quarantine whose hold is over. A process admits one
 //     at a time, and for a short time after the hold only one process admits any.
+//   - narrow, broad: a part that comes later in a prompt explains less, since what comes before
+//     it is shared by more requests.
 //   - quarantine: the state of a request from its first hold until an answer or expiry,
 //     also while no hold is in effect.
 //   - incarnation: one run of a process, from its start to its end.
--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -9,8 +9,16 @@
 )
 
 const (
-	// occurrenceThreshold is the number of occurrences after which a request is held.
+	// occurrenceThreshold is the number of occurrences after which a request, or a part of
+	// prompts, is held.
 	occurrenceThreshold = 3
+	// minPartMoments is the number of occurrences, each provably later than the one before, from
+	// which all crashes of requests with a part count, also those that may be of one moment: such
+	// requests come at many entries at the same time.
+	minPartMoments = 2
+	// partCoverage is the least share of the crashes of a part that a narrower one must explain to
+	// be preferred. Parts are narrower the later they come in a prompt.
+	partCoverage = 2.0 / 3
 	// occurrenceWindow is the time within which crashes of several upstreams count as one
 	// occurrence, unless the request was sent to the second upstream after the first had
 	// crashed. What ends several upstreams at once, such as the loss of an availability
@@ -26,6 +34,10 @@
 	initialHold = 30 * mgclock.Second
 	holdFactor  = 4
 	maxHold     = 32 * mgclock.Minute
+	// partHoldFactor and maxPartHold are the same for a part. Each trial costs an engine for as
+	// long as requests with the part come.
+	partHoldFactor = 16
+	maxPartHold    = 128 * mgclock.Minute
 	// maxEvaluatedCrashes limits how many crashes of one request are evaluated. Only the
 	// latest ones are.
 	maxEvaluatedCrashes = 128
@@ -42,15 +54,17 @@
 // isSuspect reports whether a record's request is among the likeliest causes.
 func (c *crash) isSuspect(s storedRecord) bool { return s.record.Begun == c.hasBegunRequest }
 
-// involves reports whether a request was about to begin or had just begun.
+// involves reports whether a request, or one with a part, was about to begin or had just begun.
 func (c *crash) involves(digest Digest) bool {
-	return slices.ContainsFunc(c.records, func(s storedRecord) bool { return s.digest == digest })
+	return slices.ContainsFunc(c.records, func(s storedRecord) bool { return slices.Contains(s.suspects, digest) })
 }
 
-// suspicion is the evaluation of the records of one request: the occurrences that it is
-// suspected of, its hold, and how long its records are needed.
+// suspicion is the evaluation of the records of one request, or of all requests with a part: the
+// occurrences that it is suspected of, its hold, and how long its records are needed.
 type suspicion struct {
+	isPart        bool
 	occurrences   int
+	lastCrashAt   mgclock.Millis
 	isQuarantined bool           // also true after the hold has ended
 	heldUntil     mgclock.Millis // end of the hold
 	retainUntil   mgclock.Millis // end of the time for which its records are needed
@@ -75,56 +89,84 @@
 	return all
 }
 
-// evaluate computes the suspicion of each request from the evidence, sorted by time. It is
-// a greedy set cover: the request involved in most crashes explains those, and the
-// remaining crashes count against the others.
+// explanation is a request, or a part of prompts, with the crashes that it may explain.
+type explanation struct {
+	digest      Digest
+	breadth     int // 0 for a request; for a part its largest distance from the end of a prompt
+	suspected   []*crash
+	occurrences []*crash // those that count
+}
+
+// evaluate computes the suspicion of each request and part from the evidence, sorted by time. It
+// is a greedy set cover: the explanation of most crashes explains those, and the remaining crashes
+// count against the others.
 func evaluate(records []storedRecord) map[Digest]suspicion {
 	crashes := groupCrashes(records)
 	suspicions := map[Digest]suspicion{}
 	for {
-		unexplained := occurrenceChains(crashes)
-		worst, found := mostOccurrences(unexplained)
-		if !found || len(unexplained[worst]) < occurrenceThreshold {
-			for digest, chain := range unexplained {
-				suspicions[digest] = suspicion{
-					occurrences: len(chain),
-					retainUntil: chain[len(chain)-1].at + evidenceTTL,
+		unexplained := explanations(crashes)
+		worst, found := bestExplanation(unexplained)
+		if !found || len(worst.occurrences) < occurrenceThreshold {
+			for _, e := range unexplained {
+				lastAt := e.suspected[len(e.suspected)-1].at
+				suspicions[e.digest] = suspicion{
+					isPart:      e.breadth > 0,
+					occurrences: len(e.occurrences),
+					lastCrashAt: lastAt,
+					retainUntil: lastAt + evidenceTTL,
 				}
 			}
 			return suspicions
 		}
-		suspicions[worst] = evaluateHold(unexplained[worst])
+		suspicions[worst.digest] = evaluateHold(worst)
 		for _, c := range crashes {
-			c.explained = c.explained || c.involves(worst)
+			c.explained = c.explained || c.involves(worst.digest)
 		}
 	}
 }
 
-// occurrenceChains returns, for each request, its longest chain of crashes: a sequence in
-// which each crash is a later occurrence than the one before. Only crashes that the request
-// is suspected of, and that no other request explains, are considered.
-func occurrenceChains(crashes []*crash) map[Digest][]*crash {
-	suspected := map[Digest][]*crash{}
+// explanations returns, for each request and part, the crashes that it is suspected of and that
+// nothing else explains, and those that count. For a request they are its longest chain: a sequence
+// in which each crash is a later occurrence than the one before.
+func explanations(crashes []*crash) []*explanation {
+	byDigest := map[Digest]*explanation{}
+	var all []*explanation
 	for _, c := range crashes {
 		if c.explained {
 			continue
 		}
 		for _, s := range c.records {
-			all := suspected[s.digest]
-			if c.isSuspect(s) && (len(all) == 0 || all[len(all)-1] != c) {
-				suspected[s.digest] = append(all, c)
+			if !c.isSuspect(s) {
+				continue
+			}
+			for _, digest := range s.suspects {
+				e := byDigest[digest]
+				if e == nil {
+					e = &explanation{
+						digest: digest,
+					}
+					byDigest[digest] = e
+					all = append(all, e)
+				}
+				e.breadth = max(e.breadth, s.breadthOf(digest))
+				if len(e.suspected) == 0 || e.suspected[len(e.suspected)-1] != c {
+					e.suspected = append(e.suspected, c)
+				}
 			}
 		}
 	}
-	chains := map[Digest][]*crash{}
-	for digest, all := range suspected {
-		chains[digest] = longestChain(digest, all[max(len(all)-maxEvaluatedCrashes, 0):])
+	for _, e := range all {
+		e.suspected = e.suspected[max(len(e.suspected)-maxEvaluatedCrashes, 0):]
+		e.occurrences = longestChain(e.digest, e.suspected)
+		if e.breadth > 0 && len(e.occurrences) >= minPartMoments {
+			e.occurrences = e.suspected
+		}
 	}
-	return chains
+	return all
 }
 
 // longestChain returns the longest sequence of crashes each of which is a later occurrence
-// than the one before, for one request. Sorting by time isn't enough, since a record may
+// than the one before, for one request or part. Sorting by time isn't enough, since a record may
 // have come on a slow path.
 func longestChain(digest Digest, crashes []*crash) []*crash {
 	earlier := earlierCrashes(digest, crashes)
@@ -153,7 +195,7 @@
 	return longest
 }
 
-// earlierCrashes returns, for each crash of a request, the ascending indexes of those that
+// earlierCrashes returns, for each crash of a request or part, the ascending indexes of those that
 // are earlier occurrences. A record is compared with those of the same origin and with
 // those that it references.
 func earlierCrashes(digest Digest, crashes []*crash) [][]int {
@@ -165,7 +207,7 @@
 	byOrigin := map[string][]location{}
 	for i, c := range crashes {
 		for _, s := range c.records {
-			if s.digest == digest {
+			if s.involves(digest) {
 				crashOf[s.reference()] = i
 				byOrigin[s.record.Origin] = append(byOrigin[s.record.Origin], location{
 					record: s,
@@ -177,7 +219,7 @@
 	earlier := make([][]int, len(crashes))
 	for i, c := range crashes {
 		for _, s := range c.records {
-			if s.digest != digest {
+			if !s.involves(digest) {
 				continue
 			}
 			for _, other := range byOrigin[s.record.Origin] {
@@ -197,33 +239,56 @@
 	return earlier
 }
 
-// mostOccurrences returns the request with the most occurrences. Ties go to the smallest
-// digest, so that all processes choose the same one.
-func mostOccurrences(chains map[Digest][]*crash) (worst Digest, found bool) {
-	for digest := range chains {
-		more := cmp.Compare(len(chains[digest]), len(chains[worst]))
-		if !found || more > 0 || more == 0 && bytes.Compare(digest[:], worst[:]) < 0 {
-			worst, found = digest, true
+// bestExplanation returns the explanation of most crashes, the narrowest one if there are several.
+// A part gives way to a narrower one that explains nearly as many: what all requests of a route
+// have in common is in each of their crashes, whatever has caused them. All processes choose the
+// same explanation.
+func bestExplanation(all []*explanation) (best *explanation, found bool) {
+	isBetter := func(a, b *explanation) bool {
+		return cmp.Or(cmp.Compare(len(a.occurrences), len(b.occurrences)), cmp.Compare(b.breadth, a.breadth), bytes.Compare(b.digest[:], a.digest[:])) > 0
+	}
+	for _, e := range all {
+		if best == nil || isBetter(e, best) {
+			best = e
 		}
 	}
-	return worst, found
+	if best == nil || best.breadth == 0 {
+		return best, best != nil
+	}
+	narrowest := best
+	for _, e := range all {
+		covers := float64(len(e.occurrences)) >= partCoverage*float64(len(best.occurrences))
+		if e.breadth == 0 || !covers || len(e.occurrences) < occurrenceThreshold {
+			continue
+		}
+		if e.breadth < narrowest.breadth || e.breadth == narrowest.breadth && isBetter(e, narrowest) {
+			narrowest = e
+		}
+	}
+	return narrowest, true
 }
 
-// evaluateHold evaluates a request with enough occurrences: it returns a suspicion with its
+// evaluateHold evaluates a request or part with enough occurrences: it returns a suspicion with its
 // hold. A crash during a hold doesn't extend it, since its attempt was in progress when the
 // hold began.
-func evaluateHold(chain []*crash) suspicion {
+func evaluateHold(e *explanation) suspicion {
+	factor, limit := mgclock.Millis(holdFactor), maxHold
+	if e.breadth > 0 {
+		factor, limit = partHoldFactor, maxPartHold
+	}
 	hold := initialHold
-	until := chain[occurrenceThreshold-1].at + hold
-	for _, c := range chain[occurrenceThreshold:] {
+	until := e.occurrences[occurrenceThreshold-1].at + hold
+	for _, c := range e.occurrences[occurrenceThreshold:] {
 		if c.at < until {
 			continue
 		}
-		hold = min(holdFactor*hold, maxHold)
+		hold = min(factor*hold, limit)
 		until = c.at + hold
 	}
 	return suspicion{
-		occurrences:   len(chain),
+		isPart:        e.breadth > 0,
+		occurrences:   len(e.occurrences),
+		lastCrashAt:   e.suspected[len(e.suspected)-1].at,
 		isQuarantined: true,
 		heldUntil:     until,
 		retainUntil:   until + evidenceTTL,
--- a/internal/request/mgquarantine/exchange.go
+++ b/internal/request/mgquarantine/exchange.go
@@ -10,7 +10,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	hasUpdates := false
-	changed := map[Digest]bool{}
+	var received []storedRecord
 	for _, record := range records {
 		if err := record.validate(); err != nil {
 			invalid = append(invalid, err)
@@ -19,14 +19,11 @@
 		if record.Age >= recordTTL || record.Origin == q.origin {
 			continue
 		}
-		digest, _ := ParseDigest(record.Digest) // validated above
-		improved, isUpdate := q.mergeRecord(now, digest, record)
-		changed[digest] = changed[digest] || improved
+		stored, isUpdate := q.mergeRecord(now, record)
+		received = append(received, stored)
 		hasUpdates = hasUpdates || isUpdate
 	}
-	for digest := range changed {
-		hasUpdates = q.addFollowUps(now, digest) || hasUpdates
-	}
+	hasUpdates = q.addFollowUps(now, received) || hasUpdates
 	if hasUpdates {
 		q.reevaluate(now)
 	}
@@ -34,27 +31,28 @@
 }
 
 // mergeRecord stores another process's record, or the better time bound that a further copy
-// of it gives. It reports whether anything improved, and, as isUpdate, whether the record
-// is new or improved by enough to be broadcast.
-func (q *Quarantine) mergeRecord(now mgclock.Millis, digest Digest, record Record) (improved, isUpdate bool) {
+// of it gives. It returns the stored record, and whether it is new or improved by enough to be
+// broadcast.
+func (q *Quarantine) mergeRecord(now mgclock.Millis, record Record) (s storedRecord, isUpdate bool) {
 	seenBound := q.boundSeenTime(now, record)
 	s, isKnown := q.records[record.id()]
 	if isKnown && seenBound >= s.seenBound {
-		return false, false
+		return s, false
 	}
 	isUpdate = !isKnown || s.seenBound-seenBound >= minBoundImprovement
 	if !isKnown {
 		s = storedRecord{
 			record: record,
-			digest: digest,
 		}
+		s.digest, _ = ParseDigest(record.Digest) // valid, see Merge
+		s.parts, _ = parseParts(record.Parts)
 	}
 	if isUpdate {
 		s.learnedAt = now
 	}
 	s.seenBound = seenBound
 	q.put(s)
-	return true, isUpdate
+	return s, isUpdate
 }
 
 // RecentRecords returns the records that this process learned recently and therefore
--- a/internal/request/mgquarantine/invalid.go
+++ b/internal/request/mgquarantine/invalid.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // An InvalidRecordError is the error for a record of another process that can't be used.
@@ -24,10 +25,14 @@
 		Number: r.Number,
 	}
 	_, err := ParseDigest(r.Digest)
+	_, partErr := parseParts(r.Parts)
 	switch {
 	case err != nil:
 		invalid.Field = "digest"
 		invalid.Value = r.Digest
+	case partErr != nil:
+		invalid.Field = "parts"
+		invalid.Value = strings.Join(r.Parts, ",")
 	case r.Number == 0:
 		invalid.Field = "number"
 		invalid.Value = "0"
@@ -45,3 +50,22 @@
 	}
 	return invalid
 }
+
+// maxRecordParts bounds the parts of one record.
+const maxRecordParts = 16
+
+// parseParts parses the digests of a record's parts.
+func parseParts(texts []string) ([]Digest, error) {
+	if len(texts) > maxRecordParts {
+		return nil, fmt.Errorf("%d parts: at most %d are allowed", len(texts), maxRecordParts)
+	}
+	var parts []Digest
+	for _, text := range texts {
+		part, err := ParseDigest(text)
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
--- a/internal/request/mgquarantine/order.go
+++ b/internal/request/mgquarantine/order.go
@@ -79,7 +79,7 @@
 	}
 	var proven []storedRecord
 	for _, s := range q.records {
-		if s.digest != own.digest || !s.isCrash() || s.record.FirstNumber != 0 || s.record.Origin == q.origin {
+		if !s.isCrash() || !s.sharesCause(own) || s.record.FirstNumber != 0 || s.record.Origin == q.origin {
 			continue
 		}
 		if own.provesLaterThan(s) && !slices.Contains(known, s.reference()) {
@@ -96,19 +96,23 @@
 }
 
 // addFollowUps adds follow-up records with the references that this process's own records
-// of a request prove now and that they don't have yet. It reports whether it added any.
-func (q *Quarantine) addFollowUps(now mgclock.Millis, digest Digest) bool {
+// prove now and that they don't have yet, after records of others were received. It reports
+// whether it added any.
+func (q *Quarantine) addFollowUps(now mgclock.Millis, received []storedRecord) bool {
 	own := map[uint64][]storedRecord{} // by the first record's number
 	for _, s := range q.records {
-		if s.digest == digest && s.isCrash() && s.record.Origin == q.origin {
+		if s.isCrash() && s.record.Origin == q.origin && slices.ContainsFunc(received, s.sharesCause) {
 			own[s.firstID().number] = append(own[s.firstID().number], s)
 		}
 	}
 	numbers := slices.Sorted(maps.Keys(own))
+	slices.Reverse(numbers)
+	attempts := map[Digest]int{}
 	hasNew := false
-	for _, number := range numbers[max(len(numbers)-maxFollowUpAttempts, 0):] {
+	for _, number := range numbers {
 		records := own[number]
-		if len(records) > maxFollowUps {
+		attempts[records[0].digest]++
+		if len(records) > maxFollowUps || attempts[records[0].digest] > maxFollowUpAttempts {
 			continue
 		}
 		first := slices.MinFunc(records, func(a, b storedRecord) int { return cmp.Compare(a.record.Number, b.record.Number) })
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math/bits"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,7 +18,9 @@
 	// crashes each, 0.3 MB. Beyond it those of requests that aren't held are evicted first.
 	maxRecords = 1024
 	// recordTTL is how long a record may be needed.
-	recordTTL = maxHold + 2*evidenceTTL
+	recordTTL = maxPartHold + 2*evidenceTTL
+	// maxAnsweredParts is the number of parts of which the last answer is kept, some 0.3 MB.
+	maxAnsweredParts = 4096
 	// trialWindow is how long after a hold only one process admits the request, and how
 	// long a process waits for the outcome of its trial (an attempt after the hold).
 	trialWindow = 5 * mgclock.Second
@@ -31,17 +35,18 @@
 // Quarantine is empty and ready for use by several goroutines; New sets the process that it
 // belongs to.
 type Quarantine struct {
-	origin           string
-	mayRunFirstTrial func(Digest) bool // see New
-	checkPause       func()            // see SetPauseCheck
-	state            atomic.Pointer[state]
-	lastNumber       atomic.Uint64
+	origin     string
+	trialRank  func(Digest) int // see New
+	checkPause func()           // see SetPauseCheck
+	state      atomic.Pointer[state]
+	lastNumber atomic.Uint64
 
 	mu             sync.Mutex
 	offsets        map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
 	lastPause      mgclock.Millis            // end of the process's last pause, 0 for none
 	records        map[recordID]storedRecord
 	trialDeadlines map[Digest]mgclock.Millis // end of the wait for the outcome of a request's trial here
+	partAnswers    map[Digest]mgclock.Millis // when this process last saw an answer to a request with a part
 	changed        chan struct{}             // closed when there are new records
 }
 
@@ -51,13 +56,13 @@
 	nextExpiry mgclock.Millis
 }
 
-// New returns the quarantine of a process with the incarnation origin. mayRunFirstTrial
-// reports whether this process, of those that exchange records, is the first to try a
-// request whose hold is over. A nil function means that it always is.
-func New(origin string, mayRunFirstTrial func(Digest) bool) *Quarantine {
+// New returns the quarantine of a process with the incarnation origin. trialRank returns the rank
+// of this process, of those that exchange records, among the processes that may try a request whose
+// hold is over: 0 for the first. A nil function means that it always is the first.
+func New(origin string, trialRank func(Digest) int) *Quarantine {
 	return &Quarantine{
-		origin:           origin,
-		mayRunFirstTrial: mayRunFirstTrial,
+		origin:    origin,
+		trialRank: trialRank,
 	}
 }
 
@@ -76,7 +81,8 @@
 // begun.
 type Crash struct {
 	Digest   Digest
-	Request  string // id of the attempt's request
+	Parts    []Digest // of the request's prompt that others may share, in their order; see PartDigestOf
+	Request  string   // id of the attempt's request
 	Upstream string
 	Begun    bool           // the upstream had begun the request
 	Sent     mgclock.Millis // when the attempt was sent
@@ -96,7 +102,7 @@
 	if q.checkPause != nil {
 		q.checkPause()
 	}
-	q.addOwn(now, c.Digest, Record{
+	q.addOwn(now, c.Digest, c.Parts, Record{
 		Request:    c.Request,
 		Upstream:   c.Upstream,
 		Begun:      c.Begun,
@@ -106,13 +112,73 @@
 	})
 }
 
-// RecordAnswer records that an upstream answered a request. It has an effect only where there
-// is evidence against the request.
-func (q *Quarantine) RecordAnswer(now mgclock.Millis, digest Digest) {
-	if current := q.state.Load(); current == nil || current.suspicions[digest].occurrences == 0 {
+// RecordAnswer records that an upstream answered a request, or that it began to and has lived on
+// for long enough. The answer voids evidence against the request and the parts of its prompt.
+func (q *Quarantine) RecordAnswer(now mgclock.Millis, digest Digest, parts ...Digest) {
+	q.RecordPartAnswers(now, parts...)
+	current := q.state.Load()
+	if current == nil {
+		return
+	}
+	for _, d := range append([]Digest{digest}, parts...) {
+		if current.suspicions[d].occurrences > 0 {
+			q.addOwn(now, d, nil, Record{})
+		}
+	}
+}
+
+// RecordPartAnswers is RecordAnswer for a request against which there is no evidence. It is cheap.
+func (q *Quarantine) RecordPartAnswers(now mgclock.Millis, parts ...Digest) {
+	if len(parts) == 0 {
 		return
 	}
-	q.addOwn(now, digest, Record{})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.partAnswers == nil {
+		q.partAnswers = map[Digest]mgclock.Millis{}
+	}
+	if len(q.partAnswers) >= maxAnsweredParts {
+		maps.DeleteFunc(q.partAnswers, func(_ Digest, at mgclock.Millis) bool { return at+partAnswerWindow <= now })
+	}
+	for _, part := range parts {
+		if _, known := q.partAnswers[part]; known || len(q.partAnswers) < maxAnsweredParts {
+			q.partAnswers[part] = now
+		}
+	}
+}
+
+// isPartAnswered reports whether this process has seen an answer to a request with a part that
+// voids a crash at a time.
+func (q *Quarantine) isPartAnswered(part Digest, crashAt mgclock.Millis) bool {
+	at, known := q.partAnswers[part]
+	return known && crashAt < at+partAnswerWindow
+}
+
+// answerSuspects adds records of the answers that this process has seen to requests with parts that
+// others suspect. The process that ranks first does so at once, the others if a part is held
+// nevertheless: many processes have seen answers to a popular part. It reports whether it added any.
+func (q *Quarantine) answerSuspects(now mgclock.Millis) bool {
+	hasNew := false
+	for digest, suspicion := range q.state.Load().suspicions {
+		if !suspicion.isPart || suspicion.occurrences == 0 || !q.isPartAnswered(digest, suspicion.lastCrashAt) {
+			continue
+		}
+		if !suspicion.isQuarantined && q.rankOf(digest) > 0 {
+			continue
+		}
+		at := q.partAnswers[digest]
+		q.putOwn(storedRecord{
+			record: Record{
+				Digest: digest.String(),
+				Seen:   at,
+			},
+			digest:    digest,
+			seenBound: at,
+			learnedAt: now,
+		})
+		hasNew = true
+	}
+	return hasNew
 }
 
 // HasSuspects reports whether there is evidence against any request, so that computing a
@@ -122,57 +188,88 @@
 	return current != nil && len(current.suspicions) > 0
 }
 
-// Held returns how long a request is still held, or false.
-func (q *Quarantine) Held(now mgclock.Millis, digest Digest) (mgclock.Millis, bool) {
+// Held returns how long a request with these parts is still held, or false.
+func (q *Quarantine) Held(now mgclock.Millis, digest Digest, parts ...Digest) (mgclock.Millis, bool) {
 	current := q.state.Load()
 	if current == nil {
 		return 0, false
 	}
 	left := current.suspicions[digest].remaining(now)
+	for _, part := range parts {
+		left = max(left, current.suspicions[part].remaining(now))
+	}
 	return left, left > 0
 }
 
 // Admit reports whether a request may be sent to an upstream, and if not, how long it is
-// still held. Once its hold is over one attempt at a time is admitted, at a single process
-// for trialWindow. Its outcome decides: an answer ends the quarantine, a crash begins a
-// longer hold.
-func (q *Quarantine) Admit(now mgclock.Millis, digest Digest) (left mgclock.Millis, ok bool) {
+// still held. Once its hold is over one attempt at a time is admitted, by few processes at first
+// (see trialDelay). Its outcome decides: an answer ends the quarantine, a crash begins a
+// longer hold. The same holds for each part of its prompt.
+func (q *Quarantine) Admit(now mgclock.Millis, digest Digest, parts ...Digest) (left mgclock.Millis, ok bool) {
 	current := q.state.Load()
-	if current == nil || !current.suspicions[digest].isQuarantined {
+	if current == nil {
 		return 0, true
 	}
-	suspicion := current.suspicions[digest]
-	if left := suspicion.remaining(now); left > 0 {
-		return left, false
+	var trials []Digest
+	for _, d := range append([]Digest{digest}, parts...) {
+		suspicion := current.suspicions[d]
+		if !suspicion.isQuarantined {
+			continue
+		}
+		left = max(left, suspicion.remaining(now), suspicion.heldUntil+trialDelay(q.rankOf(d))-now)
+		trials = append(trials, d)
 	}
-	if left := suspicion.heldUntil + trialWindow - now; left > 0 && q.mayRunFirstTrial != nil && !q.mayRunFirstTrial(digest) {
-		return left, false
+	if len(trials) == 0 || left > 0 {
+		return left, left == 0
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if left := q.trialDeadlines[digest] - now; left > 0 {
+	for _, d := range trials {
+		left = max(left, q.trialDeadlines[d]-now)
+	}
+	if left > 0 {
 		return left, false
 	}
 	if q.trialDeadlines == nil {
 		q.trialDeadlines = map[Digest]mgclock.Millis{}
 	}
-	q.trialDeadlines[digest] = now + trialWindow
+	for _, d := range trials {
+		q.trialDeadlines[d] = now + trialWindow
+	}
 	return 0, true
 }
 
+// rankOf returns this process's rank for trials of a request or part.
+func (q *Quarantine) rankOf(digest Digest) int {
+	if q.trialRank == nil {
+		return 0
+	}
+	return q.trialRank(digest)
+}
+
+// trialDelay returns how long after a hold a process with a rank may admit trials: at first one
+// process does, and with each trialWindow twice as many, so that few trials run at a time and one
+// takes place soon wherever requests come.
+func trialDelay(rank int) mgclock.Millis { return mgclock.Millis(bits.Len(uint(rank))) * trialWindow }
+
 // retryOccurrenceLimit is the number of occurrences from which a request is no longer retried
 // on another upstream after a crash. It then runs again only when its caller sends it
 // again.
 const retryOccurrenceLimit = 2
 
-// Retryable reports whether a request whose upstream has just crashed may be retried on
-// another one.
-func (q *Quarantine) Retryable(digest Digest) bool {
-	return q.Occurrences(digest) < retryOccurrenceLimit
+// Retryable reports whether a request with these parts whose upstream has just crashed may be
+// retried on another one.
+func (q *Quarantine) Retryable(digest Digest, parts ...Digest) bool {
+	for _, d := range append([]Digest{digest}, parts...) {
+		if q.Occurrences(d) >= retryOccurrenceLimit {
+			return false
+		}
+	}
+	return true
 }
 
-// Occurrences returns the number of occurrences that a request is suspected of, without
-// those that another request explains.
+// Occurrences returns the number of occurrences that a request, or a part of prompts, is suspected
+// of, without those that something else explains.
 func (q *Quarantine) Occurrences(digest Digest) int {
 	current := q.state.Load()
 	if current == nil {
@@ -181,11 +278,15 @@
 	return current.suspicions[digest].occurrences
 }
 
-// addOwn adds a record of this process's own.
-func (q *Quarantine) addOwn(now mgclock.Millis, digest Digest, record Record) {
+// addOwn adds a record of this process's own. It leaves out parts that were answered here of late.
+func (q *Quarantine) addOwn(now mgclock.Millis, digest Digest, parts []Digest, record Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part Digest) bool { return q.isPartAnswered(part, now) })
 	record.Digest = digest.String()
+	for _, part := range parts {
+		record.Parts = append(record.Parts, part.String())
+	}
 	record.Seen = now
 	if record.Upstream != "" && q.pausedSince(record.Sent) {
 		record.Delay = max(record.Delay, record.Seen-record.Sent)
@@ -193,6 +294,7 @@
 	own := storedRecord{
 		record:    record,
 		digest:    digest,
+		parts:     parts,
 		seenBound: now,
 		learnedAt: now,
 	}
@@ -218,6 +320,9 @@
 // reevaluate updates the state and notifies those that wait for a change.
 func (q *Quarantine) reevaluate(now mgclock.Millis) {
 	q.updateState(now)
+	if q.answerSuspects(now) {
+		q.updateState(now)
+	}
 	if q.changed != nil {
 		close(q.changed)
 		q.changed = nil
@@ -234,6 +339,9 @@
 		retainUntil := s.seenBound + evidenceTTL
 		if s.isCrash() {
 			retainUntil = max(retainUntil, next.suspicions[s.digest].retainUntil)
+			for _, part := range s.parts {
+				retainUntil = max(retainUntil, next.suspicions[part].retainUntil)
+			}
 		}
 		if now >= retainUntil {
 			delete(q.records, id)
@@ -255,7 +363,7 @@
 	q.state.Store(next)
 }
 
-// evidence returns the crash records that no answer has voided, merged to one for each
+// evidence returns the crash records with causes that no answer has cleared, merged to one for each
 // attempt and sorted by time.
 func (q *Quarantine) evidence() []storedRecord {
 	answers := map[Digest][]storedRecord{}
@@ -266,7 +374,7 @@
 	}
 	attempts := map[recordID]storedRecord{}
 	for _, s := range q.records {
-		if !s.isCrash() || slices.ContainsFunc(answers[s.digest], s.isVoidedBy) {
+		if !s.isCrash() {
 			continue
 		}
 		if merged, known := attempts[s.firstID()]; known {
@@ -280,12 +388,29 @@
 	}
 	records := make([]storedRecord, 0, len(attempts))
 	for _, s := range attempts {
-		records = append(records, s)
+		if s.suspects = s.unansweredCauses(answers); len(s.suspects) > 0 {
+			records = append(records, s)
+		}
 	}
 	sortByTime(records)
 	return records
 }
 
+// unansweredCauses returns the request of a crash record and its parts, without those that answers
+// clear.
+func (s storedRecord) unansweredCauses(answers map[Digest][]storedRecord) []Digest {
+	var causes []Digest
+	if !slices.ContainsFunc(answers[s.digest], s.isVoidedBy) {
+		causes = append(causes, s.digest)
+	}
+	for _, part := range s.parts {
+		if !slices.ContainsFunc(answers[part], s.isPartVoidedBy) {
+			causes = append(causes, part)
+		}
+	}
+	return causes
+}
+
 // evictExcess drops the oldest records beyond maxRecords, those of requests that aren't
 // held first.
 func (q *Quarantine) evictExcess(next *state) {
@@ -297,7 +422,9 @@
 		ids = append(ids, id)
 	}
 	rank := func(id recordID) int {
-		if s := q.records[id]; s.isCrash() && next.suspicions[s.digest].isQuarantined {
+		s := q.records[id]
+		isHeld := func(digest Digest) bool { return next.suspicions[digest].isQuarantined }
+		if s.isCrash() && (isHeld(s.digest) || slices.ContainsFunc(s.parts, isHeld)) {
 			return 1
 		}
 		return 0
--- a/internal/request/mgquarantine/quarantine_test.go
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -487,7 +487,7 @@
 // request that was the cause must not be tried by all processes at once.
 func TestTrialIsMissingOrRepeated(t *testing.T) {
 	Convey("Once the hold of a request is over", t, func() {
-		mine, other := mgquarantine.New("mine", nil), mgquarantine.New("other", func(mgquarantine.Digest) bool { return false })
+		mine, other := mgquarantine.New("mine", nil), mgquarantine.New("other", func(mgquarantine.Digest) int { return 1 })
 		record(mine, crashesFrom(0, "x", "a", "b", "c"))
 		other.Merge(2*sec, mine.MissingRecords(2*sec, nil))
 		left, ok := mine.Admit(31*sec, digestOf("x"))
--- a/internal/request/mgquarantine/record.go
+++ b/internal/request/mgquarantine/record.go
@@ -12,9 +12,12 @@
 // A Record describes the end of one attempt of a request, as the process that sent it saw
 // it and as processes exchange it: a crash of the upstream, or an answer.
 type Record struct {
-	Origin   string         `json:"origin"` // the incarnation of the process that made the record
-	Number   uint64         `json:"number"` // counts the origin's records from 1
-	Digest   string         `json:"digest"`
+	Origin string `json:"origin"` // the incarnation of the process that made the record
+	Number uint64 `json:"number"` // counts the origin's records from 1
+	Digest string `json:"digest"`
+	// Parts are the digests of the parts of the request's prompt, in the order of the prompt, that
+	// other requests may share and that the origin has seen no upstream answer of late.
+	Parts    []string       `json:"parts,omitempty"`
 	Request  string         `json:"request,omitempty"`  // id of the attempt's request
 	Upstream string         `json:"upstream,omitempty"` // the upstream that crashed; empty if the request was answered
 	Begun    bool           `json:"begun,omitempty"`    // the upstream had begun the request
@@ -80,6 +83,8 @@
 type storedRecord struct {
 	record    Record // its age is as received
 	digest    Digest
+	parts     []Digest
+	suspects  []Digest       // the request and its parts, without those that an answer has cleared; see evidence
 	seenBound mgclock.Millis // upper bound of when it was seen, by this process's clock
 	learnedAt mgclock.Millis // when this process learned of the record, or last improved its bound
 }
@@ -114,6 +119,25 @@
 	}
 }
 
+// involves reports whether the record is of a request with a digest, or with this part.
+func (s storedRecord) involves(digest Digest) bool {
+	return s.digest == digest || slices.Contains(s.parts, digest)
+}
+
+// breadthOf returns how broad an explanation of the crash a digest is: 0 for the request, for a part
+// its distance from the end of the prompt.
+func (s storedRecord) breadthOf(digest Digest) int {
+	if digest == s.digest {
+		return 0
+	}
+	return len(s.parts) - slices.Index(s.parts, digest)
+}
+
+// sharesCause reports whether two records are of the same request, or have a part in common.
+func (s storedRecord) sharesCause(other storedRecord) bool {
+	return s.digest == other.digest || slices.ContainsFunc(s.parts, func(part Digest) bool { return slices.Contains(other.parts, part) })
+}
+
 // isCrash reports whether the record is of a crash, not of an answer.
 func (s storedRecord) isCrash() bool { return s.record.Upstream != "" }
 
@@ -150,6 +174,16 @@
 	return s.seenBound <= answer.seenBound
 }
 
+// partAnswerWindow is how long after an answer a part of its prompt is not suspected. A part that
+// crashes engines does so each time, but its requests are answered before it is first used.
+const partAnswerWindow = 2 * mgclock.Second
+
+// isPartVoidedBy reports whether an answer to a request with a part voids the crash as evidence
+// against the part.
+func (s storedRecord) isPartVoidedBy(answer storedRecord) bool {
+	return s.seenBound < answer.seenBound+partAnswerWindow
+}
+
 // provesLaterThan reports whether this process's own record s is provably of a later
 // occurrence than another process's record. The time of the other record is an upper bound,
 // since its network delay isn't known.
