mgentry: prompts of the own interface that begin alike and crash engines are held

The parts are the prompt's first 16 blocks, each hashed with all before it, as for the prefix cache, so that a beginning is held and a passage in the middle of unlike prompts is not. TestCrashingPrompt has a case that reached two engines for each prompt before.

--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -1,6 +1,8 @@
 package mgentry
 
 import (
+	"strconv"
+
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -11,12 +13,25 @@
 	return mgquarantine.DigestOf(j.account.Name(), j.service.Name(), j.model, []byte(j.prompt))
 }
 
+// maxParts bounds the blocks of a prompt that are considered as its parts, from the first one on.
+const maxParts = 16
+
+// parts returns the digests of the beginnings of the prompt that other requests may share: of its
+// first blocks, each with all before it.
+func (j *job) parts() []mgquarantine.Digest {
+	var parts []mgquarantine.Digest
+	for _, block := range j.prefixHashes[:min(len(j.prefixHashes), maxParts)] {
+		parts = append(parts, mgquarantine.PartDigestOf(j.service.Name(), j.model, strconv.FormatUint(block, 16)))
+	}
+	return parts
+}
+
 // checkQuarantine returns the refusal of a quarantined request, or nil.
 func (e *Entry) checkQuarantine(j *job) *mgproblem.Problem {
 	if !e.spec.Quarantine.HasSuspects() {
 		return nil
 	}
-	remaining, ok := e.spec.Quarantine.Admit(e.spec.Clock.Now(), j.digest())
+	remaining, ok := e.spec.Quarantine.Admit(e.spec.Clock.Now(), j.digest(), j.parts()...)
 	if ok {
 		return nil
 	}
@@ -31,6 +46,7 @@
 	now := r.entry.spec.Clock.Now()
 	r.entry.spec.Quarantine.RecordCrash(now, mgquarantine.Crash{
 		Digest:     digest,
+		Parts:      r.job.parts(),
 		Request:    r.attempt.id,
 		Upstream:   r.attempt.agent.Upstream(),
 		Begun:      true,
@@ -50,11 +66,11 @@
 	if !r.entry.spec.Quarantine.HasSuspects() {
 		return nil
 	}
-	if remaining, held := r.entry.spec.Quarantine.Held(r.entry.spec.Clock.Now(), r.job.digest()); held {
+	if remaining, held := r.entry.spec.Quarantine.Held(r.entry.spec.Clock.Now(), r.job.digest(), r.job.parts()...); held {
 		r.entry.spec.Metrics.Counter("held").Inc(1)
 		return mgquarantine.Problem(remaining, r.mayHaveRun)
 	}
-	if r.engineCrashed && !r.entry.spec.Quarantine.Retryable(r.job.digest()) {
+	if r.engineCrashed && !r.entry.spec.Quarantine.Retryable(r.job.digest(), r.job.parts()...) {
 		return interruptedProblem()
 	}
 	return nil
@@ -62,7 +78,13 @@
 
 // recordSuccess records that an engine answered the request.
 func (r *answerReader) recordSuccess() {
-	if r.job != nil && r.entry.spec.Quarantine.HasSuspects() {
-		r.entry.spec.Quarantine.RecordAnswer(r.entry.spec.Clock.Now(), r.job.digest())
+	if r.job == nil {
+		return
+	}
+	now := r.entry.spec.Clock.Now()
+	if r.entry.spec.Quarantine.HasSuspects() {
+		r.entry.spec.Quarantine.RecordAnswer(now, r.job.digest(), r.job.parts()...)
+		return
 	}
+	r.entry.spec.Quarantine.RecordPartAnswers(now, r.job.parts()...)
 }
--- a/internal/process/mgentry/crash_test.go
+++ b/internal/process/mgentry/crash_test.go
@@ -1,6 +1,7 @@
 package mgentry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -78,6 +79,23 @@
 			ask(entry, "len=6")
 			So(reads.Load(), ShouldEqual, 5)
 		})
+		Convey("is held with others that begin as it does", func() {
+			entry := httptest.NewServer(newEntry(hostTransport{
+				"agent-1": agent("agent-1", crashed()),
+				"agent-2": agent("agent-2", crashed()),
+			}).Handler())
+			defer entry.Close()
+			beginning := strings.Repeat("The level of tank 7 is not plausible. ", 12)
+			for i := range 5 {
+				ask(entry, beginning+fmt.Sprint("len=", 5+i))
+			}
+			So(reads.Load(), ShouldEqual, 3)
+			status, body := ask(entry, beginning+"len=20")
+			So(status, ShouldEqual, http.StatusServiceUnavailable)
+			So(body, ShouldContainSubstring, `"notrun"`)
+			ask(entry, "len=6")
+			So(reads.Load(), ShouldEqual, 5)
+		})
 		Convey("is not held once an engine has answered it", func() {
 			entry := httptest.NewServer(newEntry(hostTransport{
 				"agent-1": agent("agent-1", crashed()),
