mgrelay: an upstream that has restarted at its address isn't taken for one that lives

Trace of the schedule: the entry was paused while its upstream was killed and started again; when it woke, the address accepted connections. The check now also asks whether the upstream is still the incarnation that the answer began at (isIncarnation, as for streams that continue): the list was confirmed since, or the upstream states it. If the list shows another one, the answer is broken.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -62,7 +62,7 @@
 	x.attempts++
 	if y.isRefusal(response) {
 		y.recordMisdirected(host, response)
-		return y.keepRefusal(x, host, response)
+		return y.keepRefusal(ctx, x, host, response)
 	}
 	x.mayHaveRun = true
 	if problem := y.checkAnswer(x, response); problem != nil {
@@ -84,7 +84,7 @@
 		return failed
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
-		x.failure = y.bufferAnswer(x, host, response, mgproblem.Unknown)
+		x.failure = y.bufferAnswer(ctx, x, host, response, mgproblem.Unknown)
 		y.recordQuarantineAnswer(x)
 		return failed
 	}
@@ -212,8 +212,8 @@
 }
 
 // keepRefusal keeps the answer of a refusing upstream for the caller.
-func (y *Relay) keepRefusal(x *exchange, host Host, response *http.Response) attemptOutcome {
-	x.refusal = y.bufferAnswer(x, host, response, mgproblem.NotRun)
+func (y *Relay) keepRefusal(ctx context.Context, x *exchange, host Host, response *http.Response) attemptOutcome {
+	x.refusal = y.bufferAnswer(ctx, x, host, response, mgproblem.NotRun)
 	y.spec.Metrics.Counter("relay.refused").Inc(1)
 	return refused
 }
@@ -224,12 +224,12 @@
 
 // bufferAnswer reads the answer of a failed or refusing upstream. If it breaks off or has over
 // maxBufferedAnswer bytes, bufferAnswer sets the problem with the outcome and returns nil.
-func (y *Relay) bufferAnswer(x *exchange, host Host, response *http.Response, outcome mgproblem.Outcome) *answer {
+func (y *Relay) bufferAnswer(ctx context.Context, x *exchange, host Host, response *http.Response, outcome mgproblem.Outcome) *answer {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
 	if err == nil && len(body) > maxBufferedAnswer {
 		err = errLongAnswer
 	}
-	if err = y.endWhole(x, host, response, err); err != nil {
+	if err = y.endWhole(ctx, x, host, response, err); err != nil {
 		x.problem = mgproblem.New(mgproblem.Interrupted, outcome, "the upstream's answer is not whole",
 			"send the request again if it may run twice").WithCause(err)
 		return nil
@@ -268,7 +268,7 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
 	hasMore := err == nil && len(body) == maxBufferedAnswer
 	if !hasMore {
-		if cause := y.endWhole(x, host, response, err); cause != nil {
+		if cause := y.endWhole(ctx, x, host, response, err); cause != nil {
 			x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 				"the answer broke off", "send the request again if it may run twice").WithCause(cause)
 			if ctx.Err() == nil {
@@ -295,7 +295,7 @@
 	_, err = w.Write(body)
 	if err == nil && hasMore {
 		if _, err = io.Copy(w, response.Body); err == nil {
-			err = y.endWhole(x, host, response, nil)
+			err = y.endWhole(ctx, x, host, response, nil)
 		}
 	}
 	if err != nil {
@@ -309,12 +309,12 @@
 // endWhole returns why an answer that isn't a stream, and whose body has ended, is not whole, or
 // nil. An answer of which that is unknown is passed on with the upstream's framing, which claims
 // nothing.
-func (y *Relay) endWhole(x *exchange, host Host, response *http.Response, err error) error {
+func (y *Relay) endWhole(ctx context.Context, x *exchange, host Host, response *http.Response, err error) error {
 	end := answerEnd{
 		withConn: mgdial.EndsWithConnection(response),
 		err:      err,
 	}
-	result, cause := y.endingOf(host, end)
+	result, cause := y.endingOf(ctx, host, end)
 	y.recordEnd(x, end, result)
 	if result == endsBroken {
 		return cause
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -1,6 +1,7 @@
 package mgrelay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -35,7 +36,7 @@
 // endingOf decides whether an answer is whole, for every path on which one is delivered. The
 // cause is nil if it is. An answer that ends with its connection is broken if its upstream has
 // ended since: a process that ends closes its connections as if their answers were complete.
-func (y *Relay) endingOf(host Host, end answerEnd) (result ending, cause error) {
+func (y *Relay) endingOf(ctx context.Context, host Host, end answerEnd) (result ending, cause error) {
 	switch {
 	case end.err != nil && !errors.Is(end.err, io.EOF):
 		return endsBroken, end.err
@@ -46,12 +47,15 @@
 	case end.stream != nil && end.stream.events == 0:
 		return endsBroken, errNoEvent
 	}
+	now := y.spec.Clock.Now()
 	ended, err := y.hasEndedSoon(host)
+	// What accepts connections at the address may have been started since.
+	isSame := err == nil && !ended && y.isIncarnation(ctx, host, now)
 	switch {
-	case err != nil:
-		return endsUnknown, errUnknownEnd
-	case ended:
+	case ended || !y.isListed(host.Name, host.IncarnationStart):
 		return endsBroken, errUpstreamDown
+	case !isSame:
+		return endsUnknown, errUnknownEnd
 	default:
 		return endsWhole, nil
 	}
--- a/internal/process/mgrelay/ending_test.go
+++ b/internal/process/mgrelay/ending_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // bodyFraming is how an upstream marks the end of a body.
@@ -347,6 +349,7 @@
 		first     upstreamHandler // that begins the stream
 		refuses   func(context.Context, string) (bool, error)
 		leaving   bool
+		restarted bool // the list states a new incarnation soon after
 		cut       bool
 		hasLength bool
 	}{
@@ -367,6 +370,13 @@
 			refuses: connectionsRefused,
 			cut:     true,
 		},
+		{
+			name:      "whose upstream has restarted at its address is cut",
+			first:     unframed,
+			refuses:   connectionsAccepted,
+			restarted: true,
+			cut:       true,
+		},
 		{
 			name:    "whose upstream left and refuses connections is cut",
 			first:   unframed,
@@ -398,7 +408,21 @@
 				g.startRelay(func(spec *mgrelay.Spec) {
 					spec.RefusesConnections = c.refuses
 					spec.IsLeaving = func(string) bool { return c.leaving }
+					var confirmations atomic.Int64
+					spec.ListConfirmedAt = func() mgclock.Millis {
+						confirmations.Add(1)
+						return spec.Clock.Now() + 1
+					}
+					spec.IncarnationStart = func(string) (int64, bool) {
+						if c.restarted && confirmations.Load() > 0 {
+							return 2, true
+						}
+						return 1, true
+					}
 				})
+				for i := range g.hosts {
+					g.hosts[i].IncarnationStart = 1
+				}
 				got := g.send(context.Background(), http.MethodPost, path, "x", nil)
 				So(got.cut, ShouldEqual, c.cut)
 				So(got.status, ShouldEqual, http.StatusOK)
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -20,7 +20,7 @@
 	}
 	data, events, err := reader.next()
 	if err != nil {
-		if result, cause := y.endStream(x, host, response, reader, err); result == endsBroken {
+		if result, cause := y.endStream(ctx, x, host, response, reader, err); result == endsBroken {
 			return y.streamInterrupted(ctx, x, gen, cause)
 		}
 	}
@@ -33,7 +33,7 @@
 		if data, events, err = reader.next(); err == nil {
 			continue
 		}
-		result, cause := y.endStream(x, host, response, reader, err)
+		result, cause := y.endStream(ctx, x, host, response, reader, err)
 		if result == endsBroken || result == endsUnknown && !x.endsWithConn {
 			return y.streamInterrupted(ctx, x, gen, cause)
 		}
@@ -55,13 +55,13 @@
 }
 
 // endStream decides whether a stream that has ended is whole.
-func (y *Relay) endStream(x *exchange, host Host, response *http.Response, reader *eventReader, err error) (ending, error) {
+func (y *Relay) endStream(ctx context.Context, x *exchange, host Host, response *http.Response, reader *eventReader, err error) (ending, error) {
 	end := answerEnd{
 		withConn: mgdial.EndsWithConnection(response),
 		err:      err,
 		stream:   reader,
 	}
-	result, cause := y.endingOf(host, end)
+	result, cause := y.endingOf(ctx, host, end)
 	y.recordEnd(x, end, result)
 	return result, cause
 }
