--- a/internal/process/mgnode/exchange_test.go
+++ b/internal/process/mgnode/exchange_test.go
@@ -348,3 +348,66 @@
 		So(busy, ShouldBeLessThan, 30_000)
 	})
 }
+
+// Guards against records of crashes whose parts of prompts take more of the network than control
+// may (15 KB/s a process).
+func TestPartCrashesSaturateLinks(t *testing.T) {
+	// crash ends an engine under requests of several processes, each with four parts, one of them
+	// common to all.
+	crash := func(m *mesh, engine string, requests int) {
+		for i := range requests {
+			var parts []mgquarantine.Digest
+			for _, name := range []string{"shared", "bad", engine + strconv.Itoa(i), "session" + strconv.Itoa(i)} {
+				parts = append(parts, mgquarantine.PartDigestOf("service", "model", name))
+			}
+			m.nodes[(len(engine)*7+i*13)%len(m.nodes)].quarantine.RecordCrash(m.clock.Now(), mgquarantine.Crash{
+				Digest:   mgquarantine.DigestOf("account", "host", "/path", []byte(engine+strconv.Itoa(i))),
+				Parts:    parts,
+				Request:  "request",
+				Upstream: engine,
+				Begun:    i == 0,
+				Sent:     m.clock.Now() - 100,
+			})
+		}
+	}
+	cases := []struct {
+		name    string
+		engines int // that end one after another
+		lost    int // that end at one moment
+	}{
+		{
+			name:    "six engines end under a part",
+			engines: 6,
+		},
+		{
+			name: "a zone of 60 engines is lost",
+			lost: 60,
+		},
+	}
+	Convey("While", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				const processes, seconds, requests = 120, 20, 6
+				var rate float64 // bytes a second of a process
+				m := newMesh(meshSpec{
+					count: processes,
+				})
+				m.run(t, func() {
+					time.Sleep(5 * time.Second)
+					m.bytes.Swap(0)
+					for i := range c.engines {
+						crash(m, "engine-"+strconv.Itoa(i), requests)
+						time.Sleep(300 * time.Millisecond)
+					}
+					for i := range c.lost {
+						crash(m, "lost-"+strconv.Itoa(i), requests)
+					}
+					time.Sleep(seconds * time.Second)
+					rate = float64(m.bytes.Load()) / seconds / processes
+				})
+				t.Logf("%s: %.0f bytes a second of a process over %d s", c.name, rate, seconds)
+				So(rate, ShouldBeLessThan, 15_000)
+			})
+		}
+	})
+}
--- a/internal/soak/mgsoak/doc.go
+++ b/internal/soak/mgsoak/doc.go
@@ -29,7 +29,8 @@
 //   - A planned stop cuts no answer that its process has accepted, if no other fault
 //     is active.
 //   - A cordoned zone gets no new work.
-//   - A prompt that crashes engines is blocked.
+//   - A prompt that crashes engines is blocked, and so are prompts with a part that does,
+//     but not sound ones that share their other parts.
 //   - An answer that its upstream broke off doesn't look whole to its caller, whatever its
 //     framing.
 //   - A stream has events of one software version, also if its caller resumes it at
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -41,6 +41,8 @@
 	failureHasCause        = "nothing fails without a fault"
 	cordonRespected        = "a cordoned zone gets no new work"
 	crashPromptBlocked     = "a prompt that ends engines is held back"
+	crashPartBlocked       = "prompts with a part that ends engines are held back"
+	soundPartsServed       = "sound prompts aren't held for a part that others crash on"
 	oneSoftwareVersion     = "a stream has events of one software version"
 	brokenIsVisible        = "an answer that broke off doesn't look whole"
 	streamsResume          = "streams are resumed nearly as often as they begin"
@@ -81,6 +83,8 @@
 	generations  map[string]mgstandin.Record
 	runs         map[string]int // number of executions of each write, by operation
 	crashes      int            // engine crashes caused by the crash prompt
+	partCrashes  int            // engine crashes caused by prompts with one part
+	parts        partPrompts
 	streams      []*readStream
 }
 
@@ -91,6 +95,7 @@
 		e.generations = map[string]mgstandin.Record{}
 	}
 	e.crashes += counts.Crashes
+	e.partCrashes += counts.PartCrashes
 	for id, record := range counts.Generations {
 		all := e.generations[id]
 		all.Starts += record.Starts
--- a/internal/soak/mgsoak/inject.go
+++ b/internal/soak/mgsoak/inject.go
@@ -53,6 +53,9 @@
 	case CrashPrompt:
 		r.sendPrompt(ctx, f)
 		return nil
+	case CrashPart:
+		r.sendParts(ctx, f)
+		return nil
 	case EditTable, RevokeKey:
 		r.tableMu.Lock()
 		defer r.tableMu.Unlock()
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -197,6 +197,7 @@
 	r.findings = append(r.findings, r.checkFailedAnswers()...)
 	r.findings = append(r.findings, r.checkCordons()...)
 	r.findings = append(r.findings, r.checkPromptCrashes()...)
+	r.findings = append(r.findings, r.checkPartCrashes()...)
 	return nil
 }
 
@@ -275,7 +276,8 @@
 			}
 		}
 	}
-	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d of %d streams whole, %d of %d resumed, %d findings",
+	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d by a part (%d of %d sound ones held), %d of %d streams whole, %d of %d resumed, %d findings",
 		r.seed, len(r.faults), whole, failed, booked, len(r.evidence.tickets), len(r.evidence.observations), r.evidence.crashes,
+		r.evidence.partCrashes, r.evidence.parts.held, r.evidence.parts.sound,
 		wholeStreams, len(r.evidence.streams), resumed, asked, len(r.findings))
 }
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -29,6 +29,7 @@
 	EditTable       Kind = "edit"    // publishes a new table version
 	RevokeKey       Kind = "revoke"  // publishes a table version without the second account's key
 	CordonZone      Kind = "cordon"  // a zone gets no new work for the duration
+	CrashPart       Kind = "part"    // prompts with a part that crashes their engines, unlike otherwise, beside sound ones
 	CrashPrompt     Kind = "prompt"  // a prompt that crashes its engine, sent repeatedly for the duration
 	UpgradeUpstream Kind = "upgrade" // an upstream of streams restarts with another software version
 )
@@ -109,7 +110,8 @@
 	for at := faultFreeStart; ; {
 		at += mgclock.Millis(r.ExpFloat64() * meanFaultInterval)
 		if at >= length-faultFreeEnd {
-			return append(append(faults, drawCordon(seed, length), drawPrompt(seed, length)), drawUpgrades(seed, length)...)
+			prompt := drawPrompt(seed, length)
+			return append(append(faults, drawCordon(seed, length), prompt, drawPart(prompt, length)), drawUpgrades(seed, length)...)
 		}
 		f := Fault{
 			At:       at,
@@ -153,6 +155,21 @@
 	}
 }
 
+// drawPart returns the interval in which prompts with a part that crashes engines are sent: before
+// or after the one of the crash prompt, wherever there is more time. Two causes at one engine would
+// count as one crash.
+func drawPart(prompt Fault, length mgclock.Millis) Fault {
+	begin, end := prompt.At+prompt.Duration+promptReportDelay, length-faultFreeEnd
+	if before := prompt.At - promptReportDelay; before-faultFreeStart > end-begin {
+		begin, end = faultFreeStart, before
+	}
+	return Fault{
+		At:       begin,
+		Kind:     CrashPart,
+		Duration: max(end-begin, 0),
+	}
+}
+
 // abruptUpgrade is the variant of an upgrade in which the upstream doesn't leave first.
 const abruptUpgrade = "abrupt"
 
--- a/internal/standin/mgstandin/generation.go
+++ b/internal/standin/mgstandin/generation.go
@@ -35,6 +35,11 @@
 			e.loseState()
 			return
 		}
+		if strings.Contains(g.spec.Prompt, CrashPartMark) {
+			e.counts.PartCrashes++
+			e.loseState()
+			return
+		}
 		e.counts.Tokens++
 		g.produced = seq
 		g.notifyProgress()
--- a/internal/standin/mgstandin/text.go
+++ b/internal/standin/mgstandin/text.go
@@ -20,6 +20,9 @@
 // loses all its generations and restarts at once.
 const CrashMark = "crash=1"
 
+// CrashPartMark does the same. It stands in a part of prompts that are unlike otherwise.
+const CrashPartMark = "crash=2"
+
 // outputLengths is the distribution of output lengths for prompts that don't specify
 // one: a median of 90 tokens, and one in a hundred over 1,200.
 var outputLengths = distuv.LogNormal{
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -34,11 +34,12 @@
 	Generations map[string]Record `json:"generations"` // by id
 	Tokens      int               `json:"tokens"`
 	Preempted   int               `json:"preempted"`
-	Resumed     int               `json:"resumed"` // generations resumed from a copy
-	Orders      int               `json:"orders"`  // orders carried out
-	Older       int               `json:"older"`   // carried out orders with an outdated fencing number
-	Refused     int               `json:"refused"` // orders refused
-	Crashes     int               `json:"crashes"` // caused by prompts with CrashMark
+	Resumed     int               `json:"resumed"`     // generations resumed from a copy
+	Orders      int               `json:"orders"`      // orders carried out
+	Older       int               `json:"older"`       // carried out orders with an outdated fencing number
+	Refused     int               `json:"refused"`     // orders refused
+	Crashes     int               `json:"crashes"`     // caused by prompts with CrashMark
+	PartCrashes int               `json:"partcrashes"` // caused by prompts with CrashPartMark
 }
 
 // Record is the record of a generation, which the engine keeps after its end.
