mgorigin: a stream's record is kept for its caller's time

Cause, by the trace of the entry's list: the entry had written the rest into the kernel's buffer, counted the stream as complete and dropped its record 5 s later; the caller's connection had gone silent, and the caller noticed after 20 s. What an entry has written says nothing about what its caller has.

Change: the end of a stream no longer shortens the life of its record, which is the caller's time plus a second. The message between processes has no list of ended streams any more; an older process's is ignored.

--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -45,9 +45,6 @@
 		}
 	}
 	x.endBody()
-	if x.isRecorded {
-		y.spec.Origins.End(x.originKey)
-	}
 	y.recordQuarantineAnswer(x)
 	y.recordTokenTime(gen)
 	y.countAnswer(x, response.StatusCode)
--- a/internal/request/mgorigin/record.go
+++ b/internal/request/mgorigin/record.go
@@ -82,7 +82,6 @@
 // Message is what processes send one another about streams.
 type Message struct {
 	Records []Record `json:"records,omitempty"` // to keep, each in place of an earlier one
-	Ended   []Key    `json:"ended,omitempty"`   // of streams that are complete
 	Find    []Key    `json:"find,omitempty"`    // of records that the sender asks for
 }
 
--- a/internal/request/mgorigin/records.go
+++ b/internal/request/mgorigin/records.go
@@ -13,9 +13,6 @@
 	maxRecordLife = 60 * mgclock.Minute
 	// maxNameLength limits each name and the version in a record, in bytes.
 	maxNameLength = 256
-	// endedLife is how long the record of a complete stream is kept: the caller may not have
-	// received its end.
-	endedLife = 5 * mgclock.Second
 	// sweepInterval is the interval at which expired records are dropped.
 	sweepInterval = mgclock.Second
 )
@@ -75,16 +72,6 @@
 	return record, true
 }
 
-// End shortens the life of the record of a stream that is complete.
-func (s *Records) End(now mgclock.Millis, key Key) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if found, ok := s.byKey[key]; ok {
-		found.expiresAt = min(found.expiresAt, now+endedLife)
-		s.byKey[key] = found
-	}
-}
-
 // Len returns the number of records, including some that have just expired.
 func (s *Records) Len() int {
 	s.mu.Lock()
--- a/internal/request/mgorigin/replica.go
+++ b/internal/request/mgorigin/replica.go
@@ -12,7 +12,6 @@
 	name       string
 	stop       context.CancelFunc
 	pending    map[Key]bool // keys of own records to send
-	ended      []Key        // of complete streams, to send
 	failing    bool         // the last message wasn't answered
 	wake       chan struct{}
 	urgent     chan struct{}
@@ -150,8 +149,6 @@
 			outdated: known.copies[r.name].outdated,
 		}
 	}
-	b.message.Ended = r.ended
-	r.ended = nil
 	return b, true
 }
 
--- a/internal/request/mgorigin/replicator.go
+++ b/internal/request/mgorigin/replicator.go
@@ -199,27 +199,6 @@
 	return acked, outdated
 }
 
-// End records that a stream is complete. Its record is kept for a short time, since the caller
-// may not have received the end.
-func (p *Replicator) End(key Key) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	known := p.own[key]
-	if known == nil {
-		return
-	}
-	now := p.spec.Clock.Now()
-	p.records.End(now, key)
-	known.expiresAt = min(known.expiresAt, now+endedLife)
-	for name, r := range p.replicas {
-		if _, sent := known.copies[name]; sent {
-			r.ended = append(r.ended, key) // goes with the next message
-		} else {
-			delete(r.pending, key)
-		}
-	}
-}
-
 // Handle answers a message of another process.
 func (p *Replicator) Handle(incarnation string, message Message) Reply {
 	now := p.spec.Clock.Now()
@@ -228,9 +207,6 @@
 			p.spec.Count("rejected")
 		}
 	}
-	for _, key := range message.Ended {
-		p.records.End(now, key)
-	}
 	reply := Reply{
 		Incarnation: incarnation,
 	}
