--- a/internal/request/mgquarantine/bench_test.go
+++ b/internal/request/mgquarantine/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strconv"
 	"testing"
 
@@ -42,3 +43,54 @@
 		})
 	}
 }
+
+// BenchmarkParts measures what each request with parts costs while nothing is suspected, and while
+// as many records are kept as may be.
+func BenchmarkParts(b *testing.B) {
+	parts := partsNamed("shared", "document", "session", "history")
+	digest := digestOf("request")
+	for _, count := range []int{0, 1000} {
+		q := mgquarantine.New("life", nil)
+		for i := range count {
+			partCrash(q, mgclock.Millis(i), fmt.Sprint(i), fmt.Sprint("part-", i%40), fmt.Sprint("another-", i))
+		}
+		b.Run(fmt.Sprintf("records=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Admit(1000, digest, parts...)
+				q.RecordAnswer(1000, digest, parts...)
+			}
+		})
+	}
+	b.Run("digests", func(b *testing.B) {
+		for b.Loop() {
+			partsNamed("shared", "document", "session", "history")
+		}
+	})
+}
+
+// BenchmarkRecordMemory measures the memory of records with four parts, and of answered parts.
+func BenchmarkRecordMemory(b *testing.B) {
+	const count = 1000
+	for range b.N {
+		before := heapBytes()
+		q := mgquarantine.New("life", nil)
+		for i := range count {
+			partCrash(q, mgclock.Millis(i), fmt.Sprint(i), "shared", fmt.Sprint("a-", i), fmt.Sprint("b-", i), fmt.Sprint("c-", i))
+		}
+		records := heapBytes()
+		for i := range count {
+			q.RecordPartAnswers(0, mgquarantine.PartDigestOf("service", "model", fmt.Sprint("answered-", i)))
+		}
+		b.ReportMetric(float64(records-before)/count, "B/record")
+		b.ReportMetric(float64(heapBytes()-records)/count, "B/answered")
+		runtime.KeepAlive(q)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
