--- a/internal/soak/mgsoak/cordon_test.go
+++ b/internal/soak/mgsoak/cordon_test.go
@@ -155,3 +155,67 @@
 		})
 	}
 }
+
+// Guards against a check of prompts with a part that crashes engines that finds nothing, or too much.
+func TestPartCrashesMissedOrFalselyReported(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes int
+		entries int // faults that hit entries
+		held    int // of 20 sound prompts
+		found   int
+	}{
+		{
+			name:    "eight engines ended",
+			crashes: 8,
+		},
+		{
+			name:    "nine ended and no entry failed",
+			crashes: 9,
+			found:   1,
+		},
+		{
+			name:    "nine ended and an entry was killed",
+			crashes: 9,
+			entries: 1,
+		},
+		{
+			name:  "one sound prompt was held",
+			held:  1,
+			found: 0,
+		},
+		{
+			name:  "two sound prompts were held",
+			held:  2,
+			found: 1,
+		},
+	} {
+		Convey(c.name, t, func() {
+			r := &run{
+				faultIntervals: []faultInterval{{
+					fault: Fault{
+						Kind: CrashPart,
+					},
+					start: 4_000,
+					end:   8_000,
+				}},
+			}
+			r.evidence.partCrashes = c.crashes
+			r.evidence.parts = partPrompts{
+				sound: 20,
+				held:  c.held,
+			}
+			for range c.entries {
+				r.faultIntervals = append(r.faultIntervals, faultInterval{
+					fault: Fault{
+						Kind:   KillProcess,
+						Target: "entry-1",
+					},
+					start: 2_000,
+					end:   2_100,
+				})
+			}
+			So(len(r.checkPartCrashes()), ShouldEqual, c.found)
+		})
+	}
+}
--- a/internal/soak/mgsoak/doc.go
+++ b/internal/soak/mgsoak/doc.go
@@ -33,6 +33,7 @@
 //     but not sound ones that share their other parts.
 //   - An answer that its upstream broke off doesn't look whole to its caller, whatever its
 //     framing.
+//   - While most new connections go to one entry, they are served nearly as often as others.
 //   - A stream has events of one software version, also if its caller resumes it at
 //     another entry and upstreams are upgraded meanwhile. A stream that is taken up
 //     again goes on nearly as often as a new one begins, unless all entries that had its
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -43,6 +43,7 @@
 	crashPromptBlocked     = "a prompt that ends engines is held back"
 	crashPartBlocked       = "prompts with a part that ends engines are held back"
 	soundPartsServed       = "sound prompts aren't held for a part that others crash on"
+	funnelServed           = "most new connections at one entry are served as often as before"
 	oneSoftwareVersion     = "a stream has events of one software version"
 	brokenIsVisible        = "an answer that broke off doesn't look whole"
 	streamsResume          = "streams are resumed nearly as often as they begin"
--- a/internal/soak/mgsoak/evidence_test.go
+++ b/internal/soak/mgsoak/evidence_test.go
@@ -164,6 +164,6 @@
 				seen[f.Kind] = true
 			}
 		}
-		So(len(seen), ShouldEqual, len(faultWeights)+3) // the cordon, the prompt and the upgrades are drawn separately
+		So(len(seen), ShouldEqual, len(faultWeights)+5) // the cordon, the prompt, the part, the upgrades and the funnel are drawn separately
 	})
 }
--- a/internal/soak/mgsoak/inject.go
+++ b/internal/soak/mgsoak/inject.go
@@ -53,6 +53,11 @@
 	case CrashPrompt:
 		r.sendPrompt(ctx, f)
 		return nil
+	case FunnelReaders:
+		r.funnel.Store(int32(1 + slices.Index(r.deployment.names.entries, f.Variant)))
+		r.sleep(ctx, f.Duration)
+		r.funnel.Store(0)
+		return nil
 	case CrashPart:
 		r.sendParts(ctx, f)
 		return nil
@@ -262,5 +267,5 @@
 
 // mustBeTolerated reports whether the fault alone must not make an answer fail.
 func (f Fault) mustBeTolerated() bool {
-	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || slices.Contains([]Kind{EditTable, RevokeKey, CordonZone, UpgradeUpstream}, f.Kind)
+	return f.Kind == StopProcess && strings.HasPrefix(f.Target, "entry-") || slices.Contains([]Kind{EditTable, RevokeKey, CordonZone, UpgradeUpstream, FunnelReaders}, f.Kind)
 }
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgstandin"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -30,6 +31,8 @@
 	started    mgclock.Millis
 	deployment *deployment
 
+	funnel atomic.Int32 // number of the entry that most new connections go to, from 1; 0 for none
+
 	tableMu    sync.Mutex
 	platformMu sync.Mutex
 	engineMus  map[string]*sync.Mutex
@@ -198,6 +201,7 @@
 	r.findings = append(r.findings, r.checkCordons()...)
 	r.findings = append(r.findings, r.checkPromptCrashes()...)
 	r.findings = append(r.findings, r.checkPartCrashes()...)
+	r.findings = append(r.findings, r.checkFunnel()...)
 	return nil
 }
 
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -30,6 +30,7 @@
 	RevokeKey       Kind = "revoke"  // publishes a table version without the second account's key
 	CordonZone      Kind = "cordon"  // a zone gets no new work for the duration
 	CrashPart       Kind = "part"    // prompts with a part that crashes their engines, unlike otherwise, beside sound ones
+	FunnelReaders   Kind = "funnel"  // the balancer hands most new connections of readers to one entry
 	CrashPrompt     Kind = "prompt"  // a prompt that crashes its engine, sent repeatedly for the duration
 	UpgradeUpstream Kind = "upgrade" // an upstream of streams restarts with another software version
 )
@@ -111,7 +112,7 @@
 		at += mgclock.Millis(r.ExpFloat64() * meanFaultInterval)
 		if at >= length-faultFreeEnd {
 			prompt := drawPrompt(seed, length)
-			return append(append(faults, drawCordon(seed, length), prompt, drawPart(prompt, length)), drawUpgrades(seed, length)...)
+			return append(append(faults, drawCordon(seed, length), prompt, drawPart(prompt, length), drawFunnel(seed, length, size)), drawUpgrades(seed, length)...)
 		}
 		f := Fault{
 			At:       at,
@@ -170,6 +171,20 @@
 	}
 }
 
+// drawFunnel returns the interval in which most new connections of readers go to one entry. Like
+// drawCordon it has its own random generator.
+func drawFunnel(seed uint64, length mgclock.Millis, size Size) Fault {
+	r := rand.New(rand.NewPCG(seed, 0x66756e6e))
+	available := length - faultFreeStart - faultFreeEnd
+	duration := available / 3
+	return Fault{
+		At:       faultFreeStart + mgclock.Millis(r.Int64N(max(int64(available-duration), 1))),
+		Kind:     FunnelReaders,
+		Variant:  fmt.Sprintf("entry-%d", 1+r.IntN(max(size.Entries, 1))), // no target: nothing is wrong with it
+		Duration: duration,
+	}
+}
+
 // abruptUpgrade is the variant of an upgrade in which the upstream doesn't leave first.
 const abruptUpgrade = "abrupt"
 
--- a/internal/soak/mgsoak/streams.go
+++ b/internal/soak/mgsoak/streams.go
@@ -162,11 +162,13 @@
 // streamRequest is a time at which a caller asked for a stream, or for its rest, until it got
 // events or gave up.
 type streamRequest struct {
-	resumes  bool           // the caller had events
-	answered bool           // by an entry
-	served   bool           // with events
-	began    mgclock.Millis // when the caller first asked for the stream
-	ended    mgclock.Millis // when it got events, or gave up
+	resumes     bool           // the caller had events
+	answered    bool           // by an entry
+	served      bool           // with events
+	servedFirst bool           // by the first try
+	funnelled   bool           // the first try went to the entry that most went to
+	began       mgclock.Millis // when the caller first asked for the stream
+	ended       mgclock.Millis // when it got events, or gave up
 }
 
 // runReader reads streams one after another until ctx ends. It sends each request on a new
@@ -198,9 +200,13 @@
 			if !request.resumes {
 				first = id
 			}
-			answered, served := r.readOnce(s, r.deployment.entries[(entry+tries)%len(r.deployment.entries)], id, first, 1+int(rng.ExpFloat64()*meanDisconnect))
+			at, funnelled := r.entryFor(entry+tries, try, rng)
+			answered, served := r.readOnce(s, r.deployment.entries[at], id, first, 1+int(rng.ExpFloat64()*meanDisconnect))
 			request.answered = request.answered || answered
 			request.served = served
+			if try == 0 {
+				request.funnelled, request.servedFirst = funnelled, served
+			}
 			request.ended = r.now()
 			tries++
 			if !served {
