--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"math/bits"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,11 +17,6 @@
 	maxRecords = 1024
 	// recordTTL is how long a record may be needed.
 	recordTTL = maxPartHold + 2*evidenceTTL
-	// maxAnsweredParts is the number of parts of which the last answer is kept, some 0.3 MB.
-	maxAnsweredParts = 4096
-	// trialWindow is how long after a hold only one process admits the request, and how
-	// long a process waits for the outcome of its trial (an attempt after the hold).
-	trialWindow = 5 * mgclock.Second
 	// broadcastWindow is how long a record is broadcast after it was learned.
 	broadcastWindow = 600 * mgclock.Millis(1)
 	// minBoundImprovement is by how much a record's time bound must fall for the record to
@@ -112,75 +105,6 @@
 	})
 }
 
-// RecordAnswer records that an upstream answered a request, or that it began to and has lived on
-// for long enough. The answer voids evidence against the request and the parts of its prompt.
-func (q *Quarantine) RecordAnswer(now mgclock.Millis, digest Digest, parts ...Digest) {
-	q.RecordPartAnswers(now, parts...)
-	current := q.state.Load()
-	if current == nil {
-		return
-	}
-	for _, d := range append([]Digest{digest}, parts...) {
-		if current.suspicions[d].occurrences > 0 {
-			q.addOwn(now, d, nil, Record{})
-		}
-	}
-}
-
-// RecordPartAnswers is RecordAnswer for a request against which there is no evidence. It is cheap.
-func (q *Quarantine) RecordPartAnswers(now mgclock.Millis, parts ...Digest) {
-	if len(parts) == 0 {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.partAnswers == nil {
-		q.partAnswers = map[Digest]mgclock.Millis{}
-	}
-	if len(q.partAnswers) >= maxAnsweredParts {
-		maps.DeleteFunc(q.partAnswers, func(_ Digest, at mgclock.Millis) bool { return at+partAnswerWindow <= now })
-	}
-	for _, part := range parts {
-		if _, known := q.partAnswers[part]; known || len(q.partAnswers) < maxAnsweredParts {
-			q.partAnswers[part] = now
-		}
-	}
-}
-
-// isPartAnswered reports whether this process has seen an answer to a request with a part that
-// voids a crash at a time.
-func (q *Quarantine) isPartAnswered(part Digest, crashAt mgclock.Millis) bool {
-	at, known := q.partAnswers[part]
-	return known && crashAt < at+partAnswerWindow
-}
-
-// answerSuspects adds records of the answers that this process has seen to requests with parts that
-// others suspect. The process that ranks first does so at once, the others if a part is held
-// nevertheless: many processes have seen answers to a popular part. It reports whether it added any.
-func (q *Quarantine) answerSuspects(now mgclock.Millis) bool {
-	hasNew := false
-	for digest, suspicion := range q.state.Load().suspicions {
-		if !suspicion.isPart || suspicion.occurrences == 0 || !q.isPartAnswered(digest, suspicion.lastCrashAt) {
-			continue
-		}
-		if !suspicion.isQuarantined && q.rankOf(digest) > 0 {
-			continue
-		}
-		at := q.partAnswers[digest]
-		q.putOwn(storedRecord{
-			record: Record{
-				Digest: digest.String(),
-				Seen:   at,
-			},
-			digest:    digest,
-			seenBound: at,
-			learnedAt: now,
-		})
-		hasNew = true
-	}
-	return hasNew
-}
-
 // HasSuspects reports whether there is evidence against any request, so that computing a
 // Digest is worth its cost.
 func (q *Quarantine) HasSuspects() bool {
@@ -201,57 +125,6 @@
 	return left, left > 0
 }
 
-// Admit reports whether a request may be sent to an upstream, and if not, how long it is
-// still held. Once its hold is over one attempt at a time is admitted, by few processes at first
-// (see trialDelay). Its outcome decides: an answer ends the quarantine, a crash begins a
-// longer hold. The same holds for each part of its prompt.
-func (q *Quarantine) Admit(now mgclock.Millis, digest Digest, parts ...Digest) (left mgclock.Millis, ok bool) {
-	current := q.state.Load()
-	if current == nil {
-		return 0, true
-	}
-	var trials []Digest
-	for _, d := range append([]Digest{digest}, parts...) {
-		suspicion := current.suspicions[d]
-		if !suspicion.isQuarantined {
-			continue
-		}
-		left = max(left, suspicion.remaining(now), suspicion.heldUntil+trialDelay(q.rankOf(d))-now)
-		trials = append(trials, d)
-	}
-	if len(trials) == 0 || left > 0 {
-		return left, left == 0
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, d := range trials {
-		left = max(left, q.trialDeadlines[d]-now)
-	}
-	if left > 0 {
-		return left, false
-	}
-	if q.trialDeadlines == nil {
-		q.trialDeadlines = map[Digest]mgclock.Millis{}
-	}
-	for _, d := range trials {
-		q.trialDeadlines[d] = now + trialWindow
-	}
-	return 0, true
-}
-
-// rankOf returns this process's rank for trials of a request or part.
-func (q *Quarantine) rankOf(digest Digest) int {
-	if q.trialRank == nil {
-		return 0
-	}
-	return q.trialRank(digest)
-}
-
-// trialDelay returns how long after a hold a process with a rank may admit trials: at first one
-// process does, and with each trialWindow twice as many, so that few trials run at a time and one
-// takes place soon wherever requests come.
-func trialDelay(rank int) mgclock.Millis { return mgclock.Millis(bits.Len(uint(rank))) * trialWindow }
-
 // retryOccurrenceLimit is the number of occurrences from which a request is no longer retried
 // on another upstream after a crash. It then runs again only when its caller sends it
 // again.
