mgrelay: the process that began an answer without a framing is watched to its end

Neither the address nor the list proves which process runs.

Change: beside an answer that ends with its connection an idle connection is kept to the upstream. The kernel ends it with the process, so that it is open at the answer's end only if that process runs. It replaces the wait for the list's confirmation where it is open.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -163,6 +163,7 @@
 		AcquireSlot:        n.acquireMigrationSlot,
 		ReleaseSlot:        n.releaseMigrationSlot,
 		RefusesConnections: mgdial.RefusesConnections,
+		WatchProcess:       mgdial.WatchProcess,
 		Limits:             &n.limits,
 		Origins:            n.origins,
 		TakePermit:         n.acquirePermit,
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -54,6 +54,9 @@
 		return y.classifyFailure(ctx, x, host, err)
 	}
 	defer response.Body.Close()
+	if x.watch = y.watchUpstream(ctx, host, response); x.watch != nil {
+		defer x.watch.Close()
+	}
 	y.spec.ReportAnswered(host.Name)
 	y.recordLeavingHeader(x, host, response)
 	x.statedVersion = response.Header.Get(y.spec.Headers.Software)
@@ -313,6 +316,7 @@
 	end := answerEnd{
 		withConn: mgdial.EndsWithConnection(response),
 		err:      err,
+		watch:    x.watch,
 	}
 	result, cause := y.endingOf(ctx, host, end)
 	y.recordEnd(x, end, result)
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -8,6 +8,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // ending is what is known of an answer's completeness when its bytes have ended.
@@ -31,6 +32,7 @@
 	withConn bool  // nothing but the connection's end marks it
 	err      error // what ended it; nil or io.EOF for an ordinary end
 	stream   *eventReader
+	watch    *mgdial.ProcessWatch // of the upstream's process; nil without one
 }
 
 // endingOf decides whether an answer is whole, for every path on which one is delivered. The
@@ -47,18 +49,48 @@
 	case end.stream != nil && end.stream.events == 0:
 		return endsBroken, errNoEvent
 	}
+	return y.endingWithConn(ctx, host, end.watch)
+}
+
+// endingWithConn decides whether an answer is whole of which nothing but the connection's end marks
+// the end.
+func (y *Relay) endingWithConn(ctx context.Context, host Host, watch *mgdial.ProcessWatch) (result ending, cause error) {
 	now := y.spec.Clock.Now()
 	ended, err := y.hasEndedSoon(host)
-	// What accepts connections at the address may have been started since.
-	isSame := err == nil && !ended && y.isIncarnation(ctx, host, now)
+	// What accepts connections at the address may have been started since. The ends of the process's
+	// connections arrive within the time of that check.
+	isOpen := watch != nil && watch.IsOpen()
 	switch {
 	case ended || !y.isListed(host.Name, host.IncarnationStart):
 		return endsBroken, errUpstreamDown
-	case !isSame:
+	case isOpen:
+		return endsWhole, nil
+	case watch != nil && host.IncarnationStart != 0:
+		// Upstreams without an incarnation take longer to start again than the check.
+		return endsBroken, errUpstreamDown
+	case err != nil:
 		return endsUnknown, errUnknownEnd
-	default:
+	case y.isIncarnation(ctx, host, now):
 		return endsWhole, nil
+	case y.isListed(host.Name, host.IncarnationStart):
+		return endsUnknown, errUnknownEnd
+	default:
+		return endsBroken, errUpstreamDown
+	}
+}
+
+// watchUpstream watches the process of an upstream whose answer ends with its connection. It returns
+// nil if there is no need or no means to.
+func (y *Relay) watchUpstream(ctx context.Context, host Host, response *http.Response) *mgdial.ProcessWatch {
+	if y.spec.WatchProcess == nil || !mgdial.EndsWithConnection(response) {
+		return nil
+	}
+	watch, err := y.spec.WatchProcess(ctx, host.Addr)
+	if err != nil {
+		y.spec.Log.Info("an upstream can't be watched", mglog.Upstream, host.Name, "why", err.Error())
+		return nil
 	}
+	return watch
 }
 
 // hasEndedSoon is hasEnded for a caller that waits: it returns an error after crashCheckTimeout.
--- a/internal/process/mgrelay/ending_test.go
+++ b/internal/process/mgrelay/ending_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // Guards against an answer that broke off and is delivered as whole, and against a whole one that
@@ -36,7 +38,8 @@
 		first     upstreamHandler // that begins the stream
 		refuses   func(context.Context, string) (bool, error)
 		leaving   bool
-		restarted bool // the list states a new incarnation soon after
+		restarted bool   // the list states a new incarnation soon after
+		watch     string // what happens to the connection with which its process is watched: "open" or "ends"
 		cut       bool
 		hasLength bool
 	}{
@@ -64,6 +67,19 @@
 			restarted: true,
 			cut:       true,
 		},
+		{
+			name:    "whose upstream has restarted, which the list doesn't show yet, is cut",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "ends",
+			cut:     true,
+		},
+		{
+			name:    "whose upstream runs, though it can't be asked, is whole",
+			first:   unframed,
+			refuses: connectionsUnknown,
+			watch:   "open",
+		},
 		{
 			name:    "whose upstream left and refuses connections is cut",
 			first:   unframed,
@@ -95,6 +111,9 @@
 				g.startRelay(func(spec *mgrelay.Spec) {
 					spec.RefusesConnections = c.refuses
 					spec.IsLeaving = func(string) bool { return c.leaving }
+					if c.watch != "" {
+						spec.WatchProcess = watchedProcess(t, c.watch == "ends")
+					}
 					var confirmations atomic.Int64
 					spec.ListConfirmedAt = func() mgclock.Millis {
 						confirmations.Add(1)
@@ -119,6 +138,31 @@
 	})
 }
 
+// watchedProcess returns a function that watches a process which ends, or doesn't.
+func watchedProcess(t *testing.T, ends bool) func(context.Context, string) (*mgdial.ProcessWatch, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	return func(ctx context.Context, _ string) (*mgdial.ProcessWatch, error) {
+		watch, err := mgdial.WatchProcess(ctx, listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if ends {
+			_ = conn.Close()
+			for watch.IsOpen() {
+				mgclock.Clock{}.Sleep(ctx, 1)
+			}
+		}
+		return watch, nil
+	}
+}
+
 // Guards against whole streams that are cut, or held back until their end, because their lines
 // end with CR or CRLF.
 func TestLineEndingsCutStream(t *testing.T) {
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -40,18 +41,19 @@
 	nextCrashNumber  uint64         // of the quarantine, when the last attempt was sent
 	pendingTokens    int            // prompt tokens that are counted as not yet read
 	tried            map[string]bool
-	attempts         int         // sends that may have reached an upstream
-	skippedCold      bool        // an upstream was skipped because it is cold
-	failedDials      int         // upstreams that could not be reached
-	lastUpstream     string      // of the last attempt
-	refusal          *answer     // the last upstream's statement that it did not run
-	failure          *answer     // the last upstream's answer that it failed
-	mayHaveRun       bool        // at an upstream
-	attemptBroken    bool        // an upstream closed the connection of an attempt
-	admitted         bool        // by the quarantine; see quarantineProblem
-	headerSent       bool        // of a stream, to the caller
-	endsWithConn     bool        // the end of the caller's connection marks the end of its answer
-	streaming        atomic.Bool // headerSent for other goroutines
+	attempts         int                  // sends that may have reached an upstream
+	skippedCold      bool                 // an upstream was skipped because it is cold
+	failedDials      int                  // upstreams that could not be reached
+	lastUpstream     string               // of the last attempt
+	refusal          *answer              // the last upstream's statement that it did not run
+	failure          *answer              // the last upstream's answer that it failed
+	mayHaveRun       bool                 // at an upstream
+	attemptBroken    bool                 // an upstream closed the connection of an attempt
+	admitted         bool                 // by the quarantine; see quarantineProblem
+	headerSent       bool                 // of a stream, to the caller
+	watch            *mgdial.ProcessWatch // of the last attempt's upstream; nil unless its answer ends with its connection
+	endsWithConn     bool                 // the end of the caller's connection marks the end of its answer
+	streaming        atomic.Bool          // headerSent for other goroutines
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
 	parts            []mgquarantine.Digest
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
@@ -114,6 +115,8 @@
 	// after its process has ended. An error means that this is unknown. If RefusesConnections
 	// is nil, it is always unknown.
 	RefusesConnections func(ctx context.Context, addr string) (bool, error)
+	// WatchProcess watches the process at an upstream's address. If it is nil, none is watched.
+	WatchProcess func(ctx context.Context, addr string) (*mgdial.ProcessWatch, error)
 	// Move sends an order to the source of a move. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -57,6 +57,7 @@
 		withConn: mgdial.EndsWithConnection(response),
 		err:      err,
 		stream:   reader,
+		watch:    x.watch,
 	}
 	result, cause := y.endingOf(ctx, host, end)
 	y.recordEnd(x, end, result)
