mgrelay: an upstream that ended the watch is asked for its incarnation

An upstream may end an idle connection because it is idle. Where its incarnation is known, its whole answer without a framing was then cut. TestEndBetweenEventsMisjudged has both cases; the first failed before.

--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -66,8 +66,9 @@
 	case isOpen:
 		return endsWhole, nil
 	case watch != nil && host.IncarnationStart != 0:
-		// Upstreams without an incarnation take longer to start again than the check.
-		return endsBroken, errUpstreamDown
+		// The list shows a new incarnation late, so that only the upstream can say which it is.
+		// Upstreams without incarnations take longer to start again than the check.
+		return y.endingByIncarnation(ctx, host)
 	case err != nil:
 		return endsUnknown, errUnknownEnd
 	case y.isIncarnation(ctx, host, now):
@@ -79,6 +80,21 @@
 	}
 }
 
+// endingByIncarnation decides whether an answer is whole by what its upstream says: it may have ended
+// the watch because that was idle.
+func (y *Relay) endingByIncarnation(ctx context.Context, host Host) (result ending, cause error) {
+	if y.spec.AskIncarnation == nil {
+		return endsBroken, errUpstreamDown
+	}
+	ctx, cancel := context.WithTimeout(ctx, destinationProbeTimeout.Duration())
+	defer cancel()
+	start, err := y.spec.AskIncarnation(ctx, host)
+	if err != nil || start != host.IncarnationStart {
+		return endsBroken, errors.Join(errUpstreamDown, err)
+	}
+	return endsWhole, nil
+}
+
 // watchUpstream watches the process of an upstream whose answer ends with its connection. It returns
 // nil if there is no need or no means to.
 func (y *Relay) watchUpstream(ctx context.Context, host Host, response *http.Response) *mgdial.ProcessWatch {
--- a/internal/process/mgrelay/ending_test.go
+++ b/internal/process/mgrelay/ending_test.go
@@ -39,6 +39,7 @@
 		refuses   func(context.Context, string) (bool, error)
 		leaving   bool
 		restarted bool   // the list states a new incarnation soon after
+		stated    int64  // incarnation that the upstream states if it is asked, 0 if it can't be
 		watch     string // what happens to the connection with which its process is watched: "open" or "ends"
 		cut       bool
 		hasLength bool
@@ -74,6 +75,21 @@
 			watch:   "ends",
 			cut:     true,
 		},
+		{
+			name:    "whose upstream ended the watch, and says that it hasn't restarted, is whole",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "ends",
+			stated:  1,
+		},
+		{
+			name:    "whose upstream says that it has restarted is cut",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "ends",
+			stated:  2,
+			cut:     true,
+		},
 		{
 			name:    "whose upstream runs, though it can't be asked, is whole",
 			first:   unframed,
@@ -111,6 +127,9 @@
 				g.startRelay(func(spec *mgrelay.Spec) {
 					spec.RefusesConnections = c.refuses
 					spec.IsLeaving = func(string) bool { return c.leaving }
+					if c.stated != 0 {
+						spec.AskIncarnation = func(context.Context, mgrelay.Host) (int64, error) { return c.stated, nil }
+					}
 					if c.watch != "" {
 						spec.WatchProcess = watchedProcess(t, c.watch == "ends")
 					}
