mgdemo: a caller requests a generation again whose entry ended before it answered

Cause: the entry tells nothing any more, so 'unconfirmed' is the truth, and the client must not repeat such a request by itself. The demo's callers repeat generations that were interrupted, as they may run twice, and gave up those that hadn't begun. The longer the time to the first token, the more there are. Change: both are requested again. The check is as it was: each answer whole, as generated, none lost.

--- a/internal/standin/mgdemo/play.go
+++ b/internal/standin/mgdemo/play.go
@@ -92,9 +92,7 @@
 	// an entry.
 	engineKillTime = 2 * mgclock.Second
 	entryKillTime  = 4 * mgclock.Second
-	// maxAttempts bounds a caller's requests for one answer. A generation that its
-	// engine lost ends with an Interrupted problem, after which the caller requests it
-	// again.
+	// maxAttempts bounds a caller's requests for one answer.
 	maxAttempts = 4
 	// callerSilenceTimeout is the time without data after which a caller gives up a
 	// connection.
@@ -179,7 +177,7 @@
 			t.recordAnswer(k.account, answer, k.tokens(i))
 			return
 		}
-		if mgproblem.From(err).Kind() != mgproblem.Interrupted {
+		if !isRepeated(mgproblem.From(err)) {
 			break
 		}
 		t.retried.Add(1)
@@ -187,6 +185,12 @@
 	t.recordFailure(err)
 }
 
+// isRepeated reports whether a caller requests a generation again after a problem: its engine lost
+// it, or its entry ended before it answered. A generation may run twice.
+func isRepeated(problem *mgproblem.Problem) bool {
+	return problem.Kind() == mgproblem.Interrupted || problem.Kind() == mgproblem.Unconfirmed
+}
+
 // call calls a plain service. A write carries an operation id that is minted first.
 func (p *playRun) call(ctx context.Context, k requestKind, i int, t *results) {
 	client := p.client(k.account, i)
