mgdial, mgrelay: a process that has started since an answer began isn't taken for the one that began it

Evidence: entry-2 logs that stream-2 refuses connections at 53.891 s (an abrupt upgrade had ended it), no line at all until 53.913 s (it wasn't scheduled), and then for reader-0-10-1: resumed at stream-2, 1 event, ending 'whole', without the line of an upstream that can't be watched. So the header, one event and the end of the connection had arrived before the watch was opened, and the watch reached the new process at the address. Cause: a watch proves that the process behind it lives, not that it is the one that answers: it is opened after the answer's header, by when another process may listen. Change: the answer's connection is compared once the watch is open. If its peer ended it 5 ms before or more (TCP_INFO: state, and the time since the last data), the watch proves nothing and is given up; what decides then is the incarnation that the upstream states, and the list where it states none. That is asked before the list is believed, which shows a new incarnation late.

--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -65,10 +65,18 @@
 		return endsBroken, errUpstreamDown
 	case isOpen:
 		return endsWhole, nil
-	case watch != nil && host.IncarnationStart != 0:
-		// The list shows a new incarnation late, so that only the upstream can say which it is.
-		// Upstreams without incarnations take longer to start again than the check.
-		return y.endingByIncarnation(ctx, host)
+	case watch == nil && err != nil:
+		return endsUnknown, errUnknownEnd
+	}
+	// The list shows a new incarnation late, so that only the upstream can say which it is. One that
+	// has ended the watch, perhaps because it was idle, must do so. Upstreams without incarnations
+	// take longer to start again than the check.
+	start, askErr := y.statedIncarnation(ctx, host)
+	switch {
+	case askErr == nil && start == host.IncarnationStart:
+		return endsWhole, nil
+	case askErr == nil || watch != nil && host.IncarnationStart != 0:
+		return endsBroken, errors.Join(errUpstreamDown, askErr)
 	case err != nil:
 		return endsUnknown, errUnknownEnd
 	case y.isIncarnation(ctx, host, now):
@@ -80,19 +88,17 @@
 	}
 }
 
-// endingByIncarnation decides whether an answer is whole by what its upstream says: it may have ended
-// the watch because that was idle.
-func (y *Relay) endingByIncarnation(ctx context.Context, host Host) (result ending, cause error) {
-	if y.spec.AskIncarnation == nil {
-		return endsBroken, errUpstreamDown
+// errNoIncarnation means that an upstream states no incarnation.
+var errNoIncarnation = errors.New("mgrelay: the upstream states no incarnation: set Spec.AskIncarnation where it does")
+
+// statedIncarnation returns when an upstream started, as it states itself.
+func (y *Relay) statedIncarnation(ctx context.Context, host Host) (start int64, err error) {
+	if y.spec.AskIncarnation == nil || host.IncarnationStart == 0 {
+		return 0, errNoIncarnation
 	}
 	ctx, cancel := context.WithTimeout(ctx, destinationProbeTimeout.Duration())
 	defer cancel()
-	start, err := y.spec.AskIncarnation(ctx, host)
-	if err != nil || start != host.IncarnationStart {
-		return endsBroken, errors.Join(errUpstreamDown, err)
-	}
-	return endsWhole, nil
+	return y.spec.AskIncarnation(ctx, host)
 }
 
 // watchUpstream watches the process of an upstream whose answer ends with its connection. It returns
@@ -101,7 +107,7 @@
 	if y.spec.WatchProcess == nil || !mgdial.EndsWithConnection(response) {
 		return nil
 	}
-	watch, err := y.spec.WatchProcess(ctx, host.Addr)
+	watch, err := y.spec.WatchProcess(ctx, host.Addr, mgdial.ConnOf(response))
 	if err != nil {
 		y.spec.Log.Info("an upstream can't be watched", mglog.Upstream, host.Name, "why", err.Error())
 		return nil
--- a/internal/process/mgrelay/ending_test.go
+++ b/internal/process/mgrelay/ending_test.go
@@ -40,7 +40,7 @@
 		leaving   bool
 		restarted bool   // the list states a new incarnation soon after
 		stated    int64  // incarnation that the upstream states if it is asked, 0 if it can't be
-		watch     string // what happens to the connection with which its process is watched: "open" or "ends"
+		watch     string // what happens to the connection with which its process is watched: "open", "ends" or "late"
 		cut       bool
 		hasLength bool
 	}{
@@ -90,6 +90,21 @@
 			stated:  2,
 			cut:     true,
 		},
+		{
+			name:    "whose upstream had restarted before it was watched is cut",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "late",
+			stated:  2,
+			cut:     true,
+		},
+		{
+			name:    "whose upstream was watched late, and says that it hasn't restarted, is whole",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "late",
+			stated:  1,
+		},
 		{
 			name:    "whose upstream runs, though it can't be asked, is whole",
 			first:   unframed,
@@ -130,7 +145,11 @@
 					if c.stated != 0 {
 						spec.AskIncarnation = func(context.Context, mgrelay.Host) (int64, error) { return c.stated, nil }
 					}
-					if c.watch != "" {
+					switch c.watch {
+					case "":
+					case "late":
+						spec.WatchProcess = watchLate
+					default:
 						spec.WatchProcess = watchedProcess(t, c.watch == "ends")
 					}
 					var confirmations atomic.Int64
@@ -157,13 +176,19 @@
 	})
 }
 
+// watchLate watches what listens at an address by the time at which another process may.
+func watchLate(ctx context.Context, addr string, answered net.Conn) (*mgdial.ProcessWatch, error) {
+	mgclock.Clock{}.Sleep(ctx, 20)
+	return mgdial.WatchProcess(ctx, addr, answered)
+}
+
 // watchedProcess returns a function that watches a process which ends, or doesn't.
-func watchedProcess(t *testing.T, ends bool) func(context.Context, string) (*mgdial.ProcessWatch, error) {
+func watchedProcess(t *testing.T, ends bool) func(context.Context, string, net.Conn) (*mgdial.ProcessWatch, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	t.Cleanup(func() { _ = listener.Close() })
-	return func(ctx context.Context, _ string) (*mgdial.ProcessWatch, error) {
-		watch, err := mgdial.WatchProcess(ctx, listener.Addr().String())
+	return func(ctx context.Context, _ string, _ net.Conn) (*mgdial.ProcessWatch, error) {
+		watch, err := mgdial.WatchProcess(ctx, listener.Addr().String(), nil)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -115,8 +116,9 @@
 	// after its process has ended. An error means that this is unknown. If RefusesConnections
 	// is nil, it is always unknown.
 	RefusesConnections func(ctx context.Context, addr string) (bool, error)
-	// WatchProcess watches the process at an upstream's address. If it is nil, none is watched.
-	WatchProcess func(ctx context.Context, addr string) (*mgdial.ProcessWatch, error)
+	// WatchProcess watches the process at an upstream's address that answers on a connection. If it
+	// is nil, none is watched.
+	WatchProcess func(ctx context.Context, addr string, answered net.Conn) (*mgdial.ProcessWatch, error)
 	// Move sends an order to the source of a move. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -104,21 +104,37 @@
 // request whose context ended may still be in the process of being written to
 // the socket.
 func Do(client *http.Client, r *http.Request) (*http.Response, error) {
-	var hasConn atomic.Bool
+	var used atomic.Pointer[net.Conn]
 	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { hasConn.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { used.Store(&info.Conn) },
 	}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	ctx := context.WithValue(r.Context(), connKey{}, &used)
+	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
 	response, err := client.Do(r)
 	if err != nil {
 		return nil, &Failure{
-			sent:  hasConn.Load(),
+			sent:  used.Load() != nil,
 			cause: err,
 		}
 	}
 	return response, nil
 }
 
+// connKey is the context key of the connection on which a request was sent.
+type connKey struct{}
+
+// ConnOf returns the connection of a response that Do has returned, or nil if it is unknown.
+func ConnOf(response *http.Response) net.Conn {
+	if response.Request == nil {
+		return nil
+	}
+	used, _ := response.Request.Context().Value(connKey{}).(*atomic.Pointer[net.Conn])
+	if used == nil || used.Load() == nil {
+		return nil
+	}
+	return *used.Load()
+}
+
 // RefusesConnections reports whether an address refuses connections, as it does after its
 // process has ended while the host is up. An error means that neither is known:
 // the host may be down or unreachable.
--- /dev/null
+++ b/pkg/mgdial/ended_other.go
@@ -0,0 +1,12 @@
+//go:build !linux
+
+package mgdial
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+// endedFor isn't supported.
+func endedFor(net.Conn) (time.Duration, error) { return 0, errors.ErrUnsupported }
--- a/pkg/mgdial/watch.go
+++ b/pkg/mgdial/watch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"syscall"
+	"time"
 )
 
 // A ProcessWatch holds an idle connection to a server, which the kernel ends with the server's
@@ -14,8 +15,14 @@
 	conn *net.TCPConn
 }
 
-// WatchProcess opens a connection to an address and sends nothing on it. Close it.
-func WatchProcess(ctx context.Context, addr string) (*ProcessWatch, error) {
+// minRestartTime is less than a process takes to end and another one to start and to listen at its
+// address.
+const minRestartTime = 5 * time.Millisecond
+
+// WatchProcess opens a connection to the server that has answered on another one, and sends nothing
+// on it. Close it. If the server has ended the other connection before, WatchProcess fails: another
+// process may listen at the address by now. A nil connection isn't compared.
+func WatchProcess(ctx context.Context, addr string, answered net.Conn) (*ProcessWatch, error) {
 	dialer := net.Dialer{
 		Timeout: regionalConnectTimeout,
 	}
@@ -23,6 +30,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: can't be watched: try again: %w", addr, err)
 	}
+	// An error means that the platform can't tell.
+	if ended, err := endedFor(answered); err == nil && ended >= minRestartTime {
+		_ = conn.Close() // nothing was sent
+		return nil, fmt.Errorf("%s: ended its connection up to %v before it was watched: ask which process listens there", addr, ended)
+	}
 	return &ProcessWatch{
 		conn: conn.(*net.TCPConn),
 	}, nil
