mgrelay: an upstream's failure doesn't clear a request or a part that crashes engines

Cause: every answer of an upstream counted as proof that it survives the request, also a failure, an answer that ended in a way that leaves open whether it broke off, and a rejection, which comes before the prompt is read. Change: a failure and an answer whose end isn't known clear nothing, a rejection clears the request alone. Tests of mgrelay, mgquarantine and mgadapter pass.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -45,6 +45,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.sentAt = y.spec.Clock.Now()
+	x.endUnknown = false
 	x.nextCrashNumber = y.spec.Quarantine.NextNumber()
 	y.announceOrigin(x, host)
 	request := y.newRequest(ctx, x, host)
@@ -88,7 +89,6 @@
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		x.failure = y.bufferAnswer(ctx, x, host, response, mgproblem.Unknown)
-		y.recordQuarantineAnswer(x)
 		return failed
 	}
 	y.spec.Budgets.Of(x.service).Earn(mgretry.Ratio)
@@ -287,7 +287,7 @@
 	}
 	y.spec.Load.RecordPace(y.spec.Clock.Now(), x.lastUpstream, float64(y.spec.Clock.Now()-x.sentAt))
 	y.spec.Load.RecordAnswer(y.spec.Clock.Now(), x.lastUpstream)
-	y.recordQuarantineAnswer(x)
+	y.recordQuarantineAnswer(x, response.StatusCode)
 	header := w.Header()
 	copyHeader(header, response.Header)
 	if !hasMore && x.method != http.MethodHead {
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -151,15 +151,23 @@
 	return y.spec.Quarantine.HasSuspects() && !y.spec.Quarantine.Retryable(x.digest(), x.parts...)
 }
 
-// recordQuarantineAnswer reports to the quarantine that an upstream answered a
-// request.
-func (y *Relay) recordQuarantineAnswer(x *exchange) {
+// recordQuarantineAnswer reports to the quarantine that an upstream answered a request with a status.
+// A failure, or an answer that may have broken off, doesn't show that the upstream survives the
+// request, and a rejection doesn't show that it survives the parts of the prompt.
+func (y *Relay) recordQuarantineAnswer(x *exchange, status int) {
+	if status >= http.StatusInternalServerError || x.endUnknown {
+		return
+	}
+	parts := x.parts
+	if status >= http.StatusBadRequest {
+		parts = nil
+	}
 	now := y.spec.Clock.Now()
 	if y.spec.Quarantine.HasSuspects() {
-		y.spec.Quarantine.RecordAnswer(now, x.digest(), x.parts...)
+		y.spec.Quarantine.RecordAnswer(now, x.digest(), parts...)
 		return
 	}
-	y.spec.Quarantine.RecordPartAnswers(now, x.parts...)
+	y.spec.Quarantine.RecordPartAnswers(now, parts...)
 }
 
 // recordProgress reports a stream that runs to the quarantine, once each startWindow: its upstream
@@ -170,7 +178,7 @@
 		return
 	}
 	x.progressAt = now
-	y.recordQuarantineAnswer(x)
+	y.recordQuarantineAnswer(x, http.StatusOK)
 }
 
 // exchanges are the requests in progress. The zero value is empty.
--- a/internal/process/mgrelay/crash_test.go
+++ b/internal/process/mgrelay/crash_test.go
@@ -314,3 +314,87 @@
 	rest, err := io.ReadAll(response.Body)
 	return string(append(first, rest...)), err
 }
+
+// Guards against evidence that an upstream's failure clears, or an answer that may have broken off.
+func TestFailureClearsEvidence(t *testing.T) {
+	fail := func(status int) upstreamHandler {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+	}
+	cases := []struct {
+		name          string
+		path          string
+		handler       upstreamHandler
+		requestClears bool
+		partClears    bool
+	}{
+		{
+			name:          "a whole stream",
+			path:          "/write/1",
+			handler:       answerWith("id: 1\n\n"),
+			requestClears: true,
+			partClears:    true,
+		},
+		{
+			name:    "a stream whose end isn't known",
+			path:    "/write/1",
+			handler: rawBytes("HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\nSignature: s\r\n\r\nid: 1\n\n"),
+		},
+		{
+			name:    "a failure in place of a stream",
+			path:    "/write/1",
+			handler: fail(http.StatusInternalServerError),
+		},
+		{
+			name:    "the end of the upstream's time for a stream",
+			path:    "/write/1",
+			handler: fail(http.StatusGatewayTimeout),
+		},
+		{
+			name:          "a stream that the upstream rejects",
+			path:          "/write/1",
+			handler:       fail(http.StatusBadRequest),
+			requestClears: true,
+		},
+		{
+			name:          "a reply",
+			path:          "/book/1",
+			handler:       answerWith("booked"),
+			requestClears: true,
+			partClears:    true,
+		},
+		{
+			name:          "a reply that there is no such thing",
+			path:          "/book/1",
+			handler:       fail(http.StatusNotFound),
+			requestClears: true,
+		},
+		{
+			name:    "a failure in place of a reply",
+			path:    "/book/1",
+			handler: failInternally,
+		},
+	}
+	Convey("Evidence against a request and a part of its prompt", t, func() {
+		part := mgquarantine.PartDigestOf("ledger", "", "5ha7ed01")
+		for _, c := range cases {
+			Convey("after "+c.name, func() {
+				g := newHarness(t, c.handler)
+				q := mgquarantine.New("life", nil)
+				g.startRelay(func(spec *mgrelay.Spec) {
+					spec.RefusesConnections = connectionsUnknown
+					spec.Quarantine = q
+				})
+				digest := mgquarantine.DigestOf("tankline", "tanks.example", c.path, []byte("x"))
+				q.RecordCrash(mgclock.Clock{}.Now(), mgquarantine.Crash{
+					Digest:   digest,
+					Parts:    []mgquarantine.Digest{part},
+					Upstream: "x",
+					Begun:    true,
+				})
+				g.send(context.Background(), http.MethodPost, c.path, "x", http.Header{"Parts": {"5ha7ed01:80,0a:20"}})
+				So(q.Occurrences(digest) == 0, ShouldEqual, c.requestClears)
+				So(q.Occurrences(part) == 0, ShouldEqual, c.partClears)
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -137,8 +137,9 @@
 	}
 }
 
-// recordEnd records an answer that ended with its connection.
+// recordEnd records how an answer ended.
 func (y *Relay) recordEnd(x *exchange, end answerEnd, result ending) {
+	x.endUnknown = result == endsUnknown
 	if !end.withConn {
 		return
 	}
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -52,6 +52,7 @@
 	admitted         bool                 // by the quarantine; see quarantineProblem
 	headerSent       bool                 // of a stream, to the caller
 	watch            *mgdial.ProcessWatch // of the last attempt's upstream; nil unless its answer ends with its connection
+	endUnknown       bool                 // the last attempt's answer ended, and may have broken off
 	endsWithConn     bool                 // the end of the caller's connection marks the end of its answer
 	streaming        atomic.Bool          // headerSent for other goroutines
 	digestOnce       sync.Once
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -45,7 +45,7 @@
 		}
 	}
 	x.endBody()
-	y.recordQuarantineAnswer(x)
+	y.recordQuarantineAnswer(x, response.StatusCode)
 	y.recordTokenTime(gen)
 	y.countAnswer(x, response.StatusCode)
 	return delivered
