mgagent: the failure of a start is reported before the engine is asked to cancel

Cause: virtual time has two events in one instant. The agent waits 2 s for the start and twice 1 s for the list of generations, knows then that the start failed, and waits 2 s more for its cancel before it says so: 6 s. The entry gives up at 6 s as well, its deadline of 4 s and 2 s of grace. TestFailedStartReportedLate shows the 6 s (4 are allowed, the time at which the failure is known). Effect on callers: with another engine they waited 2 s longer for its start, without one for their refusal. Change: the cancel runs beside the report. It is still sent, since the start may arrive late. A new session, of an engine that is slow and beats, keeps the path to 504 'late'.

--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -125,7 +125,8 @@
 	if held {
 		return nil
 	}
-	a.cancelAtEngine(context.WithoutCancel(ctx), g.id)
+	// An engine that doesn't answer takes the whole timeout of the cancel, too.
+	a.tasks.Go(func() { a.cancelAtEngine(context.WithoutCancel(ctx), g.id) })
 	return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the engine did not answer", "try another upstream").WithCause(err)
 }
--- a/internal/process/mgagent/start_test.go
+++ b/internal/process/mgagent/start_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -178,3 +179,51 @@
 		}
 	})
 }
+
+// Guards against an agent that knows that a start failed, and keeps its caller until the silent
+// engine's time for the cancel is over, too.
+func TestFailedStartReportedLate(t *testing.T) {
+	// The agent waits 2 s for the start and twice 1 s for the list of generations.
+	const maxReportDelay = 4 * mgclock.Second
+	silent := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	Convey("The failure of a start at an engine that answers nothing", t, func() {
+		var delay mgclock.Millis
+		var cancelled atomic.Int64
+		synctest.Test(t, func(t *testing.T) {
+			calls := idleCalls()
+			var clock mgclock.Clock
+			var start mgclock.Millis
+			calls.Start = func(ctx context.Context, _ mgengine.StartSpec) error {
+				start = clock.Now()
+				return silent(ctx)
+			}
+			calls.List = func(ctx context.Context) ([]mgengine.Generation, error) { return nil, silent(ctx) }
+			calls.Cancel = func(ctx context.Context, _ string) error {
+				cancelled.Add(1)
+				return silent(ctx)
+			}
+			agent, err := newAgent(table, calls, unchanged)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &harness{
+				agent: agent,
+			}
+			r.ctx, r.stop, r.done = runAgent(agent)
+			r.startAttempt("a", "i1")
+			_ = r.frames("a")
+			delay = clock.Now() - start
+			r.stop()
+			<-r.done
+		})
+		Convey("is reported when it is known", func() {
+			So(delay, ShouldBeLessThanOrEqualTo, maxReportDelay)
+		})
+		Convey("is followed by a cancel", func() {
+			So(cancelled.Load(), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/process/mgentry/session_test.go
+++ b/internal/process/mgentry/session_test.go
@@ -294,6 +294,18 @@
 				c.ask("entry-1", 20, true)
 			},
 		},
+		{
+			name:    "the engine is slow, and the first token is late",
+			engines: 1,
+			play: func(r *rig, c *caller) {
+				c.ask("entry-1", 3, true)
+				r.engines["engine-1"].Set(mgstandin.Fault{
+					Kind:   mgstandin.Slow,
+					Factor: 10_000,
+				})
+				c.ask("entry-1", 20, true)
+			},
+		},
 		{
 			name:    "a stranger asks for the answer",
 			engines: 1,
