mgnode: an entry accepts as many connections of callers as its memory and descriptors bear

Nothing bounded what an entry accepts. At the limit the connection that has waited longest for a request makes room, also one that has sent none for 1 s; where all are at work a new one is closed unread, within a round trip, so that its caller meets another entry. It doesn't bound the wait for the processor, see docs/CAPACITY.md.

--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -26,8 +26,9 @@
 type trackedConn struct {
 	state     http.ConnState
 	pending   bool           // a counted request has not reached a handler yet
-	idleSince mgclock.Millis // when the connection last became idle
+	idleSince mgclock.Millis // when the connection was opened or last became idle
 	idleEnded bool           // the close has ended it because it was idle
+	evicted   bool           // it was ended for another connection while it was idle
 }
 
 // connKey is the context key under which a request finds the trackedConn of its connection.
@@ -64,8 +65,11 @@
 	}
 	tracked := c.trackedOf(conn)
 	tracked.state = state
-	if state == http.StateIdle {
+	tracked.evicted = false
+	if state == http.StateIdle || state == http.StateNew {
 		tracked.idleSince = mgclock.Clock{}.Now()
+	}
+	if state == http.StateIdle {
 		if accepted := mglistener.ConnOf(conn); accepted != nil {
 			accepted.BeginIdle()
 		}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -56,6 +56,8 @@
 		Linger:         n.linger,
 		MaxHeaderBytes: int(settings.MaxHeader),
 		HeaderTimeout:  mgclock.Millis(settings.CallerTimeout),
+		MaxConns:       int(settings.MaxConns),
+		OnRefused:      func() { n.metrics.Counter("callers.refused").Inc(1) },
 	})
 	drain := n.NewDrain(entry.Leave, entry.Busy)
 	withdrawReadiness := drain.WithdrawReadiness
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -37,6 +37,10 @@
 	// which it must arrive.
 	MaxHeaderBytes int
 	HeaderTimeout  mgclock.Millis
+	// MaxConns limits the open connections; 0 stands for no limit. OnRefused is called for each one
+	// that is closed unread.
+	MaxConns  int
+	OnRefused func()
 }
 
 const (
@@ -79,7 +83,13 @@
 		}
 	})
 	log.Info("listening", "address", spec.Listener.Addr().String())
-	err := server.Serve(spec.Listener)
+	err := server.Serve(&limitedListener{
+		Listener:  spec.Listener,
+		conns:     &conns,
+		limit:     spec.MaxConns,
+		log:       log,
+		onRefused: spec.OnRefused,
+	})
 	// cancelShutdown returns true if ctx has not ended. Then server.Serve returned because of a
 	// failure.
 	if cancelShutdown() || killed.Err() != nil {
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -39,6 +39,7 @@
 	MaxBody       int64  `toml:"body" default:"1048576" min:"1024" max:"67108864" unit:"bytes" help:"largest request body"`
 	MaxHeader     int64  `toml:"head" default:"32768" min:"4096" max:"1048576" unit:"bytes" help:"largest request header"`
 	CallerTimeout int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends its request or takes what is written"`
+	MaxConns      int64  `toml:"conns" default:"1024" min:"16" max:"1000000" help:"most connections of callers at a time; the one that is idle for longest is ended for a new one, and where none is idle new ones are closed unread"`
 	ProbeTimeout  int64  `toml:"probe" default:"200" min:"1" max:"5000" unit:"ms" help:"longest wait for offers; two good ones end it, so that it is felt only where agents do not answer; a round trip to another region and some room"`
 	MaxRetries    int64  `toml:"retry" default:"0" min:"0" max:"1000000" help:"retries that a service allows all entries together beyond a tenth of its answers; 0: each entry holds 64"`
 	CallTimeout   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
--- a/internal/soak/mgproc/process.go
+++ b/internal/soak/mgproc/process.go
@@ -56,6 +56,13 @@
 // Name returns the process's name.
 func (p *Process) Name() string { return p.name }
 
+// Pid returns the id of the current process.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Exited returns a channel that is closed when the current process has exited. Restart
 // replaces the channel.
 func (p *Process) Exited() <-chan struct{} {
--- a/internal/soak/mgsoak/soak_test.go
+++ b/internal/soak/mgsoak/soak_test.go
@@ -60,7 +60,7 @@
 }
 
 // buildProgram builds the program and returns its path.
-func buildProgram(t *testing.T) string {
+func buildProgram(t testing.TB) string {
 	if testing.Short() {
 		t.Skip("starts twelve processes or more")
 	}
