mgquarantine: all processes await the outcome of a trial

What callers and operators would see: after a hold one request with the part is tried, and if its engine takes more than 5 s to begin it, as engines do that are crowded, the same process tries another one, and so do the next processes in rank. Each ends an engine: more than three requests follow the fifth crash. Cause: a process awaited the outcome of its own trial alone, for 5 s, and knew of no other's. Change: a trial is recorded as it begins and spread like a crash; all processes await its outcome for 30 s. The record names neither an upstream nor the request but a digest of its own, so that a process of an earlier release takes it for an answer to something that it doesn't suspect. A trial without an outcome, such as one that is refused, now puts the next one off by 30 s in place of 5.

--- a/internal/request/mgquarantine/digest.go
+++ b/internal/request/mgquarantine/digest.go
@@ -39,6 +39,15 @@
 	return Digest(sum.Sum(nil)[:len(Digest{})])
 }
 
+// trialDigestOf returns the digest under which trials of a request or part are recorded. To a process
+// of an earlier release such a record is an answer to a request that it doesn't suspect.
+func trialDigestOf(d Digest) Digest {
+	sum := sha256.New()
+	sum.Write([]byte{0xfe}) // separates trials from requests and parts
+	sum.Write(d[:])
+	return Digest(sum.Sum(nil)[:len(Digest{})])
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -37,7 +37,8 @@
 //
 // Once its hold is over, a request is tried again, one attempt at a time, first by the
 // process that ranks first for it, by rendezvous hashing of the digest (see New), and
-// with time by more processes. If the upstreams crashed for another reason, an answer
+// with time by more processes. The attempt is recorded as it begins, and all processes await
+// its outcome. If the upstreams crashed for another reason, an answer
 // ends the quarantine; a further crash holds the request for longer.
 //
 // # State
@@ -67,7 +68,7 @@
 //     where no upstream answers it.
 //   - part: a piece of a prompt that other requests may contain, such as a document.
 //   - hold: the time for which a request, or all with a part, is sent to no upstream.
-//   - trial: an attempt of a request in quarantine whose hold is over. A process admits one
+//   - trial: an attempt of a request in quarantine whose hold is over. The processes admit one
 //     at a time, and for a short time after the hold only one process admits any.
 //   - narrow, broad: a part that comes later in a prompt explains less, since what comes before
 //     it is shared by more requests.
--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -67,6 +67,7 @@
 	lastCrashAt   mgclock.Millis
 	isQuarantined bool           // also true after the hold has ended
 	heldUntil     mgclock.Millis // end of the hold
+	trialUntil    mgclock.Millis // end of the wait for the outcome of a trial, 0 where none has begun
 	retainUntil   mgclock.Millis // end of the time for which its records are needed
 }
 
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -34,13 +34,12 @@
 	state      atomic.Pointer[state]
 	lastNumber atomic.Uint64
 
-	mu             sync.Mutex
-	offsets        map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
-	lastPause      mgclock.Millis            // end of the process's last pause, 0 for none
-	records        map[recordID]storedRecord
-	trialDeadlines map[Digest]mgclock.Millis // end of the wait for the outcome of a request's trial here
-	partAnswers    map[Digest]mgclock.Millis // when this process last saw an answer to a request with a part
-	changed        chan struct{}             // closed when there are new records
+	mu          sync.Mutex
+	offsets     map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
+	lastPause   mgclock.Millis            // end of the process's last pause, 0 for none
+	records     map[recordID]storedRecord
+	partAnswers map[Digest]mgclock.Millis // when this process last saw an answer to a request with a part
+	changed     chan struct{}             // closed when there are new records
 }
 
 // state is the evaluation of all records. It is immutable.
@@ -228,11 +227,7 @@
 			delete(next.suspicions, digest)
 		}
 	}
-	for digest := range q.trialDeadlines {
-		if !next.suspicions[digest].isQuarantined {
-			delete(q.trialDeadlines, digest)
-		}
-	}
+	q.recordTrials(next)
 	q.state.Store(next)
 }
 
--- a/internal/request/mgquarantine/quarantine_test.go
+++ b/internal/request/mgquarantine/quarantine_test.go
@@ -522,6 +522,16 @@
 			So(ok, ShouldBeFalse)
 			So(left, ShouldEqual, 119*sec)
 		})
+		Convey("another process that knows of the attempt waits for its outcome", func() {
+			other.Merge(over, mine.RecentRecords(over))
+			left, ok := other.Admit(over+5*sec, digestOf("x"))
+			So(ok, ShouldBeFalse)
+			So(left, ShouldBeBetweenOrEqual, 25*sec, 26*sec)
+			Convey("and admits one if there is none", func() {
+				_, ok = other.Admit(over+31*sec, digestOf("x"))
+				So(ok, ShouldBeTrue)
+			})
+		})
 		Convey("another process also admits one if it doesn't arrive at the first", func() {
 			_, ok := other.Admit(over+5*sec, digestOf("x"))
 			So(ok, ShouldBeTrue)
--- a/internal/request/mgquarantine/storm_test.go
+++ b/internal/request/mgquarantine/storm_test.go
@@ -20,9 +20,12 @@
 	parts      int            // shared by sound requests
 	badShare   float64        // of the requests
 	zoneLosses int            // that come
+	outcome    mgclock.Millis // longest time to a request's answer or to the end of its engine
 	pending    []pendingMessage
 	ended      int // engines
+	fifthAt    mgclock.Millis
 	afterFive  int // requests with the part that reached engines after the fifth crash
+	afterGrace int // those later than graceAfterFive after it
 	sound      int // requests after the fifth crash
 	heldSound  int // of these
 }
@@ -87,7 +90,9 @@
 			if !r.bad {
 				partAnswer(q, now, r.request, r.parts...)
 			} else {
-				s.ended++
+				if s.ended++; s.ended == 5 {
+					s.fifthAt = now
+				}
 				q.RecordCrash(now, mgquarantine.Crash{
 					Digest:   digestOf(r.request),
 					Parts:    partsNamed(r.parts...),
@@ -126,6 +131,9 @@
 			switch {
 			case bad && admitted:
 				s.afterFive++
+				if now > s.fifthAt+graceAfterFive {
+					s.afterGrace++
+				}
 			case !bad && !admitted:
 				s.heldSound++
 				s.sound++
@@ -135,7 +143,7 @@
 		}
 		if admitted {
 			queue = append(queue, running{
-				at:      now + 200 + mgclock.Millis(s.rng.IntN(400)),
+				at:      now + 200 + mgclock.Millis(s.rng.Int64N(int64(s.outcome))),
 				sent:    now,
 				process: process,
 				request: request,
@@ -146,6 +154,35 @@
 	}
 }
 
+// graceAfterFive is the time after the fifth crash from which at most three requests may follow.
+const graceAfterFive = 3 * sec
+
+// Guards against trials that overlap where requests wait for long before their engine begins them, so
+// that more than three reach engines in the time of two holds.
+func TestPartTrialsOverlap(t *testing.T) {
+	Convey("In drawn storms at crowded engines at most three requests follow the fifth crash in 90 s", t, func() {
+		most, sum := 0, 0
+		for seed := range uint64(60) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			s := storm{
+				rng:      rng,
+				delay:    50,
+				parts:    1 + rng.IntN(20),
+				badShare: 0.1 + 0.4*rng.Float64(),
+				outcome:  mgclock.Millis(1+rng.IntN(8)) * sec,
+			}
+			for i := range 1 + rng.IntN(12) {
+				s.processes = append(s.processes, mgquarantine.New(fmt.Sprint(i), func(mgquarantine.Digest) int { return i }))
+			}
+			s.run(90 * sec)
+			most = max(most, s.afterGrace)
+			sum += s.afterGrace
+		}
+		t.Logf("at most %d requests after the grace of the fifth crash, %d in all", most, sum)
+		So(most, ShouldBeLessThanOrEqualTo, 3)
+	})
+}
+
 // Guards, in drawn storms, against requests with a part that crashes engines which reach further
 // ones, and against sound requests that are held.
 func TestPartStorm(t *testing.T) {
@@ -159,6 +196,7 @@
 				parts:      1 + rng.IntN(20),
 				badShare:   0.1 + 0.4*rng.Float64(),
 				zoneLosses: rng.IntN(4),
+				outcome:    400,
 			}
 			for i := range 1 + rng.IntN(12) {
 				s.processes = append(s.processes, mgquarantine.New(fmt.Sprint(i), func(mgquarantine.Digest) int { return i }))
--- a/internal/request/mgquarantine/trial.go
+++ b/internal/request/mgquarantine/trial.go
@@ -6,9 +6,13 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// trialWindow is how long after a hold only one process admits the request, and how
-// long a process waits for the outcome of its trial (an attempt after the hold).
-const trialWindow = 5 * mgclock.Second
+const (
+	// trialWindow is how long after a hold only one process admits the request.
+	trialWindow = 5 * mgclock.Second
+	// trialTimeout is how long the outcome of a trial, an attempt after the hold, is awaited by all
+	// processes. The attempt may wait at its upstream before it begins.
+	trialTimeout = 30 * mgclock.Second
+)
 
 // Admit reports whether a request may be sent to an upstream, and if not, how long it is
 // still held. Once its hold is over one attempt at a time is admitted, by few processes at first
@@ -25,7 +29,7 @@
 		if !suspicion.isQuarantined {
 			continue
 		}
-		left = max(left, suspicion.remaining(now), suspicion.heldUntil+trialDelay(q.rankOf(d))-now)
+		left = max(left, suspicion.remaining(now), suspicion.heldUntil+trialDelay(q.rankOf(d))-now, suspicion.trialUntil-now)
 		trials = append(trials, d)
 	}
 	if len(trials) == 0 || left > 0 {
@@ -34,20 +38,49 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, d := range trials {
-		left = max(left, q.trialDeadlines[d]-now)
+		left = max(left, q.state.Load().suspicions[d].trialUntil-now)
 	}
 	if left > 0 {
 		return left, false
 	}
-	if q.trialDeadlines == nil {
-		q.trialDeadlines = map[Digest]mgclock.Millis{}
-	}
 	for _, d := range trials {
-		q.trialDeadlines[d] = now + trialWindow
+		q.announceTrial(now, d)
 	}
+	q.reevaluate(now)
 	return 0, true
 }
 
+// announceTrial adds a record that a trial of a request or part has begun.
+func (q *Quarantine) announceTrial(now mgclock.Millis, digest Digest) {
+	trial := trialDigestOf(digest)
+	q.putOwn(storedRecord{
+		record: Record{
+			Digest: trial.String(),
+			Seen:   now,
+		},
+		digest:    trial,
+		seenBound: now,
+		learnedAt: now,
+	})
+}
+
+// recordTrials enters in a state until when the outcomes of the trials are awaited that are known
+// to have begun.
+func (q *Quarantine) recordTrials(next *state) {
+	answers := map[Digest]mgclock.Millis{} // the latest ones
+	for _, s := range q.records {
+		if !s.isCrash() {
+			answers[s.digest] = max(answers[s.digest], s.seenBound)
+		}
+	}
+	for digest, suspicion := range next.suspicions {
+		if began, known := answers[trialDigestOf(digest)]; known && suspicion.isQuarantined {
+			suspicion.trialUntil = began + trialTimeout
+			next.suspicions[digest] = suspicion
+		}
+	}
+}
+
 // rankOf returns this process's rank for trials of a request or part.
 func (q *Quarantine) rankOf(digest Digest) int {
 	if q.trialRank == nil {
