mgrelay: an answer that is cut since its upstream started again says so

The line of a cut answer named an upstream that refuses connections also where another incarnation accepts them, or may: on-call would look for a process that has ended. Two errors now, and the names of the two checks in endingWithConn tell them apart. No decision changes; TestEndBetweenEventsMisjudged and TestBrokenAnswerLooksWhole pass.

--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -24,6 +24,7 @@
 	errInsideEvent  = errors.New("the stream ended inside an event: the upstream broke off")
 	errNoEvent      = errors.New("the connection ended before the first event: the upstream broke off")
 	errUpstreamDown = errors.New("the connection ended and the upstream refuses others: it has ended, and the answer may be cut")
+	errRestarted    = errors.New("the connection ended and the upstream may have started again: the answer may be cut")
 	errUnknownEnd   = errors.New("the connection ended and the upstream can't be asked: the answer may be cut")
 )
 
@@ -56,35 +57,38 @@
 // the end.
 func (y *Relay) endingWithConn(ctx context.Context, host Host, watch *mgdial.ProcessWatch) (result ending, cause error) {
 	now := y.spec.Clock.Now()
-	ended, err := y.hasEndedSoon(host)
+	ended, checkErr := y.hasEndedSoon(host)
 	// What accepts connections at the address may have been started since. The ends of the process's
 	// connections arrive within the time of that check.
 	isOpen := watch != nil && watch.IsOpen()
 	switch {
-	case ended || !y.isListed(host.Name, host.IncarnationStart):
+	case ended:
 		return endsBroken, errUpstreamDown
+	case !y.isListed(host.Name, host.IncarnationStart):
+		return endsBroken, errRestarted
 	case isOpen:
 		return endsWhole, nil
-	case watch == nil && err != nil:
+	case watch == nil && checkErr != nil:
 		return endsUnknown, errUnknownEnd
 	}
 	// The list shows a new incarnation late, so that only the upstream can say which it is. One that
 	// has ended the watch, perhaps because it was idle, must do so. Upstreams without incarnations
 	// take longer to start again than the check.
 	start, askErr := y.statedIncarnation(ctx, host)
+	mustState := watch != nil && host.IncarnationStart != 0
 	switch {
 	case askErr == nil && start == host.IncarnationStart:
 		return endsWhole, nil
-	case askErr == nil || watch != nil && host.IncarnationStart != 0:
-		return endsBroken, errors.Join(errUpstreamDown, askErr)
-	case err != nil:
+	case askErr == nil || mustState:
+		return endsBroken, errors.Join(errRestarted, askErr)
+	case checkErr != nil:
 		return endsUnknown, errUnknownEnd
 	case y.isIncarnation(ctx, host, now):
 		return endsWhole, nil
 	case y.isListed(host.Name, host.IncarnationStart):
 		return endsUnknown, errUnknownEnd
 	default:
-		return endsBroken, errUpstreamDown
+		return endsBroken, errRestarted
 	}
 }
 
