mgentry: a generation that runs clears the beginning of its prompt

What callers would see: on the own interface, where answers take half a minute, requests are refused as held for 30 s and more since their prompts begin like those under which engines ended one after another, as after the loss of zones, while generations with the same beginning run on. Found by reading, after the relay's path. Cause: only the end of an answer cleared its parts; on the relayed path a stream does that lives 300 ms after its first event. A beginning is cleared for crashes until 2 s after. Change: the same on the own interface, reported each 300 ms.

--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -5,6 +5,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -88,3 +89,24 @@
 	}
 	r.entry.spec.Quarantine.RecordPartAnswers(now, r.job.parts()...)
 }
+
+// progressInterval is how long after its first token, and after each report, a generation is reported
+// to the quarantine: an engine that its prompt ends may have produced some tokens by then.
+const progressInterval = 300 * mgclock.Millis(1)
+
+// recordProgress reports a generation that runs to the quarantine: its engine has begun it and lives
+// on.
+func (r *answerReader) recordProgress() {
+	if r.receivedTokens == 0 {
+		return
+	}
+	now := r.entry.spec.Clock.Now()
+	if r.progressAt == 0 {
+		r.progressAt = now
+	}
+	if now < r.progressAt+progressInterval {
+		return
+	}
+	r.progressAt = now
+	r.recordSuccess()
+}
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -37,6 +37,7 @@
 	stream         *mglink.Stream
 	avoidAgents    map[string]bool
 	receivedTokens int
+	progressAt     mgclock.Millis   // when the current attempt had its first token, or was last reported to the quarantine; 0 before
 	refund         func(tokens int) // returns what the account's caps were overcharged
 	preemptions    uint32
 	attestedNotRun bool // the agent attests that the current attempt did not run
@@ -234,6 +235,7 @@
 	if r.engineCrashed {
 		r.recordCrash()
 	}
+	r.recordProgress()
 	r.attestedNotRun = frame.GetFault() != "" && frame.GetOutcome() == string(mgproblem.NotRun)
 }
 
@@ -277,6 +279,7 @@
 	r.attempt = attempt
 	r.mayHaveRun = r.mayHaveRun || attempt.priorMayHaveRun
 	r.receivedTokens = 0
+	r.progressAt = 0
 	r.attestedNotRun = false
 	r.engineCrashed = false
 	r.open(ctx)
