--- a/pkg/mgdial/ended_linux.go
+++ b/pkg/mgdial/ended_linux.go
@@ -8,6 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// tcpEstablished is the state, in TCP_INFO, of a connection that neither end has ended.
+const tcpEstablished = 1
+
 // endedFor returns how long ago, at most, the peer of a connection ended it, or 0 if it has not.
 func endedFor(conn net.Conn) (time.Duration, error) {
 	tcp, ok := conn.(*net.TCPConn)
@@ -24,7 +27,7 @@
 	if err = errors.Join(err, infoErr); err != nil {
 		return 0, err
 	}
-	if info.State == unix.BPF_TCP_ESTABLISHED {
+	if info.State == tcpEstablished {
 		return 0, nil
 	}
 	// The peer ended the connection after its last data.
