mgquarantine: the storms at crowded engines check sound requests, too

Awaiting a trial's outcome for 30 s in place of 5 could hold sound requests for longer. The check is the stated target, 0.95, as in TestPartStorm. These storms lose no zones; TestPartStorm does, without trials.

--- a/internal/request/mgquarantine/storm_test.go
+++ b/internal/request/mgquarantine/storm_test.go
@@ -161,7 +161,7 @@
 // that more than three reach engines in the time of two holds.
 func TestPartTrialsOverlap(t *testing.T) {
 	Convey("In drawn storms at crowded engines at most three requests follow the fifth crash in 90 s", t, func() {
-		most, sum := 0, 0
+		most, sum, sound, heldSound := 0, 0, 0, 0
 		for seed := range uint64(60) {
 			rng := rand.New(rand.NewPCG(seed, 1))
 			s := storm{
@@ -177,9 +177,13 @@
 			s.run(90 * sec)
 			most = max(most, s.afterGrace)
 			sum += s.afterGrace
+			sound += s.sound
+			heldSound += s.heldSound
 		}
-		t.Logf("at most %d requests after the grace of the fifth crash, %d in all", most, sum)
+		t.Logf("at most %d requests after the grace of the fifth crash, %d in all, %d of %d sound ones held", most, sum, heldSound, sound)
 		So(most, ShouldBeLessThanOrEqualTo, 3)
+		So(float64(sound-heldSound), ShouldBeGreaterThanOrEqualTo, 0.95*float64(sound))
+		So(sound, ShouldBeGreaterThan, 1000)
 	})
 }
 
