--- a/internal/soak/mgsoak/funnel_bench_test.go
+++ b/internal/soak/mgsoak/funnel_bench_test.go
@@ -93,7 +93,7 @@
 	var callers sync.WaitGroup
 	var served atomic.Int64
 	var mu sync.Mutex
-	var firstEvents []time.Duration
+	var firstEvents, refusals []time.Duration // times from the start of a connection
 	most := before
 	interval := time.Second / time.Duration(rate)
 	begin := time.Now()
@@ -109,14 +109,15 @@
 			most.memoryKiB, most.files = max(most.memoryKiB, used.memoryKiB), max(most.files, used.files)
 		}
 		callers.Go(func() {
-			first, ok := readWhole(d.entries[0], rand.Uint64())
+			took, ok := readWhole(d.entries[0], rand.Uint64())
+			mu.Lock()
+			defer mu.Unlock()
 			if !ok {
+				refusals = append(refusals, took)
 				return
 			}
 			served.Add(1)
-			mu.Lock()
-			defer mu.Unlock()
-			firstEvents = append(firstEvents, first)
+			firstEvents = append(firstEvents, took)
 		})
 	}
 	callers.Wait()
@@ -124,20 +125,27 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	slices.Sort(firstEvents)
 	b.ReportMetric(float64(served.Load())/float64(rate*int(funnelTime/mgclock.Second)), "served")
 	b.ReportMetric(float64(after.cpu-before.cpu)/float64(max(served.Load(), 1)), "cpu-ms/served")
 	b.ReportMetric(float64(most.memoryKiB)/1024, "MiB")
 	b.ReportMetric(float64(most.files), "files")
-	if len(firstEvents) > 0 {
-		b.ReportMetric(firstEvents[len(firstEvents)/2].Seconds()*1000, "first-p50-ms")
-		b.ReportMetric(firstEvents[len(firstEvents)*99/100].Seconds()*1000, "first-p99-ms")
+	reportQuantiles(b, "first", firstEvents)
+	reportQuantiles(b, "refused", refusals)
+}
+
+// reportQuantiles reports the median and the 99th percentile of times, if there are any.
+func reportQuantiles(b *testing.B, name string, times []time.Duration) {
+	if len(times) == 0 {
+		return
 	}
+	slices.Sort(times)
+	b.ReportMetric(times[len(times)/2].Seconds()*1000, name+"-p50-ms")
+	b.ReportMetric(times[len(times)*99/100].Seconds()*1000, name+"-p99-ms")
 }
 
-// readWhole reads a stream on a new connection and returns when its first event came. Answers that the
-// upstream breaks off count as served.
-func readWhole(base string, id uint64) (first time.Duration, ok bool) {
+// readWhole reads a stream on a new connection and returns how long its first event took, or the
+// failure in its place. Answers that the upstream breaks off count as served.
+func readWhole(base string, id uint64) (took time.Duration, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), streamTimeout.Duration())
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s/caller-%d/%d", base, id, funnelEvents), nil)
@@ -150,13 +158,14 @@
 	began := time.Now()
 	response, err := unpooledClient.Do(request)
 	if err != nil {
-		return 0, false
+		return time.Since(began), false
 	}
 	defer response.Body.Close()
-	if _, err := io.ReadFull(response.Body, make([]byte, 1)); err != nil || response.StatusCode != http.StatusOK {
-		return 0, false
+	_, err = io.ReadFull(response.Body, make([]byte, 1))
+	took = time.Since(began)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return took, false
 	}
-	first = time.Since(began)
 	_, _ = io.Copy(io.Discard, response.Body)
-	return first, true
+	return took, true
 }
