mgquarantine, mgrelay: a request that ends its engine in the middle of its answer is held

Cause: the time since the first event stood for the cause. Only a generation that had just started was evidence, and one that had run for 300 ms cleared its request and parts. The class is a beginning that is taken for an outcome.

Change: all that ran at an engine that ended is evidence, with how long it had run. What tells the cause: an answer that has ended voids the evidence, and a generation does that has gone on for twice as long, unless its own engine ends later; of two that explain as many ends, one that was never answered goes first, then the one whose engines ended at one place of its answers. A run of a held request that hasn't passed that place is stopped, and one place decides whether a request goes on at another upstream, as a retry, from its last event or from a copy. Of engines that end at one moment the first two are recorded with all that they ran (a process's view), which bounds what processes exchange.

--- a/internal/process/mgnode/exchange_test.go
+++ b/internal/process/mgnode/exchange_test.go
@@ -349,6 +349,68 @@
 	})
 }
 
+// Guards against records of all that ran at upstreams that ended, which take more of the network than
+// control may (15 KB/s a process).
+func TestRunningRecordsSaturateLinks(t *testing.T) {
+	const processes, runs = 60, 24
+	// end ends an engine with all that it runs, sent by as many processes.
+	end := func(m *mesh, engine int) {
+		now := m.clock.Now()
+		for i := range runs {
+			request := fmt.Sprintf("%d %d", engine, i)
+			m.nodes[(engine*7+i*5)%processes].quarantine.RecordCrash(now, mgquarantine.Crash{
+				Digest:   mgquarantine.DigestOf("account", "host", "/path", []byte(request)),
+				Parts:    []mgquarantine.Digest{mgquarantine.PartDigestOf("service", "model", request)},
+				Request:  request,
+				Upstream: "engine-" + strconv.Itoa(engine),
+				Begun:    true,
+				Sent:     now - 5*mgclock.Second,
+				Ran:      4 * mgclock.Second,
+			})
+		}
+	}
+	cases := []struct {
+		name string
+		ends int // one after another
+		lost int // at one moment
+	}{
+		{
+			name: "six engines end one after another",
+			ends: 6,
+		},
+		{
+			name: "a zone of 60 engines is lost",
+			lost: 60,
+		},
+	}
+	Convey("While", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				const seconds = 20
+				m := newMesh(meshSpec{
+					count: processes,
+				})
+				var rate float64 // bytes a second of a process
+				m.run(t, func() {
+					time.Sleep(5 * time.Second)
+					m.bytes.Swap(0)
+					for i := range c.ends {
+						end(m, i)
+						time.Sleep(400 * time.Millisecond)
+					}
+					for i := range c.lost {
+						end(m, i)
+					}
+					time.Sleep(seconds * time.Second)
+					rate = float64(m.bytes.Load()) / seconds / processes
+				})
+				t.Logf("%s: %.0f bytes a second of a process over %d s", c.name, rate, seconds)
+				So(rate, ShouldBeLessThan, 15_000)
+			})
+		}
+	})
+}
+
 // Guards against records of crashes whose parts of prompts take more of the network than control
 // may (15 KB/s a process).
 func TestPartCrashesSaturateLinks(t *testing.T) {
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -13,15 +13,9 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
-const (
-	// startWindow is how long after its first event a generation counts as just
-	// started: a request that crashes an engine at the start may have produced some
-	// tokens by then.
-	startWindow = 300 * mgclock.Millis(1)
-	// crashCheckTimeout is how long a retry waits for the check whether the previous
-	// upstream has ended. An address without a listener answers in one round trip.
-	crashCheckTimeout = 50 * mgclock.Millis(1)
-)
+// crashCheckTimeout is how long a retry waits for the check whether the previous
+// upstream has ended. An address without a listener answers in one round trip.
+const crashCheckTimeout = 50 * mgclock.Millis(1)
 
 // errQuarantined is the cause for which the attempts of a request are cancelled when
 // it becomes held, that is when the quarantine begins to refuse it.
@@ -34,10 +28,12 @@
 	firstEventAt   mgclock.Millis // 0 before the first event
 }
 
-// justStarted reports whether the attempt had delivered no events or only just
-// started.
-func (r partialAnswer) justStarted(now mgclock.Millis) bool {
-	return r.eventCount == 0 || now < r.firstEventAt+startWindow
+// ran returns how long the attempt had run since its first event.
+func (r partialAnswer) ran(now mgclock.Millis) mgclock.Millis {
+	if r.eventCount == 0 {
+		return 0
+	}
+	return now - r.firstEventAt
 }
 
 // digest identifies the content of the request.
@@ -66,7 +62,7 @@
 	keys := append(y.dataVersionKeys(),
 		mglog.Request, x.id, mglog.Route, x.call.Route.Name(), mglog.Service, x.service,
 		mglog.Upstream, host.Name, "digest", x.digest().String(), "parts", y.spec.Headers.partsOf(x.header), "attempts", x.attempts,
-		"begun", partial.headerReceived, "events", partial.eventCount, "ms", int64(now-x.sentAt), "leaving", leaving)
+		"begun", partial.headerReceived, "events", partial.eventCount, "ran", int64(partial.ran(now)), "ms", int64(now-x.sentAt), "leaving", leaving)
 	if x.call.Account != nil {
 		keys = append(keys, mglog.Account, x.call.Account.Name())
 	}
@@ -79,6 +75,7 @@
 		Upstream:   host.Name,
 		Begun:      partial.headerReceived || x.call.Route.Kind() != mgtable.Stream,
 		Sent:       x.sentAt,
+		Ran:        partial.ran(now),
 		NextNumber: x.nextCrashNumber,
 	}
 	checked := make(chan struct{})
@@ -88,7 +85,7 @@
 		if err != nil {
 			keys = append(keys, "why", err.Error())
 		}
-		evidence := ended && !leaving && partial.justStarted(now)
+		evidence := ended && !leaving
 		y.spec.Log.Info("an upstream broke off an attempt", append(keys, "ended", ended, "evidence", evidence)...)
 		if evidence {
 			y.spec.Metrics.Counter("relay.crashed").Inc(1)
@@ -145,10 +142,10 @@
 	return mgquarantine.Problem(left, x.mayHaveRun)
 }
 
-// mayCrashAnother reports whether a request under which an upstream has just ended
-// should not be tried on another one.
+// mayCrashAnother reports whether a request under which an upstream has ended should not go on at
+// another one, as a retry, from its last event or from a copy.
 func (y *Relay) mayCrashAnother(x *exchange) bool {
-	return y.spec.Quarantine.HasSuspects() && !y.spec.Quarantine.Retryable(x.digest(), x.parts...)
+	return x.attemptBroken && y.spec.Quarantine.HasSuspects() && !y.spec.Quarantine.Retryable(x.digest(), x.parts...)
 }
 
 // recordQuarantineAnswer reports to the quarantine that an upstream answered a request with a status.
@@ -170,15 +167,24 @@
 	y.spec.Quarantine.RecordPartAnswers(now, parts...)
 }
 
-// recordProgress reports a stream that runs to the quarantine, once each startWindow: its upstream
+// recordProgress reports a stream that runs to the quarantine, once each StartWindow: its upstream
 // has begun it and lives on.
 func (y *Relay) recordProgress(x *exchange, gen *generation, now mgclock.Millis) {
-	since := max(mgclock.Millis(gen.firstEventAt.Load()), x.progressAt)
-	if now < since+startWindow {
+	firstEventAt := mgclock.Millis(gen.firstEventAt.Load())
+	if now < max(firstEventAt, x.progressAt)+mgquarantine.StartWindow {
 		return
 	}
 	x.progressAt = now
-	y.recordQuarantineAnswer(x, http.StatusOK)
+	run := mgquarantine.Run{
+		Parts:   x.parts,
+		Request: x.id,
+		Sent:    x.sentAt,
+		Ran:     now - firstEventAt,
+	}
+	if y.spec.Quarantine.HasSuspects() {
+		run.Digest = x.digest()
+	}
+	y.spec.Quarantine.RecordProgress(now, run)
 }
 
 // exchanges are the requests in progress. The zero value is empty.
@@ -202,8 +208,8 @@
 	delete(s.cancels, x)
 }
 
-// cancelHeld cancels the requests that wait, here or at an upstream, and have become
-// held.
+// cancelHeld cancels the requests that have become held and wait, here or at an upstream, and those
+// whose generation is about to end its upstream.
 func (y *Relay) cancelHeld() {
 	if !y.spec.Quarantine.HasSuspects() {
 		return
@@ -212,7 +218,13 @@
 	y.exchanges.mu.Lock()
 	defer y.exchanges.mu.Unlock()
 	for x, cancel := range y.exchanges.cancels {
-		if _, held := y.spec.Quarantine.Held(now, x.digest(), x.parts...); held && !x.streaming.Load() {
+		_, held := y.spec.Quarantine.Held(now, x.digest(), x.parts...)
+		switch {
+		case !held:
+		case !x.streaming.Load():
+			cancel(errQuarantined)
+		case y.spec.Quarantine.EndsUpstreams(now, x.ran(now), x.digest(), x.parts...):
+			y.spec.Metrics.Counter("relay.stopped").Inc(1)
 			cancel(errQuarantined)
 		}
 	}
--- a/internal/process/mgrelay/crash_test.go
+++ b/internal/process/mgrelay/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -29,6 +30,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// eventsThenHangUpLate answers with an event, runs for longer than a generation counts as just started,
+// and closes the connection.
+func eventsThenHangUpLate(w http.ResponseWriter, _ *http.Request) {
+	sendEvent(w, "1")
+	time.Sleep(mgquarantine.StartWindow.Duration() + 50*time.Millisecond)
+	panic(http.ErrAbortHandler)
+}
+
 // connectionsRefused reports that each upstream's address refuses connections.
 func connectionsRefused(context.Context, string) (bool, error) { return true, nil }
 
@@ -38,6 +47,21 @@
 	return false, context.DeadlineExceeded
 }
 
+// holdLateRequest makes a quarantine hold the request that harness.send sends with this target and
+// body, since upstreams ended once they had run it for a time.
+func holdLateRequest(q *mgquarantine.Quarantine, ran mgclock.Millis, target, body string) {
+	now := mgclock.Clock{}.Now()
+	for _, upstream := range []string{"x", "y", "z"} {
+		q.RecordCrash(now, mgquarantine.Crash{
+			Digest:   mgquarantine.DigestOf("tankline", "tanks.example", target, []byte(body)),
+			Upstream: upstream + target,
+			Begun:    true,
+			Sent:     now,
+			Ran:      ran,
+		})
+	}
+}
+
 // holdRequest makes a quarantine hold the request that harness.send sends with this
 // target and body.
 func holdRequest(q *mgquarantine.Quarantine, target, body string) {
@@ -77,6 +101,13 @@
 			refuses: connectionsRefused,
 			counts:  1,
 		},
+		{
+			name:    "a generation that had run for a while",
+			path:    "/write/1",
+			handler: eventsThenHangUpLate,
+			refuses: connectionsRefused,
+			counts:  1,
+		},
 		{
 			name:    "a plain call in progress",
 			path:    "/book/1",
@@ -269,6 +300,34 @@
 				So(err, ShouldBeNil)
 				So(body, ShouldEqual, "id: 1\n\nid: 2\n\n")
 			})
+			Convey("is stopped before it ends its upstream in the middle of its answer", func() {
+				stopped := make(chan struct{})
+				g := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+					sendEvent(w, "1")
+					<-held
+					holdLateRequest(q, 2*mgclock.Second, "/note/2", "x")
+					<-r.Context().Done()
+					close(stopped)
+				})
+				g.startRelay(func(spec *mgrelay.Spec) { spec.Quarantine = q })
+				_, err := g.readStream("/note/2", "x", firstByte)
+				So(err, ShouldNotBeNil)
+				<-stopped
+				So(len(g.requests()), ShouldEqual, 1)
+			})
+			Convey("goes on if it has passed the place at which upstreams ended", func() {
+				g := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+					sendEvent(w, "1")
+					<-held
+					time.Sleep(1500 * time.Millisecond)
+					holdLateRequest(q, 400, "/note/3", "x")
+					sendEvent(w, "2")
+				})
+				g.startRelay(func(spec *mgrelay.Spec) { spec.Quarantine = q })
+				body, err := g.readStream("/note/3", "x", firstByte)
+				So(err, ShouldBeNil)
+				So(body, ShouldEqual, "id: 1\n\nid: 2\n\n")
+			})
 			Convey("is not restarted elsewhere", func() {
 				g := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
 					sendEvent(w, "1")
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -41,20 +41,21 @@
 	nextCrashNumber  uint64         // of the quarantine, when the last attempt was sent
 	pendingTokens    int            // prompt tokens that are counted as not yet read
 	tried            map[string]bool
-	attempts         int                  // sends that may have reached an upstream
-	skippedCold      bool                 // an upstream was skipped because it is cold
-	failedDials      int                  // upstreams that could not be reached
-	lastUpstream     string               // of the last attempt
-	refusal          *answer              // the last upstream's statement that it did not run
-	failure          *answer              // the last upstream's answer that it failed
-	mayHaveRun       bool                 // at an upstream
-	attemptBroken    bool                 // an upstream closed the connection of an attempt
-	admitted         bool                 // by the quarantine; see quarantineProblem
-	headerSent       bool                 // of a stream, to the caller
-	watch            *mgdial.ProcessWatch // of the last attempt's upstream; nil unless its answer ends with its connection
-	endUnknown       bool                 // the last attempt's answer ended, and may have broken off
-	endsWithConn     bool                 // the end of the caller's connection marks the end of its answer
-	streaming        atomic.Bool          // headerSent for other goroutines
+	attempts         int                        // sends that may have reached an upstream
+	skippedCold      bool                       // an upstream was skipped because it is cold
+	failedDials      int                        // upstreams that could not be reached
+	lastUpstream     string                     // of the last attempt
+	refusal          *answer                    // the last upstream's statement that it did not run
+	failure          *answer                    // the last upstream's answer that it failed
+	mayHaveRun       bool                       // at an upstream
+	attemptBroken    bool                       // an upstream closed the connection of an attempt
+	admitted         bool                       // by the quarantine; see quarantineProblem
+	headerSent       bool                       // of a stream, to the caller
+	watch            *mgdial.ProcessWatch       // of the last attempt's upstream; nil unless its answer ends with its connection
+	endUnknown       bool                       // the last attempt's answer ended, and may have broken off
+	endsWithConn     bool                       // the end of the caller's connection marks the end of its answer
+	streaming        atomic.Bool                // headerSent for other goroutines
+	generation       atomic.Pointer[generation] // of the last attempt; nil before its answer began
 	digestOnce       sync.Once
 	digestValue      mgquarantine.Digest // valid after digestOnce
 	parts            []mgquarantine.Digest
@@ -169,6 +170,15 @@
 // clearWriteDeadline removes the bound, for the next request on the connection.
 func (x *exchange) clearWriteDeadline() { _ = x.control.SetWriteDeadline(time.Time{}) }
 
+// ran returns how long the generation of the last attempt has run since its first event.
+func (x *exchange) ran(now mgclock.Millis) mgclock.Millis {
+	gen := x.generation.Load()
+	if gen == nil || gen.firstEventAt.Load() == 0 {
+		return 0
+	}
+	return now - mgclock.Millis(gen.firstEventAt.Load())
+}
+
 // splitList returns the names in a comma-separated header line.
 func splitList(line string) []string {
 	var names []string
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -247,6 +247,11 @@
 			y.expire(ctx, w, x)
 			return
 		}
+		if y.mayCrashAnother(x) {
+			y.spec.Metrics.Counter("relay.dangerous").Inc(1)
+			y.giveUp(w, x)
+			return
+		}
 		if y.prepareResume(x) {
 			continue
 		}
@@ -305,10 +310,6 @@
 		y.spec.Metrics.Counter("relay.unmatched").Inc(1)
 		return false
 	}
-	if x.attemptBroken && y.mayCrashAnother(x) {
-		y.spec.Metrics.Counter("relay.dangerous").Inc(1)
-		return false
-	}
 	if outcome == notConnected {
 		return x.failedDials < maxDials && y.elapsed(x) < x.timeout/dialTimeDivisor
 	}
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -15,6 +15,7 @@
 func (y *Relay) deliverStream(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) attemptOutcome {
 	gen := y.generations.add(ctx, y.spec.Clock.Now(), x, host)
 	defer y.generations.remove(gen)
+	x.generation.Store(gen)
 	reader := &eventReader{
 		source: response.Body,
 	}
--- a/internal/request/mgquarantine/answer.go
+++ b/internal/request/mgquarantine/answer.go
@@ -9,8 +9,64 @@
 // maxAnsweredParts is the number of parts of which the last answer is kept, some 0.3 MB.
 const maxAnsweredParts = 4096
 
-// RecordAnswer records that an upstream answered a request, or that it began to and has lived on
-// for long enough. The answer voids evidence against the request and the parts of its prompt.
+// partAnswer is what this process has seen last of the requests with a part.
+type partAnswer struct {
+	at         mgclock.Millis // when one was answered
+	isAnswered bool
+	ranAt      mgclock.Millis // when one ran that had run for the time ran
+	ran        mgclock.Millis // the longest within partAnswerWindow, 0 for none
+}
+
+// clears reports whether it voids a crash at a time, under a generation that had run for a time, as
+// evidence against the part.
+func (a partAnswer) clears(crashAt, ran mgclock.Millis) bool {
+	return a.isAnswered && crashAt < a.at+partAnswerWindow || a.outlives(crashAt, outlivedAfter(ran))
+}
+
+// outlives reports whether a request with the part ran for longer than a time.
+func (a partAnswer) outlives(crashAt, after mgclock.Millis) bool {
+	return a.ran > 0 && a.ran >= after && crashAt < a.ranAt+partAnswerWindow
+}
+
+// isExpired reports whether it is of no more use.
+func (a partAnswer) isExpired(now mgclock.Millis) bool {
+	return max(a.at, a.ranAt)+partAnswerWindow <= now
+}
+
+// A Run is a generation in progress.
+type Run struct {
+	Digest  Digest
+	Parts   []Digest       // of the request's prompt that others may share; see PartDigestOf
+	Request string         // id of the attempt's request
+	Sent    mgclock.Millis // when the attempt was sent
+	Ran     mgclock.Millis // since its first event
+}
+
+// RecordProgress records that a generation runs. Its upstream has survived what may have ended
+// another one earlier in its answer, unless it ends under the same attempt later.
+func (q *Quarantine) RecordProgress(now mgclock.Millis, run Run) {
+	q.updatePartAnswers(now, run.Parts, func(a *partAnswer) {
+		if run.Ran >= a.ran || a.ranAt+partAnswerWindow <= now {
+			a.ran, a.ranAt = run.Ran, now
+		}
+	})
+	current := q.state.Load()
+	if current == nil || run.Ran == 0 {
+		return
+	}
+	for _, d := range append([]Digest{run.Digest}, run.Parts...) {
+		if suspicion := current.suspicions[d]; suspicion.occurrences > 0 && run.Ran >= suspicion.outlivedAfter {
+			q.addOwn(now, d, nil, Record{
+				Request: run.Request,
+				Sent:    run.Sent,
+				Ran:     run.Ran,
+			})
+		}
+	}
+}
+
+// RecordAnswer records that an upstream has answered a request. The answer voids evidence against the
+// request and the parts of its prompt.
 func (q *Quarantine) RecordAnswer(now mgclock.Millis, digest Digest, parts ...Digest) {
 	q.RecordPartAnswers(now, parts...)
 	current := q.state.Load()
@@ -26,51 +82,74 @@
 
 // RecordPartAnswers is RecordAnswer for a request against which there is no evidence. It is cheap.
 func (q *Quarantine) RecordPartAnswers(now mgclock.Millis, parts ...Digest) {
+	q.updatePartAnswers(now, parts, func(a *partAnswer) { a.at, a.isAnswered = now, true })
+}
+
+// updatePartAnswers updates what is known of the requests with each part.
+func (q *Quarantine) updatePartAnswers(now mgclock.Millis, parts []Digest, update func(*partAnswer)) {
 	if len(parts) == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.partAnswers == nil {
-		q.partAnswers = map[Digest]mgclock.Millis{}
+		q.partAnswers = map[Digest]partAnswer{}
 	}
 	if len(q.partAnswers) >= maxAnsweredParts {
-		maps.DeleteFunc(q.partAnswers, func(_ Digest, at mgclock.Millis) bool { return at+partAnswerWindow <= now })
+		maps.DeleteFunc(q.partAnswers, func(_ Digest, a partAnswer) bool { return a.isExpired(now) })
 	}
 	for _, part := range parts {
-		if _, known := q.partAnswers[part]; known || len(q.partAnswers) < maxAnsweredParts {
-			q.partAnswers[part] = now
+		if known, ok := q.partAnswers[part]; ok || len(q.partAnswers) < maxAnsweredParts {
+			update(&known)
+			q.partAnswers[part] = known
 		}
 	}
 }
 
-// isPartAnswered reports whether this process has seen an answer to a request with a part that
-// voids a crash at a time.
-func (q *Quarantine) isPartAnswered(part Digest, crashAt mgclock.Millis) bool {
-	at, known := q.partAnswers[part]
-	return known && crashAt < at+partAnswerWindow
+// answerersAtRepeat is the number of processes that report answers to a part once it is suspected of
+// two occurrences.
+const answerersAtRepeat = 8
+
+// answersSuspect reports whether this process reports the answers that it has seen to requests with a
+// part that others suspect: at first the one that ranks first, and all if the part is held
+// nevertheless. Many processes have seen answers to a popular part.
+func (q *Quarantine) answersSuspect(digest Digest, s suspicion) bool {
+	switch {
+	case !s.isPart || s.occurrences == 0:
+		return false
+	case s.isQuarantined:
+		return true
+	case s.occurrences >= minPartMoments:
+		return q.rankOf(digest) < answerersAtRepeat
+	default:
+		return q.rankOf(digest) == 0
+	}
 }
 
 // answerSuspects adds records of the answers that this process has seen to requests with parts that
-// others suspect. The process that ranks first does so at once, the others if a part is held
-// nevertheless: many processes have seen answers to a popular part. It reports whether it added any.
+// others suspect. It reports whether it added any.
 func (q *Quarantine) answerSuspects(now mgclock.Millis) bool {
 	hasNew := false
 	for digest, suspicion := range q.state.Load().suspicions {
-		if !suspicion.isPart || suspicion.occurrences == 0 || !q.isPartAnswered(digest, suspicion.lastCrashAt) {
+		if !q.answersSuspect(digest, suspicion) {
 			continue
 		}
-		if !suspicion.isQuarantined && q.rankOf(digest) > 0 {
+		seen := q.partAnswers[digest]
+		record := Record{
+			Digest: digest.String(),
+			Seen:   seen.at,
+		}
+		switch {
+		case seen.isAnswered && suspicion.lastCrashAt < seen.at+partAnswerWindow:
+		case seen.outlives(suspicion.lastCrashAt, suspicion.outlivedAfter):
+			record.Seen, record.Ran = seen.ranAt, seen.ran
+		default:
 			continue
 		}
-		at := q.partAnswers[digest]
 		q.putOwn(storedRecord{
-			record: Record{
-				Digest: digest.String(),
-				Seen:   at,
-			},
+			record:    record,
 			digest:    digest,
-			seenBound: at,
+			seenBound: record.Seen,
 			learnedAt: now,
 		})
 		hasNew = true
--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -3,8 +3,8 @@
 //
 // # Problem
 //
-// One request body can crash each engine that begins to run it, together with the two dozen
-// other generations there. Its caller repeats it through other entries, and an entry that
+// One request body can crash each engine that runs it, as it begins or in the middle of its answer,
+// together with the two dozen other generations there. Its caller repeats it through other entries, and an entry that
 // retries it crashes a second engine. Without shared state such a request goes through all
 // engines of a service faster than they restart. The cause may also be a part of the prompt that
 // many requests have in common, no two of which are alike otherwise.
@@ -12,17 +12,26 @@
 // # Decision
 //
 // A request is identified by its Digest. An attempt is evidence when its upstream crashed
-// while the attempt was about to begin there or had just begun. All that runs on an
+// while the attempt was about to begin there or ran. All that runs on an
 // upstream ends with it, so a single crash says little. A request is held after three
 // crashes, by these rules:
 //
 //   - crashes within a short window count once, as when an availability zone is lost, and
 //     so do crashes whose order can't be proven;
 //   - among the attempts at one upstream, those that had just begun are suspected before
-//     those that were still waiting;
+//     those that were still waiting. One that ran for longer is suspected beside them;
+//   - where two explain as many crashes, the one whose upstreams ended at about one place of its
+//     answers is suspected before the one that was anywhere in them, and one that was never
+//     answered before any other;
 //   - a crash that is explained by a request involved in more crashes counts against no
 //     other request;
-//   - an answer to the request, from any upstream, voids the evidence against it.
+//   - an answer to the request, from any upstream, voids the evidence against it. So does a
+//     generation that goes on for twice as long as the attempt had run at the crash, unless its own
+//     upstream crashes later.
+//
+// A generation in progress is stopped where its request becomes held and it hasn't passed the place
+// at which the upstreams ended. Of upstreams that end at one moment only the first few are recorded
+// with all that they ran, since no request ends many at once.
 //
 // A part is suspected and held like a request, with four differences:
 //
--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -46,15 +46,17 @@
 // crash is the end of one upstream, with the requests that may have caused it.
 type crash struct {
 	at              mgclock.Millis
-	records         []storedRecord // of requests that were about to begin or had just begun
-	hasBegunRequest bool           // some of these requests had begun; those are the likelier causes
+	records         []storedRecord // of requests that were about to begin or had begun
+	hasBegunRequest bool           // some of these requests had just begun; those are likelier causes than any that waited
 	explained       bool
 }
 
 // isSuspect reports whether a record's request is among the likeliest causes.
-func (c *crash) isSuspect(s storedRecord) bool { return s.record.Begun == c.hasBegunRequest }
+func (c *crash) isSuspect(s storedRecord) bool {
+	return s.isRunning() || s.record.Begun == c.hasBegunRequest
+}
 
-// involves reports whether a request, or one with a part, was about to begin or had just begun.
+// involves reports whether a request, or one with a part, was about to begin or had begun.
 func (c *crash) involves(digest Digest) bool {
 	return slices.ContainsFunc(c.records, func(s storedRecord) bool { return slices.Contains(s.suspects, digest) })
 }
@@ -65,6 +67,10 @@
 	isPart        bool
 	occurrences   int
 	lastCrashAt   mgclock.Millis
+	outlivedAfter mgclock.Millis // a generation that has run for as long voids one of the crashes at least
+	answered      bool           // an upstream has answered it, before or after its crashes
+	isLate        bool           // its crashes were at about one place in the middle of its answers
+	safeAfter     mgclock.Millis // a generation that has run for as long has outlived all crashes
 	isQuarantined bool           // also true after the hold has ended
 	heldUntil     mgclock.Millis // end of the hold
 	trialUntil    mgclock.Millis // end of the wait for the outcome of a trial, 0 where none has begun
@@ -85,7 +91,7 @@
 			all = append(all, c)
 		}
 		c.records = append(c.records, s)
-		c.hasBegunRequest = c.hasBegunRequest || s.record.Begun
+		c.hasBegunRequest = c.hasBegunRequest || s.record.Begun && !s.isRunning()
 	}
 	return all
 }
@@ -95,27 +101,29 @@
 	digest      Digest
 	breadth     int // 0 for a request; for a part its largest distance from the end of a prompt
 	suspected   []*crash
-	occurrences []*crash // those that count
+	occurrences []*crash                  // those that count
+	answered    bool                      // an upstream has answered it, before or after these crashes
+	ran         map[*crash]mgclock.Millis // the shortest time that one had run at a crash since its first event
+	waiting     int                       // crashes at which all of them waited
 }
 
 // evaluate computes the suspicion of each request and part from the evidence, sorted by time. It
 // is a greedy set cover: the explanation of most crashes explains those, and the remaining crashes
-// count against the others.
-func evaluate(records []storedRecord) map[Digest]suspicion {
+// count against the others. answered are the requests and parts that upstreams have answered.
+func evaluate(records []storedRecord, answered func(Digest) bool) map[Digest]suspicion {
 	crashes := groupCrashes(records)
 	suspicions := map[Digest]suspicion{}
 	for {
 		unexplained := explanations(crashes)
+		for _, e := range unexplained {
+			e.answered = answered(e.digest)
+		}
 		worst, found := bestExplanation(unexplained)
 		if !found || len(worst.occurrences) < occurrenceThreshold {
 			for _, e := range unexplained {
-				lastAt := e.suspected[len(e.suspected)-1].at
-				suspicions[e.digest] = suspicion{
-					isPart:      e.breadth > 0,
-					occurrences: len(e.occurrences),
-					lastCrashAt: lastAt,
-					retainUntil: lastAt + evidenceTTL,
-				}
+				s := e.suspicion()
+				s.retainUntil = s.lastCrashAt + evidenceTTL
+				suspicions[e.digest] = s
 			}
 			return suspicions
 		}
@@ -145,6 +153,7 @@
 				if e == nil {
 					e = &explanation{
 						digest: digest,
+						ran:    map[*crash]mgclock.Millis{},
 					}
 					byDigest[digest] = e
 					all = append(all, e)
@@ -152,13 +161,19 @@
 				e.breadth = max(e.breadth, s.breadthOf(digest))
 				if len(e.suspected) == 0 || e.suspected[len(e.suspected)-1] != c {
 					e.suspected = append(e.suspected, c)
+					e.ran[c] = s.record.Ran
 				}
+				e.ran[c] = min(e.ran[c], s.record.Ran)
 			}
 		}
 	}
 	for _, e := range all {
+		e.countWaiting()
 		e.suspected = e.suspected[max(len(e.suspected)-maxEvaluatedCrashes, 0):]
-		e.occurrences = longestChain(e.digest, e.suspected)
+		e.occurrences = e.suspected
+		if len(e.suspected) > 1 {
+			e.occurrences = longestChain(e.digest, e.suspected)
+		}
 		if e.breadth > 0 && len(e.occurrences) >= minPartMoments {
 			e.occurrences = e.suspected
 		}
@@ -166,6 +181,60 @@
 	return all
 }
 
+// countWaiting counts the crashes at which all requests of the explanation waited.
+func (e *explanation) countWaiting() {
+	for _, c := range e.suspected {
+		hasBegun := slices.ContainsFunc(c.records, func(s storedRecord) bool {
+			return s.record.Begun && slices.Contains(s.suspects, e.digest)
+		})
+		if !hasBegun {
+			e.waiting++
+		}
+	}
+}
+
+// rank returns 2 for an explanation of enough crashes that was never answered, 1 for one that was.
+func (e *explanation) rank() int {
+	switch {
+	case len(e.occurrences) < occurrenceThreshold:
+		return 0
+	case e.answered:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// spread returns the difference between the longest and the shortest time after which its upstreams
+// ended. A request that ends them does so at about the same place of its answer; one that ran beside
+// it was anywhere in its own.
+func (e *explanation) spread() mgclock.Millis {
+	shortest, longest := e.ran[e.suspected[0]], mgclock.Millis(0)
+	for _, c := range e.suspected {
+		shortest, longest = min(shortest, e.ran[c]), max(longest, e.ran[c])
+	}
+	return longest - shortest
+}
+
+// suspicion returns the suspicion without a hold.
+func (e *explanation) suspicion() suspicion {
+	s := suspicion{
+		isPart:        e.breadth > 0,
+		occurrences:   len(e.occurrences),
+		lastCrashAt:   e.suspected[len(e.suspected)-1].at,
+		answered:      e.answered,
+		outlivedAfter: outlivedAfter(e.ran[e.suspected[0]]),
+	}
+	longest := mgclock.Millis(0)
+	for _, c := range e.suspected {
+		s.outlivedAfter = min(s.outlivedAfter, outlivedAfter(e.ran[c]))
+		longest = max(longest, e.ran[c])
+	}
+	s.safeAfter = outlivedAfter(longest)
+	s.isLate = s.outlivedAfter >= outlivedAfter(StartWindow) && longest <= s.outlivedAfter
+	return s
+}
+
 // longestChain returns the longest sequence of crashes each of which is a later occurrence
 // than the one before, for one request or part. Sorting by time isn't enough, since a record may
 // have come on a slow path.
@@ -241,12 +310,14 @@
 }
 
 // bestExplanation returns the explanation of most crashes, the narrowest one if there are several.
-// A part gives way to a narrower one that explains nearly as many: what all requests of a route
+// Requests and parts that have been answered, as hot ones are all the time, come after all others that
+// explain enough. A part gives way to a narrower one that explains nearly as many: what all requests of a route
 // have in common is in each of their crashes, whatever has caused them. All processes choose the
 // same explanation.
 func bestExplanation(all []*explanation) (best *explanation, found bool) {
 	isBetter := func(a, b *explanation) bool {
-		return cmp.Or(cmp.Compare(len(a.occurrences), len(b.occurrences)), cmp.Compare(b.breadth, a.breadth), bytes.Compare(b.digest[:], a.digest[:])) > 0
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(len(a.occurrences), len(b.occurrences)), cmp.Compare(b.breadth, a.breadth),
+			cmp.Compare(b.waiting, a.waiting), cmp.Compare(b.spread(), a.spread()), bytes.Compare(b.digest[:], a.digest[:])) > 0
 	}
 	for _, e := range all {
 		if best == nil || isBetter(e, best) {
@@ -259,7 +330,7 @@
 	narrowest := best
 	for _, e := range all {
 		covers := float64(len(e.occurrences)) >= partCoverage*float64(len(best.occurrences))
-		if e.breadth == 0 || !covers || len(e.occurrences) < occurrenceThreshold {
+		if e.breadth == 0 || !covers || e.rank() < best.rank() || len(e.occurrences) < occurrenceThreshold {
 			continue
 		}
 		if e.breadth < narrowest.breadth || e.breadth == narrowest.breadth && isBetter(e, narrowest) {
@@ -286,14 +357,11 @@
 		hold = min(factor*hold, limit)
 		until = c.at + hold
 	}
-	return suspicion{
-		isPart:        e.breadth > 0,
-		occurrences:   len(e.occurrences),
-		lastCrashAt:   e.suspected[len(e.suspected)-1].at,
-		isQuarantined: true,
-		heldUntil:     until,
-		retainUntil:   until + evidenceTTL,
-	}
+	s := e.suspicion()
+	s.isQuarantined = true
+	s.heldUntil = until
+	s.retainUntil = until + evidenceTTL
+	return s
 }
 
 // sortByTime sorts records by time, and those of one origin with equal times by number.
--- a/internal/request/mgquarantine/exchange.go
+++ b/internal/request/mgquarantine/exchange.go
@@ -20,7 +20,9 @@
 			continue
 		}
 		stored, isUpdate := q.mergeRecord(now, record)
-		received = append(received, stored)
+		if stored.isCrash() {
+			received = append(received, stored)
+		}
 		hasUpdates = hasUpdates || isUpdate
 	}
 	hasUpdates = q.addFollowUps(now, received) || hasUpdates
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,9 @@
 	recordTTL = maxPartHold + 2*evidenceTTL
 	// broadcastWindow is how long a record is broadcast after it was learned.
 	broadcastWindow = 600 * mgclock.Millis(1)
+	// StartWindow is the time after its first event in which a generation counts as just started: a
+	// request that crashes an upstream as it begins may have produced some tokens by then.
+	StartWindow = 300 * mgclock.Millis(1)
 	// minBoundImprovement is by how much a record's time bound must fall for the record to
 	// be broadcast again: the copies of it that came before were delayed longer.
 	minBoundImprovement = 20 * mgclock.Millis(1)
@@ -38,7 +42,8 @@
 	offsets     map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
 	lastPause   mgclock.Millis            // end of the process's last pause, 0 for none
 	records     map[recordID]storedRecord
-	partAnswers map[Digest]mgclock.Millis // when this process last saw an answer to a request with a part
+	partAnswers map[Digest]partAnswer
+	recentEnds  map[string]mgclock.Millis // when the last attempts at upstreams that ended broke off, by upstream
 	changed     chan struct{}             // closed when there are new records
 }
 
@@ -69,8 +74,7 @@
 	return q.changed
 }
 
-// A Crash is the end of an upstream while a request was about to begin there or had just
-// begun.
+// A Crash is the end of an upstream under a request that was about to begin there or had begun.
 type Crash struct {
 	Digest   Digest
 	Parts    []Digest // of the request's prompt that others may share, in their order; see PartDigestOf
@@ -78,6 +82,7 @@
 	Upstream string
 	Begun    bool           // the upstream had begun the request
 	Sent     mgclock.Millis // when the attempt was sent
+	Ran      mgclock.Millis // how long it had run since its first event
 	Delay    mgclock.Millis // uncertainty of the crash's time: how long before it was seen the upstream may have ended
 	// NextNumber is what Quarantine.NextNumber returned when the attempt was sent, 0 if
 	// unknown.
@@ -94,16 +99,50 @@
 	if q.checkPause != nil {
 		q.checkPause()
 	}
+	if q.isOneOfMany(now, c) {
+		return
+	}
 	q.addOwn(now, c.Digest, c.Parts, Record{
 		Request:    c.Request,
 		Upstream:   c.Upstream,
 		Begun:      c.Begun,
 		Sent:       c.Sent,
+		Ran:        c.Ran,
 		Delay:      c.Delay,
 		NextNumber: c.NextNumber,
 	})
 }
 
+// maxEndsRecorded is the number of upstreams that end within occurrenceWindow, as this process sees
+// it, of which all generations are recorded. More end for another reason than a request.
+const maxEndsRecorded = 2
+
+// isOneOfMany reports whether a crash is one of many at one moment, under a generation that nothing
+// else speaks against. Recording all that runs in an availability zone would exceed what processes may
+// exchange.
+func (q *Quarantine) isOneOfMany(now mgclock.Millis, c Crash) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	maps.DeleteFunc(q.recentEnds, func(_ string, at mgclock.Millis) bool { return at+occurrenceWindow <= now })
+	if q.recentEnds == nil {
+		q.recentEnds = map[string]mgclock.Millis{}
+	}
+	_, isKnown := q.recentEnds[c.Upstream]
+	if c.Ran >= StartWindow && !isKnown && len(q.recentEnds) >= maxEndsRecorded && !q.isSuspected(c.Digest, c.Parts) {
+		return true
+	}
+	q.recentEnds[c.Upstream] = now
+	return false
+}
+
+// isSuspected reports whether there is evidence against a request or one of its parts.
+func (q *Quarantine) isSuspected(digest Digest, parts []Digest) bool {
+	current := q.state.Load()
+	return current != nil && slices.ContainsFunc(append([]Digest{digest}, parts...), func(d Digest) bool {
+		return current.suspicions[d].occurrences > 0
+	})
+}
+
 // HasSuspects reports whether there is evidence against any request, so that computing a
 // Digest is worth its cost.
 func (q *Quarantine) HasSuspects() bool {
@@ -124,6 +163,20 @@
 	return left, left > 0
 }
 
+// EndsUpstreams reports whether the upstream of a generation that has run for a time is about to end,
+// too: its request, or a part of its prompt, is held since upstreams have ended at about one place of
+// its answers, which the generation has not passed, and none has ever answered it.
+func (q *Quarantine) EndsUpstreams(now, ran mgclock.Millis, digest Digest, parts ...Digest) bool {
+	current := q.state.Load()
+	if current == nil {
+		return false
+	}
+	return slices.ContainsFunc(append([]Digest{digest}, parts...), func(d Digest) bool {
+		s := current.suspicions[d]
+		return s.remaining(now) > 0 && s.isLate && !s.answered && ran < s.safeAfter
+	})
+}
+
 // retryOccurrenceLimit is the number of occurrences from which a request is no longer retried
 // on another upstream after a crash. It then runs again only when its caller sends it
 // again.
@@ -154,7 +207,7 @@
 func (q *Quarantine) addOwn(now mgclock.Millis, digest Digest, parts []Digest, record Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	parts = slices.DeleteFunc(slices.Clone(parts), func(part Digest) bool { return q.isPartAnswered(part, now) })
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part Digest) bool { return q.partAnswers[part].clears(now, record.Ran) })
 	record.Digest = digest.String()
 	for _, part := range parts {
 		record.Parts = append(record.Parts, part.String())
@@ -204,7 +257,7 @@
 // updateState evaluates the records, drops expired ones and replaces the state.
 func (q *Quarantine) updateState(now mgclock.Millis) {
 	next := &state{
-		suspicions: evaluate(q.evidence()),
+		suspicions: q.evaluate(),
 		nextExpiry: now + evidenceTTL,
 	}
 	for id, s := range q.records {
@@ -231,15 +284,15 @@
 	q.state.Store(next)
 }
 
+// evaluate evaluates all records.
+func (q *Quarantine) evaluate() map[Digest]suspicion {
+	answers := q.answers()
+	return evaluate(q.evidence(answers), func(d Digest) bool { return len(answers[d]) > 0 })
+}
+
 // evidence returns the crash records with causes that no answer has cleared, merged to one for each
 // attempt and sorted by time.
-func (q *Quarantine) evidence() []storedRecord {
-	answers := map[Digest][]storedRecord{}
-	for _, s := range q.records {
-		if !s.isCrash() {
-			answers[s.digest] = append(answers[s.digest], s)
-		}
-	}
+func (q *Quarantine) evidence(answers map[Digest][]storedRecord) []storedRecord {
 	attempts := map[recordID]storedRecord{}
 	for _, s := range q.records {
 		if !s.isCrash() {
@@ -264,6 +317,24 @@
 	return records
 }
 
+// answers returns the answer records by digest, without those of generations whose upstreams have
+// crashed since: such a generation may be the cause, though it has outlived other crashes.
+func (q *Quarantine) answers() map[Digest][]storedRecord {
+	crashed := map[attemptID]bool{}
+	for _, s := range q.records {
+		if s.isCrash() {
+			crashed[s.attempt()] = true
+		}
+	}
+	answers := map[Digest][]storedRecord{}
+	for _, s := range q.records {
+		if !s.isCrash() && (s.record.Ran == 0 || !crashed[s.attempt()]) {
+			answers[s.digest] = append(answers[s.digest], s)
+		}
+	}
+	return answers
+}
+
 // unansweredCauses returns the request of a crash record and its parts, without those that answers
 // clear.
 func (s storedRecord) unansweredCauses(answers map[Digest][]storedRecord) []Digest {
--- a/internal/request/mgquarantine/record.go
+++ b/internal/request/mgquarantine/record.go
@@ -22,8 +22,11 @@
 	Upstream string         `json:"upstream,omitempty"` // the upstream that crashed; empty if the request was answered
 	Begun    bool           `json:"begun,omitempty"`    // the upstream had begun the request
 	Sent     mgclock.Millis `json:"sent,omitempty"`     // time of the attempt by the origin's clock
-	Seen     mgclock.Millis `json:"seen,omitempty"`     // when its end was seen, by the origin's clock
-	Age      mgclock.Millis `json:"age"`                // lower bound of the time since Seen, ms
+	// Ran is how long the attempt had produced its answer, since the first event, ms. An answer that
+	// has ended has 0.
+	Ran  mgclock.Millis `json:"ran,omitempty"`
+	Seen mgclock.Millis `json:"seen,omitempty"` // when its end was seen, by the origin's clock
+	Age  mgclock.Millis `json:"age"`            // lower bound of the time since Seen, ms
 	// Delay is the uncertainty of the crash's time: how long before Seen the upstream may
 	// have ended, ms.
 	Delay mgclock.Millis `json:"delay,omitempty"`
@@ -138,6 +141,35 @@
 	return s.digest == other.digest || slices.ContainsFunc(s.parts, func(part Digest) bool { return slices.Contains(other.parts, part) })
 }
 
+// attemptID identifies an attempt among those of all processes.
+type attemptID struct {
+	origin  string
+	request string
+	sent    mgclock.Millis
+}
+
+// attempt returns the ID of the record's attempt.
+func (s storedRecord) attempt() attemptID {
+	return attemptID{
+		origin:  s.record.Origin,
+		request: s.record.Request,
+		sent:    s.record.Sent,
+	}
+}
+
+// isRunning reports whether the attempt had run for longer than StartWindow.
+func (s storedRecord) isRunning() bool { return s.record.Ran >= StartWindow }
+
+// isOutlivedBy reports whether an answer shows that a request survives what the crash may have been
+// caused by: it has ended, or its upstream has gone on with it for longer than until the crash.
+func (s storedRecord) isOutlivedBy(answer storedRecord) bool {
+	return answer.record.Ran == 0 || answer.record.Ran >= outlivedAfter(s.record.Ran)
+}
+
+// outlivedAfter returns how long a generation must have run to show that it isn't what has ended an
+// upstream after another time: a request may end its upstreams at somewhat different times.
+func outlivedAfter(ran mgclock.Millis) mgclock.Millis { return 2*ran + StartWindow }
+
 // isCrash reports whether the record is of a crash, not of an answer.
 func (s storedRecord) isCrash() bool { return s.record.Upstream != "" }
 
@@ -168,6 +200,9 @@
 // one millisecond the numbers of the records decide, and between origins an answer is assumed
 // to be the later one.
 func (s storedRecord) isVoidedBy(answer storedRecord) bool {
+	if !s.isOutlivedBy(answer) {
+		return false
+	}
 	if s.seenBound == answer.seenBound && s.record.Origin == answer.record.Origin {
 		return s.firstID().number < answer.record.Number
 	}
@@ -181,7 +216,7 @@
 // isPartVoidedBy reports whether an answer to a request with a part voids the crash as evidence
 // against the part.
 func (s storedRecord) isPartVoidedBy(answer storedRecord) bool {
-	return s.seenBound < answer.seenBound+partAnswerWindow
+	return s.isOutlivedBy(answer) && s.seenBound < answer.seenBound+partAnswerWindow
 }
 
 // provesLaterThan reports whether this process's own record s is provably of a later
--- a/internal/request/mgquarantine/suspect.go
+++ b/internal/request/mgquarantine/suspect.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	records := map[Digest][]Record{}
-	for _, s := range q.evidence() {
+	for _, s := range q.evidence(q.answers()) {
 		for _, digest := range s.suspects {
 			records[digest] = append(records[digest], s.withAge(now))
 		}
