mgagent, mgentry: a generation of the own interface that ends its engine late is held

The same class as in the relay: agents reported an engine's end as a crash only of generations without a token, and entries took no other as evidence, so that a prompt that ends engines after its first token reached one after another.

Agents now report each unplanned end, and entries record with it how long the generation had run. Callers see no difference: an answer that can't go on is "interrupted" as before.

mgentry TestCrashingPrompt, case "in the middle of its answer": failed before (8 reads of engines for 3), passes. mgagent TestCrashMisreported wanted "interrupted" for an engine that has ended after some tokens, which was the fault; it wants "crashed" now, and a new case wants "interrupted" for one that gives no answer after some tokens.

--- a/internal/process/mgagent/crash_test.go
+++ b/internal/process/mgagent/crash_test.go
@@ -64,6 +64,12 @@
 			name:   "that has ended after some tokens",
 			tokens: 2,
 			cause:  refused,
+			want:   "crashed",
+		},
+		{
+			name:   "that gives no answer after some tokens",
+			tokens: 2,
+			cause:  mgengine.NewFailure(mgengine.Unknown, "stream", "", context.DeadlineExceeded),
 			want:   "interrupted",
 		},
 	}
--- a/internal/process/mgagent/pump.go
+++ b/internal/process/mgagent/pump.go
@@ -187,10 +187,10 @@
 			a.endGeneration(g, "", interruptedProblem(token.Fault))
 			return
 		case mgengine.KindOf(err) == mgengine.Missing:
-			a.endGeneration(g, "", a.lostProblem(g, "the engine lost the generation"))
+			a.endGeneration(g, "", a.lostProblem("the engine lost the generation"))
 			return
 		case errors.Is(err, syscall.ECONNREFUSED):
-			a.endGeneration(g, "", a.lostProblem(g, "the engine has ended"))
+			a.endGeneration(g, "", a.lostProblem("the engine has ended"))
 			return
 		}
 		emptyConnections++
@@ -264,11 +264,10 @@
 	a.scheduler.Progress(now, g.id, int(token.Seq))
 }
 
-// lostProblem returns the problem of a generation whose engine ended
-// unexpectedly. Unless the generation has tokens, it may itself be what crashed
-// the engine.
-func (a *Agent) lostProblem(g *generation, detail string) *mgproblem.Problem {
-	if a.isLeaving.Load() || g.tokenCount() > 0 {
+// lostProblem returns the problem of a generation whose engine ended. Unless that was planned, the
+// generation may itself be what crashed the engine.
+func (a *Agent) lostProblem(detail string) *mgproblem.Problem {
+	if a.isLeaving.Load() {
 		return interruptedProblem(detail)
 	}
 	return mgproblem.New(mgproblem.Crashed, mgproblem.Unknown, detail, "send the request again for a new answer")
--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -40,8 +40,15 @@
 	return mgquarantine.Problem(remaining, false)
 }
 
-// recordCrash records an agent's report that its engine ended as it began the
-// attempt.
+// ran returns how long the current attempt has run since its first token.
+func (r *answerReader) ran(now mgclock.Millis) mgclock.Millis {
+	if r.firstTokenAt == 0 {
+		return 0
+	}
+	return now - r.firstTokenAt
+}
+
+// recordCrash records an agent's report that its engine ended under the attempt.
 func (r *answerReader) recordCrash() {
 	digest := r.job.digest()
 	now := r.entry.spec.Clock.Now()
@@ -52,13 +59,14 @@
 		Upstream:   r.attempt.agent.Upstream(),
 		Begun:      true,
 		Sent:       r.attempt.sentAt,
+		Ran:        r.ran(now),
 		NextNumber: r.attempt.nextCrashNumber,
 		Delay:      now - r.attempt.sentAt, // upper bound: the report does not say when the engine ended
 	})
 	r.entry.spec.Metrics.Counter("crashed").Inc(1)
-	r.entry.spec.Log.Info("engine ended while it began a generation",
+	r.entry.spec.Log.Info("an engine ended under a generation",
 		mglog.Attempt, r.attempt.id, mglog.Upstream, r.attempt.agent.Upstream(),
-		mglog.Account, r.job.account.Name(), "digest", digest.String())
+		mglog.Account, r.job.account.Name(), "digest", digest.String(), "ran", int64(r.ran(now)))
 }
 
 // restartProblem returns why the request must not start at another engine, or
@@ -90,23 +98,22 @@
 	r.entry.spec.Quarantine.RecordPartAnswers(now, r.job.parts()...)
 }
 
-// progressInterval is how long after its first token, and after each report, a generation is reported
-// to the quarantine: an engine that its prompt ends may have produced some tokens by then.
-const progressInterval = 300 * mgclock.Millis(1)
-
-// recordProgress reports a generation that runs to the quarantine: its engine has begun it and lives
-// on.
+// recordProgress reports a generation that runs to the quarantine, once each StartWindow: its engine
+// has begun it and lives on.
 func (r *answerReader) recordProgress() {
-	if r.receivedTokens == 0 {
-		return
-	}
 	now := r.entry.spec.Clock.Now()
-	if r.progressAt == 0 {
-		r.progressAt = now
-	}
-	if now < r.progressAt+progressInterval {
+	if r.job == nil || r.firstTokenAt == 0 || now < max(r.firstTokenAt, r.progressAt)+mgquarantine.StartWindow {
 		return
 	}
 	r.progressAt = now
-	r.recordSuccess()
+	run := mgquarantine.Run{
+		Parts:   r.job.parts(),
+		Request: r.attempt.id,
+		Sent:    r.attempt.sentAt,
+		Ran:     r.ran(now),
+	}
+	if r.entry.spec.Quarantine.HasSuspects() {
+		run.Digest = r.job.digest()
+	}
+	r.entry.spec.Quarantine.RecordProgress(now, run)
 }
--- a/internal/process/mgentry/crash_test.go
+++ b/internal/process/mgentry/crash_test.go
@@ -83,6 +83,20 @@
 			ask(entry, "len=6")
 			So(reads.Load(), ShouldEqual, 5)
 		})
+		Convey("in the middle of its answer reaches two engines, then one, then none", func() {
+			late := crashed()
+			late.Seq = 1
+			late.Text = []string{"tide"}
+			entry := httptest.NewServer(newEntry(hostTransport{
+				"agent-1": agent("agent-1", late),
+				"agent-2": agent("agent-2", late),
+			}).Handler())
+			defer entry.Close()
+			for range 4 {
+				ask(entry, "len=5")
+			}
+			So(reads.Load(), ShouldEqual, 3)
+		})
 		Convey("is held with others that begin as it does", func() {
 			entry := httptest.NewServer(newEntry(hostTransport{
 				"agent-1": agent("agent-1", crashed()),
--- a/internal/process/mgentry/read.go
+++ b/internal/process/mgentry/read.go
@@ -37,11 +37,12 @@
 	stream         *mglink.Stream
 	avoidAgents    map[string]bool
 	receivedTokens int
-	progressAt     mgclock.Millis   // when the current attempt had its first token, or was last reported to the quarantine; 0 before
+	firstTokenAt   mgclock.Millis   // of the current attempt; 0 before
+	progressAt     mgclock.Millis   // when the current attempt was last reported to the quarantine; 0 before
 	refund         func(tokens int) // returns what the account's caps were overcharged
 	preemptions    uint32
 	attestedNotRun bool // the agent attests that the current attempt did not run
-	engineCrashed  bool // the engine ended as it began the current attempt
+	engineCrashed  bool // the engine ended under the current attempt
 	mayHaveRun     bool // an earlier attempt may have run
 }
 
@@ -231,7 +232,10 @@
 func (r *answerReader) recordFrame(frame *mgrpc.Frame) {
 	r.receivedTokens += len(frame.GetText())
 	r.preemptions = frame.GetPreempted()
-	r.engineCrashed = r.job != nil && r.receivedTokens == 0 && frame.GetFault() == string(mgproblem.Crashed)
+	if r.receivedTokens > 0 && r.firstTokenAt == 0 {
+		r.firstTokenAt = r.entry.spec.Clock.Now()
+	}
+	r.engineCrashed = r.job != nil && frame.GetFault() == string(mgproblem.Crashed)
 	if r.engineCrashed {
 		r.recordCrash()
 	}
@@ -280,6 +284,7 @@
 	r.mayHaveRun = r.mayHaveRun || attempt.priorMayHaveRun
 	r.receivedTokens = 0
 	r.progressAt = 0
+	r.firstTokenAt = 0
 	r.attestedNotRun = false
 	r.engineCrashed = false
 	r.open(ctx)
--- a/pkg/mgproblem/problem.go
+++ b/pkg/mgproblem/problem.go
@@ -29,7 +29,7 @@
 	Incarnation          Kind = "incarnation"  // the process was replaced by a new incarnation
 	Tombstone            Kind = "tombstone"    // the attempt was cancelled before it arrived
 	Interrupted          Kind = "interrupted"  // the generation stopped before it was complete
-	Crashed              Kind = "crashed"      // the upstream ended as it began the request
+	Crashed              Kind = "crashed"      // the upstream ended under the request
 	Unconfirmed          Kind = "unconfirmed"  // it is unknown whether the request ran
 	GuaranteeUnavailable Kind = "unpromisable" // the requested guarantee can't be given
 	Cancelled            Kind = "cancelled"    // the caller cancelled the request
