mgrelay: an upstream that starts again before it is asked counts as ended

Cause: an end was seen by an address that refuses connections, and by nothing else.

Change: where the address accepts connections, the list's start time of the upstream is compared with the one that the request was sent to, and the upstream is asked for its own. One that states no start time counts as living, as before.

A connection reset by an upstream that lives costs one request for its report.

--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -66,34 +66,22 @@
 	if x.call.Account != nil {
 		keys = append(keys, mglog.Account, x.call.Account.Name())
 	}
-	// Only a stream shows whether the upstream had begun to work on the request. Any
-	// other answer begins only when it is complete, so Begun is assumed.
-	crash := mgquarantine.Crash{
-		Digest:     x.digest(),
-		Parts:      x.parts,
-		Request:    x.id,
-		Upstream:   host.Name,
-		Begun:      partial.headerReceived || x.call.Route.Kind() != mgtable.Stream,
-		Sent:       x.sentAt,
-		Ran:        partial.ran(now),
-		NextNumber: x.nextCrashNumber,
-	}
+	crash := y.crashOf(x, host, partial, now)
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
-		ended, err := y.hasEnded(host)
+		ended, err := y.hasIncarnationEnded(context.Background(), host)
 		if err != nil {
 			keys = append(keys, "why", err.Error())
 		}
 		evidence := ended && !leaving
 		y.spec.Log.Info("an upstream broke off an attempt", append(keys, "ended", ended, "evidence", evidence)...)
 		if evidence {
-			y.spec.Metrics.Counter("relay.crashed").Inc(1)
 			// Delay is how long before now, when the attempt broke off here, the
 			// upstream may have ended: the news may have been delayed on the network
 			// for as long as the check for the refused connection took.
 			crash.Delay = y.spec.Clock.Now() - now
-			y.spec.Quarantine.RecordCrash(now, crash)
+			y.recordCrash(now, crash)
 		}
 	}()
 	select {
@@ -102,6 +90,28 @@
 	}
 }
 
+// crashOf returns an attempt as evidence, if its upstream has ended.
+func (y *Relay) crashOf(x *exchange, host Host, partial partialAnswer, endedAt mgclock.Millis) mgquarantine.Crash {
+	return mgquarantine.Crash{
+		Digest:   x.digest(),
+		Parts:    x.parts,
+		Request:  x.id,
+		Upstream: host.Name,
+		// Only a stream shows whether the upstream had begun to work on the request. Any
+		// other answer begins only when it is complete, so Begun is assumed.
+		Begun:      partial.headerReceived || x.call.Route.Kind() != mgtable.Stream,
+		Sent:       x.sentAt,
+		Ran:        partial.ran(endedAt),
+		NextNumber: x.nextCrashNumber,
+	}
+}
+
+// recordCrash records an attempt whose upstream has ended.
+func (y *Relay) recordCrash(seen mgclock.Millis, crash mgquarantine.Crash) {
+	y.spec.Metrics.Counter("relay.crashed").Inc(1)
+	y.spec.Quarantine.RecordCrash(seen, crash)
+}
+
 // errCrashCheckTimeout means that it wasn't known in time whether an upstream has ended.
 var errCrashCheckTimeout = errors.New("mgrelay: the upstream's address doesn't answer: its VM may be down or cut off")
 
--- a/internal/process/mgrelay/crash_test.go
+++ b/internal/process/mgrelay/crash_test.go
@@ -84,6 +84,7 @@
 		path    string
 		handler upstreamHandler
 		refuses func(context.Context, string) (bool, error)
+		asks    func(context.Context, mgrelay.Host) (int64, error) // the upstream for its incarnation
 		leaving bool
 		counts  int
 	}{
@@ -121,6 +122,21 @@
 			handler: headerThenHangUp,
 			refuses: connectionsAccepted,
 		},
+		{
+			name:    "a connection reset by a live upstream that states its incarnation",
+			path:    "/write/1",
+			handler: headerThenHangUp,
+			refuses: connectionsAccepted,
+			asks:    func(context.Context, mgrelay.Host) (int64, error) { return 1, nil },
+		},
+		{
+			name:    "an upstream that has started again",
+			path:    "/write/1",
+			handler: headerThenHangUp,
+			refuses: connectionsAccepted,
+			asks:    func(context.Context, mgrelay.Host) (int64, error) { return 2, nil },
+			counts:  1,
+		},
 		{
 			name:    "an upstream that can't be checked",
 			path:    "/write/1",
@@ -151,13 +167,19 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				g := newHarness(t, c.handler)
+				g.hosts[0].IncarnationStart = 1
 				q := mgquarantine.New("life", nil)
 				g.startRelay(func(spec *mgrelay.Spec) {
 					spec.RefusesConnections = c.refuses
+					spec.AskIncarnation = c.asks
 					spec.Quarantine = q
 					spec.IsLeaving = func(string) bool { return c.leaving }
 				})
+				changed := q.Changed()
 				g.send(context.Background(), http.MethodPost, c.path, "x", nil)
+				if c.counts > 0 {
+					<-changed
+				}
 				So(q.Occurrences(mgquarantine.DigestOf("tankline", "tanks.example", c.path, []byte("x"))), ShouldEqual, c.counts)
 			})
 		}
