mgrelay: an upstream that goes silent under a request counts as ended once the list drops it

A VM that loses power answers neither the request nor the check whether its process has ended, so that a request under which engines go dark was never evidence; and a caller that gives up the silent stream ended the attempt before anything was looked at.

Attempts at one upstream share the check. The record states that the end may have been at any time since the upstream was last heard.

mgrelay TestCrashCountedWithoutEvidence, cases "that the list drops": nothing was recorded before, one occurrence now; an upstream that lives is no evidence in either case.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -174,6 +174,8 @@
 	x.mayHaveRun = true
 	if ctx.Err() == nil {
 		y.recordBrokenAttempt(x, host, partialAnswer{})
+	} else {
+		y.recordSilentAttempt(x, host, partialAnswer{})
 	}
 	return failed
 }
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -26,6 +26,7 @@
 	headerReceived bool
 	eventCount     int64          // of a stream
 	firstEventAt   mgclock.Millis // 0 before the first event
+	lastEventAt    mgclock.Millis // 0 before the first event
 }
 
 // ran returns how long the attempt had run since its first event.
@@ -67,6 +68,7 @@
 		keys = append(keys, mglog.Account, x.call.Account.Name())
 	}
 	crash := y.crashOf(x, host, partial, now)
+	lastHeard := max(x.sentAt, partial.lastEventAt)
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
@@ -76,12 +78,15 @@
 		}
 		evidence := ended && !leaving
 		y.spec.Log.Info("an upstream broke off an attempt", append(keys, "ended", ended, "evidence", evidence)...)
-		if evidence {
+		switch {
+		case evidence:
 			// Delay is how long before now, when the attempt broke off here, the
 			// upstream may have ended: the news may have been delayed on the network
 			// for as long as the check for the refused connection took.
 			crash.Delay = y.spec.Clock.Now() - now
 			y.recordCrash(now, crash)
+		case err != nil && (!leaving || y.isDropped(host)):
+			go y.recordUnansweredEnd(host, crash, lastHeard)
 		}
 	}()
 	select {
--- a/internal/process/mgrelay/crash_test.go
+++ b/internal/process/mgrelay/crash_test.go
@@ -16,6 +16,12 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
+// sendHeaderAndHang answers with a header and then sends nothing.
+func sendHeaderAndHang(w http.ResponseWriter, r *http.Request) {
+	sendHeader(w)
+	<-r.Context().Done()
+}
+
 // headerThenHangUp answers with a header and closes the connection.
 func headerThenHangUp(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
@@ -85,6 +91,7 @@
 		handler upstreamHandler
 		refuses func(context.Context, string) (bool, error)
 		asks    func(context.Context, mgrelay.Host) (int64, error) // the upstream for its incarnation
+		missing bool                                               // from the list, soon after
 		leaving bool
 		counts  int
 	}{
@@ -143,6 +150,28 @@
 			handler: headerThenHangUp,
 			refuses: connectionsUnknown,
 		},
+		{
+			name:    "an upstream that can't be checked and that the list drops",
+			path:    "/write/1",
+			handler: headerThenHangUp,
+			refuses: connectionsUnknown,
+			missing: true,
+			counts:  1,
+		},
+		{
+			name:    "a caller that left a silent generation whose upstream the list drops",
+			path:    "/write/short",
+			handler: sendHeaderAndHang,
+			refuses: connectionsUnknown,
+			missing: true,
+			counts:  1,
+		},
+		{
+			name:    "a caller that left a silent generation at an upstream that lives",
+			path:    "/write/short",
+			handler: sendHeaderAndHang,
+			refuses: connectionsAccepted,
+		},
 		{
 			name:    "an upstream that had reported that it is leaving",
 			path:    "/write/1",
@@ -174,11 +203,21 @@
 					spec.AskIncarnation = c.asks
 					spec.Quarantine = q
 					spec.IsLeaving = func(string) bool { return c.leaving }
+					spec.IsMissing = func(string) bool { return c.missing }
 				})
+				ctx := context.Background()
+				if strings.HasSuffix(c.path, "short") {
+					short, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+					defer cancel()
+					ctx = short
+				}
 				changed := q.Changed()
-				g.send(context.Background(), http.MethodPost, c.path, "x", nil)
+				g.send(ctx, http.MethodPost, c.path, "x", nil)
 				if c.counts > 0 {
-					<-changed
+					select {
+					case <-changed:
+					case <-time.After(10 * time.Second):
+					}
 				}
 				So(q.Occurrences(mgquarantine.DigestOf("tankline", "tanks.example", c.path, []byte("x"))), ShouldEqual, c.counts)
 			})
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -135,6 +135,7 @@
 	spec         Spec
 	exchanges    exchanges
 	generations  generations
+	endChecks    endChecks
 	coldTurns    mgwarm.Turns
 	backoffs     mgrest.Rests     // of upstreams that sent Retry-After
 	permitWaits  mglimit.Backoffs // of upstreams for which a permit was denied
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -178,12 +178,18 @@
 // streamInterrupted records a stream that broke off, and where the generation can
 // continue.
 func (y *Relay) streamInterrupted(ctx context.Context, x *exchange, gen *generation, cause error) attemptOutcome {
-	if ctx.Err() == nil && !y.generations.isClaimed(gen) {
-		y.recordBrokenAttempt(x, gen.host, partialAnswer{
-			headerReceived: true,
-			eventCount:     gen.eventCount.Load(),
-			firstEventAt:   mgclock.Millis(gen.firstEventAt.Load()),
-		})
+	partial := partialAnswer{
+		headerReceived: true,
+		eventCount:     gen.eventCount.Load(),
+		firstEventAt:   mgclock.Millis(gen.firstEventAt.Load()),
+		lastEventAt:    gen.lastEventAt,
+	}
+	switch {
+	case y.generations.isClaimed(gen):
+	case ctx.Err() == nil:
+		y.recordBrokenAttempt(x, gen.host, partial)
+	default:
+		y.recordSilentAttempt(x, gen.host, partial)
 	}
 	x.resumePoints = append(gen.awaitMove(y.spec.Clock), x.resumePoints...)
 	x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
