mgquarantine, mgnode: processes without the records of earlier crashes hold requests sooner

Cause: what crashed upstreams is remembered by the entries alone, and a process without records judged as if nothing had crashed. Nothing else of the system outlives them: the list of this deployment states no start times, and the store isn't written to.

Change: a process knows how far back its records reach: to its start, or as far as those of a peer all of whose records it has. Until they reach back for 30 s a request is held after one crash as it began or two in the middle of its answers, and isn't retried after the first; not where more than two upstreams crash at one moment, nor for parts or what has been answered. So the first processes of a deployment are cautious, and one that starts beside others isn't: it compares its records with two peers at once, again each 150 ms until one answers, for a second at most, and reports itself ready after that.

TestStartingProcessLacksRecords: a process has the records within 100 ms before it is ready.

--- a/internal/process/mgnode/exchange.go
+++ b/internal/process/mgnode/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 
@@ -50,6 +51,8 @@
 	// Sums are checksums of all records of the sender, in an anti-entropy round.
 	Sums    mgquarantine.Checksums `json:"sums,omitempty"`
 	Compare bool                   `json:"compare,omitempty"`
+	// Memory is how far back the sender's records reach, in an anti-entropy round, ms.
+	Memory mgclock.Millis `json:"memory,omitempty"`
 	// Limits are those that changed recently, or all known ones in an anti-entropy round.
 	Limits []mglimit.Record `json:"limits,omitempty"`
 }
@@ -64,6 +67,7 @@
 	limits       *mglimit.Limits
 	mergeLimits  func(limits []mglimit.Record) // merges the limits that others report
 	peers        func() []*mgmember.Member
+	fetching     atomic.Bool // the records of the peers that run, at the start
 	call         func(ctx context.Context, to *mgmember.Member, message updateMessage) (updateMessage, error)
 }
 
@@ -76,8 +80,10 @@
 		Records: e.quarantine.OlderRecords(e.clock.Now(), message.Records),
 	}
 	if message.Compare {
+		e.quarantine.AdoptMemory(e.clock.Now(), message.Memory, message.Sums)
 		reply.Records = e.quarantine.MissingRecords(e.clock.Now(), message.Sums)
 		reply.Sums = e.quarantine.Checksums()
+		reply.Memory = e.quarantine.Memory(e.clock.Now())
 		reply.Limits = e.limits.Records(e.clock.Now())
 	}
 	return reply
@@ -111,6 +117,8 @@
 			}
 			e.merge(reply)
 			if message.Compare {
+				e.quarantine.AdoptMemory(e.clock.Now(), reply.Memory, reply.Sums)
+				e.fetching.Store(false)
 				e.sendMissing(ctx, peers[i], reply.Sums)
 			}
 		}()
@@ -184,17 +192,38 @@
 			return
 		}
 	}
-	for ctx.Err() == nil {
+	e.fetching.Store(true)
+	for start := e.clock.Now(); ctx.Err() == nil; {
 		e.quarantine.Tick(e.clock.Now())
-		e.sendToRandomPeers(ctx, 1, updateMessage{
+		if e.clock.Now() >= start+maxFetchTime {
+			e.fetching.Store(false)
+		}
+		count, interval := 1, meanCompareInterval/2+mgclock.Millis(rand.Int64N(int64(meanCompareInterval)))
+		if e.fetching.Load() {
+			count, interval = firstCompareFanout, broadcastInterval
+		}
+		e.sendToRandomPeers(ctx, count, updateMessage{
 			Sums:    e.quarantine.Checksums(),
 			Compare: true,
+			Memory:  e.quarantine.Memory(e.clock.Now()),
 			Limits:  e.limits.Records(e.clock.Now()),
 		})
-		e.clock.Sleep(ctx, meanCompareInterval/2+mgclock.Millis(rand.Int64N(int64(meanCompareInterval))))
+		e.clock.Sleep(ctx, interval)
 	}
 }
 
+const (
+	// firstCompareFanout is the number of peers that a process which has just started compares its
+	// records with, until one has answered.
+	firstCompareFanout = 2
+	// maxFetchTime limits how long it waits for an answer.
+	maxFetchTime = mgclock.Second
+)
+
+// isFetching reports whether the process has just started and lacks the records of its peers. Requests
+// that it would accept may be held everywhere else.
+func (e *updateExchanger) isFetching() bool { return e.fetching.Load() }
+
 // newExchanger returns the exchanger of this node.
 func (n *Node) newExchanger() *updateExchanger {
 	return &updateExchanger{
--- a/internal/process/mgnode/exchange_test.go
+++ b/internal/process/mgnode/exchange_test.go
@@ -321,6 +321,60 @@
 	})
 }
 
+// Guards against a process that takes requests before it has the records of the peers that run, and
+// sends one to a further upstream that they hold.
+func TestStartingProcessLacksRecords(t *testing.T) {
+	Convey("A process that starts beside others", t, func() {
+		const count = 30
+		m := newMesh(meshSpec{
+			count:     count,
+			deadCount: 1,
+		})
+		var isFetching, held bool
+		var elapsed, memory mgclock.Millis
+		m.run(t, func() {
+			for i := range 3 {
+				m.crash(i, fmt.Sprintf("engine-%d", i))
+				time.Sleep(400 * time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+			late := m.nodes[count-1]
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			late.quarantine.Begin(m.clock.Now())
+			go late.runAntiEntropy(ctx)
+			synctest.Wait()
+			isFetching = late.isFetching()
+			start := m.clock.Now()
+			for late.isFetching() {
+				time.Sleep(time.Millisecond)
+			}
+			elapsed = m.clock.Now() - start
+			_, held = late.quarantine.Held(m.clock.Now(), poisonDigest)
+			memory = late.quarantine.Memory(m.clock.Now())
+		})
+		So(isFetching, ShouldBeTrue)
+		So(elapsed, ShouldBeLessThan, 100)
+		So(held, ShouldBeTrue)
+		So(memory, ShouldBeGreaterThan, 6*mgclock.Second)
+	})
+	Convey("One whose peers don't answer stops waiting for them", t, func() {
+		m := newMesh(meshSpec{
+			count:     3,
+			deadCount: 3,
+		})
+		isFetching := true
+		m.run(t, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go m.nodes[0].runAntiEntropy(ctx)
+			time.Sleep(2 * time.Second)
+			isFetching = m.nodes[0].isFetching()
+		})
+		So(isFetching, ShouldBeFalse)
+	})
+}
+
 // Guards against links that are saturated by records of many different requests that crash
 // upstreams.
 func TestManyCrashesSaturateLinks(t *testing.T) {
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -118,6 +118,7 @@
 		askIncarnation:    spec.AskIncarnation,
 	}
 	n.quarantine = mgquarantine.New(incarnation, n.trialRank)
+	n.quarantine.Begin(n.clock.Now())
 	n.exchanger = n.newExchanger()
 	n.origins = n.newOrigins()
 	n.killed, n.kill = context.WithCancel(context.Background())
@@ -160,6 +161,8 @@
 		return false, "no upstream is known"
 	case !n.configLoop.Ready():
 		return false, "asking the peers and the platform for the newest configuration"
+	case n.exchanger.isFetching():
+		return false, "asking the peers for the records of crashes"
 	case !n.serving.Load():
 		return false, "not listening yet"
 	default:
--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -49,6 +49,7 @@
 	records         []storedRecord // of requests that were about to begin or had begun
 	hasBegunRequest bool           // some of these requests had just begun; those are likelier causes than any that waited
 	explained       bool
+	isOneOfMany     bool // more upstreams crashed at about this moment than one request crashes
 }
 
 // isSuspect reports whether a record's request is among the likeliest causes.
@@ -102,24 +103,29 @@
 	breadth     int // 0 for a request; for a part its largest distance from the end of a prompt
 	suspected   []*crash
 	occurrences []*crash                  // those that count
+	threshold   int                       // the number of occurrences from which it is held
 	answered    bool                      // an upstream has answered it, before or after these crashes
 	ran         map[*crash]mgclock.Millis // the shortest time that one had run at a crash since its first event
 	waiting     int                       // crashes at which all of them waited
 }
 
+// evaluation holds what the evaluation of crashes depends on beside them.
+type evaluation struct {
+	answered func(Digest) bool // an upstream has answered the request, or one with the part
+	cautious bool              // see isCautious
+}
+
 // evaluate computes the suspicion of each request and part from the evidence, sorted by time. It
 // is a greedy set cover: the explanation of most crashes explains those, and the remaining crashes
-// count against the others. answered are the requests and parts that upstreams have answered.
-func evaluate(records []storedRecord, answered func(Digest) bool) map[Digest]suspicion {
+// count against the others.
+func (v evaluation) evaluate(records []storedRecord) map[Digest]suspicion {
 	crashes := groupCrashes(records)
+	markMoments(crashes)
 	suspicions := map[Digest]suspicion{}
+	unexplained := v.explanations(crashes)
 	for {
-		unexplained := explanations(crashes)
-		for _, e := range unexplained {
-			e.answered = answered(e.digest)
-		}
 		worst, found := bestExplanation(unexplained)
-		if !found || len(worst.occurrences) < occurrenceThreshold {
+		if !found || len(worst.occurrences) < worst.threshold {
 			for _, e := range unexplained {
 				s := e.suspicion()
 				s.retainUntil = s.lastCrashAt + evidenceTTL
@@ -128,16 +134,51 @@
 			return suspicions
 		}
 		suspicions[worst.digest] = evaluateHold(worst)
+		if len(worst.occurrences) < occurrenceThreshold {
+			// Held by a lower threshold, with others at the same crash.
+			unexplained = slices.DeleteFunc(unexplained, func(e *explanation) bool { return e == worst })
+			continue
+		}
 		for _, c := range crashes {
 			c.explained = c.explained || c.involves(worst.digest)
 		}
+		unexplained = v.explanations(crashes)
+	}
+}
+
+// thresholdFor returns the number of occurrences after which a request or part is held. Parts have no
+// lower one, since many sound requests have them, nor does what was at one of many crashes of a moment.
+func (v evaluation) thresholdFor(e *explanation) int {
+	switch {
+	case !v.cautious || e.breadth > 0 || e.answered || slices.ContainsFunc(e.suspected, func(c *crash) bool { return c.isOneOfMany }):
+		return occurrenceThreshold
+	case e.waiting == 0 && slices.ContainsFunc(e.suspected, func(c *crash) bool { return e.ran[c] < StartWindow }):
+		return cautiousThreshold
+	default:
+		return cautiousLateThreshold
+	}
+}
+
+// markMoments marks the crashes of which more than maxEndsRecorded are of about one moment. They are
+// sorted by time.
+func markMoments(crashes []*crash) {
+	for i, c := range crashes {
+		last := i
+		for last+1 < len(crashes) && crashes[last+1].at < c.at+occurrenceWindow {
+			last++
+		}
+		if last-i >= maxEndsRecorded {
+			for _, other := range crashes[i : last+1] {
+				other.isOneOfMany = true
+			}
+		}
 	}
 }
 
 // explanations returns, for each request and part, the crashes that it is suspected of and that
 // nothing else explains, and those that count. For a request they are its longest chain: a sequence
 // in which each crash is a later occurrence than the one before.
-func explanations(crashes []*crash) []*explanation {
+func (v evaluation) explanations(crashes []*crash) []*explanation {
 	byDigest := map[Digest]*explanation{}
 	var all []*explanation
 	for _, c := range crashes {
@@ -177,6 +218,11 @@
 		if e.breadth > 0 && len(e.occurrences) >= minPartMoments {
 			e.occurrences = e.suspected
 		}
+		e.answered = v.answered(e.digest)
+		e.threshold = v.thresholdFor(e)
+		if e.threshold < occurrenceThreshold {
+			e.occurrences = e.suspected
+		}
 	}
 	return all
 }
@@ -196,7 +242,7 @@
 // rank returns 2 for an explanation of enough crashes that was never answered, 1 for one that was.
 func (e *explanation) rank() int {
 	switch {
-	case len(e.occurrences) < occurrenceThreshold:
+	case len(e.occurrences) < e.threshold:
 		return 0
 	case e.answered:
 		return 1
@@ -330,7 +376,7 @@
 	narrowest := best
 	for _, e := range all {
 		covers := float64(len(e.occurrences)) >= partCoverage*float64(len(best.occurrences))
-		if e.breadth == 0 || !covers || e.rank() < best.rank() || len(e.occurrences) < occurrenceThreshold {
+		if e.breadth == 0 || !covers || e.rank() < max(best.rank(), 1) {
 			continue
 		}
 		if e.breadth < narrowest.breadth || e.breadth == narrowest.breadth && isBetter(e, narrowest) {
@@ -349,8 +395,8 @@
 		factor, limit = partHoldFactor, maxPartHold
 	}
 	hold := initialHold
-	until := e.occurrences[occurrenceThreshold-1].at + hold
-	for _, c := range e.occurrences[occurrenceThreshold:] {
+	until := e.occurrences[e.threshold-1].at + hold
+	for _, c := range e.occurrences[e.threshold:] {
 		if c.at < until {
 			continue
 		}
--- a/internal/request/mgquarantine/late_test.go
+++ b/internal/request/mgquarantine/late_test.go
@@ -178,6 +178,15 @@
 	return f
 }
 
+// loseProcesses ends all processes with what they run and know, and starts others.
+func (f *fleet) loseProcesses() {
+	f.pending, f.running = nil, nil
+	for i := range f.members {
+		f.members[i] = mgquarantine.New(fmt.Sprint("second ", i), func(mgquarantine.Digest) int { return i })
+		f.members[i].Begin(f.now)
+	}
+}
+
 // spread sends a process's recent records to all others.
 func (f *fleet) spread(from int) {
 	records := f.members[from].RecentRecords(f.now)
@@ -259,8 +268,10 @@
 		f.spread(i)
 	}
 	for _, r := range cut {
+		q := f.members[r.process]
+		_, isHeld := q.Held(f.now, digestOf(r.request), r.parts...)
 		switch {
-		case r.deadly && r.attempts < 2 && f.members[r.process].Retryable(digestOf(r.request), r.parts...):
+		case r.deadly && r.attempts < 2 && !isHeld && q.Retryable(digestOf(r.request), r.parts...):
 			f.place(*r)
 		case !r.deadly && r.attempts < 3:
 			f.send(*r)
--- /dev/null
+++ b/internal/request/mgquarantine/memory.go
@@ -0,0 +1,57 @@
+package mgquarantine
+
+import (
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// cautionWindow is how far back the records of a process must reach for it to judge by them alone.
+	cautionWindow = 30 * mgclock.Second
+	// cautiousThreshold and cautiousLateThreshold are the numbers of occurrences after which a
+	// cautious process holds a request that was just starting, and one that had run for longer: all
+	// that runs on an upstream is the latter.
+	cautiousThreshold     = 1
+	cautiousLateThreshold = 2
+	// cautiousRetryLimit is retryOccurrenceLimit of a cautious process.
+	cautiousRetryLimit = 1
+)
+
+// Begin sets the start of the process. From then on it learns of the crashes that others record, and of
+// earlier ones what a peer knows; see AdoptMemory. Until its records reach back for cautionWindow it
+// holds requests after fewer crashes: where all processes were lost at once, none knows what has
+// crashed upstreams before.
+func (q *Quarantine) Begin(now mgclock.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.hasBegun = true
+	q.rememberedSince = now
+}
+
+// Memory returns how far back the records that this process knows of reach, at least 0.
+func (q *Quarantine) Memory(now mgclock.Millis) mgclock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return max(now-q.rememberedSince, 0)
+}
+
+// AdoptMemory sets how far back the records of a peer with these checksums reach. If this process has
+// them all, its own reach as far.
+func (q *Quarantine) AdoptMemory(now, memory mgclock.Millis, theirs Checksums) {
+	own := q.Checksums()
+	for bucket := range checksumBuckets {
+		if theirs.at(bucket) != 0 && theirs.at(bucket) != own.at(bucket) {
+			return
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.rememberedSince = min(q.rememberedSince, now-memory)
+	if current := q.state.Load(); current != nil && current.cautious {
+		q.updateState(now)
+	}
+}
+
+// isCautious reports whether upstreams may have crashed lately under requests of which no process knows.
+func (q *Quarantine) isCautious(now mgclock.Millis) bool {
+	return q.hasBegun && now < q.rememberedSince+cautionWindow
+}
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -38,17 +38,20 @@
 	state      atomic.Pointer[state]
 	lastNumber atomic.Uint64
 
-	mu          sync.Mutex
-	offsets     map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
-	lastPause   mgclock.Millis            // end of the process's last pause, 0 for none
-	records     map[recordID]storedRecord
-	partAnswers map[Digest]partAnswer
-	recentEnds  map[string]mgclock.Millis // when the last attempts at upstreams that ended broke off, by upstream
-	changed     chan struct{}             // closed when there are new records
+	mu              sync.Mutex
+	hasBegun        bool
+	rememberedSince mgclock.Millis            // from when on this process knows of all records; see Begin
+	offsets         map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
+	lastPause       mgclock.Millis            // end of the process's last pause, 0 for none
+	records         map[recordID]storedRecord
+	partAnswers     map[Digest]partAnswer
+	recentEnds      map[string]mgclock.Millis // when the last attempts at upstreams that ended broke off, by upstream
+	changed         chan struct{}             // closed when there are new records
 }
 
 // state is the evaluation of all records. It is immutable.
 type state struct {
+	cautious   bool // see isCautious
 	suspicions map[Digest]suspicion
 	nextExpiry mgclock.Millis
 }
@@ -185,12 +188,17 @@
 // Retryable reports whether a request with these parts whose upstream has just crashed may be
 // retried on another one.
 func (q *Quarantine) Retryable(digest Digest, parts ...Digest) bool {
-	for _, d := range append([]Digest{digest}, parts...) {
-		if q.Occurrences(d) >= retryOccurrenceLimit {
-			return false
-		}
+	current := q.state.Load()
+	if current == nil {
+		return true
 	}
-	return true
+	limit := retryOccurrenceLimit
+	if current.cautious {
+		limit = cautiousRetryLimit
+	}
+	return !slices.ContainsFunc(append([]Digest{digest}, parts...), func(d Digest) bool {
+		return current.suspicions[d].occurrences >= limit
+	})
 }
 
 // Occurrences returns the number of occurrences that a request, or a part of prompts, is suspected
@@ -257,7 +265,8 @@
 // updateState evaluates the records, drops expired ones and replaces the state.
 func (q *Quarantine) updateState(now mgclock.Millis) {
 	next := &state{
-		suspicions: q.evaluate(),
+		cautious:   q.isCautious(now),
+		suspicions: q.evaluate(now),
 		nextExpiry: now + evidenceTTL,
 	}
 	for id, s := range q.records {
@@ -274,6 +283,9 @@
 		}
 		next.nextExpiry = min(next.nextExpiry, retainUntil)
 	}
+	if next.cautious {
+		next.nextExpiry = min(next.nextExpiry, q.rememberedSince+cautionWindow)
+	}
 	q.evictExcess(next)
 	for digest, suspicion := range next.suspicions {
 		if now >= suspicion.retainUntil {
@@ -285,9 +297,13 @@
 }
 
 // evaluate evaluates all records.
-func (q *Quarantine) evaluate() map[Digest]suspicion {
+func (q *Quarantine) evaluate(now mgclock.Millis) map[Digest]suspicion {
 	answers := q.answers()
-	return evaluate(q.evidence(answers), func(d Digest) bool { return len(answers[d]) > 0 })
+	e := evaluation{
+		answered: func(d Digest) bool { return len(answers[d]) > 0 },
+		cautious: q.isCautious(now),
+	}
+	return e.evaluate(q.evidence(answers))
 }
 
 // evidence returns the crash records with causes that no answer has cleared, merged to one for each
