mgquarantine: a request held after one crash stays held when more records are remembered

Whether a crash is judged by the lower threshold now depends on its time, and a further crash of the same request on that of the first.

TestLostRecordsAreIgnored, case "a hold lasts", fails without the change.

--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -111,8 +111,8 @@
 
 // evaluation holds what the evaluation of crashes depends on beside them.
 type evaluation struct {
-	answered func(Digest) bool // an upstream has answered the request, or one with the part
-	cautious bool              // see isCautious
+	answered      func(Digest) bool // an upstream has answered the request, or one with the part
+	cautiousUntil mgclock.Millis    // see Quarantine.cautiousUntil
 }
 
 // evaluate computes the suspicion of each request and part from the evidence, sorted by time. It
@@ -149,8 +149,9 @@
 // thresholdFor returns the number of occurrences after which a request or part is held. Parts have no
 // lower one, since many sound requests have them, nor does what was at one of many crashes of a moment.
 func (v evaluation) thresholdFor(e *explanation) int {
+	first := e.suspected[0].at
 	switch {
-	case !v.cautious || e.breadth > 0 || e.answered || slices.ContainsFunc(e.suspected, func(c *crash) bool { return c.isOneOfMany }):
+	case first >= v.cautiousUntil || e.breadth > 0 || e.answered || slices.ContainsFunc(e.suspected, func(c *crash) bool { return c.isOneOfMany }):
 		return occurrenceThreshold
 	case e.waiting == 0 && slices.ContainsFunc(e.suspected, func(c *crash) bool { return e.ran[c] < StartWindow }):
 		return cautiousThreshold
--- a/internal/request/mgquarantine/memory.go
+++ b/internal/request/mgquarantine/memory.go
@@ -1,6 +1,8 @@
 package mgquarantine
 
 import (
+	"math"
+
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -45,13 +47,20 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.rememberedSince = min(q.rememberedSince, now-memory)
-	if current := q.state.Load(); current != nil && current.cautious {
+	if now-memory >= q.rememberedSince {
+		return
+	}
+	q.rememberedSince = now - memory
+	if q.state.Load() != nil {
 		q.updateState(now)
 	}
 }
 
-// isCautious reports whether upstreams may have crashed lately under requests of which no process knows.
-func (q *Quarantine) isCautious(now mgclock.Millis) bool {
-	return q.hasBegun && now < q.rememberedSince+cautionWindow
+// cautiousUntil returns the time before which this process judges crashes by lower thresholds, since
+// upstreams may have crashed before under requests of which no process knows.
+func (q *Quarantine) cautiousUntil() mgclock.Millis {
+	if !q.hasBegun {
+		return math.MinInt64
+	}
+	return q.rememberedSince + cautionWindow
 }
--- a/internal/request/mgquarantine/memory_test.go
+++ b/internal/request/mgquarantine/memory_test.go
@@ -94,6 +94,21 @@
 			})
 		}
 	})
+	Convey("A hold lasts beyond the time in which requests are held sooner", t, func() {
+		q := mgquarantine.New("life", nil)
+		q.Begin(sec)
+		crash(q, 28*sec, 0, false)
+		q.RecordCrash(50*sec, mgquarantine.Crash{
+			Digest:   digestOf("another"),
+			Upstream: "another",
+			Begun:    true,
+		})
+		_, held := q.Held(55*sec, digestOf("x"))
+		So(held, ShouldBeTrue)
+		crash(q, 60*sec, 0, false)
+		_, held = q.Held(150*sec, digestOf("x"))
+		So(held, ShouldBeTrue)
+	})
 	Convey("A process that has run for a while holds nothing after one crash", t, func() {
 		q := mgquarantine.New("life", nil)
 		q.Begin(sec)
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -51,9 +51,9 @@
 
 // state is the evaluation of all records. It is immutable.
 type state struct {
-	cautious   bool // see isCautious
-	suspicions map[Digest]suspicion
-	nextExpiry mgclock.Millis
+	cautiousUntil mgclock.Millis // see Quarantine.cautiousUntil
+	suspicions    map[Digest]suspicion
+	nextExpiry    mgclock.Millis
 }
 
 // New returns the quarantine of a process with the incarnation origin. trialRank returns the rank
@@ -192,12 +192,12 @@
 	if current == nil {
 		return true
 	}
-	limit := retryOccurrenceLimit
-	if current.cautious {
-		limit = cautiousRetryLimit
-	}
 	return !slices.ContainsFunc(append([]Digest{digest}, parts...), func(d Digest) bool {
-		return current.suspicions[d].occurrences >= limit
+		s := current.suspicions[d]
+		if s.lastCrashAt < current.cautiousUntil {
+			return s.occurrences >= cautiousRetryLimit
+		}
+		return s.occurrences >= retryOccurrenceLimit
 	})
 }
 
@@ -265,9 +265,9 @@
 // updateState evaluates the records, drops expired ones and replaces the state.
 func (q *Quarantine) updateState(now mgclock.Millis) {
 	next := &state{
-		cautious:   q.isCautious(now),
-		suspicions: q.evaluate(now),
-		nextExpiry: now + evidenceTTL,
+		cautiousUntil: q.cautiousUntil(),
+		suspicions:    q.evaluate(),
+		nextExpiry:    now + evidenceTTL,
 	}
 	for id, s := range q.records {
 		retainUntil := s.seenBound + evidenceTTL
@@ -283,9 +283,6 @@
 		}
 		next.nextExpiry = min(next.nextExpiry, retainUntil)
 	}
-	if next.cautious {
-		next.nextExpiry = min(next.nextExpiry, q.rememberedSince+cautionWindow)
-	}
 	q.evictExcess(next)
 	for digest, suspicion := range next.suspicions {
 		if now >= suspicion.retainUntil {
@@ -297,11 +294,11 @@
 }
 
 // evaluate evaluates all records.
-func (q *Quarantine) evaluate(now mgclock.Millis) map[Digest]suspicion {
+func (q *Quarantine) evaluate() map[Digest]suspicion {
 	answers := q.answers()
 	e := evaluation{
-		answered: func(d Digest) bool { return len(answers[d]) > 0 },
-		cautious: q.isCautious(now),
+		answered:      func(d Digest) bool { return len(answers[d]) > 0 },
+		cautiousUntil: q.cautiousUntil(),
 	}
 	return e.evaluate(q.evidence(answers))
 }
