mgquarantine: what upstreams have answered lately isn't held first; caution is a setting

Each process keeps which requests, and not only parts, upstreams have answered within a minute, and reports that of a request that others suspect, as for parts before. Such answers void nothing, but what was never answered goes first, and nothing answered is held after fewer crashes. A hold after a single crash is 2 s and is followed by a trial; after two crashes the likelier cause is held and explains them. How long entries judge so is the setting caution (30 s, 0 for never).

The digest of each answered request is computed now.

--- a/internal/process/mgentry/crash.go
+++ b/internal/process/mgentry/crash.go
@@ -90,12 +90,7 @@
 	if r.job == nil {
 		return
 	}
-	now := r.entry.spec.Clock.Now()
-	if r.entry.spec.Quarantine.HasSuspects() {
-		r.entry.spec.Quarantine.RecordAnswer(now, r.job.digest(), r.job.parts()...)
-		return
-	}
-	r.entry.spec.Quarantine.RecordPartAnswers(now, r.job.parts()...)
+	r.entry.spec.Quarantine.RecordAnswer(r.entry.spec.Clock.Now(), r.job.digest(), r.job.parts()...)
 }
 
 // recordProgress reports a generation that runs to the quarantine, once each StartWindow: its engine
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return Drain{}, err
 	}
+	n.quarantine.Begin(n.clock.Now(), mgclock.Millis(settings.CautionTime))
 	capShares := mgshare.NewLoop(n.capSharesSpec(settings.Fresh))
 	n.capShares.Store(capShares)
 	n.pause.OnPause(func(mgclock.Millis) { capShares.Drop() })
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -118,7 +118,6 @@
 		askIncarnation:    spec.AskIncarnation,
 	}
 	n.quarantine = mgquarantine.New(incarnation, n.trialRank)
-	n.quarantine.Begin(n.clock.Now())
 	n.exchanger = n.newExchanger()
 	n.origins = n.newOrigins()
 	n.killed, n.kill = context.WithCancel(context.Background())
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -174,12 +174,7 @@
 	if status >= http.StatusBadRequest {
 		parts = nil
 	}
-	now := y.spec.Clock.Now()
-	if y.spec.Quarantine.HasSuspects() {
-		y.spec.Quarantine.RecordAnswer(now, x.digest(), parts...)
-		return
-	}
-	y.spec.Quarantine.RecordPartAnswers(now, parts...)
+	y.spec.Quarantine.RecordAnswer(y.spec.Clock.Now(), x.digest(), parts...)
 }
 
 // recordProgress reports a stream that runs to the quarantine, once each StartWindow: its upstream
--- a/internal/request/mgquarantine/answer.go
+++ b/internal/request/mgquarantine/answer.go
@@ -6,11 +6,15 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// maxAnsweredParts is the number of parts of which the last answer is kept, some 0.3 MB.
-const maxAnsweredParts = 4096
+const (
+	// maxSeenAnswers is the number of requests and parts of which the last answer is kept, some 0.4 MB.
+	maxSeenAnswers = 4096
+	// seenAnswerTTL is how long it is kept.
+	seenAnswerTTL = mgclock.Minute
+)
 
-// partAnswer is what this process has seen last of the requests with a part.
-type partAnswer struct {
+// seenAnswer is what this process has seen last of a request, or of the requests with a part.
+type seenAnswer struct {
 	at         mgclock.Millis // when one was answered
 	isAnswered bool
 	ranAt      mgclock.Millis // when one ran that had run for the time ran
@@ -19,18 +23,18 @@
 
 // clears reports whether it voids a crash at a time, under a generation that had run for a time, as
 // evidence against the part.
-func (a partAnswer) clears(crashAt, ran mgclock.Millis) bool {
+func (a seenAnswer) clears(crashAt, ran mgclock.Millis) bool {
 	return a.isAnswered && crashAt < a.at+partAnswerWindow || a.outlives(crashAt, outlivedAfter(ran))
 }
 
 // outlives reports whether a request with the part ran for longer than a time.
-func (a partAnswer) outlives(crashAt, after mgclock.Millis) bool {
+func (a seenAnswer) outlives(crashAt, after mgclock.Millis) bool {
 	return a.ran > 0 && a.ran >= after && crashAt < a.ranAt+partAnswerWindow
 }
 
 // isExpired reports whether it is of no more use.
-func (a partAnswer) isExpired(now mgclock.Millis) bool {
-	return max(a.at, a.ranAt)+partAnswerWindow <= now
+func (a seenAnswer) isExpired(now mgclock.Millis) bool {
+	return max(a.at, a.ranAt)+seenAnswerTTL <= now
 }
 
 // A Run is a generation in progress.
@@ -45,7 +49,7 @@
 // RecordProgress records that a generation runs. Its upstream has survived what may have ended
 // another one earlier in its answer, unless it ends under the same attempt later.
 func (q *Quarantine) RecordProgress(now mgclock.Millis, run Run) {
-	q.updatePartAnswers(now, run.Parts, func(a *partAnswer) {
+	q.updateSeenAnswers(now, run.Parts, func(a *seenAnswer) {
 		if run.Ran >= a.ran || a.ranAt+partAnswerWindow <= now {
 			a.ran, a.ranAt = run.Ran, now
 		}
@@ -68,54 +72,55 @@
 // RecordAnswer records that an upstream has answered a request. The answer voids evidence against the
 // request and the parts of its prompt.
 func (q *Quarantine) RecordAnswer(now mgclock.Millis, digest Digest, parts ...Digest) {
-	q.RecordPartAnswers(now, parts...)
+	all := append([]Digest{digest}, parts...)
+	q.updateSeenAnswers(now, all, func(a *seenAnswer) { a.at, a.isAnswered = now, true })
 	current := q.state.Load()
 	if current == nil {
 		return
 	}
-	for _, d := range append([]Digest{digest}, parts...) {
+	for _, d := range all {
 		if current.suspicions[d].occurrences > 0 {
 			q.addOwn(now, d, nil, Record{})
 		}
 	}
 }
 
-// RecordPartAnswers is RecordAnswer for a request against which there is no evidence. It is cheap.
+// RecordPartAnswers is RecordAnswer for the parts of a request alone.
 func (q *Quarantine) RecordPartAnswers(now mgclock.Millis, parts ...Digest) {
-	q.updatePartAnswers(now, parts, func(a *partAnswer) { a.at, a.isAnswered = now, true })
+	q.updateSeenAnswers(now, parts, func(a *seenAnswer) { a.at, a.isAnswered = now, true })
 }
 
-// updatePartAnswers updates what is known of the requests with each part.
-func (q *Quarantine) updatePartAnswers(now mgclock.Millis, parts []Digest, update func(*partAnswer)) {
+// updateSeenAnswers updates what is known of the requests with each part.
+func (q *Quarantine) updateSeenAnswers(now mgclock.Millis, parts []Digest, update func(*seenAnswer)) {
 	if len(parts) == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.partAnswers == nil {
-		q.partAnswers = map[Digest]partAnswer{}
+	if q.seenAnswers == nil {
+		q.seenAnswers = map[Digest]seenAnswer{}
 	}
-	if len(q.partAnswers) >= maxAnsweredParts {
-		maps.DeleteFunc(q.partAnswers, func(_ Digest, a partAnswer) bool { return a.isExpired(now) })
+	if len(q.seenAnswers) >= maxSeenAnswers {
+		maps.DeleteFunc(q.seenAnswers, func(_ Digest, a seenAnswer) bool { return a.isExpired(now) })
 	}
 	for _, part := range parts {
-		if known, ok := q.partAnswers[part]; ok || len(q.partAnswers) < maxAnsweredParts {
+		if known, ok := q.seenAnswers[part]; ok || len(q.seenAnswers) < maxSeenAnswers {
 			update(&known)
-			q.partAnswers[part] = known
+			q.seenAnswers[part] = known
 		}
 	}
 }
 
-// answerersAtRepeat is the number of processes that report answers to a part once it is suspected of
-// two occurrences.
+// answerersAtRepeat is the number of processes that report answers once a request or part is suspected
+// of two occurrences.
 const answerersAtRepeat = 8
 
-// answersSuspect reports whether this process reports the answers that it has seen to requests with a
-// part that others suspect: at first the one that ranks first, and all if the part is held
-// nevertheless. Many processes have seen answers to a popular part.
+// answersSuspect reports whether this process reports the answers that it has seen to a request, or to
+// requests with a part, that others suspect: at first the one that ranks first, and all if it is held
+// nevertheless. Many processes have seen answers to what is popular.
 func (q *Quarantine) answersSuspect(digest Digest, s suspicion) bool {
 	switch {
-	case !s.isPart || s.occurrences == 0:
+	case s.occurrences == 0:
 		return false
 	case s.isQuarantined:
 		return true
@@ -126,22 +131,23 @@
 	}
 }
 
-// answerSuspects adds records of the answers that this process has seen to requests with parts that
-// others suspect. It reports whether it added any.
+// answerSuspects adds records of the answers that this process has seen to what others suspect. Those
+// from before the crashes void nothing, but what was answered is the less likely cause. It reports
+// whether it added any.
 func (q *Quarantine) answerSuspects(now mgclock.Millis) bool {
 	hasNew := false
 	for digest, suspicion := range q.state.Load().suspicions {
 		if !q.answersSuspect(digest, suspicion) {
 			continue
 		}
-		seen := q.partAnswers[digest]
+		seen := q.seenAnswers[digest]
 		record := Record{
 			Digest: digest.String(),
 			Seen:   seen.at,
 		}
 		switch {
-		case seen.isAnswered && suspicion.lastCrashAt < seen.at+partAnswerWindow:
-		case seen.outlives(suspicion.lastCrashAt, suspicion.outlivedAfter):
+		case seen.isAnswered && (!suspicion.answered || suspicion.isPart && suspicion.lastCrashAt < seen.at+partAnswerWindow):
+		case suspicion.isPart && seen.outlives(suspicion.lastCrashAt, suspicion.outlivedAfter):
 			record.Seen, record.Ran = seen.ranAt, seen.ran
 		default:
 			continue
--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -51,7 +51,7 @@
 // ends the quarantine; a further crash holds the request for longer.
 //
 // Where all processes were lost at once, none knows what has crashed upstreams before. Until the records
-// of a process reach back for half a minute, by itself or by those of a peer that runs on, it holds a
+// of a process reach back for a time (see Quarantine.Begin), by itself or by those of a peer that runs on, it holds a
 // request after one crash as it began, or two in the middle of its answers, unless the crash is one of
 // many at a moment.
 //
--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -134,8 +134,8 @@
 			return suspicions
 		}
 		suspicions[worst.digest] = evaluateHold(worst)
-		if len(worst.occurrences) < occurrenceThreshold {
-			// Held by a lower threshold, with others at the same crash.
+		if len(worst.occurrences) == cautiousThreshold {
+			// A single crash doesn't tell which of the requests that were just starting has caused it.
 			unexplained = slices.DeleteFunc(unexplained, func(e *explanation) bool { return e == worst })
 			continue
 		}
@@ -396,12 +396,15 @@
 		factor, limit = partHoldFactor, maxPartHold
 	}
 	hold := initialHold
+	if e.threshold == cautiousThreshold {
+		hold = cautiousHold
+	}
 	until := e.occurrences[e.threshold-1].at + hold
 	for _, c := range e.occurrences[e.threshold:] {
 		if c.at < until {
 			continue
 		}
-		hold = min(factor*hold, limit)
+		hold = min(max(factor*hold, initialHold), limit)
 		until = c.at + hold
 	}
 	s := e.suspicion()
--- a/internal/request/mgquarantine/memory.go
+++ b/internal/request/mgquarantine/memory.go
@@ -7,26 +7,27 @@
 )
 
 const (
-	// cautionWindow is how far back the records of a process must reach for it to judge by them alone.
-	cautionWindow = 30 * mgclock.Second
 	// cautiousThreshold and cautiousLateThreshold are the numbers of occurrences after which a
 	// cautious process holds a request that was just starting, and one that had run for longer: all
 	// that runs on an upstream is the latter.
 	cautiousThreshold     = 1
 	cautiousLateThreshold = 2
+	// cautiousHold is the first hold after one crash. It is short, since the trial after it frees a
+	// request that many callers send.
+	cautiousHold = 2 * mgclock.Second
 	// cautiousRetryLimit is retryOccurrenceLimit of a cautious process.
 	cautiousRetryLimit = 1
 )
 
 // Begin sets the start of the process. From then on it learns of the crashes that others record, and of
-// earlier ones what a peer knows; see AdoptMemory. Until its records reach back for cautionWindow it
+// earlier ones what a peer knows; see AdoptMemory. Until its records reach back for the time caution it
 // holds requests after fewer crashes: where all processes were lost at once, none knows what has
 // crashed upstreams before.
-func (q *Quarantine) Begin(now mgclock.Millis) {
+func (q *Quarantine) Begin(now, caution mgclock.Millis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.hasBegun = true
 	q.rememberedSince = now
+	q.caution = caution
 }
 
 // Memory returns how far back the records that this process knows of reach, at least 0.
@@ -59,8 +60,8 @@
 // cautiousUntil returns the time before which this process judges crashes by lower thresholds, since
 // upstreams may have crashed before under requests of which no process knows.
 func (q *Quarantine) cautiousUntil() mgclock.Millis {
-	if !q.hasBegun {
+	if q.caution == 0 {
 		return math.MinInt64
 	}
-	return q.rememberedSince + cautionWindow
+	return q.rememberedSince + q.caution
 }
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -39,12 +39,12 @@
 	lastNumber atomic.Uint64
 
 	mu              sync.Mutex
-	hasBegun        bool
+	caution         mgclock.Millis            // see Begin; 0 for none
 	rememberedSince mgclock.Millis            // from when on this process knows of all records; see Begin
 	offsets         map[string]mgclock.Millis // upper bounds of this process's clock minus the origin's clock, by origin
 	lastPause       mgclock.Millis            // end of the process's last pause, 0 for none
 	records         map[recordID]storedRecord
-	partAnswers     map[Digest]partAnswer
+	seenAnswers     map[Digest]seenAnswer
 	recentEnds      map[string]mgclock.Millis // when the last attempts at upstreams that ended broke off, by upstream
 	changed         chan struct{}             // closed when there are new records
 }
@@ -215,7 +215,7 @@
 func (q *Quarantine) addOwn(now mgclock.Millis, digest Digest, parts []Digest, record Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	parts = slices.DeleteFunc(slices.Clone(parts), func(part Digest) bool { return q.partAnswers[part].clears(now, record.Ran) })
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part Digest) bool { return q.seenAnswers[part].clears(now, record.Ran) })
 	record.Digest = digest.String()
 	for _, part := range parts {
 		record.Parts = append(record.Parts, part.String())
