mgsoak, mgstandin: a prompt that ends engines late, and the loss of all entries at once

It finds more than six engines ended by the prompt (and three for each entry that fails by itself), and a sound prompt held more often than 1 in 20.

--- a/internal/soak/mgsoak/cordon_test.go
+++ b/internal/soak/mgsoak/cordon_test.go
@@ -219,3 +219,62 @@
 		})
 	}
 }
+
+// Guards against a check of prompts that crash engines late that finds nothing, or too much.
+func TestLateCrashesMissedOrFalselyReported(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes int
+		kills   int // of one entry
+		held    int // of 40 hot prompts
+		found   int
+	}{
+		{
+			name:    "six engines ended, with a loss of all entries",
+			crashes: 6,
+		},
+		{
+			name:    "seven ended",
+			crashes: 7,
+			found:   1,
+		},
+		{
+			name:    "seven ended and an entry was killed by itself",
+			crashes: 7,
+			kills:   1,
+		},
+		{
+			name: "two hot prompts were held",
+			held: 2,
+		},
+		{
+			name:  "three were held",
+			held:  3,
+			found: 1,
+		},
+	} {
+		Convey(c.name, t, func() {
+			r := &run{
+				faultIntervals: []faultInterval{{
+					fault: Fault{
+						Kind: LoseEntries,
+					},
+				}},
+			}
+			for range c.kills {
+				r.faultIntervals = append(r.faultIntervals, faultInterval{
+					fault: Fault{
+						Kind:   KillProcess,
+						Target: "entry-1",
+					},
+				})
+			}
+			r.evidence.lateCrashes = c.crashes
+			r.evidence.hot = partPrompts{
+				sound: 40,
+				held:  c.held,
+			}
+			So(len(r.checkLateCrashes()), ShouldEqual, c.found)
+		})
+	}
+}
--- a/internal/soak/mgsoak/deployment.go
+++ b/internal/soak/mgsoak/deployment.go
@@ -21,6 +21,7 @@
 
 // deployment holds the processes of a run and the links in front of them.
 type deployment struct {
+	caution      mgclock.Millis // the entries' setting
 	binary       string
 	folder       string
 	names        processNames
@@ -50,6 +51,7 @@
 		binary:    binary,
 		folder:    folder,
 		names:     size.names(),
+		caution:   size.caution(),
 		processes: map[string]*mgproc.Process{},
 		links:     map[string]*mgproc.Link{},
 		standins:  map[string]string{},
@@ -167,7 +169,8 @@
 		if err != nil {
 			return err
 		}
-		if err := d.startProcess(entry, i, fmt.Sprintf("listen = %q\nnotice = 300\nrelay = true\n", addrs[0]), "entry"); err != nil {
+		extra := fmt.Sprintf("listen = %q\nnotice = 300\nrelay = true\ncaution = %d\n", addrs[0], d.caution)
+		if err := d.startProcess(entry, i, extra, "entry"); err != nil {
 			return err
 		}
 		addr, err := d.link(entry, addrs[0])
--- a/internal/soak/mgsoak/evidence.go
+++ b/internal/soak/mgsoak/evidence.go
@@ -41,6 +41,8 @@
 	failureHasCause        = "nothing fails without a fault"
 	cordonRespected        = "a cordoned zone gets no new work"
 	crashPromptBlocked     = "a prompt that ends engines is held back"
+	crashLateBlocked       = "a prompt that ends engines late is held back, also once all entries were lost"
+	soundHotServed         = "a sound prompt that many callers send isn't held"
 	crashPartBlocked       = "prompts with a part that ends engines are held back"
 	soundPartsServed       = "sound prompts aren't held for a part that others crash on"
 	funnelServed           = "most new connections at one entry are served as often as before"
@@ -86,6 +88,8 @@
 	crashes      int            // engine crashes caused by the crash prompt
 	partCrashes  int            // engine crashes caused by prompts with one part
 	parts        partPrompts
+	lateCrashes  int         // engine crashes caused by the prompt that crashes engines late
+	hot          partPrompts // sound prompts of one text beside it
 	streams      []*readStream
 }
 
@@ -97,6 +101,7 @@
 	}
 	e.crashes += counts.Crashes
 	e.partCrashes += counts.PartCrashes
+	e.lateCrashes += counts.LateCrashes
 	for id, record := range counts.Generations {
 		all := e.generations[id]
 		all.Starts += record.Starts
--- a/internal/soak/mgsoak/inject.go
+++ b/internal/soak/mgsoak/inject.go
@@ -53,6 +53,11 @@
 	case CrashPrompt:
 		r.sendPrompt(ctx, f)
 		return nil
+	case CrashLate:
+		r.sendLate(ctx, f)
+		return nil
+	case LoseEntries:
+		return r.loseEntries()
 	case FunnelReaders:
 		r.funnel.Store(int32(1 + slices.Index(r.deployment.names.entries, f.Variant)))
 		r.sleep(ctx, f.Duration)
@@ -247,7 +252,7 @@
 	// the restarted engine then counts as the same crash, once for each entry.
 	allowed := maxPromptCrashes + max(r.size.Entries, spareProcesses+1) - 1
 	for _, s := range r.faultIntervals {
-		if strings.HasPrefix(s.fault.Target, "entry-") && s.start < sent.end && sent.start < s.end+promptReportDelay {
+		if s.fault.hitsEntries() && s.start < sent.end && sent.start < s.end+promptReportDelay {
 			allowed += maxPromptCrashes // an entry that was restarted, paused or cut off may miss the records
 		}
 	}
--- a/internal/soak/mgsoak/parts.go
+++ b/internal/soak/mgsoak/parts.go
@@ -79,7 +79,7 @@
 	}
 	extra := 0
 	for _, s := range r.faultIntervals {
-		if strings.HasPrefix(s.fault.Target, "entry-") && s.start < sent.end && sent.start < s.end+promptReportDelay {
+		if s.fault.hitsEntries() && s.start < sent.end && sent.start < s.end+promptReportDelay {
 			extra += maxPromptCrashes
 		}
 	}
--- a/internal/soak/mgsoak/run.go
+++ b/internal/soak/mgsoak/run.go
@@ -201,6 +201,7 @@
 	r.findings = append(r.findings, r.checkCordons()...)
 	r.findings = append(r.findings, r.checkPromptCrashes()...)
 	r.findings = append(r.findings, r.checkPartCrashes()...)
+	r.findings = append(r.findings, r.checkLateCrashes()...)
 	r.findings = append(r.findings, r.checkFunnel()...)
 	return nil
 }
@@ -280,8 +281,9 @@
 			}
 		}
 	}
-	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d by a part (%d of %d sound ones held), %d of %d streams whole, %d of %d resumed, %d findings",
+	return fmt.Sprintf("seed %d: %d faults, %d answers whole and %d told otherwise, %d of %d tickets booked, %d looks at tables, %d engines ended by a prompt, %d by a part (%d of %d sound ones held), %d late (%d of %d hot ones held), %d of %d streams whole, %d of %d resumed, %d findings",
 		r.seed, len(r.faults), whole, failed, booked, len(r.evidence.tickets), len(r.evidence.observations), r.evidence.crashes,
 		r.evidence.partCrashes, r.evidence.parts.held, r.evidence.parts.sound,
+		r.evidence.lateCrashes, r.evidence.hot.held, r.evidence.hot.sound,
 		wholeStreams, len(r.evidence.streams), resumed, asked, len(r.findings))
 }
--- a/internal/soak/mgsoak/schedule.go
+++ b/internal/soak/mgsoak/schedule.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -31,6 +32,8 @@
 	CordonZone      Kind = "cordon"  // a zone gets no new work for the duration
 	CrashPart       Kind = "part"    // prompts with a part that crashes their engines, unlike otherwise, beside sound ones
 	FunnelReaders   Kind = "funnel"  // the balancer hands most new connections of readers to one entry
+	CrashLate       Kind = "late"    // a prompt that crashes its engine in the middle of its answer, beside a sound one that is hot
+	LoseEntries     Kind = "lost"    // all entries are killed at once, then restarted
 	CrashPrompt     Kind = "prompt"  // a prompt that crashes its engine, sent repeatedly for the duration
 	UpgradeUpstream Kind = "upgrade" // an upstream of streams restarts with another software version
 )
@@ -59,10 +62,11 @@
 
 // Size is the number of processes and callers of a deployment.
 type Size struct {
-	Entries int `long:"entries" default:"2" description:"entries"`
-	Engines int `long:"engines" default:"3" description:"engines, with an agent each"`
-	Callers int `long:"callers" default:"12" description:"callers at once"`
-	Readers int `long:"readers" default:"12" description:"callers of streams at once"`
+	Entries int  `long:"entries" default:"2" description:"entries"`
+	Engines int  `long:"engines" default:"3" description:"engines, with an agent each"`
+	Callers int  `long:"callers" default:"12" description:"callers at once"`
+	Readers int  `long:"readers" default:"12" description:"callers of streams at once"`
+	Late    bool `long:"late" description:"also play a prompt that ends engines late, and the loss of all entries at once"`
 }
 
 const (
@@ -112,6 +116,7 @@
 		at += mgclock.Millis(r.ExpFloat64() * meanFaultInterval)
 		if at >= length-faultFreeEnd {
 			prompt := drawPrompt(seed, length)
+			faults = append(faults, drawLate(seed, length, size)...)
 			return append(append(faults, drawCordon(seed, length), prompt, drawPart(prompt, length), drawFunnel(seed, length, size)), drawUpgrades(seed, length)...)
 		}
 		f := Fault{
@@ -171,6 +176,40 @@
 	}
 }
 
+// drawLate returns the faults of Size.Late. Like drawCordon it has its own random generator.
+func drawLate(seed uint64, length mgclock.Millis, size Size) []Fault {
+	if !size.Late {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(seed, 0x6c617465))
+	available := length - faultFreeStart - faultFreeEnd
+	return []Fault{
+		{
+			At:       faultFreeStart,
+			Kind:     CrashLate,
+			Duration: available,
+		},
+		{
+			At:   faultFreeStart + available/4 + mgclock.Millis(r.Int64N(max(int64(available/2), 1))),
+			Kind: LoseEntries,
+		},
+	}
+}
+
+// caution returns the entries' setting of that name. Without a loss of all entries the runs are about
+// entries that have run for a while.
+func (s Size) caution() mgclock.Millis {
+	if s.Late {
+		return 30 * mgclock.Second
+	}
+	return 0
+}
+
+// hitsEntries reports whether the fault may keep an entry from knowing what others know.
+func (f Fault) hitsEntries() bool {
+	return strings.HasPrefix(f.Target, "entry-") || f.Kind == LoseEntries
+}
+
 // drawFunnel returns the interval in which most new connections of readers go to one entry. Like
 // drawCordon it has its own random generator.
 func drawFunnel(seed uint64, length mgclock.Millis, size Size) Fault {
--- a/internal/soak/mgsoak/soak_test.go
+++ b/internal/soak/mgsoak/soak_test.go
@@ -59,6 +59,22 @@
 	}, buildProgram(t))
 }
 
+// Guards against a prompt that ends engine after engine in the middle of its answers, also once all
+// entries were lost at once, and against holding one that many callers send beside it.
+func TestLatePromptAfterLossOfEntries(t *testing.T) {
+	playSoak(t, Command{
+		Size: Size{
+			Entries: 2,
+			Engines: 3,
+			Callers: 12,
+			Readers: 12,
+			Late:    true,
+		},
+		Seed:    4,
+		Minutes: 0.4,
+	}, buildProgram(t))
+}
+
 // buildProgram builds the program and returns its path.
 func buildProgram(t testing.TB) string {
 	if testing.Short() {
--- a/internal/soak/mgsoak/streams.go
+++ b/internal/soak/mgsoak/streams.go
@@ -341,7 +341,8 @@
 	ends := []Kind{KillProcess, StopProcess, PauseProcess}
 	hasFailed := func(entry string, at mgclock.Millis) bool {
 		return slices.ContainsFunc(r.faultIntervals, func(s faultInterval) bool {
-			return s.fault.Target == entry && slices.Contains(ends, s.fault.Kind) && s.start <= at && at <= s.end+recordDelay
+			hit := s.fault.Kind == LoseEntries || s.fault.Target == entry && slices.Contains(ends, s.fault.Kind)
+			return hit && s.start <= at && at <= s.end+recordDelay
 		})
 	}
 	return slices.ContainsFunc(r.faultIntervals, func(s faultInterval) bool {
--- a/internal/standin/mgstandin/generation.go
+++ b/internal/standin/mgstandin/generation.go
@@ -40,6 +40,11 @@
 			e.loseState()
 			return
 		}
+		if seq > crashLateTokens && strings.Contains(g.spec.Prompt, CrashLateMark) {
+			e.counts.LateCrashes++
+			e.loseState()
+			return
+		}
 		e.counts.Tokens++
 		g.produced = seq
 		g.notifyProgress()
--- a/internal/standin/mgstandin/text.go
+++ b/internal/standin/mgstandin/text.go
@@ -23,6 +23,11 @@
 // CrashPartMark does the same. It stands in a part of prompts that are unlike otherwise.
 const CrashPartMark = "crash=2"
 
+// CrashLateMark does the same once the engine has generated crashLateTokens tokens for it.
+const CrashLateMark = "crash=3"
+
+const crashLateTokens = 12
+
 // outputLengths is the distribution of output lengths for prompts that don't specify
 // one: a median of 90 tokens, and one in a hundred over 1,200.
 var outputLengths = distuv.LogNormal{
--- a/internal/standin/mgstandin/wire.go
+++ b/internal/standin/mgstandin/wire.go
@@ -40,6 +40,7 @@
 	Refused     int               `json:"refused"`     // orders refused
 	Crashes     int               `json:"crashes"`     // caused by prompts with CrashMark
 	PartCrashes int               `json:"partcrashes"` // caused by prompts with CrashPartMark
+	LateCrashes int               `json:"latecrashes"` // caused by prompts with CrashLateMark
 }
 
 // Record is the record of a generation, which the engine keeps after its end.
