mgquarantine: records of what ran at one crash take less of the network

Nearly all are of generations that ran at one crash only: these are broadcast for 100 ms in place of 600, and a process records all that ran at the first of the upstreams that end at one moment, in place of the first two; what was at an earlier crash is always recorded.

--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -160,7 +160,11 @@
 	}
 }
 
-// markMoments marks the crashes of which more than maxEndsRecorded are of about one moment. They are
+// maxEndsOfRequest is the number of upstreams that one request may end at about one moment, by its two
+// attempts. More end for another reason.
+const maxEndsOfRequest = 2
+
+// markMoments marks the crashes of which more than maxEndsOfRequest are of about one moment. They are
 // sorted by time.
 func markMoments(crashes []*crash) {
 	for i, c := range crashes {
@@ -168,7 +172,7 @@
 		for last+1 < len(crashes) && crashes[last+1].at < c.at+occurrenceWindow {
 			last++
 		}
-		if last-i >= maxEndsRecorded {
+		if last-i+1 > maxEndsOfRequest {
 			for _, other := range crashes[i : last+1] {
 				other.isOneOfMany = true
 			}
--- a/internal/request/mgquarantine/exchange.go
+++ b/internal/request/mgquarantine/exchange.go
@@ -60,7 +60,14 @@
 // RecentRecords returns the records that this process learned recently and therefore
 // broadcasts.
 func (q *Quarantine) RecentRecords(now mgclock.Millis) []Record {
-	return q.collect(now, func(s storedRecord) bool { return now < s.learnedAt+broadcastWindow })
+	current := q.state.Load()
+	return q.collect(now, func(s storedRecord) bool {
+		window := broadcastWindow
+		if s.isCrash() && s.isRunning() && current.suspicions[s.digest].occurrences < minPartMoments {
+			window = bystanderBroadcastWindow
+		}
+		return now < s.learnedAt+window
+	})
 }
 
 // MissingRecords returns the records that a process with these Checksums may be missing.
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -20,6 +20,9 @@
 	recordTTL = maxPartHold + 2*evidenceTTL
 	// broadcastWindow is how long a record is broadcast after it was learned.
 	broadcastWindow = 600 * mgclock.Millis(1)
+	// bystanderBroadcastWindow is the same for the record of a generation that ran at one crash only,
+	// as nearly all do. Processes that miss it compare their records soon.
+	bystanderBroadcastWindow = 100 * mgclock.Millis(1)
 	// StartWindow is the time after its first event in which a generation counts as just started: a
 	// request that crashes an upstream as it begins may have produced some tokens by then.
 	StartWindow = 300 * mgclock.Millis(1)
@@ -117,8 +120,8 @@
 }
 
 // maxEndsRecorded is the number of upstreams that end within occurrenceWindow, as this process sees
-// it, of which all generations are recorded. More end for another reason than a request.
-const maxEndsRecorded = 2
+// it, of which all generations are recorded. One that ran at several is recorded at each.
+const maxEndsRecorded = 1
 
 // isOneOfMany reports whether a crash is one of many at one moment, under a generation that nothing
 // else speaks against. Recording all that runs in an availability zone would exceed what processes may
