mgquarantine: recent records are read with the evaluation that holds under the lock

RecentRecords read the evaluation before it took the lock, so that the first record of a process, merged in between, met none: a nil pointer.

--- a/internal/request/mgquarantine/doc.go
+++ b/internal/request/mgquarantine/doc.go
@@ -4,8 +4,8 @@
 // # Problem
 //
 // One request body can crash each engine that runs it, as it begins or in the middle of its answer,
-// together with the two dozen other generations there. Its caller repeats it through other entries, and an entry that
-// retries it crashes a second engine. Without shared state such a request goes through all
+// together with the two dozen other generations there. Its caller repeats it through other entries,
+// and an entry that retries it crashes a second engine. Without shared state such a request goes through all
 // engines of a service faster than they restart. The cause may also be a part of the prompt that
 // many requests have in common, no two of which are alike otherwise.
 //
@@ -50,10 +50,10 @@
 // its outcome. If the upstreams crashed for another reason, an answer
 // ends the quarantine; a further crash holds the request for longer.
 //
-// Where all processes were lost at once, none knows what has crashed upstreams before. Until the records
-// of a process reach back for a time (see Quarantine.Begin), by itself or by those of a peer that runs on, it holds a
-// request after one crash as it began, or two in the middle of its answers, unless the crash is one of
-// many at a moment.
+// Where all processes were lost at once, none knows what has crashed upstreams before. Until the
+// records of a process reach back for a time (see Quarantine.Begin), by itself or by those of a peer
+// that runs on, it holds a request after one crash as it began, or two in the middle of its answers,
+// unless the crash is one of many at a moment.
 //
 // # State
 //
--- a/internal/request/mgquarantine/exchange.go
+++ b/internal/request/mgquarantine/exchange.go
@@ -60,10 +60,9 @@
 // RecentRecords returns the records that this process learned recently and therefore
 // broadcasts.
 func (q *Quarantine) RecentRecords(now mgclock.Millis) []Record {
-	current := q.state.Load()
 	return q.collect(now, func(s storedRecord) bool {
 		window := broadcastWindow
-		if s.isCrash() && s.isRunning() && current.suspicions[s.digest].occurrences < minPartMoments {
+		if s.isCrash() && s.isRunning() && q.Occurrences(s.digest) < minPartMoments {
 			window = bystanderBroadcastWindow
 		}
 		return now < s.learnedAt+window
