--- a/internal/request/mgquarantine/memory.go
+++ b/internal/request/mgquarantine/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -65,3 +66,17 @@
 	}
 	return q.rememberedSince + q.caution
 }
+
+// thresholdFor returns the number of occurrences after which a request or part is held. Parts have no
+// lower one, since many sound requests have them, nor does what was at one of many crashes of a moment.
+func (v evaluation) thresholdFor(e *explanation) int {
+	first := e.suspected[0].at
+	switch {
+	case first >= v.cautiousUntil || e.breadth > 0 || e.answered || slices.ContainsFunc(e.suspected, func(c *crash) bool { return c.isOneOfMany }):
+		return occurrenceThreshold
+	case e.waiting == 0 && slices.ContainsFunc(e.suspected, func(c *crash) bool { return e.ran[c] < StartWindow }):
+		return cautiousThreshold
+	default:
+		return cautiousLateThreshold
+	}
+}
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -119,36 +118,6 @@
 	})
 }
 
-// maxEndsRecorded is the number of upstreams that end within occurrenceWindow, as this process sees
-// it, of which all generations are recorded. One that ran at several is recorded at each.
-const maxEndsRecorded = 1
-
-// isOneOfMany reports whether a crash is one of many at one moment, under a generation that nothing
-// else speaks against. Recording all that runs in an availability zone would exceed what processes may
-// exchange.
-func (q *Quarantine) isOneOfMany(now mgclock.Millis, c Crash) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	maps.DeleteFunc(q.recentEnds, func(_ string, at mgclock.Millis) bool { return at+occurrenceWindow <= now })
-	if q.recentEnds == nil {
-		q.recentEnds = map[string]mgclock.Millis{}
-	}
-	_, isKnown := q.recentEnds[c.Upstream]
-	if c.Ran >= StartWindow && !isKnown && len(q.recentEnds) >= maxEndsRecorded && !q.isSuspected(c.Digest, c.Parts) {
-		return true
-	}
-	q.recentEnds[c.Upstream] = now
-	return false
-}
-
-// isSuspected reports whether there is evidence against a request or one of its parts.
-func (q *Quarantine) isSuspected(digest Digest, parts []Digest) bool {
-	current := q.state.Load()
-	return current != nil && slices.ContainsFunc(append([]Digest{digest}, parts...), func(d Digest) bool {
-		return current.suspicions[d].occurrences > 0
-	})
-}
-
 // HasSuspects reports whether there is evidence against any request, so that computing a
 // Digest is worth its cost.
 func (q *Quarantine) HasSuspects() bool {
