--- a/internal/request/mgquarantine/evaluate.go
+++ b/internal/request/mgquarantine/evaluate.go
@@ -215,12 +215,15 @@
 	if e.breadth > 0 {
 		factor, limit = partHoldFactor, maxPartHold
 	}
-	hold := initialHold
-	if e.threshold == cautiousThreshold {
+	hold, threshold := initialHold, e.threshold
+	switch {
+	case threshold == cautiousThreshold && len(e.occurrences) == cautiousThreshold:
 		hold = cautiousHold
+	case threshold == cautiousThreshold:
+		threshold = cautiousLateThreshold // a second crash ends the doubt, also within the short hold
 	}
-	until := e.occurrences[e.threshold-1].at + hold
-	for _, c := range e.occurrences[e.threshold:] {
+	until := e.occurrences[threshold-1].at + hold
+	for _, c := range e.occurrences[threshold:] {
 		if c.at < until {
 			continue
 		}
--- a/internal/request/mgquarantine/memory_test.go
+++ b/internal/request/mgquarantine/memory_test.go
@@ -110,6 +110,14 @@
 		_, held = q.Held(150*sec, digestOf("x"))
 		So(held, ShouldBeTrue)
 	})
+	Convey("A second crash within the first short hold begins a usual one", t, func() {
+		q := mgquarantine.New("life", nil)
+		q.Begin(sec, 30*sec)
+		crash(q, 5*sec, 0, false)
+		crash(q, 6*sec, 0, false)
+		_, held := q.Held(20*sec, digestOf("x"))
+		So(held, ShouldBeTrue)
+	})
 	Convey("A process that has run for a while holds nothing after one crash", t, func() {
 		q := mgquarantine.New("life", nil)
 		q.Begin(sec, 30*sec)
