mglag, mgnode: how long events wait for an entry is measured

A Meter sends a byte to itself through a pipe, which takes the way of all network events; the runtime runs expired timers before other goroutines, so that a timer is on time meanwhile. It measures at most every 10 ms, and only while requests arrive. Metric events.wait, section waits of the state dump. No logic changes.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return Drain{}, err
 	}
+	if err := n.measureWaits(ctx); err != nil {
+		return Drain{}, err
+	}
 	n.quarantine.Begin(n.clock.Now(), mgclock.Millis(settings.CautionTime))
 	capShares := mgshare.NewLoop(n.capSharesSpec(settings.Fresh))
 	n.capShares.Store(capShares)
@@ -53,7 +56,7 @@
 	n.Serve(ctx, ServerSpec{
 		Name:           "callers",
 		Listener:       public,
-		Handler:        entry.Handler(),
+		Handler:        n.measured(entry.Handler()),
 		Linger:         n.linger,
 		MaxHeaderBytes: int(settings.MaxHeader),
 		HeaderTimeout:  mgclock.Millis(settings.CallerTimeout),
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -18,6 +18,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgadmin"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgevent"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mglag"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
@@ -74,6 +75,7 @@
 	peerClients         sync.Map                     // base URL to mgrpc.Peer
 	roleHandler         atomic.Pointer[http.Handler] // of the role, on the peers' listener
 	capShares           atomic.Pointer[mgshare.Loop] // of an entry, else nil
+	waits               atomic.Pointer[mglag.Meter]  // of an entry, else nil
 	serving             atomic.Bool                  // the listeners for work are open
 	leaving             atomic.Bool
 	closeDeadline       atomic.Int64 // when a drained process closes the callers' listener at the latest
