mgoverload, mgnode: an entry closes new connections unread while events wait long

Beyond saturation each request waits at five or six places until hardly any ends in its time, and the work done for the others is lost.

Change: a gate closes new connections unread once events have waited for 30 ms or more without a break for 300 ms (CoDel's rule), and for two seconds after that at the first long wait. A stall or a garbage collection is over before. It admits one connection a second in any case. Many connections are closed without being registered with the poller, and keep-alive probes are switched on for those that are kept only.

--- a/internal/connection/mglistener/listener.go
+++ b/internal/connection/mglistener/listener.go
@@ -26,6 +26,7 @@
 	// Multipath TCP sockets don't support socket filters.
 	var config net.ListenConfig
 	config.SetMultipathTCP(false)
+	config.KeepAlive = -1 // see EnableKeepAlive
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
@@ -87,6 +88,33 @@
 	return conn, acceptErr
 }
 
+// CloseQueued closes connections from the accept queue unread, at most limit, and returns their number.
+// It takes much less time than Accept.
+func (l *Listener) CloseQueued(limit int) (count int, err error) {
+	raw, err := l.tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = raw.Control(func(fd uintptr) {
+		for ; count < limit; count++ {
+			accepted, err := acceptSocket(int(fd))
+			if err != nil {
+				return // the queue is empty, or Accept reports the failure
+			}
+			_ = syscall.Close(accepted) // nothing was read or sent
+		}
+	})
+	return count, err
+}
+
+// EnableKeepAlive makes the kernel probe the peer of an accepted connection, with the intervals of package
+// net. Accept doesn't, since many connections may be closed at once.
+func EnableKeepAlive(conn net.Conn) {
+	if accepted := ConnOf(conn); accepted != nil {
+		_ = accepted.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true}) // fails only on a closed connection
+	}
+}
+
 // acceptNonBlocking accepts one connection from a non-blocking listening socket.
 func acceptNonBlocking(fd uintptr) (*net.TCPConn, error) {
 	accepted, err := acceptSocket(int(fd))
--- a/internal/connection/mglistener/listener_test.go
+++ b/internal/connection/mglistener/listener_test.go
@@ -108,3 +108,58 @@
 		}()
 	}
 }
+
+// Guards against connections that are accepted and closed one by one while many wait, and against a caller
+// that vanishes unnoticed.
+func TestQueuedConnectionsStayOpen(t *testing.T) {
+	Convey("A listener with connections in its accept queue", t, func() {
+		l, err := mglistener.Listen("127.0.0.1:0", nil)
+		So(err, ShouldBeNil)
+		defer l.Close()
+		var callers []net.Conn
+		for range 5 {
+			caller, err := net.Dial("tcp", l.Addr().String())
+			So(err, ShouldBeNil)
+			defer caller.Close()
+			callers = append(callers, caller)
+		}
+		Convey("closes as many as it is asked for", func() {
+			count, err := l.CloseQueued(3)
+			So(err, ShouldBeNil)
+			So(count, ShouldEqual, 3)
+			for _, caller := range callers[:3] {
+				_, err := caller.Read(make([]byte, 1))
+				So(err, ShouldNotBeNil)
+			}
+			conn, err := l.Accept()
+			So(err, ShouldBeNil)
+			defer conn.Close()
+			So(conn.RemoteAddr().String(), ShouldEqual, callers[3].LocalAddr().String())
+			Convey("and none once the queue is empty", func() {
+				count, err := l.CloseQueued(3)
+				So(err, ShouldBeNil)
+				So(count, ShouldEqual, 1)
+			})
+		})
+		Convey("probes the peers of those that are kept", func() {
+			conn, err := l.Accept()
+			So(err, ShouldBeNil)
+			defer conn.Close()
+			So(isProbed(conn), ShouldBeFalse)
+			mglistener.EnableKeepAlive(conn)
+			So(isProbed(conn), ShouldBeTrue)
+		})
+	})
+}
+
+// isProbed reports whether the kernel probes the peer of a connection.
+func isProbed(conn net.Conn) bool {
+	raw, err := mglistener.ConnOf(conn).SyscallConn()
+	So(err, ShouldBeNil)
+	value := 0
+	So(raw.Control(func(fd uintptr) {
+		value, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+	}), ShouldBeNil)
+	So(err, ShouldBeNil)
+	return value != 0
+}
--- a/internal/process/mgnode/connlimit.go
+++ b/internal/process/mgnode/connlimit.go
@@ -10,15 +10,17 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// limitedListener accepts connections up to a limit. It closes those beyond it unread, so that their
-// callers know that nothing ran and try another process at once: in the accept queue they would wait,
-// and without a limit the process runs out of memory or descriptors and loses all its answers.
+// limitedListener accepts connections up to a limit, and as long as the processor bears them. It closes
+// the others unread, so that their callers know that nothing ran and try another process at once: in the
+// accept queue they would wait, and without a limit the process runs out of memory or descriptors and
+// loses all its answers.
 type limitedListener struct {
-	net.Listener
+	*mglistener.Listener
 	conns      *connTracker
-	limit      int // 0 stands for none
+	limit      int         // 0 stands for none
+	admits     func() bool // reports whether the processor bears one more; nil stands for always
 	log        logr.Logger
-	onRefused  func() // may be nil
+	onRefused  func(count int) // may be nil
 	refused    int64
 	nextReport mgclock.Millis
 }
@@ -26,6 +28,9 @@
 const (
 	// refusalReportInterval is the least time between two log lines of refused connections.
 	refusalReportInterval = mgclock.Second
+	// maxCloseQueued is the number of connections that are closed at a time. Requests that have been read
+	// wait meanwhile.
+	maxCloseQueued = 64
 	// firstRequestTime is the time that a new connection has for its first request before it may be
 	// ended for another one.
 	firstRequestTime = mgclock.Second
@@ -35,23 +40,36 @@
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || l.limit == 0 || l.conns.makeRoom(l.limit) {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case l.admits != nil && !l.admits():
+			_ = conn.Close() // nothing was read or sent
+			more, err := l.CloseQueued(maxCloseQueued)
+			if err != nil {
+				return nil, err
+			}
+			l.reportRefused(1+more, "events wait too long for the processor")
+		case l.limit > 0 && !l.conns.makeRoom(l.limit):
+			_ = conn.Close()
+			l.reportRefused(1, "the process has as many as it may")
+		default:
+			mglistener.EnableKeepAlive(conn)
+			return conn, nil
 		}
-		_ = conn.Close() // nothing was read or sent
-		l.reportRefused()
 	}
 }
 
-// reportRefused reports that a connection was closed unread.
-func (l *limitedListener) reportRefused() {
-	l.refused++
+// reportRefused reports that connections are closed unread.
+func (l *limitedListener) reportRefused(count int, why string) {
+	l.refused += int64(count)
 	if l.onRefused != nil {
-		l.onRefused()
+		l.onRefused(count)
 	}
 	if now := (mgclock.Clock{}).Now(); now >= l.nextReport {
 		l.nextReport = now + refusalReportInterval
-		l.log.Info("connections are closed unread: the process has as many as it may", "limit", l.limit, "closed", l.refused)
+		l.log.Info("connections are closed unread: "+why, "limit", l.limit, "closed", l.refused)
 	}
 }
 
--- a/internal/process/mgnode/connlimit_test.go
+++ b/internal/process/mgnode/connlimit_test.go
@@ -47,7 +47,7 @@
 				w.WriteHeader(http.StatusNoContent)
 			}),
 			MaxConns:  limit,
-			OnRefused: func() { s.refused.Add(1) },
+			OnRefused: func(count int) { s.refused.Add(1) },
 		})
 	}()
 	t.Cleanup(func() {
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -61,7 +61,8 @@
 		MaxHeaderBytes: int(settings.MaxHeader),
 		HeaderTimeout:  mgclock.Millis(settings.CallerTimeout),
 		MaxConns:       int(settings.MaxConns),
-		OnRefused:      func() { n.metrics.Counter("callers.refused").Inc(1) },
+		OnRefused:      func(count int) { n.metrics.Counter("callers.refused").Inc(int64(count)) },
+		Admits:         n.admitsConnection,
 	})
 	drain := n.NewDrain(entry.Leave, entry.Busy)
 	withdrawReadiness := drain.WithdrawReadiness
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -27,6 +27,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoverload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
@@ -76,6 +77,7 @@
 	roleHandler         atomic.Pointer[http.Handler] // of the role, on the peers' listener
 	capShares           atomic.Pointer[mgshare.Loop] // of an entry, else nil
 	waits               atomic.Pointer[mglag.Meter]  // of an entry, else nil
+	gate                mgoverload.Gate              // for new connections of callers
 	serving             atomic.Bool                  // the listeners for work are open
 	leaving             atomic.Bool
 	closeDeadline       atomic.Int64 // when a drained process closes the callers' listener at the latest
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -37,10 +37,13 @@
 	// which it must arrive.
 	MaxHeaderBytes int
 	HeaderTimeout  mgclock.Millis
-	// MaxConns limits the open connections; 0 stands for no limit. OnRefused is called for each one
-	// that is closed unread.
+	// MaxConns limits the open connections; 0 stands for no limit. OnRefused is called with the number
+	// of those that are closed unread.
 	MaxConns  int
-	OnRefused func()
+	OnRefused func(count int)
+	// Admits reports whether the process bears one more connection; else it is closed unread. Nil
+	// stands for always.
+	Admits func() bool
 }
 
 const (
@@ -87,6 +90,7 @@
 		Listener:  spec.Listener,
 		conns:     &conns,
 		limit:     spec.MaxConns,
+		admits:    spec.Admits,
 		log:       log,
 		onRefused: spec.OnRefused,
 	})
--- a/internal/process/mgnode/waits.go
+++ b/internal/process/mgnode/waits.go
@@ -21,7 +21,8 @@
 }
 
 // observeWait records the wait of an event.
-func (n *Node) observeWait(_, wait mgclock.Millis) {
+func (n *Node) observeWait(now, wait mgclock.Millis) {
+	n.gate.Observe(now, wait)
 	n.metrics.Histogram("events.wait").Update(int64(wait))
 }
 
@@ -32,3 +33,8 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// admitsConnection reports whether the processor bears one more connection.
+func (n *Node) admitsConnection() bool {
+	return n.gate.Admits(n.clock.Now(), n.waits.Load().Probe())
+}
