mgnode: kept connections end after their next answer while an entry is overloaded

Change: while the gate is closed, responses bear Connection: close. The request is served, and its caller's next connection is closed unread where the entry still has no room.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -56,13 +56,14 @@
 	n.Serve(ctx, ServerSpec{
 		Name:           "callers",
 		Listener:       public,
-		Handler:        n.measured(entry.Handler()),
+		Handler:        entry.Handler(),
 		Linger:         n.linger,
 		MaxHeaderBytes: int(settings.MaxHeader),
 		HeaderTimeout:  mgclock.Millis(settings.CallerTimeout),
 		MaxConns:       int(settings.MaxConns),
 		OnRefused:      func(count int) { n.metrics.Counter("callers.refused").Inc(int64(count)) },
 		Admits:         n.admitsConnection,
+		IsOverloaded:   n.isOverloaded,
 	})
 	drain := n.NewDrain(entry.Leave, entry.Busy)
 	withdrawReadiness := drain.WithdrawReadiness
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -44,6 +44,9 @@
 	// Admits reports whether the process bears one more connection; else it is closed unread. Nil
 	// stands for always.
 	Admits func() bool
+	// IsOverloaded reports whether connections end after their next response, so that their callers
+	// open others. Nil stands for never.
+	IsOverloaded func() bool
 }
 
 const (
@@ -68,7 +71,7 @@
 	log = log.WithValues("name", spec.Name)
 	var conns connTracker
 	server := &http.Server{
-		Handler:           conns.wrap(spec.Handler),
+		Handler:           conns.wrap(endConnections(spec.Handler, spec.IsOverloaded)),
 		ConnState:         conns.stateChanged,
 		ConnContext:       conns.connContext,
 		MaxHeaderBytes:    spec.MaxHeaderBytes,
@@ -116,6 +119,20 @@
 	_ = server.Close()
 }
 
+// endConnections returns a handler that asks callers to open a new connection for their next request
+// while isOverloaded holds. Connections that were accepted before would go on to overload the process.
+func endConnections(next http.Handler, isOverloaded func() bool) http.Handler {
+	if isOverloaded == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isOverloaded() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // linger returns how long the callers' listener waits for its last responses: until the end
 // of the drain, but at least minLinger and at most maxLinger.
 func (n *Node) linger() mgclock.Millis {
--- a/internal/process/mgnode/waits.go
+++ b/internal/process/mgnode/waits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglag"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -26,15 +25,12 @@
 	n.metrics.Histogram("events.wait").Update(int64(wait))
 }
 
-// measured returns a handler that measures the wait of events while requests arrive.
-func (n *Node) measured(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.waits.Load().Probe()
-		next.ServeHTTP(w, r)
-	})
-}
-
 // admitsConnection reports whether the processor bears one more connection.
 func (n *Node) admitsConnection() bool {
 	return n.gate.Admits(n.clock.Now(), n.waits.Load().Probe())
 }
+
+// isOverloaded reports whether events have waited for so long that new connections aren't admitted.
+func (n *Node) isOverloaded() bool {
+	return n.gate.IsClosed(n.clock.Now(), n.waits.Load().Probe())
+}
--- a/internal/request/mgoverload/gate.go
+++ b/internal/request/mgoverload/gate.go
@@ -66,7 +66,15 @@
 	return true
 }
 
-// isClosed reports whether events have waited for long enough. The caller holds mu.
+// IsClosed reports whether the wait of events is long enough to close the gate. Its arguments are
+// those of Admits.
+func (g *Gate) IsClosed(now, pending mgclock.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isClosed(now, pending)
+}
+
+// isClosed is IsClosed for callers that hold mu.
 func (g *Gate) isClosed(now, pending mgclock.Millis) bool {
 	wasClosedLately := g.wasClosed && now < g.closedAt+Memory
 	if pending >= Target && (g.hasLong || wasClosedLately) {
