mglistener, mgrelay, mgentry, mgdial: no request is sent on after its caller has left

Change: the kernel is asked, by a peek, when a request is read and once the connection to its upstream is open, just before it is sent. The second is a hook of mgdial's clients, which open a connection for each request.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -166,6 +167,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.busy.Add(1)
 		defer e.busy.Add(-1)
+		if mglistener.HasPeerClosed(mglistener.RequestConn(r.Context())) {
+			// The request lay unread until its caller gave it up.
+			e.spec.Metrics.Counter("callers.left").Inc(1)
+			panic(http.ErrAbortHandler)
+		}
 		if e.stopTime.Load() > 0 {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/process/mgentry/hangup_test.go
+++ b/internal/process/mgentry/hangup_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -9,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
@@ -50,3 +53,35 @@
 		So(failed.Load(), ShouldEqual, 0)
 	})
 }
+
+// Guards against work for a caller that gave up while its request lay unread.
+func TestUnreadRequestBegunAfterCallerLeft(t *testing.T) {
+	Convey("A request whose caller has left is dropped", t, func() {
+		parsed, err := mgtable.Parse([]byte(table))
+		So(err, ShouldBeNil)
+		members := mgmember.New("entry")
+		members.AdoptList(0, mgplatform.VMList{
+			Version: 1,
+			VMs:     []mgplatform.VM{agentVM("agent-1", "engine-1")},
+		})
+		called := false
+		spec := entrySpec(parsed, members)
+		spec.Calls = hangingTransport{called: func() { called = true }}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		conn, err := listener.Accept()
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		So(caller.Close(), ShouldBeNil)
+		_, err = conn.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+		request := tanklineRequest(http.MethodPost, "/v1/chat/completions", `{"model":"report","messages":[{"role":"user","content":"len=1"}]}`)
+		request = request.WithContext(mglistener.ConnContext(request.Context(), conn))
+		handler := mgentry.New(spec, "epoch").Handler()
+		So(func() { handler.ServeHTTP(httptest.NewRecorder(), request) }, ShouldPanicWith, http.ErrAbortHandler)
+		So(called, ShouldBeFalse)
+	})
+}
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -48,7 +48,7 @@
 	x.endUnknown = false
 	x.nextCrashNumber = y.spec.Quarantine.NextNumber()
 	y.announceOrigin(x, host)
-	request := y.newRequest(ctx, x, host)
+	request := y.newRequest(mgdial.WithSendCheck(ctx, x.checkCaller), x, host)
 	y.addResumeHeaders(x, request)
 	response, err := mgdial.Do(y.spec.Client, request)
 	if err != nil {
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -1,6 +1,7 @@
 package mgrelay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -35,7 +36,8 @@
 	timeout    mgclock.Millis // from startedAt, the shorter of deadline and timeout of the route
 	control    *http.ResponseController
 	conn       net.Conn // the caller's, nil if unknown
-	canChunk   bool     // the caller understands chunks
+	cancel     context.CancelCauseFunc
+	canChunk   bool // the caller understands chunks
 
 	sentAt           mgclock.Millis // when the last attempt was sent
 	nextCrashNumber  uint64         // of the quarantine, when the last attempt was sent
@@ -157,6 +159,19 @@
 	return r.URL.RequestURI()
 }
 
+// errCallerLeft ends an exchange whose caller has closed its connection.
+var errCallerLeft = errors.New("the caller has left: send the request again")
+
+// checkCaller returns errCallerLeft, and ends the exchange, if the caller has closed its connection. A
+// process that runs late may not have noticed it yet.
+func (x *exchange) checkCaller() error {
+	if x.conn == nil || !mglistener.HasPeerClosed(x.conn) {
+		return nil
+	}
+	x.cancel(errCallerLeft)
+	return errCallerLeft
+}
+
 // timeLeft returns how long the caller still waits.
 func (x *exchange) timeLeft(now mgclock.Millis) mgclock.Millis { return x.startedAt + x.timeout - now }
 
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -208,6 +208,7 @@
 	}
 	ctx, cancelCause := context.WithCancelCause(r.Context())
 	defer cancelCause(nil)
+	x.cancel = cancelCause
 	ctx, cancel := context.WithTimeout(ctx, x.timeout.Duration())
 	defer cancel()
 	x.setWriteDeadline()
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -82,7 +82,7 @@
 func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            dial,
+			DialContext:            checked(dial),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
@@ -96,6 +96,31 @@
 	}
 }
 
+// checkKey is the context key of a check before a request is sent.
+type checkKey struct{}
+
+// WithSendCheck returns a context for requests of NewClientWith's clients. When the connection for such a
+// request is open, check is called. If it returns an error, nothing is sent and the request fails with it.
+func WithSendCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, checkKey{}, check)
+}
+
+// checked returns a dial function that makes the check of WithSendCheck.
+func checked(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		check, _ := ctx.Value(checkKey{}).(func() error)
+		if err != nil || check == nil {
+			return conn, err
+		}
+		if err := check(); err != nil {
+			_ = conn.Close() // nothing was sent
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
 // Do sends r and returns the response, whose body the caller closes, or a
 // *Failure.
 //
