mgrelay, mgnode: a process that runs late doesn't ask its upstreams for that reason

The platform was healthy.

Change: the list counts as stale only if it has been unconfirmed for longer than three times the longest recent wait of events in this process explains. The delay between questions and their timeout grow by three waits. A process that isn't late asks as before, and one that is late asks in an outage too, later by its own waits.

Measured: TestLateProcessAsksAsOften asks after 250 ms without the change and not before 1,750 ms with it where events wait for 500 ms.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -103,7 +103,7 @@
 		Changed:          n.members.Changed, // closed when the view changes
 		OtherLoads:       n.OtherLoads,
 		OthersStay:       n.halfOfOthersStay,
-		IsListStale:      n.configLoop.IsListStale,
+		IsListStale:      n.isListStale,
 		IsListRecovering: n.isListRecovering,
 		ListConfirmedAt:  n.listConfirmedAt,
 		ReportDeparted:   n.recordUpstreamLeaving,
@@ -176,6 +176,7 @@
 		Limits:             &n.limits,
 		Origins:            n.origins,
 		TakePermit:         n.acquirePermit,
+		RecentWait:         n.recentWait,
 		Client:             mgdial.NewClientWith(mgdial.DialInRegion(upstreamSilenceTimeout)),
 	}
 }
--- a/internal/process/mgnode/waits.go
+++ b/internal/process/mgnode/waits.go
@@ -25,6 +25,22 @@
 	n.metrics.Histogram("events.wait").Update(int64(wait))
 }
 
+// recentWait returns the longest recent wait of an event, and starts a measurement.
+func (n *Node) recentWait() mgclock.Millis {
+	meter := n.waits.Load()
+	return max(meter.Probe(), meter.Recent())
+}
+
+// confirmationWaits is the number of events that a confirmation of the list waits for in the processes that
+// it passes: the platform's response at the reader, and the reports to the hub and to this process.
+const confirmationWaits = 3
+
+// isListStale reports whether the list has been unconfirmed for longer than the waits of events in this
+// process explain.
+func (n *Node) isListStale() bool {
+	return n.configLoop.IsListStale(confirmationWaits * n.recentWait())
+}
+
 // admitsConnection reports whether the processor bears one more connection.
 func (n *Node) admitsConnection() bool {
 	return n.gate.Admits(n.clock.Now(), n.waits.Load().Probe())
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -13,8 +13,11 @@
 	// one to two seconds before its end (its notice), and a move takes at least
 	// 200 ms.
 	probeInterval = 250 * mgclock.Millis(1)
-	// probeTimeout bounds one answer.
+	// probeTimeout bounds one answer, beside the waits for this process.
 	probeTimeout = 150 * mgclock.Millis(1)
+	// waitsPerProbe is the number of events that a probe waits for: the connection, the goroutine that
+	// sends, and the answer.
+	waitsPerProbe = 3
 	// destinationProbeTimeout bounds the answer of a destination, for which a
 	// generation waits: an upstream answers in 3 ms, and one that is gone not at
 	// all.
@@ -41,7 +44,7 @@
 		return
 	}
 	staleChecks := 0 // consecutive checks that found the list stale
-	for y.spec.Clock.Sleep(ctx, probeInterval) {
+	for y.spec.Clock.Sleep(ctx, y.probeDelay()) {
 		stale := y.spec.IsListStale()
 		if stale {
 			staleChecks++
@@ -60,6 +63,18 @@
 	}
 }
 
+// probeDelay returns the time until the next probes. A process that runs late asks less often, as it would
+// become later otherwise.
+func (y *Relay) probeDelay() mgclock.Millis { return probeInterval + waitsPerProbe*y.recentWait() }
+
+// recentWait returns the longest time for which an event has lately waited for this process.
+func (y *Relay) recentWait() mgclock.Millis {
+	if y.spec.RecentWait == nil {
+		return 0
+	}
+	return y.spec.RecentWait()
+}
+
 // isListRecovering reports whether the list may be as in a backup; see
 // Spec.IsListRecovering.
 func (y *Relay) isListRecovering() bool {
@@ -127,6 +142,7 @@
 
 // askLeaving asks an upstream whether it is leaving.
 func (y *Relay) askLeaving(ctx context.Context, host Host, timeout mgclock.Millis) (leaving bool, err error) {
+	timeout += waitsPerProbe * y.recentWait()
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	y.spec.Metrics.Counter("relay.probes").Inc(1)
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -123,6 +123,9 @@
 	// WatchProcess watches the process at an upstream's address that answers on a connection. If it
 	// is nil, none is watched.
 	WatchProcess func(ctx context.Context, addr string, answered net.Conn) (*mgdial.ProcessWatch, error)
+	// RecentWait returns the longest time for which an event has lately waited for this process. Nil
+	// stands for none.
+	RecentWait func() mgclock.Millis
 	// Move sends an order to the source of a move. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
--- a/internal/process/mgrelay/stale_test.go
+++ b/internal/process/mgrelay/stale_test.go
@@ -5,13 +5,16 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // Guards against a generation that breaks off with its engine because its move was
@@ -188,3 +191,45 @@
 		})
 	}
 }
+
+// Guards against a process that runs late and becomes later by asking all its upstreams each quarter of a second.
+func TestLateProcessAsksAsOften(t *testing.T) {
+	for _, c := range []struct {
+		wait, earliest mgclock.Millis
+	}{
+		{
+			earliest: 250,
+		},
+		{
+			wait:     500,
+			earliest: 1750,
+		},
+	} {
+		Convey(fmt.Sprintf("A process in which events wait for %d ms asks after a delay", c.wait), t, func() {
+			g := newHarness(t, answerWith("read"))
+			var checks atomic.Int64
+			var manual mgclock.Manual
+			g.startRelay(func(spec *mgrelay.Spec) {
+				spec.Clock = manual.Clock()
+				spec.Move = func(context.Context, mgrelay.Host, mgrelay.MoveOrder) mgmigration.Reply { return mgmigration.Reply{} }
+				spec.IsLeaving = func(string) bool { return false }
+				spec.LeavingChanged = func() <-chan struct{} { return nil }
+				spec.RecentWait = func() mgclock.Millis { return c.wait }
+				spec.AskLeaving = func(context.Context, mgrelay.Host) (bool, error) { return false, nil }
+				spec.IsListStale = func() bool {
+					checks.Add(1)
+					return true
+				}
+			})
+			for deadline := time.Now().Add(5 * time.Second); manual.PendingTimers() == 0 && time.Now().Before(deadline); {
+				runtime.Gosched()
+			}
+			for checks.Load() == 0 && manual.Now() < mgclock.Minute {
+				manual.Advance(10)
+				runtime.Gosched()
+			}
+			So(checks.Load(), ShouldBeGreaterThan, 0)
+			So(manual.Now(), ShouldBeGreaterThanOrEqualTo, c.earliest)
+		})
+	}
+}
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -97,11 +97,12 @@
 	return l.machine.Ready(l.spec.Clock.Now())
 }
 
-// IsListStale reports whether the list of VMs is unconfirmed by the platform.
-func (l *Loop) IsListStale() bool {
+// IsListStale reports whether the list of VMs is unconfirmed by the platform. lateness is the time by
+// which this process may be late to read a confirmation.
+func (l *Loop) IsListStale(lateness mgclock.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.machine.IsListStale(l.spec.Clock.Now())
+	return l.machine.IsListStale(l.spec.Clock.Now() - lateness)
 }
 
 // TableConfirmed reports whether the table in force was recently confirmed as the newest, so
