--- a/internal/process/mgrelay/eventstream.go
+++ b/internal/process/mgrelay/eventstream.go
@@ -117,8 +117,14 @@
 
 // eventID returns an event's id, or "".
 func eventID(event []byte) string {
-	lines := bytes.FieldsFunc(event, func(r rune) bool { return r == '\n' || r == '\r' })
-	for _, line := range lines {
+	for rest := event; len(rest) > 0; {
+		line := rest
+		end := bytes.IndexAny(rest, "\r\n")
+		if end >= 0 {
+			line, rest = rest[:end], rest[end+1:]
+		} else {
+			rest = nil
+		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(id))
 		}
