mgdial, mgnode: an upstream isn't unreachable because this process is late

Change: at the timeout the process first handles all events that are ready (the meter's Flush), and uses the connection if it is open then. Upstreams that don't answer are given up after the same time by a process that isn't late.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -177,7 +177,7 @@
 		Origins:            n.origins,
 		TakePermit:         n.acquirePermit,
 		RecentWait:         n.recentWait,
-		Client:             mgdial.NewClientWith(mgdial.DialInRegion(upstreamSilenceTimeout)),
+		Client:             mgdial.NewClientWith(mgdial.DialInRegionAfter(upstreamSilenceTimeout, n.waits.Load().Flush)),
 	}
 }
 
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -29,8 +29,42 @@
 // drops its state, cuts a connection without a reset, and a reader would
 // otherwise wait for its whole timeout.
 func DialInRegion(silenceTimeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout: regionalConnectTimeout,
+	dialer := regionalDialer(silenceTimeout)
+	dialer.Timeout = regionalConnectTimeout
+	return dialer.DialContext
+}
+
+// DialInRegionAfter is like DialInRegion for a process that may run late. At the timeout it calls settle,
+// which returns once the process has handled all events that are ready; a connection that is open by then
+// is used. Otherwise a process that was late would take its upstreams for unreachable and try others.
+func DialInRegionAfter(silenceTimeout time.Duration, settle func(ctx context.Context)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := regionalDialer(silenceTimeout)
+	return settleBeforeTimeout(dialer.DialContext, regionalConnectTimeout, settle)
+}
+
+// errConnectTimeout ends an attempt to open a connection.
+var errConnectTimeout = errors.New("no connection in time: choose another address")
+
+// settleBeforeTimeout returns a dial function with a timeout, before which it calls settle.
+func settleBeforeTimeout(dial func(ctx context.Context, network, addr string) (net.Conn, error), timeout time.Duration, settle func(ctx context.Context)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		timer := time.AfterFunc(timeout, func() {
+			settle(ctx)
+			cancel(errConnectTimeout)
+		})
+		defer timer.Stop()
+		conn, err := dial(ctx, network, addr)
+		if err != nil && errors.Is(context.Cause(ctx), errConnectTimeout) {
+			return nil, fmt.Errorf("%s: %w", addr, errConnectTimeout)
+		}
+		return conn, err
+	}
+}
+
+func regionalDialer(silenceTimeout time.Duration) net.Dialer {
+	return net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     silenceTimeout / (maxUnansweredProbes + 1),
@@ -38,7 +72,6 @@
 			Count:    maxUnansweredProbes,
 		},
 	}
-	return dialer.DialContext
 }
 
 // maxUnansweredProbes is the number of unanswered keep-alive probes that end a
