--- a/internal/soak/mgproc/process.go
+++ b/internal/soak/mgproc/process.go
@@ -6,7 +6,9 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/standin/mgloopback"
 )
@@ -19,6 +21,7 @@
 	args   []string
 	env    []string // the environment, that of this process if nil
 	log    outputTail
+	paused atomic.Bool // by Pause
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -108,6 +111,17 @@
 	return p.cmd.Process.Signal(s)
 }
 
+// Pause stops the process for some time, also while its processor time is limited.
+func (p *Process) Pause(duration time.Duration) error {
+	p.paused.Store(true)
+	defer p.paused.Store(false)
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(duration)
+	return p.Signal(syscall.SIGCONT)
+}
+
 // Log returns the last output of the process.
 func (p *Process) Log() string { return p.log.text() }
 
--- a/internal/soak/mgproc/processor.go
+++ b/internal/soak/mgproc/processor.go
@@ -67,7 +67,7 @@
 
 // setStopped stops or continues the process.
 func (s *processorShare) setStopped(p *Process, stopped bool) {
-	if s.stopped == stopped {
+	if s.stopped == stopped || p.paused.Load() {
 		return
 	}
 	s.stopped = stopped
