--- a/internal/process/mgnode/connlimit_test.go
+++ b/internal/process/mgnode/connlimit_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -217,3 +219,18 @@
 		mgclock.Clock{}.Sleep(context.Background(), 1)
 	}
 }
+
+// Guards against kept connections that go on to overload a process, and against those that a calm one ends.
+func TestKeptConnectionOverloadsProcessOrIsEnded(t *testing.T) {
+	for _, overloaded := range []bool{true, false} {
+		Convey(fmt.Sprintf("A process, overloaded: %t", overloaded), t, func() {
+			handler := endConnections(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusNoContent)
+			}), func() bool { return overloaded })
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+			So(recorder.Code, ShouldEqual, http.StatusNoContent)
+			So(recorder.Header().Get("Connection") == "close", ShouldEqual, overloaded)
+		})
+	}
+}
