mgrelay: a stopping entry refuses waiting requests that it can't complete

New requests were refused by their expected duration, those that waited already were not. Change: while a request waits, the entry checks four times a second whether its answer would still end in time, and refuses it with 'not run' otherwise. Result: TestStoppingEntryHoldsWaitingRequest failed before (held to the end).

--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -48,8 +48,18 @@
 		return Host{}, true
 	}
 	startedAt := y.spec.Clock.Now()
-	grant, ok := y.spec.AwaitPlacement(ctx, x.service, x.waitingRequest(y.spec.Clock.Now()))
+	waitCtx, stopWaiting := context.WithCancel(ctx)
+	defer stopWaiting()
+	if y.spec.TimeLeft != nil {
+		go y.endWaitBeforeStop(waitCtx, stopWaiting, x)
+	}
+	grant, ok := y.spec.AwaitPlacement(waitCtx, x.service, x.waitingRequest(y.spec.Clock.Now()))
 	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - startedAt))
+	if !ok && waitCtx.Err() != nil && ctx.Err() == nil {
+		y.spec.Metrics.Counter("relay.wait.stopped").Inc(1)
+		x.problem = stoppingProblem()
+		return Host{}, true
+	}
 	if !ok {
 		return Host{}, false
 	}
@@ -75,6 +85,35 @@
 	return Host{}, false
 }
 
+// stopCheckInterval is the interval at which a request that waits for a placement checks
+// whether this process is stopping.
+const stopCheckInterval = 250 * mgclock.Millis(1)
+
+// endWaitBeforeStop calls stopWaiting once the answer would no longer end before this process
+// does. Without it, a request that waits when the stop begins is held until the process ends,
+// and its caller learns only then that nothing ran.
+func (y *Relay) endWaitBeforeStop(ctx context.Context, stopWaiting func(), x *exchange) {
+	for y.spec.Clock.Sleep(ctx, stopCheckInterval) {
+		if y.endsTooLate(x) {
+			stopWaiting()
+			return
+		}
+	}
+}
+
+// endsTooLate reports whether this process is stopping and is expected to end before the answer
+// to a request that is sent now.
+func (y *Relay) endsTooLate(x *exchange) bool {
+	left, stopping := y.spec.TimeLeft()
+	return stopping && x.expectedDuration() > left
+}
+
+// stoppingProblem answers a request that this process can't complete before it stops.
+func stoppingProblem() *mgproblem.Problem {
+	return mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
+		"this entry ends before the answer would", "send the request again on a new connection").WithRetryAfter(retryDelay)
+}
+
 // waitingRequest describes the request for the waiting list.
 func (x *exchange) waitingRequest(now mgclock.Millis) mgwaitlist.Request {
 	promptTime := mgclock.Millis(float64(x.size.prompt)/mgload.ReadRate) + firstEventSlack
--- /dev/null
+++ b/internal/process/mgrelay/placement_test.go
@@ -0,0 +1,68 @@
+package mgrelay_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// A request that waits for a placement when its entry begins to stop must not be held until the
+// process ends, when its caller gets no answer and doesn't know whether it ran.
+func TestStoppingEntryHoldsWaitingRequest(t *testing.T) {
+	cases := []struct {
+		name   string
+		tokens string
+		left   mgclock.Millis // of the process, once it stops
+		status int
+	}{
+		{
+			name:   "whose answer would end after the process is refused at once",
+			tokens: "3000,900",
+			left:   4 * mgclock.Second,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:   "whose answer ends in time waits on and is answered",
+			tokens: "3000,20",
+			left:   4 * mgclock.Second,
+			status: http.StatusOK,
+		},
+	}
+	Convey("When an entry begins to stop, a waiting request", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := newHarness(t, answerWith("id: 1\n\n"))
+				g.configureModel(tableText)
+				var stopping atomic.Bool
+				g.startRelay(func(spec *mgrelay.Spec) {
+					spec.TimeLeft = func() (mgclock.Millis, bool) { return c.left, stopping.Load() }
+					spec.AwaitPlacement = func(ctx context.Context, _ string, _ mgwaitlist.Request) (mgwaitlist.Grant, bool) {
+						stopping.Store(true)
+						if !spec.Clock.Sleep(ctx, mgclock.Second) {
+							return mgwaitlist.Grant{}, false
+						}
+						return mgwaitlist.Grant{
+							Place: "a",
+						}, true
+					}
+				})
+				got := g.send(context.Background(), http.MethodPost, "/write/1", "x", http.Header{
+					"Tokens": {c.tokens},
+				})
+				So(got.status, ShouldEqual, c.status)
+				So(len(g.requests()) > 0, ShouldEqual, c.status == http.StatusOK)
+				if c.status == http.StatusServiceUnavailable {
+					So(got.body, ShouldContainSubstring, `"outcome":"notrun"`)
+					So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+				}
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -202,12 +202,9 @@
 		y.answerProblem(w, x, problem)
 		return
 	}
-	if y.spec.TimeLeft != nil {
-		if left, stopping := y.spec.TimeLeft(); stopping && x.expectedDuration() > left {
-			y.answerProblem(w, x, mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
-				"this entry ends before the answer would", "send the request again on a new connection").WithRetryAfter(retryDelay))
-			return
-		}
+	if y.spec.TimeLeft != nil && y.endsTooLate(x) {
+		y.answerProblem(w, x, stoppingProblem())
+		return
 	}
 	ctx, cancelCause := context.WithCancelCause(r.Context())
 	defer cancelCause(nil)
