mgnode: a hub that stops hands its roles over at once

Change: a stopping hub or coordinator refuses Place, Loads and Turn, and the caller records the stop and asks the next one.

--- a/internal/process/mgnode/load.go
+++ b/internal/process/mgnode/load.go
@@ -69,6 +69,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, loadReportTimeout.Duration())
 		reply, err := n.peerClient(hub.PeerAddr()).Loads(callCtx, encodeLoads(n.settings.Name, local))
 		cancel()
+		if err != nil && n.recordHandover(hub, err) {
+			continue
+		}
 		if err != nil {
 			// Until there is a hub again this entry goes by its own counts. After a
 			// second failure in a row the hub is suspected and another process
@@ -163,6 +166,9 @@
 // Loads records the load of an entry that regards this process as the hub, and returns
 // the load of the others.
 func (p peerServer) Loads(_ context.Context, r *mgrpc.LoadRows) (*mgrpc.LoadRows, error) {
+	if p.node.hasHandedOver() {
+		return nil, errHandedOver
+	}
 	others := p.node.entryLoads.Exchange(p.node.clock.Now(), r.GetEntry(), decodeLoads(r))
 	reply := encodeLoads(p.node.settings.Name, others)
 	versions := p.node.configLoop.Report()
--- a/internal/process/mgnode/migration_slot.go
+++ b/internal/process/mgnode/migration_slot.go
@@ -35,6 +35,9 @@
 			continue
 		}
 		destination, err := n.requestMigrationSlot(ctx, coordinator, request)
+		if err != nil && n.recordHandover(coordinator, err) {
+			continue
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				n.peerFailed(coordinator.Name())
@@ -160,6 +163,9 @@
 		p.node.migrationSlots.Release(r.GetSource(), r.GetRun())
 		return &mgrpc.TurnReply{}, nil
 	}
+	if p.node.hasHandedOver() {
+		return nil, errHandedOver
+	}
 	var candidates []mgmigration.Destination
 	for i, name := range r.GetPlaces() {
 		candidate := mgmigration.Destination{Name: name}
--- a/internal/process/mgnode/placement.go
+++ b/internal/process/mgnode/placement.go
@@ -43,6 +43,9 @@
 		} else {
 			var err error
 			grant, err = n.requestPlacement(ctx, hub.PeerAddr(), service, request)
+			if err != nil && n.recordHandover(hub, err) {
+				continue
+			}
 			if err != nil {
 				if ctx.Err() == nil {
 					n.peerFailed(hub.Name())
@@ -86,6 +89,9 @@
 // Place enqueues a request of an entry until it has a placement. Its need is in tokens of memory.
 // For a request given up, retry is the time after which there may be a place for it.
 func (p peerServer) Place(ctx context.Context, r *mgrpc.PlaceRequest) (*mgrpc.PlaceReply, error) {
+	if p.node.hasHandedOver() {
+		return nil, errHandedOver
+	}
 	now := p.node.clock.Now()
 	grant := p.node.awaitPlacement(ctx, r.GetService(), mgwaitlist.Request{
 		Name:     r.GetRequest(),
