mgforecast, mgwaitlist: admission by a forecast of capacity

Cause: beyond saturation, requests that could not be on time waited for three times as long as an answer may take to begin, and took the capacity of others; the order counted memory only, while prefill kept most requests waiting. Change: a list with admission measures which capacity is scarce and orders by it, forecasts when each request gets a place, refuses those that won't in time, with retry times that differ, and puts sizes first that are served too rarely. Off by default.

--- a/internal/request/mgwaitlist/doc.go
+++ b/internal/request/mgwaitlist/doc.go
@@ -31,6 +31,18 @@
 // Up to four requests that can't be placed may be overtaken by later ones, since otherwise
 // the largest request would block all others.
 //
+// # Admission
+//
+// With EnableAdmission, the list does more while requests wait. It measures which capacity
+// is scarce, memory or prefill time, and orders by the one that is: the order above serves
+// few where prompts bind, since it counts memory only. A request that won't get a place in
+// time by the forecast (see mgforecast) is refused at once, with a time at which others don't
+// come back too; without that, it would wait for three times as long as an answer may take to
+// begin, and take the capacity of one that could have been on time. Sizes that are served much
+// less often than others go first, since either order would starve the largest. The load that
+// this answers is a wave of callers that lasts for seconds, or engines that leave under it: up to
+// three times what the engines bear.
+//
 // Correctness doesn't depend on these decisions: without an answer an entry chooses an
 // upstream on its own.
 //
--- a/internal/request/mgwaitlist/waitinglist.go
+++ b/internal/request/mgwaitlist/waitinglist.go
@@ -35,12 +35,15 @@
 type Request struct {
 	Name     string
 	Account  string         // client account of the request
+	Rank     int            // priority of its route, the greatest first
 	Need     int            // tokens of memory that it takes
 	Output   int            // expected tokens of its output
 	Duration mgclock.Millis // expected time for which it holds the memory
 	Due      mgclock.Millis // when it must have a place for its answer to begin on time
 	Arrived  mgclock.Millis
 	GiveUpAt mgclock.Millis // when it is given up unless it has a place
+	offered  bool           // it is counted in the forecast
+	start    mgclock.Millis // when it was first expected to get a place, 0 without a forecast
 }
 
 // work returns the request's size, in tokens times ms.
@@ -52,6 +55,7 @@
 	Cost      float64 // of a request there, ms; see mgload.Cost
 	TokenCost float64 // additional cost for each output token, ms
 	Free      int     // unused tokens of memory
+	Capacity  int     // all tokens of memory, 0 if it isn't known
 	// Pending is the number of prompt tokens that the upstream has to read first.
 	Pending int
 	// ColdRate is the maximum number of requests that a cold upstream may be given in a
@@ -100,6 +104,7 @@
 	assignments map[string][]assignment // by name of the place
 	grantRate   grantRate
 	shares      shares
+	admission   admission
 }
 
 // Len returns the number of waiting requests.
@@ -128,9 +133,10 @@
 
 // Add appends a request to the waiting list, unless it is on it.
 func (r *WaitingList) Add(request Request) {
-	if !slices.ContainsFunc(r.waiting, func(other Request) bool { return other.Name == request.Name }) {
-		r.waiting = append(r.waiting, request)
+	if slices.ContainsFunc(r.waiting, func(other Request) bool { return other.Name == request.Name }) {
+		return
 	}
+	r.waiting = append(r.waiting, request)
 }
 
 // Remove removes a request from the waiting list.
@@ -146,6 +152,9 @@
 		return nil
 	}
 	r.reserveRecentGrants(now, places)
+	if r.admission.enabled {
+		return r.assignByForecast(now, places)
+	}
 	overShare := r.shares.overShareAccounts(now, r.waiting)
 	slices.SortStableFunc(r.waiting, func(a, b Request) int { return compareRequests(now, overShare, a, b) })
 	rate, isLimited := limitedRate(places)
