mgrelay, mgnode: admission of generations, and callers that come back

Cause: a caller that came back after a refusal counted as one that can still be on time, and a request waited though its answer could not be complete before its caller's deadline.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -32,6 +32,7 @@
 	if err := n.measureWaits(ctx); err != nil {
 		return Drain{}, err
 	}
+	n.placementQueues.admission = settings.Admission
 	n.quarantine.Begin(n.clock.Now(), mgclock.Millis(settings.CautionTime))
 	capShares := mgshare.NewLoop(n.capSharesSpec(settings.Fresh))
 	n.capShares.Store(capShares)
@@ -98,7 +99,7 @@
 		},
 		Frames:           n.newTransport(true), // a new connection for each stream
 		BaseURL:          n.guard.BaseURL,
-		Relay:            n.relaySpec(),
+		Relay:            n.relaySpec(settings),
 		ReportAnswered:   n.peerAnswered,
 		Changed:          n.members.Changed, // closed when the view changes
 		OtherLoads:       n.OtherLoads,
@@ -158,12 +159,13 @@
 
 // relaySpec returns the specification of the relay that passes requests through to
 // upstreams, or nil without one.
-func (n *Node) relaySpec() *mgrelay.Spec {
+func (n *Node) relaySpec(settings mgsettings.Entry) *mgrelay.Spec {
 	if n.relayHeaders == nil {
 		return nil
 	}
 	return &mgrelay.Spec{
 		Headers:            *n.relayHeaders,
+		Admission:          settings.Admission,
 		ListVersion:        n.listVersionAndReportAge,
 		Move:               n.move,
 		AskLeaving:         n.probe,
--- a/internal/process/mgnode/placement.go
+++ b/internal/process/mgnode/placement.go
@@ -70,6 +70,7 @@
 		Service: service,
 		Request: request.Name,
 		Account: request.Account,
+		Rank:    int64(request.Rank),
 		Need:    int64(request.Need),
 		Made:    int64(request.Output),
 		Span:    int64(request.Duration),
@@ -96,6 +97,7 @@
 	grant := p.node.awaitPlacement(ctx, r.GetService(), mgwaitlist.Request{
 		Name:     r.GetRequest(),
 		Account:  r.GetAccount(),
+		Rank:     int(r.GetRank()),
 		Need:     int(r.GetNeed()),
 		Output:   int(r.GetMade()),
 		Duration: mgclock.Millis(r.GetSpan()),
@@ -114,6 +116,7 @@
 type placementQueues struct {
 	mu        sync.Mutex
 	byService map[string]*placementQueue
+	admission bool // see mgwaitlist.WaitingList.EnableAdmission
 }
 
 // placementQueue holds the requests that wait for an upstream of one service.
@@ -166,6 +169,9 @@
 			assignedAt:      now - minAssignInterval,
 			upstreamsReadAt: now - capacityTTL,
 		}
+		if l.admission {
+			l.byService[service].waiting.EnableAdmission()
+		}
 	}
 	queue := l.byService[service]
 	pending := queue.byName[request.Name]
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgtable"
 )
 
 // exchange is a caller's request and the state of its processing.
@@ -33,6 +34,7 @@
 	size       generationSize
 	body       []byte
 	startedAt  mgclock.Millis
+	firstTryAt mgclock.Millis // when the caller sent the request first, startedAt unless it has come back
 	timeout    mgclock.Millis // from startedAt, the shorter of deadline and timeout of the route
 	control    *http.ResponseController
 	conn       net.Conn // the caller's, nil if unknown
@@ -110,6 +112,7 @@
 		target:     requestTarget(r),
 		hostHeader: r.Host,
 		startedAt:  startedAt,
+		firstTryAt: startedAt,
 		timeout:    call.Route.Timeout(),
 		tried:      map[string]bool{},
 		control:    http.NewResponseController(w),
@@ -126,6 +129,9 @@
 				"the deadline is not a whole number of ms", "send whole ms, or leave it out")
 		}
 		x.timeout = min(x.timeout, mgclock.Millis(deadline))
+		if y.spec.Admission && call.Route.Kind() == mgtable.Stream {
+			x.firstTryAt -= y.firstTries.Waited(call.Route.Name(), x.timeout)
+		}
 	}
 	_ = x.control.SetReadDeadline(mgclock.DeadlineAfter(x.timeout)) // an httptest.ResponseRecorder has no deadlines
 	body, err := io.ReadAll(r.Body)
--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 )
 
 // HeaderNames names the headers of a deployment. An empty name isn't used.
@@ -59,12 +61,8 @@
 	output int // expected
 }
 
-// outputMemoryFraction is the part of an expected output that counts as used memory.
-// A generation's output grows while it runs: this is its average length.
-const outputMemoryFraction = 0.5
-
 // memory returns the tokens of memory that are counted for a generation.
-func (s generationSize) memory() int { return s.prompt + int(outputMemoryFraction*float64(s.output)) }
+func (s generationSize) memory() int { return s.prompt + int(mgwaitlist.OutputShare*float64(s.output)) }
 
 // defaultOutputFraction is the part of its maximum output that a generation is
 // expected to produce if its caller gives no estimate.
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -169,6 +169,7 @@
 			Cost:      c.cost,
 			TokenCost: c.tokenCost,
 			Free:      c.freeTokens,
+			Capacity:  query.Capacity,
 			Pending:   c.pendingTokens,
 		}
 		if c.cold && maxColdRate > 0 {
--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -53,7 +53,7 @@
 	if y.spec.TimeLeft != nil {
 		go y.endWaitBeforeStop(waitCtx, stopWaiting, x)
 	}
-	grant, ok := y.spec.AwaitPlacement(waitCtx, x.service, x.waitingRequest(y.spec.Clock.Now()))
+	grant, ok := y.spec.AwaitPlacement(waitCtx, x.service, y.waitingRequest(x))
 	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - startedAt))
 	if !ok && waitCtx.Err() != nil && ctx.Err() == nil {
 		y.spec.Metrics.Counter("relay.wait.stopped").Inc(1)
@@ -115,20 +115,24 @@
 }
 
 // waitingRequest describes the request for the waiting list.
-func (x *exchange) waitingRequest(now mgclock.Millis) mgwaitlist.Request {
+func (y *Relay) waitingRequest(x *exchange) mgwaitlist.Request {
 	promptTime := mgclock.Millis(float64(x.size.prompt)/mgload.ReadRate) + firstEventSlack
 	end := x.startedAt + maxWaitGoalFactor*x.call.Route.LatencyGoal()
 	if x.call.Route.LatencyGoal() == 0 {
 		end = x.startedAt + x.timeout
 	}
+	if y.spec.Admission {
+		end = min(end, x.startedAt+x.timeout-x.expectedDuration())
+	}
 	return mgwaitlist.Request{
 		Name:     x.id,
 		Account:  x.accountName(),
+		Rank:     x.call.Route.Priority(),
 		Need:     x.size.memory(),
 		Output:   x.size.output,
 		Duration: promptTime + msPerToken*mgclock.Millis(x.size.output),
-		Due:      x.startedAt + x.call.Route.LatencyGoal() - promptTime,
-		Arrived:  x.startedAt,
+		Due:      x.firstTryAt + x.call.Route.LatencyGoal() - promptTime,
+		Arrived:  x.firstTryAt,
 		GiveUpAt: end,
 	}
 }
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -126,6 +126,9 @@
 	// RecentWait returns the longest time for which an event has lately waited for this process. Nil
 	// stands for none.
 	RecentWait func() mgclock.Millis
+	// Admission makes the time of a caller that comes back count from its first try, and the
+	// wait for a placement end when its answer could no longer be complete.
+	Admission bool
 	// Move sends an order to the source of a move. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
@@ -148,6 +151,7 @@
 	permitWaits  mglimit.Backoffs // of upstreams for which a permit was denied
 	localPermits mglimit.Permits  // if Spec.TakePermit is nil
 	rejections   rejections
+	firstTries   firstTries
 	answerCount  atomic.Uint64 // successful answers to the first attempt
 	// lastOutageAt is when the platform was last unavailable, in ms of the clock; 0
 	// for never.
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -42,6 +42,7 @@
 	MaxConns      int64  `toml:"conns" default:"1024" min:"16" max:"1000000" help:"most connections of callers at a time; the one that is idle for longest is ended for a new one, and where none is idle new ones are closed unread"`
 	ProbeTimeout  int64  `toml:"probe" default:"200" min:"1" max:"5000" unit:"ms" help:"longest wait for offers; two good ones end it, so that it is felt only where agents do not answer; a round trip to another region and some room"`
 	MaxRetries    int64  `toml:"retry" default:"0" min:"0" max:"1000000" help:"retries that a service allows all entries together beyond a tenth of its answers; 0: each entry holds 64"`
+	Admission     bool   `toml:"admission" default:"true" help:"whether requests for generations that can't be served in time are refused at once, while more is asked for than the engines bear"`
 	CautionTime   int64  `toml:"caution" default:"30000" min:"0" max:"600000" unit:"ms" help:"how far back an entry's records of crashes must reach, itself or a peer's, before it waits for the usual number of crashes to hold a request"`
 	CallTimeout   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
 	Relay         bool   `toml:"relay" help:"pass requests that match a route of the table on to upstreams that the list names, in the headers of docs/OPERATIONS.md"`
