mgtable: work on a large table pauses, so that streams go on

Change: reading, building and writing rows pauses after each 16 rows for 0.1 ms, in which the runtime handles network events.

--- a/pkg/mgtable/build.go
+++ b/pkg/mgtable/build.go
@@ -96,7 +96,8 @@
 	for _, v := range s.Services {
 		list = append(list, v.record())
 	}
-	for _, r := range s.Routes {
+	for i, r := range s.Routes {
+		yieldAfter(i)
 		list = append(list, r.record())
 	}
 	for _, a := range s.Accounts {
--- a/pkg/mgtable/rows.go
+++ b/pkg/mgtable/rows.go
@@ -45,7 +45,8 @@
 		version: version,
 	}
 	names := interner{}
-	for _, r := range records {
+	for i, r := range records {
+		yieldAfter(i)
 		switch r.kind {
 		case accountRow:
 			a := parseRow(r, accountColumns, faults)
--- a/pkg/mgtable/toml.go
+++ b/pkg/mgtable/toml.go
@@ -31,7 +31,11 @@
 	}
 	r.parser.Reset(data)
 	for r.parser.NextExpression() {
+		row := len(r.records)
 		r.readExpression(r.parser.Expression())
+		if len(r.records) > row {
+			yieldAfter(row)
+		}
 	}
 	r.addSyntaxFault(r.parser.Error())
 	return r.version, r.records
@@ -248,7 +252,8 @@
 }
 
 func writeRows[R any](b *bytes.Buffer, kind string, columns []column[R], list []*R) {
-	for _, row := range list {
+	for i, row := range list {
+		yieldAfter(i)
 		b.WriteString("\n[[" + kind + "]]\n")
 		for _, c := range columns {
 			writeColumn(b, c.name, c.get(row))
