--- a/internal/request/mgwaitlist/admission.go
+++ b/internal/request/mgwaitlist/admission.go
@@ -17,6 +17,9 @@
 // callers is over by then in most cases, and most callers have time left.
 const maxForecastRetry = 10 * mgclock.Second
 
+// lateWait is how long a late request waits before a forecast can refuse it.
+const lateWait = 4 * mgclock.Second
+
 // admission refuses requests that can't be served in time, and orders the others, while more is
 // asked for than the service's upstreams bear. The zero admission is disabled.
 type admission struct {
@@ -86,7 +89,7 @@
 			})
 		case now >= request.GiveUpAt,
 			isLimited && now+timeToPermit(len(r.waiting), rate) > request.GiveUpAt,
-			start > c.latestStart()+a.forecast.Margin(now):
+			a.isHopeless(now, c, start):
 			grants = append(grants, Grant{
 				Name:  request.Name,
 				Retry: a.refuse(now, c, costBefore),
@@ -129,6 +132,7 @@
 			isLate: now > request.Due,
 		}
 		if !request.offered {
+			request.addedAt = now
 			request.offered = true
 			a.forecast.Offer(now, c.cost)
 			a.classes.offer(now, *request)
@@ -183,6 +187,15 @@
 	return min(c.request.Due, c.request.GiveUpAt)
 }
 
+// isHopeless reports whether a request won't get a place in time. A late one has lost most of its worth
+// already, and a wave of callers may end any moment, so it waits for lateWait at least.
+func (a *admission) isHopeless(now mgclock.Millis, c candidate, start mgclock.Millis) bool {
+	if c.isLate && now < c.request.addedAt+lateWait {
+		return false
+	}
+	return start > c.latestStart()+a.forecast.Margin(now)
+}
+
 // expectedStart returns when a request is expected to get a place, 0 if that isn't known.
 func (a *admission) expectedStart(now mgclock.Millis, c candidate, costBefore float64) mgclock.Millis {
 	switch {
--- a/internal/request/mgwaitlist/waitinglist.go
+++ b/internal/request/mgwaitlist/waitinglist.go
@@ -42,6 +42,7 @@
 	Due      mgclock.Millis // when it must have a place for its answer to begin on time
 	Arrived  mgclock.Millis
 	GiveUpAt mgclock.Millis // when it is given up unless it has a place
+	addedAt  mgclock.Millis // when it was first considered, with admission
 	offered  bool           // it is counted in the forecast
 	start    mgclock.Millis // when it was first expected to get a place, 0 without a forecast
 }
