mgspeed, mgload: learn the speeds of engines, and place requests by them

Cause: the cost of a request is computed from the published speed of one kind of engine. An engine that takes 1.8 times as long for each step looks as good as the others.

Change: mgspeed fits the time of steps and of prefill of each engine's incarnation to samples of running streams. An engine whose speed differs from the typical one with certainty changes mgload.Cost; without one, costs are as before.

--- a/internal/request/mgload/load.go
+++ b/internal/request/mgload/load.go
@@ -1,8 +1,10 @@
 package mgload
 
 import (
+	"math"
 	"sync"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgspeed"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -27,7 +29,7 @@
 	// (prefills) in a ms; it gives the time that a request waits for the prompts before its
 	// own. Engines publish 14, but they alternate between prefill of prompts (reading) and
 	// decode steps of the runs.
-	ReadRate = 7.4
+	ReadRate = mgspeed.DefaultReadRate
 	// RunCost is the cost of each run, in ms: it makes each step 0.12 ms longer, which is
 	// 110 ms for a generation of 900 tokens.
 	RunCost = 110.0
@@ -50,6 +52,7 @@
 	Memory   int    // tokens of the prompt and the expected output
 	Capacity int    // tokens of an upstream's memory, 0 for unlimited
 	Copy     bool   // the request is a copy, see the package comment, that brings its memory along
+	Prompt   int    // tokens that the upstream has to read for the request
 	Tokens   int    // expected tokens of the output, 1 for a call (a request whose answer isn't a stream)
 }
 
@@ -59,12 +62,31 @@
 	Zone      string
 	TokenCost float64 // additional time compared with others, ms for each token; see the function SlowPenalty
 	Faults    float64 // weight of its faults; see Tracker.Faults
+	// Speed is how its steps and its prefill differ from a typical engine's; zero if they
+	// don't, or if this isn't known.
+	Speed mgspeed.Deviation
 }
 
-// Cost returns the cost in ms of a request at an upstream.
+// WithSpeed returns s with the known speed of the upstream, in place of a cost for each token
+// that follows from paces.
+func (s State) WithSpeed(speed mgspeed.Deviation) State {
+	s.Speed = speed
+	s.TokenCost = speed.TokenCost(s.Load.Runs)
+	return s
+}
+
+// PendingAsTypical returns the prompt tokens that a typical upstream would prefill in the time
+// in which this one prefills those that are pending.
+func (s State) PendingAsTypical() int {
+	return int(math.Round(float64(s.Load.Pending) * s.Speed.ReadFactor()))
+}
+
+// Cost returns the cost in ms of a request at an upstream. The prompts before the request,
+// the request's own prompt and the runs count by the speed of the upstream.
 func Cost(s State, q Query) float64 {
 	r := s.Load
-	cost := float64(r.Pending)/ReadRate + RunCost*float64(r.Runs) + s.TokenCost*float64(q.Tokens) + faultCost*s.Faults
+	cost := float64(r.Pending)/ReadRate*s.Speed.ReadFactor() + RunCost*float64(r.Runs)*s.Speed.RunFactor()
+	cost += s.Speed.Read*float64(q.Prompt) + s.TokenCost*float64(q.Tokens) + faultCost*s.Faults
 	if lack := r.Memory + q.Memory - q.Capacity; q.Capacity > 0 && lack > 0 {
 		cost += missingTokenCost * float64(lack)
 		if q.Copy {
