mgrelay: measure engines, and use what is known of their speeds

Streams of routes with a latency goal to services whose upstreams state their memory are measured: the time to the first event and the time for each token. The cost of a candidate and its pending prompts count by the known speed of its incarnation.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -110,6 +110,7 @@
 		x.pendingTokens = x.size.prompt
 	}
 	load.Pending = x.pendingTokens
+	y.beginMeasuring(x, host)
 	y.spec.Load.Add(host.Name, load)
 	return func() {
 		y.spec.Load.Add(host.Name, mgload.Load{
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgspeed"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -42,6 +43,8 @@
 	sentAt           mgclock.Millis // when the last attempt was sent
 	nextCrashNumber  uint64         // of the quarantine, when the last attempt was sent
 	pendingTokens    int            // prompt tokens that are counted as not yet read
+	engineState      mgspeed.State  // of the last attempt's upstream, before the attempt was sent
+	learnsSpeed      bool           // the last attempt is measured; see Relay.beginMeasuring
 	tried            map[string]bool
 	attempts         int                        // sends that may have reached an upstream
 	skippedCold      bool                       // an upstream was skipped because it is cold
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -30,7 +30,7 @@
 	cost          float64 // ms
 	tokenCost     float64 // ms per token, included in cost
 	freeTokens    int     // unused memory in tokens, if known
-	pendingTokens int     // prompt tokens that are yet to be read
+	pendingTokens int     // prompt tokens that are yet to be read; at an upstream of another speed, those that a typical one reads in the same time
 	avoid         bool    // it failed recently, and others are healthy
 	cold          bool    // it may be able to handle only few requests now, as host.Cold or recent faults show; see mgwarm
 }
@@ -50,6 +50,9 @@
 	query.Memory = x.size.memory()
 	query.Capacity = upstreamCapacity(x.call.Table, x.service)
 	query.Tokens = max(x.size.output, 1)
+	if !query.Copy {
+		query.Prompt = x.size.prompt
+	}
 	now := y.spec.Clock.Now()
 	list := slices.DeleteFunc(y.allCandidates(hosts, query, y.otherEntriesLoad()), func(s candidate) bool {
 		return !x.homes.allows(s.host.Region) || !y.backoffs.CanSend(now, s.host.Name) || y.permitDelay(now, s.host) > 0
@@ -115,6 +118,7 @@
 		faultWeights[i] = faults[host.Name] + others.Faults[host.Name]
 	}
 	isFaulty := mgload.Faulty(faultWeights)
+	speeds := y.knownSpeeds()
 	list := make([]candidate, 0, len(hosts))
 	for i, host := range hosts {
 		pace, _ := mgload.Pace(paces, others.Paces, host.Name)
@@ -124,12 +128,15 @@
 			TokenCost: tokenCostOf(pace),
 			Faults:    faultWeights[i],
 		}
+		if speed, deviates := speeds.Of(engineAt(host)); deviates {
+			state = state.WithSpeed(speed)
+		}
 		c := candidate{
 			host:          host,
 			cost:          mgload.Cost(state, query),
 			tokenCost:     state.TokenCost,
 			freeTokens:    query.Capacity - state.Load.Memory,
-			pendingTokens: state.Load.Pending,
+			pendingTokens: state.PendingAsTypical(),
 			avoid:         host.FailedRecently || isFaulty(faultWeights[i]),
 			// Other entries may have seen it fail and start again when this process
 			// didn't.
@@ -150,6 +157,7 @@
 	query := mgload.Query{
 		Zone:     y.spec.Zone,
 		Capacity: upstreamCapacity(table, service),
+		Prompt:   y.knownSpeeds().Prompt(service),
 	}
 	list := y.allCandidates(y.spec.Upstreams(service), query, others)
 	if len(list) == 0 {
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrest"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgspeed"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwarm"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -49,6 +50,10 @@
 	Load       *mgload.Tracker
 	OtherLoads func() mgload.Report
 	Zone       string
+	// Learner learns the speeds of engines from the streams of this process, and Speeds returns
+	// what all processes have learned. If they are nil, all engines count as alike.
+	Learner *mgspeed.Learner
+	Speeds  func() *mgspeed.Speeds
 	// Name is the name of this process. Processes returns how many processes it
 	// knows of, itself included; see mgwarm. If Processes is nil, cold upstreams are
 	// not protected.
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -69,6 +69,7 @@
 // a problem if the upstream's events must not be forwarded.
 func (y *Relay) beginStream(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) *mgproblem.Problem {
 	y.countPromptRead(x, host)
+	y.recordFirstEvent(x, host)
 	y.spec.Load.RecordAnswer(y.spec.Clock.Now(), host.Name)
 	if problem := y.confirmOrigin(ctx, x, host); problem != nil {
 		return problem
@@ -94,6 +95,7 @@
 	x.lastEventAt = now
 	if perToken, ok := gen.recordEvents(now, int64(events)); ok {
 		y.spec.Load.RecordPace(now, gen.host.Name, perToken)
+		y.recordSteps(x, gen, now, events, perToken)
 	}
 	y.recordProgress(x, gen, now)
 }
