mgnode, mgsettings: entries exchange what they measured of engines

Each entry sends its sums to the hub as compressed JSON at /speeds, at most once a second, and gets the speeds of the engines that deviate.

The setting speeds of an entry switches this off.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -37,6 +37,7 @@
 	n.capShares.Store(capShares)
 	n.pause.OnPause(func(mgclock.Millis) { capShares.Drop() })
 	n.background.Go(func() { capShares.Run(ctx) })
+	n.speeds.isOn.Store(settings.Speeds && n.relayHeaders != nil)
 	entry := mgentry.New(n.entrySpec(settings, capShares), n.incarnation)
 	placementCandidates := entry.PlacementCandidates
 	n.placementCandidates.Store(&placementCandidates)
@@ -50,6 +51,9 @@
 		n.background.Go(func() { n.origins.Run(ctx) })
 		n.background.Go(func() { n.reportLoads(ctx, entry.Load()) })
 	}
+	if n.speeds.isOn.Load() {
+		n.background.Go(func() { n.exchangeSpeeds(ctx) })
+	}
 	if settings.MaxRetries > 0 {
 		n.background.Go(func() { n.limitRetries(ctx, int(settings.MaxRetries), entry.RetryBudgets()) })
 	}
@@ -162,7 +166,7 @@
 	if n.relayHeaders == nil {
 		return nil
 	}
-	return &mgrelay.Spec{
+	spec := &mgrelay.Spec{
 		Headers:            *n.relayHeaders,
 		ListVersion:        n.listVersionAndReportAge,
 		Move:               n.move,
@@ -179,6 +183,11 @@
 		RecentWait:         n.recentWait,
 		Client:             mgdial.NewClientWith(mgdial.DialInRegionAfter(upstreamSilenceTimeout, n.waits.Load().Flush)),
 	}
+	if n.speeds.isOn.Load() {
+		spec.Learner = &n.speeds.learner
+		spec.Speeds = n.speeds.known.Load
+	}
+	return spec
 }
 
 // isListRecovering reports whether the platform has just returned from an outage; see
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -64,6 +64,7 @@
 	placementCandidates atomic.Pointer[func(service string, others mgload.Report) []mgwaitlist.Place]
 	entryLoads          mgload.Hub // loads that the cell's entries report, while this process is the hub
 	otherLoads          atomic.Pointer[otherLoads]
+	speeds              engineSpeeds
 	quarantine          *mgquarantine.Quarantine
 	limits              mglimit.Limits
 	permits             mglimit.Permits
@@ -141,6 +142,7 @@
 	n.admin.AddSection("members", n.memberState)
 	n.admin.AddSection("quarantine", n.quarantineState)
 	n.admin.AddSection("limits", func() any { return n.limits.Records(n.clock.Now()) })
+	n.admin.AddSection("speeds", n.speedState)
 	n.admin.AddSection("origins", func() any { return n.origins.State() })
 	n.admin.SetReadiness(n.Ready)
 	return n, nil
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -77,6 +77,7 @@
 	router.Post(gossipPath, n.serveGossip)
 	router.Post(quarantinePath, n.serveUpdates)
 	router.Post(permitPath, n.servePermit)
+	router.Post(speedsPath, n.serveSpeeds)
 	router.Post(originPath, n.serveOrigins)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		role := n.roleHandler.Load()
