--- a/internal/process/mgnode/speed.go
+++ b/internal/process/mgnode/speed.go
@@ -23,8 +23,8 @@
 const (
 	// minSpeedsInterval is the minimum interval between two reports of measurements.
 	minSpeedsInterval = mgclock.Second
-	// speedsIntervalPerRow lengthens the interval, in ms for each row sent or received: a
-	// compressed row has some 70 bytes, so that a report takes at most 3.5 KB/s.
+	// speedsIntervalPerRow is the interval for each row sent or received, in ms: a compressed
+	// row has some 30 bytes, so that reports take 1.5 KB/s at most.
 	speedsIntervalPerRow = 20.0
 	// maxSpeedsInterval leaves the hub with the latest sums until the next report; see
 	// mgspeed.Hub.
@@ -44,10 +44,10 @@
 // engineSpeeds is what a process measures of engines, and knows of their speeds. The zero
 // value is switched off.
 type engineSpeeds struct {
-	isOn       atomic.Bool
-	learner    mgspeed.Learner // of this entry's streams
-	hub        mgspeed.Hub     // what the cell's entries report, while this process is the hub
-	known      atomic.Pointer[mgspeed.Speeds]
+	isOn    atomic.Bool
+	learner mgspeed.Learner // of this entry's streams
+	hub     mgspeed.Hub     // what the cell's entries report, while this process is the hub
+	known   atomic.Pointer[mgspeed.Speeds]
 	// The following are used by updateSpeeds only.
 	receivedAt mgclock.Millis // when known was received from the hub or computed as the hub
 	hubSince   mgclock.Millis // since when this process is the hub; 0 if it isn't
@@ -65,11 +65,16 @@
 func (n *Node) exchangeSpeeds(ctx context.Context) {
 	interval := minSpeedsInterval
 	for n.clock.Sleep(ctx, interval) {
-		rows := n.updateSpeeds(ctx)
-		interval = min(minSpeedsInterval+mgclock.Millis(speedsIntervalPerRow*float64(rows)), maxSpeedsInterval)
+		interval = speedsInterval(n.updateSpeeds(ctx))
 	}
 }
 
+// speedsInterval returns the interval to the next report after one with some rows sent and
+// received.
+func speedsInterval(rows int) mgclock.Millis {
+	return min(max(mgclock.Millis(speedsIntervalPerRow*float64(rows)), minSpeedsInterval), maxSpeedsInterval)
+}
+
 // updateSpeeds brings the known speeds up to date. It returns the number of rows sent and
 // received.
 func (n *Node) updateSpeeds(ctx context.Context) int {
--- a/internal/request/mgload/doc.go
+++ b/internal/request/mgload/doc.go
@@ -24,7 +24,8 @@
 // others wait, in ms. The cheapest upstream takes the request. Without a hub each entry
 // uses its own counts only.
 //
-// The weights of Cost follow from the engines' published speed; see their comments.
+// The weights of Cost follow from the engines' published speed; see their comments. An engine
+// that is known to have another speed (see mgspeed) has weights of its own.
 //
 // # Terms
 //
--- a/internal/request/mgspeed/play_test.go
+++ b/internal/request/mgspeed/play_test.go
@@ -76,7 +76,6 @@
 	waiting  mgwaitlist.WaitingList
 	requests map[string]*playRequest
 	policy   policy
-	memory   int // tokens of memory for which the hub places requests
 
 	onTime, late, refused int
 	finishSum             float64
@@ -379,7 +378,7 @@
 // meanFinish returns the mean time from arrival to the end of an answer, ms.
 func (p *play) meanFinish() float64 { return p.finishSum / float64(max(p.finished, 1)) }
 
-// truth returns the true mean levels, for logs.
+// String returns the results and the known speeds.
 func (p *play) String() string {
 	rows := slices.Clone(p.speeds.Report().Speeds)
 	slices.SortFunc(rows, func(a, b mgspeed.Speed) int { return cmp.Compare(a.Upstream, b.Upstream) })
