--- a/internal/request/mgspeed/hub.go
+++ b/internal/request/mgspeed/hub.go
@@ -1,6 +1,8 @@
 package mgspeed
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -40,7 +42,9 @@
 func (h *Hub) Speeds(now mgclock.Millis) *Speeds {
 	h.mu.Lock()
 	var all []Sums
-	for entry, reported := range h.entries {
+	// In the order of names, so that sums of the same samples are the same to the last digit.
+	for _, entry := range slices.Sorted(maps.Keys(h.entries)) {
+		reported := h.entries[entry]
 		if now >= reported.at+entryTTL {
 			delete(h.entries, entry)
 			continue
--- a/internal/request/mgspeed/place_test.go
+++ b/internal/request/mgspeed/place_test.go
@@ -1,6 +1,7 @@
 package mgspeed_test
 
 import (
+	"sync"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -15,14 +16,15 @@
 }
 
 const (
-	plays       = 3
+	plays       = 6
 	playSeconds = 40
 )
 
 // playAll plays 12 engines under a policy, with the same requests for each policy.
 func playAll(kind func(i int) speedAt, load float64, choose policy, start func(now float64) int64) score {
-	var s score
-	for seed := range uint64(plays) {
+	var all [plays]*play
+	var wait sync.WaitGroup
+	for seed := range all {
 		var speeds []speedAt
 		for i := range 12 {
 			speeds = append(speeds, kind(i))
@@ -31,7 +33,12 @@
 		for _, e := range p.engines {
 			e.start = start
 		}
-		p.run(playSeconds, load*12*pairRate, seed)
+		all[seed] = p
+		wait.Go(func() { p.run(playSeconds, load*12*pairRate, uint64(seed)) })
+	}
+	wait.Wait()
+	var s score
+	for _, p := range all {
 		s.onTime += p.onTime
 		s.late += p.late
 		s.refused += p.refused
