--- a/internal/request/mgspeed/speeds.go
+++ b/internal/request/mgspeed/speeds.go
@@ -21,8 +21,8 @@
 	// limited mean ratio of 1.1 to 1.2.
 	minFactor = 1.25
 	// certainErrors is the number of standard errors by which an engine that deviates
-	// differs from the reference. With 2, one of 12 equal engines deviated for a second in
-	// one of four plays of 40 s.
+	// differs from the reference. With 2, one of 12 equal engines deviated for 3 s in six
+	// plays of 40 s at 0.9 of their load; with 2.5 and 3, none did.
 	certainErrors = 3.0
 	// minStepDeviation and minReadDeviation are the least standard deviations of a sample.
 	// Few samples may be alike by chance. Prefill depends on prompts of other entries,
