mgload: a pace that is far above the others' still counts at an engine of known speed

Cause: the known speed of an engine that deviates replaced the cost that follows from its pace, which finds an engine that has just become far slower within half a second; the model takes some seconds.

Change: the higher of the two counts.

--- a/internal/process/mgnode/speed_test.go
+++ b/internal/process/mgnode/speed_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgspeed"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -124,6 +126,25 @@
 	})
 }
 
+// Guards against an entry whose setting has no effect.
+func TestSpeedsSettingIgnored(t *testing.T) {
+	Convey("An entry's relay measures engines and uses their speeds: by the setting", t, func() {
+		for _, isOn := range []bool{true, false} {
+			n := originNode(t, "")
+			n.relayHeaders = &mgrelay.HeaderNames{}
+			n.speeds.isOn.Store(isOn)
+			spec := n.relaySpec()
+			So(spec.Learner != nil, ShouldEqual, isOn)
+			So(spec.Speeds != nil, ShouldEqual, isOn)
+		}
+		var settings mgsettings.Entry
+		So(mgsettings.Parse("entry", []byte("speeds = false"), &settings), ShouldNotBeNil) // lacks other keys
+		So(settings.Speeds, ShouldBeFalse)
+		So(mgsettings.Parse("entry", nil, &settings), ShouldNotBeNil)
+		So(settings.Speeds, ShouldBeTrue)
+	})
+}
+
 // Guards against reports of measurements that take more than their part of what entries may send
 // one another at 300 entries and 3,000 engines: an entry of a cell of 38 runs streams at some 170
 // of the 375 engines of its cell.
--- a/internal/request/mgload/load.go
+++ b/internal/request/mgload/load.go
@@ -67,11 +67,14 @@
 	Speed mgspeed.Deviation
 }
 
-// WithSpeed returns s with the known speed of the upstream, in place of a cost for each token
-// that follows from paces.
+// WithSpeed returns s with the known speed of the upstream. A higher cost for each token that
+// follows from paces stays: an upstream that has become far slower just now is found by its
+// pace first.
 func (s State) WithSpeed(speed mgspeed.Deviation) State {
 	s.Speed = speed
-	s.TokenCost = speed.TokenCost(s.Load.Runs)
+	if cost := speed.TokenCost(s.Load.Runs); s.TokenCost == 0 || cost > s.TokenCost {
+		s.TokenCost = cost
+	}
 	return s
 }
 
--- a/internal/request/mgload/speed_test.go
+++ b/internal/request/mgload/speed_test.go
@@ -65,5 +65,12 @@
 				So(s.PendingAsTypical(), ShouldEqual, c.pending)
 			})
 		}
+		Convey("a slow one whose pace has just become far slower: as its pace says", func() {
+			s := State{
+				Load:      load,
+				TokenCost: 60,
+			}
+			So(s.WithSpeed(slow).TokenCost, ShouldEqual, 60)
+		})
 	})
 }
