mgspeed: an engine of unknown speed costs what one of the service's costs on average

Change: it counts as the mean of the measured engines; where none deviates, as typical. Result: TestUnmeasuredEngineCountsAsFast.

--- a/internal/process/mgnode/speed_test.go
+++ b/internal/process/mgnode/speed_test.go
@@ -133,7 +133,7 @@
 			n := originNode(t, "")
 			n.relayHeaders = &mgrelay.HeaderNames{}
 			n.speeds.isOn.Store(isOn)
-			spec := n.relaySpec()
+			spec := n.relaySpec(mgsettings.Entry{})
 			So(spec.Learner != nil, ShouldEqual, isOn)
 			So(spec.Speeds != nil, ShouldEqual, isOn)
 		}
--- a/internal/process/mgrelay/host.go
+++ b/internal/process/mgrelay/host.go
@@ -54,7 +54,7 @@
 		query.Prompt = x.size.prompt
 	}
 	now := y.spec.Clock.Now()
-	list := slices.DeleteFunc(y.allCandidates(hosts, query, y.otherEntriesLoad()), func(s candidate) bool {
+	list := slices.DeleteFunc(y.allCandidates(x.service, hosts, query, y.otherEntriesLoad()), func(s candidate) bool {
 		return !x.homes.allows(s.host.Region) || !y.backoffs.CanSend(now, s.host.Name) || y.permitDelay(now, s.host) > 0
 	})
 	if query.Copy {
@@ -103,7 +103,7 @@
 }
 
 // allCandidates returns upstreams of a service with the cost of a request at each.
-func (y *Relay) allCandidates(hosts []Host, query mgload.Query, others mgload.Report) []candidate {
+func (y *Relay) allCandidates(service string, hosts []Host, query mgload.Query, others mgload.Report) []candidate {
 	paces := y.spec.Load.Paces(y.spec.Clock.Now())
 	faults := y.spec.Load.Faults(y.spec.Clock.Now())
 	var knownPaces []float64
@@ -128,7 +128,7 @@
 			TokenCost: tokenCostOf(pace),
 			Faults:    faultWeights[i],
 		}
-		if speed, deviates := speeds.Of(engineAt(host)); deviates {
+		if speed, deviates := speedOf(speeds, service, host); deviates {
 			state = state.WithSpeed(speed)
 		}
 		c := candidate{
@@ -159,7 +159,7 @@
 		Capacity: upstreamCapacity(table, service),
 		Prompt:   y.knownSpeeds().Prompt(service),
 	}
-	list := y.allCandidates(y.spec.Upstreams(service), query, others)
+	list := y.allCandidates(service, y.spec.Upstreams(service), query, others)
 	if len(list) == 0 {
 		return nil
 	}
--- a/internal/process/mgrelay/speed.go
+++ b/internal/process/mgrelay/speed.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// speedOf returns by how much an upstream is expected to differ from a typical one. A long answer on an
+// upstream that has just started can be slow throughout, so that one of unknown speed counts as the mean
+// of the service's; short answers, for which that costs little, make its speed known.
+func speedOf(speeds *mgspeed.Speeds, service string, host Host) (mgspeed.Deviation, bool) {
+	engine := engineAt(host)
+	engine.Service = service
+	if speed, deviates := speeds.Of(engine); deviates {
+		return speed, true
+	}
+	return speeds.OfUnmeasured(engine)
+}
+
 // beginMeasuring records the state of an upstream before an attempt is sent there, and whether
 // the attempt is measured. Only streams of routes with a latency goal are, to services whose
 // upstreams state their memory: these are engines, for which placements are assigned.
--- a/internal/request/mgspeed/estimate_test.go
+++ b/internal/request/mgspeed/estimate_test.go
@@ -306,3 +306,52 @@
 		})
 	})
 }
+
+// A long answer must not be placed at an engine that has just started and is slow, as some of the
+// service's are, while others are known to be fast.
+func TestUnmeasuredEngineCountsAsFast(t *testing.T) {
+	Convey("Where two of six engines are 2.4 times as slow as the others", t, func() {
+		var l mgspeed.Learner
+		for now := mgclock.Millis(0); now <= 10_000; now += 100 {
+			for i := range 6 {
+				elapsed := mgclock.Millis(4 * 7)
+				if i < 2 {
+					elapsed = 4 * 17
+				}
+				l.RecordTokens(now, mgspeed.Engine{Upstream: fmt.Sprint(i), Service: service}, 4, elapsed, mgspeed.State{})
+			}
+		}
+		speeds := mgspeed.Estimate(l.Sums(10_000))
+		fresh := mgspeed.Engine{
+			Upstream: "fresh",
+			Service:  service,
+		}
+		Convey("one of which nothing is known costs a third of what a slow one costs", func() {
+			slow, deviates := speeds.Of(mgspeed.Engine{Upstream: "0", Service: service})
+			So(deviates, ShouldBeTrue)
+			unknown, isUnmeasured := speeds.OfUnmeasured(fresh)
+			So(isUnmeasured, ShouldBeTrue)
+			So(unknown.TokenCost(0), ShouldAlmostEqual, slow.TokenCost(0)/3, 0.5)
+		})
+		Convey("a typical one doesn't, nor one of an unknown service", func() {
+			_, isUnmeasured := speeds.OfUnmeasured(mgspeed.Engine{Upstream: "5", Service: service})
+			So(isUnmeasured, ShouldBeFalse)
+			_, isUnmeasured = speeds.OfUnmeasured(mgspeed.Engine{Upstream: "fresh", Service: "other"})
+			So(isUnmeasured, ShouldBeFalse)
+		})
+		Convey("a new incarnation of a known one does", func() {
+			_, isUnmeasured := speeds.OfUnmeasured(mgspeed.Engine{Upstream: "5", Service: service, Start: 9})
+			So(isUnmeasured, ShouldBeTrue)
+		})
+	})
+	Convey("Where all engines are alike, one of which nothing is known counts as one of them", t, func() {
+		var l mgspeed.Learner
+		for now := mgclock.Millis(0); now <= 10_000; now += 100 {
+			for i := range 6 {
+				l.RecordTokens(now, mgspeed.Engine{Upstream: fmt.Sprint(i), Service: service}, 4, 4*7, mgspeed.State{})
+			}
+		}
+		_, isUnmeasured := mgspeed.Estimate(l.Sums(10_000)).OfUnmeasured(mgspeed.Engine{Upstream: "fresh", Service: service})
+		So(isUnmeasured, ShouldBeFalse)
+	})
+}
--- a/internal/request/mgspeed/speeds.go
+++ b/internal/request/mgspeed/speeds.go
@@ -68,6 +68,7 @@
 	Read    float64 `json:"read"`   // of prefill
 	Prompt  float64 `json:"prompt"` // mean tokens of a prompt, 0 if not known
 	Known   int     `json:"known"`  // engines with enough samples
+	Mean    float64 `json:"mean"`   // of steps over these engines, of which those that don't deviate count as typical
 	Samples float64 `json:"samples"`
 }
 
@@ -82,6 +83,7 @@
 	report     Report
 	byUpstream map[string]Speed
 	byService  map[string]Reference
+	known      map[string]int64 // starts of the engines with enough samples, by upstream; nil if they aren't known here
 }
 
 // NewSpeeds returns the speeds of a report. It ignores rows that can't be used.
@@ -111,18 +113,28 @@
 		byService[s.Service] = append(byService[s.Service], s)
 	}
 	var report Report
+	known := map[string]int64{}
 	for service, engines := range byService {
 		r := referenceOf(service, engines)
-		report.References = append(report.References, r)
+		difference := 0.0
 		for _, s := range engines {
-			if row, deviates := estimate(s, r.Level, r.Read); deviates {
+			row, deviates := estimate(s, r.Level, r.Read)
+			if deviates {
 				report.Speeds = append(report.Speeds, row.rounded())
 			}
+			if s.Step.N >= minKnownWeight {
+				known[s.Upstream] = s.Start
+				difference += row.Level - r.Level
+			}
 		}
+		r.Mean = r.Level + difference/float64(max(r.Known, 1))
+		report.References = append(report.References, r)
 	}
 	slices.SortFunc(report.References, func(a, b Reference) int { return cmp.Compare(a.Service, b.Service) })
 	slices.SortFunc(report.Speeds, func(a, b Speed) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	return NewSpeeds(report)
+	speeds := NewSpeeds(report)
+	speeds.known = known
+	return speeds
 }
 
 // referenceOf returns the reference of the engines of a service.
@@ -268,6 +280,27 @@
 	}, true
 }
 
+// OfUnmeasured returns the mean deviation of a service's engines for one of which too little is
+// known, and false for others. It is that of a typical engine where none deviates, and where the
+// measured engines aren't known.
+func (s *Speeds) OfUnmeasured(engine Engine) (Deviation, bool) {
+	if s == nil || s.known == nil {
+		return Deviation{}, false
+	}
+	if start, isKnown := s.known[engine.Upstream]; isKnown && start == engine.Start {
+		return Deviation{}, false
+	}
+	reference := s.reference(engine.Service)
+	if reference.Mean <= reference.Level {
+		return Deviation{}, false
+	}
+	difference := reference.Mean - reference.Level
+	return Deviation{
+		Step: difference * (DefaultStep + prefillShare*prefillTime),
+		Run:  difference * DefaultPerRun,
+	}, true
+}
+
 // TokenCost returns the additional time for each token of a request at an engine with some
 // running requests, ms.
 func (d Deviation) TokenCost(runs int) float64 { return d.Step + d.Run*float64(max(runs, 0)) }
