mgprobe: one entry probes each engine for all entries

Cause: while the list may be stale, each entry asks each engine that runs its generations every 250 ms, so that the calls grow with entries times engines.

Change: engines hash to 32 slots, each of which ranks the entries by rendezvous hashing. The first one asks every 350 ms and sends the answers to the next two, which take over when an answer is overdue. An entry that doesn't respond isn't ranked for 1 s. Meanwhile entries ask the engines of their own generations after 800 ms without an answer.

--- /dev/null
+++ b/internal/request/mgprobe/message.go
@@ -0,0 +1,10 @@
+package mgprobe
+
+import "github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+
+// A Message holds answers of engines, for another entry. So does its response.
+type Message struct {
+	Entry string `json:"entry"`
+	// Answers holds the age of the last answer, in ms, by engine.
+	Answers map[string]mgclock.Millis `json:"answers,omitempty"`
+}
--- /dev/null
+++ b/internal/request/mgprobe/prober.go
@@ -0,0 +1,360 @@
+package mgprobe
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+const (
+	// MaxUsableAge is the age up to which an answer lets a generation move to an engine. It exceeds
+	// Interval by the time in which an answer reaches the entries.
+	MaxUsableAge = 500 * mgclock.Millis(1)
+	// maxKnownEngines is the number of engines up to which a response holds all known answers and
+	// entries exchange them with random others. 64 answers take less than 1 KB compressed.
+	maxKnownEngines = 64
+	// silenceWindow is the time for which an entry isn't ranked after a message to it failed.
+	silenceWindow = mgclock.Second
+	// unsupportedWindow is the same for an entry whose release has no probes on behalf of others.
+	unsupportedWindow = 10 * mgclock.Second
+	// answerTTL is how long answers are kept. Those of an earlier outage are of no use.
+	answerTTL = 2 * mgclock.Second
+)
+
+// ErrUnsupported is the error of Spec.Send for an entry whose release has no probes on behalf of others.
+var ErrUnsupported = errors.New("mgprobe: the entry probes for itself only: do all entries run the same release?")
+
+// Spec configures a Prober.
+type Spec struct {
+	Name  string // of this entry
+	Clock mgclock.Clock
+	// Entries returns a new slice of the known entries that are neither suspected nor stopping: those of the region,
+	// or of this entry's cell. This entry is among them unless it is stopping.
+	Entries func(region bool) []string
+	// Send sends a message to an entry and returns its response.
+	Send func(ctx context.Context, entry string, message Message) (Message, error)
+	// Count counts events by name, for metrics: "received" answers, "takeovers", and "unsent" messages.
+	Count func(event string, count int)
+}
+
+// A Prober probes the engines that are assigned to one entry, and knows the answers that other entries
+// received. Create one with New. Its methods are safe for use by several goroutines.
+type Prober struct {
+	spec Spec
+
+	mu         sync.Mutex
+	answeredAt map[string]mgclock.Millis // by engine, when it was asked and answered that it stays
+	askedAt    map[string]mgclock.Millis // by engine, when this entry last asked it
+	firstSeen  map[string]mgclock.Millis // by engine of the last round, since when it is one
+	excluded   map[string]mgclock.Millis // by entry, until when it isn't ranked
+	assigned   map[string]bool           // engines of the last round for which this entry is the first in rank
+	ranking    map[bool]*ranking         // for shared engines (true) and others (false)
+	lastRound  mgclock.Millis
+	alarmUntil mgclock.Millis // until when an entry counts as not responding
+	exchangeAt mgclock.Millis // time of the next exchange with a random entry
+}
+
+// New returns a Prober that knows nothing.
+func New(spec Spec) *Prober {
+	return &Prober{
+		spec:       spec,
+		answeredAt: map[string]mgclock.Millis{},
+		askedAt:    map[string]mgclock.Millis{},
+		firstSeen:  map[string]mgclock.Millis{},
+		excluded:   map[string]mgclock.Millis{},
+		ranking:    map[bool]*ranking{},
+		lastRound:  spec.Clock.Now(),
+		alarmUntil: spec.Clock.Now(),
+		exchangeAt: spec.Clock.Now(),
+	}
+}
+
+// Round asks the engines whose probe is due at this entry, and sends the answers to other entries. ask
+// asks one engine whether it is leaving. Round is called every few dozen ms while probes are needed.
+func (p *Prober) Round(ctx context.Context, engines []Engine, ask func(ctx context.Context, engine string) (leaving bool, err error)) {
+	due := p.due(p.spec.Clock.Now(), engines)
+	staying := make([]bool, len(due))
+	var group sync.WaitGroup
+	for i, engine := range due {
+		group.Go(func() {
+			askedAt := p.spec.Clock.Now()
+			leaving, err := ask(ctx, engine.Name)
+			// A lost answer is no evidence: the engine stays due here and at other entries.
+			if staying[i] = err == nil && !leaving; staying[i] {
+				p.Record(askedAt, engine.Name)
+			}
+		})
+	}
+	group.Wait()
+	var answered []Engine
+	for i, engine := range due {
+		if staying[i] {
+			answered = append(answered, engine)
+		}
+	}
+	p.share(ctx, answered, engines)
+}
+
+// due returns the engines that this entry must ask now, and counts them as asked.
+func (p *Prober) due(now mgclock.Millis, engines []Engine) []Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire(now)
+	rankings := p.rankings(now, engines)
+	firstSeen := make(map[string]mgclock.Millis, len(engines))
+	assigned := map[string]bool{}
+	var due []Engine
+	for _, engine := range engines {
+		seenAt, known := p.firstSeen[engine.Name]
+		if !known {
+			seenAt = now
+		}
+		firstSeen[engine.Name] = seenAt
+		rank := rankings[engine.Shared].ownRanks[slotOf(engine.Name)]
+		if rank == 0 {
+			assigned[engine.Name] = true
+		}
+		// A new engine counts as asked one interval before, so that its first in rank asks it at once.
+		last := seenAt - Interval
+		for _, times := range []map[string]mgclock.Millis{p.answeredAt, p.askedAt} {
+			if at, ok := times[engine.Name]; ok {
+				last = max(last, at)
+			}
+		}
+		if age, probes := dueAge(rank, engine.RunsHere, now < p.alarmUntil); !probes || now < last+age {
+			continue
+		}
+		p.askedAt[engine.Name] = now
+		due = append(due, engine)
+		if rank > 0 {
+			p.spec.Count("takeovers", 1)
+		}
+	}
+	p.firstSeen, p.assigned = firstSeen, assigned
+	return due
+}
+
+// expire forgets what is too old to be used. After a time without rounds, all engines are new.
+func (p *Prober) expire(now mgclock.Millis) {
+	isOld := func(_ string, at mgclock.Millis) bool { return now >= at+answerTTL }
+	maps.DeleteFunc(p.answeredAt, isOld)
+	maps.DeleteFunc(p.askedAt, isOld)
+	maps.DeleteFunc(p.excluded, func(_ string, until mgclock.Millis) bool { return now >= until })
+	if now >= p.lastRound+answerTTL {
+		clear(p.firstSeen)
+	}
+	p.lastRound = now
+}
+
+// rankings returns the rankings of entries for shared engines (true) and others (false). A ranking is kept while its
+// entries don't change, since 300 entries take some 10,000 hashes.
+func (p *Prober) rankings(now mgclock.Millis, engines []Engine) map[bool]*ranking {
+	for _, shared := range []bool{false, true} {
+		if !slices.ContainsFunc(engines, func(engine Engine) bool { return engine.Shared == shared }) {
+			continue
+		}
+		entries := slices.DeleteFunc(p.spec.Entries(shared), func(entry string) bool {
+			until, excluded := p.excluded[entry]
+			return excluded && now < until
+		})
+		if current := p.ranking[shared]; current == nil || !slices.Equal(current.entries, entries) {
+			p.ranking[shared] = newRanking(p.spec.Name, entries)
+		}
+	}
+	return p.ranking
+}
+
+// share sends answers that this entry received to the entries that need them.
+func (p *Prober) share(ctx context.Context, answered, engines []Engine) {
+	recipients := p.recipients(p.spec.Clock.Now(), answered, engines)
+	if len(recipients) == 0 {
+		return
+	}
+	message := p.message(p.spec.Clock.Now(), answered)
+	var group sync.WaitGroup
+	for _, entry := range recipients {
+		group.Go(func() {
+			reply, err := p.spec.Send(ctx, entry, message)
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				p.recordFailure(entry, err)
+				return
+			}
+			p.merge(reply)
+		})
+	}
+	group.Wait()
+}
+
+// recipients returns the next entries in rank for each engine that answered, and every exchangeInterval a
+// random entry: an entry that is cut off has to notice it.
+func (p *Prober) recipients(now mgclock.Millis, answered, engines []Engine) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rankings := p.rankings(now, engines)
+	type ranked struct {
+		slot   int
+		shared bool
+	}
+	var recipients []string
+	seen := map[ranked]bool{}
+	for _, engine := range answered {
+		key := ranked{
+			slot:   slotOf(engine.Name),
+			shared: engine.Shared,
+		}
+		if !seen[key] {
+			seen[key] = true
+			recipients = append(recipients, rankings[key.shared].successors(key.slot, p.spec.Name)...)
+		}
+	}
+	if len(engines) > 0 && now >= p.exchangeAt {
+		p.exchangeAt = now + exchangeInterval
+		engine := engines[rand.IntN(len(engines))]
+		if entries := rankings[engine.Shared].entries; len(entries) > 0 {
+			recipients = append(recipients, entries[rand.IntN(len(entries))])
+		}
+	}
+	slices.Sort(recipients)
+	recipients = slices.Compact(recipients)
+	return slices.DeleteFunc(recipients, func(entry string) bool { return entry == p.spec.Name })
+}
+
+// message returns the message about engines that answered, or about all whose answers are usable if
+// these are few.
+func (p *Prober) message(now mgclock.Millis, answered []Engine) Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	message := Message{
+		Entry:   p.spec.Name,
+		Answers: p.usableAnswers(now),
+	}
+	if message.Answers == nil {
+		message.Answers = make(map[string]mgclock.Millis, len(answered))
+	}
+	for _, engine := range answered {
+		if at, known := p.answeredAt[engine.Name]; known {
+			message.Answers[engine.Name] = now - at
+		}
+	}
+	return message
+}
+
+// usableAnswers returns the age of each answer that is usable, or nil if there are more than maxKnownEngines.
+func (p *Prober) usableAnswers(now mgclock.Millis) map[string]mgclock.Millis {
+	if len(p.firstSeen) > maxKnownEngines {
+		return nil
+	}
+	answers := map[string]mgclock.Millis{}
+	for engine, at := range p.answeredAt {
+		if now > at+MaxUsableAge {
+			continue
+		}
+		if len(answers) == maxKnownEngines {
+			return nil
+		}
+		answers[engine] = now - at
+	}
+	return answers
+}
+
+// Handle merges the message of another entry, and returns the response.
+func (p *Prober) Handle(message Message) Message {
+	p.merge(message)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Message{
+		Entry:   p.spec.Name,
+		Answers: p.usableAnswers(p.spec.Clock.Now()),
+	}
+}
+
+// merge records the answers that another entry knows. Its sender is ranked again if it wasn't.
+func (p *Prober) merge(message Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.spec.Clock.Now()
+	delete(p.excluded, message.Entry)
+	maps.DeleteFunc(p.answeredAt, func(_ string, at mgclock.Millis) bool { return now >= at+answerTTL })
+	received := 0
+	for engine, age := range message.Answers {
+		if age >= 0 && age < answerTTL && p.record(now-age, engine) {
+			received++
+		}
+	}
+	if received > 0 {
+		p.spec.Count("received", received)
+	}
+}
+
+// recordFailure excludes an entry to which a message could not be sent from the ranks for a while.
+func (p *Prober) recordFailure(entry string, err error) {
+	p.spec.Count("unsent", 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, ErrUnsupported) {
+		p.excluded[entry] = p.spec.Clock.Now() + unsupportedWindow
+		return
+	}
+	p.excluded[entry] = p.spec.Clock.Now() + silenceWindow
+	p.alarmUntil = p.excluded[entry]
+}
+
+// Record records that an engine answered that it is not leaving, and when it was asked.
+func (p *Prober) Record(askedAt mgclock.Millis, engine string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record(askedAt, engine)
+}
+
+// record reports whether the answer is newer than the known one. mu must be held.
+func (p *Prober) record(askedAt mgclock.Millis, engine string) bool {
+	if at, known := p.answeredAt[engine]; known && at >= askedAt {
+		return false
+	}
+	p.answeredAt[engine] = askedAt
+	return true
+}
+
+// Age returns the age of an engine's last answer that it is not leaving, or false if there is none or it is
+// older than MaxUsableAge.
+func (p *Prober) Age(engine string) (mgclock.Millis, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, answered := p.answeredAt[engine]
+	age := p.spec.Clock.Now() - at
+	return age, answered && age <= MaxUsableAge
+}
+
+// State describes a Prober for the dump.
+type State struct {
+	Assigned []string                  `json:"assigned"` // engines that this entry asks as the first in rank
+	Answers  map[string]mgclock.Millis `json:"answers"`  // age in ms by engine
+	Excluded map[string]mgclock.Millis `json:"excluded"` // by entry that isn't ranked, ms until it is again
+}
+
+// State returns the state of the last round.
+func (p *Prober) State() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.spec.Clock.Now()
+	state := State{
+		Assigned: slices.Sorted(maps.Keys(p.assigned)),
+		Answers:  make(map[string]mgclock.Millis, len(p.answeredAt)),
+		Excluded: make(map[string]mgclock.Millis, len(p.excluded)),
+	}
+	for engine, at := range p.answeredAt {
+		state.Answers[engine] = now - at
+	}
+	for entry, until := range p.excluded {
+		state.Excluded[entry] = until - now
+	}
+	return state
+}
--- /dev/null
+++ b/internal/request/mgprobe/prober_test.go
@@ -0,0 +1,105 @@
+package mgprobe
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a number of probes that grows with the number of entries, and against entries that learn of a
+// notice too late to move generations.
+func TestProbesGrowWithEntries(t *testing.T) {
+	for _, count := range []int{22, 100, 300} {
+		Convey(fmt.Sprintf("%d entries probe 40 engines during an outage", count), t, func() {
+			m := newMesh(meshSpec{
+				count:        count,
+				engineCount:  40,
+				shared:       count > 40,
+				noticePeriod: 500 * time.Millisecond,
+			})
+			m.run(t, func() {})
+			t.Logf("%d entries: %d calls, %d of them for destinations (%d destinations known by answers), %d takeovers, "+
+				"notices known after %v in the median, 90 %% %v, by the last entry %v in the median of %d; longest time without a probe %v",
+				count, m.calls, m.checks, m.used, m.takeovers,
+				quantile(m.delays, 0.5), quantile(m.delays, 0.9), quantile(m.lastKnown, 0.5), len(m.lastKnown), m.maxGap)
+			So(m.calls, ShouldBeLessThanOrEqualTo, 1500)
+			So(quantile(m.delays, 0.5), ShouldBeLessThanOrEqualTo, 300*time.Millisecond)
+			So(m.maxGap, ShouldBeLessThanOrEqualTo, time.Second)
+		})
+	}
+}
+
+// Guards against an engine whose departure nobody notices since the entry that was to probe it can't.
+func TestEngineUnprobedAfterLossOfEntry(t *testing.T) {
+	isFifth := func(i int) bool { return i%5 == 0 }
+	cases := []struct {
+		name string
+		spec meshSpec
+		kill bool
+	}{
+		{
+			name: "that dies, one after another",
+			kill: true,
+		},
+		{
+			name: "that is cut off alone",
+			spec: meshSpec{side: func(i int) int { return min(i, 1) }},
+		},
+		{
+			name: "that is cut off with a third of the entries",
+			spec: meshSpec{side: func(i int) int { return min(i%3, 1) }},
+		},
+		{
+			name: "that is cut off with half of the entries",
+			spec: meshSpec{side: func(i int) int { return i % 2 }},
+		},
+		{
+			name: "that is late, as a fifth of the entries",
+			spec: meshSpec{late: isFifth},
+		},
+		{
+			name: "of the previous release, as a fifth of the entries",
+			spec: meshSpec{old: isFifth},
+		},
+		{
+			name: "that reaches no engine, as a fifth of the entries",
+			spec: meshSpec{reachesNone: isFifth},
+		},
+	}
+	for _, count := range []int{22, 100} {
+		for _, c := range cases {
+			Convey(fmt.Sprintf("%d entries, engines assigned to an entry %s", count, c.name), t, func() {
+				spec := c.spec
+				spec.count = count
+				spec.engineCount = 40
+				spec.shared = count > 40
+				m := newMesh(spec)
+				m.run(t, func() {
+					for i := 0; c.kill && i < 5; i++ {
+						time.Sleep(time.Second)
+						m.kill(i)
+					}
+				})
+				t.Logf("%d entries, %s: longest time without a probe %v, %d calls, %d takeovers", count, c.name, m.maxGap, m.calls, m.takeovers)
+				So(m.maxGap, ShouldBeLessThanOrEqualTo, time.Second)
+			})
+		}
+	}
+}
+
+// Guards against messages that take the links of small VMs.
+func TestAnswersSaturateLinks(t *testing.T) {
+	Convey("The entries of a cell of 300 entries and 3,000 engines exchange answers", t, func() {
+		m := newMesh(meshSpec{
+			count:       38,
+			engineCount: 375,
+			countsBytes: true,
+		})
+		m.run(t, func() {})
+		perEntry := float64(m.bytes) / 38 / outage.Seconds()
+		t.Logf("%d messages, %.0f bytes a second sent by an entry, as many received, %d calls", m.messages, perEntry, m.calls)
+		So(2*perEntry, ShouldBeLessThanOrEqualTo, 15_000)
+	})
+}
