mgrelay, mgentry: engines are probed on behalf of all entries

Change: with Spec.Prober, an entry probes the engines that mgprobe assigns to it, also those that run generations of other entries only. A recent answer to any entry that a destination, or an upstream that is missing from the list, is not leaving replaces a probe of it. Without Spec.Prober the relay is as before.

--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -46,6 +46,7 @@
 	spec.LeavingChanged = e.spec.Changed
 	spec.Upstreams = e.directHosts
 	spec.AllUpstreams = e.regionHosts
+	spec.Engines = e.engines
 	spec.IncarnationStart = e.incarnationStart
 	spec.IsListStale = e.spec.IsListStale
 	spec.IsListRecovering = e.spec.IsListRecovering
@@ -136,21 +137,59 @@
 	now, coldWindow := e.spec.Clock.Now(), e.coldWindow(service)
 	list := make([]mgrelay.Host, 0, len(members))
 	for _, member := range members {
-		list = append(list, mgrelay.Host{
-			Name:             member.Upstream(),
-			Addr:             member.Addr(),
-			Zone:             member.Zone(),
-			Region:           member.Region(),
-			FailedRecently:   member.Suspect(),
-			Cold:             member.Cold(now, coldWindow),
-			IncarnationStart: member.IncarnationStart(),
-			SoftwareVersion:  member.SoftwareVersion(),
-			Granters:         assignerCount,
-		})
+		host := relayHost(member, assignerCount)
+		host.Cold = member.Cold(now, coldWindow)
+		list = append(list, host)
 	}
 	return list
 }
 
+// relayHost returns a directly reached upstream without whether it is cold.
+func relayHost(member *mgmember.Member, assignerCount int) mgrelay.Host {
+	return mgrelay.Host{
+		Name:             member.Upstream(),
+		Addr:             member.Addr(),
+		Zone:             member.Zone(),
+		Region:           member.Region(),
+		FailedRecently:   member.Suspect(),
+		IncarnationStart: member.IncarnationStart(),
+		SoftwareVersion:  member.SoftwareVersion(),
+		Granters:         assignerCount,
+	}
+}
+
+// engines yields the directly reached upstreams of this region that run services of streams and haven't
+// announced that they are leaving, also those that are missing from the list.
+func (e *Entry) engines(yield func(mgrelay.Host) bool) {
+	table := e.spec.Table()
+	if table == nil {
+		return
+	}
+	streamServices := map[string]bool{}
+	for route := range table.Routes() {
+		if route.Kind() != mgtable.Stream {
+			continue
+		}
+		for _, share := range route.Services() {
+			streamServices[share.Service()] = true
+		}
+	}
+	fleet := e.fleet()
+	for _, member := range fleet.view.All() {
+		if member.Upstream() == "" || member.IsPeer() || member.Leaving() || member.Region() != e.spec.Settings.Region {
+			continue
+		}
+		for _, service := range member.Services() {
+			if streamServices[service] {
+				if !yield(relayHost(member, fleet.assignerCount[service])) {
+					return
+				}
+				break
+			}
+		}
+	}
+}
+
 // incarnationStart returns when the current incarnation of an upstream started, or false if
 // it isn't on the list of VMs.
 func (e *Entry) incarnationStart(name string) (start int64, listed bool) {
--- a/internal/process/mgrelay/generation.go
+++ b/internal/process/mgrelay/generation.go
@@ -102,6 +102,20 @@
 	return hosts
 }
 
+// hosts returns the upstreams that run generations.
+func (s *generations) hosts() []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hosts := make([]Host, 0, len(s.byUpstream))
+	for _, at := range s.byUpstream {
+		for r := range at {
+			hosts = append(hosts, r.host)
+			break
+		}
+	}
+	return hosts
+}
+
 // setEvacuating records whether an upstream is being evacuated.
 func (s *generations) setEvacuating(name string, isEvacuating bool) {
 	s.mu.Lock()
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -17,6 +17,7 @@
 		return
 	}
 	go y.probeWhileStale(ctx)
+	go y.probeForAll(ctx)
 	for ctx.Err() == nil {
 		changed := y.spec.LeavingChanged()
 		added := y.generations.nextAdded()
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprobe"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -18,6 +19,9 @@
 	// waitsPerProbe is the number of events that a probe waits for: the connection, the goroutine that
 	// sends, and the answer.
 	waitsPerProbe = 3
+	// sharedProbeInterval is the interval at which it is checked which engines this entry must ask on
+	// behalf of all entries. It adds to the time for which an engine isn't probed.
+	sharedProbeInterval = 50 * mgclock.Millis(1)
 	// destinationProbeTimeout bounds the answer of a destination, for which a
 	// generation waits: an upstream answers in 3 ms, and one that is gone not at
 	// all.
@@ -54,7 +58,7 @@
 		if staleChecks >= outageStaleChecks {
 			y.lastOutageAt.Store(int64(y.spec.Clock.Now()))
 		}
-		if !stale && !y.isListRecovering() {
+		if y.spec.Prober != nil || !stale && !y.isListRecovering() {
 			continue
 		}
 		for _, host := range y.generations.hostsNotEvacuating() {
@@ -63,6 +67,77 @@
 	}
 }
 
+// probeForAll asks the engines whose probe is assigned to this entry whether they are leaving, while the
+// list may be stale or as in a backup, until ctx is done.
+func (y *Relay) probeForAll(ctx context.Context) {
+	if y.spec.AskLeaving == nil || y.spec.Prober == nil {
+		return
+	}
+	for y.spec.Clock.Sleep(ctx, y.sharedProbeDelay()) {
+		if !y.mayListMissDepartures() {
+			continue
+		}
+		hosts := map[string]Host{}
+		engines := y.engines(hosts)
+		go y.spec.Prober.Round(ctx, engines, func(ctx context.Context, engine string) (bool, error) {
+			leaving, err := y.askLeaving(ctx, hosts[engine], probeTimeout)
+			if err == nil && leaving {
+				y.reportLeaving(hosts[engine])
+			}
+			return leaving, err
+		})
+	}
+}
+
+// sharedProbeDelay is like probeDelay, for probes on behalf of all entries.
+func (y *Relay) sharedProbeDelay() mgclock.Millis {
+	if !y.mayListMissDepartures() {
+		return probeInterval
+	}
+	return sharedProbeInterval + waitsPerProbe*y.recentWait()
+}
+
+// engines returns the upstreams that run generations of any entry and haven't announced that they are
+// leaving, and adds them to hosts by name. An upstream that is only missing from the list is one of
+// them: its list entry may have expired. Of an upstream that is shared by all cells, this entry
+// doesn't know whether entries of other cells have requests there.
+func (y *Relay) engines(hosts map[string]Host) []mgprobe.Engine {
+	var engines []mgprobe.Engine
+	add := func(host Host, runsHere bool) {
+		hosts[host.Name] = host
+		engines = append(engines, mgprobe.Engine{
+			Name:     host.Name,
+			Shared:   host.Granters > 1,
+			RunsHere: runsHere,
+		})
+	}
+	for _, host := range y.generations.hosts() {
+		if !y.hasAnnouncedLeaving(host) {
+			add(host, true)
+		}
+	}
+	if y.spec.Engines == nil {
+		return engines
+	}
+	others := y.otherEntriesLoad().Loads
+	for host := range y.spec.Engines {
+		if _, added := hosts[host.Name]; !added && (host.Granters > 1 || others[host.Name].Runs > 0) {
+			add(host, false)
+		}
+	}
+	return engines
+}
+
+// hasAnnouncedLeaving reports whether an upstream is leaving by its own announcement or by the list, and
+// not merely missing from the list.
+func (y *Relay) hasAnnouncedLeaving(host Host) bool {
+	return y.spec.IsLeaving(host.Name) && (y.spec.IsMissing == nil || !y.spec.IsMissing(host.Name))
+}
+
+// mayListMissDepartures reports whether an upstream may have announced that it is leaving though the
+// list doesn't show it.
+func (y *Relay) mayListMissDepartures() bool { return y.spec.IsListStale() || y.isListRecovering() }
+
 // probeDelay returns the time until the next probes. A process that runs late asks less often, as it would
 // become later otherwise.
 func (y *Relay) probeDelay() mgclock.Millis { return probeInterval + waitsPerProbe*y.recentWait() }
@@ -108,22 +183,56 @@
 	return !y.spec.IsLeaving(host.Name)
 }
 
-// confirmsStaying reports whether an upstream answers that it isn't leaving.
+// confirmsStaying reports whether an upstream answers that it isn't leaving, or has recently answered so to any
+// entry.
 func (y *Relay) confirmsStaying(ctx context.Context, host Host) bool {
-	leaving, err := y.askLeaving(ctx, host, destinationProbeTimeout)
+	if y.hasRecentAnswer(host) {
+		return true
+	}
+	leaving, err := y.askDestination(ctx, host)
 	return err == nil && !leaving
 }
 
+// hasRecentAnswer reports whether an upstream has recently answered to any entry that it isn't leaving,
+// and hasn't announced that it is leaving since.
+func (y *Relay) hasRecentAnswer(host Host) bool {
+	if y.spec.Prober == nil || y.hasAnnouncedLeaving(host) {
+		return false
+	}
+	age, ok := y.spec.Prober.Age(host.Name)
+	if ok {
+		y.spec.Metrics.Counter("probes.used").Inc(1)
+		y.spec.Metrics.Histogram("probes.age").Update(int64(age))
+	}
+	return ok
+}
+
+// askDestination asks the destination of a generation whether it is leaving.
+func (y *Relay) askDestination(ctx context.Context, host Host) (leaving bool, err error) {
+	askedAt := y.spec.Clock.Now()
+	leaving, err = y.askLeaving(ctx, host, destinationProbeTimeout)
+	if y.spec.Prober != nil && err == nil && !leaving {
+		y.spec.Prober.Record(askedAt, host.Name)
+	}
+	return leaving, err
+}
+
 // canTakeOver reports whether an upstream can take over a generation. While the list
 // may be stale, the upstream is asked: one that is gone appears emptiest of all, and
 // the source would try to reach it for 1.2 s. That is most of the time between a notice
 // and the reclaim, and the other generations at the source would wait for its link
-// meanwhile.
+// meanwhile. A recent answer to any entry counts.
 func (y *Relay) canTakeOver(ctx context.Context, host Host) bool {
-	if y.spec.AskLeaving == nil || !y.spec.IsListStale() && !y.isListRecovering() {
+	if y.spec.AskLeaving == nil || !y.mayListMissDepartures() {
+		return true
+	}
+	if y.spec.Prober != nil && y.hasAnnouncedLeaving(host) {
+		return false
+	}
+	if y.hasRecentAnswer(host) {
 		return true
 	}
-	leaving, err := y.askLeaving(ctx, host, destinationProbeTimeout)
+	leaving, err := y.askDestination(ctx, host)
 	switch {
 	case ctx.Err() != nil:
 		return false // the generation ended meanwhile, which is no evidence against the upstream
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprobe"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrest"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
@@ -94,6 +96,10 @@
 	IsListStale    func() bool
 	AskLeaving     func(ctx context.Context, upstream Host) (leaving bool, err error)
 	ReportDeparted func(upstream string)
+	// Prober asks engines on behalf of all entries, those of Engines that run generations of any of
+	// them. If Prober is nil, this entry asks for itself.
+	Prober  *mgprobe.Prober
+	Engines iter.Seq[Host]
 	// IsListRecovering reports whether the platform has just returned from an outage, so that
 	// its list may be as in a backup, or have upstreams that it lacks. The upstreams are
 	// asked as with a stale list. Nil stands for a platform without backups.
