mgnode, mgsettings: entries exchange the answers of engines (setting share)

Change: entries send mgprobe's messages to POST /probes on the peers' listener. A process of the previous release answers an unknown path with 503 from an entry, not only with 404; both count as a release without the feature. The setting share, on by default, switches it off.

--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -37,6 +37,9 @@
 	n.capShares.Store(capShares)
 	n.pause.OnPause(func(mgclock.Millis) { capShares.Drop() })
 	n.background.Go(func() { capShares.Run(ctx) })
+	if settings.ShareProbes && n.relayHeaders != nil && n.probe != nil {
+		n.startProber()
+	}
 	entry := mgentry.New(n.entrySpec(settings, capShares), n.incarnation)
 	placementCandidates := entry.PlacementCandidates
 	n.placementCandidates.Store(&placementCandidates)
@@ -167,6 +170,7 @@
 		ListVersion:        n.listVersionAndReportAge,
 		Move:               n.move,
 		AskLeaving:         n.probe,
+		Prober:             n.prober.Load(),
 		AskIncarnation:     n.askIncarnation,
 		AwaitPlacement:     n.acquirePlacement,
 		AcquireSlot:        n.acquireMigrationSlot,
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -29,6 +29,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoverload"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprobe"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgseal"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
@@ -70,6 +71,7 @@
 	permitRetryAt       atomic.Int64 // after the hub didn't respond, no permit is requested before this time
 	exchanger           *updateExchanger
 	origins             *mgorigin.Replicator
+	prober              atomic.Pointer[mgprobe.Prober] // of an entry that shares probes, else nil
 	move                func(context.Context, mgrelay.Host, mgrelay.MoveOrder) mgmigration.Reply
 	configLoop          *mgconfig.Loop // reads and exchanges the table, the list and gossip
 	pause               *mgmember.PauseDetector
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -78,6 +78,7 @@
 	router.Post(quarantinePath, n.serveUpdates)
 	router.Post(permitPath, n.servePermit)
 	router.Post(originPath, n.serveOrigins)
+	router.Post(probePath, n.serveAnswers)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		role := n.roleHandler.Load()
 		if role == nil {
--- /dev/null
+++ b/internal/process/mgnode/probe.go
@@ -0,0 +1,119 @@
+package mgnode
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprobe"
+	"github.com/marjoramgauge/marjoramgauge/internal/version/mgmember"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+)
+
+// probePath is where an entry receives the answers of engines that another one has probed: request and
+// response are a mgprobe.Message as JSON, compressed by gzip.
+const probePath = "/probes"
+
+const (
+	// answersTimeout limits the wait for the response to a message. An entry that doesn't respond by
+	// then isn't ranked for a second, so that others take its engines over.
+	answersTimeout = 200 * mgclock.Millis(1)
+	// maxAnswersBytes limits a decompressed message: 20,000 answers.
+	maxAnswersBytes = 1 << 20
+)
+
+// startProber makes this entry probe engines on behalf of all entries.
+func (n *Node) startProber() {
+	prober := mgprobe.New(mgprobe.Spec{
+		Name:    n.settings.Name,
+		Clock:   n.clock,
+		Entries: n.probingEntries,
+		Send:    n.sendAnswers,
+		Count:   func(event string, count int) { n.metrics.Counter("probes." + event).Inc(int64(count)) },
+	})
+	n.prober.Store(prober)
+	n.admin.AddSection("probes", func() any { return prober.State() })
+}
+
+// probingEntries returns the entries to which probes may be assigned: those of the region or of this
+// entry's cell that are neither suspected nor leaving, and this one unless it is leaving.
+func (n *Node) probingEntries(region bool) []string {
+	view := n.members.View()
+	var peers []*mgmember.Member
+	if region {
+		peers = view.HealthyPeers(n.settings.Region)
+	} else {
+		peers = view.Cell(n.settings.Name, n.settings.Region).Peers
+	}
+	var names []string
+	for _, peer := range peers {
+		if peer.Kind() == mgplatform.EntryKind {
+			names = append(names, peer.Name())
+		}
+	}
+	if !n.leaving.Load() || len(names) == 0 {
+		names = append(names, n.settings.Name)
+	}
+	return names
+}
+
+// sendAnswers sends a message to another entry, and returns its response.
+func (n *Node) sendAnswers(ctx context.Context, entry string, message mgprobe.Message) (mgprobe.Message, error) {
+	var reply mgprobe.Message
+	peer, ok := n.members.View().Member(entry)
+	if !ok {
+		return reply, fmt.Errorf("peer %s: is no longer known: another entry takes its probes over", entry)
+	}
+	ctx, cancel := context.WithTimeout(ctx, (answersTimeout + confirmationWaits*n.recentWait()).Duration())
+	defer cancel()
+	body, err := compressJSON(message)
+	if err != nil {
+		return reply, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.guard.BaseURL(peer.PeerAddr())+probePath, bytes.NewReader(body))
+	if err != nil {
+		return reply, fmt.Errorf("peer %s: invalid address: %w", entry, err)
+	}
+	request.Header["User-Agent"] = nil // fewer bytes
+	response, err := n.calls.RoundTrip(request)
+	if err != nil {
+		return reply, fmt.Errorf("peer %s: sending answers of engines: %w", entry, err)
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound, http.StatusServiceUnavailable: // what a process answers on an unknown path
+		return reply, fmt.Errorf("peer %s: %w", entry, mgprobe.ErrUnsupported)
+	default:
+		return reply, fmt.Errorf("peer %s: sending answers of engines: status %d", entry, response.StatusCode)
+	}
+	if err := decompressJSON(response.Body, maxAnswersBytes, &reply); err != nil {
+		return reply, fmt.Errorf("peer %s: %w", entry, err)
+	}
+	return reply, nil
+}
+
+// serveAnswers records the answers that another entry received, and responds with those known here. An entry
+// that probes for itself only responds as one of a release without probes on behalf of others.
+func (n *Node) serveAnswers(w http.ResponseWriter, r *http.Request) {
+	prober := n.prober.Load()
+	if prober == nil {
+		http.NotFound(w, r)
+		return
+	}
+	var message mgprobe.Message
+	if err := decompressJSON(r.Body, maxAnswersBytes, &message); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := compressJSON(prober.Handle(message))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header()["Date"] = nil // fewer bytes
+	w.Header().Set("Content-Type", "application/gzip")
+	_, _ = w.Write(body) // a peer that closed the connection asks again
+}
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -45,6 +45,7 @@
 	CautionTime   int64  `toml:"caution" default:"30000" min:"0" max:"600000" unit:"ms" help:"how far back an entry's records of crashes must reach, itself or a peer's, before it waits for the usual number of crashes to hold a request"`
 	CallTimeout   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
 	Relay         bool   `toml:"relay" help:"pass requests that match a route of the table on to upstreams that the list names, in the headers of docs/OPERATIONS.md"`
+	ShareProbes   bool   `toml:"share" default:"true" help:"one entry asks each engine whether it leaves, on behalf of all entries, while the list of VMs may be out of date; false: each entry asks the engines that it uses"`
 	Fresh         bool   `toml:"fresh" help:"no process ran under this name lately, so that caps are leased from the start; for demos and tests"`
 	Public        TLS    `toml:"public" help:"certificate towards callers; empty: plain HTTP behind the platform's balancer"`
 }
