--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -39,6 +39,9 @@
 	n.pause.OnPause(func(mgclock.Millis) { capShares.Drop() })
 	n.background.Go(func() { capShares.Run(ctx) })
 	n.speeds.isOn.Store(settings.Speeds && n.relayHeaders != nil)
+	if settings.ShareProbes && n.relayHeaders != nil && n.probe != nil {
+		n.startProber()
+	}
 	entry := mgentry.New(n.entrySpec(settings, capShares), n.incarnation)
 	placementCandidates := entry.PlacementCandidates
 	n.placementCandidates.Store(&placementCandidates)
@@ -173,6 +176,7 @@
 		ListVersion:        n.listVersionAndReportAge,
 		Move:               n.move,
 		AskLeaving:         n.probe,
+		Prober:             n.prober.Load(),
 		AskIncarnation:     n.askIncarnation,
 		AwaitPlacement:     n.acquirePlacement,
 		AcquireSlot:        n.acquireMigrationSlot,
--- a/internal/process/mgnode/peer.go
+++ b/internal/process/mgnode/peer.go
@@ -79,6 +79,7 @@
 	router.Post(permitPath, n.servePermit)
 	router.Post(speedsPath, n.serveSpeeds)
 	router.Post(originPath, n.serveOrigins)
+	router.Post(probePath, n.serveAnswers)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		role := n.roleHandler.Load()
 		if role == nil {
