mgtable: a column says whether a service has backups

Cause: entries must know whether engines copy a generation to the engine that its request names (engine.backups), which nothing in the table said. Change: ServiceSpec.CanBackup and the column backup. It is written only where it is yes, so that pages of other services stay as they are for a release without the column. Result: TestBackupColumnLost.

--- a/pkg/mgtable/build.go
+++ b/pkg/mgtable/build.go
@@ -25,6 +25,7 @@
 	Name           string
 	Model          string
 	CanMigrate     bool    // whether running generations may migrate between engines
+	CanBackup      bool    // whether engines copy a running generation to a backup engine that its request names
 	TokensPerEvent int64   // tokens per stream event, 0 for 1
 	CopyMicros     int64   // µs to copy one token's memory to another engine
 	ColdMillis     int64   // ms for which an upstream is cold after its start
@@ -121,6 +122,10 @@
 		text("move", yesOrNo(s.CanMigrate)).
 		count("copy", s.CopyMicros).
 		count("stride", s.TokensPerEvent)
+	if s.CanBackup {
+		// Left out otherwise, so that a release without the column reads the row.
+		row.cells = cells(row.cells).text("backup", Yes)
+	}
 	return row
 }
 
--- a/pkg/mgtable/columns.go
+++ b/pkg/mgtable/columns.go
@@ -30,6 +30,7 @@
 	choiceColumn("repeat", []string{Safe, Never}, func(s *Service) *string { return &s.repeat }),
 	numberColumn("hedge", 0, 1, false, func(s *Service) *float64 { return &s.hedge }),
 	choiceColumn("move", []string{Yes, No}, func(s *Service) *string { return &s.move }),
+	choiceColumn("backup", []string{Yes, No}, func(s *Service) *string { return &s.backup }),
 	countColumn("copy", maxBatch, func(s *Service) *int64 { return &s.copy }),
 	countColumn("stride", maxBatch, func(s *Service) *int64 { return &s.stride }),
 	countColumn("cold", maxDeadlineMillis, func(s *Service) *int64 { return &s.cold }),
--- a/pkg/mgtable/row.go
+++ b/pkg/mgtable/row.go
@@ -107,6 +107,7 @@
 	repeat   string
 	hedge    float64
 	move     string
+	backup   string
 	stride   int64
 	cold     int64
 	ramp     float64
@@ -146,6 +147,10 @@
 // engines.
 func (s *Service) CanMigrate() bool { return s.move == Yes }
 
+// CanBackup reports whether the engines of the service copy a running generation, as it
+// grows, to another engine that its request names.
+func (s *Service) CanBackup() bool { return s.backup == Yes }
+
 // CopyMicros returns the time in µs to copy the memory of one token between two
 // engines of an availability zone, or 0 when it is unknown.
 func (s *Service) CopyMicros() int { return int(s.copy) }
--- a/pkg/mgtable/table_test.go
+++ b/pkg/mgtable/table_test.go
@@ -298,3 +298,47 @@
 		So(marked.Digest(), ShouldEqual, plain.Digest())
 	})
 }
+
+// Guards against backups that are lost, or switched on, when a table is written and read
+// again as pages, TOML or CSV.
+func TestBackupColumnLost(t *testing.T) {
+	Convey("A service with backups keeps them", t, func() {
+		for _, canBackup := range []bool{true, false} {
+			table, err := mgtable.Build(mgtable.Spec{
+				Services: []mgtable.ServiceSpec{
+					{
+						Name:      "s",
+						Model:     "m",
+						CanBackup: canBackup,
+					},
+				},
+				Accounts: []mgtable.AccountSpec{
+					{
+						Name: "a",
+					},
+				},
+				Models: []mgtable.ModelSpec{
+					{
+						Name:      "m",
+						Context:   100,
+						MaxOutput: 100,
+					},
+				},
+			})
+			So(err, ShouldBeNil)
+			So(table.Service("s").CanBackup(), ShouldEqual, canBackup)
+			again, err := mgtable.Import(table.Export())
+			So(err, ShouldBeNil)
+			So(again.Service("s").CanBackup(), ShouldEqual, canBackup)
+			_, pages, err := table.Pages(1 << 20)
+			So(err, ShouldBeNil)
+			page, err := mgtable.ReadPage(pages[0])
+			So(err, ShouldBeNil)
+			So(string(page.Bytes()), ShouldEqual, string(pages[0]))
+		}
+	})
+	Convey("Any other value is refused", t, func() {
+		_, err := mgtable.Parse([]byte("[[service]]\nname = \"s\"\nkind = \"plain\"\nbackup = \"often\"\n"))
+		So(err, ShouldNotBeNil)
+	})
+}
