--- a/internal/request/mgmigration/order.go
+++ b/internal/request/mgmigration/order.go
@@ -9,6 +9,7 @@
 	Generated      int            // output tokens so far
 	Elapsed        mgclock.Millis // since its first token
 	CanResume      bool           // it can resume elsewhere without a copy
+	HasBackup      bool           // it can resume elsewhere from a copy that exists already
 }
 
 // minRemainingTime is the expected remaining time below which a run is moved
@@ -45,11 +46,15 @@
 // Benefit returns the priority with which a source's runs are moved, the greatest
 // first. A run that can resume without its copy, or that ends soon by itself,
 // gains least from a move. Of the others, those go first that would lose the
-// most work per unit of copy time.
+// most work per unit of copy time. Those with a backup come just before those
+// that can resume without a copy: the backup may be lost, too.
 func (r Run) Benefit() float64 {
 	if r.CanResume {
 		return 0
 	}
+	if r.HasBackup {
+		return minBenefit
+	}
 	benefit := float64(r.Prompt+outputWeight*(r.Generated+r.RemainingTokens())) / float64(r.Prompt+r.Generated+1)
 	if remaining, known := r.RemainingTime(); known && remaining < minRemainingTime {
 		return benefit / nearEndDivisor
@@ -57,6 +62,9 @@
 	return 1 + benefit
 }
 
+// minBenefit is below the benefit of any run without a backup.
+const minBenefit = 1e-6
+
 // nearEndDivisor sorts a run that ends soon behind all others that can't resume
 // without their copy. Where few tokens remain, the quotient in Benefit is at
 // most about outputWeight, so dividing it by nearEndDivisor gives at most about
--- a/internal/request/mgmigration/order_test.go
+++ b/internal/request/mgmigration/order_test.go
@@ -72,3 +72,29 @@
 		So(known, ShouldBeFalse)
 	})
 }
+
+// Guards against a run without a backup that is lost with its engine while one that could
+// have continued from its backup takes the link.
+func TestRunWithBackupMovesFirst(t *testing.T) {
+	Convey("A run with a backup is moved after those without, and before those that can resume", t, func() {
+		long := Run{
+			Prompt:         3000,
+			ExpectedOutput: 2000,
+			Generated:      800,
+			Elapsed:        6400,
+		}
+		nearEnd := Run{
+			Prompt:         3000,
+			ExpectedOutput: 900,
+			Generated:      890,
+			Elapsed:        7000,
+		}
+		withBackup := long
+		withBackup.HasBackup = true
+		resumable := withBackup
+		resumable.CanResume = true
+		So(long.Benefit(), ShouldBeGreaterThan, nearEnd.Benefit())
+		So(nearEnd.Benefit(), ShouldBeGreaterThan, withBackup.Benefit())
+		So(withBackup.Benefit(), ShouldBeGreaterThan, resumable.Benefit())
+	})
+}
