mgquarantine: whether a generation may continue from a copy after a crash

Cause: in the first half minute of a service no request is retried after one crash (cautiousRetryLimit), so no generation would continue from a backup then. Change: Continuable has the usual limit of two occurrences for a generation that had run for a while. Retries have the limits as before.

--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -173,6 +173,20 @@
 	})
 }
 
+// Continuable reports whether a generation with these parts that had run for a time, and whose
+// upstream has just crashed, may continue from a copy at another one. One that had just begun must be
+// Retryable. Of one that ran on, a cautious process knows as little after one crash as any other: some
+// two dozen generations ran there, and one more crash costs no more than all that it would not continue.
+func (q *Quarantine) Continuable(ran mgclock.Millis, digest Digest, parts ...Digest) bool {
+	if ran < StartWindow {
+		return q.Retryable(digest, parts...)
+	}
+	current := q.state.Load()
+	return current == nil || !slices.ContainsFunc(append([]Digest{digest}, parts...), func(d Digest) bool {
+		return current.suspicions[d].occurrences >= retryOccurrenceLimit
+	})
+}
+
 // Occurrences returns the number of occurrences that a request, or a part of prompts, is suspected
 // of, without those that something else explains.
 func (q *Quarantine) Occurrences(digest Digest) int {
