mgrelay, platform: a generation continues from its backup

Cause: of 303 generations at engines that gave notice 92 did not continue, and none at engines that crashed or whose notice was not seen. Change: a request names a backup (X-Kv-Backup) where mgbackup decides so; a stream that broke off continues from it after the resume points of its move. The connection to the engine before is closed by then, the software versions are checked on both sides, and the ids of events as before. The memory counts at the backup's engine until the run has ended, and 5 s after a failure. A stream with a backup that has ended waits 120 ms for its move's outcome, not 1 s, and not at all where the move has not begun to copy. Switch: the setting backups (on), for services with engine.backups only.

--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -34,6 +34,7 @@
 	spec.OtherLoads = e.spec.OtherLoads
 	spec.TimeLeft = e.remaining
 	spec.ReportDeparted = e.spec.ReportDeparted
+	spec.Backups = e.spec.Settings.Backups
 	spec.Zone = e.spec.Settings.Zone
 	spec.Name = e.spec.Settings.Name
 	spec.Processes = func() int { return 1 + len(e.spec.View().Peers()) }
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -38,6 +38,8 @@
 func (y *Relay) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, host Host) (outcome attemptOutcome) {
 	outcome = failed // what the deferred call sees if abort panics, as when the caller's connection breaks
 	defer func() { x.endAttempt(outcome == delivered) }()
+	y.nameBackup(x, host)
+	defer func() { y.endBackup(x, host, outcome) }()
 	x.tried[host.Name] = true
 	x.lastUpstream = host.Name
 	defer y.countLoad(x, host)()
@@ -137,6 +139,9 @@
 		left := max(x.timeLeft(y.spec.Clock.Now()), 1)
 		header.Set(names.Deadline, strconv.FormatInt(int64(left), 10))
 	}
+	if x.backup != nil {
+		header.Set(names.Backup, x.backup.host.Addr)
+	}
 	request := &http.Request{
 		Method: x.method,
 		URL: &url.URL{
@@ -160,6 +165,7 @@
 	unsent := errors.As(err, &failure) && !failure.Sent()
 	if ctx.Err() == nil {
 		y.spec.ReportFailed(host.Name)
+		y.recordLoss(x, host)
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		y.spec.Load.RecordFault(y.spec.Clock.Now(), host.Name)
@@ -172,6 +178,7 @@
 	}
 	x.attempts++
 	x.mayHaveRun = true
+	x.brokeOff = true
 	if ctx.Err() == nil {
 		y.recordBrokenAttempt(x, host, partialAnswer{})
 	} else {
--- a/internal/process/mgrelay/crash.go
+++ b/internal/process/mgrelay/crash.go
@@ -160,7 +160,13 @@
 // mayCrashAnother reports whether a request under which an upstream has ended should not go on at
 // another one, as a retry, from its last event or from a copy.
 func (y *Relay) mayCrashAnother(x *exchange) bool {
-	return x.attemptBroken && y.spec.Quarantine.HasSuspects() && !y.spec.Quarantine.Retryable(x.digest(), x.parts...)
+	if !x.attemptBroken || !y.spec.Quarantine.HasSuspects() {
+		return false
+	}
+	if x.backup != nil && x.brokeOff {
+		return !y.spec.Quarantine.Continuable(x.ranAtEnd, x.digest(), x.parts...)
+	}
+	return !y.spec.Quarantine.Retryable(x.digest(), x.parts...)
 }
 
 // recordQuarantineAnswer reports to the quarantine that an upstream answered a request with a status.
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -77,6 +77,11 @@
 	releaseAttempt   func(answered bool) // unregisters the attempt from backoffs; nil if none is registered
 	resumeFrom       resumePoint         // what the next attempt continues from, or zero
 	resumePoints     []resumePoint       // where else the generation can continue
+	backup           *backup             // of the last attempt; nil if its request names none
+	fromBackup       bool                // the last attempt continues from a backup
+	ranAtEnd         mgclock.Millis      // how long the last attempt's generation had run when it broke off
+	brokeOff         bool                // the last attempt's upstream may have been lost while it ran the request
+	generated        int                 // output tokens of earlier attempts that were delivered
 	problem          *mgproblem.Problem
 }
 
@@ -84,7 +89,8 @@
 // which it does.
 type resumePoint struct {
 	host    Host
-	copyRef string // address of the move's source, "/", handle of the copy
+	copyRef string  // address of the move's source, "/", handle of the copy
+	backup  *backup // nil if the copy is that of a move
 }
 
 // answer is an upstream's answer that was read completely.
--- a/internal/process/mgrelay/generation.go
+++ b/internal/process/mgrelay/generation.go
@@ -21,6 +21,8 @@
 	addedAt      mgclock.Millis // when its upstream answered
 	stated       string         // software version that the upstream's answer states
 
+	backup       *backup       // nil if the request names none
+	ordered      atomic.Bool   // its source was sent an order to copy or stop it
 	claimed      bool          // a move has been started, or none may start any more; guarded by generations.mu
 	moveDone     chan struct{} // closed when its move is done
 	resumePoints []resumePoint // where it can continue after the move; read after moveDone is closed
@@ -57,6 +59,7 @@
 		host:     host,
 		addedAt:  now,
 		stated:   x.statedVersion,
+		backup:   x.backup,
 		moveDone: make(chan struct{}),
 		registry: s,
 	}
@@ -171,6 +174,7 @@
 		ExpectedOutput: r.exchange.size.output,
 		Generated:      r.tokensPerEvent() * int(r.eventCount.Load()),
 		CanResume:      r.exchange.call.Route.Resumes(),
+		HasBackup:      r.hasUsableBackup(now),
 	}
 	if first := r.firstEventAt.Load(); first > 0 {
 		state.Elapsed = now - mgclock.Millis(first)
@@ -190,6 +194,11 @@
 // a pause, and a stream that pauses for longer is late in any case.
 const moveOutcomeTimeout = mgclock.Second
 
+// moveOutcomeTimeoutWithBackup replaces moveOutcomeTimeout for a generation that has a
+// backup to continue from. Callers expect no pause over 180 ms; a last copy takes up to
+// 100 ms, and a source that is gone may not answer at all.
+const moveOutcomeTimeoutWithBackup = 120 * mgclock.Millis(1)
+
 // awaitMove returns where a generation whose stream has ended can continue.
 func (r *generation) awaitMove(clock mgclock.Clock) []resumePoint {
 	r.registry.mu.Lock()
@@ -199,10 +208,17 @@
 	if !claimed {
 		return nil
 	}
+	timeout := moveOutcomeTimeout
+	if r.hasUsableBackup(clock.Now()) {
+		if !r.ordered.Load() {
+			return nil // it still waits for its slot or destination
+		}
+		timeout = moveOutcomeTimeoutWithBackup
+	}
 	select {
 	case <-r.moveDone:
 		return r.resumePoints
-	case <-clock.After(moveOutcomeTimeout):
+	case <-clock.After(timeout):
 		return nil
 	case <-r.ctx.Done():
 		return nil
--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -24,6 +24,7 @@
 	OutputHint   string   // the caller's estimate of the number of output tokens
 	LastEventID  string   // id of the last event that a caller, or the relay, has received
 	Resumes      string   // from callers that resume a stream: the id of the request that brought its first event
+	Backup       string   // to upstreams: address of the upstream to which this one copies the generation as it runs
 	Copy         string   // the copy from which a generation continues: address of the source, "/", handle of the copy
 	NotForwarded []string // further headers that are never forwarded to upstreams
 	// RetryAfterFractions reports whether callers accept fractions of a second in Retry-After.
@@ -50,6 +51,7 @@
 		LastEventID: "Last-Event-Id",
 		Resumes:     "Continues",
 		Copy:        "Copy",
+		Backup:      "Backup",
 	}
 }
 
@@ -107,12 +109,12 @@
 // forwardedHeaders returns the headers of a caller's request that are forwarded. The
 // caller's key (Authorization) is never forwarded, and headers that the relay sets
 // are dropped: otherwise a caller could act as another account (Account) or use memory
-// that the system reserved, such as another generation's copy (Copy).
+// that the system reserved, such as another generation's copy (Copy) or room for one (Backup).
 func (f *HeaderNames) forwardedHeaders(from http.Header) http.Header {
 	to := endToEndHeaders(from)
 	to.Del("Authorization")
 	to.Del("Content-Length")
-	for _, name := range []string{f.Account, f.Upstream, f.Deadline, f.Copy} {
+	for _, name := range []string{f.Account, f.Upstream, f.Deadline, f.Copy, f.Backup} {
 		to.Del(name)
 	}
 	for _, name := range f.NotForwarded {
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -122,6 +122,7 @@
 			y.retryDestinations(r, m)
 			continue
 		}
+		r.ordered.Store(true)
 		m.lastReply = y.spec.Move(r.ctx, r.host, MoveOrder{
 			Request: r.exchange.id,
 			To:      m.destination.Addr,
--- a/internal/process/mgrelay/origin.go
+++ b/internal/process/mgrelay/origin.go
@@ -199,7 +199,7 @@
 // must not be forwarded.
 func (y *Relay) confirmOrigin(ctx context.Context, x *exchange, host Host) *mgproblem.Problem {
 	if x.origin != (mgorigin.Origin{}) {
-		if x.copied || y.isVersionCertain(ctx, x.statedVersion, host, y.spec.Clock.Now()) {
+		if x.copied && !x.fromBackup || y.isVersionCertain(ctx, x.statedVersion, host, y.spec.Clock.Now()) {
 			return nil
 		}
 		return mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgbackup"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
@@ -126,6 +127,10 @@
 	// RecentWait returns the longest time for which an event has lately waited for this process. Nil
 	// stands for none.
 	RecentWait func() mgclock.Millis
+	// Backups switches backups on, for services that can have them (mgtable). Losses records
+	// the engines that were lost; New creates one if it is nil.
+	Backups bool
+	Losses  *mgbackup.Losses
 	// Move sends an order to the source of a move. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
@@ -148,6 +153,7 @@
 	permitWaits  mglimit.Backoffs // of upstreams for which a permit was denied
 	localPermits mglimit.Permits  // if Spec.TakePermit is nil
 	rejections   rejections
+	backupBudget mgbackup.Budget
 	answerCount  atomic.Uint64 // successful answers to the first attempt
 	// lastOutageAt is when the platform was last unavailable, in ms of the clock; 0
 	// for never.
@@ -159,6 +165,9 @@
 	if spec.Quarantine == nil {
 		spec.Quarantine = &mgquarantine.Quarantine{}
 	}
+	if spec.Losses == nil {
+		spec.Losses = &mgbackup.Losses{}
+	}
 	if spec.Limits == nil {
 		spec.Limits = &mglimit.Limits{}
 	}
@@ -258,7 +267,7 @@
 			y.giveUp(w, x)
 			return
 		}
-		if y.prepareResume(x) {
+		if y.prepareResume(ctx, x) {
 			continue
 		}
 		if !y.mayRetry(ctx, x, outcome) {
--- a/internal/process/mgrelay/resume.go
+++ b/internal/process/mgrelay/resume.go
@@ -1,7 +1,9 @@
 package mgrelay
 
 import (
+	"context"
 	"net/http"
+	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -30,6 +32,7 @@
 func (y *Relay) addResumeHeaders(x *exchange, request *http.Request) {
 	names := &y.spec.Headers
 	x.copied = x.resumeFrom.copyRef != ""
+	x.fromBackup = x.resumeFrom.backup != nil
 	if x.resumeFrom.copyRef != "" {
 		request.Header.Set(names.Copy, x.resumeFrom.copyRef)
 		x.resumeFrom = resumePoint{}
@@ -42,22 +45,30 @@
 
 // prepareResume chooses the next resume point of a generation that broke off, and
 // reports whether there is one.
-func (y *Relay) prepareResume(x *exchange) bool {
+func (y *Relay) prepareResume(ctx context.Context, x *exchange) bool {
+	if !x.headerSent {
+		// Only a backup has a generation whose first event isn't known.
+		x.resumePoints = slices.DeleteFunc(x.resumePoints, func(p resumePoint) bool { return p.backup == nil })
+	}
 	for len(x.resumePoints) > 0 {
 		host := x.resumePoints[0].host
-		if !y.isBarred(host.Name) && y.mayContinueAt(x, host) {
+		if !y.isBarred(host.Name) && y.mayContinueAt(x, host) && y.mayUseBackup(ctx, x, x.resumePoints[0].backup) {
 			break
 		}
-		y.spec.Log.Info("a copy is left unused, its upstream is cordoned or runs another software version",
+		y.spec.Log.Info("a copy is left unused, its upstream is cordoned or may run another software version",
 			mglog.Request, x.id, mglog.Upstream, host.Name, "begun", x.origin.Version, "software", host.SoftwareVersion)
 		x.resumePoints = x.resumePoints[1:]
 	}
-	if !x.headerSent || len(x.resumePoints) == 0 {
+	if len(x.resumePoints) == 0 {
 		return false
 	}
 	x.resumeFrom = x.resumePoints[0]
 	x.resumePoints = x.resumePoints[1:]
 	y.spec.Metrics.Counter("relay.carried").Inc(1)
+	if x.resumeFrom.backup != nil {
+		y.useBackup(x)
+		return true
+	}
 	y.log(x, "a generation continues from a copy at "+x.resumeFrom.host.Name, 0)
 	return true
 }
--- a/internal/process/mgrelay/sequence.go
+++ b/internal/process/mgrelay/sequence.go
@@ -15,6 +15,9 @@
 	nonConsecutive bool   // ids are not consecutive whole numbers
 }
 
+// isConsecutive reports whether the ids of the events are consecutive whole numbers.
+func (o *eventSequence) isConsecutive() bool { return !o.nonConsecutive && o.nextID != 0 }
+
 // record records complete events of the first upstream.
 func (o *eventSequence) record(events []byte) {
 	for rest := events; len(rest) > 0; {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -79,6 +79,9 @@
 	// gone.
 	x.resumePoints = nil
 	y.writeHeader(w, x, response)
+	if x.backup != nil && y.spec.Headers.Software == "" {
+		go y.confirmBackupSource(ctx, x.backup, y.spec.Clock.Now())
+	}
 	return nil
 }
 
@@ -184,6 +187,7 @@
 		firstEventAt:   mgclock.Millis(gen.firstEventAt.Load()),
 		lastEventAt:    gen.lastEventAt,
 	}
+	x.brokeOff, x.ranAtEnd = true, partial.ran(y.spec.Clock.Now())
 	switch {
 	case y.generations.isClaimed(gen):
 	case ctx.Err() == nil:
@@ -191,7 +195,12 @@
 	default:
 		y.recordSilentAttempt(x, gen.host, partial)
 	}
-	x.resumePoints = append(gen.awaitMove(y.spec.Clock), x.resumePoints...)
+	x.generated += gen.tokensPerEvent() * int(gen.eventCount.Load())
+	moved := gen.awaitMove(y.spec.Clock)
+	if len(moved) == 0 && ctx.Err() == nil {
+		y.recordLoss(x, gen.host)
+	}
+	x.resumePoints = append(moved, x.resumePoints...)
 	x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the stream broke off", "send the request again if it may run twice").WithCause(cause)
 	return interrupted
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -44,6 +44,7 @@
 	MaxRetries    int64  `toml:"retry" default:"0" min:"0" max:"1000000" help:"retries that a service allows all entries together beyond a tenth of its answers; 0: each entry holds 64"`
 	CautionTime   int64  `toml:"caution" default:"30000" min:"0" max:"600000" unit:"ms" help:"how far back an entry's records of crashes must reach, itself or a peer's, before it waits for the usual number of crashes to hold a request"`
 	CallTimeout   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
+	Backups       bool   `toml:"backups" default:"true" help:"name a second engine for some long generations, to which their own copies them, while engines are lost; for services with backups in the table"`
 	Relay         bool   `toml:"relay" help:"pass requests that match a route of the table on to upstreams that the list names, in the headers of docs/OPERATIONS.md"`
 	Fresh         bool   `toml:"fresh" help:"no process ran under this name lately, so that caps are leased from the start; for demos and tests"`
 	Public        TLS    `toml:"public" help:"certificate towards callers; empty: plain HTTP behind the platform's balancer"`
