mgbackup: the share of backups shrinks with the free memory

Cause: with a fixed share of a fifth, copies would hold 30,000 of 150,000 free tokens under twice the load that the engines bear, where each is needed. Change: the share is a fifth of the part of the memory that is free. Result: 109,000 tokens (31 backups) with 700,000 of 900,000 free, 6,200 with 150,000 of 730,000.

--- a/internal/process/mgrelay/backup.go
+++ b/internal/process/mgrelay/backup.go
@@ -189,6 +189,7 @@
 			Barred:   x.tried[c.host.Name] || y.isLeaving(c.host.Name) || y.isCordoned(c.host.Name) || !x.homes.allows(c.host.Region),
 		})
 		supply.Free += max(c.freeTokens, 0)
+		supply.Capacity += query.Capacity
 	}
 	return destinations, supply
 }
--- a/internal/request/mgbackup/budget.go
+++ b/internal/request/mgbackup/budget.go
@@ -7,17 +7,21 @@
 )
 
 const (
-	// freeShare is the part of a service's free memory that the backups of all
-	// processes use together, on average. With 150,000 free tokens, as under twice the
-	// load that 40 engines bear, these are 8 backups; with 800,000 they are 45.
-	freeShare = 0.2
+	// maxFreeShare is the part of a service's free memory that the backups of all
+	// processes use together, on average, if all its memory is free. Where less is free,
+	// the part shrinks in proportion: with 700,000 of 900,000 tokens free, as on 33
+	// engines under the load that they bear, there may be 31 backups of 3,500 tokens,
+	// and with 150,000, as under twice that load, one or two. Backups that were named
+	// before a wave of departures are held for some seconds after it, when the memory of
+	// the engines that stay is needed.
+	maxFreeShare = 0.2
 	// creditWindow is the time for which a process can save up its share: about that
 	// of an average long generation (700 tokens of output) with its wait.
 	creditWindow = 10 * mgclock.Second
 )
 
 // A Budget limits the memory that one process uses for backups. A process may use its
-// even part of freeShare of the service's free memory. It earns that part as credit
+// even part of a share of the service's free memory (Supply). It earns that part as credit
 // over time, in tokens times ms, and a backup costs its memory times its duration. So
 // processes whose part is smaller than one backup still have one now and then, without
 // exchanging messages. The zero Budget is ready for use by several goroutines.
@@ -37,14 +41,19 @@
 // A Supply is the memory that backups may use a part of.
 type Supply struct {
 	Free      int // tokens of the service's memory that nothing is counted for
+	Capacity  int // tokens of the service's memory
 	Processes int // that share it
 }
 
-// share returns the process's own part, in tokens.
-func (s Supply) share() float64 {
-	return freeShare * float64(max(s.Free, 0)) / float64(max(s.Processes, 1))
+// total returns the memory of the backups of all processes, in tokens.
+func (s Supply) total() float64 {
+	free := float64(max(s.Free, 0))
+	return maxFreeShare * free * min(free/float64(max(s.Capacity, 1)), 1)
 }
 
+// share returns the process's own part, in tokens.
+func (s Supply) share() float64 { return s.total() / float64(max(s.Processes, 1)) }
+
 // A Grant is the memory of one backup.
 type Grant struct {
 	Service  string
