mgrelay: a move's copy is used if the backup is gone

Cause: with a backup, a stream that has ended waits 120 ms for its move's outcome. Where the move took longer and the backup was gone, the generation was lost although the move had a copy. A backup also counted as usable 500 ms after the header, which an engine may send before it has read the prompt. Change: the move's outcome is taken after the backup has failed; the 500 ms count from the first event. Result: TestMoveForgottenForBackup fails without it.

--- a/internal/process/mgrelay/backup.go
+++ b/internal/process/mgrelay/backup.go
@@ -299,5 +299,22 @@
 
 // hasUsableBackup reports whether a generation can probably continue from its backup.
 func (r *generation) hasUsableBackup(now mgclock.Millis) bool {
-	return r.backup != nil && now >= r.addedAt+backupLag && r.backup.isStaying()
+	first := mgclock.Millis(r.firstEventAt.Load())
+	return r.backup != nil && first > 0 && now >= first+backupLag && r.backup.isStaying()
+}
+
+// takeLateMove adds the resume points of a move whose outcome wasn't awaited, because there
+// was a backup, if the backup didn't work.
+func (y *Relay) takeLateMove(ctx context.Context, x *exchange) {
+	gen := x.lateMove
+	if gen == nil || len(x.resumePoints) > 0 {
+		return
+	}
+	x.lateMove = nil
+	select {
+	case <-gen.moveDone:
+		x.resumePoints = gen.resumePoints
+	case <-y.spec.Clock.After(moveOutcomeTimeout):
+	case <-ctx.Done():
+	}
 }
--- a/internal/process/mgrelay/backup_test.go
+++ b/internal/process/mgrelay/backup_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -697,6 +698,62 @@
 	})
 }
 
+// Guards against a generation that is lost although its move had copied it, because its
+// backup was tried as the move's last copy took long, and was gone.
+func TestMoveForgottenForBackup(t *testing.T) {
+	Convey("A generation whose backup is gone continues from the copy of its move", t, func() {
+		fromMove := func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasSuffix(r.Header.Get("Copy"), "/h1") {
+				withoutCopy(w, r)
+				return
+			}
+			resumeFromCopy(w, r)
+		}
+		var isOld atomic.Bool
+		s := newMoveScenario(t, nil, fromMove, fromMove)
+		s.harness.configureModel(strings.Replace(tableText, `move = "yes"`, "move = \"yes\"\nbackup = \"yes\"", 1))
+		metrics := mgmetric.New()
+		losses := &mgbackup.Losses{}
+		losses.RecordBreak(mgclock.Clock{}.Now(), "ledger", mgbackup.Engine{
+			Name: "lost",
+		})
+		s.harness.startRelay(func(spec *mgrelay.Spec) {
+			s.configure(spec)
+			spec.Backups = true
+			spec.Losses = losses
+			spec.Metrics = metrics
+			isLeaving := spec.IsLeaving
+			spec.IsLeaving = func(name string) bool {
+				return isLeaving(name) && isOld.Load() // the backup counts as usable some time after the first event
+			}
+			spec.Move = func(ctx context.Context, _ mgrelay.Host, order mgrelay.MoveOrder) mgmigration.Reply {
+				if !order.Stop {
+					return mgmigration.Reply{
+						Outcome: mgmigration.Copied,
+						Handle:  "h1",
+					}
+				}
+				close(s.breakOff)
+				<-ctx.Done()
+				return mgmigration.Reply{Outcome: mgmigration.Lost}
+			}
+		})
+		go func() {
+			for metrics.Histogram("relay.first").Snapshot().Count() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(600 * time.Millisecond)
+			isOld.Store(true)
+			s.leave()
+		}()
+		got := s.harness.send(context.Background(), http.MethodPost, "/write/1", "x", backupSize)
+		So(got.cut, ShouldBeFalse)
+		So(got.body, ShouldEqual, wholeStream())
+		So(metrics.Counter("relay.backup.missing").Count(), ShouldEqual, 1)
+		So(len(s.harness.requests()), ShouldEqual, 3)
+	})
+}
+
 // Guards against placements that overlook the memory of backups, and against backups whose
 // memory is counted forever.
 func TestMemoryOfBackupMiscounted(t *testing.T) {
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -77,6 +77,7 @@
 	releaseAttempt   func(answered bool) // unregisters the attempt from backoffs; nil if none is registered
 	resumeFrom       resumePoint         // what the next attempt continues from, or zero
 	resumePoints     []resumePoint       // where else the generation can continue
+	lateMove         *generation         // whose move went on when its stream had ended; nil if there is none
 	backup           *backup             // of the last attempt; nil if its request names none
 	fromBackup       bool                // the last attempt continues from a backup
 	ranAtEnd         mgclock.Millis      // how long the last attempt's generation had run when it broke off
--- a/internal/process/mgrelay/generation.go
+++ b/internal/process/mgrelay/generation.go
@@ -199,28 +199,29 @@
 // 100 ms, and a source that is gone may not answer at all.
 const moveOutcomeTimeoutWithBackup = 120 * mgclock.Millis(1)
 
-// awaitMove returns where a generation whose stream has ended can continue.
-func (r *generation) awaitMove(clock mgclock.Clock) []resumePoint {
+// awaitMove returns where a generation whose stream has ended can continue. If isPending is
+// set, its move still goes on, and moveDone is closed at its end.
+func (r *generation) awaitMove(clock mgclock.Clock) (points []resumePoint, isPending bool) {
 	r.registry.mu.Lock()
 	claimed := r.claimed
 	r.claimed = true // no move may start from now on
 	r.registry.mu.Unlock()
 	if !claimed {
-		return nil
+		return nil, false
 	}
 	timeout := moveOutcomeTimeout
 	if r.hasUsableBackup(clock.Now()) {
 		if !r.ordered.Load() {
-			return nil // it still waits for its slot or destination
+			return nil, false // it still waits for its slot or destination
 		}
 		timeout = moveOutcomeTimeoutWithBackup
 	}
 	select {
 	case <-r.moveDone:
-		return r.resumePoints
+		return r.resumePoints, false
 	case <-clock.After(timeout):
-		return nil
+		return nil, true
 	case <-r.ctx.Done():
-		return nil
+		return nil, false
 	}
 }
--- a/internal/process/mgrelay/resume.go
+++ b/internal/process/mgrelay/resume.go
@@ -46,6 +46,7 @@
 // prepareResume chooses the next resume point of a generation that broke off, and
 // reports whether there is one.
 func (y *Relay) prepareResume(ctx context.Context, x *exchange) bool {
+	y.takeLateMove(ctx, x)
 	if !x.headerSent {
 		// Only a backup has a generation whose first event isn't known.
 		x.resumePoints = slices.DeleteFunc(x.resumePoints, func(p resumePoint) bool { return p.backup == nil })
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -77,7 +77,7 @@
 	x.firstAfterResume = x.resumed
 	// The resume points of an earlier move are void: their copies were used or are
 	// gone.
-	x.resumePoints = nil
+	x.resumePoints, x.lateMove = nil, nil
 	y.writeHeader(w, x, response)
 	if x.backup != nil && y.spec.Headers.Software == "" {
 		go y.confirmBackupSource(ctx, x.backup, y.spec.Clock.Now())
@@ -196,7 +196,10 @@
 		y.recordSilentAttempt(x, gen.host, partial)
 	}
 	x.generated += gen.tokensPerEvent() * int(gen.eventCount.Load())
-	moved := gen.awaitMove(y.spec.Clock)
+	moved, isPending := gen.awaitMove(y.spec.Clock)
+	if isPending && x.backup != nil {
+		x.lateMove = gen
+	}
 	if len(moved) == 0 && ctx.Err() == nil {
 		y.recordLoss(x, gen.host)
 	}
