mgrelay: a request without an id names no backup

Cause: the copy is found by the request's id; without one, requests of one engine would share a copy. Change: such a request names none. The package comment has the term.

--- a/internal/process/mgrelay/backup.go
+++ b/internal/process/mgrelay/backup.go
@@ -98,7 +98,7 @@
 	if !y.spec.Backups || y.spec.Headers.Backup == "" || y.spec.Headers.Copy == "" {
 		return false
 	}
-	if x.call.Route.Kind() != mgtable.Stream || x.call.Route.Resumes() || x.size.prompt == 0 {
+	if x.call.Route.Kind() != mgtable.Stream || x.call.Route.Resumes() || x.size.prompt == 0 || x.id == "" {
 		return false
 	}
 	service := x.call.Table.Service(x.service)
--- a/internal/process/mgrelay/doc.go
+++ b/internal/process/mgrelay/doc.go
@@ -48,6 +48,8 @@
 //     (the KV cache). It is counted in tokens.
 //   - copy: the memory of a generation, copied from the upstream that runs it to
 //     another one, so that the generation can continue there.
+//   - backup: a copy that grows while the generation runs, at an upstream that its request
+//     names (see mgbackup). The upstream that sends it is the source.
 //   - placement: memory that is reserved at an upstream for a generation. The
 //     entries choose one process that assigns the placements of a service.
 //   - migration slot: the permission to move a generation away from an upstream
