--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgbackup"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mglimit"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgmigration"
@@ -140,6 +141,10 @@
 	// Admission makes the time of a caller that comes back count from its first try, and the
 	// wait for a placement end when its answer could no longer be complete.
 	Admission bool
+	// Backups switches backups on, for services that can have them (mgtable). Losses records
+	// the engines that were lost; New creates one if it is nil.
+	Backups bool
+	Losses  *mgbackup.Losses
 	// Move sends an order to the source of a move. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
@@ -163,6 +168,7 @@
 	localPermits mglimit.Permits  // if Spec.TakePermit is nil
 	rejections   rejections
 	firstTries   firstTries
+	backupBudget mgbackup.Budget
 	answerCount  atomic.Uint64 // successful answers to the first attempt
 	// lastOutageAt is when the platform was last unavailable, in ms of the clock; 0
 	// for never.
@@ -174,6 +180,9 @@
 	if spec.Quarantine == nil {
 		spec.Quarantine = &mgquarantine.Quarantine{}
 	}
+	if spec.Losses == nil {
+		spec.Losses = &mgbackup.Losses{}
+	}
 	if spec.Limits == nil {
 		spec.Limits = &mglimit.Limits{}
 	}
@@ -273,7 +282,7 @@
 			y.giveUp(w, x)
 			return
 		}
-		if y.prepareResume(x) {
+		if y.prepareResume(ctx, x) {
 			continue
 		}
 		if !y.mayRetry(ctx, x, outcome) {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -78,8 +78,11 @@
 	x.firstAfterResume = x.resumed
 	// The resume points of an earlier move are void: their copies were used or are
 	// gone.
-	x.resumePoints = nil
+	x.resumePoints, x.lateMove = nil, nil
 	y.writeHeader(w, x, response)
+	if x.backup != nil && y.spec.Headers.Software == "" {
+		go y.confirmBackupSource(ctx, x.backup, y.spec.Clock.Now())
+	}
 	return nil
 }
 
@@ -186,6 +189,7 @@
 		firstEventAt:   mgclock.Millis(gen.firstEventAt.Load()),
 		lastEventAt:    gen.lastEventAt,
 	}
+	x.brokeOff, x.ranAtEnd = true, partial.ran(y.spec.Clock.Now())
 	switch {
 	case y.generations.isClaimed(gen):
 	case ctx.Err() == nil:
@@ -193,7 +197,15 @@
 	default:
 		y.recordSilentAttempt(x, gen.host, partial)
 	}
-	x.resumePoints = append(gen.awaitMove(y.spec.Clock), x.resumePoints...)
+	x.generated += gen.tokensPerEvent() * int(gen.eventCount.Load())
+	moved, isPending := gen.awaitMove(y.spec.Clock)
+	if isPending && x.backup != nil {
+		x.lateMove = gen
+	}
+	if len(moved) == 0 && ctx.Err() == nil {
+		y.recordLoss(x, gen.host)
+	}
+	x.resumePoints = append(moved, x.resumePoints...)
 	x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the stream broke off", "send the request again if it may run twice").WithCause(cause)
 	return interrupted
