mgrelay, mgentry: probes are shared only where the table calls for it

A route of streams with a latency goal to a service whose engines state their memory. Other deployments are served as before.

--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -47,6 +47,7 @@
 	spec.Upstreams = e.directHosts
 	spec.AllUpstreams = e.regionHosts
 	spec.Engines = e.engines
+	spec.SharesProbes = func() bool { return sharesProbes(e.spec.Table()) }
 	spec.IncarnationStart = e.incarnationStart
 	spec.IsListStale = e.spec.IsListStale
 	spec.IsListRecovering = e.spec.IsListRecovering
@@ -158,6 +159,30 @@
 	}
 }
 
+// sharesProbes reports whether a table calls for probes on behalf of all entries: it has a route of streams with a
+// latency goal to a service whose engines state their memory. In other deployments each entry asks for
+// itself.
+func sharesProbes(table *mgtable.Table) bool {
+	if table == nil {
+		return false
+	}
+	for route := range table.Routes() {
+		if route.Kind() != mgtable.Stream || route.LatencyGoal() == 0 {
+			continue
+		}
+		for _, share := range route.Services() {
+			service := table.Service(share.Service())
+			if service == nil {
+				continue
+			}
+			if model := table.Model(service.Model()); model != nil && model.MaxContext() > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // engines yields the directly reached upstreams that run services of streams and haven't announced that they
 // are leaving, also those that are missing from the list. Those of another region count as used by one cell,
 // since its entries share their probes with the entries of their own region only.
--- a/internal/process/mgrelay/probe.go
+++ b/internal/process/mgrelay/probe.go
@@ -62,7 +62,7 @@
 		if staleChecks >= outageStaleChecks {
 			y.lastOutageAt.Store(int64(y.spec.Clock.Now()))
 		}
-		if y.spec.Prober != nil || !stale && !y.isListRecovering() {
+		if y.prober() != nil || !stale && !y.isListRecovering() {
 			continue
 		}
 		for _, host := range y.generations.hostsNotEvacuating() {
@@ -81,12 +81,13 @@
 		loadedAt: map[string]mgclock.Millis{},
 	}
 	for y.spec.Clock.Sleep(ctx, y.sharedProbeDelay()) {
-		if !y.mayListMissDepartures() {
+		prober := y.prober()
+		if prober == nil || !y.mayListMissDepartures() {
 			continue
 		}
 		engines := y.engines(&set)
 		hosts := set.hosts
-		go y.spec.Prober.Round(ctx, engines, func(ctx context.Context, engine string) (bool, error) {
+		go prober.Round(ctx, engines, func(ctx context.Context, engine string) (bool, error) {
 			leaving, err := y.askLeaving(ctx, hosts[engine], probeTimeout)
 			if err == nil && leaving {
 				y.reportLeaving(hosts[engine])
@@ -96,6 +97,14 @@
 	}
 }
 
+// prober returns the prober on behalf of all entries, or nil if this entry asks for itself.
+func (y *Relay) prober() *mgprobe.Prober {
+	if y.spec.SharesProbes != nil && !y.spec.SharesProbes() {
+		return nil
+	}
+	return y.spec.Prober
+}
+
 // sharedProbeDelay is like probeDelay, for probes on behalf of all entries.
 func (y *Relay) sharedProbeDelay() mgclock.Millis {
 	if !y.mayListMissDepartures() {
@@ -222,10 +231,11 @@
 // hasRecentAnswer reports whether an upstream has recently answered to any entry that it isn't leaving,
 // and hasn't announced that it is leaving since.
 func (y *Relay) hasRecentAnswer(host Host) bool {
-	if y.spec.Prober == nil || y.hasAnnouncedLeaving(host) {
+	prober := y.prober()
+	if prober == nil || y.hasAnnouncedLeaving(host) {
 		return false
 	}
-	age, ok := y.spec.Prober.Age(host.Name)
+	age, ok := prober.Age(host.Name)
 	if ok {
 		y.spec.Metrics.Counter("probes.used").Inc(1)
 		y.spec.Metrics.Histogram("probes.age").Update(int64(age))
@@ -237,8 +247,8 @@
 func (y *Relay) askDestination(ctx context.Context, host Host) (leaving bool, err error) {
 	askedAt := y.spec.Clock.Now()
 	leaving, err = y.askLeaving(ctx, host, destinationProbeTimeout)
-	if y.spec.Prober != nil && err == nil && !leaving {
-		y.spec.Prober.Record(askedAt, host.Name)
+	if prober := y.prober(); prober != nil && err == nil && !leaving {
+		prober.Record(askedAt, host.Name)
 	}
 	return leaving, err
 }
@@ -252,7 +262,7 @@
 	if y.spec.AskLeaving == nil || !y.mayListMissDepartures() {
 		return true
 	}
-	if y.spec.Prober != nil && y.hasAnnouncedLeaving(host) {
+	if y.prober() != nil && y.hasAnnouncedLeaving(host) {
 		return false
 	}
 	if y.hasRecentAnswer(host) {
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -97,9 +97,11 @@
 	AskLeaving     func(ctx context.Context, upstream Host) (leaving bool, err error)
 	ReportDeparted func(upstream string)
 	// Prober asks engines on behalf of all entries, those of Engines that run generations of any of
-	// them. If Prober is nil, this entry asks for itself.
-	Prober  *mgprobe.Prober
-	Engines iter.Seq[Host]
+	// them. SharesProbes reports whether the table calls for that; nil stands for always. Otherwise, or
+	// if Prober is nil, this entry asks for itself.
+	Prober       *mgprobe.Prober
+	Engines      iter.Seq[Host]
+	SharesProbes func() bool
 	// IsListRecovering reports whether the platform has just returned from an outage, so that
 	// its list may be as in a backup, or have upstreams that it lacks. The upstreams are
 	// asked as with a stale list. Nil stands for a platform without backups.
