--- a/internal/request/mgbackup/budget.go
+++ b/internal/request/mgbackup/budget.go
@@ -15,6 +15,9 @@
 	// before a wave of departures are held for some seconds after it, when the memory of
 	// the engines that stay is needed.
 	maxFreeShare = 0.2
+	// minFreePart is the part of a service's memory that must be free for any backup. Below it, requests
+	// soon wait for memory, and copies delay the moves of other generations on the engines' links.
+	minFreePart = 0.4
 	// creditWindow is the time for which a process can save up its share: about that
 	// of an average long generation (700 tokens of output) with its wait.
 	creditWindow = 10 * mgclock.Second
@@ -48,7 +51,11 @@
 // total returns the memory of the backups of all processes, in tokens.
 func (s Supply) total() float64 {
 	free := float64(max(s.Free, 0))
-	return maxFreeShare * free * min(free/float64(max(s.Capacity, 1)), 1)
+	part := min(free/float64(max(s.Capacity, 1)), 1)
+	if part < minFreePart {
+		return 0
+	}
+	return maxFreeShare * free * part
 }
 
 // share returns the process's own part, in tokens.
