mgrelay: an upstream that couldn't be watched must state its incarnation

Cause: an answer without a length or chunks ends with its connection, and is whole only if its upstream runs on. The exchange then looked like one without means to watch: a list that was confirmed since decided. The list shows a restarted upstream late, so an answer that broke off between two events passed for whole. With a check of the address that took over 50 ms it ended as unknown, which a caller can't tell from whole either.

Change: a failed watch is kept apart from none. An upstream that couldn't be watched and whose incarnation the list states must state it itself, else the answer is broken. So that whole answers stay whole: a watch that can't connect is tried again each 250 ms while the upstream answers; a question that isn't answered is asked once more, and has the time of three waits of this process longer, as the other questions do; and where upstreams can't be asked (no Spec.AskIncarnation), the watch begins before the request is sent, at services whose answers end with their connections or that haven't answered yet. WatchProcess also fails on a connection that this process has closed: TCP_INFO can't be read there, which passed for a platform that can't tell.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -48,16 +49,23 @@
 	x.endUnknown = false
 	x.nextCrashNumber = y.spec.Quarantine.NextNumber()
 	y.announceOrigin(x, host)
-	request := y.newRequest(mgdial.WithSendCheck(ctx, x.checkCaller), x, host)
+	x.watch = &processWatch{
+		relay:   y,
+		host:    host,
+		service: x.service,
+	}
+	defer x.watch.close()
+	request := y.newRequest(mgdial.WithSendCheck(ctx, func(conn net.Conn) error {
+		x.watch.beginEarly(ctx, conn)
+		return x.checkCaller()
+	}), x, host)
 	y.addResumeHeaders(x, request)
 	response, err := mgdial.Do(y.spec.Client, request)
 	if err != nil {
 		return y.classifyFailure(ctx, x, host, err)
 	}
 	defer response.Body.Close()
-	if x.watch = y.watchUpstream(ctx, host, response); x.watch != nil {
-		defer x.watch.Close()
-	}
+	x.watch.follow(ctx, response)
 	y.spec.ReportAnswered(host.Name)
 	y.recordLeavingHeader(x, host, response)
 	x.statedVersion = response.Header.Get(y.spec.Headers.Software)
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -8,7 +8,6 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // ending is what is known of an answer's completeness when its bytes have ended.
@@ -33,7 +32,7 @@
 	withConn bool  // nothing but the connection's end marks it
 	err      error // what ended it; nil or io.EOF for an ordinary end
 	stream   *eventReader
-	watch    *mgdial.ProcessWatch // of the upstream's process; nil without one
+	watch    *processWatch // of the upstream's process
 }
 
 // endingOf decides whether an answer is whole, for every path on which one is delivered. The
@@ -55,12 +54,18 @@
 
 // endingWithConn decides whether an answer is whole of which nothing but the connection's end marks
 // the end.
-func (y *Relay) endingWithConn(ctx context.Context, host Host, watch *mgdial.ProcessWatch) (result ending, cause error) {
+func (y *Relay) endingWithConn(ctx context.Context, host Host, watched *processWatch) (result ending, cause error) {
+	watch, watchFailed := watched.result()
 	now := y.spec.Clock.Now()
 	ended, checkErr := y.hasEndedSoon(host)
 	// What accepts connections at the address may have been started since. The ends of the process's
 	// connections arrive within the time of that check.
 	isOpen := watch != nil && watch.IsOpen()
+	// The list shows a new incarnation late, so that only the upstream can say which it is. One that
+	// has ended the watch, perhaps because it was idle, must do so, and so must one that couldn't be
+	// watched before the answer had ended. Upstreams without incarnations take longer to start again
+	// than the check.
+	mustState := host.IncarnationStart != 0 && (watch != nil || watchFailed)
 	switch {
 	case ended:
 		return endsBroken, errUpstreamDown
@@ -68,14 +73,14 @@
 		return endsBroken, errRestarted
 	case isOpen:
 		return endsWhole, nil
-	case watch == nil && checkErr != nil:
+	case !mustState && checkErr != nil:
 		return endsUnknown, errUnknownEnd
 	}
-	// The list shows a new incarnation late, so that only the upstream can say which it is. One that
-	// has ended the watch, perhaps because it was idle, must do so. Upstreams without incarnations
-	// take longer to start again than the check.
 	start, askErr := y.statedIncarnation(ctx, host)
-	mustState := watch != nil && host.IncarnationStart != 0
+	if mustState && checkErr == nil && askErr != nil && !errors.Is(askErr, errNoIncarnation) {
+		// It accepts connections, so that the answer may only have been late.
+		start, askErr = y.statedIncarnation(ctx, host)
+	}
 	switch {
 	case askErr == nil && start == host.IncarnationStart:
 		return endsWhole, nil
@@ -100,25 +105,12 @@
 	if y.spec.AskIncarnation == nil || host.IncarnationStart == 0 {
 		return 0, errNoIncarnation
 	}
-	ctx, cancel := context.WithTimeout(ctx, destinationProbeTimeout.Duration())
+	timeout := destinationProbeTimeout + waitsPerProbe*y.recentWait()
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	return y.spec.AskIncarnation(ctx, host)
 }
 
-// watchUpstream watches the process of an upstream whose answer ends with its connection. It returns
-// nil if there is no need or no means to.
-func (y *Relay) watchUpstream(ctx context.Context, host Host, response *http.Response) *mgdial.ProcessWatch {
-	if y.spec.WatchProcess == nil || !mgdial.EndsWithConnection(response) {
-		return nil
-	}
-	watch, err := y.spec.WatchProcess(ctx, host.Addr, mgdial.ConnOf(response))
-	if err != nil {
-		y.spec.Log.Info("an upstream can't be watched", mglog.Upstream, host.Name, "why", err.Error())
-		return nil
-	}
-	return watch
-}
-
 // hasEndedSoon is hasEnded for a caller that waits: it returns an error after crashCheckTimeout.
 func (y *Relay) hasEndedSoon(host Host) (bool, error) {
 	type reply struct {
--- a/internal/process/mgrelay/ending_test.go
+++ b/internal/process/mgrelay/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -40,7 +41,8 @@
 		leaving   bool
 		restarted bool   // the list states a new incarnation soon after
 		stated    int64  // incarnation that the upstream states if it is asked, 0 if it can't be
-		watch     string // what happens to the connection with which its process is watched: "open", "ends" or "late"
+		watch     string // what happens to the connection with which its process is watched: "open", "ends", "late" or "fails"
+		silent    bool   // it doesn't answer when it is asked for its incarnation
 		cut       bool
 		hasLength bool
 	}{
@@ -98,6 +100,42 @@
 			stated:  2,
 			cut:     true,
 		},
+		{
+			name:    "whose upstream had restarted before it was watched, which the list doesn't show yet, is cut",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "late",
+			cut:     true,
+		},
+		{
+			name:    "whose upstream had restarted before it was watched, and doesn't answer a question, is cut",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "late",
+			silent:  true,
+			cut:     true,
+		},
+		{
+			name:    "whose upstream couldn't be watched, and has restarted, is cut",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "fails",
+			cut:     true,
+		},
+		{
+			name:    "whose upstream couldn't be watched, and can't be reached, is cut",
+			first:   unframed,
+			refuses: connectionsUnknown,
+			watch:   "fails",
+			cut:     true,
+		},
+		{
+			name:    "whose upstream couldn't be watched, and says that it hasn't restarted, is whole",
+			first:   unframed,
+			refuses: connectionsAccepted,
+			watch:   "fails",
+			stated:  1,
+		},
 		{
 			name:    "whose upstream was watched late, and says that it hasn't restarted, is whole",
 			first:   unframed,
@@ -145,10 +183,20 @@
 					if c.stated != 0 {
 						spec.AskIncarnation = func(context.Context, mgrelay.Host) (int64, error) { return c.stated, nil }
 					}
+					if c.silent {
+						spec.AskIncarnation = func(context.Context, mgrelay.Host) (int64, error) { return 0, errSilent }
+					}
 					switch c.watch {
 					case "":
 					case "late":
-						spec.WatchProcess = watchLate
+						spec.WatchProcess = func(ctx context.Context, addr string, answered net.Conn) (*mgdial.ProcessWatch, error) {
+							if len(g.requests()) == 0 {
+								return nil, errSilent // before the request is sent
+							}
+							return watchLate(ctx, addr, answered)
+						}
+					case "fails":
+						spec.WatchProcess = func(context.Context, string, net.Conn) (*mgdial.ProcessWatch, error) { return nil, errSilent }
 					default:
 						spec.WatchProcess = watchedProcess(t, c.watch == "ends")
 					}
@@ -176,6 +224,89 @@
 	})
 }
 
+// Guards against a whole answer that is cut because this process is late to see it, and so to watch its
+// upstream, which states no incarnation.
+func TestWholeAnswerCutAtLateProcess(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\nSignature: s\r\nSoftware: v1\r\n"
+	Convey("An answer that has ended before its header is seen", t, func() {
+		var text atomic.Value
+		var answered atomic.Bool
+		var watches atomic.Int64
+		g := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+			rawBytes(text.Load().(string))(w, r)
+			answered.Store(true)
+		})
+		g.startRelay(func(spec *mgrelay.Spec) {
+			spec.RefusesConnections = connectionsAccepted
+			spec.ListConfirmedAt = func() mgclock.Millis { return spec.Clock.Now() + 1 }
+			spec.IncarnationStart = func(string) (int64, bool) { return 1, true }
+			spec.WatchProcess = func(ctx context.Context, addr string, conn net.Conn) (*mgdial.ProcessWatch, error) {
+				watches.Add(1)
+				if answered.Load() {
+					return watchLate(ctx, addr, conn)
+				}
+				return mgdial.WatchProcess(ctx, addr, conn)
+			}
+		})
+		g.hosts[0].IncarnationStart = 1
+		send := func(answer string) callerReply {
+			text.Store(answer)
+			answered.Store(false)
+			return g.send(context.Background(), http.MethodPost, "/write/1", "x", nil)
+		}
+		Convey("is whole if it is its service's first one", func() {
+			So(send(head+"\r\n"+firstEvents).cut, ShouldBeFalse)
+			Convey("or follows another one that ended with its connection", func() {
+				got := send(head + "\r\n" + firstEvents)
+				So(got.cut, ShouldBeFalse)
+				So(got.body, ShouldEqual, firstEvents)
+			})
+		})
+		Convey("is whole with a length, too, and needs no watch from then on", func() {
+			answer := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(firstEvents)) + firstEvents
+			So(send(answer).cut, ShouldBeFalse)
+			So(send(answer).cut, ShouldBeFalse)
+			So(watches.Load(), ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against a stream that is cut at its end because its upstream could not be watched at its begin.
+func TestWatchNotRetried(t *testing.T) {
+	Convey("A stream whose upstream could be watched only after its begin is whole", t, func() {
+		watched := make(chan struct{})
+		g := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\nSignature: s\r\nSoftware: v1\r\n\r\n"+firstEvents)
+			<-watched
+			_ = conn.Close()
+		})
+		var failures atomic.Int64
+		g.startRelay(func(spec *mgrelay.Spec) {
+			spec.RefusesConnections = connectionsAccepted
+			spec.ListConfirmedAt = func() mgclock.Millis { return spec.Clock.Now() + 1 }
+			spec.IncarnationStart = func(string) (int64, bool) { return 1, true }
+			spec.WatchProcess = func(ctx context.Context, addr string, conn net.Conn) (*mgdial.ProcessWatch, error) {
+				if failures.Add(1) <= 2 {
+					return nil, errSilent
+				}
+				defer close(watched)
+				return mgdial.WatchProcess(ctx, addr, conn)
+			}
+		})
+		g.hosts[0].IncarnationStart = 1
+		got := g.send(context.Background(), http.MethodPost, "/write/1", "x", nil)
+		So(got.cut, ShouldBeFalse)
+		So(got.body, ShouldEqual, firstEvents)
+	})
+}
+
+// errSilent is the error of an upstream that doesn't answer.
+var errSilent = errors.New("no answer in time")
+
 // watchLate watches what listens at an address by the time at which another process may.
 func watchLate(ctx context.Context, addr string, answered net.Conn) (*mgdial.ProcessWatch, error) {
 	mgclock.Clock{}.Sleep(ctx, 20)
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -16,7 +16,6 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
-	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -53,7 +52,7 @@
 	attemptBroken    bool                       // an upstream closed the connection of an attempt
 	admitted         bool                       // by the quarantine; see quarantineProblem
 	headerSent       bool                       // of a stream, to the caller
-	watch            *mgdial.ProcessWatch       // of the last attempt's upstream; nil unless its answer ends with its connection
+	watch            *processWatch              // of the last attempt's upstream
 	endUnknown       bool                       // the last attempt's answer ended, and may have broken off
 	endsWithConn     bool                       // the end of the caller's connection marks the end of its answer
 	streaming        atomic.Bool                // headerSent for other goroutines
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -143,6 +143,7 @@
 	exchanges    exchanges
 	generations  generations
 	endChecks    endChecks
+	closings     closings
 	coldTurns    mgwarm.Turns
 	backoffs     mgrest.Rests     // of upstreams that sent Retry-After
 	permitWaits  mglimit.Backoffs // of upstreams for which a permit was denied
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -133,8 +133,9 @@
 type checkKey struct{}
 
 // WithSendCheck returns a context for requests of NewClientWith's clients. When the connection for such a
-// request is open, check is called. If it returns an error, nothing is sent and the request fails with it.
-func WithSendCheck(ctx context.Context, check func() error) context.Context {
+// request is open, check is called with it. If it returns an error, nothing is sent and the request fails
+// with it.
+func WithSendCheck(ctx context.Context, check func(conn net.Conn) error) context.Context {
 	return context.WithValue(ctx, checkKey{}, check)
 }
 
@@ -142,11 +143,11 @@
 func checked(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
-		check, _ := ctx.Value(checkKey{}).(func() error)
+		check, _ := ctx.Value(checkKey{}).(func(conn net.Conn) error)
 		if err != nil || check == nil {
 			return conn, err
 		}
-		if err := check(); err != nil {
+		if err := check(conn); err != nil {
 			_ = conn.Close() // nothing was sent
 			return nil, err
 		}
--- a/pkg/mgdial/watch.go
+++ b/pkg/mgdial/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -19,9 +20,13 @@
 // address.
 const minRestartTime = 5 * time.Millisecond
 
+// ErrConnectionEnded means that a connection has ended, so that another process may listen at its server's
+// address by now.
+var ErrConnectionEnded = errors.New("the connection had ended before: ask which process listens there")
+
 // WatchProcess opens a connection to the server that has answered on another one, and sends nothing
-// on it. Close it. If the server has ended the other connection before, WatchProcess fails: another
-// process may listen at the address by now. A nil connection isn't compared.
+// on it. Close it. If the other connection has ended before, WatchProcess fails with
+// ErrConnectionEnded. A nil connection isn't compared.
 func WatchProcess(ctx context.Context, addr string, answered net.Conn) (*ProcessWatch, error) {
 	dialer := net.Dialer{
 		Timeout: regionalConnectTimeout,
@@ -30,10 +35,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: can't be watched: try again: %w", addr, err)
 	}
-	// An error means that the platform can't tell.
-	if ended, err := endedFor(answered); err == nil && ended >= minRestartTime {
+	ended, err := endedFor(answered)
+	// Another error means that the platform can't tell.
+	if errors.Is(err, net.ErrClosed) || err == nil && ended >= minRestartTime {
 		_ = conn.Close() // nothing was sent
-		return nil, fmt.Errorf("%s: ended its connection up to %v before it was watched: ask which process listens there", addr, ended)
+		return nil, fmt.Errorf("%s: can't be watched, up to %v after: %w", addr, ended, ErrConnectionEnded)
 	}
 	return &ProcessWatch{
 		conn: conn.(*net.TCPConn),
--- a/pkg/mgdial/watch_test.go
+++ b/pkg/mgdial/watch_test.go
@@ -60,7 +60,12 @@
 			So(accepted.Close(), ShouldBeNil)
 			mgclock.Clock{}.Sleep(t.Context(), 20)
 			_, err = mgdial.WatchProcess(context.Background(), addr, answered)
-			So(err, ShouldNotBeNil)
+			So(err, ShouldWrap, mgdial.ErrConnectionEnded)
+		})
+		Convey("isn't watched once this process has closed the connection", func() {
+			So(answered.Close(), ShouldBeNil)
+			_, err = mgdial.WatchProcess(context.Background(), addr, answered)
+			So(err, ShouldWrap, mgdial.ErrConnectionEnded)
 		})
 	})
 	Convey("An address that refuses connections can't be watched", t, func() {
