mgnode: an overloaded process ends idle connections

Cause: after a steep rise on kept connections, an entry went on to be overloaded for 1.2 s after its gate had closed. Traced in one play of TestKeptConnectionsSaturateOneEntry on (each measured wait, request and admission with its time): the rise came at 6.0 s; the first waits over 30 ms at 6.24 s, when the processor's credit was used up; a short one (19 ms) at 6.30 s; the gate closed at 6.70 s, after 300 ms of long ones. From then on each response ended its connection, but a caller sends its next request 1.2 s after the last one: most still had a connection whose last response came before 6.70 s, and sent once more to the entry, which read them at 330 a second until 7.9 s. The first new connection came, and was closed unread, at 7.64 s.

Change: while the gate is closed, connections that have been idle for 300 ms are ended, those that have been idle for longest first, at most 64 each 50 ms. A request that has arrived by then is read and served, as at the limit of connections (mglistener.Conn.EndIdle). Connections that are used more often still end with a response only, since that end can't meet a request on its way. A calm entry ends none: the gate is the one that closes new connections unread, and it is as it was.

--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -44,8 +44,8 @@
 	// Admits reports whether the process bears one more connection; else it is closed unread. Nil
 	// stands for always.
 	Admits func() bool
-	// IsOverloaded reports whether connections end after their next response, so that their callers
-	// open others. Nil stands for never.
+	// IsOverloaded reports whether connections end after their next response, or once they have been idle
+	// for a while, so that their callers open others. Nil stands for never.
 	IsOverloaded func() bool
 }
 
@@ -70,8 +70,12 @@
 	}
 	log = log.WithValues("name", spec.Name)
 	var conns connTracker
+	shedder := &idleShedder{
+		conns: &conns,
+		log:   log,
+	}
 	server := &http.Server{
-		Handler:           conns.wrap(endConnections(spec.Handler, spec.IsOverloaded)),
+		Handler:           conns.wrap(endConnections(spec.Handler, shedder.wrap(spec.IsOverloaded))),
 		ConnState:         conns.stateChanged,
 		ConnContext:       conns.connContext,
 		MaxHeaderBytes:    spec.MaxHeaderBytes,
--- a/internal/request/mgoverload/doc.go
+++ b/internal/request/mgoverload/doc.go
@@ -22,5 +22,6 @@
 // then served late is lost. Within Memory of having been closed, the gate closes at the first
 // long wait, since the load that closed it is likely to last.
 //
-// Connections that have been accepted and requests that have been read aren't affected.
+// Requests that have been read aren't affected. Connections that have been accepted end after their next
+// response while the gate is closed, or once they have been idle for a while (package mgnode).
 package mgoverload
