mgquarantine: expired answers are searched for at most once a second

Cause: an entry keeps the last answer of up to 4,096 requests and parts for a minute. Once it was full, each further answer looked through all of them for expired ones.

Change: it is searched once a second at most. While it is full, an answer to a new request may not be kept for up to a second longer; those that are kept are updated as before.

--- a/internal/request/mgquarantine/answer.go
+++ b/internal/request/mgquarantine/answer.go
@@ -11,6 +11,9 @@
 	maxSeenAnswers = 4096
 	// seenAnswerTTL is how long it is kept.
 	seenAnswerTTL = mgclock.Minute
+	// answerSweepInterval is the least time between two searches for expired ones. One takes some 60 µs, a
+	// tenth of what a request takes.
+	answerSweepInterval = mgclock.Second
 )
 
 // seenAnswer is what this process has seen last of a request, or of the requests with a part.
@@ -100,9 +103,7 @@
 	if q.seenAnswers == nil {
 		q.seenAnswers = map[Digest]seenAnswer{}
 	}
-	if len(q.seenAnswers) >= maxSeenAnswers {
-		maps.DeleteFunc(q.seenAnswers, func(_ Digest, a seenAnswer) bool { return a.isExpired(now) })
-	}
+	q.dropExpiredAnswers(now)
 	for _, part := range parts {
 		if known, ok := q.seenAnswers[part]; ok || len(q.seenAnswers) < maxSeenAnswers {
 			update(&known)
@@ -111,6 +112,16 @@
 	}
 }
 
+// dropExpiredAnswers makes room for further answers, at most once each answerSweepInterval. It is called
+// with mu held.
+func (q *Quarantine) dropExpiredAnswers(now mgclock.Millis) {
+	if len(q.seenAnswers) < maxSeenAnswers || now < q.answersSweptAt+answerSweepInterval {
+		return
+	}
+	q.answersSweptAt = now
+	maps.DeleteFunc(q.seenAnswers, func(_ Digest, a seenAnswer) bool { return a.isExpired(now) })
+}
+
 // answerersAtRepeat is the number of processes that report answers once a request or part is suspected
 // of two occurrences.
 const answerersAtRepeat = 8
--- a/internal/request/mgquarantine/quarantine.go
+++ b/internal/request/mgquarantine/quarantine.go
@@ -47,6 +47,7 @@
 	lastPause       mgclock.Millis            // end of the process's last pause, 0 for none
 	records         map[recordID]storedRecord
 	seenAnswers     map[Digest]seenAnswer
+	answersSweptAt  mgclock.Millis            // when seenAnswers was last searched for expired ones
 	recentEnds      map[string]mgclock.Millis // when the last attempts at upstreams that ended broke off, by upstream
 	changed         chan struct{}             // closed when there are new records
 }
