--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -45,7 +45,7 @@
 	Admission     bool   `toml:"admission" default:"true" help:"whether requests for generations that can't be served in time are refused at once, while more is asked for than the engines bear"`
 	CautionTime   int64  `toml:"caution" default:"30000" min:"0" max:"600000" unit:"ms" help:"how far back an entry's records of crashes must reach, itself or a peer's, before it waits for the usual number of crashes to hold a request"`
 	CallTimeout   int64  `toml:"call" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest plain-service call"`
-	Backups       bool   `toml:"backups" default:"true" help:"name a second engine for some long generations, to which their own copies them, while engines are lost; for services with backups in the table"`
+	Backups       bool   `toml:"backups" default:"false" help:"name a second engine for some long generations, to which their own copies them, while engines are lost; for services with backups in the table"`
 	Relay         bool   `toml:"relay" help:"pass requests that match a route of the table on to upstreams that the list names, in the headers of docs/OPERATIONS.md"`
 	Speeds        bool   `toml:"speeds" default:"true" help:"learn how fast each engine is, and place requests by that, on routes with a latency goal to services whose engines state their memory"`
 	ShareProbes   bool   `toml:"share" default:"true" help:"one entry asks each engine whether it leaves, on behalf of all entries, while the list of VMs may be out of date; false: each entry asks the engines that it uses"`
