--- a/internal/process/mgrelay/firsttry.go
+++ b/internal/process/mgrelay/firsttry.go
@@ -15,6 +15,8 @@
 	// lowerHalfWeight is the length of the range of new callers' deadlines in multiples of its upper
 	// half, with an allowance for the error of a median of 64 values.
 	lowerHalfWeight = 2.4
+	// maxTrackedRoutes bounds the routes whose deadlines are kept. Routes come and go with the table.
+	maxTrackedRoutes = 256
 )
 
 // firstTries tells callers that come back from new ones: a caller states how long it still waits,
@@ -60,6 +62,9 @@
 	}
 	recent := f.byRoute[route]
 	if recent == nil {
+		if len(f.byRoute) >= maxTrackedRoutes {
+			clear(f.byRoute)
+		}
 		recent = &recentDeadlines{}
 		f.byRoute[route] = recent
 	}
@@ -73,14 +78,3 @@
 	}
 	return (shortest+longest)/2 - deadline
 }
-
-// Forget drops the routes that a table doesn't have.
-func (f *firstTries) Forget(hasRoute func(name string) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name := range f.byRoute {
-		if !hasRoute(name) {
-			delete(f.byRoute, name)
-		}
-	}
-}
