--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -47,21 +47,9 @@
 		x.problem = y.noCapacityProblem(x)
 		return Host{}, true
 	}
-	startedAt := y.spec.Clock.Now()
-	waitCtx, stopWaiting := context.WithCancel(ctx)
-	defer stopWaiting()
-	if y.spec.TimeLeft != nil {
-		go y.endWaitBeforeStop(waitCtx, stopWaiting, x)
-	}
-	grant, ok := y.spec.AwaitPlacement(waitCtx, x.service, y.waitingRequest(x))
-	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - startedAt))
-	if !ok && waitCtx.Err() != nil && ctx.Err() == nil {
-		y.spec.Metrics.Counter("relay.wait.stopped").Inc(1)
-		x.problem = stoppingProblem()
-		return Host{}, true
-	}
+	grant, ok := y.awaitGrant(ctx, x)
 	if !ok {
-		return Host{}, false
+		return Host{}, x.problem != nil
 	}
 	for _, host := range y.spec.Upstreams(x.service) { // may have changed during the wait
 		if host.Name == grant.Place {
@@ -85,6 +73,24 @@
 	return Host{}, false
 }
 
+// awaitGrant waits for the grant of a placement, or sets x.problem if this process stops too soon for
+// the answer. It returns false if there is no grant.
+func (y *Relay) awaitGrant(ctx context.Context, x *exchange) (grant mgwaitlist.Grant, ok bool) {
+	startedAt := y.spec.Clock.Now()
+	waitCtx, stopWaiting := context.WithCancel(ctx)
+	defer stopWaiting()
+	if y.spec.TimeLeft != nil {
+		go y.endWaitBeforeStop(waitCtx, stopWaiting, x)
+	}
+	grant, ok = y.spec.AwaitPlacement(waitCtx, x.service, y.waitingRequest(x))
+	y.spec.Metrics.Histogram("relay.wait.ms").Update(int64(y.spec.Clock.Now() - startedAt))
+	if !ok && waitCtx.Err() != nil && ctx.Err() == nil {
+		y.spec.Metrics.Counter("relay.wait.stopped").Inc(1)
+		x.problem = stoppingProblem()
+	}
+	return grant, ok
+}
+
 // stopCheckInterval is the interval at which a request that waits for a placement checks
 // whether this process is stopping.
 const stopCheckInterval = 250 * mgclock.Millis(1)
