mgprobe: fewer bytes in small deployments, an alarm that outlasts single responses

Cause: with 22 entries and 40 engines each message held all recent answers, 10.6 KB/s each way for an entry. With a third of the entries cut off, some entries had no failed message for a second, and an engine was unprobed for 960 ms.

Change: only the message to a random entry holds all recent answers, and its response those of the receiver. The alarm after a failed message lasts 2 s, and entries then ask after 750 ms in place of 800.

--- a/internal/process/mgnode/probe_test.go
+++ b/internal/process/mgnode/probe_test.go
@@ -46,6 +46,7 @@
 		receiver.prober.Load().Record(receiver.clock.Now(), "engine-of-receiver")
 		message := mgprobe.Message{
 			Entry:   "a",
+			All:     true,
 			Answers: map[string]mgclock.Millis{},
 		}
 		for range 10 {
--- a/internal/request/mgprobe/assignment.go
+++ b/internal/request/mgprobe/assignment.go
@@ -21,7 +21,7 @@
 	// maxUnprobedTime is the age of the last answer at which an entry asks an engine that runs its
 	// generations, whatever its rank, while another entry doesn't respond or doesn't probe. No engine may stay unprobed for
 	// more than 1 s.
-	maxUnprobedTime = 800 * mgclock.Millis(1)
+	maxUnprobedTime = 750 * mgclock.Millis(1)
 	// exchangeInterval is the interval at which an entry sends a message to a random entry. With half of
 	// the entries cut off, an entry has to notice it within 650 ms, the timeout of a message included.
 	exchangeInterval = Interval / 2
--- a/internal/request/mgprobe/doc.go
+++ b/internal/request/mgprobe/doc.go
@@ -22,8 +22,8 @@
 // maxUnprobedTime, whatever its rank: all entries that would take over may be in the other part.
 //
 // Every exchangeInterval an entry also sends a message to a random entry, so that it notices when it is cut
-// off. Where the engines are few enough, messages and responses hold all recent answers that their
-// sender knows, for entries that need a recent answer of the destination of a generation.
+// off. Where the engines are few enough, this message and its response hold all recent answers that their
+// senders know, for entries that need a recent answer of the destination of a generation.
 //
 // # Terms
 //
--- a/internal/request/mgprobe/prober.go
+++ b/internal/request/mgprobe/prober.go
@@ -15,11 +15,13 @@
 	// MaxUsableAge is the age up to which an answer lets a generation move to an engine. It exceeds
 	// Interval by the time in which an answer reaches the entries.
 	MaxUsableAge = 500 * mgclock.Millis(1)
-	// maxKnownEngines is the number of engines up to which a response holds all known answers and
-	// entries exchange them with random others. 64 answers take less than 1 KB compressed.
+	// maxKnownEngines is the number of engines up to which entries exchange all recent answers. 64 answers take less than 1 KB compressed.
 	maxKnownEngines = 64
 	// silenceWindow is the time for which an entry isn't ranked after a message to it failed.
 	silenceWindow = mgclock.Second
+	// alarmWindow is the time for which an entry asks all engines of its own generations after a message failed. With a
+	// third of the entries cut off, one in ten of the others has no failed message within 1 s.
+	alarmWindow = 2 * mgclock.Second
 	// unsupportedWindow is the same for an entry whose release has no probes on behalf of others.
 	unsupportedWindow = 10 * mgclock.Second
 	// idleAfter is the time without a round after which an entry states that it doesn't probe: its list isn't
@@ -68,7 +70,7 @@
 	lastRound  mgclock.Millis
 	startedAt  mgclock.Millis // time of the first round after a time without rounds
 	alarmUntil mgclock.Millis // until when an entry counts as not responding
-	exchangeAt mgclock.Millis // time of the next exchange with a random entry
+	exchangeAt mgclock.Millis // time of the next message to a random entry
 }
 
 // New returns a Prober that knows nothing.
@@ -183,15 +185,11 @@
 	return p.ranking
 }
 
-// share sends answers that this entry received to the entries that need them.
+// share sends answers that this entry received to the entries that need them, and at times all recent answers
+// that it knows to a random one.
 func (p *Prober) share(ctx context.Context, answered, engines []Engine) {
-	recipients := p.recipients(p.spec.Clock.Now(), answered, engines)
-	if len(recipients) == 0 {
-		return
-	}
-	message := p.message(p.spec.Clock.Now(), answered)
 	var group sync.WaitGroup
-	for _, entry := range recipients {
+	for entry, message := range p.messages(p.spec.Clock.Now(), answered, engines) {
 		group.Go(func() {
 			reply, err := p.spec.Send(ctx, entry, message)
 			if ctx.Err() != nil {
@@ -217,51 +215,54 @@
 	return p.spec.Clock.Now() < p.startedAt+startWindow
 }
 
-// recipients returns the next entries in rank for each engine that answered, and every exchangeInterval a
-// random entry: an entry that is cut off has to notice it.
-func (p *Prober) recipients(now mgclock.Millis, answered, engines []Engine) []string {
+// messages returns the messages to send after a round, by recipient: the next entries in rank for each engine that
+// answered, and every exchangeInterval a random entry, as an entry that is cut off has to notice it. Where the engines
+// are few enough, all recent answers are exchanged with it.
+func (p *Prober) messages(now mgclock.Millis, answered, engines []Engine) map[string]Message {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rankings := p.rankings(now, engines)
+	message := p.messageOf(now, answered)
+	messages := map[string]Message{}
 	type ranked struct {
 		slot   int
 		shared bool
 	}
-	var recipients []string
 	seen := map[ranked]bool{}
 	for _, engine := range answered {
 		key := ranked{
 			slot:   slotOf(engine.Name),
 			shared: engine.Shared,
 		}
-		if !seen[key] {
-			seen[key] = true
-			recipients = append(recipients, rankings[key.shared].successors(key.slot, p.spec.Name)...)
+		if seen[key] {
+			continue
 		}
-	}
-	if len(engines) > 0 && now >= p.exchangeAt {
-		p.exchangeAt = now + exchangeInterval
-		engine := engines[rand.IntN(len(engines))]
-		if entries := rankings[engine.Shared].entries; len(entries) > 0 {
-			recipients = append(recipients, entries[rand.IntN(len(entries))])
+		seen[key] = true
+		for _, entry := range rankings[key.shared].successors(key.slot, p.spec.Name) {
+			messages[entry] = message
 		}
 	}
-	slices.Sort(recipients)
-	recipients = slices.Compact(recipients)
-	return slices.DeleteFunc(recipients, func(entry string) bool { return entry == p.spec.Name })
+	if len(engines) == 0 || now < p.exchangeAt {
+		return messages
+	}
+	p.exchangeAt = now + exchangeInterval
+	if answers := p.usableAnswers(now); answers != nil {
+		message.Answers = answers
+		message.All = true
+	}
+	engine := engines[rand.IntN(len(engines))]
+	if entries := rankings[engine.Shared].entries; len(entries) > 0 {
+		messages[entries[rand.IntN(len(entries))]] = message
+	}
+	delete(messages, p.spec.Name)
+	return messages
 }
 
-// message returns the message about engines that answered, or about all whose answers are usable if
-// these are few.
-func (p *Prober) message(now mgclock.Millis, answered []Engine) Message {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// messageOf returns a message about engines that have just answered.
+func (p *Prober) messageOf(now mgclock.Millis, answered []Engine) Message {
 	message := Message{
 		Entry:   p.spec.Name,
-		Answers: p.usableAnswers(now),
-	}
-	if message.Answers == nil {
-		message.Answers = make(map[string]mgclock.Millis, len(answered))
+		Answers: make(map[string]mgclock.Millis, len(answered)),
 	}
 	for _, engine := range answered {
 		if at, known := p.answeredAt[engine.Name]; known {
@@ -295,11 +296,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.spec.Clock.Now()
-	return Message{
-		Entry:   p.spec.Name,
-		Answers: p.usableAnswers(now),
-		Idle:    now >= p.lastRound+idleAfter,
+	reply := Message{
+		Entry: p.spec.Name,
+		Idle:  now >= p.lastRound+idleAfter,
+	}
+	if message.All {
+		reply.Answers = p.usableAnswers(now)
 	}
+	return reply
 }
 
 // merge records the answers that another entry knows. Its sender is ranked again if it wasn't.
@@ -327,7 +331,7 @@
 	if errors.Is(why, ErrUnsupported) {
 		window = unsupportedWindow
 	}
-	if p.exclude(entry, p.spec.Clock.Now()+window, !errors.Is(why, ErrUnsupported)) {
+	if p.exclude(entry, window, !errors.Is(why, ErrUnsupported)) {
 		p.spec.OnExcluded(entry, why)
 	}
 	if !errors.Is(why, errIdle) {
@@ -336,13 +340,14 @@
 }
 
 // exclude excludes an entry from the ranks, and reports whether it was ranked until now.
-func (p *Prober) exclude(entry string, until mgclock.Millis, alarms bool) bool {
+func (p *Prober) exclude(entry string, window mgclock.Millis, alarms bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.spec.Clock.Now()
 	_, wasExcluded := p.excluded[entry]
-	p.excluded[entry] = until
+	p.excluded[entry] = now + window
 	if alarms {
-		p.alarmUntil = until
+		p.alarmUntil = now + alarmWindow
 	}
 	return !wasExcluded
 }
