mgprobe, docs: the median of notices is taken of four outages; measurements

Cause: the median of the some 20 notices of one simulated outage was 109 to 296 ms, near to the limit of 300.

--- a/internal/request/mgprobe/prober_test.go
+++ b/internal/request/mgprobe/prober_test.go
@@ -11,22 +11,30 @@
 // Guards against a number of probes that grows with the number of entries, and against entries that learn of a
 // notice too late to move generations.
 func TestProbesGrowWithEntries(t *testing.T) {
+	// runCount is the number of outages of which the times until notices are known are taken together: each has
+	// some 20 notices, of whose times the median differs by 40 ms from one outage to the next.
+	const runCount = 4
 	for _, count := range []int{22, 100, 300} {
 		Convey(fmt.Sprintf("%d entries probe 40 engines during an outage", count), t, func() {
-			m := newMesh(meshSpec{
-				count:        count,
-				engineCount:  40,
-				shared:       count > 40,
-				noticePeriod: 500 * time.Millisecond,
-			})
-			m.run(t, func() {})
-			t.Logf("%d entries: %d calls, %d of them for destinations (%d destinations known by answers), %d takeovers, "+
-				"notices known after %v in the median, 90 %% %v, by the last entry %v in the median of %d; longest time without a probe %v",
-				count, m.calls, m.checks, m.used, m.takeovers,
-				quantile(m.delays, 0.5), quantile(m.delays, 0.9), quantile(m.lastKnown, 0.5), len(m.lastKnown), m.maxGap)
-			So(m.calls, ShouldBeLessThanOrEqualTo, 1500)
-			So(quantile(m.delays, 0.5), ShouldBeLessThanOrEqualTo, 300*time.Millisecond)
-			So(m.maxGap, ShouldBeLessThanOrEqualTo, time.Second)
+			var delays, lastKnown []time.Duration
+			for range runCount {
+				m := newMesh(meshSpec{
+					count:        count,
+					engineCount:  40,
+					shared:       count > 40,
+					noticePeriod: 500 * time.Millisecond,
+				})
+				m.run(t, func() {})
+				t.Logf("%d entries: %d calls, %d of them for destinations (%d destinations known by answers), %d takeovers, "+
+					"longest time without a probe %v", count, m.calls, m.checks, m.used, m.takeovers, m.maxGap)
+				So(m.calls, ShouldBeLessThanOrEqualTo, 1500)
+				So(m.maxGap, ShouldBeLessThanOrEqualTo, time.Second)
+				delays = append(delays, m.delays...)
+				lastKnown = append(lastKnown, m.lastKnown...)
+			}
+			t.Logf("%d entries: notices known after %v in the median, 90 %% %v, by the last entry %v in the median of %d",
+				count, quantile(delays, 0.5), quantile(delays, 0.9), quantile(lastKnown, 0.5), len(lastKnown))
+			So(quantile(delays, 0.5), ShouldBeLessThanOrEqualTo, 300*time.Millisecond)
 		})
 	}
 }
