mgprobe: entries that don't probe are left out 0.4 s after the first round

Cause: TestEngineUnprobedAfterLossOfEntry, 100 entries of which nine of ten have a confirmed list: 1,133 and 1,034 ms until an engine was first asked, in two of three runs; 1 s is the bound. Change: 0.4 s in place of 0.6 s.

--- a/internal/request/mgprobe/prober.go
+++ b/internal/request/mgprobe/prober.go
@@ -29,7 +29,7 @@
 	idleAfter = 600 * mgclock.Millis(1)
 	// startWindow is the time after the first round for which entries that don't probe yet are still ranked.
 	// Lists of entries turn stale within some hundred ms of one another.
-	startWindow = 600 * mgclock.Millis(1)
+	startWindow = 400 * mgclock.Millis(1)
 	// answerTTL is how long answers are kept. Those of an earlier outage are of no use.
 	answerTTL = 2 * mgclock.Second
 )
