mgnode: a release without speeds answers 503, as on any unknown path

Cause: a process of the release before answers 503 and not 404, so that entries counted its hub as failing for 10 s and used an old answer. Change: 503 counts as 404 does.

--- a/internal/process/mgnode/speed.go
+++ b/internal/process/mgnode/speed.go
@@ -16,8 +16,8 @@
 )
 
 // speedsPath is where entries send the hub what they measured of engines. Request
-// (speedsRequest) and response (mgspeed.Report) are JSON, compressed by gzip. A process of a
-// release without it answers 404, as does one that doesn't learn speeds.
+// (speedsRequest) and response (mgspeed.Report) are JSON, compressed by gzip. A process that
+// doesn't learn speeds answers 404, one of a release without it 503, as on any unknown path.
 const speedsPath = "/speeds"
 
 const (
@@ -175,7 +175,7 @@
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusOK:
-	case http.StatusNotFound:
+	case http.StatusNotFound, http.StatusServiceUnavailable:
 		return report, fmt.Errorf("peer %s: %w", hub.PeerAddr(), errNoSpeeds)
 	default:
 		return report, fmt.Errorf("peer %s: reporting measurements of engines: status %d", hub.PeerAddr(), response.StatusCode)
--- a/internal/request/mgwaitlist/admission.go
+++ b/internal/request/mgwaitlist/admission.go
@@ -117,9 +117,9 @@
 
 // candidates returns the waiting requests in the order in which they get places:
 //
-//   - first those that can still be on time, of these first those of sizes that were served much
-//     less often than others, then those of the highest rank, then the least capacity first. Requests of accounts over their share
-//     count as if they took more;
+//   - first those that can still be on time: sizes that were served much less often than others,
+//     then the highest rank, then the least capacity. Requests of accounts over their share count
+//     as if they took more;
 //   - then those that are late, first come first served.
 func (r *WaitingList) candidates(now mgclock.Millis, capacity int) []candidate {
 	a := &r.admission
