--- a/pkg/mgclock/clock.go
+++ b/pkg/mgclock/clock.go
@@ -89,3 +89,10 @@
 // UnixMillis returns the ms since 1970 by the system's clock. It may jump, as
 // UnixSeconds may.
 func UnixMillis() int64 { return time.Now().UnixMilli() }
+
+// yieldPause is long enough for the runtime to run goroutines whose network events are ready; a
+// mere runtime.Gosched doesn't look for such events.
+const yieldPause = 100 * time.Microsecond
+
+// Yield lets the runtime handle network events that are ready, in the middle of long work.
+func Yield() { time.Sleep(yieldPause) }
