--- a/internal/request/mgspeed/estimate_test.go
+++ b/internal/request/mgspeed/estimate_test.go
@@ -170,6 +170,12 @@
 				So(last.Level, ShouldBeBetween, c.low, c.high)
 			})
 		}
+	})
+}
+
+// Guards against an engine that slows down as it fills and counts as one of constant speed.
+func TestSlopeMisjudged(t *testing.T) {
+	Convey("An engine", t, func() {
 		Convey("that slows down by 0.6 ms per running request has a slope", func() {
 			f := field{
 				ratio: func(_ mgclock.Millis, runs int) float64 {
