mgprobe: rankings are computed once per round, and the mesh of tests is seeded

Random choices of the mesh come from a seed in place of the process's random numbers, so that plays differ only by the order of events of one ms; Spec.IntN is its seam. The mesh no longer calls a prober with its lock held, which a prober that counts an event could block. The size of messages below 256 bytes is counted as mgnode sends them.

--- a/internal/request/mgprobe/mesh_test.go
+++ b/internal/request/mgprobe/mesh_test.go
@@ -58,8 +58,10 @@
 	spec  meshSpec
 	clock mgclock.Clock
 	nodes []*node
+	names []string // of the entries
 
 	mu        sync.Mutex
+	random    *rand.Rand // seeded by the spec, so that plays of one test differ only by the order of events of one ms
 	engines   map[string]*engine
 	calls     int // probes
 	checks    int // destinations of moves that were not known by a recent answer
@@ -92,19 +94,32 @@
 	m := &mesh{
 		spec:    spec,
 		engines: map[string]*engine{},
+		random:  rand.New(rand.NewPCG(uint64(spec.count), uint64(spec.engineCount))),
 	}
-	for range spec.count {
+	for i := range spec.count {
 		m.nodes = append(m.nodes, &node{})
+		m.names = append(m.names, entryName(i))
 	}
 	return m
 }
 
+// intN returns a random number below n. mu must not be held.
+func (m *mesh) intN(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.random.IntN(n)
+}
+
+// upTo returns a random duration below limit. mu must not be held.
+func (m *mesh) upTo(limit time.Duration) time.Duration { return time.Duration(m.intN(int(limit))) }
+
 // addProbers gives each entry its prober.
 func (m *mesh) addProbers() {
 	for i := range m.nodes {
 		m.nodes[i].prober = New(Spec{
-			Name:    entryName(i),
-			Entries: func(bool) []string { return m.entries() },
+			Name:    m.names[i],
+			Entries: func(bool) []string { return slices.Clone(m.names) }, // dead ones too: no other part of the system detects them
+			IntN:    m.intN,
 			Send: func(ctx context.Context, entry string, message Message) (Message, error) {
 				return m.send(i, entry, message)
 			},
@@ -122,15 +137,6 @@
 
 func entryName(i int) string { return fmt.Sprintf("front-surrey-hall-%d", i) }
 
-// entries returns all entries, also dead ones: no other part of the system detects them.
-func (m *mesh) entries() []string {
-	names := make([]string, len(m.nodes))
-	for i := range names {
-		names[i] = entryName(i)
-	}
-	return names
-}
-
 // run runs the entries for the duration of an outage, during which body is called.
 func (m *mesh) run(t *testing.T, body func()) {
 	synctest.Test(t, func(*testing.T) {
@@ -170,13 +176,13 @@
 
 // runEntry runs one entry. Its list turns stale within the interval at which it checks that.
 func (m *mesh) runEntry(ctx context.Context, i int) {
-	time.Sleep(time.Duration(rand.Int64N(int64(staleCheckInterval))))
+	time.Sleep(m.upTo(staleCheckInterval))
 	for ctx.Err() == nil {
 		if m.is(m.spec.confirmed, i) {
 			return
 		}
 		if m.is(m.spec.old, i) {
-			for name := range m.engineRows(i) {
+			for _, name := range m.engineRows(i) {
 				if m.runsAt(i, name) {
 					go func() { _, _ = m.ask(ctx, i, name) }()
 				}
@@ -185,7 +191,7 @@
 			continue
 		}
 		var engines []Engine
-		for name := range m.engineRows(i) {
+		for _, name := range m.engineRows(i) {
 			engines = append(engines, Engine{
 				Name:     name,
 				Shared:   m.spec.shared,
@@ -207,16 +213,17 @@
 	return 0
 }
 
-// engineRows returns the engines that an entry doesn't know to be leaving.
-func (m *mesh) engineRows(i int) map[string]bool {
+// engineRows returns the engines that an entry doesn't know to be leaving, sorted.
+func (m *mesh) engineRows(i int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := map[string]bool{}
+	var names []string
 	for name, engine := range m.engines {
 		if !engine.knownAt[i] {
-			names[name] = true
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -237,9 +244,9 @@
 		knownAt: map[int]bool{},
 	}
 	for range runsPerEngine {
-		added.runsAt[rand.IntN(len(m.nodes))] = true
+		added.runsAt[m.random.IntN(len(m.nodes))] = true
 	}
-	m.engines[fmt.Sprintf("i-%010x", rand.Uint64()>>24)] = added
+	m.engines[fmt.Sprintf("i-%010x", m.random.Uint64()>>24)] = added
 }
 
 // ask probes an engine.
@@ -319,9 +326,9 @@
 		return
 	}
 	for range departureFanout {
-		to := rand.IntN(len(m.nodes))
+		to := m.intN(len(m.nodes))
 		go func() {
-			time.Sleep(linkDelay() + m.wait(to))
+			time.Sleep(m.linkDelay() + m.wait(to))
 			if ctx.Err() == nil && m.reaches(i, to) {
 				m.learn(ctx, to, name)
 			}
@@ -335,39 +342,51 @@
 // checkDestination has an entry look for a destination among the engines that it doesn't know to be leaving.
 func (m *mesh) checkDestination(i int) {
 	names := m.engineRows(i)
+	if len(names) == 0 {
+		return
+	}
+	name := names[m.intN(len(names))]
+	// The prober calls the mesh with its lock held, so that the mesh must not call it with its own.
+	_, isKnown := m.nodes[i].prober.Age(name)
+	if !isKnown {
+		m.nodes[i].prober.Record(m.clock.Now(), name)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name := range names {
-		if _, ok := m.nodes[i].prober.Age(name); ok {
-			m.used++
-		} else {
-			m.checks++
-			m.calls++
-			m.nodes[i].prober.Record(m.clock.Now(), name)
-		}
+	if isKnown {
+		m.used++
 		return
 	}
+	m.checks++
+	m.calls++
 }
 
 // runNotices lets engines give notice, one at a time, and replaces each by another one.
 func (m *mesh) runNotices(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(m.spec.noticePeriod/2 + time.Duration(rand.Int64N(int64(m.spec.noticePeriod))))
-		m.mu.Lock()
-		for _, engine := range m.engines {
-			if engine.noticeAt.IsZero() {
-				engine.noticeAt = time.Now()
-				break
-			}
-		}
-		m.mu.Unlock()
+		time.Sleep(m.spec.noticePeriod/2 + m.upTo(m.spec.noticePeriod))
+		m.notifyOne()
 		m.addEngine()
 	}
 }
 
+// notifyOne lets a random engine that stays give notice.
+func (m *mesh) notifyOne() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var staying []string
+	for name, engine := range m.engines {
+		if engine.noticeAt.IsZero() {
+			staying = append(staying, name)
+		}
+	}
+	slices.Sort(staying)
+	m.engines[staying[m.random.IntN(len(staying))]].noticeAt = time.Now()
+}
+
 // linkDelay returns the latency of a link in one direction.
-func linkDelay() time.Duration {
-	return 500*time.Microsecond + time.Duration(rand.Int64N(int64(time.Millisecond)))
+func (m *mesh) linkDelay() time.Duration {
+	return 500*time.Microsecond + m.upTo(time.Millisecond)
 }
 
 const (
@@ -376,32 +395,41 @@
 	// headerBytes is the size of the headers of a request or a response between processes: both together
 	// have 200 bytes at most; see assumedHeaderBytes in mgnode.
 	headerBytes = 100
+	// maxStoredSize is the size up to which mgnode doesn't compress a message, and storedBytes the size of
+	// the format's headers then.
+	maxStoredSize = 256
+	storedBytes   = 23
 )
 
 // countMessage counts the bytes of a message or response, compressed as mgnode does.
 func (m *mesh) countMessage(message Message) {
-	var body bytes.Buffer
 	if !m.spec.countsBytes {
 		return
 	}
-	writer := gzip.NewWriter(&body)
-	_ = json.NewEncoder(writer).Encode(message)
-	_ = writer.Close()
+	text, _ := json.Marshal(message)
+	size := storedBytes + len(text)
+	if len(text) > maxStoredSize {
+		var body bytes.Buffer
+		writer := gzip.NewWriter(&body)
+		_, _ = writer.Write(text)
+		_ = writer.Close()
+		size = body.Len()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.messages++
-	m.bytes += headerBytes + body.Len()
+	m.bytes += headerBytes + size
 }
 
 // send delivers a message and its response.
 func (m *mesh) send(from int, entry string, message Message) (Message, error) {
-	to := slices.Index(m.entries(), entry)
+	to := slices.Index(m.names, entry)
 	m.countMessage(message)
 	if !m.reaches(from, to) {
 		time.Sleep(sendTimeout)
 		return Message{}, errNoAnswer
 	}
-	time.Sleep(linkDelay())
+	time.Sleep(m.linkDelay())
 	if m.is(m.spec.old, to) {
 		return Message{}, ErrUnsupported
 	}
@@ -415,7 +443,7 @@
 	}
 	reply := m.nodes[to].prober.Handle(message)
 	m.countMessage(reply)
-	time.Sleep(linkDelay() + m.wait(from))
+	time.Sleep(m.linkDelay() + m.wait(from))
 	return reply, nil
 }
 
--- a/internal/request/mgprobe/prober.go
+++ b/internal/request/mgprobe/prober.go
@@ -53,6 +53,8 @@
 	OnExcluded func(entry string, why error)
 	// Count counts events by name, for metrics: "received" answers, "takeovers", and "unsent" messages.
 	Count func(event string, count int)
+	// IntN returns a random number below n. nil means rand.IntN.
+	IntN func(n int) int
 }
 
 // A Prober probes the engines that are assigned to one entry, and knows the answers that other entries
@@ -75,6 +77,9 @@
 
 // New returns a Prober that knows nothing.
 func New(spec Spec) *Prober {
+	if spec.IntN == nil {
+		spec.IntN = rand.IntN
+	}
 	return &Prober{
 		spec:       spec,
 		answeredAt: map[string]mgclock.Millis{},
@@ -120,7 +125,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	rankings := p.rankings(now, engines)
+	p.updateRankings(now, engines)
 	firstSeen := make(map[string]mgclock.Millis, len(engines))
 	assigned := map[string]bool{}
 	var due []Engine
@@ -130,7 +135,7 @@
 			seenAt = now
 		}
 		firstSeen[engine.Name] = seenAt
-		rank := rankings[engine.Shared].ownRanks[slotOf(engine.Name)]
+		rank := p.ranking[engine.Shared].ownRanks[slotOf(engine.Name)]
 		if rank == 0 {
 			assigned[engine.Name] = true
 		}
@@ -167,9 +172,9 @@
 	p.lastRound = now
 }
 
-// rankings returns the rankings of entries for shared engines (true) and others (false). A ranking is kept while its
-// entries don't change, since 300 entries take some 10,000 hashes.
-func (p *Prober) rankings(now mgclock.Millis, engines []Engine) map[bool]*ranking {
+// updateRankings brings the rankings of entries up to date that the engines need. A ranking is kept while its entries
+// don't change, since 300 entries take some 10,000 hashes.
+func (p *Prober) updateRankings(now mgclock.Millis, engines []Engine) {
 	for _, shared := range []bool{false, true} {
 		if !slices.ContainsFunc(engines, func(engine Engine) bool { return engine.Shared == shared }) {
 			continue
@@ -182,7 +187,6 @@
 			p.ranking[shared] = newRanking(p.spec.Name, entries)
 		}
 	}
-	return p.ranking
 }
 
 // share sends answers that this entry received to the entries that need them, and at times all recent answers
@@ -221,7 +225,6 @@
 func (p *Prober) messages(now mgclock.Millis, answered, engines []Engine) map[string]Message {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rankings := p.rankings(now, engines)
 	message := p.messageOf(now, answered)
 	messages := map[string]Message{}
 	type ranked struct {
@@ -238,7 +241,7 @@
 			continue
 		}
 		seen[key] = true
-		for _, entry := range rankings[key.shared].successors(key.slot, p.spec.Name) {
+		for _, entry := range p.ranking[key.shared].successors(key.slot, p.spec.Name) {
 			messages[entry] = message
 		}
 	}
@@ -250,9 +253,9 @@
 		message.Answers = answers
 		message.All = true
 	}
-	engine := engines[rand.IntN(len(engines))]
-	if entries := rankings[engine.Shared].entries; len(entries) > 0 {
-		messages[entries[rand.IntN(len(entries))]] = message
+	engine := engines[p.spec.IntN(len(engines))]
+	if entries := p.ranking[engine.Shared].entries; len(entries) > 0 {
+		messages[entries[p.spec.IntN(len(entries))]] = message
 	}
 	delete(messages, p.spec.Name)
 	return messages
