mgnode: one function for calls between processes

Six files had their own copy of encoding, sending, the check of the status and decoding. Paths, limits and timeouts are unchanged. The check of the decoded gossip is on the call's own decoder.

--- a/internal/process/mgnode/exchange.go
+++ b/internal/process/mgnode/exchange.go
@@ -1,9 +1,7 @@
 package mgnode
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -40,11 +38,16 @@
 	meanCompareInterval = 1500 * mgclock.Millis(1)
 	// exchangeTimeout limits the wait for a peer's response.
 	exchangeTimeout = 500 * mgclock.Millis(1)
-	// maxUpdateBytes limits a decompressed message: four times the size of the maximum
-	// number of records that mgquarantine keeps, each with as many parts as it may have.
-	maxUpdateBytes = 4 << 20
 )
 
+// updateCall is the call for updates. A message has up to four times the size of the maximum
+// number of records that mgquarantine keeps, each with as many parts as it may have.
+var updateCall = peerCall{
+	path:     quarantinePath,
+	purpose:  "sending records of crashes",
+	maxBytes: 4 << 20,
+}
+
 // updateMessage is the message of an exchange, in both directions.
 type updateMessage struct {
 	Records []mgquarantine.Record `json:"notes,omitempty"`
@@ -242,41 +245,12 @@
 // serveUpdates merges a peer's message, and responds with what the peer lacks.
 func (n *Node) serveUpdates(w http.ResponseWriter, r *http.Request) {
 	var message updateMessage
-	if err := decompressJSON(r.Body, maxUpdateBytes, &message); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	body, err := compressJSON(n.exchanger.handle(message))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/gzip")
-	_, _ = w.Write(body) // a peer that closed the connection asks again
+	updateCall.serve(w, r, &message, func() any { return n.exchanger.handle(message) })
 }
 
 // sendUpdates sends a message to a peer, and returns its response.
 func (n *Node) sendUpdates(ctx context.Context, to *mgmember.Member, message updateMessage) (updateMessage, error) {
 	var reply updateMessage
-	body, err := compressJSON(message)
-	if err != nil {
-		return reply, err
-	}
-	url := n.guard.BaseURL(to.PeerAddr()) + quarantinePath
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: invalid address: %w", to.PeerAddr(), err)
-	}
-	response, err := n.calls.RoundTrip(request)
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: sending records of crashes: %w", to.PeerAddr(), err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return reply, fmt.Errorf("peer %s: sending records of crashes: status %d", to.PeerAddr(), response.StatusCode)
-	}
-	if err := decompressJSON(response.Body, maxUpdateBytes, &reply); err != nil {
-		return reply, fmt.Errorf("peer %s: %w", to.PeerAddr(), err)
-	}
-	return reply, nil
+	err := n.post(ctx, to.PeerAddr(), updateCall, message, &reply)
+	return reply, err
 }
--- a/internal/process/mgnode/gossip_test.go
+++ b/internal/process/mgnode/gossip_test.go
@@ -31,8 +31,8 @@
 		for _, count := range []int{3, 400, 0, 40} {
 			packed, err := compressJSON(gossipRows(count))
 			So(err, ShouldBeNil)
-			read, err := decodeGossip(bytes.NewReader(packed))
-			So(err, ShouldBeNil)
+			var read []mgmember.Gossip
+			So(gossipCall.decode(bytes.NewReader(packed), &read), ShouldBeNil)
 			So(len(read), ShouldEqual, count)
 			if count > 0 {
 				So(read, ShouldResemble, gossipRows(count))
--- a/internal/process/mgnode/origin.go
+++ b/internal/process/mgnode/origin.go
@@ -1,11 +1,8 @@
 package mgnode
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
@@ -16,13 +13,18 @@
 // and response are JSON of mostly one record, which isn't worth compressing.
 const originPath = "/origins"
 
-const (
-	// originTimeout limits the wait for an entry's response.
-	originTimeout = 300 * mgclock.Millis(1)
-	// maxOriginBytes limits the size of a request and of a response, of 1,000 records of some
-	// 80 bytes, most of them in a service's name and a version.
-	maxOriginBytes = 1 << 20
-)
+// originTimeout limits the wait for an entry's response.
+const originTimeout = 300 * mgclock.Millis(1)
+
+// originCall is the call for origins. A message has up to 1,000 records of some 80 bytes, most of them in a
+// service's name and a version.
+var originCall = peerCall{
+	path:     originPath,
+	purpose:  "sending origins of streams",
+	maxBytes: 1 << 20,
+	isPlain:  true,
+	isBrief:  true,
+}
 
 // newOrigins returns the replicator of the origins of this entry's streams.
 func (n *Node) newOrigins() *mgorigin.Replicator {
@@ -62,38 +64,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Duration())
 	defer cancel()
-	body, err := json.Marshal(message)
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: encoding origins of streams: %w", name, err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.guard.BaseURL(peer.PeerAddr())+originPath, bytes.NewReader(body))
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: invalid address: %w", name, err)
-	}
-	request.Header["User-Agent"] = nil // fewer bytes
-	response, err := n.calls.RoundTrip(request)
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: sending origins of streams: %w", name, err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return reply, fmt.Errorf("peer %s: sending origins of streams: status %d: do all processes run the same release?", name, response.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxOriginBytes)).Decode(&reply); err != nil {
-		return reply, fmt.Errorf("peer %s: decoding origins of streams: %w", name, err)
-	}
-	return reply, nil
+	err := n.post(ctx, peer.PeerAddr(), originCall, message, &reply)
+	return reply, err
 }
 
 // serveOrigins stores what another entry sends of its streams, and responds with the records
 // that it asks for.
 func (n *Node) serveOrigins(w http.ResponseWriter, r *http.Request) {
 	var message mgorigin.Message
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxOriginBytes)).Decode(&message); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	w.Header()["Date"] = nil // fewer bytes
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(n.origins.Handle(n.incarnation, message)) // a peer that closed the connection asks again
+	originCall.serve(w, r, &message, func() any { return n.origins.Handle(n.incarnation, message) })
 }
--- a/internal/process/mgnode/permit.go
+++ b/internal/process/mgnode/permit.go
@@ -1,12 +1,9 @@
 package mgnode
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
@@ -27,10 +24,16 @@
 	// permitRetryDelay is the delay before the next request for a permit after one without
 	// a response. By then the granter is suspected, and another process grants.
 	permitRetryDelay = 200 * mgclock.Millis(1)
-	// maxPermitBytes limits the size of a request and of a response.
-	maxPermitBytes = 64 << 10
 )
 
+// permitCall is the call for a permit.
+var permitCall = peerCall{
+	path:     permitPath,
+	purpose:  "requesting a permit",
+	maxBytes: 64 << 10,
+	isPlain:  true,
+}
+
 // permitRequest requests a permit, and reports what the sender knows of the upstream's limit.
 type permitRequest struct {
 	Entry        string         `json:"entry"`
@@ -100,36 +103,23 @@
 	var reply permitReply
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout.Duration())
 	defer cancel()
-	body, err := json.Marshal(request)
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: encoding a request for a permit: %w", hub.PeerAddr(), err)
-	}
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, n.guard.BaseURL(hub.PeerAddr())+permitPath, bytes.NewReader(body))
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: invalid address: %w", hub.PeerAddr(), err)
-	}
-	response, err := n.calls.RoundTrip(httpRequest)
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: requesting a permit: %w", hub.PeerAddr(), err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return reply, fmt.Errorf("peer %s: status %d: %w", hub.PeerAddr(), response.StatusCode, errNoPermitAnswer)
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxPermitBytes)).Decode(&reply); err != nil {
-		return reply, fmt.Errorf("peer %s: decoding a response about a permit: %w", hub.PeerAddr(), err)
+	err := n.post(ctx, hub.PeerAddr(), permitCall, request, &reply)
+	var status statusError
+	if errors.As(err, &status) {
+		err = fmt.Errorf("%w: %w", errNoPermitAnswer, err)
 	}
-	return reply, nil
+	return reply, err
 }
 
 // servePermit serves a process that regards this one as its granter. IncarnationStart is that of the
 // upstream.
 func (n *Node) servePermit(w http.ResponseWriter, r *http.Request) {
 	var request permitRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxPermitBytes)).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+	permitCall.serve(w, r, &request, func() any { return n.handlePermit(request) })
+}
+
+// handlePermit returns the reply to a request for a permit.
+func (n *Node) handlePermit(request permitRequest) permitReply {
 	n.mergeLimits([]mglimit.Record{request.Limit})
 	wait, granted := n.grantPermit(request.Entry, mgrelay.PermitRequest{
 		Ask: mglimit.PermitRequest{
@@ -147,8 +137,7 @@
 	if limit, known := n.limits.Record(n.clock.Now(), request.Limit.Upstream); known {
 		reply.Limit = &limit
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(reply) // a peer that closed the connection asks again
+	return reply
 }
 
 // grantPermit grants a permit out of this process's share of the upstream's limit, if one is
--- a/internal/process/mgnode/probe.go
+++ b/internal/process/mgnode/probe.go
@@ -1,7 +1,6 @@
 package mgnode
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -16,13 +15,17 @@
 // response are a mgprobe.Message as JSON, compressed by gzip.
 const probePath = "/probes"
 
-const (
-	// answersTimeout limits the wait for the response to a message. An entry that doesn't respond by
-	// then isn't ranked for a second, so that others take its engines over.
-	answersTimeout = 200 * mgclock.Millis(1)
-	// maxAnswersBytes limits a decompressed message: 20,000 answers.
-	maxAnswersBytes = 1 << 20
-)
+// answersTimeout limits the wait for the response to a message. An entry that doesn't respond by
+// then isn't ranked for a second, so that others take its engines over.
+const answersTimeout = 200 * mgclock.Millis(1)
+
+// probeCall is the call for answers of engines. A message has up to 20,000.
+var probeCall = peerCall{
+	path:     probePath,
+	purpose:  "sending answers of engines",
+	maxBytes: 1 << 20,
+	isBrief:  true,
+}
 
 // startProber makes this entry probe engines on behalf of all entries.
 func (n *Node) startProber() {
@@ -71,31 +74,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (answersTimeout + confirmationWaits*n.recentWait()).Duration())
 	defer cancel()
-	body, err := compressJSON(message)
-	if err != nil {
-		return reply, err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.guard.BaseURL(peer.PeerAddr())+probePath, bytes.NewReader(body))
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: invalid address: %w", entry, err)
-	}
-	request.Header["User-Agent"] = nil // fewer bytes
-	response, err := n.calls.RoundTrip(request)
-	if err != nil {
-		return reply, fmt.Errorf("peer %s: sending answers of engines: %w", entry, err)
-	}
-	defer response.Body.Close()
-	switch response.StatusCode {
-	case http.StatusOK:
-	case http.StatusNotFound, http.StatusServiceUnavailable: // what a process answers on an unknown path
-		return reply, fmt.Errorf("peer %s: %w", entry, mgprobe.ErrUnsupported)
-	default:
-		return reply, fmt.Errorf("peer %s: sending answers of engines: status %d", entry, response.StatusCode)
+	err := n.post(ctx, peer.PeerAddr(), probeCall, message, &reply)
+	if isUnsupported(err) {
+		err = fmt.Errorf("%w: %w", mgprobe.ErrUnsupported, err)
 	}
-	if err := decompressJSON(response.Body, maxAnswersBytes, &reply); err != nil {
-		return reply, fmt.Errorf("peer %s: %w", entry, err)
-	}
-	return reply, nil
+	return reply, err
 }
 
 // serveAnswers records the answers that another entry received, and responds with those known here. An entry
@@ -107,16 +90,5 @@
 		return
 	}
 	var message mgprobe.Message
-	if err := decompressJSON(r.Body, maxAnswersBytes, &message); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	body, err := compressJSON(prober.Handle(message))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header()["Date"] = nil // fewer bytes
-	w.Header().Set("Content-Type", "application/gzip")
-	_, _ = w.Write(body) // a peer that closed the connection asks again
+	probeCall.serve(w, r, &message, func() any { return prober.Handle(message) })
 }
--- a/internal/process/mgnode/speed.go
+++ b/internal/process/mgnode/speed.go
@@ -1,7 +1,6 @@
 package mgnode
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -37,10 +36,15 @@
 	// hubStartDelay is how long a new hub uses the speeds that it knew before: by then most
 	// entries have reported to it.
 	hubStartDelay = 2 * mgclock.Second
-	// maxSpeedsBytes limits a decompressed message: that of some 15,000 engines.
-	maxSpeedsBytes = 4 << 20
 )
 
+// speedsCall is the call for reports. A message has up to some 15,000 engines.
+var speedsCall = peerCall{
+	path:     speedsPath,
+	purpose:  "reporting measurements of engines",
+	maxBytes: 4 << 20,
+}
+
 // engineSpeeds is what a process measures of engines, and knows of their speeds. The zero
 // value is switched off.
 type engineSpeeds struct {
@@ -155,35 +159,16 @@
 // sendSums reports measurements to the hub.
 func (n *Node) sendSums(ctx context.Context, hub *mgmember.Member, sums []mgspeed.Sums) (mgspeed.Report, error) {
 	var report mgspeed.Report
-	body, err := compressJSON(speedsRequest{
-		Entry: n.settings.Name,
-		Sums:  sums,
-	})
-	if err != nil {
-		return report, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, speedsTimeout.Duration())
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.guard.BaseURL(hub.PeerAddr())+speedsPath, bytes.NewReader(body))
-	if err != nil {
-		return report, fmt.Errorf("peer %s: invalid address: %w", hub.PeerAddr(), err)
-	}
-	response, err := n.calls.RoundTrip(request)
-	if err != nil {
-		return report, fmt.Errorf("peer %s: reporting measurements of engines: %w", hub.PeerAddr(), err)
-	}
-	defer response.Body.Close()
-	switch response.StatusCode {
-	case http.StatusOK:
-	case http.StatusNotFound, http.StatusServiceUnavailable:
-		return report, fmt.Errorf("peer %s: %w", hub.PeerAddr(), errNoSpeeds)
-	default:
-		return report, fmt.Errorf("peer %s: reporting measurements of engines: status %d", hub.PeerAddr(), response.StatusCode)
-	}
-	if err := decompressJSON(response.Body, maxSpeedsBytes, &report); err != nil {
-		return report, fmt.Errorf("peer %s: %w", hub.PeerAddr(), err)
+	err := n.post(ctx, hub.PeerAddr(), speedsCall, speedsRequest{
+		Entry: n.settings.Name,
+		Sums:  sums,
+	}, &report)
+	if isUnsupported(err) {
+		err = fmt.Errorf("%w: %w", errNoSpeeds, err)
 	}
-	return report, nil
+	return report, err
 }
 
 // serveSpeeds stores the measurements of an entry that regards this process as its hub, and
@@ -194,18 +179,10 @@
 		return
 	}
 	var request speedsRequest
-	if err := decompressJSON(r.Body, maxSpeedsBytes, &request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	n.speeds.hub.Store(n.clock.Now(), request.Entry, request.Sums)
-	body, err := compressJSON(n.speeds.known.Load().Report())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/gzip")
-	_, _ = w.Write(body) // a peer that closed the connection sends the next report
+	speedsCall.serve(w, r, &request, func() any {
+		n.speeds.hub.Store(n.clock.Now(), request.Entry, request.Sums)
+		return n.speeds.known.Load().Report()
+	})
 }
 
 // speedState returns the dump of what is known of engines' speeds.
