--- a/internal/process/mgnode/speed_test.go
+++ b/internal/process/mgnode/speed_test.go
@@ -145,9 +145,8 @@
 	})
 }
 
-// Guards against reports of measurements that take more than their part of what entries may send
-// one another at 300 entries and 3,000 engines: an entry of a cell of 38 runs streams at some 170
-// of the 375 engines of its cell.
+// Guards against reports of measurements that take more than their part of what entries may send one another at 300
+// entries and 3,000 engines. An entry of a cell of 38 runs streams at some 170 of its 375 engines.
 func TestSpeedReportsExceedBandwidth(t *testing.T) {
 	const (
 		engines  = 170
--- a/internal/request/mgbackup/budget_test.go
+++ b/internal/request/mgbackup/budget_test.go
@@ -68,9 +68,8 @@
 	return sum / float64(duration), most
 }
 
-// Guards against copies that fill the memory (once half of it), with few or many
-// processes, and against a share that is lost because each process's part is smaller than
-// one backup.
+// Guards against copies that fill the memory (once half of it), and against a share that is lost
+// because each process's part is smaller than one backup.
 func TestBackupsUseMoreThanTheirShare(t *testing.T) {
 	cases := []struct {
 		name      string
