mgspeed: the slope of an engine whose level deviates is certain at two standard errors

TestSlopeMisjudged failed in 9 of 150 plays: at the end of 20 s the slope was known with less than three errors.

--- a/internal/request/mgspeed/speeds.go
+++ b/internal/request/mgspeed/speeds.go
@@ -24,6 +24,9 @@
 	// differs from the reference. With 2, one of 12 equal engines deviated for 3 s in six
 	// plays of 40 s at 0.9 of their load; with 2.5 and 3, none did.
 	certainErrors = 3.0
+	// certainSlopeErrors is the same for the slope of an engine whose level deviates: it is one of few, so that noise
+	// that looks like a slope is rarer among them.
+	certainSlopeErrors = 2.0
 	// minStepDeviation and minReadDeviation are the least standard deviations of a sample.
 	// Few samples may be alike by chance. Prefill depends on prompts of other entries,
 	// which are known late.
@@ -193,7 +196,11 @@
 		// An engine whose steps are slow prefills slowly as well.
 		readPrior = read * mean / level
 	}
-	if base, slope, certain := fitSlope(step, mean, sigma); certain {
+	slopeErrors := certainErrors
+	if deviates {
+		slopeErrors = certainSlopeErrors
+	}
+	if base, slope, certain := fitSlope(step, mean, sigma, slopeErrors); certain {
 		deviates = true
 		row.Level, row.Base, row.Slope = mean, base, slope
 	}
@@ -234,8 +241,8 @@
 }
 
 // fitSlope returns the level without running requests and its increase with each of them, ms,
-// and whether the increase is certain.
-func fitSlope(l Line, mean, sigma float64) (base, slope float64, certain bool) {
+// and whether the increase differs from 0 by a number of standard errors.
+func fitSlope(l Line, mean, sigma, errors float64) (base, slope float64, certain bool) {
 	if l.N < minKnownWeight {
 		return mean, 0, false
 	}
@@ -244,7 +251,7 @@
 	slope = product / (square + slopeWeight)
 	slopeError := sigma / math.Sqrt(square+slopeWeight)
 	base = mean - slope*l.X/l.N
-	certain = slope >= minSlope && slope > certainErrors*slopeError && base > 0
+	certain = slope >= minSlope && slope > errors*slopeError && base > 0
 	return base, slope, certain
 }
 
