review: a moved stream without a length ends as complete

Cause: the end of a stream that this entry has ordered the engine to stop is taken for the answer's end, as the engine's process runs on.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -20,7 +20,8 @@
 type drill func(d *deployment, trouble bool) (isBroken bool, err error)
 
 var drills = map[string]drill{
-	"reborn": rebornEngine,
+	"reborn":   rebornEngine,
+	"unframed": unframedMove,
 }
 
 func main() { os.Exit(run()) }
