review: a configuration with a host of over 64 characters is never in force

Cause: the table's bound for names applies to hosts, and one row that it refuses refuses the whole version.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -20,8 +20,9 @@
 type drill func(d *deployment, trouble bool) (isBroken bool, err error)
 
 var drills = map[string]drill{
-	"reborn":   rebornEngine,
-	"unframed": unframedMove,
+	"reborn":    rebornEngine,
+	"unframed":  unframedMove,
+	"long-host": longHost,
 }
 
 func main() { os.Exit(run()) }
