review: a path that begins with two slashes reaches the engine as another request

Cause: the target is passed on as URL.Opaque, before which net/url puts the scheme where it begins with two slashes.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -23,6 +23,7 @@
 	"reborn":    rebornEngine,
 	"unframed":  unframedMove,
 	"long-host": longHost,
+	"slashes":   doubleSlash,
 }
 
 func main() { os.Exit(run()) }
