--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -20,10 +20,11 @@
 type drill func(d *deployment, trouble bool) (isBroken bool, err error)
 
 var drills = map[string]drill{
-	"reborn":    rebornEngine,
-	"unframed":  unframedMove,
-	"long-host": longHost,
-	"slashes":   doubleSlash,
+	"reborn":     rebornEngine,
+	"unframed":   unframedMove,
+	"long-host":  longHost,
+	"slashes":    doubleSlash,
+	"big-bodies": bigBodies,
 }
 
 func main() { os.Exit(run()) }
