--- a/review/drill/model.go
+++ b/review/drill/model.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -189,7 +191,11 @@
 	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\n") // errors are returned by Flush
 	_ = header.Write(buffer)
 	_, _ = buffer.WriteString("\r\n")
-	e.stream(buffer, func() { flush(buffer) }, run)
+	if !e.stream(buffer, func() { flush(buffer) }, run) && os.Getenv("RESET") != "" {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a reset in place of an ordinary end
+		}
+	}
 }
 
 func flush(buffer *bufio.ReadWriter) { _ = buffer.Flush() } // the next write fails
