review: a removed route's path is answered by the entry's own interface

Cause: paths that no route covers go to the product's own interface, which answers GET /v1/models itself. Change: a drill beyond the five cases.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -25,6 +25,7 @@
 	"long-host":  longHost,
 	"slashes":    doubleSlash,
 	"big-bodies": bigBodies,
+	"own":        ownAnswer,
 }
 
 func main() { os.Exit(run()) }
