mgrelay: a stream that its upstream was ordered to stop isn't whole

With each framing, a stream whose stopped run took over a second to copy was broken off, although the copy was usable soon after.

Cause: endingOf judges an end by its bytes and by whether the upstream's process has ended. The end of a run that this process has ordered to stop looks like a complete one, and its process goes on; only the move knew of the order. The interruption then waited at most 1 s for the outcome of the move.

Change: a move states whether its source may have stopped the run, and endingOf asks for it, once the reply to the order has come. Such a stream continues from its copy, at its source, or ends visibly. The wait is bounded by the order's own timeout, the request's time and the caller. The model of a move checks the new statement in each schedule, with a broken variant.

--- a/internal/process/mgrelay/backup.go
+++ b/internal/process/mgrelay/backup.go
@@ -314,7 +314,7 @@
 	select {
 	case <-gen.moveDone:
 		x.resumePoints = gen.resumePoints
-	case <-y.spec.Clock.After(moveOutcomeTimeout):
+	case <-gen.moveTimeout(y.spec.Clock):
 	case <-ctx.Done():
 	}
 }
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -22,6 +22,7 @@
 var (
 	errInsideEvent  = errors.New("the stream ended inside an event: the upstream broke off")
 	errNoEvent      = errors.New("the connection ended before the first event: the upstream broke off")
+	errStopped      = errors.New("the connection ended and the upstream was ordered to stop the generation: it isn't complete")
 	errUpstreamDown = errors.New("the connection ended and the upstream refuses others: it has ended, and the answer may be cut")
 	errRestarted    = errors.New("the connection ended and the upstream may have started again: the answer may be cut")
 	errUnknownEnd   = errors.New("the connection ended and the upstream can't be asked: the answer may be cut")
@@ -29,15 +30,20 @@
 
 // answerEnd is how the body of an upstream's answer ended.
 type answerEnd struct {
-	withConn bool  // nothing but the connection's end marks it
-	err      error // what ended it; nil or io.EOF for an ordinary end
-	stream   *eventReader
-	watch    *processWatch // of the upstream's process
+	withConn   bool  // nothing but the connection's end marks it
+	err        error // what ended it; nil or io.EOF for an ordinary end
+	stream     *eventReader
+	generation *generation   // of a stream
+	watch      *processWatch // of the upstream's process
 }
 
+// isOrdered reports whether the upstream was ordered to stop the answer.
+func (e *answerEnd) isOrdered() bool { return e.generation != nil && e.generation.stopOrdered.Load() }
+
 // endingOf decides whether an answer is whole, for every path on which one is delivered. The
-// cause is nil if it is. An answer that ends with its connection is broken if its upstream has
-// ended since: a process that ends closes its connections as if their answers were complete.
+// cause is nil if it is. An answer that ends with its connection is broken if its upstream may have
+// stopped it by an order of this process, or has ended since: an upstream then closes its connections
+// as if their answers were complete.
 func (y *Relay) endingOf(ctx context.Context, host Host, end answerEnd) (result ending, cause error) {
 	switch {
 	case end.err != nil && !errors.Is(end.err, io.EOF):
@@ -48,6 +54,8 @@
 		return endsWhole, nil
 	case end.stream != nil && end.stream.events == 0:
 		return endsBroken, errNoEvent
+	case end.generation != nil && end.generation.mayBeStopped(y.spec.Clock):
+		return endsBroken, errStopped
 	}
 	return y.endingWithConn(ctx, host, end.watch)
 }
@@ -140,12 +148,15 @@
 		return
 	}
 	y.spec.Metrics.Counter("relay.closed").Inc(1)
+	if end.isOrdered() {
+		y.spec.Metrics.Counter("relay.closed.ordered").Inc(1)
+	}
 	events, inside := int64(0), false
 	if end.stream != nil {
 		events, inside = end.stream.events, end.stream.scanner.inEvent()
 	}
 	y.spec.Log.Info("an answer ended with its connection", mglog.Request, x.id, mglog.Route, x.call.Route.Name(),
-		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside,
+		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside, "ordered", end.isOrdered(),
 		"ending", [...]string{"broken", "unknown", "whole"}[result])
 }
 
--- a/internal/process/mgrelay/generation.go
+++ b/internal/process/mgrelay/generation.go
@@ -23,9 +23,12 @@
 
 	backup       *backup       // nil if the request names none
 	ordered      atomic.Bool   // its source was sent an order to copy or stop it
+	stopOrdered  atomic.Bool   // its source was sent an order to stop it
 	claimed      bool          // a move has been started, or none may start any more; guarded by generations.mu
 	moveDone     chan struct{} // closed when its move is done
 	resumePoints []resumePoint // where it can continue after the move; read after moveDone is closed
+	isStopped    bool          // its source may have stopped it; read after moveDone is closed
+	result       *moveResult   // of awaitMove; nil before its first call
 	registry     *generations
 }
 
@@ -203,7 +206,7 @@
 	return len(s.byUpstream[name]) > 0
 }
 
-// moveOutcomeTimeout bounds how long a stream that ended waits for the outcome of
+// moveOutcomeTimeout bounds how long a stream that broke off waits for the outcome of
 // its move: a call to the source may still be in flight. The caller sees the wait as
 // a pause, and a stream that pauses for longer is late in any case.
 const moveOutcomeTimeout = mgclock.Second
@@ -213,29 +216,70 @@
 // 100 ms, and a source that is gone may not answer at all.
 const moveOutcomeTimeoutWithBackup = 120 * mgclock.Millis(1)
 
-// awaitMove returns where a generation whose stream has ended can continue. If isPending is
-// set, its move still goes on, and moveDone is closed at its end.
-func (r *generation) awaitMove(clock mgclock.Clock) (points []resumePoint, isPending bool) {
+// moveResult is what is known of a generation's move when its stream has ended.
+type moveResult struct {
+	points    []resumePoint // where the generation can continue
+	isStopped bool          // the source may have stopped it, and so ended the stream
+	isPending bool          // the move still goes on; moveDone is closed at its end
+}
+
+// awaitMove returns the result of the move of a generation whose stream has ended. No move may
+// start from then on. Only the goroutine that reads the stream may call it.
+func (r *generation) awaitMove(clock mgclock.Clock) moveResult {
+	if r.result == nil {
+		result := r.waitForMove(clock)
+		r.result = &result
+	}
+	return *r.result
+}
+
+func (r *generation) waitForMove(clock mgclock.Clock) moveResult {
 	r.registry.mu.Lock()
 	claimed := r.claimed
-	r.claimed = true // no move may start from now on
+	r.claimed = true
 	r.registry.mu.Unlock()
 	if !claimed {
-		return nil, false
+		return moveResult{}
 	}
-	timeout := moveOutcomeTimeout
-	if r.hasUsableBackup(clock.Now()) {
-		if !r.ordered.Load() {
-			return nil, false // it still waits for its slot or destination
-		}
-		timeout = moveOutcomeTimeoutWithBackup
+	var timeout <-chan struct{}
+	switch {
+	case !r.hasUsableBackup(clock.Now()):
+		timeout = r.moveTimeout(clock)
+	case !r.ordered.Load():
+		return moveResult{} // it still waits for its slot or destination
+	default:
+		timeout = clock.After(moveOutcomeTimeoutWithBackup)
 	}
 	select {
 	case <-r.moveDone:
-		return r.resumePoints, false
-	case <-clock.After(timeout):
-		return nil, true
+		return moveResult{
+			points:    r.resumePoints,
+			isStopped: r.isStopped,
+		}
+	case <-timeout:
+		return moveResult{
+			isStopped: r.stopOrdered.Load(),
+			isPending: true,
+		}
 	case <-r.ctx.Done():
-		return nil, false
+		return moveResult{
+			isStopped: r.stopOrdered.Load(),
+		}
 	}
 }
+
+// moveTimeout returns a channel that is closed when the outcome of a move is no longer awaited. It
+// is nil for a generation whose source was ordered to stop it: where it can continue is known only
+// with the reply to that order, which Spec.Move bounds.
+func (r *generation) moveTimeout(clock mgclock.Clock) <-chan struct{} {
+	if r.stopOrdered.Load() {
+		return nil
+	}
+	return clock.After(moveOutcomeTimeout)
+}
+
+// mayBeStopped reports whether the source of a generation whose stream has ended may have been
+// stopped by the order of a move. It waits for the reply to that order.
+func (r *generation) mayBeStopped(clock mgclock.Clock) bool {
+	return r.stopOrdered.Load() && r.awaitMove(clock).isStopped
+}
--- a/internal/process/mgrelay/move.go
+++ b/internal/process/mgrelay/move.go
@@ -84,6 +84,7 @@
 	m.slotWait = y.spec.Clock.Now() - startedAt
 	y.executeMove(r, &m)
 	r.resumePoints = resumePointsOf(&m.move, r.host, m.destination)
+	r.isStopped = m.move.MayHaveStopped()
 	m.duration = y.spec.Clock.Now() - startedAt
 	// The stream continues first: releasing the slot may have to wait for an entry
 	// process that is dead.
@@ -123,12 +124,14 @@
 			y.retryDestinations(r, m)
 			continue
 		}
-		r.ordered.Store(true)
-		m.lastReply = y.spec.Move(r.ctx, r.host, MoveOrder{
+		order := MoveOrder{
 			Request: r.exchange.id,
 			To:      m.destination.Addr,
 			Stop:    m.move.Step() == mgmigration.Stop,
-		})
+		}
+		r.ordered.Store(true)
+		r.stopOrdered.Store(order.Stop)
+		m.lastReply = y.spec.Move(r.ctx, r.host, order)
 		m.move.HandleReply(m.lastReply)
 		if m.move.Step() != mgmigration.Stop && m.lastReply.Outcome == mgmigration.NoCapacity {
 			m.refusedCount++
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -147,7 +147,8 @@
 	// the engines that were lost; New creates one if it is nil.
 	Backups bool
 	Losses  *mgbackup.Losses
-	// Move sends an order to the source of a move. If it is nil, nothing is moved.
+	// Move sends an order to the source of a move, and returns Lost if no reply comes within a few
+	// seconds: the caller of a stopped generation waits for it. If it is nil, nothing is moved.
 	Move func(ctx context.Context, source Host, order MoveOrder) mgmigration.Reply
 }
 
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
@@ -21,7 +22,7 @@
 	}
 	data, events, err := reader.next()
 	if err != nil {
-		if result, cause := y.endStream(ctx, x, host, response, reader, err); result == endsBroken {
+		if result, cause := y.endStream(ctx, x, gen, response, reader, err); result == endsBroken {
 			return y.streamInterrupted(ctx, x, gen, cause)
 		}
 	}
@@ -34,7 +35,7 @@
 		if data, events, err = reader.next(); err == nil {
 			continue
 		}
-		result, cause := y.endStream(ctx, x, host, response, reader, err)
+		result, cause := y.endStream(ctx, x, gen, response, reader, err)
 		if result == endsBroken || result == endsUnknown && !x.endsWithConn {
 			return y.streamInterrupted(ctx, x, gen, cause)
 		}
@@ -53,14 +54,15 @@
 }
 
 // endStream decides whether a stream that has ended is whole.
-func (y *Relay) endStream(ctx context.Context, x *exchange, host Host, response *http.Response, reader *eventReader, err error) (ending, error) {
+func (y *Relay) endStream(ctx context.Context, x *exchange, gen *generation, response *http.Response, reader *eventReader, err error) (ending, error) {
 	end := answerEnd{
-		withConn: mgdial.EndsWithConnection(response),
-		err:      err,
-		stream:   reader,
-		watch:    x.watch,
+		withConn:   mgdial.EndsWithConnection(response),
+		err:        err,
+		stream:     reader,
+		generation: gen,
+		watch:      x.watch,
 	}
-	result, cause := y.endingOf(ctx, host, end)
+	result, cause := y.endingOf(ctx, gen.host, end)
 	y.recordEnd(x, end, result)
 	return result, cause
 }
@@ -198,14 +200,14 @@
 		y.recordSilentAttempt(x, gen.host, partial)
 	}
 	x.generated += gen.tokensPerEvent() * int(gen.eventCount.Load())
-	moved, isPending := gen.awaitMove(y.spec.Clock)
-	if isPending && x.backup != nil {
+	move := gen.awaitMove(y.spec.Clock)
+	if move.isPending && x.backup != nil {
 		x.lateMove = gen
 	}
-	if len(moved) == 0 && ctx.Err() == nil {
+	if len(move.points) == 0 && ctx.Err() == nil {
 		y.recordLoss(x, gen.host)
 	}
-	x.resumePoints = append(moved, x.resumePoints...)
+	x.resumePoints = slices.Concat(move.points, x.resumePoints)
 	x.problem = mgproblem.New(mgproblem.Interrupted, mgproblem.Unknown,
 		"the stream broke off", "send the request again if it may run twice").WithCause(cause)
 	return interrupted
--- a/internal/request/mgmigration/model_test.go
+++ b/internal/request/mgmigration/model_test.go
@@ -19,6 +19,7 @@
 	resumesAfterEnd fault = "resumes after the run has ended by itself"
 	ignoresSource   fault = "doesn't resume at a source that stopped"
 	stopsBeforeCopy fault = "stops the run before anything was copied"
+	trustsSilence   fault = "takes a stop without a reply for one that wasn't carried out"
 )
 
 var (
@@ -27,6 +28,8 @@
 	errAfterEnd = errors.New("a run resumes after its end was delivered")
 	errLost     = errors.New("the generation is lost although its stopped source is alive")
 	errPause    = errors.New("the run is stopped for the whole of its copy")
+	errComplete = errors.New("the stream of a stopped run counts as complete")
+	errBroken   = errors.New("the stream of a run that has ended by itself counts as stopped, though no order to stop it was lost")
 )
 
 // state is the state of the run at its source.
@@ -50,6 +53,7 @@
 	destinationCopies map[string]bool // unused copies at the destination, by handle
 	sourceCopies      map[string]bool // unused copies at the source, by handle
 	handles           int
+	lost              bool // an order to stop the run had no reply
 	resumed           int
 	resumedAt         Place
 }
@@ -83,7 +87,7 @@
 }
 
 func (w *world) state() string {
-	return fmt.Sprint(w.move, w.source, w.destinationGone, w.destinationCopies, w.sourceCopies, w.resumed)
+	return fmt.Sprint(w.move, w.source, w.destinationGone, w.destinationCopies, w.sourceCopies, w.resumed, w.lost)
 }
 
 // injectEvent may change the world independently of the move: the run begins or
@@ -148,6 +152,7 @@
 		return failedReply(Absent)
 	}
 	if w.choose(3) == 1 {
+		w.lost = true
 		return failedReply(Lost) // the call never arrived
 	}
 	w.source = stopped
@@ -176,6 +181,16 @@
 	if w.source <= running {
 		return nil
 	}
+	mayHaveStopped := w.move.MayHaveStopped()
+	if w.variant == trustsSilence {
+		mayHaveStopped = w.move.Stopped()
+	}
+	switch {
+	case w.source == stopped && !mayHaveStopped:
+		return errComplete
+	case w.source == finished && mayHaveStopped && !w.lost:
+		return errBroken
+	}
 	if w.source == finished && w.variant != resumesAfterEnd {
 		return nil
 	}
@@ -238,7 +253,7 @@
 	if report.States() < 40 {
 		t.Fatalf("the model reaches %d states only", report.States())
 	}
-	for _, variant := range []fault{resumesEarly, reusesCopy, resumesAfterEnd, ignoresSource, stopsBeforeCopy} {
+	for _, variant := range []fault{resumesEarly, reusesCopy, resumesAfterEnd, ignoresSource, stopsBeforeCopy, trustsSilence} {
 		if report := mgexplore.Exhaust(bound, model(variant)); report.Violation() == nil {
 			t.Errorf("not caught: %s", variant)
 		}
--- a/internal/request/mgmigration/move.go
+++ b/internal/request/mgmigration/move.go
@@ -83,6 +83,7 @@
 	waitCount       int
 	handle          string
 	stopped         bool // the source confirmed that it stopped the run
+	mayHaveStopped  bool // it did, or its reply doesn't tell
 	copyUsable      bool // the destination holds a copy to resume from
 }
 
@@ -100,6 +101,10 @@
 // Stopped reports whether the source has confirmed that it stopped the run.
 func (m *Move) Stopped() bool { return m.stopped }
 
+// MayHaveStopped reports whether the source may have stopped the run: it confirmed that, or was
+// ordered to and its reply doesn't tell. The end of such a run's stream isn't the run's own.
+func (m *Move) MayHaveStopped() bool { return m.mayHaveStopped }
+
 // EndWait ends a Wait step.
 func (m *Move) EndWait() {
 	if m.step == Wait {
@@ -155,6 +160,7 @@
 // handleStopReply handles the reply to the stop.
 func (m *Move) handleStopReply(r Reply) {
 	m.step = Done
+	m.mayHaveStopped = r.Outcome != Absent && r.Outcome != Busy
 	switch r.Outcome {
 	case Copied:
 		m.handle = r.Handle
