mgrelay: an answer that its upstream ends at the deadline isn't whole

Callers could see: an answer without a length or chunks, cut at its deadline, with an ordinary end of the connection.

Cause: the upstream stops at the deadline that this process passes on. Usually the process's own timer cancels the attempt first; one that runs late reads the end of the connection before, and endingOf judged it by the upstream's process alone.

Change: endingOf knows whether the time that the upstream was given is over. Such a request ends like any other whose time is over, and its upstream isn't blamed.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -292,7 +292,7 @@
 		if cause := y.endWhole(ctx, x, host, response, err); cause != nil {
 			x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
 				"the answer broke off", "send the request again if it may run twice").WithCause(cause)
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !y.isExpired(x) {
 				y.recordBrokenAttempt(x, host, partialAnswer{
 					headerReceived: true,
 				})
@@ -331,11 +331,7 @@
 // nil. An answer of which that is unknown is passed on with the upstream's framing, which claims
 // nothing.
 func (y *Relay) endWhole(ctx context.Context, x *exchange, host Host, response *http.Response, err error) error {
-	end := answerEnd{
-		withConn: mgdial.EndsWithConnection(response),
-		err:      err,
-		watch:    x.watch,
-	}
+	end := y.endOf(x, response, err)
 	result, cause := y.endingOf(ctx, host, end)
 	y.recordEnd(x, end, result)
 	if result == endsBroken {
@@ -355,5 +351,9 @@
 	}
 }
 
+// isExpired reports whether a request's time is over. A process that runs late learns that from its
+// timers only afterwards.
+func (y *Relay) isExpired(x *exchange) bool { return x.timeLeft(y.spec.Clock.Now()) <= 0 }
+
 // elapsed returns how long a request has taken so far.
 func (y *Relay) elapsed(x *exchange) mgclock.Millis { return y.spec.Clock.Now() - x.startedAt }
--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -8,6 +8,7 @@
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mglog"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // ending is what is known of an answer's completeness when its bytes have ended.
@@ -22,6 +23,7 @@
 var (
 	errInsideEvent  = errors.New("the stream ended inside an event: the upstream broke off")
 	errNoEvent      = errors.New("the connection ended before the first event: the upstream broke off")
+	errExpired      = errors.New("the connection ended when the time that the upstream was given was over: the answer may be cut")
 	errStopped      = errors.New("the connection ended and the upstream was ordered to stop the generation: it isn't complete")
 	errUpstreamDown = errors.New("the connection ended and the upstream refuses others: it has ended, and the answer may be cut")
 	errRestarted    = errors.New("the connection ended and the upstream may have started again: the answer may be cut")
@@ -35,6 +37,17 @@
 	stream     *eventReader
 	generation *generation   // of a stream
 	watch      *processWatch // of the upstream's process
+	expired    bool          // the time that the upstream was given was over
+}
+
+// endOf returns how the body of an answer to a request has ended just now.
+func (y *Relay) endOf(x *exchange, response *http.Response, err error) answerEnd {
+	return answerEnd{
+		withConn: mgdial.EndsWithConnection(response),
+		err:      err,
+		watch:    x.watch,
+		expired:  y.spec.Headers.Deadline != "" && y.isExpired(x),
+	}
 }
 
 // isOrdered reports whether the upstream was ordered to stop the answer.
@@ -42,8 +55,8 @@
 
 // endingOf decides whether an answer is whole, for every path on which one is delivered. The
 // cause is nil if it is. An answer that ends with its connection is broken if its upstream may have
-// stopped it by an order of this process, or has ended since: an upstream then closes its connections
-// as if their answers were complete.
+// stopped it by an order of this process or at its deadline, or has ended since: an upstream then closes
+// its connections as if their answers were complete.
 func (y *Relay) endingOf(ctx context.Context, host Host, end answerEnd) (result ending, cause error) {
 	switch {
 	case end.err != nil && !errors.Is(end.err, io.EOF):
@@ -54,6 +67,8 @@
 		return endsWhole, nil
 	case end.stream != nil && end.stream.events == 0:
 		return endsBroken, errNoEvent
+	case end.expired:
+		return endsBroken, errExpired
 	case end.generation != nil && end.generation.mayBeStopped(y.spec.Clock):
 		return endsBroken, errStopped
 	}
@@ -156,7 +171,7 @@
 		events, inside = end.stream.events, end.stream.scanner.inEvent()
 	}
 	y.spec.Log.Info("an answer ended with its connection", mglog.Request, x.id, mglog.Route, x.call.Route.Name(),
-		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside, "ordered", end.isOrdered(),
+		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside, "ordered", end.isOrdered(), "expired", end.expired,
 		"ending", [...]string{"broken", "unknown", "whole"}[result])
 }
 
--- a/internal/process/mgrelay/stopped_test.go
+++ b/internal/process/mgrelay/stopped_test.go
@@ -228,3 +228,72 @@
 		})
 	}
 }
+
+// Guards against an answer without a framing that its upstream has ended at the request's deadline, and that
+// is passed on as whole by a process that runs late.
+func TestAnswerEndedAtDeadlineLooksWhole(t *testing.T) {
+	const timeout = 4 * mgclock.Second
+	for _, c := range []struct {
+		name    string
+		path    string
+		framing bodyFraming
+		at      mgclock.Millis // when the answer ends
+		status  int
+		cut     bool
+	}{
+		{
+			name:    "a stream before the deadline is whole",
+			path:    "/write/1",
+			framing: byClose,
+			at:      timeout - 1,
+			status:  http.StatusOK,
+		},
+		{
+			name:    "a stream at the deadline is cut",
+			path:    "/write/1",
+			framing: byClose,
+			at:      timeout,
+			status:  http.StatusOK,
+			cut:     true,
+		},
+		{
+			name:    "a stream in chunks at the deadline is whole",
+			path:    "/write/1",
+			framing: byChunks,
+			at:      timeout,
+			status:  http.StatusOK,
+		},
+		{
+			name:    "a plain answer before the deadline is whole",
+			path:    "/once/1",
+			framing: byClose,
+			at:      timeout - 1,
+			status:  http.StatusOK,
+		},
+		{
+			name:    "a plain answer at the deadline is a failure",
+			path:    "/once/1",
+			framing: byClose,
+			at:      timeout,
+			status:  http.StatusGatewayTimeout,
+		},
+	} {
+		Convey("The end of "+c.name, t, func() {
+			var clock mgclock.Manual
+			g := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+				end := writeEvents(w, r, c.framing, 3)
+				clock.Advance(c.at)
+				end(true)
+			})
+			g.startRelay(func(spec *mgrelay.Spec) {
+				spec.Clock = clock.Clock()
+				spec.RefusesConnections = connectionsAccepted
+			})
+			got := g.send(context.Background(), http.MethodPost, c.path, "x", http.Header{
+				"Deadline": {"4000"},
+			})
+			So(got.status, ShouldEqual, c.status)
+			So(got.cut, ShouldEqual, c.cut)
+		})
+	}
+}
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -55,13 +55,8 @@
 
 // endStream decides whether a stream that has ended is whole.
 func (y *Relay) endStream(ctx context.Context, x *exchange, gen *generation, response *http.Response, reader *eventReader, err error) (ending, error) {
-	end := answerEnd{
-		withConn:   mgdial.EndsWithConnection(response),
-		err:        err,
-		stream:     reader,
-		generation: gen,
-		watch:      x.watch,
-	}
+	end := y.endOf(x, response, err)
+	end.stream, end.generation = reader, gen
 	result, cause := y.endingOf(ctx, gen.host, end)
 	y.recordEnd(x, end, result)
 	return result, cause
@@ -194,7 +189,7 @@
 	x.brokeOff, x.ranAtEnd = true, partial.ran(y.spec.Clock.Now())
 	switch {
 	case y.generations.isClaimed(gen):
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !y.isExpired(x):
 		y.recordBrokenAttempt(x, gen.host, partial)
 	default:
 		y.recordSilentAttempt(x, gen.host, partial)
@@ -204,7 +199,7 @@
 	if move.isPending && x.backup != nil {
 		x.lateMove = gen
 	}
-	if len(move.points) == 0 && ctx.Err() == nil {
+	if len(move.points) == 0 && ctx.Err() == nil && !y.isExpired(x) {
 		y.recordLoss(x, gen.host)
 	}
 	x.resumePoints = slices.Concat(move.points, x.resumePoints)
