--- a/pkg/mgtable/build.go
+++ b/pkg/mgtable/build.go
@@ -4,7 +4,7 @@
 
 // Spec describes a table that a program builds, for example from another
 // configuration format. It passes the same checks as a table written by an
-// operator.
+// operator, except that its names may be any text and its sizes any number.
 type Spec struct {
 	Version  uint64
 	Accounts []AccountSpec
@@ -15,9 +15,10 @@
 
 // AccountSpec describes a client account.
 type AccountSpec struct {
-	Name  string
-	Keys  []Digest
-	Homes []string // regions
+	Name       string
+	Keys       []Digest
+	Homes      []string // regions
+	Unreadable error    // why the row couldn't be read whole, or nil; see Complete
 }
 
 // ServiceSpec describes a service. Model is empty for a plain service.
@@ -30,6 +31,7 @@
 	CopyMicros     int64   // µs to copy one token's memory to another engine
 	ColdMillis     int64   // ms for which an upstream is cold after its start
 	MaxColdRate    float64 // max requests per second to a cold upstream, 0 for no limit
+	Unreadable     error   // why the row couldn't be read whole, or nil; see Complete
 }
 
 // ModelSpec describes a model; Context and MaxOutput are in tokens.
@@ -56,6 +58,7 @@
 	Public           bool
 	Sticky           bool
 	Homes            []string // regions
+	Unreadable       error    // why the row couldn't be read whole, or nil; see Complete
 }
 
 // ShareSpec names a service of a route and its weight.
@@ -73,7 +76,7 @@
 
 // Pages returns the manifest and the pages of the table that Build would
 // return, each page of at most limit bytes. It checks each row by itself; Join
-// checks the references between rows.
+// checks the references between rows. See Complete for a spec with faults.
 func (s Spec) Pages(limit int) (Manifest, []*Page, error) {
 	var faults Faults
 	set := buildRows(s.Version, s.records(), &faults)
@@ -104,6 +107,9 @@
 	for _, a := range s.Accounts {
 		list = append(list, a.record())
 	}
+	for i := range list {
+		list[i].external = true
+	}
 	return list
 }
 
--- a/pkg/mgtable/column.go
+++ b/pkg/mgtable/column.go
@@ -45,6 +45,10 @@
 	form  form
 	text  string
 	items []string
+
+	// external is set for a value that a program took from another configuration. That one decides
+	// which names and sizes are valid, and not this package.
+	external bool
 }
 
 // valueFault is a fault without its line, row and column.
@@ -80,7 +84,7 @@
 			if c != nil {
 				return c
 			}
-			if x < low || x > high || (excludeLow && x == low) {
+			if x < low || x > high && !v.external || (excludeLow && x == low) {
 				return newValueFault(bounds, "%g is out of bounds", x)
 			}
 			*field(r) = x
@@ -128,7 +132,7 @@
 			if err != nil {
 				return newValueFault(remedy, "%q is not a whole number in bounds", clip(v.text))
 			}
-			if n < 0 || n > high {
+			if n < 0 || n > v.maxCount(high) {
 				return newValueFault(remedy, "%d is out of bounds", n)
 			}
 			*field(r) = n
@@ -147,6 +151,14 @@
 	}
 }
 
+// maxCount returns the maximum of a count column with a limit.
+func (v value) maxCount(limit int64) int64 {
+	if v.external {
+		return maxExternal
+	}
+	return limit
+}
+
 // nameColumn holds the name of a row.
 func nameColumn[R any](name string, field func(*R) *string) column[R] {
 	return column[R]{
@@ -155,7 +167,7 @@
 			if v.form != text && v.form != cell {
 				return newValueFault("write the name as a string", "not a string")
 			}
-			if c := checkName(v.text); c != nil {
+			if c := v.checkName(v.text); c != nil {
 				return c
 			}
 			*field(r) = v.text
@@ -191,7 +203,7 @@
 			}
 			seen := make(map[string]bool, len(items))
 			for _, item := range items {
-				if c := checkName(item); c != nil {
+				if c := v.checkName(item); c != nil {
 					return c
 				}
 				if seen[item] {
@@ -256,18 +268,22 @@
 	default:
 		return nil, newValueFault("write a list of strings, such as [\"a\", \"b\"]", "not a list")
 	}
-	if len(v.items) > maxListItems {
+	if len(v.items) > maxListItems && !v.external {
 		return nil, newValueFault(fmt.Sprintf("list at most %d", maxListItems), "%d items are too many", len(v.items))
 	}
 	return v.items, nil
 }
 
 // checkName accepts letters, digits and nameSymbols, so that a name needs no
-// escaping in a URL, a metric, a log line or a spreadsheet cell.
-func checkName(name string) *valueFault {
+// escaping in a URL, a metric, a log line or a spreadsheet cell. The names of an external value may
+// be any text.
+func (v value) checkName(name string) *valueFault {
 	if name == "" {
 		return newValueFault("give it a name", "the name is empty")
 	}
+	if v.external {
+		return nil
+	}
 	if len(name) > maxNameLength {
 		return newValueFault(fmt.Sprintf("use at most %d characters", maxNameLength), "the name %q is too long", clip(name))
 	}
--- a/pkg/mgtable/route.go
+++ b/pkg/mgtable/route.go
@@ -1,6 +1,7 @@
 package mgtable
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -188,7 +189,8 @@
 				return newValueFault(remedy, "not a string")
 			}
 			p := v.text
-			if len(p) > maxPrefixBytes || !strings.HasPrefix(p, "/") || !strings.HasSuffix(p, "/") || strings.ContainsFunc(p, isUnsafePathRune) {
+			isOdd := len(p) > maxPrefixBytes || strings.ContainsFunc(p, isUnsafePathRune)
+			if isOdd && !v.external || !strings.HasPrefix(p, "/") || !strings.HasSuffix(p, "/") {
 				return newValueFault(remedy, "%q is not a prefix", clip(p))
 			}
 			*field(r) = p
@@ -219,7 +221,7 @@
 			}
 			shares := make([]Share, 0, len(items))
 			for _, item := range items {
-				share, c := parseShare(item)
+				share, c := v.parseShare(item)
 				if c != nil {
 					return c
 				}
@@ -238,9 +240,12 @@
 	}
 }
 
-func parseShare(item string) (Share, *valueFault) {
+func (v value) parseShare(item string) (Share, *valueFault) {
 	service, weight, hasWeight := strings.Cut(item, "=")
-	if c := checkName(service); c != nil {
+	if last := strings.LastIndexByte(item, '='); hasWeight && v.external {
+		service, weight = item[:last], item[last+1:] // the name may have the character, too
+	}
+	if c := v.checkName(service); c != nil {
 		return Share{}, c
 	}
 	share := Share{
@@ -251,7 +256,7 @@
 		return share, nil
 	}
 	n, err := strconv.ParseInt(weight, 10, 64)
-	if err != nil || n < 0 || n > maxWeight {
+	if err != nil || n < 0 || n > v.maxCount(maxWeight) {
 		return Share{}, newValueFault("write service=weight with a weight from 0 to 1000000", "%q is not a share", clip(item))
 	}
 	share.weight = n
@@ -286,10 +291,29 @@
 		prefixes = map[string]*Route{}
 		c.table.routesByHost[host] = prefixes
 	}
-	if other := prefixes[r.prefix]; other != nil {
+	if other := prefixes[r.prefix]; other != nil && other.prefix == r.prefix {
 		c.addFault(routeRow, r.name, "prefix", r.line,
 			"route "+other.name+" has this host and prefix", "give each route a prefix of its own")
 		return
 	}
 	prefixes[r.prefix] = r
+	// Clients send what a path can't hold as it is in percent-encoding.
+	if encoded := percentEncode(r.prefix); prefixes[encoded] == nil {
+		prefixes[encoded] = r
+	}
+}
+
+// percentEncode encodes the characters of a path that RFC 3986 allows only in percent-encoding. It
+// keeps what is encoded already.
+func percentEncode(path string) string {
+	isPlain := func(c byte) bool { return c > ' ' && c < 0x7f && strings.IndexByte("\"<>\\^`{|}", c) < 0 }
+	var b strings.Builder
+	for i := range len(path) {
+		if c := path[i]; isPlain(c) {
+			b.WriteByte(c)
+		} else {
+			fmt.Fprintf(&b, "%%%02X", c)
+		}
+	}
+	return b.String()
 }
--- a/pkg/mgtable/rows.go
+++ b/pkg/mgtable/rows.go
@@ -7,9 +7,10 @@
 
 // record is a parsed row before it is checked.
 type record struct {
-	kind  string
-	line  int
-	cells []entry
+	kind     string
+	line     int
+	cells    []entry
+	external bool // see value
 }
 
 // entry is one column of a record.
@@ -106,6 +107,7 @@
 			fault.remedy = "keep one of them"
 		default:
 			seen[i] = true
+			e.value.external = r.external
 			c := columns[i].set(row, e.value)
 			if c == nil {
 				continue
@@ -161,7 +163,7 @@
 	if len(names) == 0 {
 		return nil
 	}
-	key := strings.Join(names, " ")
+	key := strings.Join(names, "\x00")
 	kept, ok := n[key]
 	if !ok {
 		kept = names
--- a/pkg/mgtable/toml.go
+++ b/pkg/mgtable/toml.go
@@ -236,8 +236,7 @@
 }
 
 // writeTOML writes rows in canonical form: one column per line, in the order of
-// the rows, without empty columns. Names hold no character that TOML would
-// escape.
+// the rows, without empty columns.
 func writeTOML(set rows) []byte {
 	var b bytes.Buffer
 	if set.version > 0 {
@@ -264,7 +263,9 @@
 func writeColumn(b *bytes.Buffer, name string, v value) {
 	switch v.form {
 	case text:
-		b.WriteString(name + " = \"" + v.text + "\"\n")
+		b.WriteString(name + " = ")
+		writeString(b, v.text)
+		b.WriteByte('\n')
 	case number:
 		b.WriteString(name + " = " + v.text + "\n")
 	case list:
@@ -273,8 +274,25 @@
 			if i > 0 {
 				b.WriteString(", ")
 			}
-			b.WriteString("\"" + item + "\"")
+			writeString(b, item)
 		}
 		b.WriteString("]\n")
 	}
 }
+
+// writeString writes a basic string (TOML 1.0). Only external names have characters to escape.
+func writeString(b *bytes.Buffer, s string) {
+	b.WriteByte('"')
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c == '"' || c == '\\':
+			b.WriteByte('\\')
+			b.WriteByte(c)
+		case c < ' ' || c == 0x7f:
+			fmt.Fprintf(b, "\\u%04X", c)
+		default:
+			b.WriteByte(c)
+		}
+	}
+	b.WriteByte('"')
+}
