mgrelay, mgtable: an engine's own failure at the deadline, and the name of no service

A request whose time was over by the clock was answered with this process's 504 where the upstream had answered itself, which was passed on before. The service without upstreams, to which a row that can't be read leads, could have the name of one that another route names and that has no row.

Change: the upstream's answer goes first; the name is none that the spec uses.

Result: TestFailureAtDeadlineReplaced (new) and the tests of both parts pass.

--- a/internal/process/mgrelay/ending.go
+++ b/internal/process/mgrelay/ending.go
@@ -171,8 +171,8 @@
 		events, inside = end.stream.events, end.stream.scanner.inEvent()
 	}
 	y.spec.Log.Info("an answer ended with its connection", mglog.Request, x.id, mglog.Route, x.call.Route.Name(),
-		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside, "ordered", end.isOrdered(), "expired", end.expired,
-		"ending", [...]string{"broken", "unknown", "whole"}[result])
+		mglog.Service, x.service, mglog.Upstream, x.lastUpstream, "events", events, "inside", inside,
+		"ordered", end.isOrdered(), "expired", end.expired, "ending", [...]string{"broken", "unknown", "whole"}[result])
 }
 
 // beginBody prepares the header of an answer with a body. The caller's answer states no end that
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -277,7 +277,7 @@
 		if outcome == delivered {
 			return
 		}
-		if ctx.Err() != nil || y.isExpired(x) {
+		if ctx.Err() != nil || y.isExpired(x) && x.failure == nil {
 			y.expire(ctx, w, x)
 			return
 		}
--- a/internal/process/mgrelay/stopped_test.go
+++ b/internal/process/mgrelay/stopped_test.go
@@ -229,6 +229,25 @@
 	}
 }
 
+// Guards against an upstream's own failure that is replaced because it comes at the deadline.
+func TestFailureAtDeadlineReplaced(t *testing.T) {
+	Convey("An upstream's own answer that the time is over is passed on", t, func() {
+		var clock mgclock.Manual
+		g := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+			clock.Advance(4 * mgclock.Second)
+			w.WriteHeader(http.StatusGatewayTimeout)
+			_, _ = io.WriteString(w, "the time is over")
+		})
+		g.startRelay(func(spec *mgrelay.Spec) { spec.Clock = clock.Clock() })
+		got := g.send(context.Background(), http.MethodPost, "/once/1", "x", http.Header{
+			"Deadline": {"4000"},
+		})
+		So(got.status, ShouldEqual, http.StatusGatewayTimeout)
+		So(got.header.Get("Signature"), ShouldEqual, "signed by a")
+		So(got.body, ShouldEqual, "the time is over")
+	})
+}
+
 // Guards against an answer without a framing that its upstream has ended at the request's deadline, and that
 // is passed on as whole by a process that runs late.
 func TestAnswerEndedAtDeadlineLooksWhole(t *testing.T) {
--- a/pkg/mgtable/complete.go
+++ b/pkg/mgtable/complete.go
@@ -49,7 +49,7 @@
 		}
 	}
 	c.unusable = unusableName
-	for c.services[c.unusable] {
+	for s.namesService(c.unusable) {
 		c.unusable += "-"
 	}
 	for _, r := range s.Routes {
@@ -74,6 +74,14 @@
 	return out, c.faults
 }
 
+// namesService reports whether a service has a row, or a route leads to one of that name.
+func (s Spec) namesService(name string) bool {
+	leadsTo := func(r RouteSpec) bool {
+		return slices.ContainsFunc(r.Services, func(share ShareSpec) bool { return share.Service == name })
+	}
+	return slices.ContainsFunc(s.Services, func(v ServiceSpec) bool { return v.Name == name }) || slices.ContainsFunc(s.Routes, leadsTo)
+}
+
 // completer collects the faults of a spec and what its rows need to be free of them.
 type completer struct {
 	faults   *Faults
