--- a/internal/connection/mglistener/conn_test.go
+++ b/internal/connection/mglistener/conn_test.go
@@ -23,7 +23,12 @@
 	listener, err := mglistener.Listen("127.0.0.1:0", nil)
 	So(err, ShouldBeNil)
 	defer listener.Close()
-	caller, err = net.Dial("tcp", listener.Addr().String())
+	return openConnAt(listener)
+}
+
+// openConnAt opens a connection at a listener, and returns both its ends.
+func openConnAt(listener *mglistener.Listener) (caller net.Conn, conn *mglistener.Conn) {
+	caller, err := net.Dial("tcp", listener.Addr().String())
 	So(err, ShouldBeNil)
 	accepted, err := listener.Accept()
 	So(err, ShouldBeNil)
@@ -32,6 +37,15 @@
 	return caller, conn
 }
 
+// receiveBufferOf returns the size of a connection's receive buffer in bytes.
+func receiveBufferOf(conn *mglistener.Conn) (size int) {
+	raw, err := conn.SyscallConn()
+	So(err, ShouldBeNil)
+	err = raw.Control(func(fd uintptr) { size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) })
+	So(err, ShouldBeNil)
+	return size
+}
+
 // awaitArrival waits until the connection's socket has bytes to read or the end of the stream.
 func awaitArrival(t *testing.T, conn *mglistener.Conn) {
 	raw, err := conn.SyscallConn()
--- a/internal/connection/mglistener/listener.go
+++ b/internal/connection/mglistener/listener.go
@@ -37,6 +37,20 @@
 	}, nil
 }
 
+// SetReceiveBuffer limits what the kernel keeps of each further connection until it is read, in bytes; the
+// kernel allows about as much again for its own structures.
+func (l *Listener) SetReceiveBuffer(bytes int) error {
+	raw, err := l.tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	})
+	return errors.Join(err, os.NewSyscallError("setsockopt", setErr))
+}
+
 // Accept returns the next connection, a *Conn or, with TLS, a *tls.Conn over one. After
 // Shutdown it returns those that the kernel has established, and then net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
