mgnode, mgrelay: what a process holds for callers of all its listeners is one budget each

Cause: only the number of connections was bounded, at one listener, with 90 kB for each, while a body of 4 MiB took 9 MB and the receive queues megabytes. Places were taken back from idle and new connections only, not from requests that never end. A connection that was ended as bytes arrived went on, and its place was given away all the same.

Change: each listener has a budget, a part of the process's memory, from which connections, bodies, buffered answers and events are granted before they are read, and to which they are given back (mgbudget, mgbody). Receive buffers have a size, requests time limits that can't be removed (mglistener). Where room is missing, the connections that have waited longest for their callers are ended, also inside a request that has been arriving for 250 ms; one that goes on counts as open. Bodies that find no room get 503 "not run" before they are read. New settings: memory, upload, stall.

Why it works: the sum is bounded whatever a connection is used for, so that crowds that change their kind are, too; an ordinary request arrives at once and is never among those that have waited longest.

--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -52,6 +52,9 @@
 	return run(stop, forceStop, node)
 }
 
+// bytesPerMB converts the setting of a process's memory.
+const bytesPerMB = 1_000_000
+
 type entryCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the entry, TOML"`
 	output   outputs
@@ -64,6 +67,7 @@
 		s := mgnode.Spec{
 			Settings: settings.Process,
 			Log:      c.output.errOut,
+			Memory:   settings.Memory * bytesPerMB,
 		}
 		if settings.Relay {
 			headers := mgrelay.DefaultHeaderNames()
@@ -88,6 +92,7 @@
 		return mgnode.Spec{
 			Settings: settings.Process,
 			Log:      c.output.errOut,
+			Memory:   settings.Memory * bytesPerMB,
 		}
 	}
 	return runProcess(c.Settings, &settings, spec, func(stop, forceStop context.Context, node *mgnode.Node) error {
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbody"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgmetric"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -207,7 +208,7 @@
 // limitBody limits the size of a request's body.
 func (e *Entry) limitBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, e.spec.Settings.MaxBody)
+		mgbody.Limit(w, r, e.spec.Settings.MaxBody)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/process/mgentry/generate.go
+++ b/internal/process/mgentry/generate.go
@@ -16,7 +16,7 @@
 
 // generate handles a completion request.
 func (e *Entry) generate(w http.ResponseWriter, r *http.Request, c caller, chat bool) {
-	j, problem := e.parse(r, c, chat)
+	j, problem := e.parse(w, r, c, chat)
 	if problem != nil {
 		mgproblem.Write(w, problem)
 		return
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbody"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbudget"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgprefix"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
@@ -62,10 +64,10 @@
 }
 
 // parse decodes and validates a completion request.
-func (e *Entry) parse(r *http.Request, c caller, chat bool) (*job, *mgproblem.Problem) {
+func (e *Entry) parse(w http.ResponseWriter, r *http.Request, c caller, chat bool) (*job, *mgproblem.Problem) {
 	var in body
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		return nil, bodyProblem(err)
+		return nil, bodyProblem(w, err)
 	}
 	if in.Choices > 1 {
 		return nil, invalid("n is more than 1", "send one request for each answer")
@@ -81,6 +83,8 @@
 	if problem != nil {
 		return nil, problem
 	}
+	// From here on the prompt is held once here and once in the message to the agent.
+	mgbudget.ClaimOf(r.Context()).Trim(2 * int64(len(prompt)))
 	j := &job{
 		caller:       c,
 		service:      service,
@@ -107,12 +111,19 @@
 	return j, nil
 }
 
-func bodyProblem(err error) *mgproblem.Problem {
+// bodyProblem returns the problem for a body that can't be read or decoded. If a part of it wasn't received,
+// the caller's connection ends with the answer.
+func bodyProblem(w http.ResponseWriter, err error) *mgproblem.Problem {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return mgproblem.New(mgproblem.TooLarge, mgproblem.NotRun,
 			"the body is larger than this entry takes", "send a shorter prompt")
 	}
+	problem := mgbody.Problem(err)
+	if problem.Kind() == mgproblem.Overloaded {
+		w.Header().Set("Connection", "close")
+		return problem
+	}
 	return invalid("the body is not the JSON of a request", "send an object with model and messages").WithCause(err)
 }
 
--- a/internal/process/mgentry/services.go
+++ b/internal/process/mgentry/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbody"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbudget"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgoperation"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgretry"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgrouting"
@@ -145,9 +146,13 @@
 		mgproblem.Write(w, problem)
 		return
 	}
-	data, err := io.ReadAll(r.Body)
+	data, err := mgbody.ReadAll(r)
+	if err == nil {
+		// The body is held once more in the message to the agent.
+		err = mgbudget.ClaimOf(r.Context()).Reserve(r.Context(), 2*int64(len(data)))
+	}
 	if err != nil {
-		mgproblem.Write(w, bodyProblem(err))
+		mgproblem.Write(w, bodyProblem(w, err))
 		return
 	}
 	promise, operation, err := mgoperation.GuaranteeFor(e.spec.Signer, mgoperation.KeySpec{
--- a/internal/process/mgfleet/fleet_test.go
+++ b/internal/process/mgfleet/fleet_test.go
@@ -32,8 +32,11 @@
 	admins      map[string]string // admin addresses of entries and agents
 	standins    map[string]string // base URLs of the stand-ins
 	relays      map[string]*mgproc.Link
-	entries     []string // base URLs for callers
-	struckAgent string   // the agent into which intoBusyAgent last injected a failure
+	entries     []string          // base URLs for callers
+	struckAgent string            // the agent into which intoBusyAgent last injected a failure
+	peers       map[string]string // addresses for other processes, of entries and agents
+	callers     map[string]string // addresses for callers, of entries
+	extra       map[string]string // further settings of entries and agents, by name
 }
 
 // upstreams maps each upstream to its agent.
@@ -45,8 +48,17 @@
 
 // newFleet starts a fleet and returns it once each process is ready.
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, nil)
+}
+
+// newFleetWith starts a fleet with further settings of some processes.
+func newFleetWith(t *testing.T, extra map[string]string) *fleet {
 	t.Helper()
 	f := &fleet{
+		extra:     extra,
+		peers:     map[string]string{},
+		callers:   map[string]string{},
 		t:         t,
 		binary:    buildBinary(t),
 		dir:       t.TempDir(),
@@ -129,9 +141,10 @@
 	name := upstreams[upstream]
 	addrs := freePorts(f.t, 2)
 	address := "http://" + f.addRelay(upstream, strings.TrimPrefix(f.standins[upstream], "http://"))
-	file := f.writeSettings(name, "%supstream = %q\naddress = %q\n", f.commonSettings(name, zone, addrs[0], addrs[1]), upstream, address)
+	file := f.writeSettings(name, "%supstream = %q\naddress = %q\n%s", f.commonSettings(name, zone, addrs[0], addrs[1]), upstream, address, f.extra[name])
 	f.processes[name] = startProcess(f.t, f.binary, name, "agent", "--settings", file)
 	f.admins[name] = addrs[1]
+	f.peers[name] = addrs[0]
 	vm := mgplatform.VM{
 		Name:            name,
 		Kind:            mgplatform.AgentKind,
@@ -152,9 +165,11 @@
 
 func (f *fleet) startEntry(name, zone string) mgplatform.VM {
 	addrs := freePorts(f.t, 3)
-	file := f.writeSettings(name, "%slisten = %q\n", f.commonSettings(name, zone, addrs[0], addrs[1]), addrs[2])
+	file := f.writeSettings(name, "%slisten = %q\n%s", f.commonSettings(name, zone, addrs[0], addrs[1]), addrs[2], f.extra[name])
 	f.processes[name] = startProcess(f.t, f.binary, name, "entry", "--settings", file)
 	f.admins[name] = addrs[1]
+	f.peers[name] = addrs[0]
+	f.callers[name] = addrs[2]
 	f.entries = append(f.entries, "http://"+f.addRelay(name, addrs[2]))
 	return mgplatform.VM{
 		Name:   name,
--- a/internal/process/mgheap/collector.go
+++ b/internal/process/mgheap/collector.go
@@ -12,7 +12,8 @@
 	relaxedPercent = 200
 	// relaxedTime is how long an overload goes on to count after it was last reported.
 	relaxedTime = 10 * mgclock.Second
-	// heapShare is the part of the VM's memory from which on collections are as frequent as needed.
+	// heapShare is the part of the VM's memory from which on collections are as frequent as needed, also
+	// without an overload.
 	heapShare = 0.6
 )
 
@@ -38,6 +39,13 @@
 	}
 }
 
+// LimitMemory makes collections as frequent as needed to keep the process within a part of the VM's memory.
+func (c *Collector) LimitMemory() {
+	if c.limit > 0 {
+		c.setLimit(c.limit)
+	}
+}
+
 // ReportOverload makes collections rarer for some time.
 func (c *Collector) ReportOverload(now mgclock.Millis) {
 	if c.limit <= 0 {
--- a/internal/process/mgheap/collector_test.go
+++ b/internal/process/mgheap/collector_test.go
@@ -50,8 +50,19 @@
 			So(percent, ShouldEqual, c.after)
 		})
 	}
+	Convey("A process in calm knows its limit", t, func() {
+		limit := int64(0)
+		collector := New(100e6)
+		collector.setLimit = func(to int64) int64 {
+			limit = to
+			return 0
+		}
+		collector.LimitMemory()
+		So(limit, ShouldEqual, 60e6)
+	})
 	Convey("The zero collector changes nothing", t, func() {
 		var collector Collector
+		collector.LimitMemory()
 		collector.ReportOverload(1)
 		collector.Tick(1 + relaxedTime)
 		So(collector.isRelaxed, ShouldBeFalse)
--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -7,12 +7,17 @@
 	"sync"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbudget"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
 // connTracker tracks the connections of a listener, to report their state when the listener
 // closes. The zero value is ready for use.
 type connTracker struct {
+	budget    *mgbudget.Budget // nil stands for none
+	connBytes int64            // of the budget, for each connection
+	onEvicted func()           // called with mu held; may be nil
+
 	mu           sync.Mutex
 	open         map[net.Conn]*trackedConn
 	closing      bool
@@ -28,7 +33,8 @@
 	pending   bool           // a counted request has not reached a handler yet
 	idleSince mgclock.Millis // when the connection was opened or last became idle
 	idleEnded bool           // the close has ended it because it was idle
-	evicted   bool           // it was ended for another connection while it was idle
+	evicted   bool           // it was ended for another connection while it waited for its caller
+	claim     *mgbudget.Claim
 }
 
 // connKey is the context key under which a request finds the trackedConn of its connection.
@@ -39,7 +45,9 @@
 func (c *connTracker) connContext(ctx context.Context, conn net.Conn) context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return context.WithValue(mglistener.ConnContext(ctx, conn), connKey{}, c.trackedOf(conn))
+	tracked := c.trackedOf(conn)
+	ctx = mgbudget.WithClaim(ctx, tracked.claim)
+	return context.WithValue(mglistener.ConnContext(ctx, conn), connKey{}, tracked)
 }
 
 // trackedOf returns the state of a connection, which it creates if needed. It is called with
@@ -49,7 +57,9 @@
 		c.open = map[net.Conn]*trackedConn{}
 	}
 	if c.open[conn] == nil {
-		c.open[conn] = &trackedConn{}
+		c.open[conn] = &trackedConn{
+			claim: c.newClaim(conn),
+		}
 	}
 	return c.open[conn]
 }
@@ -60,6 +70,7 @@
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
 		c.countIdleEnd(c.open[conn])
+		c.endClaim(conn)
 		delete(c.open, conn)
 		return
 	}
@@ -70,6 +81,7 @@
 		tracked.idleSince = mgclock.Clock{}.Now()
 	}
 	if state == http.StateIdle {
+		tracked.claim.Trim(0)
 		if accepted := mglistener.ConnOf(conn); accepted != nil {
 			accepted.BeginIdle()
 		}
@@ -139,6 +151,17 @@
 	return len(c.open)
 }
 
+// skipLinger makes all connections close at once when they are closed.
+func (c *connTracker) skipLinger() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if accepted := mglistener.ConnOf(conn); accepted != nil {
+			accepted.SkipLinger()
+		}
+	}
+}
+
 // countIdleEnd counts a closed connection if the close of the listener has ended it because it
 // was idle. It is called with mu held.
 func (c *connTracker) countIdleEnd(tracked *trackedConn) {
--- a/internal/process/mgnode/connlimit.go
+++ b/internal/process/mgnode/connlimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 
 	"github.com/go-logr/logr"
 
@@ -20,7 +19,8 @@
 	limit      int         // 0 stands for none
 	admits     func() bool // reports whether the processor bears one more; nil stands for always
 	log        logr.Logger
-	onRefused  func(count int) // may be nil
+	onRefused  func(count int)        // may be nil
+	begin      func(*mglistener.Conn) // prepares a connection that is accepted
 	refused    int64
 	nextReport mgclock.Millis
 }
@@ -31,9 +31,6 @@
 	// maxCloseQueued is the number of connections that are closed at a time. Requests that have been read
 	// wait meanwhile.
 	maxCloseQueued = 64
-	// firstRequestTime is the time that a new connection has for its first request before it may be
-	// ended for another one.
-	firstRequestTime = mgclock.Second
 )
 
 // Accept implements net.Listener.
@@ -54,7 +51,13 @@
 		case l.limit > 0 && !l.conns.makeRoom(l.limit):
 			_ = conn.Close()
 			l.reportRefused(1, "the process has as many as it may")
+		case !l.conns.acquireConn():
+			_ = conn.Close()
+			l.reportRefused(1, "what may be held for callers is exhausted")
 		default:
+			if accepted := mglistener.ConnOf(conn); accepted != nil {
+				l.begin(accepted)
+			}
 			mglistener.EnableKeepAlive(conn)
 			return conn, nil
 		}
@@ -72,41 +75,3 @@
 		l.log.Info("connections are closed unread: "+why, "limit", l.limit, "closed", l.refused)
 	}
 }
-
-// makeRoom reports whether one more connection may be served. At the limit it ends the one that has
-// waited longest for a request; there is no room if none waits.
-func (c *connTracker) makeRoom(limit int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.open) < limit {
-		return true
-	}
-	now := mgclock.Clock{}.Now()
-	kept := 0
-	var longest net.Conn
-	for conn, tracked := range c.open {
-		if tracked.evicted {
-			continue
-		}
-		kept++
-		if tracked.isEvictable(now) && (longest == nil || tracked.idleSince < c.open[longest].idleSince) {
-			longest = conn
-		}
-	}
-	if kept < limit {
-		return true
-	}
-	if longest == nil {
-		return false
-	}
-	c.open[longest].evicted = true
-	if accepted := mglistener.ConnOf(longest); accepted != nil {
-		_ = accepted.EndIdle() // fails only on a closed connection
-	}
-	return true
-}
-
-// isEvictable reports whether the connection waits for a request and may be ended for another one.
-func (t *trackedConn) isEvictable(now mgclock.Millis) bool {
-	return t.state == http.StateIdle || t.state == http.StateNew && now >= t.idleSince+firstRequestTime
-}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -8,6 +8,7 @@
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglink"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgpeer"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbudget"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgentry"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgsettings"
@@ -20,6 +21,7 @@
 // RunEntry runs an entry until stop ends, and then drains it. The drain ends early
 // when abortDrain ends.
 func RunEntry(stop, abortDrain context.Context, settings mgsettings.Entry, n *Node) error {
+	n.servesCallers = true
 	return n.run(stop, abortDrain, func(ctx context.Context) (Drain, error) { return n.startEntry(ctx, settings) })
 }
 
@@ -61,7 +63,7 @@
 	if settings.MaxRetries > 0 {
 		n.background.Go(func() { n.limitRetries(ctx, int(settings.MaxRetries), entry.RetryBudgets()) })
 	}
-	n.Serve(ctx, ServerSpec{
+	n.Serve(ctx, n.withBudget(ServerSpec{
 		Name:           "callers",
 		Listener:       public,
 		Handler:        entry.Handler(),
@@ -72,7 +74,11 @@
 		OnRefused:      func(count int) { n.metrics.Counter("callers.refused").Inc(int64(count)) },
 		Admits:         n.admitsConnection,
 		IsOverloaded:   n.isOverloaded,
-	})
+		ConnBytes:      mgbudget.CallerConnBytes,
+		ReceiveBuffer:  callerReceiveBuffer,
+		BodyTimeout:    mgclock.Millis(settings.BodyTimeout),
+		WriteTimeout:   mgclock.Millis(settings.WriteTimeout),
+	}, n.parts().Callers()))
 	drain := n.NewDrain(entry.Leave, entry.Busy)
 	withdrawReadiness := drain.WithdrawReadiness
 	drain.WithdrawReadiness = func() {
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -1,6 +1,7 @@
 package mgnode
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -83,6 +84,10 @@
 	waits               atomic.Pointer[mglag.Meter]  // of an entry, else nil
 	gate                mgoverload.Gate              // for new connections of callers
 	collector           *mgheap.Collector
+	memory              int64 // of the process, bytes
+	maxFiles            int64 // descriptors, 0 if unknown
+	servesCallers       bool
+	budgets             budgets     // of the listeners
 	serving             atomic.Bool // the listeners for work are open
 	leaving             atomic.Bool
 	closeDeadline       atomic.Int64 // when a drained process closes the callers' listener at the latest
@@ -128,6 +133,8 @@
 		probe:             spec.Probe,
 		askIncarnation:    spec.AskIncarnation,
 		collector:         mgheap.New(spec.Memory),
+		memory:            cmp.Or(spec.Memory, settings.Memory*bytesPerMB, defaultMemory),
+		maxFiles:          spec.MaxFiles,
 	}
 	n.quarantine = mgquarantine.New(incarnation, n.trialRank)
 	n.exchanger = n.newExchanger()
@@ -145,6 +152,7 @@
 	n.admin.AddSection("quarantine", n.quarantineState)
 	n.admin.AddSection("limits", func() any { return n.limits.Records(n.clock.Now()) })
 	n.admin.AddSection("speeds", n.speedState)
+	n.admin.AddSection("held", func() any { return n.budgets.state() })
 	n.admin.AddSection("origins", func() any { return n.origins.State() })
 	n.admin.SetReadiness(n.Ready)
 	return n, nil
@@ -268,26 +276,28 @@
 		return fmt.Errorf("key admin: can't listen on %s: give a free IP and port of this VM: %w", n.settings.AdminAddr, err)
 	}
 	for _, spec := range n.extraServers {
-		n.Serve(ctx, spec)
+		n.Serve(ctx, n.withBudget(spec, n.parts().Readiness()))
 	}
-	n.Serve(ctx, ServerSpec{
+	n.Serve(ctx, n.withBudget(ServerSpec{
 		Name:     "admin",
 		Listener: operators,
 		Handler:  n.admin.Handler(n.metrics),
-	})
+	}, n.parts().Operators()))
 	peers, err := n.guard.Listen(n.settings.PeerAddr)
 	if err != nil {
 		return err
 	}
-	n.Serve(ctx, ServerSpec{
+	n.Serve(ctx, n.withBudget(ServerSpec{
 		Name:     "peers",
 		Listener: peers,
 		Handler:  n.guard.RequireKey(n.peerRoutes()),
-	})
+		MaxConns: int(n.maxFiles / peerFilesDivisor),
+	}, n.parts().Peers()))
 	n.background.Go(func() { n.runEvents(ctx) })
 	n.background.Go(func() { n.configLoop.Run(ctx) })
 	n.background.Go(func() { n.pause.Run(ctx) })
 	n.background.Go(func() { n.tick(ctx) })
+	n.collector.LimitMemory()
 	for n.Table() == nil || !n.configLoop.Ready() {
 		if !n.clock.Sleep(stop, statePollInterval) {
 			return fmt.Errorf("start: stopped before a configuration was in force: %w", stop.Err())
@@ -303,6 +313,7 @@
 		n.members.Tick(n.clock.Now())
 		n.forgetGoneUpstreams()
 		n.collector.Tick(n.clock.Now())
+		n.budgets.report(n.metrics)
 		n.reportReads(n.configLoop.Status())
 	}
 }
--- a/internal/process/mgnode/serve.go
+++ b/internal/process/mgnode/serve.go
@@ -1,14 +1,18 @@
 package mgnode
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 
 	"github.com/go-logr/logr"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbody"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbudget"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
@@ -47,13 +51,33 @@
 	// IsOverloaded reports whether connections end after their next response, or once they have been idle
 	// for a while, so that their callers open others. Nil stands for never.
 	IsOverloaded func() bool
+	// Budget bounds what is held for callers, of which each connection takes ConnBytes. Nil stands for no
+	// bound. ReceiveBuffer limits what the kernel keeps of a connection until it is read, in bytes; 0 stands
+	// for the kernel's default.
+	Budget        *mgbudget.Budget
+	ConnBytes     int64
+	ReceiveBuffer int
+	// BodyTimeout limits the time in which the body of a request arrives, WriteTimeout the time for which a
+	// caller may leave an answer unread. 0 stands for the defaults.
+	BodyTimeout  mgclock.Millis
+	WriteTimeout mgclock.Millis
+	// OnLate is called for each request that doesn't arrive in time, OnEvicted for each connection that is
+	// ended for another one while it waits for its caller. Both may be nil.
+	OnLate    func()
+	OnEvicted func()
 }
 
 const (
 	// defaultMaxHeaderBytes is enough for the headers of calls between processes.
-	defaultMaxHeaderBytes = 32 << 10
+	defaultMaxHeaderBytes = 8 << 10
 	// defaultHeaderTimeout is ample for the headers of calls between processes.
 	defaultHeaderTimeout = 10 * mgclock.Second
+	// refusalLinger is the time that a caller has to read the refusal of a request that it still sends.
+	refusalLinger = 500 * mgclock.Millis(1)
+	// defaultBodyTimeout is ample for the bodies of calls between processes, and defaultWriteTimeout for
+	// their answers.
+	defaultBodyTimeout  = 30 * mgclock.Second
+	defaultWriteTimeout = 30 * mgclock.Second
 	// idleTimeout closes idle connections of callers; balancers open new ones.
 	idleTimeout = 2 * mgclock.Minute
 )
@@ -68,22 +92,38 @@
 	if spec.HeaderTimeout == 0 {
 		spec.HeaderTimeout = defaultHeaderTimeout
 	}
+	spec.BodyTimeout = cmp.Or(spec.BodyTimeout, defaultBodyTimeout)
+	spec.WriteTimeout = cmp.Or(spec.WriteTimeout, defaultWriteTimeout)
 	log = log.WithValues("name", spec.Name)
-	var conns connTracker
+	conns := connTracker{
+		budget:    spec.Budget,
+		connBytes: spec.ConnBytes,
+		onEvicted: evictionReporter(log, spec.OnEvicted),
+	}
+	if spec.ReceiveBuffer > 0 {
+		if err := spec.Listener.SetReceiveBuffer(spec.ReceiveBuffer); err != nil {
+			log.Error(err, "the kernel may keep more of each connection than is accounted for")
+		}
+	}
 	shedder := &idleShedder{
 		conns: &conns,
 		log:   log,
 	}
 	server := &http.Server{
-		Handler:           conns.wrap(endConnections(spec.Handler, shedder.wrap(spec.IsOverloaded))),
+		Handler:           conns.wrap(receiveBodies(endConnections(spec.Handler, shedder.wrap(spec.IsOverloaded)))),
 		ConnState:         conns.stateChanged,
 		ConnContext:       conns.connContext,
 		MaxHeaderBytes:    spec.MaxHeaderBytes,
 		ReadHeaderTimeout: spec.HeaderTimeout.Duration(),
 		IdleTimeout:       idleTimeout.Duration(),
+		ErrorLog:          slog.NewLogLogger(logr.ToSlogHandler(log), slog.LevelInfo),
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 	}
-	defer context.AfterFunc(killed, func() { _ = server.Close() })()
+	closeAll := func() {
+		conns.skipLinger()
+		_ = server.Close()
+	}
+	defer context.AfterFunc(killed, closeAll)()
 	listenerFinished := make(chan struct{})
 	cancelShutdown := context.AfterFunc(ctx, func() {
 		defer close(listenerFinished)
@@ -100,6 +140,14 @@
 		admits:    spec.Admits,
 		log:       log,
 		onRefused: spec.OnRefused,
+		begin: func(conn *mglistener.Conn) {
+			conn.SetTimeouts(mglistener.Timeouts{
+				Head:   spec.HeaderTimeout,
+				Body:   spec.BodyTimeout,
+				Write:  spec.WriteTimeout,
+				Linger: refusalLinger,
+			}, spec.OnLate)
+		},
 	})
 	// cancelShutdown returns true if ctx has not ended. Then server.Serve returned because of a
 	// failure.
@@ -120,7 +168,7 @@
 	stats := conns.statsAtClose()
 	log.Info("listener closed", "read", stats.read, "unanswered", stats.unanswered, "unused", stats.unused, "cut", stats.aborted,
 		"idle", stats.idle, "silence", int64(stats.minSilence))
-	_ = server.Close()
+	closeAll()
 }
 
 // endConnections returns a handler that asks callers to open a new connection for their next request
@@ -137,6 +185,16 @@
 	})
 }
 
+// receiveBodies returns a handler that passes on requests whose bodies are received within the budget of the
+// listener.
+func receiveBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received, finish := mgbody.Receive(r)
+		defer finish()
+		next.ServeHTTP(w, received)
+	})
+}
+
 // linger returns how long the callers' listener waits for its last responses: until the end
 // of the drain, but at least minLinger and at most maxLinger.
 func (n *Node) linger() mgclock.Millis {
--- a/internal/process/mgnode/spec.go
+++ b/internal/process/mgnode/spec.go
@@ -19,8 +19,11 @@
 type Spec struct {
 	Settings mgsettings.Process
 	Log      io.Writer
-	// Memory is the memory of the VM in bytes, 0 if it isn't known; see mgheap.
+	// Memory is the memory of the VM in bytes; see mgheap. If it is 0, what may be held for callers follows
+	// from Settings.Memory, and collections stay as they are.
 	Memory int64
+	// MaxFiles is the number of descriptors that the process may have, 0 if it isn't known.
+	MaxFiles int64
 	// Platform reads the table and the list of VMs. Nil uses the service at
 	// Settings.PlatformURL.
 	Platform *mgplatform.Client
--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -35,6 +35,13 @@
 // delivered. Such an answer can be requested again when it breaks off.
 const maxBufferedAnswer = 256 << 10
 
+// minBufferedAnswer is that bound in bytes while too much is held for callers, and answerCopies the number of
+// times that an answer is held as its buffer grows.
+const (
+	minBufferedAnswer = 16 << 10
+	answerCopies      = 2
+)
+
 // attempt sends a request to one upstream and delivers its answer.
 func (y *Relay) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, host Host) (outcome attemptOutcome) {
 	outcome = failed // what the deferred call sees if abort panics, as when the caller's connection breaks
@@ -239,6 +246,18 @@
 	return refused
 }
 
+// answerLimit returns how many bytes of an answer are read before it is passed on: maxBufferedAnswer if they may
+// be held for the caller, else minBufferedAnswer, which its connection covers.
+func (x *exchange) answerLimit(response *http.Response) int64 {
+	if response.ContentLength >= 0 && response.ContentLength < minBufferedAnswer {
+		return maxBufferedAnswer
+	}
+	if x.claim.TryReserve(int64(len(x.body)) + answerCopies*maxBufferedAnswer) {
+		return maxBufferedAnswer
+	}
+	return minBufferedAnswer
+}
+
 // errLongAnswer means that an answer can't be passed on whole, because it can't be delivered
 // before other upstreams have been tried.
 var errLongAnswer = fmt.Errorf("mgrelay: the upstream's refusal or failure has over %d bytes: let it send a shorter one", maxBufferedAnswer)
@@ -246,8 +265,9 @@
 // bufferAnswer reads the answer of a failed or refusing upstream. If it breaks off or has over
 // maxBufferedAnswer bytes, bufferAnswer sets the problem with the outcome and returns nil.
 func (y *Relay) bufferAnswer(ctx context.Context, x *exchange, host Host, response *http.Response, outcome mgproblem.Outcome) *answer {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
-	if err == nil && len(body) > maxBufferedAnswer {
+	limit := x.answerLimit(response)
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
 		err = errLongAnswer
 	}
 	if err = y.endWhole(ctx, x, host, response, err); err != nil {
@@ -286,8 +306,9 @@
 
 // deliverWhole delivers an answer that is not a stream.
 func (y *Relay) deliverWhole(ctx context.Context, w http.ResponseWriter, x *exchange, host Host, response *http.Response) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
-	hasMore := err == nil && len(body) == maxBufferedAnswer
+	limit := x.answerLimit(response)
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	hasMore := err == nil && int64(len(body)) == limit
 	if !hasMore {
 		if cause := y.endWhole(ctx, x, host, response, err); cause != nil {
 			x.problem = mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
--- a/internal/process/mgrelay/eventstream.go
+++ b/internal/process/mgrelay/eventstream.go
@@ -9,7 +9,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("an event exceeds 1 MiB: raise the bound or send smaller events")
+var (
+	errEventTooLarge = errors.New("an event exceeds 1 MiB: raise the bound or send smaller events")
+	errEventRefused  = errors.New("an event exceeds what may be held for the caller now: send smaller events, or give the process more memory")
+)
 
 // eventScanner finds the ends of the events of a stream (HTML Living Standard, 9.2.6). Lines end
 // with LF, CR or CRLF; an event ends with an empty line; a line that begins with a colon is a
@@ -68,7 +71,9 @@
 	buffer   []byte // read and not yet returned
 	consumed int    // bytes of buffer that were returned
 	events   int64  // complete events that were returned
-	chunk    [4096]byte
+	// mayHold reports whether a number of bytes may be held. Nil stands for always.
+	mayHold func(bytes int64) bool
+	chunk   [4096]byte
 }
 
 // next returns all complete events that have arrived, at least one, with their separators, and
@@ -95,6 +100,8 @@
 			return e.buffer, 0, err
 		case len(e.buffer) > maxEventBytes:
 			return nil, 0, errEventTooLarge
+		case len(e.buffer) > minBufferedAnswer && e.mayHold != nil && !e.mayHold(int64(2*cap(e.buffer))):
+			return nil, 0, errEventRefused
 		}
 	}
 }
--- a/internal/process/mgrelay/exchange.go
+++ b/internal/process/mgrelay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbody"
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbudget"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgorigin"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgquarantine"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgspeed"
@@ -33,6 +34,7 @@
 	header     http.Header
 	size       generationSize
 	body       []byte
+	claim      *mgbudget.Claim // of the caller's connection, nil without a budget
 	startedAt  mgclock.Millis
 	firstTryAt mgclock.Millis // when the caller sent the request first, startedAt unless it has come back
 	timeout    mgclock.Millis // from startedAt, the shorter of deadline and timeout of the route
@@ -126,6 +128,7 @@
 		tried:      map[string]bool{},
 		control:    http.NewResponseController(w),
 		conn:       mglistener.RequestConn(r.Context()),
+		claim:      mgbudget.ClaimOf(r.Context()),
 		canChunk:   r.ProtoAtLeast(1, 1),
 	}
 	x.service = serviceOf(call.Route, x.id)
@@ -143,11 +146,12 @@
 		}
 	}
 	_ = x.control.SetReadDeadline(mgclock.DeadlineAfter(x.timeout)) // an httptest.ResponseRecorder has no deadlines
-	body, err := io.ReadAll(r.Body)
-	_ = x.control.SetReadDeadline(time.Time{})
+	body, err := mgbody.ReadAll(r)
 	if err != nil {
-		return x, bodyReadProblem(err)
+		w.Header().Set("Connection", "close") // the rest of the body isn't read
+		return x, mgbody.Problem(err)
 	}
+	_ = x.control.SetReadDeadline(time.Time{})
 	x.body = body
 	x.header = y.spec.Headers.forwardedHeaders(r.Header)
 	if call.Account != nil {
@@ -156,16 +160,6 @@
 	return x, nil
 }
 
-// bodyReadProblem returns the problem for a body that could not be read.
-func bodyReadProblem(err error) *mgproblem.Problem {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return mgproblem.New(mgproblem.TooLarge, mgproblem.NotRun, "the body is too large", "send less").WithCause(err)
-	}
-	return mgproblem.New(mgproblem.Invalid, mgproblem.NotRun,
-		"the body ended early", "send it whole, in the time of the deadline").WithCause(err)
-}
-
 // requestTarget returns the path and query of a request as they were sent.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/process/mgrelay/stream.go
+++ b/internal/process/mgrelay/stream.go
@@ -18,7 +18,8 @@
 	defer y.generations.remove(gen)
 	x.generation.Store(gen)
 	reader := &eventReader{
-		source: response.Body,
+		source:  response.Body,
+		mayHold: func(bytes int64) bool { return x.claim.TryReserve(int64(len(x.body)) + bytes) },
 	}
 	data, events, err := reader.next()
 	if err != nil {
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -22,6 +22,7 @@
 	AnswerTimeout     int64    `toml:"answer" default:"5000" min:"50" max:"60000" unit:"ms" help:"longest time for the platform's answer to a read, or to a watch beyond its wait"`
 	FetchTimeout      int64    `toml:"fetch" default:"5000" min:"50" max:"60000" unit:"ms" help:"longest time for a peer's answer with pages or the list of VMs; the next peer is asked after it"`
 	MaxBackoff        int64    `toml:"backoff" default:"30000" min:"100" max:"600000" unit:"ms" help:"longest pause after failed reads of the platform; a change waits as long once it is back"`
+	Memory            int64    `toml:"memory" default:"512" min:"32" max:"1000000" unit:"MB" help:"memory that the process may use; what it holds for callers of all its listeners is bounded by it"`
 	TLS               TLS      `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
 }
 
@@ -39,6 +40,8 @@
 	MaxBody       int64  `toml:"body" default:"1048576" min:"1024" max:"67108864" unit:"bytes" help:"largest request body"`
 	MaxHeader     int64  `toml:"head" default:"32768" min:"4096" max:"1048576" unit:"bytes" help:"largest request header"`
 	CallerTimeout int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends its request or takes what is written"`
+	BodyTimeout   int64  `toml:"upload" default:"60000" min:"1000" max:"3600000" unit:"ms" help:"longest time in which a caller sends the body of its request; the deadline of a routed request ends it sooner"`
+	WriteTimeout  int64  `toml:"stall" default:"30000" min:"1000" max:"3600000" unit:"ms" help:"longest time for which a caller leaves what was written to it unread"`
 	MaxConns      int64  `toml:"conns" default:"1024" min:"16" max:"1000000" help:"most connections of callers at a time; the one that is idle for longest is ended for a new one, and where none is idle new ones are closed unread"`
 	ProbeTimeout  int64  `toml:"probe" default:"200" min:"1" max:"5000" unit:"ms" help:"longest wait for offers; two good ones end it, so that it is felt only where agents do not answer; a round trip to another region and some room"`
 	MaxRetries    int64  `toml:"retry" default:"0" min:"0" max:"1000000" help:"retries that a service allows all entries together beyond a tenth of its answers; 0: each entry holds 64"`
--- a/internal/standin/mgdemo/deployment.go
+++ b/internal/standin/mgdemo/deployment.go
@@ -180,6 +180,9 @@
 }
 
 // commonSettings returns the settings that entries and agents share.
+// processMemory is the memory of each process of the deployment in MB, all of which are in one process.
+const processMemory = 128
+
 func (d *Deployment) commonSettings(name string, i int) (mgsettings.Process, error) {
 	peer, err := mgloopback.Addr()
 	if err != nil {
@@ -200,6 +203,7 @@
 		LogLevel:          d.spec.Level,
 		DrainTimeout:      int64(drainTimeout),
 		HeartbeatInterval: 250,
+		Memory:            processMemory,
 	}, nil
 }
 
