mglistener, mgentry: names and files after a reading of the diff

conn.go is split by what it limits, EndReceiving is AbortRequest. The refusal of a body that is too large for the own interface ends its connection, so that it doesn't wait for the rest of the body for up to half a second.

--- a/internal/connection/mglistener/conn.go
+++ b/internal/connection/mglistener/conn.go
@@ -14,24 +14,6 @@
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
 
-// Timeouts limit how long the peer of a connection may take, in ms; 0 stands for no limit. They hold beside
-// the deadlines that the connection's user sets, whichever is earlier.
-type Timeouts struct {
-	Head  mgclock.Millis // from the first byte of a request to the end of its head
-	Body  mgclock.Millis // from then on to the end of its body
-	Write mgclock.Millis // for a part of an answer of maxWriteBytes
-	// Linger is the time that the peer has to read an answer to a request that it still sends. A close
-	// with unread bytes would reset the connection, and the answer could be lost.
-	Linger mgclock.Millis
-}
-
-// maxLingerBytes is the number of bytes that are read and discarded while a connection lingers.
-const maxLingerBytes = 8 << 20
-
-// maxWriteBytes is the number of bytes of an answer that are written at a time, each part with a timeout of
-// its own.
-const maxWriteBytes = 64 << 10
-
 // A Conn is an accepted connection that can be ended between two requests without losing
 // a request that has arrived, and that limits the time in which a request arrives.
 type Conn struct {
@@ -44,7 +26,7 @@
 	ending          bool           // EndIdle has been called, and nothing was read since
 	receiving       bool           // a request is being received
 	receivingSince  mgclock.Millis // of the process clock
-	ended           bool           // by EndReceiving
+	aborted         bool           // the request that is being received, by AbortRequest
 	readDeadline    time.Time      // as set by the connection's user
 	requestDeadline time.Time      // of the request that is being received
 	writeDeadline   time.Time      // as set by the connection's user
@@ -53,201 +35,6 @@
 	lingered        bool           // a close doesn't linger, or no longer
 }
 
-// SetTimeouts sets the timeouts of the connection. onTimeout, which may be nil, is called when a request
-// doesn't arrive in time.
-func (c *Conn) SetTimeouts(t Timeouts, onTimeout func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.timeouts = t
-	c.onTimeout = onTimeout
-}
-
-// SetReadDeadline sets the deadline for reads. While a request is being received, its own deadline holds if
-// it is earlier, also after the deadline for reads was removed.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readDeadline = t
-	return c.applyReadDeadline()
-}
-
-// SetWriteDeadline sets the deadline for writes; see Timeouts.
-func (c *Conn) SetWriteDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeDeadline = t
-	c.writeLimitedAt = time.Time{}
-	return c.TCPConn.SetWriteDeadline(t)
-}
-
-// SetDeadline sets both deadlines.
-func (c *Conn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
-}
-
-// applyReadDeadline sets the earlier one of the deadlines that hold. The caller holds mu.
-func (c *Conn) applyReadDeadline() error {
-	return c.TCPConn.SetReadDeadline(earlier(c.readDeadline, c.requestDeadline))
-}
-
-// earlier returns the earlier one of two deadlines, of which zero is none.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// deadlineIn returns the deadline of a timeout that begins now, or none.
-func deadlineIn(timeout mgclock.Millis) time.Time {
-	if timeout <= 0 {
-		return time.Time{}
-	}
-	return mgclock.DeadlineAfter(timeout)
-}
-
-// BeginBody records that the head of a request has been read, and that its body follows.
-func (c *Conn) BeginBody() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ended {
-		return nil
-	}
-	c.beginReceiving()
-	c.requestDeadline = deadlineIn(c.timeouts.Body)
-	return c.applyReadDeadline()
-}
-
-// LimitRest limits the time in which the rest of a request that has been answered is read.
-func (c *Conn) LimitRest(timeout mgclock.Millis) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requestDeadline = earlier(c.requestDeadline, deadlineIn(timeout))
-	return c.applyReadDeadline()
-}
-
-// IsEnded reports whether EndReceiving has ended the request that is being received.
-func (c *Conn) IsEnded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended
-}
-
-// IsEnding reports whether EndIdle or EndReceiving has been called and not been withdrawn since: by bytes that
-// had arrived by then, or by the end of the request.
-func (c *Conn) IsEnding() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ending || c.ended
-}
-
-// EndRequest records that a whole request has been read.
-func (c *Conn) EndRequest() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.receiving, c.ended = false, false
-	if c.requestDeadline.IsZero() {
-		return nil
-	}
-	c.requestDeadline = time.Time{}
-	return c.applyReadDeadline()
-}
-
-// beginReceiving records that a request is being received. The caller holds mu.
-func (c *Conn) beginReceiving() {
-	if !c.receiving {
-		c.receiving, c.receivingSince, c.answered = true, mgclock.Clock{}.Now(), false
-	}
-}
-
-// ReceivingSince returns since when a request is being received, or false if none is.
-func (c *Conn) ReceivingSince() (mgclock.Millis, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.receivingSince, c.receiving
-}
-
-// EndReceiving makes reads of the request that is being received fail. It reports false if none is.
-func (c *Conn) EndReceiving() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.receiving {
-		return false
-	}
-	c.ended = true
-	c.requestDeadline = time.Now()
-	_ = c.applyReadDeadline() // fails only on a closed connection
-	return true
-}
-
-// Write writes to the connection, in parts that each have the timeout for writing.
-func (c *Conn) Write(p []byte) (n int, err error) {
-	for {
-		if err := c.limitWrite(); err != nil {
-			return n, err
-		}
-		written, err := c.TCPConn.Write(p[:min(len(p), maxWriteBytes)])
-		n += written
-		p = p[written:]
-		if err != nil || len(p) == 0 {
-			return n, err
-		}
-	}
-}
-
-// CloseWrite ends the stream of bytes that are written. A later Close doesn't linger.
-func (c *Conn) CloseWrite() error {
-	c.SkipLinger()
-	return c.TCPConn.CloseWrite()
-}
-
-// SkipLinger makes Close close the connection at once.
-func (c *Conn) SkipLinger() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lingered = true
-}
-
-// Close closes the connection. If a request that is being received has been answered, it lingers first, so that
-// the peer can read the answer.
-func (c *Conn) Close() error {
-	if c.beginLinger() {
-		if c.TCPConn.CloseWrite() == nil {
-			_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes) // until the peer or the deadline ends it
-		}
-	}
-	return c.TCPConn.Close()
-}
-
-// beginLinger reports whether the connection lingers, and sets the deadline for that.
-func (c *Conn) beginLinger() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lingered || !c.receiving || !c.answered || c.timeouts.Linger <= 0 {
-		return false
-	}
-	c.lingered, c.ended = true, false
-	c.readDeadline, c.requestDeadline = time.Time{}, deadlineIn(c.timeouts.Linger)
-	return c.applyReadDeadline() == nil
-}
-
-// limitWrite starts the timeout for writing, unless it was started a short time ago.
-func (c *Conn) limitWrite() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answered = c.receiving
-	timeout := c.timeouts.Write
-	if timeout <= 0 {
-		return nil
-	}
-	now := time.Now()
-	if now.Before(c.writeLimitedAt.Add((timeout / 8).Duration())) {
-		return nil
-	}
-	c.writeLimitedAt = now
-	return c.TCPConn.SetWriteDeadline(earlier(c.writeDeadline, now.Add(timeout.Duration())))
-}
-
 // ConnOf returns the Conn of a connection that a Listener accepted, with or without TLS. It
 // returns nil for any other connection.
 func ConnOf(conn net.Conn) *Conn {
@@ -264,7 +51,7 @@
 	defer c.mu.Unlock()
 	c.received.Store(false)
 	c.receiving = false
-	if !c.ended {
+	if !c.aborted {
 		c.requestDeadline = time.Time{}
 	}
 }
@@ -319,17 +106,6 @@
 	return c.applyReadDeadline()
 }
 
-// reportTimeout reports that a request hasn't arrived in time.
-func (c *Conn) reportTimeout() {
-	c.mu.Lock()
-	isLate := c.receiving && !c.ended && !c.requestDeadline.IsZero() && !time.Now().Before(c.requestDeadline)
-	report := c.onTimeout
-	c.mu.Unlock()
-	if isLate && report != nil {
-		report()
-	}
-}
-
 // readBuffered reads from the socket's buffer without waiting. It returns ifEmpty where the
 // buffer is empty, and io.EOF at the end of the stream.
 func (c *Conn) readBuffered(p []byte, ifEmpty error) (int, error) {
--- a/internal/connection/mglistener/timeout_test.go
+++ b/internal/connection/mglistener/timeout_test.go
@@ -44,14 +44,14 @@
 		})
 		Convey("ends a request for another one, and not one that is whole", func() {
 			begin()
-			So(conn.EndReceiving(), ShouldBeTrue)
-			So(conn.IsEnded(), ShouldBeTrue)
+			So(conn.AbortRequest(), ShouldBeTrue)
+			So(conn.IsRequestAborted(), ShouldBeTrue)
 			So(conn.SetReadDeadline(time.Time{}), ShouldBeNil)
 			_, err := conn.Read(buffer)
 			So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue)
 			So(late.Load(), ShouldEqual, 0)
 			So(conn.EndRequest(), ShouldBeNil)
-			So(conn.EndReceiving(), ShouldBeFalse)
+			So(conn.AbortRequest(), ShouldBeFalse)
 		})
 		Convey("has no time limit between requests and while one is answered", func() {
 			begin()
--- a/internal/process/mgbody/body.go
+++ b/internal/process/mgbody/body.go
@@ -114,7 +114,7 @@
 func (b *Body) readSource(p []byte) (int, error) {
 	n, err := b.source.Read(p)
 	b.read += int64(n)
-	if err != nil && b.conn != nil && b.conn.IsEnded() {
+	if err != nil && b.conn != nil && b.conn.IsRequestAborted() {
 		b.err = &EvictedError{}
 		return n, b.err
 	}
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -116,6 +116,7 @@
 func bodyProblem(w http.ResponseWriter, err error) *mgproblem.Problem {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
+		w.Header().Set("Connection", "close")
 		return mgproblem.New(mgproblem.TooLarge, mgproblem.NotRun,
 			"the body is larger than this entry takes", "send a shorter prompt")
 	}
--- a/internal/process/mgnode/evict.go
+++ b/internal/process/mgnode/evict.go
@@ -65,7 +65,7 @@
 func (c *connTracker) evict(conn net.Conn) bool {
 	t := c.open[conn]
 	accepted := mglistener.ConnOf(conn)
-	if accepted != nil && !accepted.EndReceiving() {
+	if accepted != nil && !accepted.AbortRequest() {
 		if t.state == http.StateActive {
 			return false
 		}
