mglistener, mgentry: a broken answer is reset also where its request still arrives

What callers could have seen: an answer without a length that breaks off, ended in the ordinary way.

Cause: Close lingers, and ends the stream of what is written, if a request that is still arriving has been answered. A request whose chunked body lacked its last chunk counted as arriving throughout its answer, as the own interface decodes the JSON and reads no further. The relay reads bodies to their end, so that its answers were not affected.

Change: a connection that is to be reset when it is closed (ResetOnClose) doesn't linger. The own interface reads a body to its end before the request runs.

--- a/internal/connection/mglistener/conn.go
+++ b/internal/connection/mglistener/conn.go
@@ -33,6 +33,7 @@
 	writeLimitedAt  time.Time      // when the timeout for writing was last started
 	answered        bool           // bytes were written while a request was being received
 	lingered        bool           // a close doesn't linger, or no longer
+	resets          bool           // a close resets the connection; see SetLinger
 }
 
 // ConnOf returns the Conn of a connection that a Listener accepted, with or without TLS. It
--- a/internal/connection/mglistener/timeout_test.go
+++ b/internal/connection/mglistener/timeout_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,6 +90,27 @@
 	})
 }
 
+// Guards against a broken answer that looks whole, as its connection lingers in place of being reset.
+func TestBrokenAnswerLingers(t *testing.T) {
+	Convey("A connection that is to be reset, with an answer to a request that is still sent", t, func() {
+		caller, conn := openConn()
+		defer caller.Close()
+		conn.SetTimeouts(mglistener.Timeouts{
+			Linger: 5000,
+		}, nil)
+		_, err := io.WriteString(caller, "a part of a request")
+		So(err, ShouldBeNil)
+		_, err = conn.Read(make([]byte, 64))
+		So(err, ShouldBeNil)
+		mglistener.ResetOnClose(conn, true)
+		_, err = io.WriteString(conn, "a part of an answer")
+		So(err, ShouldBeNil)
+		So(conn.Close(), ShouldBeNil)
+		_, err = io.ReadAll(caller)
+		So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+	})
+}
+
 // Guards against the refusal of a request that its caller still sends, which the end of the connection resets.
 func TestRefusalLostWithUnreadBody(t *testing.T) {
 	for _, skips := range []bool{false, true} {
--- a/internal/connection/mglistener/write.go
+++ b/internal/connection/mglistener/write.go
@@ -59,6 +59,15 @@
 	return c.TCPConn.CloseWrite()
 }
 
+// SetLinger sets what the kernel does with what is left after a close. With 0 seconds Close resets the connection
+// at once, also if a request that is being received has been answered.
+func (c *Conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = seconds == 0
+	return c.TCPConn.SetLinger(seconds)
+}
+
 // SkipLinger makes Close close the connection at once.
 func (c *Conn) SkipLinger() {
 	c.mu.Lock()
@@ -81,7 +90,7 @@
 func (c *Conn) beginLinger() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lingered || !c.receiving || !c.answered || c.timeouts.Linger <= 0 {
+	if c.lingered || c.resets || !c.receiving || !c.answered || c.timeouts.Linger <= 0 {
 		return false
 	}
 	c.lingered, c.aborted = true, false
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 
@@ -69,6 +70,10 @@
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		return nil, bodyProblem(w, err)
 	}
+	// Until its end has been read the request counts as one that is still arriving.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return nil, bodyProblem(w, err)
+	}
 	if in.Choices > 1 {
 		return nil, invalid("n is more than 1", "send one request for each answer")
 	}
