mgsettings, mgnode, mgrelay: a body that the memory can't hold is a fault of the settings; what stood twice

Settings with a body larger than an entry's memory bears passed the check, and each such request would have been refused. Once in place of twice: the conversion of the memory's setting, the counter of refused connections, the release when a connection becomes idle.

--- a/cmd/marjoramgauge/process.go
+++ b/cmd/marjoramgauge/process.go
@@ -52,9 +52,6 @@
 	return run(stop, forceStop, node)
 }
 
-// bytesPerMB converts the setting of a process's memory.
-const bytesPerMB = 1_000_000
-
 type entryCommand struct {
 	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of the entry, TOML"`
 	output   outputs
@@ -67,7 +64,7 @@
 		s := mgnode.Spec{
 			Settings: settings.Process,
 			Log:      c.output.errOut,
-			Memory:   settings.Memory * bytesPerMB,
+			Memory:   settings.MemoryBytes(),
 		}
 		if settings.Relay {
 			headers := mgrelay.DefaultHeaderNames()
@@ -92,7 +89,7 @@
 		return mgnode.Spec{
 			Settings: settings.Process,
 			Log:      c.output.errOut,
-			Memory:   settings.Memory * bytesPerMB,
+			Memory:   settings.MemoryBytes(),
 		}
 	}
 	return runProcess(c.Settings, &settings, spec, func(stop, forceStop context.Context, node *mgnode.Node) error {
--- a/internal/process/mgbody/body.go
+++ b/internal/process/mgbody/body.go
@@ -24,6 +24,12 @@
 	maxAllocated = 64 << 20
 )
 
+// Largest returns the size in bytes of the largest body that an entry with some memory can receive while it
+// holds nothing else.
+func Largest(memory int64) int64 {
+	return mgbudget.Requests(mgbudget.PartsOf(memory, true).Callers()) / readerCopies
+}
+
 // A Body is the body of a request.
 type Body struct {
 	source io.ReadCloser
--- a/internal/process/mgbody/body_test.go
+++ b/internal/process/mgbody/body_test.go
@@ -50,10 +50,32 @@
 		granted bool
 		read    int // bytes that may have been read
 	}{
-		{name: "of a known length, within the budget", length: large, budget: 2 * large, granted: true, read: large},
-		{name: "of a known length, beyond it", length: large, budget: large, read: 0},
-		{name: "of an unknown length, within the budget", length: -1, budget: 5 * large, granted: true, read: large},
-		{name: "of an unknown length, beyond it", length: -1, budget: large, read: large / 2},
+		{
+			name:    "of a known length, within the budget",
+			length:  large,
+			budget:  2 * large,
+			granted: true,
+			read:    large,
+		},
+		{
+			name:   "of a known length, beyond it",
+			length: large,
+			budget: large,
+			read:   0,
+		},
+		{
+			name:    "of an unknown length, within the budget",
+			length:  -1,
+			budget:  5 * large,
+			granted: true,
+			read:    large,
+		},
+		{
+			name:   "of an unknown length, beyond it",
+			length: -1,
+			budget: large,
+			read:   large / 2,
+		},
 	} {
 		Convey("A body "+c.name, t, func() {
 			budget := mgbudget.New(c.budget)
@@ -136,3 +158,23 @@
 		finish()
 	})
 }
+
+// Guards against a page of documentation that promises more bodies than an entry can hold.
+func TestBodiesOfSmallVM(t *testing.T) {
+	Convey("An entry with 134 MB and 100 connections", t, func() {
+		const conns, body = 100, 4 << 20
+		budget := mgbudget.New(mgbudget.PartsOf(134e6, true).Callers())
+		var claims []*mgbudget.Claim
+		for range conns {
+			So(budget.AcquireConn(mgbudget.CallerConnBytes, false), ShouldBeTrue)
+			claims = append(claims, mgbudget.NewClaim(budget, mgbudget.CallerConnBytes, nil))
+		}
+		held := 0
+		for _, claim := range claims {
+			if claim.TryReserve(body) {
+				held++
+			}
+		}
+		So(held, ShouldEqual, 10)
+	})
+}
--- a/internal/process/mgbudget/parts.go
+++ b/internal/process/mgbudget/parts.go
@@ -52,3 +52,6 @@
 
 // Readiness returns the part for checks of readiness.
 func (p Parts) Readiness() int64 { return p.readiness }
+
+// Requests returns the bytes of a part that requests may hold beyond their connections' amounts.
+func Requests(part int64) int64 { return int64(requestShare * float64(part)) }
--- a/internal/process/mgnode/budget.go
+++ b/internal/process/mgnode/budget.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// bytesPerMB converts the setting of the memory, and defaultMemory is used without one, in bytes.
-	bytesPerMB    = 1_000_000
-	defaultMemory = 512 * bytesPerMB
+	// defaultMemory is that of a process whose settings weren't read from a file, in bytes.
+	defaultMemory = 512_000_000
 	// peerFilesDivisor is the part of the descriptors that connections of other processes may take.
 	peerFilesDivisor = 4
 	// callerReceiveBuffer and peerReceiveBuffer limit what the kernel keeps of a connection until it is
@@ -59,19 +58,16 @@
 // parts returns the budgets of the process's listeners.
 func (n *Node) parts() mgbudget.Parts { return mgbudget.PartsOf(n.memory, n.servesCallers) }
 
-// withBudget returns the specification of a listener with a budget of its own and the limits of its
-// connections, where it has none yet.
+// withBudget returns the specification of a listener with a budget of its own, and with the metrics of what is
+// refused or ended. Without an amount for each connection it gets that of connections between processes.
 func (n *Node) withBudget(spec ServerSpec, bytes int64) ServerSpec {
 	spec.Budget = n.budgets.add(spec.Name, bytes)
 	if spec.ConnBytes == 0 {
 		spec.ConnBytes = mgbudget.PeerConnBytes
 		spec.ReceiveBuffer = peerReceiveBuffer
 	}
-	if spec.OnRefused == nil {
-		refused := n.metrics.Counter(spec.Name + ".refused")
-		spec.OnRefused = func(count int) { refused.Inc(int64(count)) }
-	}
-	evicted, late := n.metrics.Counter(spec.Name+".evicted"), n.metrics.Counter(spec.Name+".late")
+	refused, evicted, late := n.metrics.Counter(spec.Name+".refused"), n.metrics.Counter(spec.Name+".evicted"), n.metrics.Counter(spec.Name+".late")
+	spec.OnRefused = func(count int) { refused.Inc(int64(count)) }
 	spec.OnEvicted = func() { evicted.Inc(1) }
 	spec.OnLate = func() { late.Inc(1) }
 	return spec
--- a/internal/process/mgnode/connections.go
+++ b/internal/process/mgnode/connections.go
@@ -81,7 +81,6 @@
 		tracked.idleSince = mgclock.Clock{}.Now()
 	}
 	if state == http.StateIdle {
-		tracked.claim.Trim(0)
 		if accepted := mglistener.ConnOf(conn); accepted != nil {
 			accepted.BeginIdle()
 		}
--- a/internal/process/mgnode/entry.go
+++ b/internal/process/mgnode/entry.go
@@ -71,7 +71,6 @@
 		MaxHeaderBytes: int(settings.MaxHeader),
 		HeaderTimeout:  mgclock.Millis(settings.CallerTimeout),
 		MaxConns:       int(settings.MaxConns),
-		OnRefused:      func(count int) { n.metrics.Counter("callers.refused").Inc(int64(count)) },
 		Admits:         n.admitsConnection,
 		IsOverloaded:   n.isOverloaded,
 		ConnBytes:      mgbudget.CallerConnBytes,
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -133,7 +133,7 @@
 		probe:             spec.Probe,
 		askIncarnation:    spec.AskIncarnation,
 		collector:         mgheap.New(spec.Memory),
-		memory:            cmp.Or(spec.Memory, settings.Memory*bytesPerMB, defaultMemory),
+		memory:            cmp.Or(spec.Memory, settings.MemoryBytes(), defaultMemory),
 		maxFiles:          spec.MaxFiles,
 	}
 	n.quarantine = mgquarantine.New(incarnation, n.trialRank)
--- a/internal/process/mgsettings/settings.go
+++ b/internal/process/mgsettings/settings.go
@@ -12,6 +12,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/marjoramgauge/marjoramgauge/internal/process/mgbody"
 )
 
 // maxFileSize is in bytes; the longest sample has under 2 kB.
@@ -44,9 +46,20 @@
 		lines:  keyLines(data),
 	}
 	reader.fillStruct("", tree, reflect.ValueOf(target).Elem())
+	if entry, ok := target.(*Entry); ok && len(faults.list) == 0 {
+		reader.checkBody(entry)
+	}
 	return faults.orNil()
 }
 
+// checkBody reports an entry whose memory can't hold the largest body that it takes.
+func (r *reader) checkBody(entry *Entry) {
+	if largest := mgbody.Largest(entry.MemoryBytes()); entry.MaxBody > largest {
+		r.faults.add(r.lines["body"], "body", fmt.Sprintf("is %d, and with %d MB of memory an entry can hold %d bytes", entry.MaxBody, entry.Memory, largest),
+			"give a smaller body or more memory")
+	}
+}
+
 // syntaxFault reports a file that isn't valid TOML. Nothing after the position
 // can be trusted, so it is the only fault.
 func syntaxFault(faults *Faults, err error) error {
--- a/internal/process/mgsettings/settings_test.go
+++ b/internal/process/mgsettings/settings_test.go
@@ -59,6 +59,11 @@
 				text: sample + "tls = 3\n",
 				want: []string{"line 9, key tls: is not a table"},
 			},
+			{
+				name: "a body that the memory can't hold",
+				text: sample + "body = 8388608\nmemory = 32\n",
+				want: []string{"line 9, key body: is 8388608, and with 32 MB of memory an entry can hold 4000000 bytes: give a smaller body or more memory"},
+			},
 			{
 				name: "empty",
 				text: "",
--- a/internal/process/mgsettings/types.go
+++ b/internal/process/mgsettings/types.go
@@ -26,6 +26,12 @@
 	TLS               TLS      `toml:"tls" help:"certificates between processes; empty: plain TCP with the shared key"`
 }
 
+// bytesPerMB converts the setting of a process's memory.
+const bytesPerMB = 1_000_000
+
+// MemoryBytes returns the memory that the process may use in bytes, 0 if it isn't set.
+func (p *Process) MemoryBytes() int64 { return p.Memory * bytesPerMB }
+
 // TLS names the files of a certificate.
 type TLS struct {
 	Cert string `toml:"cert" help:"file with the certificate, PEM"`
@@ -39,10 +45,10 @@
 	ListenAddr    string `toml:"listen" need:"yes" help:"IP and port for callers"`
 	MaxBody       int64  `toml:"body" default:"1048576" min:"1024" max:"67108864" unit:"bytes" help:"largest request body"`
 	MaxHeader     int64  `toml:"head" default:"32768" min:"4096" max:"1048576" unit:"bytes" help:"largest request header"`
-	CallerTimeout int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends its request or takes what is written"`
+	CallerTimeout int64  `toml:"slow" default:"10000" min:"100" max:"600000" unit:"ms" help:"longest time in which a caller sends the head of its request, or takes a token that is written"`
 	BodyTimeout   int64  `toml:"upload" default:"60000" min:"1000" max:"3600000" unit:"ms" help:"longest time in which a caller sends the body of its request; the deadline of a routed request ends it sooner"`
 	WriteTimeout  int64  `toml:"stall" default:"30000" min:"1000" max:"3600000" unit:"ms" help:"longest time for which a caller leaves what was written to it unread"`
-	MaxConns      int64  `toml:"conns" default:"1024" min:"16" max:"1000000" help:"most connections of callers at a time; the one that is idle for longest is ended for a new one, and where none is idle new ones are closed unread"`
+	MaxConns      int64  `toml:"conns" default:"1024" min:"16" max:"1000000" help:"most connections of callers at a time; the one that has waited longest for its caller is ended for a new one, and where none waits new ones are closed unread"`
 	ProbeTimeout  int64  `toml:"probe" default:"200" min:"1" max:"5000" unit:"ms" help:"longest wait for offers; two good ones end it, so that it is felt only where agents do not answer; a round trip to another region and some room"`
 	MaxRetries    int64  `toml:"retry" default:"0" min:"0" max:"1000000" help:"retries that a service allows all entries together beyond a tenth of its answers; 0: each entry holds 64"`
 	Admission     bool   `toml:"admission" default:"true" help:"whether requests for generations that can't be served in time are refused at once, while more is asked for than the engines bear"`
