--- a/internal/process/mgfleet/crowd_test.go
+++ b/internal/process/mgfleet/crowd_test.go
@@ -170,16 +170,71 @@
 		tls   bool
 		play  mgcrowd.Script
 	}{
-		{name: "BodiesShortOfTheirEnd", at: "entry-a", conns: 120, play: mgcrowd.ShortBody(chat, crowdBody)},
-		{name: "LongTexts", at: "entry-a", conns: 120, play: mgcrowd.Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", chat, crowdBody, longText+strings.Repeat("x", crowdBody-1-len(longText))))},
-		{name: "ChunksWithoutEnd", at: "entry-a", conns: 120, play: mgcrowd.EndlessChunks(chat, 16<<10)},
-		{name: "PipelinesWithoutEnd", at: "entry-a", conns: 300, play: mgcrowd.Pipeline(get)},
-		{name: "BodiesOverTLS", at: "entry-b", tls: true, conns: 120, play: mgcrowd.ShortBody(chat, crowdBody)},
-		{name: "PlainTextAtTLS", at: "entry-b", conns: 300, play: mgcrowd.Endless("\x16\x03\x01\x40\x00", strings.Repeat("x", 1024))},
-		{name: "BodiesAtAgent", at: "agent-a", peers: true, conns: 120, play: mgcrowd.ShortBody(start, crowdBody)},
-		{name: "ChunksAtAgent", at: "agent-a", peers: true, conns: 120, play: mgcrowd.EndlessChunks(start, 16<<10)},
-		{name: "HeadsAtAgent", at: "agent-a", peers: true, conns: 1600, play: mgcrowd.Text(manyFields)},
-		{name: "BodiesWithoutKeyAtAgent", at: "agent-a", peers: true, conns: 300, play: mgcrowd.EndlessChunks(mgcrowd.NewRequest(http.MethodPost, "/twirp/marjoramgauge.Agent/Start", "agent"), 16<<10)},
+		{
+			name:  "BodiesShortOfTheirEnd",
+			at:    "entry-a",
+			conns: 120,
+			play:  mgcrowd.ShortBody(chat, crowdBody),
+		},
+		{
+			name:  "LongTexts",
+			at:    "entry-a",
+			conns: 120,
+			play:  mgcrowd.Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", chat, crowdBody, longText+strings.Repeat("x", crowdBody-1-len(longText)))),
+		},
+		{
+			name:  "ChunksWithoutEnd",
+			at:    "entry-a",
+			conns: 120,
+			play:  mgcrowd.EndlessChunks(chat, 16<<10),
+		},
+		{
+			name:  "PipelinesWithoutEnd",
+			at:    "entry-a",
+			conns: 300,
+			play:  mgcrowd.Pipeline(get),
+		},
+		{
+			name:  "BodiesOverTLS",
+			at:    "entry-b",
+			tls:   true,
+			conns: 120,
+			play:  mgcrowd.ShortBody(chat, crowdBody),
+		},
+		{
+			name:  "PlainTextAtTLS",
+			at:    "entry-b",
+			conns: 300,
+			play:  mgcrowd.Endless("\x16\x03\x01\x40\x00", strings.Repeat("x", 1024)),
+		},
+		{
+			name:  "BodiesAtAgent",
+			at:    "agent-a",
+			peers: true,
+			conns: 120,
+			play:  mgcrowd.ShortBody(start, crowdBody),
+		},
+		{
+			name:  "ChunksAtAgent",
+			at:    "agent-a",
+			peers: true,
+			conns: 120,
+			play:  mgcrowd.EndlessChunks(start, 16<<10),
+		},
+		{
+			name:  "HeadsAtAgent",
+			at:    "agent-a",
+			peers: true,
+			conns: 1600,
+			play:  mgcrowd.Text(manyFields),
+		},
+		{
+			name:  "BodiesWithoutKeyAtAgent",
+			at:    "agent-a",
+			peers: true,
+			conns: 300,
+			play:  mgcrowd.EndlessChunks(mgcrowd.NewRequest(http.MethodPost, "/twirp/marjoramgauge.Agent/Start", "agent"), 16<<10),
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			Convey("A process outlives "+c.name, t, func() {
