review: quick versions of a large configuration come into force too late

A watch of the store returns all versions since the last call, and an answer over 4 MiB is cut and can't be decoded, so that no watch succeeds any more. 25 versions of 1,030,000 bytes in 1.5 s are in force up to 4 s after the last one was acknowledged (bound 2 s).

--- a/review/drill2/main.go
+++ b/review/drill2/main.go
@@ -28,7 +28,8 @@
 type scenario func(ctx context.Context, d *deployment, calm bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"queued": queued,
+	"bigconfig": bigconfig,
+	"queued":    queued,
 }
 
 func main() {
