review: a request that arrives slowly is taken by an entry that is about to end

Whether an entry leaves is asked when the head of a request has arrived. A body that takes seconds is passed on to an engine 5 s after SIGTERM, and its answer is cut.

--- a/review/drill2/main.go
+++ b/review/drill2/main.go
@@ -28,8 +28,9 @@
 type scenario func(ctx context.Context, d *deployment, calm bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"bigconfig": bigconfig,
 	"queued":    queued,
+	"upload":    upload,
+	"bigconfig": bigconfig,
 }
 
 func main() {
