mgdial: a response whose connection was reset during the upload isn't whole

Callers got a part of an answer as a complete 200. An upstream answers an upload before it has read it, without a length, and resets the connection, or closes it with unread bytes, while the upload is still being written.

Cause: the kernel reports a reset to one call. Where the write got ECONNRESET, the read that follows returns 0 bytes, the ordinary end of a connection, and net/http takes that end for the end of a body without a length. The watch of the upstream's process (endingOf) doesn't help, since the process runs on.

TestResetReadAsEnd has the order of the calls without a race: the write fails first, then the read returned nil at the end.

Fix: the connections of mgdial's clients, which all readers of upstreams, engines, services, entries and the store use, record the first failed write. A read that sees the end returns an error if the connection was reset before its peer closed it.

--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -115,7 +115,7 @@
 func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            checked(dial),
+			DialContext:            detectResets(checked(dial)),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
@@ -191,7 +191,11 @@
 	if used == nil || used.Load() == nil {
 		return nil
 	}
-	return *used.Load()
+	conn := *used.Load()
+	if watched, ok := conn.(*resetConn); ok {
+		return watched.Conn
+	}
+	return conn
 }
 
 // RefusesConnections reports whether an address refuses connections, as it does after its
--- a/pkg/mgdial/ended_linux.go
+++ b/pkg/mgdial/ended_linux.go
@@ -3,28 +3,39 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// tcpEstablished is the state, in TCP_INFO, of a connection that neither end has ended.
-const tcpEstablished = 1
+// The states of a connection in TCP_INFO (tcp_states.h).
+const (
+	tcpEstablished = 1 // neither end has ended it
+	tcpClose       = 7
+	tcpCloseWait   = 8
+)
 
-// endedFor returns how long ago, at most, the peer of a connection ended it, or 0 if it has not.
-func endedFor(conn net.Conn) (time.Duration, error) {
+// tcpInfo returns what the kernel knows of a connection.
+func tcpInfo(conn net.Conn) (*unix.TCPInfo, error) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return 0, errors.ErrUnsupported
+		return nil, errors.ErrUnsupported
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	var info *unix.TCPInfo
 	var infoErr error
 	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err = errors.Join(err, infoErr); err != nil {
+	return info, errors.Join(err, infoErr)
+}
+
+// endedFor returns how long ago, at most, the peer of a connection ended it, or 0 if it has not.
+func endedFor(conn net.Conn) (time.Duration, error) {
+	info, err := tcpInfo(conn)
+	if err != nil {
 		return 0, err
 	}
 	if info.State == tcpEstablished {
@@ -33,3 +44,27 @@
 	// The peer ended the connection after its last data.
 	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
 }
+
+// stateOf returns the state of a connection of which the end was read.
+func stateOf(conn net.Conn) (connState, error) {
+	info, err := tcpInfo(conn)
+	switch {
+	case err != nil:
+		return unknownState, err
+	case info.State == tcpCloseWait:
+		return peerClosed, nil
+	case info.State == tcpClose:
+		return ended, nil
+	}
+	return unknownState, nil
+}
+
+// isClosedBeforeReset reports whether the peer had closed a connection before a reset that made a write
+// fail. The first call after a reset fails with EPIPE then, otherwise with ECONNRESET.
+func isClosedBeforeReset(conn net.Conn, writeErr error) bool {
+	if !errors.Is(writeErr, syscall.EPIPE) {
+		return false
+	}
+	state, err := stateOf(conn)
+	return err == nil && state == ended
+}
--- /dev/null
+++ b/pkg/mgdial/reset_test.go
@@ -0,0 +1,115 @@
+package mgdial
+
+import (
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// connPair returns both ends of a connection.
+func connPair(t *testing.T) (conn *resetConn, peer *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = dialed.Close() })
+	accepted, err := listener.Accept()
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return newResetConn(dialed), accepted.(*net.TCPConn)
+}
+
+// writeUntilFailure writes until a write fails.
+func writeUntilFailure(conn net.Conn) error {
+	for data := make([]byte, 64<<10); ; {
+		if _, err := conn.Write(data); err != nil {
+			return err
+		}
+	}
+}
+
+// Guards against a reset that only the writer sees, so that the reader takes a cut response for a whole one.
+func TestResetReadAsEnd(t *testing.T) {
+	Convey("A response whose connection is reset while the request is written", t, func() {
+		conn, peer := connPair(t)
+		_, err := io.WriteString(peer, "part")
+		So(err, ShouldBeNil)
+		Convey("ends with an error", func() {
+			So(peer.SetLinger(0), ShouldBeNil)
+			So(peer.Close(), ShouldBeNil)
+			So(writeUntilFailure(conn), ShouldNotBeNil)
+			data, err := io.ReadAll(conn)
+			So(string(data), ShouldEqual, "part")
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			Convey("each time it is read", func() {
+				_, err := conn.Read(make([]byte, 1))
+				So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			})
+		})
+		Convey("is whole if the peer had closed the connection before", func() {
+			if runtime.GOOS != "linux" {
+				return // the kernel doesn't tell the two apart
+			}
+			So(peer.CloseWrite(), ShouldBeNil)
+			So(peer.SetLinger(0), ShouldBeNil)
+			So(peer.Close(), ShouldBeNil)
+			So(writeUntilFailure(conn), ShouldNotBeNil)
+			data, err := io.ReadAll(conn)
+			So(string(data), ShouldEqual, "part")
+			So(err, ShouldBeNil)
+		})
+	})
+}
+
+// silentConn is a connection of which the end is read at once, and whose writes last until they are ended.
+type silentConn struct {
+	net.Conn
+	began   chan struct{}
+	endings chan error
+}
+
+func (c *silentConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	close(c.began)
+	return len(p), <-c.endings
+}
+
+// Guards against an end that is read before the write fails that gets the reset, where the system doesn't report
+// the state of a connection.
+func TestEndReadBeforeWriteFails(t *testing.T) {
+	Convey("The end of a connection of unknown state", t, func() {
+		inner := &silentConn{
+			began:   make(chan struct{}),
+			endings: make(chan error, 1),
+		}
+		conn := newResetConn(inner)
+		read := func() error {
+			_, err := conn.Read(make([]byte, 1))
+			return err
+		}
+		Convey("is an ordinary one if nothing is written", func() {
+			So(read(), ShouldEqual, io.EOF)
+		})
+		Convey("while a write is in progress", func() {
+			go func() { _, _ = conn.Write([]byte("x")) }()
+			<-inner.began
+			Convey("is a reset if the write fails", func() {
+				time.AfterFunc(writeEndTimeout/20, func() { inner.endings <- syscall.EPIPE })
+				So(errors.Is(read(), syscall.ECONNRESET), ShouldBeTrue)
+			})
+			Convey("is an ordinary one if the write goes on", func() {
+				So(read(), ShouldEqual, io.EOF)
+				inner.endings <- nil
+			})
+		})
+	})
+}
