mgdial, mgrelay: a response with a status that is none isn't an answer

An engine in trouble sends the status 000. Callers got no answer at all: their connection was closed, also where another upstream could have been tried. 001 to 099 and +20 did the same, 600 and 999 were passed on, and so was 101, to which nobody had asked to switch. The versions 0.9 and 2.0 were taken for HTTP/1.

Cause: net/http reads any three characters that strconv.Atoi accepts as a status, and any two digits as a version. Its server panics when it is to write a status under 100, so that the relay's handler ended without an answer, a retry or a record.

Evidence: TestMalformedStatusTakenForAnswer on: 11 panics "invalid WriteHeader code"; 101, the two versions, 600 and 999 reached callers. Statuses of two or four characters, letters, zero bytes and digits of another script were refused before, and stay in the test.

Fix: the connections of mgdial's clients check the first line of each head before net/http reads it, so that all readers of upstreams, engines, services, entries and the store get a MalformedError. The relay answers 502 (outcome unknown) or tries another upstream where the request may run twice. The upstream counts as faulty, as with answers that name another request, but not as unreachable or lost: it does answer (TestMalformedAnswerMisattributed). Connections with TLS are dialed by mgdial itself, since the check reads plain text.

--- a/internal/process/mgrelay/attempt.go
+++ b/internal/process/mgrelay/attempt.go
@@ -87,10 +87,7 @@
 	}
 	x.mayHaveRun = true
 	if problem := y.checkAnswer(x, response); problem != nil {
-		x.problem = problem
-		y.spec.Metrics.Counter("relay.garbled").Inc(1)
-		y.spec.Load.RecordFault(y.spec.Clock.Now(), host.Name)
-		return failed
+		return y.discardAnswer(x, host, problem)
 	}
 	if impliesNotRun(response.StatusCode) {
 		// Callers understand the status as "not run" (see impliesNotRun), but the
@@ -175,8 +172,24 @@
 	return request.WithContext(ctx)
 }
 
+// discardAnswer records an answer that can't be passed on.
+func (y *Relay) discardAnswer(x *exchange, host Host, problem *mgproblem.Problem) attemptOutcome {
+	x.problem = problem
+	y.spec.Metrics.Counter("relay.garbled").Inc(1)
+	y.spec.Load.RecordFault(y.spec.Clock.Now(), host.Name)
+	return failed
+}
+
 // classifyFailure returns the outcome of an attempt that got no answer.
 func (y *Relay) classifyFailure(ctx context.Context, x *exchange, host Host, err error) attemptOutcome {
+	var malformed *mgdial.MalformedError
+	if errors.As(err, &malformed) {
+		y.spec.ReportAnswered(host.Name)
+		x.attempts++
+		x.mayHaveRun = true
+		return y.discardAnswer(x, host, mgproblem.New(mgproblem.Unconfirmed, mgproblem.Unknown,
+			"the upstream's answer is malformed", "send the request again if it may run twice").WithCause(err))
+	}
 	var failure *mgdial.Failure
 	unsent := errors.As(err, &failure) && !failure.Sent()
 	if ctx.Err() == nil {
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -46,7 +47,7 @@
 var errConnectTimeout = errors.New("no connection in time: choose another address")
 
 // settleBeforeTimeout returns a dial function with a timeout, before which it calls settle.
-func settleBeforeTimeout(dial func(ctx context.Context, network, addr string) (net.Conn, error), timeout time.Duration, settle func(ctx context.Context)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func settleBeforeTimeout(dial dialFunc, timeout time.Duration, settle func(ctx context.Context)) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
@@ -111,11 +112,21 @@
 	return NewClientWith(dialer.DialContext)
 }
 
+// A dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClientWith is like NewClient but opens connections with dial.
 func NewClientWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+	return newClient(dial, nil)
+}
+
+// newClient is NewClientWith with the roots of the certificates that it trusts, nil for those of the system.
+func newClient(dial dialFunc, roots *x509.CertPool) *http.Client {
+	open := detectResets(checked(dial))
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            detectResets(checked(dial)),
+			DialContext:            checkHeads(open),
+			DialTLSContext:         checkHeads(dialTLS(open, roots)),
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
@@ -129,6 +140,29 @@
 	}
 }
 
+// dialTLS returns a dial function whose connections are secured by TLS.
+func dialTLS(dial dialFunc, roots *x509.CertPool) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(conn, &tls.Config{
+			RootCAs:    roots,
+			ServerName: host,
+		})
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = conn.Close() // nothing was sent
+			return nil, err
+		}
+		return secured, nil
+	}
+}
+
 // checkKey is the context key of a check before a request is sent.
 type checkKey struct{}
 
@@ -140,7 +174,7 @@
 }
 
 // checked returns a dial function that makes the check of WithSendCheck.
-func checked(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func checked(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		check, _ := ctx.Value(checkKey{}).(func(conn net.Conn) error)
@@ -192,10 +226,13 @@
 		return nil
 	}
 	conn := *used.Load()
-	if watched, ok := conn.(*resetConn); ok {
-		return watched.Conn
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = wrapper.NetConn()
 	}
-	return conn
 }
 
 // RefusesConnections reports whether an address refuses connections, as it does after its
--- a/pkg/mgdial/reset.go
+++ b/pkg/mgdial/reset.go
@@ -38,6 +38,9 @@
 	return c
 }
 
+// NetConn returns the connection itself, as that of crypto/tls does.
+func (c *resetConn) NetConn() net.Conn { return c.Conn }
+
 // Write writes to the connection. It is the only way to write to it, so that no failure is missed.
 func (c *resetConn) Write(p []byte) (int, error) {
 	<-c.idle
@@ -91,7 +94,7 @@
 )
 
 // detectResets returns a dial function whose connections tell a reset from a close.
-func detectResets(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func detectResets(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
