mgdial: a response with a field that isn't one isn't an answer

An engine in trouble sends a head in which the name of a field holds a blank, before the colon or inside. Callers got it as an answer: with that line passed on, or with "Content-Length : 3" and "Transfer-Encoding : chunked" with a body that was not the engine's, cut or with the marks of the chunks in it. The same with a blank at the begin of the line, which was joined to the field before it (a signature becomes another one), with chunks in HTTP/1.0, whose marks reached the caller, and with such names in trailers and interim responses.

Cause: net/textproto keeps a name with blanks as it stands and joins a line that begins with one to the line before it; net/http drops Transfer-Encoding in HTTP/1.0 before a caller of it can see the field. Other readers find another end of the body in the same bytes.

Evidence: TestMalformedFieldTakenForAnswer and TestMalformedTrailerTakenForAnswer on: the two lengths and the chunks whose names hold blanks, names with a blank inside, behind or before them, a tab before one, a folded line, chunks in HTTP/1.0, a name with a blank in an interim response and in a trailer reached callers. They pass now. Other control bytes, quotes, brackets, letters beyond ASCII, no name, no colon and control bytes in a value were refused before, and stay in the tests.

Fix: the scanner of heads in mgdial checks each line: a token, a colon and a value without control bytes (RFC 9112, 5). A folded line is refused, as 5.2 allows. Trailers come after a body of any length, which net/http reads, so that they are checked at its end, by CheckResponses. What sound answers may have passes as before, however its bytes arrive (TestUnusualHeadRefused, FuzzHeadInPieces).

--- a/internal/process/mgrelay/malformed_test.go
+++ b/internal/process/mgrelay/malformed_test.go
@@ -36,6 +36,39 @@
 	return answers
 }
 
+// malformedFields are answers with a field that isn't one in HTTP/1.1 (RFC 9112, 5), or in whose fields two readers
+// find different ends of the body.
+func malformedFields() map[string]string {
+	const head = "HTTP/1.1 200 OK\r\n" + answerHeader
+	const chunks = "\r\n6\r\nbooked\r\n0\r\n\r\n"
+	answers := map[string]string{
+		"a length whose name ends with a blank": head + "Content-Length : 3\r\n\r\nbooked",
+		"a length whose name holds a blank":     head + "Content Length: 3\r\n\r\nbooked",
+		"a length whose name begins with one":   head + " Content-Length: 3\r\n\r\nbooked",
+		"chunks whose name ends with a blank":   head + "Transfer-Encoding : chunked\r\n" + chunks,
+		"chunks in HTTP/1.0":                    "HTTP/1.0 200 OK\r\n" + answerHeader + "Transfer-Encoding: chunked\r\n" + chunks,
+		"a folded line":                         head + "Content-Length: 6\r\nNote: a\r\n b\r\n\r\nbooked",
+		"a name with a blank before an interim": "HTTP/1.1 103 Early Hints\r\nBad Name: a\r\n\r\n" + head + "Content-Length: 6\r\n\r\nbooked",
+	}
+	for _, name := range []string{"Bad Name", "Note ", " Note", "\tNote", "Note\t", "No\tte", "No\x01te", "No\x00te", "No\x7fte", "No\x0bte", "No\rte", "No\"te", "No(te", "Nöte", ""} {
+		answers[fmt.Sprintf("a field named %q", name)] = head + name + ": a\r\nContent-Length: 6\r\n\r\nbooked"
+	}
+	for _, value := range []string{"a\x00b", "a\x01b", "a\rb", "a\x7fb"} {
+		answers[fmt.Sprintf("the value %q", value)] = head + "Note: " + value + "\r\nContent-Length: 6\r\n\r\nbooked"
+	}
+	return answers
+}
+
+// malformedTrailers are answers in chunks after which a field comes that isn't one.
+func malformedTrailers() map[string]string {
+	const head = "HTTP/1.1 200 OK\r\n" + answerHeader + "Transfer-Encoding: chunked\r\n\r\n6\r\nbooked\r\n0\r\n"
+	answers := map[string]string{}
+	for _, name := range []string{"Bad Name", "Note ", "No\x01te", ""} {
+		answers[fmt.Sprintf("a trailer named %q", name)] = head + name + ": a\r\n\r\n"
+	}
+	return answers
+}
+
 // checkNotPassedOn checks that no caller gets one of the answers, nor an end of its connection in place of one.
 func checkNotPassedOn(t *testing.T, answers map[string]string) {
 	requests := []struct {
@@ -80,6 +113,12 @@
 // Guards against an answer with a status that is none, which is passed on or ends the caller's connection.
 func TestMalformedStatusTakenForAnswer(t *testing.T) { checkNotPassedOn(t, malformedStatusLines()) }
 
+// Guards against an answer with a field that isn't one, whose line is passed on or whose body isn't the upstream's.
+func TestMalformedFieldTakenForAnswer(t *testing.T) { checkNotPassedOn(t, malformedFields()) }
+
+// Guards against an answer after whose chunks a field comes that isn't one.
+func TestMalformedTrailerTakenForAnswer(t *testing.T) { checkNotPassedOn(t, malformedTrailers()) }
+
 // Guards against an upstream that answers what is no answer, and that isn't counted as faulty, or is counted as
 // unreachable or as lost with the request.
 func TestMalformedAnswerMisattributed(t *testing.T) {
--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -124,7 +124,7 @@
 func newClient(dial dialFunc, roots *x509.CertPool) *http.Client {
 	open := detectResets(checked(dial))
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: CheckResponses(&http.Transport{
 			DialContext:            checkHeads(open),
 			DialTLSContext:         checkHeads(dialTLS(open, roots)),
 			DisableKeepAlives:      true,
@@ -133,7 +133,7 @@
 			// A non-nil, empty map disables HTTP/2, which shares one
 			// connection among requests.
 			TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/pkg/mgdial/head.go
+++ b/pkg/mgdial/head.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 )
 
 // A MalformedError means that a server sent bytes that are no HTTP/1.1 response (RFC 9112), or of which
@@ -36,10 +37,11 @@
 // A headScanner checks the heads of the response on a connection: those of interim responses and the final
 // one. The zero value is ready at the beginning of a connection.
 type headScanner struct {
-	line   []byte // the begin of the current line
-	status int    // of the current head; 0 before its first line
-	isDone bool   // the final head has ended
-	err    error
+	line        []byte // the begin of the current line
+	status      int    // of the current head; 0 before its first line
+	isVersion10 bool
+	isDone      bool // the final head has ended
+	err         error
 }
 
 // scan reads the next bytes of the connection.
@@ -70,7 +72,7 @@
 	case s.status == 0:
 		return s.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return s.checkField(line)
 	}
 	s.isDone = s.status >= minFinalStatus
 	s.status = 0
@@ -90,6 +92,7 @@
 	case !isFieldValue(reason):
 		return malformed("its first line holds control bytes: %.40q", line)
 	}
+	s.isVersion10 = minor[0] == '0'
 	s.status = 100*int(digits[0]-'0') + 10*int(digits[1]-'0') + int(digits[2]-'0')
 	return checkStatus(s.status)
 }
@@ -103,9 +106,37 @@
 	return nil
 }
 
+// checkField checks a field of a head (RFC 9112, 5).
+func (s *headScanner) checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	switch {
+	case !hasColon || !isToken(string(name)):
+		// A line that begins with a blank continues the one before it, or is a field of its own, depending on
+		// who reads it (RFC 9112, 5.2).
+		return malformed("%.40q is no field", line)
+	case !isFieldValue(value):
+		return malformed("the field %.40q holds control bytes", name)
+	case s.isVersion10 && strings.EqualFold(string(name), "Transfer-Encoding"):
+		return malformed("a response in HTTP/1.0 has the field %q", name)
+	}
+	return nil
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isFieldValue reports whether a text may be a reason phrase (RFC 9112, 4).
+// isToken reports whether a name is one of a field (RFC 9110, 5.6.2).
+func isToken(name string) bool {
+	for i := range len(name) {
+		b := name[i]
+		isLetter := 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z'
+		if !isLetter && !isDigit(b) && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// isFieldValue reports whether a text may be the value of a field or a reason phrase (RFC 9110, 5.5).
 func isFieldValue(text []byte) bool {
 	for _, b := range text {
 		if b < ' ' && b != '\t' || b == 0x7f {
