mgpeer, mgplatform: a broken reply of another process isn't decoded

Cause: a reply without a length or chunks that is cut looks whole, and a protobuf message without its last fields is a valid one: a call then has a reply that its server never gave.

Fix: the transport between processes checks responses by mgdial.CheckResponses, and refuses one that ends with its connection: the system's own processes send a length or chunks, so that something else listens there. The platform client uses mgdial's client by default, as all processes already do.

--- a/internal/connection/mgpeer/peer.go
+++ b/internal/connection/mgpeer/peer.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mglistener"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgproblem"
 )
 
@@ -169,30 +171,46 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &keyTransport{
 		header: authScheme + g.secret,
-		inner: &http.Transport{
+		inner: mgdial.CheckResponses(&http.Transport{
 			DialContext:         dialer.DialContext,
 			TLSClientConfig:     g.tlsConfig,
 			DisableKeepAlives:   noReuse,
 			DisableCompression:  true,
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: 64,
-		},
+		}),
 	}
 }
 
+// errUnframed is the error for a response of which nothing but the connection's end marks the end, so that a
+// cut one looks whole. The system's own processes send none.
+var errUnframed = errors.New("peer: a response has neither a length nor chunks: find out what listens at the address")
+
 // keyTransport adds the shared key to each request.
 type keyTransport struct {
 	header string
-	inner  *http.Transport
+	inner  http.RoundTripper
 }
 
 // RoundTrip sends a copy of the request with the key.
 func (k *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	sent := r.Clone(r.Context())
 	sent.Header.Set("Authorization", k.header)
-	return k.inner.RoundTrip(sent)
+	response, err := k.inner.RoundTrip(sent)
+	if err == nil && mgdial.EndsWithConnection(response) {
+		_ = response.Body.Close() // nothing of it is used
+		return nil, errUnframed
+	}
+	return response, err
 }
 
 // CloseIdleConnections closes the pooled connections, for example after the
 // process was paused, when any of them may be dead.
-func (k *keyTransport) CloseIdleConnections() { k.inner.CloseIdleConnections() }
+func (k *keyTransport) CloseIdleConnections() { closeIdleConnections(k.inner) }
+
+func closeIdleConnections(transport http.RoundTripper) {
+	client := http.Client{
+		Transport: transport,
+	}
+	client.CloseIdleConnections()
+}
--- a/internal/connection/mgplatform/client.go
+++ b/internal/connection/mgplatform/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
+	"github.com/marjoramgauge/marjoramgauge/pkg/mgdial"
 )
 
 // maxValueBytes is the platform's limit for one value.
@@ -72,10 +73,10 @@
 }
 
 // NewHTTP returns a client of the service at the URL base, such as
-// "http://127.0.0.1:7401". A nil client means http.DefaultClient.
+// "http://127.0.0.1:7401". A nil client means mgdial.NewClient().
 func NewHTTP(base string, client *http.Client) Client {
 	if client == nil {
-		client = http.DefaultClient
+		client = mgdial.NewClient()
 	}
 	h := httpReader{
 		base:   base,
