mgpeer, mglink, mgnode: a reply without end ends with an error

A call read its whole reply into memory: without any limit between entries, of up to 64 MiB from agents, half of what an entry of 134 MB has.

Cause: the generated clients read a reply to its end, and only the calls in JSON and to agents had a limit.

Fix: replies to calls end with an error after 4 MiB; the longest, pages of a table, have about 2 MiB. Streams of tokens have no such limit: their frames have.

--- a/internal/connection/mglink/call.go
+++ b/internal/connection/mglink/call.go
@@ -16,7 +16,7 @@
 )
 
 // maxReplyBytes limits the body of a call's reply.
-const maxReplyBytes = 64 << 20
+const maxReplyBytes = 4 << 20
 
 // WithHeartbeats returns a handler that sends an informational response (102) at once and
 // at each interval until next writes its response, so that the client can detect
--- a/internal/process/mgnode/node.go
+++ b/internal/process/mgnode/node.go
@@ -140,7 +140,7 @@
 	n.exchanger = n.newExchanger()
 	n.origins = n.newOrigins()
 	n.killed, n.kill = context.WithCancel(context.Background())
-	n.calls = n.newTransport(false)
+	n.calls = mgpeer.LimitReplies(n.newTransport(false))
 	n.pause = mgmember.NewPauseDetector(n.clock, nil)
 	n.pause.OnPause(func(mgclock.Millis) { n.quarantine.RecordPause(n.clock.Now()) })
 	n.quarantine.SetPauseCheck(func() { n.pause.Check() })
