mgbody, mgentry: a request whose body ends after its entry began to leave is refused

Planned stops: requests that came late in the grace were passed on and cut at its end, among them some that may not be repeated.

Cause: the entry asked whether it was leaving when the head of a request had arrived, and not again. The body is then read for as long as the deadline allows.

Fix: mgbody.CheckEnd asks once more at the end of the body, which all readers of requests use: relay and own interface. The refusal is true, no upstream was asked. It isn't given earlier, since a caller that is still sending may lose an answer with its connection.

--- a/internal/process/mgbody/body.go
+++ b/internal/process/mgbody/body.go
@@ -40,7 +40,8 @@
 	conn   *mglistener.Conn // nil if unknown
 	read   int64
 	ended  bool
-	err    error // of the budget or the limit; sticky
+	atEnd  func() error // see CheckEnd; nil for none
+	err    error        // of the budget, the limit or the end; sticky
 }
 
 // Receive returns a request with a Body in place of its body, or the request itself if it has none, and tells the
@@ -88,6 +89,39 @@
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
 }
 
+// CheckEnd calls check once the whole body of a request has arrived. Reading it fails with the error of check.
+func CheckEnd(r *http.Request, check func() error) {
+	switch body := r.Body.(type) {
+	case nil:
+	case *Body:
+		body.atEnd = check
+	default:
+		if body != http.NoBody {
+			r.Body = &checkedBody{
+				ReadCloser: body,
+				check:      check,
+			}
+		}
+	}
+}
+
+// A checkedBody is a body without a budget whose end is checked.
+type checkedBody struct {
+	io.ReadCloser
+	check func() error
+}
+
+// Read implements io.Reader.
+func (c *checkedBody) Read(p []byte) (int, error) {
+	n, err := c.ReadCloser.Read(p)
+	if err == io.EOF {
+		if checkErr := c.check(); checkErr != nil {
+			err = checkErr
+		}
+	}
+	return n, err
+}
+
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	if err := b.check(); err != nil {
@@ -130,17 +164,25 @@
 		}
 	}
 	if err == io.EOF || b.read == b.length {
-		b.end()
+		if b.end(); b.err != nil {
+			return n, b.err
+		}
 	}
 	return n, err
 }
 
 // end records that the whole body has been read.
 func (b *Body) end() {
-	if !b.ended && b.conn != nil {
-		_ = b.conn.EndRequest() // fails only on a closed connection
+	if b.ended {
+		return
 	}
 	b.ended = true
+	if b.conn != nil {
+		_ = b.conn.EndRequest() // fails only on a closed connection
+	}
+	if b.atEnd != nil {
+		b.err = b.atEnd()
+	}
 }
 
 // Close implements io.Closer.
@@ -172,8 +214,10 @@
 		return nil, b.err
 	}
 	data := make([]byte, b.length)
-	_, err := io.ReadFull(readerFunc(b.readSource), data)
-	return data, err
+	if _, err := io.ReadFull(readerFunc(b.readSource), data); err != nil {
+		return data, err
+	}
+	return data, b.err // with the last bytes, which io.ReadFull ignores
 }
 
 // readGrowing reads a body whose length is unknown.
--- a/internal/process/mgbody/body_test.go
+++ b/internal/process/mgbody/body_test.go
@@ -159,6 +159,64 @@
 	})
 }
 
+// Guards against a request that runs although its process began to leave while its body arrived.
+func TestEndOfBodyUnchecked(t *testing.T) {
+	leaving := mgproblem.New(mgproblem.Leaving, mgproblem.NotRun, "leaving", "send it again")
+	readers := map[string]func(*http.Request) ([]byte, error){
+		"as a whole": ReadAll,
+		"in parts":   func(r *http.Request) ([]byte, error) { return io.ReadAll(r.Body) },
+	}
+	for _, c := range []struct {
+		name      string
+		length    int64
+		hasBudget bool
+	}{
+		{
+			name:      "of a known length",
+			length:    100,
+			hasBudget: true,
+		},
+		{
+			name:      "of an unknown length",
+			length:    -1,
+			hasBudget: true,
+		},
+		{
+			name: "without a budget",
+		},
+	} {
+		for name, read := range readers {
+			Convey("A body "+c.name+" that is read "+name, t, func() {
+				source := strings.NewReader(strings.Repeat("x", 100))
+				r := httptest.NewRequest(http.MethodPost, "/", source)
+				if c.hasBudget {
+					r, _ = receive(mgbudget.New(1<<20), source, c.length)
+				}
+				Convey("fails with the error of the check at its end", func() {
+					CheckEnd(r, func() error {
+						So(source.Len(), ShouldEqual, 0)
+						return leaving
+					})
+					_, err := read(r)
+					So(Problem(err), ShouldEqual, leaving)
+				})
+				Convey("is whole if the check passes", func() {
+					CheckEnd(r, func() error { return nil })
+					data, err := read(r)
+					So(err, ShouldBeNil)
+					So(len(data), ShouldEqual, 100)
+				})
+			})
+		}
+	}
+	Convey("A request without a body isn't checked", t, func() {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		CheckEnd(r, func() error { return leaving })
+		_, err := ReadAll(r)
+		So(err, ShouldBeNil)
+	})
+}
+
 // Guards against a page of documentation that promises more bodies than an entry can hold.
 func TestBodiesOfSmallVM(t *testing.T) {
 	Convey("An entry with 134 MB and 100 connections", t, func() {
--- a/internal/process/mgbody/problem.go
+++ b/internal/process/mgbody/problem.go
@@ -21,8 +21,13 @@
 	return "mgbody: the connection was ended for another one while its body arrived: send the request again"
 }
 
-// Problem returns the problem for a body that could not be read. The request has not run.
+// Problem returns the problem for a body that could not be read, which may be that of CheckEnd. The request has not
+// run.
 func Problem(err error) *mgproblem.Problem {
+	var problem *mgproblem.Problem
+	if errors.As(err, &problem) {
+		return problem
+	}
 	var large *http.MaxBytesError
 	var exceeded *mgbudget.ExceededError
 	var evicted *EvictedError
--- a/internal/process/mgentry/body_test.go
+++ b/internal/process/mgentry/body_test.go
@@ -43,3 +43,57 @@
 		})
 	}
 }
+
+// endingReader calls a function at its end.
+type endingReader struct {
+	io.Reader
+	atEnd func()
+}
+
+func (e *endingReader) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err != nil {
+		e.atEnd()
+	}
+	return n, err
+}
+
+// Guards against a request that is run by an entry which began to leave while its body arrived, and whose answer
+// is then cut.
+func TestBodyThatEndsWhileEntryLeavesRuns(t *testing.T) {
+	for _, c := range []struct {
+		name, path, text string
+		table, service   string
+	}{
+		{
+			name:  "for tokens",
+			path:  "/v1/chat/completions",
+			table: table,
+			text:  `{"model":"report","messages":[{"role":"user","content":"len=3"}]}`,
+		},
+		{
+			name:    "of a plain service",
+			path:    "/v1/services/level/tank/7",
+			text:    "book",
+			table:   lookups,
+			service: "level",
+		},
+	} {
+		Convey("A request "+c.name+" whose body ends after the entry began to leave hasn't run", t, func() {
+			var network countingTransport
+			entry := newEntryWithTable(c.table, c.service, &network)
+			body := &endingReader{
+				Reader: strings.NewReader(c.text),
+				atEnd:  entry.Leave,
+			}
+			r := httptest.NewRequest(http.MethodPost, c.path, body)
+			r.Header.Set("Authorization", "Bearer sample-tankline")
+			w := httptest.NewRecorder()
+			entry.Handler().ServeHTTP(w, r)
+			So(network.calls.Load(), ShouldEqual, 0)
+			So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
+			So(w.Body.String(), ShouldContainSubstring, `"notrun"`)
+			So(w.Header().Get("Retry-After"), ShouldNotBeEmpty)
+		})
+	}
+}
--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -180,10 +180,20 @@
 			e.refuse(w, leavingProblem())
 			return
 		}
+		// A body may take longer to arrive than the entry takes to leave.
+		mgbody.CheckEnd(r, e.checkStays)
 		next.ServeHTTP(w, r)
 	})
 }
 
+// checkStays returns the refusal of requests that arrive while the entry is leaving, otherwise nil.
+func (e *Entry) checkStays() error {
+	if e.leaving.Load() {
+		return leavingProblem()
+	}
+	return nil
+}
+
 // leavingProblem returns the refusal of a request to an entry that is leaving.
 func leavingProblem() *mgproblem.Problem {
 	return mgproblem.New(mgproblem.Leaving, mgproblem.NotRun,
--- a/internal/process/mgentry/parse.go
+++ b/internal/process/mgentry/parse.go
@@ -126,7 +126,7 @@
 			"the body is larger than this entry takes", "send a shorter prompt")
 	}
 	problem := mgbody.Problem(err)
-	if problem.Kind() == mgproblem.Overloaded {
+	if problem.Kind() != mgproblem.Invalid {
 		w.Header().Set("Connection", "close")
 		return problem
 	}
