mgrelay, mgentry: a request that waits in an entry that ends is refused before

Cause: an entry that stops ends the wait of a request whose answer would come too late, but not while fewer than half of the other entries stay, since its caller would fare no better at another one. So nothing ended the wait at all.

TestRequestWaitsUntilEntryEnds fails without the check: 200 for an answer that is then cut.

Fix: whatever the others do, a wait ends once the answer couldn't be whole before the entry ends. Where the caller may resume a stream, what it gets until then is of use, so that the wait ends when the answer could no longer begin. "Not run" is true, since no upstream was asked.

--- a/internal/process/mgentry/entry.go
+++ b/internal/process/mgentry/entry.go
@@ -129,8 +129,16 @@
 // remaining returns the time until the process stops. It returns false if the
 // process is not stopping or a caller would fare no better at another entry.
 func (e *Entry) remaining() (mgclock.Millis, bool) {
+	if e.spec.OthersStay != nil && !e.spec.OthersStay() {
+		return 0, false
+	}
+	return e.stopsIn()
+}
+
+// stopsIn returns the time until the process stops, or false if it is not stopping.
+func (e *Entry) stopsIn() (mgclock.Millis, bool) {
 	end := mgclock.Millis(e.stopTime.Load())
-	if end == 0 || e.spec.OthersStay != nil && !e.spec.OthersStay() {
+	if end == 0 {
 		return 0, false
 	}
 	return end - e.spec.Clock.Now(), true
--- a/internal/process/mgentry/relay.go
+++ b/internal/process/mgentry/relay.go
@@ -33,6 +33,7 @@
 	spec.Load = &e.load
 	spec.OtherLoads = e.spec.OtherLoads
 	spec.TimeLeft = e.remaining
+	spec.StopsIn = e.stopsIn
 	spec.ReportDeparted = e.spec.ReportDeparted
 	spec.Backups = e.spec.Settings.Backups
 	spec.Zone = e.spec.Settings.Zone
--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -95,18 +95,32 @@
 // whether this process is stopping.
 const stopCheckInterval = 250 * mgclock.Millis(1)
 
-// endWaitBeforeStop calls stopWaiting once the answer would no longer end before this process
-// does. Without it, a request that waits when the stop begins is held until the process ends,
-// and its caller learns only then that nothing ran.
+// endWaitBeforeStop calls stopWaiting once waiting is of no use before this process ends. Without
+// it, a request that waits when the stop begins is held until the process ends, and its caller
+// doesn't learn that nothing ran.
 func (y *Relay) endWaitBeforeStop(ctx context.Context, stopWaiting func(), x *exchange) {
 	for y.spec.Clock.Sleep(ctx, stopCheckInterval) {
-		if y.endsTooLate(x) {
+		if y.endsTooLate(x) || y.waitsTooLong(x) {
 			stopWaiting()
 			return
 		}
 	}
 }
 
+// waitsTooLong reports whether this process ends before the answer to a request that is sent now is of
+// any use to its caller: a whole answer, or a part that the caller may resume elsewhere.
+func (y *Relay) waitsTooLong(x *exchange) bool {
+	if y.spec.StopsIn == nil {
+		return false
+	}
+	needed := x.expectedDuration()
+	if x.call.Route.Resumes() {
+		needed = firstEventTime
+	}
+	left, stopping := y.spec.StopsIn()
+	return stopping && left < needed
+}
+
 // endsTooLate reports whether this process is stopping and is expected to end before the answer
 // to a request that is sent now.
 func (y *Relay) endsTooLate(x *exchange) bool {
--- a/internal/process/mgrelay/placement_test.go
+++ b/internal/process/mgrelay/placement_test.go
@@ -66,3 +66,73 @@
 		}
 	})
 }
+
+// Guards against a request that waits in an entry which stops together with most others, and whose connection ends
+// without an answer, or which is sent to an upstream only to be cut.
+func TestRequestWaitsUntilEntryEnds(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		tokens string
+		left   mgclock.Millis // of the process, once it stops
+		status int
+	}{
+		{
+			name:   "is refused if its answer couldn't be whole",
+			path:   "/write/1",
+			tokens: "3000,900",
+			left:   4 * mgclock.Second,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:   "is answered if its answer can be whole",
+			path:   "/write/1",
+			tokens: "3000,20",
+			left:   4 * mgclock.Second,
+			status: http.StatusOK,
+		},
+		{
+			name:   "is answered if its caller can resume what it gets",
+			path:   "/note/1",
+			tokens: "3000,900",
+			left:   4 * mgclock.Second,
+			status: http.StatusOK,
+		},
+		{
+			name:   "is refused if its answer couldn't begin",
+			path:   "/note/1",
+			tokens: "3000,900",
+			left:   500,
+			status: http.StatusServiceUnavailable,
+		},
+	}
+	Convey("When most entries stop, a waiting request", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				g := newHarness(t, answerWith("id: 1\n\n"))
+				g.configureModel(tableText)
+				g.startRelay(func(spec *mgrelay.Spec) {
+					spec.TimeLeft = func() (mgclock.Millis, bool) { return 0, false }
+					spec.StopsIn = func() (mgclock.Millis, bool) { return c.left, true }
+					spec.AwaitPlacement = func(ctx context.Context, _ string, _ mgwaitlist.Request) (mgwaitlist.Grant, bool) {
+						if !spec.Clock.Sleep(ctx, mgclock.Second) {
+							return mgwaitlist.Grant{}, false
+						}
+						return mgwaitlist.Grant{
+							Place: "a",
+						}, true
+					}
+				})
+				got := g.send(context.Background(), http.MethodPost, c.path, "x", http.Header{
+					"Tokens": {c.tokens},
+				})
+				So(got.status, ShouldEqual, c.status)
+				So(len(g.requests()) > 0, ShouldEqual, c.status == http.StatusOK)
+				if c.status == http.StatusServiceUnavailable {
+					So(got.body, ShouldContainSubstring, `"outcome":"notrun"`)
+					So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+				}
+			})
+		}
+	})
+}
--- a/internal/process/mgrelay/relay.go
+++ b/internal/process/mgrelay/relay.go
@@ -116,8 +116,10 @@
 	// load reports that OtherLoads returns, for logs. If it is nil, neither is logged.
 	ListVersion func() (list uint64, age mgclock.Millis)
 	// TimeLeft returns how long this process continues to run, or false if it isn't
-	// stopping.
+	// stopping or its callers would fare no better at another one. StopsIn returns the same
+	// time, and false only if it isn't stopping. Nil stands for a process that doesn't stop.
 	TimeLeft func() (mgclock.Millis, bool)
+	StopsIn  func() (mgclock.Millis, bool)
 	// Quarantine holds requests under which upstreams crash. New creates one if it
 	// is nil.
 	Quarantine *mgquarantine.Quarantine
