--- a/internal/connection/mgpeer/doc.go
+++ b/internal/connection/mgpeer/doc.go
@@ -5,4 +5,7 @@
 // A process accepts the current and the previous key, so that operators can
 // change the key VM by VM without an interruption. Keys are compared in constant
 // time.
+//
+// What answers at a peer's address may be another program. Its responses are
+// checked, and those of calls are limited in size.
 package mgpeer
--- a/pkg/mgdial/doc.go
+++ b/pkg/mgdial/doc.go
@@ -6,4 +6,10 @@
 // written to it waits for its whole timeout, and net/http repeats some requests
 // by itself when a reused connection breaks. Neither can happen on a new
 // connection, and a failure to connect proves that nothing was written.
+//
+// The package also decides whether bytes are a response, and how it ended, for all
+// readers of its clients: a malformed head or trailer is a *MalformedError, and a
+// connection that was reset while the request was being written doesn't end like
+// one that its server closed. CheckResponses does a part of that for transports
+// with pools.
 package mgdial
