mgdial: what an end says that is judged after this process has closed the connection

A write that fails makes net/http close the connection, so that its state can't be asked when the end is judged a moment later. The test of resets now plays that: it is broken after a reset, whole where the peer had closed before, and not known to be whole without a failed write. A variable no longer hides the function that has its name.

--- a/pkg/mgdial/reset_test.go
+++ b/pkg/mgdial/reset_test.go
@@ -53,6 +53,17 @@
 				_, err := conn.Read(make([]byte, 1))
 				So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
 			})
+			Convey("also if this process has closed the connection since", func() {
+				So(conn.Close(), ShouldBeNil)
+				So(conn.wasReset(), ShouldBeTrue)
+			})
+		})
+		Convey("isn't known to be whole if this process has closed the connection", func() {
+			if runtime.GOOS != "linux" {
+				return // the state can't be asked
+			}
+			So(conn.Close(), ShouldBeNil)
+			So(conn.wasReset(), ShouldBeTrue)
 		})
 		Convey("is whole if the peer had closed the connection before", func() {
 			if runtime.GOOS != "linux" {
@@ -65,6 +76,10 @@
 			data, err := io.ReadAll(conn)
 			So(string(data), ShouldEqual, "part")
 			So(err, ShouldBeNil)
+			Convey("also if this process has closed it since", func() {
+				So(conn.Close(), ShouldBeNil)
+				So(conn.wasReset(), ShouldBeFalse)
+			})
 		})
 	})
 }
--- a/pkg/mgdial/response.go
+++ b/pkg/mgdial/response.go
@@ -67,8 +67,8 @@
 func (b *trailedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if malformed := checkNames(b.response.Trailer); malformed != nil {
-			err = malformed
+		if trailerErr := checkNames(b.response.Trailer); trailerErr != nil {
+			err = trailerErr
 		}
 	}
 	return n, err
