mgdial: a server that closes while it is sent the request, and doesn't read on, hasn't ended its response in order

Callers still got a part of an answer as a complete 200, where the upstream closed its connection without a reset while the upload was being written.

Cause: the kernel closes a connection with unread bytes by a reset, but one of which all bytes so far have been read by an ordinary close, and resets it when the next bytes arrive.

Fix: at the end of a connection whose request isn't written yet, the read waits for the write: a server that doesn't read on resets it within a round trip, and each failed write means a broken response. The order of close and reset, which only Linux tells, no longer counts. TestResetReadAsEnd states the stricter rule: its case of a close before a reset now ends with an error, and those of a server that reads on, that stalls, and that had the request are new.

--- a/pkg/mgdial/dial.go
+++ b/pkg/mgdial/dial.go
@@ -124,7 +124,7 @@
 func newClient(dial dialFunc, roots *x509.CertPool) *http.Client {
 	open := detectResets(checked(dial))
 	return &http.Client{
-		Transport: CheckResponses(&http.Transport{
+		Transport: traceWrites(CheckResponses(&http.Transport{
 			DialContext:            checkHeads(open),
 			DialTLSContext:         checkHeads(dialTLS(open, roots)),
 			DisableKeepAlives:      true,
@@ -133,7 +133,7 @@
 			// A non-nil, empty map disables HTTP/2, which shares one
 			// connection among requests.
 			TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
-		}),
+		})),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -227,7 +227,7 @@
 	}
 	conn := *used.Load()
 	for {
-		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		wrapper, ok := conn.(wrapperConn)
 		if !ok {
 			return conn
 		}
@@ -235,6 +235,11 @@
 	}
 }
 
+// A wrapperConn is a connection around another one, as that of crypto/tls is.
+type wrapperConn interface {
+	NetConn() net.Conn
+}
+
 // RefusesConnections reports whether an address refuses connections, as it does after its
 // process has ended while the host is up. An error means that neither is known:
 // the host may be down or unreachable.
--- a/pkg/mgdial/ended_linux.go
+++ b/pkg/mgdial/ended_linux.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -12,8 +11,7 @@
 // The states of a connection in TCP_INFO (tcp_states.h).
 const (
 	tcpEstablished = 1 // neither end has ended it
-	tcpClose       = 7
-	tcpCloseWait   = 8
+	tcpClose       = 7 // both have, or it was reset
 )
 
 // tcpInfo returns what the kernel knows of a connection.
@@ -45,26 +43,11 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
 }
 
-// stateOf returns the state of a connection of which the end was read.
-func stateOf(conn net.Conn) (connState, error) {
+// isEnded reports whether a connection was reset, or ended at both ends, by this process too.
+func isEnded(conn net.Conn) bool {
 	info, err := tcpInfo(conn)
-	switch {
-	case err != nil:
-		return unknownState, err
-	case info.State == tcpCloseWait:
-		return peerClosed, nil
-	case info.State == tcpClose:
-		return ended, nil
-	}
-	return unknownState, nil
-}
-
-// isClosedBeforeReset reports whether the peer had closed a connection before a reset that made a write
-// fail. The first call after a reset fails with EPIPE then, otherwise with ECONNRESET.
-func isClosedBeforeReset(conn net.Conn, writeErr error) bool {
-	if !errors.Is(writeErr, syscall.EPIPE) {
-		return false
+	if err != nil {
+		return errors.Is(err, net.ErrClosed)
 	}
-	state, err := stateOf(conn)
-	return err == nil && state == ended
+	return info.State == tcpClose
 }
--- a/pkg/mgdial/reset_test.go
+++ b/pkg/mgdial/reset_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -38,17 +37,21 @@
 
 // Guards against a reset that only the writer sees, so that the reader takes a cut response for a whole one.
 func TestResetReadAsEnd(t *testing.T) {
-	Convey("A response whose connection is reset while the request is written", t, func() {
+	Convey("A response whose connection ends while the request is written", t, func() {
 		conn, peer := connPair(t)
 		_, err := io.WriteString(peer, "part")
 		So(err, ShouldBeNil)
-		Convey("ends with an error", func() {
+		read := func() error {
+			data, err := io.ReadAll(conn)
+			So(string(data), ShouldEqual, "part")
+			return err
+		}
+		Convey("by a reset ends with an error", func() {
 			So(peer.SetLinger(0), ShouldBeNil)
 			So(peer.Close(), ShouldBeNil)
 			So(writeUntilFailure(conn), ShouldNotBeNil)
-			data, err := io.ReadAll(conn)
-			So(string(data), ShouldEqual, "part")
-			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+			conn.endRequest()
+			So(errors.Is(read(), syscall.ECONNRESET), ShouldBeTrue)
 			Convey("each time it is read", func() {
 				_, err := conn.Read(make([]byte, 1))
 				So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
@@ -58,28 +61,32 @@
 				So(conn.wasReset(), ShouldBeTrue)
 			})
 		})
-		Convey("isn't known to be whole if this process has closed the connection", func() {
-			if runtime.GOOS != "linux" {
-				return // the state can't be asked
-			}
-			So(conn.Close(), ShouldBeNil)
-			So(conn.wasReset(), ShouldBeTrue)
+		Convey("by a close ends with an error if the server doesn't read on", func() {
+			So(peer.Close(), ShouldBeNil) // it has read all so far, so that this isn't a reset
+			go func() {
+				_ = writeUntilFailure(conn)
+				conn.endRequest()
+			}()
+			So(errors.Is(read(), syscall.ECONNRESET), ShouldBeTrue)
 		})
-		Convey("is whole if the peer had closed the connection before", func() {
-			if runtime.GOOS != "linux" {
-				return // the kernel doesn't tell the two apart
-			}
+		Convey("by a close is whole if the server reads the request", func() {
 			So(peer.CloseWrite(), ShouldBeNil)
-			So(peer.SetLinger(0), ShouldBeNil)
+			go func() { _, _ = io.Copy(io.Discard, peer) }()
+			go func() {
+				_, _ = conn.Write(make([]byte, 4<<20))
+				conn.endRequest()
+			}()
+			So(read(), ShouldBeNil)
+		})
+		Convey("by a close is whole if the server neither reads on nor resets the connection", func() {
+			So(peer.CloseWrite(), ShouldBeNil)
+			go func() { _ = writeUntilFailure(conn) }()
+			So(read(), ShouldBeNil)
+		})
+		Convey("by a close is whole if the request has been written", func() {
+			conn.endRequest()
 			So(peer.Close(), ShouldBeNil)
-			So(writeUntilFailure(conn), ShouldNotBeNil)
-			data, err := io.ReadAll(conn)
-			So(string(data), ShouldEqual, "part")
-			So(err, ShouldBeNil)
-			Convey("also if this process has closed it since", func() {
-				So(conn.Close(), ShouldBeNil)
-				So(conn.wasReset(), ShouldBeFalse)
-			})
+			So(read(), ShouldBeNil)
 		})
 	})
 }
@@ -111,11 +118,15 @@
 			_, err := conn.Read(make([]byte, 1))
 			return err
 		}
-		Convey("is an ordinary one if nothing is written", func() {
+		Convey("is an ordinary one if the request has been written", func() {
+			conn.endRequest()
 			So(read(), ShouldEqual, io.EOF)
 		})
 		Convey("while a write is in progress", func() {
-			go func() { _, _ = conn.Write([]byte("x")) }()
+			go func() {
+				_, _ = conn.Write([]byte("x"))
+				conn.endRequest()
+			}()
 			<-inner.began
 			Convey("is a reset if the write fails", func() {
 				time.AfterFunc(writeEndTimeout/20, func() { inner.endings <- syscall.EPIPE })
