--- a/pkg/mgdial/doc.go
+++ b/pkg/mgdial/doc.go
@@ -10,6 +10,6 @@
 // The package also decides whether bytes are a response, and how it ended, for all
 // readers of its clients: a malformed head or trailer is a *MalformedError, and a
 // connection that was reset while the request was being written, or closed by a
-// server that doesn't read on, doesn't end like one that was closed in order. CheckResponses does a part of that for transports
-// with pools.
+// server that doesn't read on, doesn't end like one that was closed in order.
+// CheckResponses does a part of that for transports with pools.
 package mgdial
