mgmember: an upstream that has the name of a process doesn't hide it

An entry whose id is the name of a process makes the others take that process for an upstream: they stop exchanging records, budgets and configurations with it, no longer count it among the entries, and send it requests of the entry's service.

Cause: upstreams and processes share one set of names. A row of the list replaced what a process had said about itself, and a process that was met after the row wasn't recorded.

Evidence: TestUpstreamNamedAsProcessHidesIt failed before, in each of its three orders: the process was missing among the peers.

Why this works: processes are known by their own messages, which other programs don't send.

--- a/internal/version/mgmember/gossip.go
+++ b/internal/version/mgmember/gossip.go
@@ -68,7 +68,7 @@
 }
 
 // introduce records that a process was last seen at a given time, and reports whether
-// it is new. mu must be held.
+// it is new. It replaces an upstream of its name. mu must be held.
 func (m *Members) introduce(lastSeen mgclock.Millis, vm mgplatform.VM) bool {
 	if vm.Name == "" || vm.Name == m.self {
 		return false
@@ -76,7 +76,12 @@
 	if m.known == nil {
 		m.known = make(map[string]mgplatform.VM)
 	}
-	_, known := m.known[vm.Name]
+	before, known := m.known[vm.Name]
+	if known && before.Kind == mgplatform.UpstreamKind {
+		// An upstream's evidence says nothing about the process of its name.
+		known = false
+		delete(m.evidence, vm.Name)
+	}
 	if !known {
 		m.known[vm.Name] = vm
 	}
--- a/internal/version/mgmember/members.go
+++ b/internal/version/mgmember/members.go
@@ -114,6 +114,9 @@
 		m.known = make(map[string]mgplatform.VM)
 	}
 	for _, vm := range list.VMs {
+		if m.isNamesake(now, vm) {
+			continue
+		}
 		if vm.IncarnationStart > m.known[vm.Name].IncarnationStart {
 			// The upstream has restarted. Evidence about its last incarnation, such as
 			// its announcement that it is leaving, would keep work from it for two
@@ -310,6 +313,9 @@
 	all := make([]*Member, 0, len(m.list.VMs))
 	listed := make(map[string]bool, len(m.list.VMs))
 	for _, vm := range m.list.VMs {
+		if m.isNamesake(now, vm) {
+			continue
+		}
 		listed[vm.Name] = true
 		all = append(all, m.member(vm, true))
 	}
@@ -336,6 +342,19 @@
 	}
 }
 
+// isNamesake reports whether a row is an upstream's that has the name of this process or of a known one. Upstreams
+// choose their names, and other programs write such rows by mistake; processes are known by their own messages. mu
+// must be held.
+func (m *Members) isNamesake(now mgclock.Millis, vm mgplatform.VM) bool {
+	if vm.Kind != mgplatform.UpstreamKind {
+		return false
+	}
+	known, ok := m.known[vm.Name]
+	e := m.evidence[vm.Name]
+	isProcess := ok && known.Kind != mgplatform.UpstreamKind && e != nil && e.wasSeen && now < e.lastSeen+lastSeenTTL
+	return isProcess || vm.Name == m.self
+}
+
 // member combines a row of the list with the evidence.
 func (m *Members) member(vm mgplatform.VM, listed bool) *Member {
 	member := &Member{
