mgplatform, mgconfig: one row that can't be read doesn't hide the list of VMs

If one row has a value of another type or a number too large, no process uses the list any more, new requests go to upstreams that leave, and new ones get none.

Cause: the list was decoded as a whole or refused.

Evidence: TestOddRowStopsList failed before: all of 2 and of 30 processes had the old list after the time in which a change must be known.

Why this works: if a value doesn't fit, the list is read row by row, and the rows that can't be read are left out, counted and logged, once while the reason stays the same. Where the list's version or its cordons can't be read, it is refused as before.

--- a/internal/connection/mgplatform/list.go
+++ b/internal/connection/mgplatform/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 )
 
@@ -85,12 +86,35 @@
 	GraceMillis int64 `json:"grace,omitempty"`
 }
 
+// RowsError is returned with a list of VMs some rows of which can't be read. The others are used.
+type RowsError struct {
+	count int
+	first error
+}
+
+// Count returns the number of rows that can't be read.
+func (e *RowsError) Count() int { return e.count }
+
+// Unwrap returns why the first of the rows can't be read.
+func (e *RowsError) Unwrap() error { return e.first }
+
+func (e *RowsError) Error() string {
+	return fmt.Sprintf("platform: rows of the list of VMs that can't be read: %d: publish them again: %v", e.count, e.first)
+}
+
 // ReadList parses a list. It omits VMs without a name, because processes are
-// identified by the names of their VMs.
+// identified by the names of their VMs. If rows have values that can't be read, it
+// returns the others with a RowsError.
 func ReadList(data []byte) (VMList, error) {
 	var list VMList
-	if err := json.Unmarshal(data, &list); err != nil {
-		return VMList{}, fmt.Errorf("platform: the list of VMs is not JSON: publish it again: %w", err)
+	err := json.Unmarshal(data, &list)
+	var mismatch *json.UnmarshalTypeError
+	var unread *RowsError
+	if errors.As(err, &mismatch) {
+		list, unread, err = readRows(data)
+	}
+	if err != nil {
+		return VMList{}, fmt.Errorf("platform: the list of VMs is not JSON, or is none: publish it again: %w", err)
 	}
 	named := list.VMs[:0]
 	for _, vm := range list.VMs {
@@ -99,5 +123,33 @@
 		}
 	}
 	list.VMs = named
+	if unread != nil {
+		return list, unread
+	}
 	return list, nil
 }
+
+// readRows parses a list row by row. The rows that can't be read are omitted and counted.
+func readRows(data []byte) (list VMList, unread *RowsError, err error) {
+	var raw struct {
+		VMList
+		Rows []json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return VMList{}, nil, err
+	}
+	for _, row := range raw.Rows {
+		var vm VM
+		if err := json.Unmarshal(row, &vm); err != nil {
+			if unread == nil {
+				unread = &RowsError{
+					first: err,
+				}
+			}
+			unread.count++
+			continue
+		}
+		raw.VMs = append(raw.VMs, vm)
+	}
+	return raw.VMList, unread, nil
+}
--- a/internal/version/mgconfig/exchange.go
+++ b/internal/version/mgconfig/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgplatform"
 	"github.com/marjoramgauge/marjoramgauge/internal/connection/mgrpc"
@@ -328,21 +329,26 @@
 
 // adoptList adopts a list of VMs from a peer and reports whether it was newer.
 func (m *Machine) adoptList(now mgclock.Millis, data []byte) bool {
+	list, ok := m.readList(data)
+	return ok && m.adoptParsedList(now, list, data)
+}
+
+// readList parses a list of VMs and records what of it can't be read. It returns false if no part of it can be used.
+func (m *Machine) readList(data []byte) (mgplatform.VMList, bool) {
 	list, err := mgplatform.ReadList(data)
 	if err != nil {
 		m.rejections.add(0, mgplatform.ListKey, err)
-		return false
 	}
-	return m.adoptParsedList(now, list, data)
+	var unread *mgplatform.RowsError
+	return list, err == nil || errors.As(err, &unread)
 }
 
 // adoptPlatformList adopts a list that the platform has returned, with the rows that it
 // lacks and that are held, and reports whether it was newer. isFirst is set for the first
 // answer after an outage.
 func (m *Machine) adoptPlatformList(now mgclock.Millis, data []byte, isFirst bool) bool {
-	list, err := mgplatform.ReadList(data)
-	if err != nil {
-		m.rejections.add(0, mgplatform.ListKey, err)
+	list, ok := m.readList(data)
+	if !ok {
 		return false
 	}
 	if m.spec.RowsExpire {
--- a/internal/version/mgconfig/loop.go
+++ b/internal/version/mgconfig/loop.go
@@ -247,8 +247,13 @@
 func (l *Loop) publishTable() {
 	if version, err := l.machine.LastRejection(); err != nil && err != l.loggedRejection {
 		l.loggedRejection = err
-		l.spec.Log.Error(err, "a version of the table was refused, the last good one stays",
-			"version", version, "inforce", l.Current().Version())
+		var unread *mgplatform.RowsError
+		if errors.As(err, &unread) {
+			l.spec.Log.Error(err, "a part of the list of VMs isn't used", "rows", unread.Count())
+		} else {
+			l.spec.Log.Error(err, "a version of the table was refused, the last good one stays",
+				"version", version, "inforce", l.Current().Version())
+		}
 	}
 	current := l.Current()
 	if current == l.published {
--- a/internal/version/mgconfig/rejections.go
+++ b/internal/version/mgconfig/rejections.go
@@ -18,10 +18,13 @@
 // offered by peers.
 const maxRejections = 32
 
-// add records a rejection. Of a faulty list of VMs, digest is the list's key.
+// add records a rejection. Of a faulty list of VMs, digest is the list's key. A rejection that
+// repeats the last one is the same: lists with one faulty row follow one another.
 func (r *rejections) add(version uint64, digest string, err error) {
-	r.lastVersion = version
-	r.lastErr = err
+	if r.lastErr == nil || r.lastVersion != version || r.lastErr.Error() != err.Error() {
+		r.lastVersion = version
+		r.lastErr = err
+	}
 	if r.has(digest) {
 		return
 	}
