mgrelay: whether waiting is of use is asked at once, not after 250 ms

A request that begins to wait for an upstream in the last 250 ms of an entry, while most others stop too, loses its connection without an answer, though nothing ran.

Cause: the check that ends a wait before the entry does was first made after one interval.

Evidence: TestRequestWaitsInLastMoments failed before: the shortest of five waits lasted 250 ms, in an entry with 200 ms left.

Why this works: the wait ends at once if the entry's time is too short, and the caller gets 503, not run.

--- a/internal/process/mgrelay/placement.go
+++ b/internal/process/mgrelay/placement.go
@@ -99,12 +99,12 @@
 // it, a request that waits when the stop begins is held until the process ends, and its caller
 // doesn't learn that nothing ran.
 func (y *Relay) endWaitBeforeStop(ctx context.Context, stopWaiting func(), x *exchange) {
-	for y.spec.Clock.Sleep(ctx, stopCheckInterval) {
-		if y.endsTooLate(x) || y.waitsTooLong(x) {
-			stopWaiting()
+	for !y.endsTooLate(x) && !y.waitsTooLong(x) {
+		if !y.spec.Clock.Sleep(ctx, stopCheckInterval) {
 			return
 		}
 	}
+	stopWaiting()
 }
 
 // waitsTooLong reports whether this process ends before the answer to a request that is sent now is of
--- a/internal/process/mgrelay/placement_test.go
+++ b/internal/process/mgrelay/placement_test.go
@@ -136,3 +136,32 @@
 		}
 	})
 }
+
+// Guards against a request that begins to wait in the last moments of an entry which stops together with most others,
+// and whose connection ends before anything asks whether waiting is of use.
+func TestRequestWaitsInLastMoments(t *testing.T) {
+	Convey("When most entries stop, a request that arrives last is refused before its entry ends", t, func() {
+		const left = 200 * mgclock.Millis(1)
+		g := newHarness(t, answerWith("id: 1\n\n"))
+		g.configureModel(tableText)
+		waited := mgclock.Minute // the shortest wait, as the machine may pause in one
+		g.startRelay(func(spec *mgrelay.Spec) {
+			spec.TimeLeft = func() (mgclock.Millis, bool) { return 0, false }
+			spec.StopsIn = func() (mgclock.Millis, bool) { return left, true }
+			spec.AwaitPlacement = func(ctx context.Context, _ string, _ mgwaitlist.Request) (mgwaitlist.Grant, bool) {
+				startedAt := spec.Clock.Now()
+				<-ctx.Done()
+				waited = min(waited, spec.Clock.Now()-startedAt)
+				return mgwaitlist.Grant{}, false
+			}
+		})
+		for range 5 {
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", http.Header{
+				"Tokens": {"3000,900"},
+			})
+			So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(got.body, ShouldContainSubstring, `"outcome":"notrun"`)
+		}
+		So(waited, ShouldBeLessThan, left)
+	})
+}
