mgrelay: the size that a caller states can't exceed all integers or be negative

One caller that states a huge, negative or absent number of tokens makes an upstream appear to have trillions of tokens less load than it has, to this entry and, by the reports of loads, to all others, until the answer ends. A generation of negative size also asks for a placement that adds room.

Cause: sums of the stated numbers overflowed, and numbers that are none or too large became the least integer, which differs between machines.

Evidence: TestOddSizeMisread failed before in all nine cases, with needs of -2 to -9.2e18 tokens.

Why this works: sizes are held between 0 and 2^31 tokens where the headers are read. A generation that states no prompt gets no placement, as before.

--- a/internal/process/mgrelay/headernames.go
+++ b/internal/process/mgrelay/headernames.go
@@ -1,6 +1,7 @@
 package mgrelay
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -76,20 +77,30 @@
 // the upstream. A request whose prompt is unknown gets no placement.
 func (f *HeaderNames) sizeOf(header http.Header) generationSize {
 	prompt, maxText, _ := strings.Cut(header.Get(f.Tokens), ",")
-	var s generationSize
-	s.prompt, _ = strconv.Atoi(prompt)
-	maxOutput, _ := strconv.Atoi(maxText)
+	maxOutput := tokensOf(maxText)
 	hint, err := strconv.ParseFloat(header.Get(f.OutputHint), 64)
-	if err != nil {
+	if err != nil || math.IsNaN(hint) {
 		hint = defaultOutputFraction * float64(maxOutput)
 	}
-	s.output = int(hint)
+	s := generationSize{
+		prompt: tokensOf(prompt),
+		output: int(min(max(hint, 0), maxTokens)),
+	}
 	if maxOutput > 0 {
 		s.output = min(s.output, maxOutput)
 	}
 	return s
 }
 
+// maxTokens bounds the sizes that callers state, in tokens, so that sums of them are exact.
+const maxTokens = 1 << 31
+
+// tokensOf returns the number of tokens that a text states, at most maxTokens, or 0 if it states none.
+func tokensOf(text string) int {
+	n, _ := strconv.Atoi(text) // the nearest integer if it is out of range
+	return min(max(n, 0), maxTokens)
+}
+
 // hopHeaders apply to a single connection (RFC 9110, 7.6.1).
 var hopHeaders = []string{
 	"Connection",
--- a/internal/process/mgrelay/placement_test.go
+++ b/internal/process/mgrelay/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/marjoramgauge/marjoramgauge/internal/process/mgrelay"
+	"github.com/marjoramgauge/marjoramgauge/internal/request/mgload"
 	"github.com/marjoramgauge/marjoramgauge/internal/request/mgwaitlist"
 	"github.com/marjoramgauge/marjoramgauge/pkg/mgclock"
 )
@@ -165,3 +167,47 @@
 		So(waited, ShouldBeLessThan, left)
 	})
 }
+
+// Guards against a size that a caller states, by which an upstream seems to have less than no load, so that all
+// requests are sent there, or a sum is out of range.
+func TestOddSizeMisread(t *testing.T) {
+	const most = 1 << 40
+	for _, size := range []http.Header{
+		{"Tokens": {"9223372036854775807,9223372036854775807"}},
+		{"Tokens": {"99999999999999999999,99999999999999999999"}},
+		{"Tokens": {"3000,-5"}},
+		{"Tokens": {"-3000,900"}},
+		{"Tokens": {"-99999999999999999999,5"}},
+		{"Tokens": {"3000,0"}, "Hint": {"1e300"}},
+		{"Tokens": {"3000,900"}, "Hint": {"-1e300"}},
+		{"Tokens": {"3000,900"}, "Hint": {"NaN"}},
+		{"Tokens": {"3000,900"}, "Hint": {"-Inf"}},
+	} {
+		Convey(fmt.Sprint("A generation that states ", size), t, func() {
+			var load mgload.Tracker
+			running := mgload.Load{} // while the generation runs
+			g := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+				running = load.Load("a")
+				answerWith("id: 1\n\n")(w, r)
+			})
+			g.configureModel(tableText)
+			waiting := mgwaitlist.Request{} // for the placement
+			g.startRelay(func(spec *mgrelay.Spec) {
+				spec.Load = &load
+				spec.AwaitPlacement = func(_ context.Context, _ string, request mgwaitlist.Request) (mgwaitlist.Grant, bool) {
+					waiting = request
+					return mgwaitlist.Grant{
+						Place: "a",
+					}, true
+				}
+			})
+			got := g.send(context.Background(), http.MethodPost, "/note/1", "x", size)
+			So(got.status, ShouldEqual, http.StatusOK)
+			for _, number := range []int{
+				waiting.Need, waiting.Output, int(waiting.Duration), running.Memory, running.Pending,
+			} {
+				So(number, ShouldBeBetweenOrEqual, 0, most)
+			}
+		})
+	}
+}
